--- /dev/null
+++ b/daemon/node.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+#include <asio/io_context.hpp>
+
+#include "plantainswitch/plantainswitch.h"
+
+#include "settings.h"
+
+namespace plantainswitch {
+
+/// What the parts of a router share: its settings, clock and tables.
+struct Node
+{
+    Node(Settings settings, const Clock &clock, std::uint64_t incarnation);
+
+    /// \returns this router's heartbeat as of now.
+    [[nodiscard]] Heartbeat heartbeat() const;
+
+    Settings settings;
+    const Clock &clock;
+    std::uint64_t incarnation;
+    /// Hash of id and incarnation, by which peers know this process.
+    std::uint64_t identity;
+    CatalogueTable catalogue;
+    MemberTable members;
+    UpstreamTable upstreams;
+    KeeperTable keeper;
+    ExplainTable explain;
+    Metrics metrics;
+    std::atomic<bool> stopping = false;
+    std::atomic<std::uint64_t> inFlight = 0;
+    std::atomic<std::uint64_t> nextRequest = 1;
+};
+
+/// \returns the hash by which peers know the process of that id and incarnation.
+[[nodiscard]] std::uint64_t identityOf(const std::string &id, std::uint64_t incarnation) noexcept;
+
+} // namespace plantainswitch
--- /dev/null
+++ b/daemon/operators.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <memory>
+
+#include "httpserver.h"
+
+#include "node.h"
+
+namespace plantainswitch {
+
+/// Serves the operators' address: health, readiness, metrics, explanations, status.
+void serveOperator(Node &node, const net::HttpRequest &request, net::HttpReply &reply);
+
+} // namespace plantainswitch
--- /dev/null
+++ b/daemon/parse.cpp
@@ -0,0 +1,114 @@
+#include "parse.h"
+
+#include <nlohmann/json.hpp>
+
+namespace plantainswitch {
+
+namespace {
+
+constexpr std::string_view chatPath = "/v1/chat/completions";
+constexpr std::string_view servicePrefix = "/services/";
+constexpr std::string_view bearer = "Bearer ";
+
+Reason bad(std::string detail)
+{
+    return {ErrorKind::BadRequest, std::move(detail), std::nullopt};
+}
+
+bool parseChatBody(CallerRequest &request, Reason &reason)
+{
+    const nlohmann::json json = nlohmann::json::parse(request.body, nullptr, false);
+    if (!json.is_object()) {
+        reason = bad("the body is not a JSON object");
+        return false;
+    }
+    const auto model = json.find("model");
+    if (model == json.end() || !model->is_string()) {
+        reason = bad("\"model\" must be a string");
+        return false;
+    }
+    const auto messages = json.find("messages");
+    if (messages == json.end() || !messages->is_array() || messages->empty()) {
+        reason = bad("\"messages\" must be a list with at least one message");
+        return false;
+    }
+    const auto stream = json.find("stream");
+    if (stream != json.end() && !stream->is_boolean()) {
+        reason = bad("\"stream\" must be true or false");
+        return false;
+    }
+    request.service = model->get<std::string>();
+    request.stream = stream != json.end() && stream->get<bool>();
+    return true;
+}
+
+bool parseServicePath(CallerRequest &request, std::string_view path, Reason &reason)
+{
+    path.remove_prefix(servicePrefix.size());
+    const std::size_t slash = path.find('/');
+    request.service = path.substr(0, slash);
+    request.path = slash == std::string_view::npos ? "/" : path.substr(slash);
+    request.model = false;
+    if (request.service.empty()) {
+        reason = bad("the path names no service");
+        return false;
+    }
+    return true;
+}
+
+bool parseMarks(CallerRequest &request, const net::HttpRequest &http, Reason &reason)
+{
+    const std::string_view mark = http.header(nonIdempotentHeader);
+    if (!mark.empty() && mark != "true" && mark != "false") {
+        reason = bad("x-non-idempotent must be true or false");
+        return false;
+    }
+    request.nonIdempotent = mark == "true";
+    request.idempotencyKey = http.header(keyHeader);
+    request.chat = http.header(chatHeader);
+    if (request.nonIdempotent && request.idempotencyKey.empty()) {
+        reason = bad("a non-idempotent request needs an idempotency-key");
+        return false;
+    }
+    if (request.idempotencyKey.size() > longestName || request.chat.size() > longestName) {
+        reason = bad("a chat id or idempotency-key is longer than 200 bytes");
+        return false;
+    }
+    return true;
+}
+
+} // namespace
+
+std::optional<CallerRequest> parseRequest(net::HttpRequest http, std::size_t largestBody,
+                                          Reason &reason)
+{
+    CallerRequest request;
+    request.method = http.method;
+    request.contentType = http.header("content-type");
+    const std::string_view authorization = http.header("authorization");
+    if (authorization.starts_with(bearer)) {
+        request.token = authorization.substr(bearer.size());
+    }
+    if (http.body.size() > largestBody) {
+        reason = {ErrorKind::TooLarge,
+                  "the body is larger than " + std::to_string(largestBody) + " bytes",
+                  {}};
+        return std::nullopt;
+    }
+    if (!parseMarks(request, http, reason)) {
+        return std::nullopt;
+    }
+    request.body = std::move(http.body);
+    if (http.path == chatPath && http.method == "POST") {
+        request.path = chatPath;
+        return parseChatBody(request, reason) ? std::optional(std::move(request)) : std::nullopt;
+    }
+    if (http.path.starts_with(servicePrefix)) {
+        return parseServicePath(request, http.path, reason) ? std::optional(std::move(request))
+                                                            : std::nullopt;
+    }
+    reason = {ErrorKind::NotFound, http.method + " " + http.path, std::nullopt};
+    return std::nullopt;
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/daemon/requestpath.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "httpclient.h"
+#include "httpserver.h"
+
+#include "node.h"
+#include "slots.h"
+
+namespace plantainswitch {
+
+/// The way of a request: parse, admit, place, dispatch, relay, account.
+class RequestPath
+{
+public:
+    RequestPath(Node &node, std::shared_ptr<Slots> slots, std::vector<net::HttpClient *> clients);
+
+    /// Serves one request of a caller.
+    void serve(net::HttpRequest request, std::shared_ptr<net::HttpReply> reply);
+
+private:
+    Node &node;
+    std::shared_ptr<Slots> slots;
+    std::vector<net::HttpClient *> clients;
+    std::atomic<std::size_t> nextClient = 0;
+};
+
+/// Writes the one form of refusal: kind, sentence, whether the request ran, when to come back.
+void refuse(net::HttpReply &reply, const Reason &reason, const std::string &requestId);
+/// \returns the JSON body of a refusal.
+[[nodiscard]] std::string refusalBody(const Reason &reason, const std::string &requestId);
+
+} // namespace plantainswitch
--- /dev/null
+++ b/include/plantainswitch/base/fields.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "plantainswitch/catalogue/parse.h"
+
+namespace plantainswitch {
+
+/// Reads the fields of one JSON object, collecting every fault and every field nobody asked for.
+class FieldReader
+{
+public:
+    /// \param object to read; anything but an object is a fault
+    /// \param path of the object within its document, such as "/peer"
+    /// \param faults receives the faults
+    FieldReader(const nlohmann::json &object, std::string path, std::vector<Fault> &faults);
+
+    /// A string of 1 to \a longest bytes. Keeps \a value when absent and not \a required.
+    void read(std::string_view name, std::string &value, bool required = false,
+              std::size_t longest = 256);
+    /// A whole number from \a least to \a most.
+    void read(std::string_view name, std::uint32_t &value, std::uint32_t least, std::uint32_t most,
+              bool required = false);
+    /// true or false.
+    void read(std::string_view name, bool &value);
+    /// A list of non-empty strings; at least one when \a required.
+    void read(std::string_view name, std::vector<std::string> &value, bool required = false);
+    /// One name out of \a names; \a index receives its position.
+    void readName(std::string_view name, std::size_t &index,
+                  const std::vector<std::string_view> &names);
+    /// \returns the nested object of that name, or an empty object when absent.
+    [[nodiscard]] const nlohmann::json &child(std::string_view name);
+    /// \returns the path of the field \a name.
+    [[nodiscard]] std::string pathOf(std::string_view name) const;
+    /// Reports each field that was not asked for.
+    void finish();
+
+private:
+    const nlohmann::json *find(std::string_view name, bool required, std::string_view allowed);
+    void fault(std::string_view name, const nlohmann::json &found, std::string allowed);
+
+    const nlohmann::json &object;
+    std::string path;
+    std::vector<Fault> &faults;
+    std::set<std::string, std::less<>> known;
+};
+
+} // namespace plantainswitch
--- /dev/null
+++ b/include/plantainswitch/base/hash.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace plantainswitch {
+
+/// 64-bit xxHash of \a text; equal on every machine, so routers agree without talking.
+[[nodiscard]] std::uint64_t hashOf(std::string_view text, std::uint64_t seed = 0) noexcept;
+
+/// Mixes two hashes into one; order matters.
+[[nodiscard]] std::uint64_t mixHash(std::uint64_t first, std::uint64_t second) noexcept;
+
+} // namespace plantainswitch
--- /dev/null
+++ b/include/plantainswitch/base/lockorder.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <mutex>
+
+namespace plantainswitch {
+
+/// Lock order of the shared tables, stated here only: a thread takes locks in rising rank.
+enum class LockRank : int {
+    Requests = 10,
+    Catalogue = 20,
+    Members = 30,
+    Upstreams = 40,
+    Limits = 50,
+    Slots = 60,
+    Keeper = 70,
+    Claims = 80,
+    Suspects = 90,
+    Explain = 100,
+    Metrics = 110,
+};
+
+/// A mutex that knows its rank. A wrong order would deadlock only under rare timing, seen as a
+/// router that answers nothing; debug builds abort at the first wrong order instead, whatever
+/// the timing, and every test runs as a debug build.
+class RankedMutex
+{
+public:
+    explicit RankedMutex(LockRank rank) noexcept
+        : rank(rank)
+    {}
+    RankedMutex(const RankedMutex &) = delete;
+    RankedMutex &operator=(const RankedMutex &) = delete;
+
+    void lock();
+    void unlock();
+
+private:
+    std::mutex mutex;
+    LockRank rank;
+    int previous = 0;
+};
+
+using RankedLock = std::lock_guard<RankedMutex>;
+
+} // namespace plantainswitch
--- /dev/null
+++ b/include/plantainswitch/catalogue/entry.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace plantainswitch {
+
+/// Kinds of catalogue entries; each is one kind of object at the platform.
+enum class EntryKind : std::uint8_t { DataClass, Workspace, Service };
+
+/// \returns the kind's name at the platform, such as "workspace".
+[[nodiscard]] std::string_view nameOf(EntryKind kind) noexcept;
+/// \returns the kind of that name, or nothing.
+[[nodiscard]] std::optional<EntryKind> entryKindOf(std::string_view name) noexcept;
+
+/// What a service's upstreams are.
+enum class ServiceType : std::uint8_t { Model, Plain };
+[[nodiscard]] std::string_view nameOf(ServiceType type) noexcept;
+
+/// A class of data and the places in which it may be served.
+struct DataClass
+{
+    std::string owner;
+    std::vector<std::string> places;
+    /// Longest time a router serves this class by a catalogue it can't refresh; 0: no limit.
+    std::uint32_t maxStaleSeconds = 0;
+};
+
+/// A customer's space: who may call, with which data, how much.
+struct Workspace
+{
+    std::string owner;
+    std::string dataClass;
+    /// Bearer token; never logged, never in an answer.
+    std::string token;
+    std::vector<std::string> services;
+    std::uint32_t requestsPerSecond = 0;
+    std::uint32_t maxInFlight = 0;
+    /// Share of an engine's queue relative to other workspaces.
+    std::uint32_t weight = 1;
+    /// Priority handed to engines; higher runs first.
+    std::uint32_t priority = 0;
+};
+
+/// A routed service: a model pool or a plain application.
+struct Service
+{
+    std::string owner;
+    std::string dataClass;
+    ServiceType type = ServiceType::Model;
+    /// Requests that one engine takes at a time.
+    std::uint32_t engineCapacity = 64;
+    /// Number of parts with one keeper each into which a place's engines are split.
+    std::uint32_t shards = 1;
+    /// Longest wait for an engine, in milliseconds.
+    std::uint32_t queueMilliseconds = 2000;
+};
+
+using EntryBody = std::variant<DataClass, Workspace, Service>;
+
+/// Identity of an entry.
+struct EntryKey
+{
+    EntryKind kind = EntryKind::DataClass;
+    std::string name;
+    auto operator<=>(const EntryKey &) const = default;
+};
+
+/// An entry as the platform holds it. Without a body it is a tombstone.
+struct Entry
+{
+    EntryKey key;
+    std::uint64_t version = 0;
+    std::optional<EntryBody> body;
+};
+
+} // namespace plantainswitch
--- /dev/null
+++ b/include/plantainswitch/catalogue/table.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "plantainswitch/base/clock.h"
+#include "plantainswitch/base/error.h"
+#include "plantainswitch/base/lockorder.h"
+#include "plantainswitch/catalogue/entry.h"
+
+namespace plantainswitch {
+
+/// An immutable view of the catalogue; a request uses one from beginning to end.
+struct CatalogueView
+{
+    std::map<std::string, DataClass, std::less<>> dataClasses;
+    std::map<std::string, Workspace, std::less<>> workspaces;
+    std::map<std::string, Service, std::less<>> services;
+    /// Token hash to workspace names, so that look-up doesn't walk every workspace.
+    std::multimap<std::uint64_t, std::string> tokens;
+    /// Highest version taken in.
+    std::uint64_t version = 0;
+};
+
+/// The catalogue in force on this router. Entries only move to higher versions.
+class CatalogueTable
+{
+public:
+    /// Takes each entry of \a batch that is newer than what is known.
+    /// An old list of the platform or a peer that was cut off would otherwise turn an edit back,
+    /// seen as data served in a place that was already forbidden. Comparing versions for each
+    /// entry, tombstones included, is enough because the platform never reuses a version.
+    /// \param batch of entries; the view changes once for all of them
+    /// \returns how many were taken.
+    std::size_t merge(const std::vector<Entry> &batch);
+
+    /// Marks that the store, or a peer fresh from it, confirmed the catalogue at \a now.
+    void confirm(TimePoint now);
+
+    /// \returns the view in force, or nothing before any entry is known.
+    [[nodiscard]] std::shared_ptr<const CatalogueView> view() const;
+    /// \returns every entry with a version above \a version, tombstones included.
+    [[nodiscard]] std::vector<Entry> entriesAbove(std::uint64_t version) const;
+    /// \returns when the catalogue was last confirmed, if ever.
+    [[nodiscard]] std::optional<TimePoint> confirmedAt() const;
+
+private:
+    mutable RankedMutex mutex{LockRank::Catalogue};
+    std::map<EntryKey, Entry> entries;
+    std::shared_ptr<const CatalogueView> current;
+    std::optional<TimePoint> confirmed;
+};
+
+/// What a caller may do, taken from one view of the catalogue.
+struct Admission
+{
+    std::string workspace;
+    Workspace limits;
+    std::string service;
+    Service serviceEntry;
+    /// Places that both the workspace's and the service's data class permit.
+    std::vector<std::string> places;
+    std::uint64_t catalogueVersion = 0;
+};
+
+/// Admits a request.
+/// \param view of the catalogue
+/// \param token as the caller sent it, compared in constant time
+/// \param service asked for
+/// \param staleness time since the catalogue was last confirmed
+/// \param reason receives why not
+/// \returns the admission, or nothing.
+[[nodiscard]] std::optional<Admission> admit(const CatalogueView &view, std::string_view token,
+                                             std::string_view service, Duration staleness,
+                                             Reason &reason);
+
+/// Compares in a time that depends on the lengths only.
+[[nodiscard]] bool equalInConstantTime(std::string_view first, std::string_view second) noexcept;
+
+} // namespace plantainswitch
--- /dev/null
+++ b/include/plantainswitch/fwd.h
@@ -0,0 +1,39 @@
+#pragma once
+
+/// Forward declarations of the library's types.
+
+#include <cstdint>
+
+namespace plantainswitch {
+
+class Clock;
+class CatalogueTable;
+class ExplainTable;
+class KeeperTable;
+class MemberTable;
+class Metrics;
+class SseParser;
+class UpstreamTable;
+
+struct Admission;
+struct CatalogueView;
+struct DataClass;
+struct Entry;
+struct Fault;
+struct Heartbeat;
+struct PlacementPlan;
+struct Reason;
+struct Service;
+struct Shard;
+struct SlotAsk;
+struct SlotRelease;
+struct SlotReply;
+struct Upstream;
+struct Vm;
+struct Workspace;
+
+enum class ErrorKind : std::uint8_t;
+enum class Event : std::uint16_t;
+enum class Ran : std::uint8_t;
+
+} // namespace plantainswitch
--- /dev/null
+++ b/include/plantainswitch/membership/vm.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace plantainswitch {
+
+/// What a VM of the platform's list does.
+enum class VmRole : std::uint8_t { Router, Engine, Plain };
+[[nodiscard]] std::string_view nameOf(VmRole role) noexcept;
+[[nodiscard]] std::optional<VmRole> vmRoleOf(std::string_view name) noexcept;
+
+/// An IP number and a port.
+struct Endpoint
+{
+    std::string host;
+    std::uint16_t port = 0;
+    auto operator<=>(const Endpoint &) const = default;
+};
+
+/// \returns "host:port".
+[[nodiscard]] std::string toText(const Endpoint &endpoint);
+
+/// One line of the platform's lagging list of VMs.
+struct Vm
+{
+    std::string id;
+    VmRole role = VmRole::Engine;
+    /// Service whose upstream it is; empty for routers.
+    std::string service;
+    std::string place;
+    /// For routers the peer link, for upstreams their HTTP address.
+    Endpoint endpoint;
+    bool leaving = false;
+};
+
+} // namespace plantainswitch
--- /dev/null
+++ b/include/plantainswitch/observe/event.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace plantainswitch {
+
+/// Severity of a log event.
+enum class Severity : std::uint8_t { Debug, Info, Warning, Error };
+[[nodiscard]] std::string_view nameOf(Severity severity) noexcept;
+
+/// The numbered log events; docs/EVENTS.md says what each means and what to do.
+enum class Event : std::uint16_t {
+    Started = 100,
+    Stopping = 101,
+    Stopped = 102,
+    StopRepeated = 103,
+    CatalogueTaken = 200,
+    PlatformUnreachable = 201,
+    PlatformBack = 202,
+    EntryInvalid = 203,
+    MemberJoined = 300,
+    MemberGone = 301,
+    DatagramInvalid = 302,
+    RequestDone = 400,
+    RequestRefused = 401,
+    AnswerCut = 402,
+    CallerGone = 403,
+    UpstreamUnreachable = 500,
+    UpstreamGarbage = 501,
+    UpstreamLeaving = 502,
+    KeeperSilent = 503,
+};
+
+/// Number, name and severity of one event.
+struct EventRow
+{
+    Event event;
+    std::string_view name;
+    Severity severity;
+};
+
+/// \returns the table of all events.
+[[nodiscard]] std::span<const EventRow> eventTable() noexcept;
+/// \returns the row of \a event.
+[[nodiscard]] const EventRow &eventRow(Event event) noexcept;
+
+/// A key and its value in a log line.
+using LogField = std::pair<std::string_view, std::string>;
+
+/// How log lines are written.
+enum class LogFormat : std::uint8_t { KeyValue, Json };
+
+/// Sets up Boost.Log on standard error; without it, events are dropped.
+void startLogging(LogFormat format, Severity least, std::string node);
+/// Writes one event as one line.
+void logEvent(Event event, std::initializer_list<LogField> fields);
+
+/// \returns the line of \a event in \a format; values are escaped so that a line stays one.
+[[nodiscard]] std::string formatEvent(LogFormat format, std::string_view node, const EventRow &row,
+                                      std::span<const LogField> fields);
+
+} // namespace plantainswitch
--- /dev/null
+++ b/include/plantainswitch/observe/explain.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "plantainswitch/base/lockorder.h"
+
+namespace plantainswitch {
+
+/// Why a request went where it went, step by step.
+struct Explanation
+{
+    std::string requestId;
+    std::vector<std::string> steps;
+};
+
+/// Number of requests whose explanation is kept.
+inline constexpr std::size_t keptExplanations = 4096;
+
+/// The explanations of the latest requests, bounded in number.
+class ExplainTable
+{
+public:
+    void keep(Explanation explanation);
+    [[nodiscard]] std::optional<Explanation> find(const std::string &requestId) const;
+
+private:
+    mutable RankedMutex mutex{LockRank::Explain};
+    std::unordered_map<std::string, Explanation> kept;
+    std::deque<std::string> order;
+};
+
+} // namespace plantainswitch
--- /dev/null
+++ b/include/plantainswitch/placement/messages.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "plantainswitch/upstreams/upstreams.h"
+
+namespace plantainswitch {
+
+/// Identity of a shard on the peer link: a hash of service, place and number.
+using ShardId = std::uint64_t;
+
+/// A part of a service's upstreams in one place, whose in-flight counts one keeper holds.
+struct Shard
+{
+    std::string service;
+    std::string place;
+    std::uint32_t number = 0;
+};
+
+/// \returns the identity of \a shard.
+[[nodiscard]] ShardId shardIdOf(const Shard &shard) noexcept;
+
+/// A router asks a shard's keeper for an upstream. Repeating it with the same id is harmless.
+struct SlotAsk
+{
+    /// Unique within the asking router's incarnation.
+    std::uint32_t askId = 0;
+    Shard shard;
+    /// Hash of workspace and chat.
+    std::uint64_t chat = 0;
+    /// Hash of the request's content, by which a request that crashes upstreams is known.
+    std::uint64_t fingerprint = 0;
+    /// Upstreams that already failed this request.
+    std::vector<UpstreamId> avoid;
+};
+
+enum class SlotVerdict : std::uint8_t {
+    Granted,
+    /// Every engine of the shard is at its bound; another shard may have room.
+    Overflow,
+    /// The shard has no ready engine as the keeper sees it.
+    Empty,
+};
+[[nodiscard]] std::string_view nameOf(SlotVerdict verdict) noexcept;
+
+struct SlotReply
+{
+    std::uint32_t askId = 0;
+    SlotVerdict verdict = SlotVerdict::Empty;
+    UpstreamId upstream = 0;
+};
+
+/// Gives slots back.
+struct SlotRelease
+{
+    ShardId shard = 0;
+    std::vector<std::uint32_t> askIds;
+};
+
+} // namespace plantainswitch
--- /dev/null
+++ b/include/plantainswitch/placement/plan.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "plantainswitch/base/clock.h"
+#include "plantainswitch/catalogue/table.h"
+#include "plantainswitch/membership/members.h"
+#include "plantainswitch/placement/messages.h"
+#include "plantainswitch/upstreams/upstreams.h"
+
+namespace plantainswitch {
+
+/// The shards that may serve a request, in the chat's own order.
+struct PlacementPlan
+{
+    std::vector<Shard> shards;
+};
+
+/// \returns the number of the shard that \a upstream belongs to.
+[[nodiscard]] std::uint32_t shardNumberOf(UpstreamId upstream, std::uint32_t shards) noexcept;
+
+/// \returns the ready upstreams of \a shard.
+[[nodiscard]] std::vector<UpstreamId> readyOf(const UpstreamTable &upstreams, const Shard &shard,
+                                              std::uint32_t shards, TimePoint now);
+
+/// Lists the shards that may serve a request: only in permitted places, only with ready engines.
+/// Rendezvous over the shards, weighted by their engines, keeps a chat at its shard while
+/// others come and go.
+/// \param admission with the permitted places
+/// \param chat hash of workspace and chat
+/// \param reason receives why there is none
+[[nodiscard]] std::optional<PlacementPlan> planPlacement(const Admission &admission,
+                                                         std::uint64_t chat,
+                                                         const UpstreamTable &upstreams,
+                                                         TimePoint now, Reason &reason);
+
+/// \returns the router that keeps \a shard: by rendezvous over the active routers of its place,
+/// or over all when the place has none.
+[[nodiscard]] std::optional<Heartbeat> keeperOf(const Shard &shard,
+                                                const std::vector<Heartbeat> &active);
+
+} // namespace plantainswitch
--- /dev/null
+++ b/include/plantainswitch/upstreams/upstreams.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "plantainswitch/base/clock.h"
+#include "plantainswitch/base/lockorder.h"
+#include "plantainswitch/membership/vm.h"
+
+namespace plantainswitch {
+
+/// Short identity of an upstream on the peer link: a hash of its id.
+using UpstreamId = std::uint64_t;
+
+/// \returns the short identity of the upstream named \a id.
+[[nodiscard]] UpstreamId upstreamIdOf(std::string_view id) noexcept;
+
+/// An upstream as this router sees it.
+struct Upstream
+{
+    Vm vm;
+    UpstreamId shortId = 0;
+    /// Until then it gets no new work, after failures to connect.
+    TimePoint avoidUntil;
+};
+
+/// How long an upstream that refused a connection is left alone.
+inline constexpr Duration connectPenalty = Milliseconds{1000};
+
+/// The upstreams as this router sees them.
+class UpstreamTable
+{
+public:
+    /// Replaces the known upstreams by those of the platform's list.
+    /// "Leaving" sticks for a VM's life: a lagging copy of the list would otherwise call it
+    /// back, seen as new work on a VM about to vanish.
+    void replace(const std::vector<Vm> &vms);
+    /// Marks an upstream as leaving, learnt from its own answer or from a peer.
+    void markLeaving(const std::string &id);
+    /// Leaves an upstream alone for a moment after it could not be reached.
+    void markUnreachable(UpstreamId id, TimePoint now);
+
+    /// \returns the upstreams of \a service in \a place that may get new work at \a now.
+    [[nodiscard]] std::vector<Upstream> ready(std::string_view service, std::string_view place,
+                                              TimePoint now) const;
+    /// \returns whether any upstream was ever known; before that a router is not ready to serve.
+    [[nodiscard]] bool known() const;
+    /// \returns the upstream of that short identity, or nothing.
+    [[nodiscard]] std::optional<Upstream> find(UpstreamId id) const;
+
+private:
+    mutable RankedMutex mutex{LockRank::Upstreams};
+    std::map<UpstreamId, Upstream> upstreams;
+    bool taken = false;
+};
+
+} // namespace plantainswitch
--- /dev/null
+++ b/lab/enginestandin.cpp
@@ -0,0 +1,258 @@
+#include "enginestandin.h"
+
+#include <atomic>
+#include <mutex>
+
+#include <asio/steady_timer.hpp>
+
+#include "answers.h"
+
+namespace plantainswitch::lab {
+
+namespace {
+
+using nlohmann::json;
+using ReplyPointer = std::shared_ptr<net::HttpReply>;
+
+constexpr int statusOk = 200;
+constexpr int statusBad = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+constexpr std::uint32_t defaultTokens = 16;
+/// A prompt with this text crashes the engine that runs it.
+constexpr std::string_view crashMark = "crash-the-engine";
+
+struct Call
+{
+    ReplyPointer reply;
+    std::uint64_t promptHash = 0;
+    std::uint32_t cached = 0;
+    std::uint32_t promptTokens = 0;
+    bool stream = false;
+    std::string text;
+};
+
+void respond(net::HttpReply &reply, int status, const json &body)
+{
+    reply.respond(status, {{"content-type", "application/json"}}, body.dump());
+}
+
+json usageOf(const Call &call, std::uint32_t made)
+{
+    return {{"prompt_tokens", call.promptTokens},
+            {"completion_tokens", made},
+            {"prompt_tokens_details", {{"cached_tokens", call.cached}}}};
+}
+
+} // namespace
+
+struct EngineStandIn::State : public std::enable_shared_from_this<EngineStandIn::State>
+{
+    State(asio::io_context &context, Vm vm, EngineSpeed speed)
+        : vm(std::move(vm))
+        , model(speed)
+        , timer(context)
+    {}
+
+    void serve(const net::HttpRequest &request, const ReplyPointer &reply);
+    void serveChat(const net::HttpRequest &request, const ReplyPointer &reply);
+    void crash();
+    void scheduleStep();
+    void step();
+    void deliver(const EngineToken &token);
+
+    Vm vm;
+    mutable std::mutex mutex;
+    EngineModel model;
+    asio::steady_timer timer;
+    std::map<std::string, Call> calls;
+    bool leaving = false;
+    bool stepping = false;
+    std::atomic<std::uint64_t> cachedTokens = 0;
+    std::atomic<std::uint64_t> promptTokens = 0;
+};
+
+void EngineStandIn::State::serve(const net::HttpRequest &request, const ReplyPointer &reply)
+{
+    const std::lock_guard lock(this->mutex);
+    if (request.path == "/v1/chat/completions" && request.method == "POST") {
+        this->serveChat(request, reply);
+    } else if (request.path == "/load") {
+        respond(*reply, statusOk,
+                {{"load", this->model.load()},
+                 {"queued", this->model.queued()},
+                 {"cachedTokens", this->model.cachedTokens()},
+                 {"leaving", this->leaving}});
+    } else if (request.path == "/control" && request.method == "PUT") {
+        const json wanted = json::parse(request.body, nullptr, false);
+        this->leaving = wanted.is_object() && wanted.value("leaving", false);
+        respond(*reply, statusOk, json::object());
+    } else {
+        respond(*reply, statusNotFound, {{"error", "no such path"}});
+    }
+}
+
+void EngineStandIn::State::serveChat(const net::HttpRequest &request, const ReplyPointer &reply)
+{
+    if (this->leaving) {
+        reply->respond(statusUnavailable, {{"x-ran", "no"}, {"x-leaving", "true"}}, "leaving");
+        return;
+    }
+    const json body = json::parse(request.body, nullptr, false);
+    if (!body.is_object() || !body.contains("messages") || !body["messages"].is_array()) {
+        respond(*reply, statusBad, {{"error", "no messages"}});
+        return;
+    }
+    if (request.body.find(crashMark) != std::string::npos) {
+        this->crash();
+        reply->start(statusOk, {});
+        reply->abort();
+        return;
+    }
+    EngineRequest work;
+    work.id = std::string(request.header("x-request-id"));
+    work.prompt = blocksOf(body["messages"]);
+    work.answerTokens = body.value("max_tokens", defaultTokens);
+    Call call;
+    call.reply = reply;
+    call.stream = body.value("stream", false);
+    call.promptHash = work.prompt.empty() ? 0 : work.prompt.back().prefixHash;
+    for (const PromptBlock &block : work.prompt) {
+        call.promptTokens += block.tokens;
+    }
+    const std::string id = work.id;
+    call.cached = this->model.submit(std::move(work));
+    this->cachedTokens += call.cached;
+    this->promptTokens += call.promptTokens;
+    reply->onGone([weak = this->weak_from_this(), id] {
+        if (const auto self = weak.lock()) {
+            const std::lock_guard lock(self->mutex);
+            self->model.cancel(id);
+            self->calls.erase(id);
+        }
+    });
+    if (call.stream) {
+        reply->start(statusOk, {{"content-type", "text/event-stream"}, {"x-request-id", id}});
+    }
+    this->calls[id] = std::move(call);
+    this->scheduleStep();
+}
+
+void EngineStandIn::State::crash()
+{
+    for (auto &[id, call] : this->calls) {
+        if (!call.stream) {
+            call.reply->start(statusOk, {});
+        }
+        call.reply->abort();
+    }
+    this->calls.clear();
+    this->model.clear();
+}
+
+void EngineStandIn::State::scheduleStep()
+{
+    if (this->stepping || this->model.load() == 0) {
+        return;
+    }
+    this->stepping = true;
+    this->timer.expires_after(this->model.speedSettings().step);
+    this->timer.async_wait([self = this->shared_from_this()](const asio::error_code &error) {
+        if (!error) {
+            const std::lock_guard lock(self->mutex);
+            self->stepping = false;
+            self->step();
+            self->scheduleStep();
+        }
+    });
+}
+
+void EngineStandIn::State::step()
+{
+    for (const EngineToken &token : this->model.step()) {
+        this->deliver(token);
+    }
+}
+
+void EngineStandIn::State::deliver(const EngineToken &token)
+{
+    const auto found = this->calls.find(token.id);
+    if (found == this->calls.end()) {
+        return;
+    }
+    Call &call = found->second;
+    const std::string word = answerWord(call.promptHash, token.index);
+    const json finish = token.last ? json("stop") : json();
+    if (call.stream) {
+        json event{{"id", token.id},
+                   {"object", "chat.completion.chunk"},
+                   {"choices",
+                    {{{"index", 0}, {"delta", {{"content", word}}}, {"finish_reason", finish}}}}};
+        std::string text;
+        if (token.last) {
+            event["usage"] = usageOf(call, token.index + 1);
+            text = "data: " + event.dump() + "\n\ndata: [DONE]\n\n";
+        } else {
+            text = "data: " + event.dump() + "\n\n";
+        }
+        call.reply->write(std::move(text), nullptr);
+        if (token.last) {
+            call.reply->end();
+        }
+    } else {
+        call.text += word;
+        if (token.last) {
+            respond(*call.reply, statusOk,
+                    {{"id", token.id},
+                     {"object", "chat.completion"},
+                     {"choices",
+                      {{{"index", 0},
+                        {"message", {{"role", "assistant"}, {"content", call.text}}},
+                        {"finish_reason", finish}}}},
+                     {"usage", usageOf(call, token.index + 1)}});
+        }
+    }
+    if (token.last) {
+        this->calls.erase(found);
+    }
+}
+
+EngineStandIn::EngineStandIn(asio::io_context &context, const Vm &vm, EngineSpeed speed)
+    : state(std::make_shared<State>(context, vm, speed))
+    , server(std::make_unique<net::HttpServer>(
+          context, net::HttpServerOptions{vm.endpoint.host, vm.endpoint.port},
+          [state = this->state](const net::HttpRequest &request, const ReplyPointer &reply) {
+              state->serve(request, reply);
+          }))
+{}
+
+EngineStandIn::~EngineStandIn() = default;
+
+void EngineStandIn::open()
+{
+    this->server->open();
+}
+
+std::pair<std::uint64_t, std::uint64_t> EngineStandIn::reuse() const
+{
+    return {this->state->cachedTokens, this->state->promptTokens};
+}
+
+std::size_t EngineStandIn::load() const
+{
+    const std::lock_guard lock(this->state->mutex);
+    return this->state->model.load();
+}
+
+const Vm &EngineStandIn::vm() const noexcept
+{
+    return this->state->vm;
+}
+
+void EngineStandIn::setLeaving(bool leaving)
+{
+    const std::lock_guard lock(this->state->mutex);
+    this->state->leaving = leaving;
+}
+
+} // namespace plantainswitch::lab
--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,169 @@
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <thread>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+
+#include "demo.h"
+#include "deployment.h"
+#include "load.h"
+#include "standins.h"
+
+namespace {
+
+using namespace plantainswitch;
+using namespace plantainswitch::lab;
+namespace options = boost::program_options;
+
+constexpr int exitOk = 0;
+constexpr int exitFailed = 1;
+constexpr int exitBadInput = 2;
+
+constexpr const char *usage = R"(plantain-lab COMMAND [options]
+
+Commands:
+  settings   write the settings of a deployment's routers
+  stand-ins  play platform, engines and plain service of a deployment
+  load       send returning chats to a deployment's routers and check the answers
+  demo       stand-ins, load and an edit for all deployments; prints a table
+
+)";
+
+std::vector<Deployment> chosenDeployments(const options::variables_map &given)
+{
+    std::vector<Deployment> result;
+    const std::string wanted = given["deployment"].as<std::string>();
+    for (const std::string &name : deploymentNames()) {
+        if (wanted == "all" || wanted == name) {
+            result.push_back(*deploymentOf(name));
+        }
+    }
+    return result;
+}
+
+int writeSettings(const std::vector<Deployment> &deployments, const std::string &directory)
+{
+    std::filesystem::create_directories(directory);
+    for (const Deployment &deployment : deployments) {
+        for (const RouterLayout &router : routersOf(deployment)) {
+            const auto path = std::filesystem::path(directory) / (router.id + ".json");
+            std::ofstream file(path);
+            file << settingsOf(deployment, router).dump(4) << "\n";
+            if (!file.flush()) {
+                std::cerr << path.string() << ": can't be written\n";
+                return exitFailed;
+            }
+            std::cout << path.string() << "\n";
+        }
+    }
+    return exitOk;
+}
+
+int playStandIns(const std::vector<Deployment> &deployments)
+{
+    asio::io_context context;
+    std::vector<std::unique_ptr<StandIns>> all;
+    for (const Deployment &deployment : deployments) {
+        all.push_back(std::make_unique<StandIns>(context, deployment));
+        all.back()->open();
+        std::cout << deployment.name << ": platform at " << toText(platformOf(deployment)) << "\n";
+    }
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&context](const asio::error_code &, int) { context.stop(); });
+    std::thread second([&context] { context.run(); });
+    context.run();
+    second.join();
+    return exitOk;
+}
+
+int runLoad(const Deployment &deployment, const LoadOptions &load)
+{
+    asio::io_context context;
+    auto guard = asio::make_work_guard(context);
+    Load run(context, deployment, load);
+    std::promise<void> end;
+    run.start([&end] { end.set_value(); });
+    std::thread worker([&context] { context.run(); });
+    end.get_future().wait();
+    context.stop();
+    worker.join();
+    std::cout << run.report().dump(2) << "\n";
+    return run.broken() == 0 && run.whole() > 0 ? exitOk : exitFailed;
+}
+
+int runCommand(const std::string &command, const options::variables_map &given)
+{
+    const std::vector<Deployment> deployments = chosenDeployments(given);
+    if (deployments.empty()) {
+        std::cerr << "there is no such deployment\n";
+        return exitBadInput;
+    }
+    if (command == "settings") {
+        return writeSettings(deployments, given["directory"].as<std::string>());
+    }
+    if (command == "stand-ins") {
+        return playStandIns(deployments);
+    }
+    if (command == "load") {
+        LoadOptions load;
+        load.duration = std::chrono::seconds(given["seconds"].as<unsigned>());
+        load.requestsPerSecond = given["rate"].as<double>();
+        load.seed = given["seed"].as<std::uint64_t>();
+        return runLoad(deployments.front(), load);
+    }
+    if (command == "demo") {
+        DemoOptions demo;
+        demo.duration = std::chrono::seconds(given["seconds"].as<unsigned>());
+        demo.requestsPerSecond = given["rate"].as<double>();
+        demo.seed = given["seed"].as<std::uint64_t>();
+        return runDemo(deployments, demo) ? exitOk : exitFailed;
+    }
+    std::cerr << "there is no command " << command << "\n";
+    return exitBadInput;
+}
+
+int runLab(int argc, char **argv)
+{
+    options::options_description described("Options");
+    described.add_options()("help", "show this text")("command", options::value<std::string>(),
+                                                      "what to do")(
+        "deployment", options::value<std::string>()->default_value("all"),
+        "cooperative, lowther or all")("directory",
+                                       options::value<std::string>()->default_value("settings.d"),
+                                       "where settings are written")(
+        "seconds", options::value<unsigned>()->default_value(15), "how long the load lasts")(
+        "rate", options::value<double>()->default_value(60), "requests a second and deployment")(
+        "seed", options::value<std::uint64_t>()->default_value(1), "seed of the load");
+    options::positional_options_description positions;
+    positions.add("command", 1);
+    options::variables_map given;
+    try {
+        options::store(
+            options::command_line_parser(argc, argv).options(described).positional(positions).run(),
+            given);
+    } catch (const options::error &error) {
+        std::cerr << error.what() << "\n";
+        return exitBadInput;
+    }
+    if (given.count("help") > 0 || given.count("command") == 0) {
+        std::cout << usage << described << "\n";
+        return given.count("help") > 0 ? exitOk : exitBadInput;
+    }
+    return runCommand(given["command"].as<std::string>(), given);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        return runLab(argc, argv);
+    } catch (const std::exception &error) {
+        std::cerr << "plantain-lab: " << error.what() << "\n";
+        return exitFailed;
+    }
+}
--- /dev/null
+++ b/net/httpclient.cpp
@@ -0,0 +1,454 @@
+#include "httpclient.h"
+
+#include <unordered_map>
+
+#include <asio/bind_executor.hpp>
+#include <asio/dispatch.hpp>
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+#include <curl/curl.h>
+
+namespace plantainswitch::net {
+
+namespace {
+
+constexpr long keptConnections = 512;
+
+void initialiseCurl()
+{
+    static const CURLcode once = curl_global_init(CURL_GLOBAL_DEFAULT);
+    static_cast<void>(once);
+}
+
+HttpEnd endOf(CURLcode code, long requestBytes) noexcept
+{
+    if (code == CURLE_OK) {
+        return HttpEnd::Whole;
+    }
+    const bool neverConnected = code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST
+                                || (code == CURLE_OPERATION_TIMEDOUT && requestBytes == 0);
+    return neverConnected ? HttpEnd::NotConnected : HttpEnd::Broken;
+}
+
+} // namespace
+
+class Exchange;
+
+/// The multi handle and its sockets; everything runs on one strand.
+class HttpClient::State : public std::enable_shared_from_this<HttpClient::State>
+{
+public:
+    explicit State(asio::io_context &context)
+        : context(context)
+        , strand(asio::make_strand(context))
+        , timer(context)
+    {
+        initialiseCurl();
+        this->multi = curl_multi_init();
+        curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &State::socketChanged);
+        curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &State::timerChanged);
+        curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, keptConnections);
+    }
+
+    ~State();
+    State(const State &) = delete;
+    State &operator=(const State &) = delete;
+
+    void add(const std::shared_ptr<Exchange> &exchange);
+    void remove(const std::shared_ptr<Exchange> &exchange);
+    /// Lets libcurl act again after an exchange was unpaused.
+    void kick();
+
+    [[nodiscard]] const asio::strand<asio::io_context::executor_type> &executor() const noexcept
+    {
+        return this->strand;
+    }
+
+private:
+    struct Socket
+    {
+        explicit Socket(asio::io_context &context, curl_socket_t fd)
+            : descriptor(context, fd)
+        {}
+        asio::posix::stream_descriptor descriptor;
+        int wanted = 0;
+        bool reading = false;
+        bool writing = false;
+    };
+    using SocketPointer = std::shared_ptr<Socket>;
+
+    static int socketChanged(CURL *easy, curl_socket_t fd, int what, void *self, void *known);
+    static int timerChanged(CURLM *multi, long milliseconds, void *self);
+    void watch(const SocketPointer &socket, curl_socket_t fd);
+    void act(curl_socket_t fd, int events);
+    void collect();
+
+    asio::io_context &context;
+    asio::strand<asio::io_context::executor_type> strand;
+    asio::steady_timer timer;
+    CURLM *multi = nullptr;
+    std::unordered_map<curl_socket_t, SocketPointer> sockets;
+    std::unordered_map<CURL *, std::shared_ptr<Exchange>> exchanges;
+};
+
+/// One easy handle and its callbacks.
+class Exchange final : public HttpExchange, public std::enable_shared_from_this<Exchange>
+{
+public:
+    Exchange(std::weak_ptr<HttpClient::State> owner, HttpCall call, HttpEvents events)
+        : owner(std::move(owner))
+        , call(std::move(call))
+        , events(std::move(events))
+    {}
+
+    ~Exchange() override
+    {
+        curl_slist_free_all(this->fields);
+        if (this->easy != nullptr) {
+            curl_easy_cleanup(this->easy);
+        }
+    }
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+
+    void cancel() override
+    {
+        if (const auto state = this->owner.lock()) {
+            asio::post(state->executor(), [state, self = this->shared_from_this()] {
+                self->cancelled = true;
+                state->remove(self);
+                self->finish(HttpEnd::Cancelled, "cancelled");
+            });
+        }
+    }
+
+    void resume() override
+    {
+        if (const auto state = this->owner.lock()) {
+            asio::post(state->executor(), [state, self = this->shared_from_this()] {
+                if (self->easy != nullptr && !self->finished && self->paused) {
+                    self->paused = false;
+                    curl_easy_pause(self->easy, CURLPAUSE_CONT);
+                    state->kick();
+                }
+            });
+        }
+    }
+
+    /// Makes the easy handle. \returns false when it was cancelled before.
+    bool prepare();
+    void complete(CURLcode code);
+    void finish(HttpEnd end, const std::string &detail)
+    {
+        if (this->finished) {
+            return;
+        }
+        this->finished = true;
+        const HttpEvents last = std::move(this->events);
+        this->events = {};
+        if (last.onEnd) {
+            last.onEnd(end, detail);
+        }
+    }
+
+    [[nodiscard]] CURL *handle() const noexcept { return this->easy; }
+
+private:
+    static std::size_t headerCame(char *bytes, std::size_t size, std::size_t count, void *self);
+    static std::size_t dataCame(char *bytes, std::size_t size, std::size_t count, void *self);
+    void takeHeader(std::string_view line);
+
+    std::weak_ptr<HttpClient::State> owner;
+    HttpCall call;
+    HttpEvents events;
+    CURL *easy = nullptr;
+    curl_slist *fields = nullptr;
+    Headers headers;
+    bool paused = false;
+    bool cancelled = false;
+    bool finished = false;
+    bool headersHanded = false;
+};
+
+bool Exchange::prepare()
+{
+    if (this->cancelled) {
+        return false;
+    }
+    this->easy = curl_easy_init();
+    CURL *handle = this->easy;
+    curl_easy_setopt(handle, CURLOPT_URL, this->call.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, this->call.method.c_str());
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(this->call.connectTimeout.count()));
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(this->call.wholeTimeout.count()));
+    if (this->call.silenceTimeout.count() > 0) {
+        curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
+        curl_easy_setopt(handle, CURLOPT_LOW_SPEED_TIME,
+                         static_cast<long>(this->call.silenceTimeout.count()));
+    }
+    if (this->call.freshConnection) {
+        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+    }
+    if (!this->call.body.empty() || this->call.method == "POST" || this->call.method == "PUT") {
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(this->call.body.size()));
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, this->call.body.c_str());
+    }
+    for (const auto &[name, value] : this->call.headers) {
+        std::string field = name;
+        field.append(": ").append(value);
+        this->fields = curl_slist_append(this->fields, field.c_str());
+    }
+    this->fields = curl_slist_append(this->fields, "Expect:");
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, this->fields);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &Exchange::headerCame);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &Exchange::dataCame);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, this);
+    return true;
+}
+
+std::size_t Exchange::headerCame(char *bytes, std::size_t size, std::size_t count, void *self)
+{
+    static_cast<Exchange *>(self)->takeHeader({bytes, size * count});
+    return size * count;
+}
+
+void Exchange::takeHeader(std::string_view line)
+{
+    while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
+        line.remove_suffix(1);
+    }
+    if (line.empty()) {
+        long status = 0;
+        curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
+        constexpr long firstFinalStatus = 200;
+        if (status >= firstFinalStatus && !this->headersHanded) {
+            this->headersHanded = true;
+            if (this->events.onHeaders) {
+                this->events.onHeaders(static_cast<int>(status), this->headers);
+            }
+        }
+        return;
+    }
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        this->headers.clear();
+        return;
+    }
+    std::string name(line.substr(0, colon));
+    for (char &c : name) {
+        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    }
+    const std::size_t start = line.find_first_not_of(" \t", colon + 1);
+    this->headers[name] = start == std::string_view::npos ? "" : std::string(line.substr(start));
+}
+
+std::size_t Exchange::dataCame(char *bytes, std::size_t size, std::size_t count, void *self)
+{
+    auto *exchange = static_cast<Exchange *>(self);
+    const std::size_t length = size * count;
+    if (exchange->events.onData && !exchange->events.onData({bytes, length})) {
+        exchange->paused = true;
+        return CURL_WRITEFUNC_PAUSE;
+    }
+    return length;
+}
+
+void Exchange::complete(CURLcode code)
+{
+    long requestBytes = 0;
+    curl_easy_getinfo(this->easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+    this->finish(endOf(code, requestBytes), code == CURLE_OK ? "" : curl_easy_strerror(code));
+}
+
+HttpClient::State::~State()
+{
+    for (const auto &[easy, exchange] : this->exchanges) {
+        curl_multi_remove_handle(this->multi, easy);
+    }
+    this->exchanges.clear();
+    curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, nullptr);
+    curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, nullptr);
+    for (const auto &[fd, socket] : this->sockets) {
+        socket->descriptor.release();
+    }
+    curl_multi_cleanup(this->multi);
+}
+
+void HttpClient::State::add(const std::shared_ptr<Exchange> &exchange)
+{
+    if (!exchange->prepare()) {
+        return;
+    }
+    this->exchanges.emplace(exchange->handle(), exchange);
+    curl_multi_add_handle(this->multi, exchange->handle());
+}
+
+void HttpClient::State::remove(const std::shared_ptr<Exchange> &exchange)
+{
+    if (this->exchanges.erase(exchange->handle()) > 0) {
+        curl_multi_remove_handle(this->multi, exchange->handle());
+    }
+}
+
+void HttpClient::State::kick()
+{
+    this->act(CURL_SOCKET_TIMEOUT, 0);
+}
+
+int HttpClient::State::socketChanged(CURL * /*easy*/, curl_socket_t fd, int what, void *self,
+                                     void * /*known*/)
+{
+    auto *state = static_cast<State *>(self);
+    const auto found = state->sockets.find(fd);
+    if (what == CURL_POLL_REMOVE) {
+        if (found != state->sockets.end()) {
+            found->second->wanted = 0;
+            found->second->descriptor.release();
+            state->sockets.erase(found);
+        }
+        return 0;
+    }
+    SocketPointer socket;
+    if (found == state->sockets.end()) {
+        socket = std::make_shared<Socket>(state->context, fd);
+        state->sockets.emplace(fd, socket);
+    } else {
+        socket = found->second;
+    }
+    socket->wanted = what;
+    state->watch(socket, fd);
+    return 0;
+}
+
+void HttpClient::State::watch(const SocketPointer &socket, curl_socket_t fd)
+{
+    const std::weak_ptr<State> weak = this->weak_from_this();
+    const auto ready = [weak, socket, fd](bool Socket::*flag, int events) {
+        return [weak, socket, fd, flag, events](const asio::error_code &error) {
+            (*socket).*flag = false;
+            const auto state = weak.lock();
+            if (!state || error || socket->wanted == 0) {
+                return;
+            }
+            if ((socket->wanted & events) != 0) {
+                state->act(fd, events);
+            }
+            if (socket->wanted != 0) {
+                state->watch(socket, fd);
+            }
+        };
+    };
+    using Descriptor = asio::posix::stream_descriptor;
+    if ((socket->wanted & CURL_POLL_IN) != 0 && !socket->reading) {
+        socket->reading = true;
+        socket->descriptor.async_wait(
+            Descriptor::wait_read,
+            asio::bind_executor(this->strand, ready(&Socket::reading, CURL_CSELECT_IN)));
+    }
+    if ((socket->wanted & CURL_POLL_OUT) != 0 && !socket->writing) {
+        socket->writing = true;
+        socket->descriptor.async_wait(
+            Descriptor::wait_write,
+            asio::bind_executor(this->strand, ready(&Socket::writing, CURL_CSELECT_OUT)));
+    }
+}
+
+int HttpClient::State::timerChanged(CURLM * /*multi*/, long milliseconds, void *self)
+{
+    auto *state = static_cast<State *>(self);
+    state->timer.cancel();
+    if (milliseconds < 0) {
+        return 0;
+    }
+    state->timer.expires_after(std::chrono::milliseconds(milliseconds));
+    state->timer.async_wait(asio::bind_executor(
+        state->strand, [weak = state->weak_from_this()](const asio::error_code &error) {
+            const auto alive = weak.lock();
+            if (alive && !error) {
+                alive->act(CURL_SOCKET_TIMEOUT, 0);
+            }
+        }));
+    return 0;
+}
+
+void HttpClient::State::act(curl_socket_t fd, int events)
+{
+    int running = 0;
+    curl_multi_socket_action(this->multi, fd, events, &running);
+    this->collect();
+}
+
+void HttpClient::State::collect()
+{
+    int left = 0;
+    while (CURLMsg *message = curl_multi_info_read(this->multi, &left)) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        CURL *easy = message->easy_handle;
+        const CURLcode code = message->data.result;
+        const auto found = this->exchanges.find(easy);
+        if (found == this->exchanges.end()) {
+            continue;
+        }
+        const std::shared_ptr<Exchange> exchange = found->second;
+        this->exchanges.erase(found);
+        curl_multi_remove_handle(this->multi, easy);
+        exchange->complete(code);
+    }
+}
+
+HttpClient::HttpClient(asio::io_context &context)
+    : state(std::make_shared<State>(context))
+{}
+
+HttpClient::~HttpClient() = default;
+
+std::shared_ptr<HttpExchange> HttpClient::start(HttpCall call, HttpEvents events)
+{
+    auto exchange = std::make_shared<Exchange>(this->state, std::move(call), std::move(events));
+    asio::post(this->state->executor(), [owner = this->state, exchange] { owner->add(exchange); });
+    return exchange;
+}
+
+std::shared_ptr<HttpExchange> HttpClient::fetch(HttpCall call, std::function<void(HttpAnswer)> done,
+                                                std::size_t largest)
+{
+    auto answer = std::make_shared<HttpAnswer>();
+    HttpEvents events;
+    events.onHeaders = [answer](int status, const Headers &headers) {
+        answer->status = status;
+        answer->headers = headers;
+    };
+    auto tooLarge = std::make_shared<bool>(false);
+    events.onData = [answer, tooLarge, largest](std::string_view bytes) {
+        if (answer->body.size() + bytes.size() > largest) {
+            *tooLarge = true;
+            return true;
+        }
+        answer->body.append(bytes);
+        return true;
+    };
+    events.onEnd = [answer, tooLarge, done = std::move(done)](HttpEnd end,
+                                                              const std::string &detail) {
+        answer->end = *tooLarge ? HttpEnd::Broken : end;
+        answer->detail = *tooLarge ? "the answer is too large" : detail;
+        done(std::move(*answer));
+    };
+    return this->start(std::move(call), std::move(events));
+}
+
+} // namespace plantainswitch::net
--- /dev/null
+++ b/net/httpserver.cpp
@@ -0,0 +1,322 @@
+#include "httpserver.h"
+
+#include <mutex>
+#include <unordered_map>
+
+#include <restinio/all.hpp>
+
+namespace plantainswitch::net {
+
+namespace {
+
+constexpr std::chrono::seconds idleTimeout{75};
+constexpr std::chrono::seconds slowCallerTimeout{30};
+constexpr std::chrono::hours longestAnswer{2};
+/// Two, so that RESTinio goes on reading during an answer and sees a caller that leaves.
+constexpr std::size_t pipelinedRequests = 2;
+constexpr std::size_t longestUrl = 4096;
+constexpr std::size_t longestHeaderName = 256;
+constexpr std::size_t longestHeaderValue = 8192;
+constexpr std::size_t mostHeaders = 100;
+
+class Reply;
+
+/// Replies in progress by connection, for the news that a connection closed.
+class OpenReplies
+{
+public:
+    void add(restinio::connection_id_t connection, const std::shared_ptr<Reply> &reply);
+    void remove(restinio::connection_id_t connection, const Reply *reply);
+    void closed(restinio::connection_id_t connection);
+
+private:
+    std::mutex mutex;
+    std::unordered_multimap<restinio::connection_id_t, std::weak_ptr<Reply>> replies;
+};
+
+class ConnectionListener
+{
+public:
+    explicit ConnectionListener(std::shared_ptr<OpenReplies> replies)
+        : replies(std::move(replies))
+    {}
+
+    // RESTinio calls the listener by this name.
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    void state_changed(const restinio::connection_state::notice_t &notice) noexcept
+    {
+        if (std::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
+            this->replies->closed(notice.connection_id());
+        }
+    }
+
+private:
+    std::shared_ptr<OpenReplies> replies;
+};
+
+struct ServerTraits : public restinio::default_traits_t
+{
+    // RESTinio looks the type up by this name.
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    using connection_state_listener_t = ConnectionListener;
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    static constexpr bool use_connection_count_limiter = true;
+};
+
+using Streaming = restinio::response_builder_t<restinio::user_controlled_output_t>;
+
+restinio::http_status_line_t statusLine(int status)
+{
+    return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)},
+            status < 400 ? "OK" : "Error"};
+}
+
+std::string chunkOf(const std::string &bytes)
+{
+    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+class Reply final : public HttpReply, public std::enable_shared_from_this<Reply>
+{
+public:
+    Reply(restinio::request_handle_t request, std::shared_ptr<OpenReplies> replies)
+        : request(std::move(request))
+        , replies(std::move(replies))
+    {}
+
+    ~Reply() override
+    {
+        this->replies->remove(this->request->connection_id(), this);
+        if (!this->finished && this->stream) {
+            this->finishStream(false);
+        }
+    }
+
+    void respond(int status, const Headers &headers, std::string body) override
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->finished || this->stream) {
+            return;
+        }
+        this->finished = true;
+        auto response = this->request->create_response(statusLine(status));
+        for (const auto &[name, value] : headers) {
+            response.append_header(name, value);
+        }
+        response.set_body(std::move(body));
+        response.done();
+    }
+
+    void start(int status, const Headers &headers) override
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->finished || this->stream) {
+            return;
+        }
+        this->stream.emplace(
+            this->request->create_response<restinio::user_controlled_output_t>(statusLine(status)));
+        for (const auto &[name, value] : headers) {
+            this->stream->append_header(name, value);
+        }
+        // A stream owns its connection: only by closing it can a caller be shown a cut answer.
+        this->stream->append_header("transfer-encoding", "chunked").connection_close().flush();
+    }
+
+    void write(std::string chunk, std::function<void(bool)> flushed) override
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->finished || !this->stream || chunk.empty()) {
+            return;
+        }
+        this->stream->append_body(chunkOf(chunk));
+        this->stream->flush([flushed = std::move(flushed)](const asio::error_code &error) {
+            if (flushed) {
+                flushed(!error);
+            }
+        });
+    }
+
+    void end() override
+    {
+        const std::lock_guard lock(this->mutex);
+        this->finishStream(true);
+    }
+
+    void abort() override
+    {
+        const std::lock_guard lock(this->mutex);
+        this->finishStream(false);
+    }
+
+    void onGone(std::function<void()> callback) override
+    {
+        const std::lock_guard lock(this->mutex);
+        this->gone = std::move(callback);
+    }
+
+    void connectionClosed()
+    {
+        std::function<void()> callback;
+        {
+            const std::lock_guard lock(this->mutex);
+            if (!this->finished) {
+                callback = std::move(this->gone);
+            }
+            this->gone = nullptr;
+        }
+        if (callback) {
+            callback();
+        }
+    }
+
+private:
+    void finishStream(bool whole)
+    {
+        if (this->finished || !this->stream) {
+            return;
+        }
+        this->finished = true;
+        if (whole) {
+            this->stream->append_body(std::string("0\r\n\r\n"));
+        }
+        this->stream->done();
+    }
+
+    restinio::request_handle_t request;
+    std::shared_ptr<OpenReplies> replies;
+    std::mutex mutex;
+    std::optional<Streaming> stream;
+    std::function<void()> gone;
+    bool finished = false;
+};
+
+void OpenReplies::add(restinio::connection_id_t connection, const std::shared_ptr<Reply> &reply)
+{
+    const std::lock_guard lock(this->mutex);
+    this->replies.emplace(connection, reply);
+}
+
+void OpenReplies::remove(restinio::connection_id_t connection, const Reply * /*reply*/)
+{
+    const std::lock_guard lock(this->mutex);
+    auto [each, last] = this->replies.equal_range(connection);
+    while (each != last) {
+        each = each->second.expired() ? this->replies.erase(each) : std::next(each);
+    }
+}
+
+void OpenReplies::closed(restinio::connection_id_t connection)
+{
+    std::vector<std::shared_ptr<Reply>> affected;
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto [first, last] = this->replies.equal_range(connection);
+        for (auto each = first; each != last; ++each) {
+            if (auto reply = each->second.lock()) {
+                affected.push_back(std::move(reply));
+            }
+        }
+        this->replies.erase(first, last);
+    }
+    for (const auto &reply : affected) {
+        reply->connectionClosed();
+    }
+}
+
+std::string lowerCase(std::string text)
+{
+    for (char &c : text) {
+        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    }
+    return text;
+}
+
+HttpRequest requestOf(const restinio::request_handle_t &request)
+{
+    HttpRequest result;
+    result.method = request->header().method().c_str();
+    result.path = std::string(request->header().path());
+    const auto query =
+        restinio::try_parse_query<restinio::parse_query_traits::relaxed>(request->header().query());
+    if (query) {
+        for (const auto &parameter : *query) {
+            result.query.emplace(std::string(parameter.first), std::string(parameter.second));
+        }
+    }
+    request->header().for_each_field([&result](const auto &field) {
+        result.headers.emplace(lowerCase(field.name()), field.value());
+    });
+    result.body = request->body();
+    return result;
+}
+
+} // namespace
+
+std::string_view HttpRequest::header(std::string_view name) const
+{
+    const auto found = this->headers.find(name);
+    return found == this->headers.end() ? std::string_view{} : std::string_view(found->second);
+}
+
+std::string_view HttpRequest::parameter(std::string_view name) const
+{
+    const auto found = this->query.find(name);
+    return found == this->query.end() ? std::string_view{} : std::string_view(found->second);
+}
+
+struct HttpServer::State
+{
+    std::shared_ptr<OpenReplies> replies = std::make_shared<OpenReplies>();
+    std::unique_ptr<restinio::http_server_t<ServerTraits>> server;
+};
+
+HttpServer::HttpServer(asio::io_context &context, HttpServerOptions options, HttpHandler handler)
+    : state(std::make_unique<State>())
+{
+    const auto replies = this->state->replies;
+    auto onRequest = [replies,
+                      handler = std::move(handler)](const restinio::request_handle_t &request) {
+        auto reply = std::make_shared<Reply>(request, replies);
+        replies->add(request->connection_id(), reply);
+        handler(requestOf(request), std::move(reply));
+        return restinio::request_accepted();
+    };
+    this->state->server = std::make_unique<restinio::http_server_t<ServerTraits>>(
+        restinio::external_io_context(context), [&](auto &settings) {
+            settings.address(options.address)
+                .port(options.port)
+                .request_handler(std::move(onRequest))
+                .read_next_http_message_timelimit(idleTimeout)
+                .write_http_response_timelimit(slowCallerTimeout)
+                .handle_request_timeout(longestAnswer)
+                .max_pipelined_requests(pipelinedRequests)
+                .max_parallel_connections(options.mostConnections)
+                .connection_state_listener(std::make_shared<ConnectionListener>(replies))
+                .socket_options_setter([](auto &socketOptions) {
+                    socketOptions.set_option(asio::ip::tcp::no_delay{true});
+                })
+                .acceptor_options_setter([](auto &acceptorOptions) {
+                    acceptorOptions.set_option(asio::ip::tcp::acceptor::reuse_address{true});
+                })
+                .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                              .max_url_size(longestUrl)
+                                              .max_field_name_size(longestHeaderName)
+                                              .max_field_value_size(longestHeaderValue)
+                                              .max_field_count(mostHeaders)
+                                              .max_body_size(options.largestBody));
+        });
+}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::open()
+{
+    this->state->server->open_sync();
+}
+
+void HttpServer::stopAccepting()
+{
+    this->state->server->close_async([] {}, [](const std::exception_ptr &) {});
+}
+
+} // namespace plantainswitch::net
--- /dev/null
+++ b/net/httpserver.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <asio/io_context.hpp>
+
+namespace plantainswitch::net {
+
+/// Header fields by lower-case name.
+using Headers = std::map<std::string, std::string, std::less<>>;
+
+/// A request as an HTTP server hands it out.
+struct HttpRequest
+{
+    std::string method;
+    /// Path without the query.
+    std::string path;
+    std::map<std::string, std::string, std::less<>> query;
+    Headers headers;
+    std::string body;
+
+    /// \returns the header of that lower-case name, or an empty text.
+    [[nodiscard]] std::string_view header(std::string_view name) const;
+    /// \returns the query parameter of that name, or an empty text.
+    [[nodiscard]] std::string_view parameter(std::string_view name) const;
+};
+
+/// The way back to the caller. Exactly one answer: respond(), or start(), write()s and end().
+class HttpReply
+{
+public:
+    virtual ~HttpReply() = default;
+    /// Sends a whole answer.
+    virtual void respond(int status, const Headers &headers, std::string body) = 0;
+    /// Begins an answer in chunks.
+    virtual void start(int status, const Headers &headers) = 0;
+    /// Sends a chunk; \a flushed runs once it was handed to the socket, false if that failed.
+    virtual void write(std::string chunk, std::function<void(bool)> flushed) = 0;
+    /// Ends an answer in chunks.
+    virtual void end() = 0;
+    /// Breaks an answer in chunks off, so that the caller sees it is not whole.
+    virtual void abort() = 0;
+    /// Sets what runs once when the caller's connection is gone before the answer ended.
+    virtual void onGone(std::function<void()> gone) = 0;
+};
+
+using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpReply>)>;
+
+/// Where and how to serve.
+struct HttpServerOptions
+{
+    std::string address;
+    std::uint16_t port = 0;
+    std::size_t largestBody = 8 << 20;
+    std::size_t mostConnections = 20'000;
+};
+
+/// An HTTP/1.1 server by RESTinio, on the io_context of its process.
+class HttpServer
+{
+public:
+    HttpServer(asio::io_context &context, HttpServerOptions options, HttpHandler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// Opens the port. \throws std::system_error when it can't be had.
+    void open();
+    /// Takes no further connections; those there are go on.
+    void stopAccepting();
+
+private:
+    struct State;
+    std::unique_ptr<State> state;
+};
+
+} // namespace plantainswitch::net
--- /dev/null
+++ b/net/platform.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "plantainswitch/membership/vm.h"
+
+#include "httpclient.h"
+
+namespace plantainswitch::net {
+
+/// An object of the platform, as its API hands it out.
+struct PlatformObject
+{
+    std::string kind;
+    std::string name;
+    std::uint64_t version = 0;
+    /// null for a tombstone.
+    nlohmann::json body;
+};
+
+/// How a call to the platform ended.
+enum class PlatformStatus : std::uint8_t {
+    Ok,
+    NotFound,
+    /// The condition on the version did not hold; the current object is handed out.
+    Conflict,
+    /// Certainly not carried out.
+    Rejected,
+    /// No answer: a write may or may not have taken effect.
+    Unknown,
+};
+
+struct PlatformAnswer
+{
+    PlatformStatus status = PlatformStatus::Unknown;
+    std::optional<PlatformObject> object;
+    std::string detail;
+};
+
+/// What changed at the platform after a version.
+struct PlatformChanges
+{
+    /// Version up to which the list is complete.
+    std::uint64_t version = 0;
+    std::vector<PlatformObject> objects;
+};
+
+/// The platform's object API over HTTP.
+class PlatformClient
+{
+public:
+    using Done = std::function<void(PlatformAnswer)>;
+
+    PlatformClient(HttpClient &http, std::string url)
+        : http(http)
+        , url(std::move(url))
+    {}
+
+    void get(const std::string &kind, const std::string &name, Done done);
+    /// Writes if the object's version is \a ifVersion; 0: if there is none.
+    void put(const std::string &kind, const std::string &name, std::uint64_t ifVersion,
+             const nlohmann::json &body, Done done);
+    /// Deletes if the object's version is \a ifVersion.
+    void remove(const std::string &kind, const std::string &name, std::uint64_t ifVersion,
+                Done done);
+    /// Lists what changed after version \a after, waiting up to \a wait for a change.
+    void changes(const std::string &kinds, std::uint64_t after, std::chrono::milliseconds wait,
+                 std::function<void(std::optional<PlatformChanges>)> done);
+    /// Lists the VMs; the list lags.
+    void vms(std::function<void(std::optional<std::vector<Vm>>)> done);
+
+private:
+    [[nodiscard]] HttpCall callTo(const std::string &method, const std::string &path) const;
+
+    HttpClient &http;
+    std::string url;
+};
+
+/// \returns the object that \a json describes, or nothing.
+[[nodiscard]] std::optional<PlatformObject> objectOf(const nlohmann::json &json);
+/// \returns the VM that \a json describes, or nothing.
+[[nodiscard]] std::optional<Vm> vmOf(const nlohmann::json &json);
+[[nodiscard]] nlohmann::json toJson(const PlatformObject &object);
+[[nodiscard]] nlohmann::json toJson(const Vm &vm);
+
+} // namespace plantainswitch::net
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds, and runs the demo: both deployments' stand-ins, 6 routers
+# each, a load with returning chats and an edit. Exit code 0 only if the promises held.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/packages.sh
+cmake -S . -B build -G Ninja >/dev/null
+cmake --build build --target plantaind plantain-lab
+work=$(mktemp -d)
+routers=()
+cleanup() {
+    for router in "${routers[@]}"; do kill "$router" 2>/dev/null || true; done
+    wait "${routers[@]}" 2>/dev/null || true
+    rm -rf "$work"
+}
+trap cleanup EXIT
+for settings in $(build/plantain-lab settings --directory "$work"); do
+    build/plantaind --config "$settings" 2>"$settings.log" &
+    routers+=("$!")
+done
+build/plantain-lab demo "$@"
--- /dev/null
+++ b/src/base/error.cpp
@@ -0,0 +1,82 @@
+#include "plantainswitch/base/error.h"
+
+#include <algorithm>
+#include <array>
+
+namespace plantainswitch {
+
+namespace {
+
+constexpr std::array errorTable{
+    ErrorRow{ErrorKind::BadRequest, "bad-request", 400, Ran::No, std::nullopt,
+             "The request is malformed."},
+    ErrorRow{ErrorKind::Unauthorized, "unauthorized", 401, Ran::No, std::nullopt,
+             "The bearer token names no workspace."},
+    ErrorRow{ErrorKind::NotPermitted, "not-permitted", 403, Ran::No, std::nullopt,
+             "The workspace may not use this."},
+    ErrorRow{ErrorKind::NotFound, "not-found", 404, Ran::No, std::nullopt,
+             "There is no such resource."},
+    ErrorRow{ErrorKind::TooLarge, "too-large", 413, Ran::No, std::nullopt,
+             "The request is larger than allowed."},
+    ErrorRow{ErrorKind::NoCatalogue, "no-catalogue", 503, Ran::No, 2,
+             "This router knows no catalogue yet."},
+    ErrorRow{ErrorKind::NoPermittedPlace, "no-permitted-place", 503, Ran::No, 5,
+             "No permitted place can serve the request now."},
+    ErrorRow{ErrorKind::LimitReached, "limit-reached", 429, Ran::No, 1,
+             "The workspace is at its limit."},
+    ErrorRow{ErrorKind::Overloaded, "overloaded", 503, Ran::No, 1,
+             "The permitted engines are fully loaded."},
+    ErrorRow{ErrorKind::QueueExpired, "queue-expired", 503, Ran::No, 2,
+             "The request waited too long and was not run."},
+    ErrorRow{ErrorKind::ClaimUnavailable, "claim-unavailable", 503, Ran::No, 5,
+             "The request could not be claimed and was not run."},
+    ErrorRow{ErrorKind::Quarantined, "quarantined", 422, Ran::No, 600,
+             "This request crashed upstreams and is held back; this attempt was not run."},
+    ErrorRow{ErrorKind::AlreadyRan, "already-ran", 409, Ran::Yes, std::nullopt,
+             "The request ran; its answer is no longer kept."},
+    ErrorRow{ErrorKind::MayHaveRun, "may-have-run", 409, Ran::Unknown, std::nullopt,
+             "The request may have run and is not run again."},
+    ErrorRow{ErrorKind::InProgress, "in-progress", 409, Ran::Yes, 2,
+             "The request is running; ask again for its answer."},
+    ErrorRow{ErrorKind::KeyExpired, "key-expired", 422, Ran::No, std::nullopt,
+             "The idempotency key is older than the retention; this attempt was not run."},
+    ErrorRow{ErrorKind::UpstreamUnreachable, "upstream-unreachable", 502, Ran::No, 1,
+             "No upstream could be reached; the request was not run."},
+    ErrorRow{ErrorKind::UpstreamFailed, "upstream-failed", 502, Ran::Unknown, 1,
+             "The upstream failed; the request may have run."},
+    ErrorRow{ErrorKind::UpstreamGarbage, "upstream-garbage", 502, Ran::Unknown, 1,
+             "The upstream's answer is not understood; the request may have run."},
+    ErrorRow{ErrorKind::AnswerCut, "answer-cut", 502, Ran::Yes, 1,
+             "The answer is incomplete: the upstream stopped in the middle of it."},
+    ErrorRow{ErrorKind::Stopping, "stopping", 503, Ran::No, 1, "This router is stopping."},
+    ErrorRow{ErrorKind::Internal, "internal", 500, Ran::Unknown, 1,
+             "An internal error; the request may have run."},
+};
+
+constexpr std::array ranNames{std::string_view{"no"}, std::string_view{"yes"},
+                              std::string_view{"unknown"}};
+
+} // namespace
+
+const ErrorRow &errorRow(ErrorKind kind) noexcept
+{
+    return errorTable.at(static_cast<std::size_t>(kind));
+}
+
+std::optional<ErrorKind> errorKindOf(std::string_view name) noexcept
+{
+    const auto *const found =
+        std::find_if(errorTable.begin(), errorTable.end(),
+                     [name](const ErrorRow &row) { return row.name == name; });
+    if (found == errorTable.end()) {
+        return std::nullopt;
+    }
+    return found->kind;
+}
+
+std::string_view nameOf(Ran ran) noexcept
+{
+    return ranNames.at(static_cast<std::size_t>(ran));
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/src/base/fields.cpp
@@ -0,0 +1,170 @@
+#include "plantainswitch/base/fields.h"
+
+#include <algorithm>
+
+namespace plantainswitch {
+
+namespace {
+
+constexpr std::size_t longestExcerpt = 60;
+
+const nlohmann::json &emptyObject()
+{
+    static const nlohmann::json empty = nlohmann::json::object();
+    return empty;
+}
+
+std::string excerpt(const nlohmann::json &json)
+{
+    std::string text = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    if (text.size() > longestExcerpt) {
+        text.resize(longestExcerpt);
+        text += "...";
+    }
+    return text;
+}
+
+} // namespace
+
+FieldReader::FieldReader(const nlohmann::json &object, std::string path, std::vector<Fault> &faults)
+    : object(object.is_object() ? object : emptyObject())
+    , path(std::move(path))
+    , faults(faults)
+{
+    if (!object.is_object()) {
+        this->faults.push_back(
+            {this->path.empty() ? "/" : this->path, excerpt(object), "an object"});
+    }
+}
+
+std::string FieldReader::pathOf(std::string_view name) const
+{
+    return this->path + "/" + std::string(name);
+}
+
+const nlohmann::json *FieldReader::find(std::string_view name, bool required,
+                                        std::string_view allowed)
+{
+    this->known.emplace(name);
+    const auto found = this->object.find(name);
+    if (found != this->object.end()) {
+        return &*found;
+    }
+    if (required) {
+        this->faults.push_back({this->pathOf(name), "nothing", std::string(allowed)});
+    }
+    return nullptr;
+}
+
+void FieldReader::fault(std::string_view name, const nlohmann::json &found, std::string allowed)
+{
+    // A token must never reach a log or a terminal, not even inside a complaint about it.
+    const std::string shown = name == "token" ? "(hidden)" : excerpt(found);
+    this->faults.push_back({this->pathOf(name), shown, std::move(allowed)});
+}
+
+void FieldReader::read(std::string_view name, std::string &value, bool required,
+                       std::size_t longest)
+{
+    const std::string allowed = "a string of 1 to " + std::to_string(longest) + " bytes";
+    const nlohmann::json *json = this->find(name, required, allowed);
+    if (json == nullptr) {
+        return;
+    }
+    const auto *text = json->get_ptr<const std::string *>();
+    if (text == nullptr || text->empty() || text->size() > longest) {
+        this->fault(name, *json, allowed);
+        return;
+    }
+    value = *text;
+}
+
+void FieldReader::read(std::string_view name, std::uint32_t &value, std::uint32_t least,
+                       std::uint32_t most, bool required)
+{
+    const std::string allowed =
+        "a whole number from " + std::to_string(least) + " to " + std::to_string(most);
+    const nlohmann::json *json = this->find(name, required, allowed);
+    if (json == nullptr) {
+        return;
+    }
+    if (!json->is_number_unsigned()) {
+        this->fault(name, *json, allowed);
+        return;
+    }
+    const auto number = json->get<std::uint64_t>();
+    if (number < least || number > most) {
+        this->fault(name, *json, allowed);
+        return;
+    }
+    value = static_cast<std::uint32_t>(number);
+}
+
+void FieldReader::read(std::string_view name, bool &value)
+{
+    const nlohmann::json *json = this->find(name, false, "true or false");
+    if (json == nullptr) {
+        return;
+    }
+    if (!json->is_boolean()) {
+        this->fault(name, *json, "true or false");
+        return;
+    }
+    value = json->get<bool>();
+}
+
+void FieldReader::read(std::string_view name, std::vector<std::string> &value, bool required)
+{
+    constexpr std::string_view allowed = "a list of non-empty strings";
+    const nlohmann::json *json = this->find(name, required, allowed);
+    if (json == nullptr) {
+        return;
+    }
+    const bool whole =
+        json->is_array() && (!required || !json->empty())
+        && std::all_of(json->begin(), json->end(), [](const nlohmann::json &item) {
+               return item.is_string() && !item.get_ref<const std::string &>().empty();
+           });
+    if (!whole) {
+        this->fault(name, *json, std::string(allowed));
+        return;
+    }
+    value = json->get<std::vector<std::string>>();
+}
+
+void FieldReader::readName(std::string_view name, std::size_t &index,
+                           const std::vector<std::string_view> &names)
+{
+    std::string allowed = "one of";
+    for (const std::string_view each : names) {
+        allowed += " \"" + std::string(each) + "\"";
+    }
+    const nlohmann::json *json = this->find(name, false, allowed);
+    if (json == nullptr) {
+        return;
+    }
+    const auto *text = json->get_ptr<const std::string *>();
+    const auto found = text == nullptr ? names.end() : std::find(names.begin(), names.end(), *text);
+    if (found == names.end()) {
+        this->fault(name, *json, allowed);
+        return;
+    }
+    index = static_cast<std::size_t>(found - names.begin());
+}
+
+const nlohmann::json &FieldReader::child(std::string_view name)
+{
+    const nlohmann::json *json = this->find(name, false, "an object");
+    return json == nullptr ? emptyObject() : *json;
+}
+
+void FieldReader::finish()
+{
+    for (const auto &[name, value] : this->object.items()) {
+        if (!this->known.contains(name)) {
+            this->faults.push_back({this->pathOf(name), "an unknown field", "a known field"});
+        }
+    }
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/src/base/hash.cpp
@@ -0,0 +1,20 @@
+#include "plantainswitch/base/hash.h"
+
+#include <array>
+
+#include <xxhash.h>
+
+namespace plantainswitch {
+
+std::uint64_t hashOf(std::string_view text, std::uint64_t seed) noexcept
+{
+    return XXH64(text.data(), text.size(), seed);
+}
+
+std::uint64_t mixHash(std::uint64_t first, std::uint64_t second) noexcept
+{
+    const std::array<std::uint64_t, 2> pair{first, second};
+    return XXH64(pair.data(), sizeof(pair), 0);
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/src/catalogue/parse.cpp
@@ -0,0 +1,154 @@
+#include "plantainswitch/catalogue/parse.h"
+
+#include <array>
+
+#include <nlohmann/json.hpp>
+
+#include "plantainswitch/base/fields.h"
+
+namespace plantainswitch {
+
+namespace {
+
+constexpr std::array kindNames{std::string_view{"dataclass"}, std::string_view{"workspace"},
+                               std::string_view{"service"}};
+constexpr std::array typeNames{std::string_view{"model"}, std::string_view{"plain"}};
+
+constexpr std::uint32_t mostRequestsPerSecond = 1'000'000;
+constexpr std::uint32_t mostInFlight = 1'000'000;
+constexpr std::uint32_t mostWeight = 1000;
+constexpr std::uint32_t mostPriority = 9;
+constexpr std::uint32_t mostCapacity = 4096;
+constexpr std::uint32_t mostShards = 256;
+constexpr std::uint32_t mostQueueMilliseconds = 60'000;
+constexpr std::uint32_t mostStaleSeconds = 7 * 24 * 3600;
+
+DataClass readDataClass(FieldReader &fields)
+{
+    DataClass body;
+    fields.read("owner", body.owner, true);
+    fields.read("places", body.places, true);
+    fields.read("maxStaleSeconds", body.maxStaleSeconds, 0, mostStaleSeconds);
+    return body;
+}
+
+Workspace readWorkspace(FieldReader &fields)
+{
+    Workspace body;
+    fields.read("owner", body.owner, true);
+    fields.read("dataClass", body.dataClass, true);
+    fields.read("token", body.token, true);
+    fields.read("services", body.services, true);
+    fields.read("requestsPerSecond", body.requestsPerSecond, 0, mostRequestsPerSecond);
+    fields.read("maxInFlight", body.maxInFlight, 0, mostInFlight);
+    fields.read("weight", body.weight, 1, mostWeight);
+    fields.read("priority", body.priority, 0, mostPriority);
+    return body;
+}
+
+Service readService(FieldReader &fields)
+{
+    Service body;
+    std::size_t type = 0;
+    fields.read("owner", body.owner, true);
+    fields.read("dataClass", body.dataClass, true);
+    fields.readName("type", type, {typeNames.begin(), typeNames.end()});
+    body.type = static_cast<ServiceType>(type);
+    fields.read("engineCapacity", body.engineCapacity, 1, mostCapacity);
+    fields.read("shards", body.shards, 1, mostShards);
+    fields.read("queueMilliseconds", body.queueMilliseconds, 0, mostQueueMilliseconds);
+    return body;
+}
+
+nlohmann::json bodyToJson(const DataClass &body)
+{
+    return {
+        {"owner", body.owner}, {"places", body.places}, {"maxStaleSeconds", body.maxStaleSeconds}};
+}
+
+nlohmann::json bodyToJson(const Workspace &body)
+{
+    return {{"owner", body.owner},
+            {"dataClass", body.dataClass},
+            {"token", body.token},
+            {"services", body.services},
+            {"requestsPerSecond", body.requestsPerSecond},
+            {"maxInFlight", body.maxInFlight},
+            {"weight", body.weight},
+            {"priority", body.priority}};
+}
+
+nlohmann::json bodyToJson(const Service &body)
+{
+    return {{"owner", body.owner},       {"dataClass", body.dataClass},
+            {"type", nameOf(body.type)}, {"engineCapacity", body.engineCapacity},
+            {"shards", body.shards},     {"queueMilliseconds", body.queueMilliseconds}};
+}
+
+} // namespace
+
+std::string_view nameOf(EntryKind kind) noexcept
+{
+    return kindNames.at(static_cast<std::size_t>(kind));
+}
+
+std::string_view nameOf(ServiceType type) noexcept
+{
+    return typeNames.at(static_cast<std::size_t>(type));
+}
+
+std::optional<EntryKind> entryKindOf(std::string_view name) noexcept
+{
+    for (std::size_t index = 0; index < kindNames.size(); ++index) {
+        if (kindNames.at(index) == name) {
+            return static_cast<EntryKind>(index);
+        }
+    }
+    return std::nullopt;
+}
+
+std::string toText(const Fault &fault)
+{
+    return fault.path + ": found " + fault.found + ", allowed is " + fault.allowed;
+}
+
+std::optional<EntryBody> parseEntry(EntryKind kind, const nlohmann::json &json,
+                                    std::vector<Fault> &faults)
+{
+    const std::size_t before = faults.size();
+    FieldReader fields(json, "", faults);
+    EntryBody body;
+    switch (kind) {
+    case EntryKind::DataClass:
+        body = readDataClass(fields);
+        break;
+    case EntryKind::Workspace:
+        body = readWorkspace(fields);
+        break;
+    case EntryKind::Service:
+        body = readService(fields);
+        break;
+    }
+    fields.finish();
+    if (faults.size() != before) {
+        return std::nullopt;
+    }
+    return body;
+}
+
+nlohmann::json toJson(const EntryBody &body)
+{
+    return std::visit([](const auto &each) { return bodyToJson(each); }, body);
+}
+
+std::optional<nlohmann::json> parseJson(std::string_view text, std::vector<Fault> &faults)
+{
+    nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    if (json.is_discarded()) {
+        faults.push_back({"/", "text that is not JSON", "a JSON document"});
+        return std::nullopt;
+    }
+    return json;
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/src/observe/event.cpp
@@ -0,0 +1,97 @@
+#include "plantainswitch/observe/event.h"
+
+#include <algorithm>
+#include <array>
+
+#include <nlohmann/json.hpp>
+
+namespace plantainswitch {
+
+namespace {
+
+constexpr std::array severityNames{std::string_view{"debug"}, std::string_view{"info"},
+                                   std::string_view{"warning"}, std::string_view{"error"}};
+
+constexpr std::array events{
+    EventRow{Event::Started, "started", Severity::Info},
+    EventRow{Event::Stopping, "stopping", Severity::Info},
+    EventRow{Event::Stopped, "stopped", Severity::Info},
+    EventRow{Event::StopRepeated, "stop-repeated", Severity::Info},
+    EventRow{Event::CatalogueTaken, "catalogue-taken", Severity::Info},
+    EventRow{Event::PlatformUnreachable, "platform-unreachable", Severity::Warning},
+    EventRow{Event::PlatformBack, "platform-back", Severity::Info},
+    EventRow{Event::EntryInvalid, "entry-invalid", Severity::Error},
+    EventRow{Event::MemberJoined, "member-joined", Severity::Info},
+    EventRow{Event::MemberGone, "member-gone", Severity::Warning},
+    EventRow{Event::DatagramInvalid, "datagram-invalid", Severity::Warning},
+    EventRow{Event::RequestDone, "request-done", Severity::Debug},
+    EventRow{Event::RequestRefused, "request-refused", Severity::Info},
+    EventRow{Event::AnswerCut, "answer-cut", Severity::Warning},
+    EventRow{Event::CallerGone, "caller-gone", Severity::Info},
+    EventRow{Event::UpstreamUnreachable, "upstream-unreachable", Severity::Warning},
+    EventRow{Event::UpstreamGarbage, "upstream-garbage", Severity::Error},
+    EventRow{Event::UpstreamLeaving, "upstream-leaving", Severity::Info},
+    EventRow{Event::KeeperSilent, "keeper-silent", Severity::Warning},
+};
+
+std::string quoted(const std::string &value)
+{
+    return nlohmann::json(value).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+}
+
+bool isPlain(const std::string &value) noexcept
+{
+    return !value.empty() && std::all_of(value.begin(), value.end(), [](unsigned char c) {
+        return c > ' ' && c < 0x7f && c != '"' && c != '=' && c != '\\';
+    });
+}
+
+std::string formatJson(std::string_view node, const EventRow &row, std::span<const LogField> fields)
+{
+    nlohmann::ordered_json line{{"event", static_cast<unsigned>(row.event)},
+                                {"name", row.name},
+                                {"severity", nameOf(row.severity)},
+                                {"node", node}};
+    for (const LogField &field : fields) {
+        line[std::string(field.first)] = field.second;
+    }
+    return line.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+std::string_view nameOf(Severity severity) noexcept
+{
+    return severityNames.at(static_cast<std::size_t>(severity));
+}
+
+std::span<const EventRow> eventTable() noexcept
+{
+    return events;
+}
+
+const EventRow &eventRow(Event event) noexcept
+{
+    const auto *const found = std::find_if(
+        events.begin(), events.end(), [event](const EventRow &row) { return row.event == event; });
+    return found == events.end() ? events.front() : *found;
+}
+
+std::string formatEvent(LogFormat format, std::string_view node, const EventRow &row,
+                        std::span<const LogField> fields)
+{
+    if (format == LogFormat::Json) {
+        return formatJson(node, row, fields);
+    }
+    std::string line = "event=" + std::to_string(static_cast<unsigned>(row.event));
+    line.append(" name=").append(row.name);
+    line.append(" severity=").append(nameOf(row.severity));
+    line.append(" node=").append(node);
+    for (const LogField &field : fields) {
+        line.append(" ").append(field.first).append("=");
+        line.append(isPlain(field.second) ? field.second : quoted(field.second));
+    }
+    return line;
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/src/observe/log.cpp
@@ -0,0 +1,75 @@
+#include <atomic>
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/support/date_time.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/make_shared.hpp>
+#include <boost/shared_ptr.hpp>
+#include <iostream>
+
+#include "plantainswitch/observe/event.h"
+
+namespace plantainswitch {
+
+namespace {
+
+struct LogState
+{
+    std::atomic<bool> started = false;
+    LogFormat format = LogFormat::KeyValue;
+    Severity least = Severity::Info;
+    std::string node;
+};
+
+LogState &state()
+{
+    static LogState instance;
+    return instance;
+}
+
+} // namespace
+
+void startLogging(LogFormat format, Severity least, std::string node)
+{
+    namespace sinks = boost::log::sinks;
+    namespace expressions = boost::log::expressions;
+    LogState &log = state();
+    log.format = format;
+    log.least = least;
+    log.node = std::move(node);
+    auto backend = boost::make_shared<sinks::text_ostream_backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream *) {}));
+    backend->auto_flush(true);
+    using Sink = sinks::synchronous_sink<sinks::text_ostream_backend>;
+    auto sink = boost::make_shared<Sink>(backend);
+    if (format == LogFormat::Json) {
+        sink->set_formatter(expressions::stream << expressions::smessage);
+    } else {
+        sink->set_formatter(expressions::stream
+                            << "time="
+                            << expressions::format_date_time<boost::posix_time::ptime>(
+                                   "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                            << " " << expressions::smessage);
+    }
+    boost::log::core::get()->add_sink(sink);
+    boost::log::add_common_attributes();
+    log.started = true;
+}
+
+void logEvent(Event event, std::initializer_list<LogField> fields)
+{
+    const LogState &log = state();
+    const EventRow &row = eventRow(event);
+    if (!log.started || row.severity < log.least) {
+        return;
+    }
+    static boost::log::sources::logger_mt logger;
+    BOOST_LOG(logger) << formatEvent(log.format, log.node, row, {fields.begin(), fields.size()});
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/src/placement/plan.cpp
@@ -0,0 +1,78 @@
+#include "plantainswitch/placement/plan.h"
+
+#include <map>
+
+#include "plantainswitch/base/hash.h"
+#include "plantainswitch/placement/rendezvous.h"
+
+namespace plantainswitch {
+
+std::uint32_t shardNumberOf(UpstreamId upstream, std::uint32_t shards) noexcept
+{
+    return shards <= 1 ? 0 : static_cast<std::uint32_t>(mixHash(upstream, 0) % shards);
+}
+
+std::vector<UpstreamId> readyOf(const UpstreamTable &upstreams, const Shard &shard,
+                                std::uint32_t shards, TimePoint now)
+{
+    std::vector<UpstreamId> result;
+    for (const Upstream &upstream : upstreams.ready(shard.service, shard.place, now)) {
+        if (shardNumberOf(upstream.shortId, shards) == shard.number) {
+            result.push_back(upstream.shortId);
+        }
+    }
+    return result;
+}
+
+std::optional<PlacementPlan> planPlacement(const Admission &admission, std::uint64_t chat,
+                                           const UpstreamTable &upstreams, TimePoint now,
+                                           Reason &reason)
+{
+    std::vector<Shard> shards;
+    std::vector<Candidate> candidates;
+    for (const std::string &place : admission.places) {
+        std::map<std::uint32_t, double> engines;
+        for (const Upstream &upstream : upstreams.ready(admission.service, place, now)) {
+            engines[shardNumberOf(upstream.shortId, admission.serviceEntry.shards)] += 1.0;
+        }
+        for (const auto &[number, count] : engines) {
+            shards.push_back({admission.service, place, number});
+            candidates.push_back({shardIdOf(shards.back()), count});
+        }
+    }
+    if (shards.empty()) {
+        reason = {ErrorKind::NoPermittedPlace, "no ready upstream in a permitted place", {}};
+        return std::nullopt;
+    }
+    PlacementPlan plan;
+    for (const std::size_t index : rendezvousOrder(chat, candidates)) {
+        plan.shards.push_back(shards[index]);
+    }
+    return plan;
+}
+
+std::optional<Heartbeat> keeperOf(const Shard &shard, const std::vector<Heartbeat> &active)
+{
+    std::vector<const Heartbeat *> local;
+    for (const Heartbeat &member : active) {
+        if (member.place == shard.place) {
+            local.push_back(&member);
+        }
+    }
+    if (local.empty()) {
+        for (const Heartbeat &member : active) {
+            local.push_back(&member);
+        }
+    }
+    std::vector<Candidate> candidates;
+    candidates.reserve(local.size());
+    for (const Heartbeat *member : local) {
+        candidates.push_back({hashOf(member->id), 1.0});
+    }
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    return *local[rendezvousOrder(shardIdOf(shard), candidates).front()];
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
