Split the request's way and the peer link into parts; run real routers in tests

Cause: one file held every stage of a request and one class every peer message, so that any two changes would meet there. Passage now stands in three files by stage, PeerLink only carries datagrams, and beats, slots and the keeper's side have their own classes. Router moved out of main, so that tests run several in one process (lab/fleet). Found by it: the link's handlers owned their parts and the parts the link, so a destroyed router kept its sockets (seen as 'Address already in use' in the second test of a process). The router lets go of the handlers when it ends.

--- /dev/null
+++ b/daemon/keeperservice.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "node.h"
+#include "peerlink.h"
+
+namespace plantainswitch {
+
+/// The keeper's side of slots: answers asks out of this router's keeper table.
+class KeeperService : public std::enable_shared_from_this<KeeperService>
+{
+public:
+    KeeperService(Node &node, std::shared_ptr<PeerLink> link)
+        : node(node)
+        , link(std::move(link))
+    {}
+
+    void start();
+    /// Answers an ask of \a router, which may be this one; \a done is called once.
+    void ask(std::uint64_t router, const SlotAsk &ask, const std::function<void(SlotReply)> &done);
+    void release(std::uint64_t router, const SlotRelease &release);
+
+private:
+    Node &node;
+    std::shared_ptr<PeerLink> link;
+};
+
+} // namespace plantainswitch
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,18 +1,10 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
-#include <thread>
 
-#include <asio/post.hpp>
-#include <asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 
-#include "operators.h"
-#include "peercalls.h"
-#include "peerlink.h"
-#include "requestpath.h"
-#include "slots.h"
-#include "sync.h"
+#include "router.h"
 
 namespace {
 
@@ -22,7 +14,6 @@
 constexpr int exitOk = 0;
 constexpr int exitFailed = 1;
 constexpr int exitBadInput = 2;
-constexpr std::chrono::milliseconds drainPoll{50};
 
 std::optional<Settings> loadSettings(const std::string &path)
 {
@@ -41,124 +32,6 @@
     return settings;
 }
 
-/// The running router: its parts in the order in which they depend on each other.
-class Router
-{
-public:
-    Router(Settings settings, const Clock &clock)
-        : node(
-            std::move(settings), clock,
-            static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count()))
-        , signals(context, SIGTERM, SIGINT)
-        , drainTimer(context)
-        , platformHttp(context)
-        , link(std::make_shared<PeerLink>(context, node))
-        , calls(node)
-        , sync(std::make_shared<Sync>(context, node, platformHttp, link, calls))
-        , slots(std::make_shared<Slots>(node, link))
-    {
-        std::vector<net::HttpClient *> clients;
-        for (std::uint32_t index = 0; index < this->node.settings.workers; ++index) {
-            this->upstreamHttp.push_back(std::make_unique<net::HttpClient>(this->context));
-            clients.push_back(this->upstreamHttp.back().get());
-        }
-        this->path = std::make_unique<RequestPath>(this->node, this->slots, clients);
-    }
-
-    int run()
-    {
-        if (!this->calls.start()) {
-            std::cerr << "can't serve peers at " << toText(this->node.settings.peerCalls) << "\n";
-            return exitFailed;
-        }
-        this->link->start();
-        this->sync->start();
-        this->openServers();
-        this->awaitSignal();
-        logEvent(Event::Started, {{"callers", toText(this->node.settings.callers)}});
-        std::vector<std::thread> workers;
-        for (std::uint32_t index = 0; index < this->node.settings.workers; ++index) {
-            workers.emplace_back([this] { this->context.run(); });
-        }
-        for (std::thread &worker : workers) {
-            worker.join();
-        }
-        this->calls.stop();
-        logEvent(Event::Stopped, {});
-        return exitOk;
-    }
-
-private:
-    void openServers()
-    {
-        const Settings &settings = this->node.settings;
-        // Twice the allowed body, so that a body above it is refused with a reason and only an
-        // absurd one is cut off.
-        this->callers = std::make_unique<net::HttpServer>(
-            this->context,
-            net::HttpServerOptions{settings.callers.host, settings.callers.port,
-                                   2 * std::size_t{settings.largestBody}},
-            [this](net::HttpRequest request, std::shared_ptr<net::HttpReply> reply) {
-                this->path->serve(std::move(request), std::move(reply));
-            });
-        this->operators = std::make_unique<net::HttpServer>(
-            this->context, net::HttpServerOptions{settings.operators.host, settings.operators.port},
-            [this](const net::HttpRequest &request, const std::shared_ptr<net::HttpReply> &reply) {
-                serveOperator(this->node, request, *reply);
-            });
-        this->callers->open();
-        this->operators->open();
-    }
-
-    void awaitSignal()
-    {
-        this->signals.async_wait([this](const asio::error_code &error, int) {
-            if (error) {
-                return;
-            }
-            this->awaitSignal();
-            this->beginStop();
-        });
-    }
-
-    void beginStop()
-    {
-        if (this->node.stopping.exchange(true)) {
-            logEvent(Event::StopRepeated, {});
-            return;
-        }
-        logEvent(Event::Stopping, {{"inFlight", std::to_string(this->node.inFlight)}});
-        this->link->beat();
-        this->drainTimer.expires_after(
-            std::chrono::milliseconds(this->node.settings.lingerMilliseconds));
-        this->drainTimer.async_wait([this](const asio::error_code &) { this->drain(); });
-    }
-
-    void drain()
-    {
-        if (this->node.inFlight == 0) {
-            this->context.stop();
-            return;
-        }
-        this->drainTimer.expires_after(drainPoll);
-        this->drainTimer.async_wait([this](const asio::error_code &) { this->drain(); });
-    }
-
-    asio::io_context context;
-    Node node;
-    asio::signal_set signals;
-    asio::steady_timer drainTimer;
-    net::HttpClient platformHttp;
-    std::vector<std::unique_ptr<net::HttpClient>> upstreamHttp;
-    std::shared_ptr<PeerLink> link;
-    PeerCalls calls;
-    std::shared_ptr<Sync> sync;
-    std::shared_ptr<Slots> slots;
-    std::unique_ptr<RequestPath> path;
-    std::unique_ptr<net::HttpServer> callers;
-    std::unique_ptr<net::HttpServer> operators;
-};
-
 int runDaemon(int argc, char **argv)
 {
     options::options_description described("plantaind, the router daemon");
@@ -195,7 +68,8 @@
     startLogging(settings->logFormat, settings->logLevel, settings->id);
     const SystemClock clock;
     Router router(std::move(*settings), clock);
-    return router.run();
+    router.run();
+    return exitOk;
 }
 
 } // namespace
--- /dev/null
+++ b/daemon/passage.cpp
@@ -0,0 +1,99 @@
+#include "passage.h"
+
+#include <fmt/format.h>
+
+#include "refusal.h"
+
+namespace plantainswitch {
+
+Passage::Passage(Node &node, std::shared_ptr<Slots> slots, net::HttpClient &client,
+                 std::shared_ptr<net::HttpReply> reply)
+    : node(node)
+    , slots(std::move(slots))
+    , client(client)
+    , reply(std::move(reply))
+    , began(node.clock.now())
+{
+    ++this->node.inFlight;
+    this->id =
+        fmt::format("{:08x}-{}", static_cast<std::uint32_t>(node.identity), node.nextRequest++);
+}
+
+Passage::~Passage()
+{
+    --this->node.inFlight;
+}
+
+void Passage::run(net::HttpRequest http)
+{
+    this->node.metrics.count(Counter::Requests);
+    this->explanation.requestId = this->id;
+    Reason reason;
+    auto parsed = parseRequest(std::move(http), this->node.settings.largestBody, reason);
+    if (!parsed) {
+        this->refuseWith(reason);
+        return;
+    }
+    this->request = std::move(*parsed);
+    this->reply->onGone([weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->callerGone();
+        }
+    });
+    this->admitCaller();
+}
+
+void Passage::admitCaller()
+{
+    const auto view = this->node.catalogue.view();
+    const auto confirmed = this->node.catalogue.confirmedAt();
+    if (!view) {
+        this->refuseWith({ErrorKind::NoCatalogue, "", std::nullopt});
+        return;
+    }
+    const Duration staleness = confirmed ? this->began - *confirmed : Duration{0};
+    Reason reason;
+    auto admitted = admit(*view, this->request.token, this->request.service, staleness, reason);
+    if (!admitted) {
+        this->refuseWith(reason);
+        return;
+    }
+    this->admission = std::move(*admitted);
+    const bool modelService = this->admission.serviceEntry.type == ServiceType::Model;
+    if (modelService != this->request.model) {
+        this->refuseWith({ErrorKind::NotFound, "the service is of another type", std::nullopt});
+        return;
+    }
+    this->note(fmt::format("workspace {} class {} catalogue {} permitted {}",
+                           this->admission.workspace, this->admission.limits.dataClass,
+                           this->admission.catalogueVersion,
+                           fmt::join(this->admission.places, ",")));
+    this->place();
+}
+
+void Passage::refuseWith(const Reason &reason)
+{
+    this->node.metrics.countRefusal(reason.kind);
+    this->note("refused: " + std::string(errorRow(reason.kind).name) + " " + reason.detail);
+    logEvent(Event::RequestRefused, {{"request", this->id},
+                                     {"kind", std::string(errorRow(reason.kind).name)},
+                                     {"detail", reason.detail}});
+    refuse(*this->reply, reason, this->id);
+    this->account();
+}
+
+void Passage::callerGone()
+{
+    this->gone = true;
+    const std::lock_guard lock(this->exchangeMutex);
+    if (this->exchange) {
+        this->exchange->cancel();
+    }
+}
+
+void Passage::account()
+{
+    this->node.explain.keep(std::move(this->explanation));
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/daemon/passage.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "httpclient.h"
+#include "httpserver.h"
+
+#include "node.h"
+#include "parse.h"
+#include "slots.h"
+
+namespace plantainswitch {
+
+/// One request on its way. Its steps follow one another, on whichever thread; only the caller's
+/// leaving comes from aside.
+class Passage : public std::enable_shared_from_this<Passage>
+{
+public:
+    Passage(Node &node, std::shared_ptr<Slots> slots, net::HttpClient &client,
+            std::shared_ptr<net::HttpReply> reply);
+    ~Passage();
+    Passage(const Passage &) = delete;
+    Passage &operator=(const Passage &) = delete;
+
+    /// Serves the request; the passage keeps itself alive until it is answered.
+    void run(net::HttpRequest http);
+
+private:
+    void admitCaller();
+    void place();
+    void dispatch(HeldSlot held);
+    net::HttpCall callTo(const Upstream &upstream) const;
+    void relayHeaders(int status, const net::Headers &headers);
+    bool relayData(std::string_view bytes);
+    bool relayStream(std::string_view bytes);
+    void upstreamEnded(net::HttpEnd end, const std::string &detail);
+    void answerWhole();
+    void retryOrRefuse(const Reason &reason, bool mayRepeat);
+    void cut(const Reason &reason);
+    void refuseWith(const Reason &reason);
+    void releaseSlot();
+    void account();
+    void callerGone();
+    void note(std::string step) { this->explanation.steps.push_back(std::move(step)); }
+
+    Node &node;
+    std::shared_ptr<Slots> slots;
+    net::HttpClient &client;
+    std::shared_ptr<net::HttpReply> reply;
+    TimePoint began;
+    std::string id;
+    CallerRequest request;
+    Admission admission;
+    std::shared_ptr<SlotNeed> need;
+    std::optional<HeldSlot> slot;
+    std::string attempt;
+    int attempts = 0;
+
+    int status = 0;
+    net::Headers headers;
+    std::string body;
+    SseParser parser;
+    StreamProgress progress;
+    bool started = false;
+    bool garbage = false;
+    std::atomic<std::size_t> unflushed = 0;
+
+    std::mutex exchangeMutex;
+    std::shared_ptr<net::HttpExchange> exchange;
+    std::atomic<bool> gone = false;
+    Explanation explanation;
+};
+
+} // namespace plantainswitch
--- /dev/null
+++ b/daemon/passageplace.cpp
@@ -0,0 +1,45 @@
+#include "passage.h"
+
+#include <fmt/format.h>
+
+namespace plantainswitch {
+
+void Passage::place()
+{
+    const std::string &chat = this->request.chat.empty() ? this->id : this->request.chat;
+    const std::uint64_t chatHash = mixHash(hashOf(this->admission.workspace), hashOf(chat));
+    Reason reason;
+    auto plan = planPlacement(this->admission, chatHash, this->node.upstreams,
+                              this->node.clock.now(), reason);
+    if (!plan) {
+        this->refuseWith(reason);
+        return;
+    }
+    auto next = std::make_shared<SlotNeed>();
+    next->plan = std::move(*plan);
+    next->chat = chatHash;
+    next->fingerprint = hashOf(this->request.body, hashOf(this->admission.workspace));
+    if (this->need) {
+        next->avoid = this->need->avoid;
+    }
+    this->need = next;
+    this->slots->acquire(
+        next, [self = this->shared_from_this()](std::string step) { self->note(std::move(step)); },
+        [self = this->shared_from_this()](std::optional<HeldSlot> held, const Reason &why) {
+            if (!held) {
+                self->refuseWith(why);
+                return;
+            }
+            self->dispatch(std::move(*held));
+        });
+}
+
+void Passage::releaseSlot()
+{
+    if (this->slot) {
+        this->slots->release(*this->slot);
+        this->slot.reset();
+    }
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/daemon/passagerelay.cpp
@@ -0,0 +1,241 @@
+#include "passage.h"
+
+#include <fmt/format.h>
+
+#include "refusal.h"
+
+namespace plantainswitch {
+
+namespace {
+
+constexpr int mostAttempts = 3;
+constexpr std::chrono::seconds upstreamSilence{60};
+constexpr std::size_t largestAnswer = 16 << 20;
+/// Bytes that may wait for a slow caller before its upstream is paused.
+constexpr std::size_t mostUnflushed = 256 << 10;
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+
+} // namespace
+
+void Passage::dispatch(HeldSlot held)
+{
+    this->slot = std::move(held);
+    if (this->gone) {
+        this->releaseSlot();
+        this->account();
+        return;
+    }
+    ++this->attempts;
+    this->attempt = fmt::format("{}.{}", this->id, this->attempts);
+    this->status = 0;
+    this->body.clear();
+    this->parser = {};
+    this->progress = {};
+    this->garbage = false;
+    this->note("attempt " + this->attempt + " to " + this->slot->upstream.vm.id);
+    this->node.metrics.record(Timing::Placement, this->admission.workspace,
+                              this->admission.limits.dataClass,
+                              this->node.clock.now() - this->began);
+    net::HttpEvents events;
+    const auto self = this->shared_from_this();
+    events.onHeaders = [self](int code, const net::Headers &fields) {
+        self->relayHeaders(code, fields);
+    };
+    events.onData = [self](std::string_view bytes) { return self->relayData(bytes); };
+    events.onEnd = [self](net::HttpEnd end, const std::string &detail) {
+        self->upstreamEnded(end, detail);
+    };
+    const std::lock_guard lock(this->exchangeMutex);
+    this->exchange = this->client.start(this->callTo(this->slot->upstream), std::move(events));
+}
+
+net::HttpCall Passage::callTo(const Upstream &upstream) const
+{
+    net::HttpCall call;
+    call.method = this->request.method;
+    call.url = "http://" + toText(upstream.vm.endpoint) + this->request.path;
+    call.headers["x-request-id"] = this->attempt;
+    call.headers["x-workspace"] = this->admission.workspace;
+    call.headers["x-priority"] = std::to_string(this->admission.limits.priority);
+    if (!this->request.contentType.empty()) {
+        call.headers["content-type"] = this->request.contentType;
+    }
+    if (!this->request.idempotencyKey.empty()) {
+        call.headers["idempotency-key"] = this->request.idempotencyKey;
+    }
+    call.body = this->request.body;
+    call.silenceTimeout = upstreamSilence;
+    call.freshConnection = this->request.nonIdempotent;
+    return call;
+}
+
+void Passage::relayHeaders(int code, const net::Headers &fields)
+{
+    this->status = code;
+    this->headers = fields;
+    this->node.metrics.record(Timing::FirstByte, this->admission.workspace,
+                              this->admission.limits.dataClass,
+                              this->node.clock.now() - this->began);
+}
+
+bool Passage::relayData(std::string_view bytes)
+{
+    if (this->garbage) {
+        return true;
+    }
+    if (this->request.stream && this->status == statusOk) {
+        return this->relayStream(bytes);
+    }
+    if (this->body.size() + bytes.size() > largestAnswer) {
+        this->garbage = true;
+        return true;
+    }
+    this->body.append(bytes);
+    return true;
+}
+
+bool Passage::relayStream(std::string_view bytes)
+{
+    if (this->unflushed > mostUnflushed) {
+        return false;
+    }
+    std::vector<std::string> events;
+    bool good = this->parser.feed(bytes, events);
+    std::string chunk;
+    for (const std::string &event : events) {
+        good = good && acceptEvent(event, this->attempt, this->progress);
+        if (!good) {
+            break;
+        }
+        chunk += "data: " + event + "\n\n";
+    }
+    if (!good) {
+        this->garbage = true;
+        const std::lock_guard lock(this->exchangeMutex);
+        this->exchange->cancel();
+    }
+    if (chunk.empty() || this->gone) {
+        return true;
+    }
+    if (!this->started) {
+        this->started = true;
+        this->reply->start(statusOk, {{"content-type", "text/event-stream"},
+                                      {"cache-control", "no-store"},
+                                      {"x-request-id", this->id}});
+    }
+    const std::size_t size = chunk.size();
+    this->unflushed += size;
+    this->reply->write(std::move(chunk), [self = this->shared_from_this(), size](bool) {
+        const std::size_t before = self->unflushed.fetch_sub(size);
+        if (before > mostUnflushed && before - size <= mostUnflushed) {
+            const std::lock_guard lock(self->exchangeMutex);
+            self->exchange->resume();
+        }
+    });
+    return true;
+}
+
+void Passage::upstreamEnded(net::HttpEnd end, const std::string &detail)
+{
+    const Upstream upstream = this->slot->upstream;
+    this->releaseSlot();
+    if (this->gone) {
+        this->node.metrics.count(Counter::CallersGone);
+        logEvent(Event::CallerGone, {{"request", this->id}});
+        this->account();
+        return;
+    }
+    if (this->garbage) {
+        logEvent(Event::UpstreamGarbage, {{"request", this->id}, {"upstream", upstream.vm.id}});
+        this->cut({ErrorKind::UpstreamGarbage, "", std::nullopt});
+        return;
+    }
+    if (end == net::HttpEnd::NotConnected) {
+        logEvent(Event::UpstreamUnreachable, {{"upstream", upstream.vm.id}, {"why", detail}});
+        this->node.upstreams.markUnreachable(upstream.shortId, this->node.clock.now());
+        this->need->avoid.push_back(upstream.shortId);
+        this->retryOrRefuse({ErrorKind::UpstreamUnreachable, detail, std::nullopt}, true);
+        return;
+    }
+    if (end != net::HttpEnd::Whole) {
+        this->need->avoid.push_back(upstream.shortId);
+        this->retryOrRefuse({ErrorKind::UpstreamFailed, detail, std::nullopt},
+                            !this->request.nonIdempotent);
+        return;
+    }
+    if (this->status == statusUnavailable && this->headers["x-ran"] == "no") {
+        if (this->headers["x-leaving"] == "true") {
+            logEvent(Event::UpstreamLeaving, {{"upstream", upstream.vm.id}});
+            this->node.upstreams.markLeaving(upstream.vm.id);
+        }
+        this->need->avoid.push_back(upstream.shortId);
+        this->retryOrRefuse({ErrorKind::Overloaded, "the engine refused", std::nullopt}, true);
+        return;
+    }
+    this->answerWhole();
+}
+
+void Passage::answerWhole()
+{
+    if (this->request.stream && this->status == statusOk) {
+        if (!this->progress.done || this->parser.hasRemainder()) {
+            this->retryOrRefuse({ErrorKind::UpstreamFailed, "the stream ended early", {}},
+                                !this->request.nonIdempotent);
+            return;
+        }
+        this->reply->end();
+    } else {
+        const bool model = this->request.model && this->status == statusOk;
+        if (model && !isWholeAnswer(this->body, this->attempt)) {
+            this->cut({ErrorKind::UpstreamGarbage, "", std::nullopt});
+            return;
+        }
+        const auto type = this->headers.find("content-type");
+        this->reply->respond(
+            this->status,
+            {{"content-type", type == this->headers.end() ? "application/json" : type->second},
+             {"x-request-id", this->id}},
+            std::move(this->body));
+    }
+    this->node.metrics.count(Counter::AnswersWhole);
+    this->node.metrics.record(Timing::Whole, this->admission.workspace,
+                              this->admission.limits.dataClass,
+                              this->node.clock.now() - this->began);
+    logEvent(Event::RequestDone, {{"request", this->id}, {"workspace", this->admission.workspace}});
+    this->account();
+}
+
+void Passage::retryOrRefuse(const Reason &reason, bool mayRepeat)
+{
+    if (this->started) {
+        this->cut({ErrorKind::AnswerCut, reason.detail, std::nullopt});
+        return;
+    }
+    if (!mayRepeat || this->attempts >= mostAttempts) {
+        this->refuseWith(reason);
+        return;
+    }
+    this->node.metrics.count(Counter::Retries);
+    this->place();
+}
+
+void Passage::cut(const Reason &reason)
+{
+    if (!this->started) {
+        this->refuseWith(reason);
+        return;
+    }
+    // The caller already has a part. An error event without [DONE] and a broken chunk encoding
+    // tell it that this is not the whole answer; a clean end would look complete.
+    const ErrorKind kind = ErrorKind::AnswerCut;
+    this->node.metrics.count(Counter::AnswersCut);
+    logEvent(Event::AnswerCut, {{"request", this->id}, {"why", reason.detail}});
+    this->reply->write("event: error\ndata: "
+                           + refusalBody({kind, reason.detail, std::nullopt}, this->id) + "\n\n",
+                       nullptr);
+    this->reply->abort();
+    this->account();
+}
+
+} // namespace plantainswitch
--- a/daemon/requestpath.h
+++ b/daemon/requestpath.h
@@ -28,9 +28,4 @@
     std::atomic<std::size_t> nextClient = 0;
 };
 
-/// Writes the one form of refusal: kind, sentence, whether the request ran, when to come back.
-void refuse(net::HttpReply &reply, const Reason &reason, const std::string &requestId);
-/// \returns the JSON body of a refusal.
-[[nodiscard]] std::string refusalBody(const Reason &reason, const std::string &requestId);
-
 } // namespace plantainswitch
--- /dev/null
+++ b/daemon/router.cpp
@@ -0,0 +1,135 @@
+#include "router.h"
+
+#include <system_error>
+#include <thread>
+
+#include <asio/post.hpp>
+
+#include "operators.h"
+
+namespace plantainswitch {
+
+namespace {
+
+constexpr std::chrono::milliseconds drainPoll{50};
+
+} // namespace
+
+Router::Router(Settings settings, const Clock &clock)
+    : node(std::move(settings), clock,
+           static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count()))
+    , signals(context, SIGTERM, SIGINT)
+    , drainTimer(context)
+    , platformHttp(context)
+    , link(std::make_shared<PeerLink>(context, node))
+    , beats(std::make_shared<Beats>(context, node, link))
+    , keeperService(std::make_shared<KeeperService>(node, link))
+    , calls(node)
+    , sync(std::make_shared<Sync>(context, node, platformHttp, beats, calls))
+    , slots(std::make_shared<Slots>(context, node, link, keeperService))
+{
+    std::vector<net::HttpClient *> clients;
+    for (std::uint32_t index = 0; index < this->node.settings.workers; ++index) {
+        this->upstreamHttp.push_back(std::make_unique<net::HttpClient>(this->context));
+        clients.push_back(this->upstreamHttp.back().get());
+    }
+    this->path = std::make_unique<RequestPath>(this->node, this->slots, clients);
+}
+
+Router::~Router()
+{
+    this->link->forgetHandlers();
+}
+
+void Router::run()
+{
+    if (!this->calls.start()) {
+        throw std::system_error(std::make_error_code(std::errc::address_in_use),
+                                "peer calls at " + toText(this->node.settings.peerCalls));
+    }
+    this->keeperService->start();
+    this->slots->start();
+    this->beats->start();
+    this->link->start();
+    this->sync->start();
+    this->openServers();
+    this->awaitSignal();
+    logEvent(Event::Started, {{"callers", toText(this->node.settings.callers)}});
+    std::vector<std::thread> workers;
+    workers.reserve(this->node.settings.workers);
+    for (std::uint32_t index = 0; index < this->node.settings.workers; ++index) {
+        workers.emplace_back([this] { this->context.run(); });
+    }
+    for (std::thread &worker : workers) {
+        worker.join();
+    }
+    this->calls.stop();
+    logEvent(Event::Stopped, {});
+}
+
+void Router::stop()
+{
+    asio::post(this->context, [this] { this->beginStop(); });
+}
+
+void Router::kill()
+{
+    this->context.stop();
+}
+
+void Router::openServers()
+{
+    const Settings &settings = this->node.settings;
+    // Twice the allowed body, so that a body above it is refused with a reason and only an
+    // absurd one is cut off.
+    this->callers = std::make_unique<net::HttpServer>(
+        this->context,
+        net::HttpServerOptions{settings.callers.host, settings.callers.port,
+                               2 * std::size_t{settings.largestBody}},
+        [this](net::HttpRequest request, std::shared_ptr<net::HttpReply> reply) {
+            this->path->serve(std::move(request), std::move(reply));
+        });
+    this->operators = std::make_unique<net::HttpServer>(
+        this->context, net::HttpServerOptions{settings.operators.host, settings.operators.port},
+        [this](const net::HttpRequest &request, const std::shared_ptr<net::HttpReply> &reply) {
+            serveOperator(this->node, request, *reply);
+        });
+    this->callers->open();
+    this->operators->open();
+}
+
+void Router::awaitSignal()
+{
+    this->signals.async_wait([this](const asio::error_code &error, int) {
+        if (error) {
+            return;
+        }
+        this->awaitSignal();
+        this->beginStop();
+    });
+}
+
+void Router::beginStop()
+{
+    if (this->node.stopping.exchange(true)) {
+        logEvent(Event::StopRepeated, {});
+        return;
+    }
+    logEvent(Event::Stopping, {{"inFlight", std::to_string(this->node.inFlight)}});
+    this->beats->beat();
+    this->drainTimer.expires_after(
+        std::chrono::milliseconds(this->node.settings.lingerMilliseconds));
+    this->drainTimer.async_wait([this](const asio::error_code &) { this->drain(); });
+}
+
+void Router::drain()
+{
+    if (this->node.inFlight == 0) {
+        this->context.stop();
+        return;
+    }
+    this->drainTimer.expires_after(drainPoll);
+    this->drainTimer.async_wait([this](const asio::error_code &) { this->drain(); });
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/daemon/router.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "beats.h"
+#include "httpclient.h"
+#include "httpserver.h"
+#include "keeperservice.h"
+#include "node.h"
+#include "peercalls.h"
+#include "peerlink.h"
+#include "requestpath.h"
+#include "slots.h"
+#include "sync.h"
+
+namespace plantainswitch {
+
+/// The running router: its parts in the order in which they depend on each other.
+class Router
+{
+public:
+    Router(Settings settings, const Clock &clock);
+    ~Router();
+    Router(const Router &) = delete;
+    Router &operator=(const Router &) = delete;
+
+    /// Serves until a stop has ended. \throws std::system_error when an address can't be had.
+    void run();
+    /// Begins a graceful stop; what is in flight is finished first. Safe from any thread.
+    void stop();
+    /// Leaves at once, as a crash would, for tests of failures. Safe from any thread.
+    void kill();
+
+private:
+    void openServers();
+    void awaitSignal();
+    void beginStop();
+    void drain();
+
+    asio::io_context context;
+    Node node;
+    asio::signal_set signals;
+    asio::steady_timer drainTimer;
+    net::HttpClient platformHttp;
+    std::vector<std::unique_ptr<net::HttpClient>> upstreamHttp;
+    std::shared_ptr<PeerLink> link;
+    std::shared_ptr<Beats> beats;
+    std::shared_ptr<KeeperService> keeperService;
+    PeerCalls calls;
+    std::shared_ptr<Sync> sync;
+    std::shared_ptr<Slots> slots;
+    std::unique_ptr<RequestPath> path;
+    std::unique_ptr<net::HttpServer> callers;
+    std::unique_ptr<net::HttpServer> operators;
+};
+
+} // namespace plantainswitch
--- a/daemon/slots.h
+++ b/daemon/slots.h
@@ -1,9 +1,15 @@
 #pragma once
 
+#include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <unordered_map>
 
+#include <asio/steady_timer.hpp>
+
+#include "keeperservice.h"
 #include "node.h"
 #include "peerlink.h"
 
@@ -28,6 +34,7 @@
 };
 
 /// Gets slots from the keepers of the shards, in the order of the plan.
+/// What it has to remember lives on the peer link's strand.
 class Slots : public std::enable_shared_from_this<Slots>
 {
 public:
@@ -35,23 +42,41 @@
     /// Hears each step, for the explanation of the request.
     using Note = std::function<void(std::string)>;
 
-    Slots(Node &node, std::shared_ptr<PeerLink> link)
-        : node(node)
-        , link(std::move(link))
-    {}
+    Slots(asio::io_context &context, Node &node, std::shared_ptr<PeerLink> link,
+          std::shared_ptr<KeeperService> keeper);
 
+    void start();
     /// Asks one shard after the other; \a done is called once, maybe on another thread.
     void acquire(const std::shared_ptr<const SlotNeed> &need, Note note, Done done);
     /// Gives \a slot back.
     void release(const HeldSlot &slot);
 
 private:
+    using ReplyHandler = std::function<void(const std::optional<SlotReply> &)>;
+    struct PendingAsk
+    {
+        Endpoint keeper;
+        SlotAsk ask;
+        ReplyHandler done;
+        std::unique_ptr<asio::steady_timer> timer;
+        int sends = 0;
+    };
+
     void tryShard(const std::shared_ptr<const SlotNeed> &need, std::size_t index, Reason last,
                   Note note, Done done);
+    void ask(const Heartbeat &keeper, SlotAsk ask, ReplyHandler done);
+    void sendAsk(std::uint32_t askId);
+    void finishAsk(std::uint32_t askId, const std::optional<SlotReply> &reply);
+    void scheduleReleases();
+    void flushReleases();
 
     Node &node;
     std::shared_ptr<PeerLink> link;
+    std::shared_ptr<KeeperService> keeper;
+    asio::steady_timer releaseTimer;
     std::atomic<std::uint32_t> nextAsk = 1;
+    std::unordered_map<std::uint32_t, PendingAsk> pending;
+    std::map<std::pair<Endpoint, ShardId>, std::vector<std::uint32_t>> releases;
 };
 
 } // namespace plantainswitch
--- a/daemon/sync.cpp
+++ b/daemon/sync.cpp
@@ -37,10 +37,10 @@
 } // namespace
 
 Sync::Sync(asio::io_context &context, Node &node, net::HttpClient &http,
-           std::shared_ptr<PeerLink> link, PeerCalls &calls)
+           std::shared_ptr<Beats> beats, PeerCalls &calls)
     : node(node)
     , platform(http, node.settings.platformUrl)
-    , link(std::move(link))
+    , beats(std::move(beats))
     , calls(calls)
     , strand(asio::make_strand(context))
     , watchTimer(strand)
@@ -129,7 +129,7 @@
     this->node.upstreams.replace(vms);
     for (const Vm &vm : vms) {
         if (vm.role == VmRole::Router) {
-            this->link->addSeed(vm.endpoint);
+            this->beats->addSeed(vm.endpoint);
         }
     }
 }
--- a/daemon/sync.h
+++ b/daemon/sync.h
@@ -7,9 +7,9 @@
 
 #include "platform.h"
 
+#include "beats.h"
 #include "node.h"
 #include "peercalls.h"
-#include "peerlink.h"
 
 namespace plantainswitch {
 
@@ -18,8 +18,8 @@
 class Sync : public std::enable_shared_from_this<Sync>
 {
 public:
-    Sync(asio::io_context &context, Node &node, net::HttpClient &http,
-         std::shared_ptr<PeerLink> link, PeerCalls &calls);
+    Sync(asio::io_context &context, Node &node, net::HttpClient &http, std::shared_ptr<Beats> beats,
+         PeerCalls &calls);
 
     void start();
 
@@ -33,7 +33,7 @@
 
     Node &node;
     net::PlatformClient platform;
-    std::shared_ptr<PeerLink> link;
+    std::shared_ptr<Beats> beats;
     PeerCalls &calls;
     asio::strand<asio::io_context::executor_type> strand;
     asio::steady_timer watchTimer;
--- a/include/plantainswitch/membership/members.h
+++ b/include/plantainswitch/membership/members.h
@@ -45,8 +45,8 @@
     /// \returns whether the member is new or has restarted.
     bool hear(const Heartbeat &heartbeat, TimePoint now);
     /// Drops members not heard for memberTimeout.
-    /// \returns their ids.
-    std::vector<std::string> expire(TimePoint now);
+    /// \returns the last heartbeat of each.
+    std::vector<Heartbeat> expire(TimePoint now);
 
     /// \returns all live members that are not leaving, by id.
     [[nodiscard]] std::vector<Heartbeat> active() const;
--- /dev/null
+++ b/lab/fleet.cpp
@@ -0,0 +1,142 @@
+#include "fleet.h"
+
+#include <future>
+
+namespace plantainswitch::lab {
+
+namespace {
+
+constexpr int workerCount = 3;
+constexpr std::chrono::seconds patience{30};
+constexpr std::chrono::milliseconds pollPeriod{10};
+constexpr int statusOk = 200;
+
+} // namespace
+
+Fleet::Fleet(Deployment wanted)
+    : deployment(std::move(wanted))
+    , layout(routersOf(this->deployment))
+    , guard(asio::make_work_guard(context))
+    , standIns(context, this->deployment)
+    , http(context)
+{
+    this->standIns.open();
+    this->workers.reserve(workerCount);
+    for (int index = 0; index < workerCount; ++index) {
+        this->workers.emplace_back([this] { this->context.run(); });
+    }
+}
+
+Fleet::~Fleet()
+{
+    for (auto &[index, running] : this->routers) {
+        running.router->kill();
+        running.thread.join();
+    }
+    this->routers.clear();
+    this->context.stop();
+    for (std::thread &worker : this->workers) {
+        worker.join();
+    }
+}
+
+bool Fleet::start()
+{
+    for (std::size_t index = 0; index < this->layout.size(); ++index) {
+        this->startRouter(index);
+    }
+    for (std::size_t index = 0; index < this->layout.size(); ++index) {
+        if (!this->awaitReady(index)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void Fleet::startRouter(std::size_t index)
+{
+    std::vector<Fault> faults;
+    const std::string text = settingsOf(this->deployment, this->layout[index]).dump();
+    Running &running = this->routers[index];
+    running.router = std::make_unique<Router>(*parseSettings(text, faults), this->clock);
+    running.thread = std::thread([router = running.router.get()] { router->run(); });
+}
+
+void Fleet::stopRouter(std::size_t index)
+{
+    this->routers.at(index).router->stop();
+}
+
+void Fleet::killRouter(std::size_t index)
+{
+    this->routers.at(index).router->kill();
+    this->awaitStopped(index);
+}
+
+void Fleet::awaitStopped(std::size_t index)
+{
+    this->routers.at(index).thread.join();
+    this->routers.erase(index);
+}
+
+bool Fleet::awaitReady(std::size_t index)
+{
+    return eventually(
+        [this, index] { return this->operatorPage(index, "/readyz").status == statusOk; });
+}
+
+net::HttpAnswer Fleet::fetch(net::HttpCall call)
+{
+    auto answer = std::make_shared<std::promise<net::HttpAnswer>>();
+    call.wholeTimeout = patience;
+    this->http.fetch(std::move(call),
+                     [answer](net::HttpAnswer got) { answer->set_value(std::move(got)); });
+    return answer->get_future().get();
+}
+
+net::HttpAnswer Fleet::call(std::size_t router, net::HttpCall call)
+{
+    call.url = "http://" + toText(this->layout[router].callers) + call.url;
+    return this->fetch(std::move(call));
+}
+
+net::HttpAnswer Fleet::chat(std::size_t router, const std::string &token, const std::string &chatId,
+                            const nlohmann::json &body)
+{
+    net::HttpCall call;
+    call.method = "POST";
+    call.url = "/v1/chat/completions";
+    call.headers = {{"authorization", "Bearer " + token}, {"x-chat-id", chatId}};
+    call.body = body.dump();
+    return this->call(router, std::move(call));
+}
+
+net::HttpAnswer Fleet::operatorPage(std::size_t router, const std::string &path)
+{
+    net::HttpCall call;
+    call.url = "http://" + toText(this->layout[router].operators) + path;
+    return this->fetch(std::move(call));
+}
+
+void Fleet::setFaults(const nlohmann::json &faults)
+{
+    net::HttpCall call;
+    call.method = "PUT";
+    call.url = "http://" + toText(platformOf(this->deployment)) + "/faults";
+    call.body = faults.dump();
+    this->fetch(std::move(call));
+}
+
+bool Fleet::eventually(const std::function<bool()> &condition)
+{
+    const auto until = std::chrono::steady_clock::now() + patience;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > until) {
+            return false;
+        }
+        std::this_thread::sleep_for(pollPeriod);
+    }
+    return true;
+}
+
+} // namespace plantainswitch::lab
--- /dev/null
+++ b/lab/fleet.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <asio/executor_work_guard.hpp>
+
+#include "router.h"
+
+#include "deployment.h"
+#include "standins.h"
+
+namespace plantainswitch::lab {
+
+/// A deployment's stand-ins and real routers in one process over loopback, for failure tests.
+class Fleet
+{
+public:
+    /// \param deployment to build; change its basePort so that tests don't share ports
+    explicit Fleet(Deployment deployment);
+    ~Fleet();
+    Fleet(const Fleet &) = delete;
+    Fleet &operator=(const Fleet &) = delete;
+
+    /// Starts all routers and waits until each is ready. \returns whether all are.
+    [[nodiscard]] bool start();
+    void startRouter(std::size_t index);
+    /// Asks for a graceful stop; awaitStopped() waits for its end.
+    void stopRouter(std::size_t index);
+    /// Ends a router at once, as a crash does.
+    void killRouter(std::size_t index);
+    void awaitStopped(std::size_t index);
+    [[nodiscard]] bool awaitReady(std::size_t index);
+
+    /// Calls a router's callers' address and waits for the answer.
+    net::HttpAnswer call(std::size_t router, net::HttpCall call);
+    /// Posts to /v1/chat/completions; \a path of the call is filled in.
+    net::HttpAnswer chat(std::size_t router, const std::string &token, const std::string &chatId,
+                         const nlohmann::json &body);
+    /// Fetches a page of a router's operators' address.
+    net::HttpAnswer operatorPage(std::size_t router, const std::string &path);
+    /// Puts the platform's faults.
+    void setFaults(const nlohmann::json &faults);
+    /// Waits until \a condition holds, for at most a generous time. \returns whether it did.
+    [[nodiscard]] static bool eventually(const std::function<bool()> &condition);
+
+    Deployment deployment;
+    std::vector<RouterLayout> layout;
+
+private:
+    struct Running
+    {
+        std::unique_ptr<Router> router;
+        std::thread thread;
+    };
+
+    net::HttpAnswer fetch(net::HttpCall call);
+
+    SystemClock clock;
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> guard;
+
+public:
+    StandIns standIns;
+
+private:
+    net::HttpClient http;
+    std::vector<std::thread> workers;
+    std::map<std::size_t, Running> routers;
+};
+
+} // namespace plantainswitch::lab
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -20,13 +20,13 @@
     return restarted;
 }
 
-std::vector<std::string> MemberTable::expire(TimePoint now)
+std::vector<Heartbeat> MemberTable::expire(TimePoint now)
 {
     const RankedLock lock(this->mutex);
-    std::vector<std::string> gone;
+    std::vector<Heartbeat> gone;
     for (auto each = this->members.begin(); each != this->members.end();) {
         if (now - each->second.heard > memberTimeout) {
-            gone.push_back(each->first);
+            gone.push_back(each->second.last);
             each = this->members.erase(each);
         } else {
             ++each;
--- /dev/null
+++ b/tests/wholepath.cpp
@@ -0,0 +1,87 @@
+#include <catch2/catch.hpp>
+
+#include "fleet.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::lab;
+
+namespace {
+
+constexpr std::uint16_t ownPorts = 25000;
+
+Deployment smallDeployment()
+{
+    Deployment deployment = *deploymentOf("lowther");
+    deployment.basePort = ownPorts;
+    deployment.routers = 3;
+    return deployment;
+}
+
+class WholePathFixture
+{
+protected:
+    WholePathFixture()
+        : fleet(smallDeployment())
+    {
+        REQUIRE(this->fleet.start());
+    }
+
+    [[nodiscard]] nlohmann::json body(const std::string &text) const
+    {
+        return {{"model", this->fleet.deployment.modelService},
+                {"messages", {{{"role", "user"}, {"content", text}}}}};
+    }
+
+    Fleet fleet;
+    std::string token = "token-lowther-0";
+};
+
+std::string kindOf(const net::HttpAnswer &answer)
+{
+    const auto json = nlohmann::json::parse(answer.body, nullptr, false);
+    return json.is_object() && json.contains("error") ? json["error"].value("kind", "") : "";
+}
+
+} // namespace
+
+TEST_CASE_METHOD(WholePathFixture, "router_returningChat_reachesSameEngineFromEveryRouter",
+                 "[wholepath]")
+{
+    for (std::size_t router = 0; router < 3; ++router) {
+        const auto answer = this->fleet.chat(router, this->token, "c1", this->body("hello"));
+        REQUIRE(answer.status == 200);
+        const auto json = nlohmann::json::parse(answer.body);
+        const auto cached = json["usage"]["prompt_tokens_details"]["cached_tokens"];
+        CHECK((cached > 0) == (router > 0));
+    }
+}
+
+TEST_CASE_METHOD(WholePathFixture, "router_badInput_refusesWithKindAndRanNo", "[wholepath]")
+{
+    CHECK(kindOf(this->fleet.chat(0, "no-such-token", "c", this->body("x"))) == "unauthorized");
+    CHECK(kindOf(this->fleet.chat(0, this->token, "c", {{"model", 1}})) == "bad-request");
+    auto wrongModel = this->body("x");
+    wrongModel["model"] = "other";
+    CHECK(kindOf(this->fleet.chat(0, this->token, "c", wrongModel)) == "not-found");
+    net::HttpCall call;
+    call.url = "/nowhere";
+    CHECK(kindOf(this->fleet.call(0, call)) == "not-found");
+}
+
+TEST_CASE_METHOD(WholePathFixture, "router_stopDuringChat_answersItWhole", "[wholepath]")
+{
+    // A router is asked to stop while it relays a long answer. The caller must get all of it:
+    // the router leaves the balancer first and its process only when nothing is in flight.
+    auto longBody = this->body("long");
+    longBody["max_tokens"] = 200;
+    net::HttpAnswer answer;
+    std::thread caller([&] { answer = this->fleet.chat(0, this->token, "c", longBody); });
+    CHECK(Fleet::eventually([&] {
+        const auto status = nlohmann::json::parse(this->fleet.operatorPage(0, "/status").body);
+        return status["inFlight"] == 1;
+    }));
+    this->fleet.stopRouter(0);
+    caller.join();
+    this->fleet.awaitStopped(0);
+    CHECK(answer.status == 200);
+}
