Let several demos run side by side on one machine

Cause: the demo's ports were fixed, so that a second demo met the first one's. Every port can be shifted now.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -39,7 +39,10 @@
     const std::string wanted = given["deployment"].as<std::string>();
     for (const std::string &name : deploymentNames()) {
         if (wanted == "all" || wanted == name) {
-            result.push_back(*deploymentOf(name));
+            Deployment deployment = *deploymentOf(name);
+            deployment.basePort = static_cast<std::uint16_t>(deployment.basePort
+                                                             + given["port-offset"].as<unsigned>());
+            result.push_back(std::move(deployment));
         }
     }
     return result;
@@ -137,7 +140,9 @@
                                        "where settings are written")(
         "seconds", options::value<unsigned>()->default_value(15), "how long the load lasts")(
         "rate", options::value<double>()->default_value(60), "requests a second and deployment")(
-        "seed", options::value<std::uint64_t>()->default_value(1), "seed of the load");
+        "seed", options::value<std::uint64_t>()->default_value(1),
+        "seed of the load")("port-offset", options::value<unsigned>()->default_value(0),
+                            "added to every port, so that several demos fit on one machine");
     options::positional_options_description positions;
     positions.add("command", 1);
     options::variables_map given;
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,6 +7,7 @@
 cmake -S . -B build -G Ninja >/dev/null
 cmake --build build --target plantaind plantain-lab
 work=$(mktemp -d)
+offset=${PLANTAIN_PORT_OFFSET:-0}
 routers=()
 cleanup() {
     for router in "${routers[@]}"; do kill "$router" 2>/dev/null || true; done
@@ -14,8 +15,8 @@
     rm -rf "$work"
 }
 trap cleanup EXIT
-for settings in $(build/plantain-lab settings --directory "$work"); do
+for settings in $(build/plantain-lab settings --directory "$work" --port-offset "$offset"); do
     build/plantaind --config "$settings" 2>"$settings.log" &
     routers+=("$!")
 done
-build/plantain-lab demo "$@"
+build/plantain-lab demo --port-offset "$offset" "$@"
