Run the tests under sanitizers and mend what they found

Cause: nothing watched memory and threads. scripts/sanitize.sh runs the whole suite under address and undefined, and the tests of shared tables, HTTP server and client under thread. Found: (1) RESTinio's connection limiter belongs to its acceptor; on the way down connections outlived it and counted down in freed memory (use after free at the end of a process with open connections). The limiter is off, connections are counted in the listener and a request on a crowded server is refused as overloaded instead of being left without an answer. (2) An exchange and its callbacks owned each other when a client ended with exchanges open; watches and calls of the stand-ins kept connections alive in the same way.

--- a/daemon/passage.cpp
+++ b/daemon/passage.cpp
@@ -28,6 +28,10 @@
 {
     this->node.metrics.count(Counter::Requests);
     this->explanation.requestId = this->id;
+    if (http.crowded) {
+        this->refuseWith({ErrorKind::Overloaded, "too many connections", std::nullopt});
+        return;
+    }
     Reason reason;
     auto parsed = parseRequest(std::move(http), this->node.settings.largestBody, reason);
     if (!parsed) {
--- a/lab/enginestandin.cpp
+++ b/lab/enginestandin.cpp
@@ -226,7 +226,12 @@
           }))
 {}
 
-EngineStandIn::~EngineStandIn() = default;
+EngineStandIn::~EngineStandIn()
+{
+    std::map<std::string, Call> open;
+    const std::lock_guard lock(this->state->mutex);
+    open.swap(this->state->calls);
+}
 
 void EngineStandIn::open()
 {
--- a/lab/platformstandin.cpp
+++ b/lab/platformstandin.cpp
@@ -347,7 +347,11 @@
           }))
 {}
 
-PlatformStandIn::~PlatformStandIn() = default;
+PlatformStandIn::~PlatformStandIn()
+{
+    const std::lock_guard lock(this->state->mutex);
+    this->state->watches.clear();
+}
 
 void PlatformStandIn::open()
 {
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -155,6 +155,9 @@
         }
     }
 
+    /// Lets go of the callbacks, whose owners own this exchange in turn.
+    void forgetEvents() { this->events = {}; }
+
     [[nodiscard]] CURL *handle() const noexcept { return this->easy; }
 
 private:
@@ -277,6 +280,7 @@
 {
     for (const auto &[easy, exchange] : this->exchanges) {
         curl_multi_remove_handle(this->multi, easy);
+        exchange->forgetEvents();
     }
     this->exchanges.clear();
     curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, nullptr);
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "httpserver.h"
 
+#include <atomic>
 #include <mutex>
 #include <unordered_map>
 
@@ -28,6 +29,9 @@
     void add(restinio::connection_id_t connection, const std::shared_ptr<Reply> &reply);
     void remove(restinio::connection_id_t connection, const Reply *reply);
     void closed(restinio::connection_id_t connection);
+    /// Counts the open connections. RESTinio's own limiter belongs to its acceptor, which may be
+    /// destroyed before the last connections are; those would then count down in freed memory.
+    std::atomic<std::size_t> connections = 0;
 
 private:
     std::mutex mutex;
@@ -46,7 +50,10 @@
     void state_changed(const restinio::connection_state::notice_t &notice) noexcept
     {
         if (std::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
+            --this->replies->connections;
             this->replies->closed(notice.connection_id());
+        } else if (std::holds_alternative<restinio::connection_state::accepted_t>(notice.cause())) {
+            ++this->replies->connections;
         }
     }
 
@@ -59,8 +66,6 @@
     // RESTinio looks the type up by this name.
     // NOLINTNEXTLINE(readability-identifier-naming)
     using connection_state_listener_t = ConnectionListener;
-    // NOLINTNEXTLINE(readability-identifier-naming)
-    static constexpr bool use_connection_count_limiter = true;
 };
 
 using Streaming = restinio::response_builder_t<restinio::user_controlled_output_t>;
@@ -274,11 +279,13 @@
     : state(std::make_unique<State>())
 {
     const auto replies = this->state->replies;
-    auto onRequest = [replies,
+    auto onRequest = [replies, most = options.mostConnections,
                       handler = std::move(handler)](const restinio::request_handle_t &request) {
         auto reply = std::make_shared<Reply>(request, replies);
         replies->add(request->connection_id(), reply);
-        handler(requestOf(request), std::move(reply));
+        HttpRequest incoming = requestOf(request);
+        incoming.crowded = replies->connections > most;
+        handler(std::move(incoming), std::move(reply));
         return restinio::request_accepted();
     };
     this->state->server = std::make_unique<restinio::http_server_t<ServerTraits>>(
@@ -290,7 +297,6 @@
                 .write_http_response_timelimit(slowCallerTimeout)
                 .handle_request_timeout(longestAnswer)
                 .max_pipelined_requests(pipelinedRequests)
-                .max_parallel_connections(options.mostConnections)
                 .connection_state_listener(std::make_shared<ConnectionListener>(replies))
                 .socket_options_setter([](auto &socketOptions) {
                     socketOptions.set_option(asio::ip::tcp::no_delay{true});
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -24,6 +24,8 @@
     std::map<std::string, std::string, std::less<>> query;
     Headers headers;
     std::string body;
+    /// The server has more connections than it should; the request is best refused.
+    bool crowded = false;
 
     /// \returns the header of that lower-case name, or an empty text.
     [[nodiscard]] std::string_view header(std::string_view name) const;
@@ -58,6 +60,7 @@
     std::string address;
     std::uint16_t port = 0;
     std::size_t largestBody = 8 << 20;
+    /// Above this number of connections requests are marked as crowded.
     std::size_t mostConnections = 20'000;
 };
 
--- /dev/null
+++ b/scripts/sanitize.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Runs the whole test suite under AddressSanitizer with UndefinedBehaviorSanitizer, and the tests
+# of what several threads share under ThreadSanitizer.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake -S . -B build-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug \
+    -DPLANTAINSWITCH_SANITIZE=address,undefined >/dev/null
+cmake --build build-asan
+ctest --test-dir build-asan --output-on-failure -j 4
+cmake -S . -B build-tsan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DPLANTAINSWITCH_SANITIZE=thread >/dev/null
+cmake --build build-tsan --target test-concurrency
+ctest --test-dir build-tsan --output-on-failure -R '^concurrency$'
--- /dev/null
+++ b/tests/concurrency.cpp
@@ -0,0 +1,194 @@
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include <asio/executor_work_guard.hpp>
+#include <catch2/catch.hpp>
+
+#include "httpclient.h"
+#include "httpserver.h"
+#include "plantainswitch/plantainswitch.h"
+
+using namespace plantainswitch;
+
+namespace {
+
+constexpr int threadCount = 4;
+constexpr std::uint32_t rounds = 400;
+constexpr std::uint16_t ownPort = 31500;
+constexpr int statusOk = 200;
+
+void runTogether(const std::function<void(std::uint32_t thread)> &work)
+{
+    std::vector<std::thread> threads;
+    threads.reserve(threadCount);
+    for (std::uint32_t index = 0; index < threadCount; ++index) {
+        threads.emplace_back([&work, index] { work(index); });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+}
+
+/// An HTTP server and client on worker threads of their own.
+class HttpFixture
+{
+protected:
+    HttpFixture()
+        : guard(asio::make_work_guard(context))
+        , client(context)
+    {
+        this->server = std::make_unique<net::HttpServer>(
+            this->context, net::HttpServerOptions{"127.0.0.1", ownPort},
+            [](const net::HttpRequest &request, const std::shared_ptr<net::HttpReply> &reply) {
+                if (request.path == "/cut") {
+                    reply->start(statusOk, {});
+                    reply->write("part", nullptr);
+                    reply->abort();
+                    return;
+                }
+                reply->start(statusOk, {{"x-echo", std::string(request.header("x-name"))}});
+                for (int part = 0; part < 10; ++part) {
+                    reply->write(request.body, nullptr);
+                }
+                reply->end();
+            });
+        this->server->open();
+        for (int index = 0; index < threadCount; ++index) {
+            this->workers.emplace_back([this] { this->context.run(); });
+        }
+    }
+
+    ~HttpFixture()
+    {
+        this->context.stop();
+        for (std::thread &worker : this->workers) {
+            worker.join();
+        }
+    }
+
+    net::HttpCall callTo(const std::string &path)
+    {
+        net::HttpCall call;
+        call.method = "POST";
+        call.url = "http://127.0.0.1:" + std::to_string(ownPort) + path;
+        call.body = "hello";
+        return call;
+    }
+
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> guard;
+    net::HttpClient client;
+    std::unique_ptr<net::HttpServer> server;
+    std::vector<std::thread> workers;
+};
+
+} // namespace
+
+TEST_CASE("tables_usedByAllWorkers_stayConsistent", "[concurrency]")
+{
+    CatalogueTable catalogue;
+    MemberTable members;
+    UpstreamTable upstreams;
+    KeeperTable keeper;
+    ExplainTable explain;
+    Metrics metrics;
+    const Shard shard{"model", "here", 0};
+    const std::vector<UpstreamId> engines{1, 2, 3};
+    runTogether([&](std::uint32_t thread) {
+        for (std::uint32_t round = 1; round <= rounds; ++round) {
+            const TimePoint now{Milliseconds{round}};
+            const std::string name = "name-" + std::to_string(round % 7);
+            catalogue.merge({{{EntryKind::DataClass, name}, round, DataClass{"o", {"here"}, 0}}});
+            static_cast<void>(catalogue.view());
+            members.hear({name, "here", {}, {}, round, round, false}, now);
+            static_cast<void>(members.active());
+            upstreams.replace({{name, VmRole::Engine, "model", "here", {"127.0.0.1", 1}, false}});
+            static_cast<void>(upstreams.ready("model", "here", now));
+            const std::uint32_t askId = round;
+            const SlotAsk ask{askId, shard, round, round, {}};
+            keeper.grant(thread, ask, engines, BoundSettings{}, now);
+            keeper.release(thread, {shardIdOf(shard), {askId}});
+            explain.keep({name, {"step"}});
+            metrics.record(Timing::Whole, name, "class", Milliseconds{round});
+            metrics.count(Counter::Requests);
+        }
+    });
+    CHECK(keeper.loads(shardIdOf(shard)).empty());
+    CHECK(metrics.value(Counter::Requests) == threadCount * rounds);
+    CHECK(catalogue.view()->version == rounds);
+}
+
+TEST_CASE_METHOD(HttpFixture, "httpClient_manyThreads_eachGetsItsOwnWholeAnswer", "[concurrency]")
+{
+    std::atomic<int> wrong = 0;
+    runTogether([&](std::uint32_t thread) {
+        for (int round = 0; round < 50; ++round) {
+            const std::string name = std::to_string(thread) + "-" + std::to_string(round);
+            net::HttpCall call = this->callTo("/echo");
+            call.headers["x-name"] = name;
+            std::promise<net::HttpAnswer> answer;
+            this->client.fetch(std::move(call), [&answer](net::HttpAnswer got) {
+                answer.set_value(std::move(got));
+            });
+            const net::HttpAnswer got = answer.get_future().get();
+            const bool good = got.end == net::HttpEnd::Whole && got.headers.at("x-echo") == name
+                              && got.body.size() == 50;
+            wrong += good ? 0 : 1;
+        }
+    });
+    CHECK(wrong == 0);
+}
+
+TEST_CASE_METHOD(HttpFixture, "httpClient_brokenOffAnswer_isNotWhole", "[concurrency]")
+{
+    // An upstream sends a part of its answer and then breaks the connection off. If that looked
+    // like an end, the caller would take the part for its whole answer.
+    std::promise<net::HttpAnswer> answer;
+    this->client.fetch(this->callTo("/cut"),
+                       [&answer](net::HttpAnswer got) { answer.set_value(std::move(got)); });
+    CHECK(answer.get_future().get().end == net::HttpEnd::Broken);
+}
+
+TEST_CASE_METHOD(HttpFixture, "httpServer_moreConnectionsThanAllowed_marksRequestsCrowded",
+                 "[concurrency]")
+{
+    constexpr std::uint16_t crowdedPort = ownPort + 1;
+    std::atomic<bool> crowded = false;
+    net::HttpServer small(
+        this->context, net::HttpServerOptions{"127.0.0.1", crowdedPort, 1000, 0},
+        [&crowded](const net::HttpRequest &request, const std::shared_ptr<net::HttpReply> &reply) {
+            crowded = request.crowded;
+            reply->respond(statusOk, {}, "");
+        });
+    small.open();
+    net::HttpCall call;
+    call.url = "http://127.0.0.1:" + std::to_string(crowdedPort) + "/";
+    std::promise<net::HttpAnswer> answer;
+    this->client.fetch(call, [&answer](net::HttpAnswer got) { answer.set_value(std::move(got)); });
+    CHECK(answer.get_future().get().status == statusOk);
+    CHECK(crowded);
+}
+
+TEST_CASE_METHOD(HttpFixture, "httpClient_cancelFromOtherThread_endsEachExchangeOnce",
+                 "[concurrency]")
+{
+    std::atomic<int> ends = 0;
+    std::vector<std::shared_ptr<net::HttpExchange>> exchanges;
+    for (int index = 0; index < 50; ++index) {
+        net::HttpEvents events;
+        events.onData = [](std::string_view) { return false; };
+        events.onEnd = [&ends](net::HttpEnd, const std::string &) { ++ends; };
+        exchanges.push_back(this->client.start(this->callTo("/echo"), std::move(events)));
+    }
+    runTogether([&](std::uint32_t) {
+        for (const auto &exchange : exchanges) {
+            exchange->resume();
+            exchange->cancel();
+        }
+    });
+    while (ends < 50) {
+        std::this_thread::yield();
+    }
+    CHECK(ends == 50);
+}
