--- a/lab/deployment.cpp
+++ b/lab/deployment.cpp
@@ -7,6 +7,7 @@
 constexpr const char *loopback = "127.0.0.1";
 constexpr std::uint16_t cooperativePort = 21000;
 constexpr std::uint16_t lowtherPort = 23000;
+constexpr std::uint16_t benchPort = 32000;
 constexpr std::uint16_t routerOffset = 100;
 constexpr std::uint16_t portsOfRouter = 4;
 constexpr std::uint16_t engineOffset = 200;
@@ -33,6 +34,7 @@
     Service model;
     model.owner = owner;
     model.dataClass = "regulated";
+    model.engineCapacity = deployment.engineCapacity;
     addEntry(deployment, EntryKind::Service, deployment.modelService, model);
     Service plain = model;
     plain.type = ServiceType::Plain;
@@ -76,6 +78,18 @@
         deployment.basePort = lowtherPort;
         return withEntries(deployment, "lowther");
     }
+    if (name == "bench") {
+        deployment.places = {"here", "elsewhere"};
+        deployment.modelService = "bench-llm";
+        deployment.engines = 4;
+        deployment.plainService = "bench-app";
+        deployment.plainReplicas = 2;
+        deployment.routers = 1;
+        deployment.workersOfRouter = 4;
+        deployment.engineCapacity = 1000;
+        deployment.basePort = benchPort;
+        return withEntries(deployment, "bench");
+    }
     return std::nullopt;
 }
 
@@ -123,7 +137,7 @@
 {
     return {{"id", router.id},
             {"place", router.place},
-            {"workers", 2},
+            {"workers", deployment.workersOfRouter},
             {"callers", {{"address", router.callers.host}, {"port", router.callers.port}}},
             {"operators", {{"address", router.operators.host}, {"port", router.operators.port}}},
             {"peer",
--- a/lab/deployment.h
+++ b/lab/deployment.h
@@ -20,6 +20,9 @@
     std::string plainService;
     std::uint32_t plainReplicas = 4;
     std::uint32_t routers = 6;
+    std::uint32_t workersOfRouter = 2;
+    /// Requests that one engine takes at a time.
+    std::uint32_t engineCapacity = 64;
     std::uint16_t basePort = 0;
     /// Catalogue entries put at the platform at the start.
     std::vector<Entry> entries;
--- a/lab/enginestandin.cpp
+++ b/lab/enginestandin.cpp
@@ -30,8 +30,14 @@
     std::uint32_t promptTokens = 0;
     bool stream = false;
     std::string text;
+    TimePoint taken;
 };
 
+std::int64_t nanosecondsOf(TimePoint instant)
+{
+    return Duration(instant.time_since_epoch()).count();
+}
+
 void respond(net::HttpReply &reply, int status, const json &body)
 {
     reply.respond(status, {{"content-type", "application/json"}}, body.dump());
@@ -116,6 +122,7 @@
     Call call;
     call.reply = reply;
     call.stream = body.value("stream", false);
+    call.taken = std::chrono::steady_clock::now();
     call.promptHash = work.prompt.empty() ? 0 : work.prompt.back().prefixHash;
     for (const PromptBlock &block : work.prompt) {
         call.promptTokens += block.tokens;
@@ -187,7 +194,9 @@
         json event{{"id", token.id},
                    {"object", "chat.completion.chunk"},
                    {"choices",
-                    {{{"index", 0}, {"delta", {{"content", word}}}, {"finish_reason", finish}}}}};
+                    {{{"index", 0}, {"delta", {{"content", word}}}, {"finish_reason", finish}}}},
+                   {"taken_ns", nanosecondsOf(call.taken)},
+                   {"sent_ns", nanosecondsOf(std::chrono::steady_clock::now())}};
         std::string text;
         if (token.last) {
             event["usage"] = usageOf(call, token.index + 1);
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -11,6 +11,7 @@
 #include "demo.h"
 #include "deployment.h"
 #include "load.h"
+#include "relaybench.h"
 #include "standins.h"
 
 namespace {
@@ -29,6 +30,7 @@
   settings   write the settings of a deployment's routers
   stand-ins  play platform, engines and plain service of a deployment
   load       send returning chats to a deployment's routers and check the answers
+  relay      measure what the bench deployment's router adds; needs --router-pid
   demo       stand-ins, load and an edit for all deployments; prints a table
 
 )";
@@ -37,8 +39,9 @@
 {
     std::vector<Deployment> result;
     const std::string wanted = given["deployment"].as<std::string>();
-    for (const std::string &name : deploymentNames()) {
-        if (wanted == "all" || wanted == name) {
+    const auto names = wanted == "all" ? deploymentNames() : std::vector<std::string>{wanted};
+    for (const std::string &name : names) {
+        if (deploymentOf(name)) {
             Deployment deployment = *deploymentOf(name);
             deployment.basePort = static_cast<std::uint16_t>(deployment.basePort
                                                              + given["port-offset"].as<unsigned>());
@@ -118,6 +121,11 @@
         load.seed = given["seed"].as<std::uint64_t>();
         return runLoad(deployments.front(), load);
     }
+    if (command == "relay") {
+        const auto measured = measureRelay(deployments.front(), given["router-pid"].as<int>());
+        std::cout << measured.dump(2) << "\n";
+        return exitOk;
+    }
     if (command == "demo") {
         DemoOptions demo;
         demo.duration = std::chrono::seconds(given["seconds"].as<unsigned>());
@@ -135,14 +143,15 @@
     described.add_options()("help", "show this text")("command", options::value<std::string>(),
                                                       "what to do")(
         "deployment", options::value<std::string>()->default_value("all"),
-        "cooperative, lowther or all")("directory",
-                                       options::value<std::string>()->default_value("settings.d"),
-                                       "where settings are written")(
-        "seconds", options::value<unsigned>()->default_value(15), "how long the load lasts")(
+        "cooperative, lowther, bench or all")(
+        "directory", options::value<std::string>()->default_value("settings.d"),
+        "where settings are written")("seconds", options::value<unsigned>()->default_value(15),
+                                      "how long the load lasts")(
         "rate", options::value<double>()->default_value(60), "requests a second and deployment")(
-        "seed", options::value<std::uint64_t>()->default_value(1),
-        "seed of the load")("port-offset", options::value<unsigned>()->default_value(0),
-                            "added to every port, so that several demos fit on one machine");
+        "seed", options::value<std::uint64_t>()->default_value(1), "seed of the load")(
+        "router-pid", options::value<int>()->default_value(0), "the bench router's process")(
+        "port-offset", options::value<unsigned>()->default_value(0),
+        "added to every port, so that several demos fit on one machine");
     options::positional_options_description positions;
     positions.add("command", 1);
     options::variables_map given;
--- a/lab/standins.cpp
+++ b/lab/standins.cpp
@@ -10,10 +10,12 @@
         this->platform.set(std::string(nameOf(entry.key.kind)), entry.key.name,
                            toJson(*entry.body));
     }
+    EngineSpeed speed;
+    speed.batch = deployment.engineCapacity;
     for (const Vm &vm : upstreamsOf(deployment)) {
         this->platform.setVm(vm);
         if (vm.role == VmRole::Engine) {
-            this->engines.push_back(std::make_unique<EngineStandIn>(context, vm, EngineSpeed{}));
+            this->engines.push_back(std::make_unique<EngineStandIn>(context, vm, speed));
         } else {
             this->services.push_back(std::make_unique<ServiceStandIn>(context, vm, this->runs));
         }
--- a/tests/concurrency.cpp
+++ b/tests/concurrency.cpp
@@ -115,7 +115,7 @@
         }
     });
     CHECK(keeper.loads(shardIdOf(shard)).empty());
-    CHECK(metrics.value(Counter::Requests) == threadCount * rounds);
+    CHECK(metrics.value(Counter::Requests) == std::uint64_t{threadCount} * rounds);
     CHECK(catalogue.view()->version == rounds);
 }
 
