--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -11,6 +11,7 @@
 #include "demo.h"
 #include "deployment.h"
 #include "load.h"
+#include "policy.h"
 #include "standins.h"
 
 namespace {
@@ -30,6 +31,7 @@
   stand-ins  play platform, engines and plain service of a deployment
   load       send returning chats to a deployment's routers and check the answers
   demo       stand-ins, load and an edit for all deployments; prints a table
+  policy     play a placement policy in the bench; see plantain-lab policy --help
 
 )";
 
@@ -131,6 +133,9 @@
 
 int runLab(int argc, char **argv)
 {
+    if (argc > 1 && std::string_view(argv[1]) == "policy") {
+        return runPolicyCommand({argv + 2, argv + argc});
+    }
     options::options_description described("Options");
     described.add_options()("help", "show this text")("command", options::value<std::string>(),
                                                       "what to do")(
--- /dev/null
+++ b/lab/policyworld.cpp
@@ -0,0 +1,113 @@
+#include "policyworld.h"
+
+#include "peercodec.h"
+
+namespace plantainswitch::lab {
+
+namespace {
+
+constexpr std::uint32_t enginesOfShard = 50;
+constexpr std::size_t datagramOverhead = 28;
+constexpr std::uint64_t engineCacheTokens = 400'000;
+constexpr std::uint32_t classes = 5;
+
+} // namespace
+
+BenchWorld::BenchWorld(const PolicyOptions &options)
+    : options(options)
+    , random(mixHash(options.seed, hashOf("choices")))
+{
+    const std::uint32_t enginesOfPlace = (options.engines + options.places - 1) / options.places;
+    this->service.shards = options.shards > 0
+                               ? options.shards
+                               : (enginesOfPlace + enginesOfShard - 1) / enginesOfShard;
+    this->engines.resize(options.engines);
+    for (std::size_t index = 0; index < this->engines.size(); ++index) {
+        this->renewEngine(index);
+    }
+    std::vector<Heartbeat> members;
+    for (std::uint32_t index = 0; index < options.routers; ++index) {
+        auto router = std::make_unique<BenchRouter>();
+        router->self.id = "router-" + std::to_string(index);
+        router->self.place = placeName(index % options.places);
+        members.push_back(router->self);
+        this->routerIndex[router->self.id] = index;
+        this->routers.push_back(std::move(router));
+    }
+    for (const auto &router : this->routers) {
+        router->active = members;
+        router->upstreams.replace(this->listOfVms());
+    }
+}
+
+std::string BenchWorld::placeName(std::uint32_t place)
+{
+    return "place-" + std::to_string(place);
+}
+
+void BenchWorld::renewEngine(std::size_t index)
+{
+    BenchEngine &engine = this->engines[index];
+    this->engineIndex.erase(engine.id);
+    ++engine.generation;
+    engine.vm.id = "engine-" + std::to_string(index) + "-" + std::to_string(engine.generation);
+    engine.vm.role = VmRole::Engine;
+    engine.vm.service = "model";
+    engine.vm.place = placeName(static_cast<std::uint32_t>(index) % this->options.places);
+    engine.id = upstreamIdOf(engine.vm.id);
+    engine.cache = PrefixCache(engineCacheTokens);
+    engine.load = 0;
+    this->engineIndex[engine.id] = index;
+}
+
+std::vector<Vm> BenchWorld::listOfVms() const
+{
+    std::vector<Vm> result;
+    for (const BenchEngine &engine : this->engines) {
+        result.push_back(engine.vm);
+    }
+    return result;
+}
+
+Admission BenchWorld::admissionOf(std::uint32_t workspace) const
+{
+    // Most workspaces may use all places, some all but the last, a few only the first.
+    std::uint32_t permitted = this->options.places;
+    if (workspace % classes == classes - 1) {
+        permitted = 1;
+    } else if (workspace % classes == classes - 2 && permitted > 1) {
+        --permitted;
+    }
+    Admission admission;
+    admission.workspace = "workspace-" + std::to_string(workspace);
+    admission.service = "model";
+    admission.serviceEntry = this->service;
+    for (std::uint32_t place = 0; place < permitted; ++place) {
+        admission.places.push_back(placeName(place));
+    }
+    return admission;
+}
+
+BoundSettings BenchWorld::bound() const
+{
+    BoundSettings settings;
+    settings.capacity = this->service.engineCapacity;
+    return settings;
+}
+
+void BenchWorld::send(const SlotAsk &ask)
+{
+    this->controlBytes += encode({1, ask}).size() + datagramOverhead;
+}
+
+void BenchWorld::send(const SlotReply &reply)
+{
+    this->controlBytes += encode({1, reply}).size() + datagramOverhead;
+}
+
+void BenchWorld::send(const SlotRelease &release)
+{
+    this->controlBytes += encode({1, release}).size() + datagramOverhead;
+}
+
+} // namespace plantainswitch::lab
