--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -12,6 +12,7 @@
 #include "deployment.h"
 #include "load.h"
 #include "relaybench.h"
+#include "policy.h"
 #include "standins.h"
 
 namespace {
@@ -32,6 +33,7 @@
   load       send returning chats to a deployment's routers and check the answers
   relay      measure what the bench deployment's router adds; needs --router-pid
   demo       stand-ins, load and an edit for all deployments; prints a table
+  policy     play a placement policy in the bench; see plantain-lab policy --help
 
 )";
 
@@ -139,6 +141,9 @@
 
 int runLab(int argc, char **argv)
 {
+    if (argc > 1 && std::string_view(argv[1]) == "policy") {
+        return runPolicyCommand({argv + 2, argv + argc});
+    }
     options::options_description described("Options");
     described.add_options()("help", "show this text")("command", options::value<std::string>(),
                                                       "what to do")(
