--- a/daemon/parse.cpp
+++ b/daemon/parse.cpp
@@ -17,28 +17,31 @@
 
 bool parseChatBody(CallerRequest &request, Reason &reason)
 {
-    const nlohmann::json json = nlohmann::json::parse(request.body, nullptr, false);
-    if (!json.is_object()) {
-        reason = bad("the body is not a JSON object");
+    std::vector<Fault> faults;
+    const std::optional<nlohmann::json> json = parseJson(request.body, faults);
+    if (!json || !json->is_object()) {
+        reason =
+            bad(json ? "the body is not a JSON object" : "the body: " + toText(faults.front()));
         return false;
     }
-    const auto model = json.find("model");
-    if (model == json.end() || !model->is_string()) {
-        reason = bad("\"model\" must be a string");
+    const auto model = json->find("model");
+    if (model == json->end() || !model->is_string()
+        || model->get_ref<const std::string &>().empty()) {
+        reason = bad("\"model\" must be a non-empty string");
         return false;
     }
-    const auto messages = json.find("messages");
-    if (messages == json.end() || !messages->is_array() || messages->empty()) {
+    const auto messages = json->find("messages");
+    if (messages == json->end() || !messages->is_array() || messages->empty()) {
         reason = bad("\"messages\" must be a list with at least one message");
         return false;
     }
-    const auto stream = json.find("stream");
-    if (stream != json.end() && !stream->is_boolean()) {
+    const auto stream = json->find("stream");
+    if (stream != json->end() && !stream->is_boolean()) {
         reason = bad("\"stream\" must be true or false");
         return false;
     }
     request.service = model->get<std::string>();
-    request.stream = stream != json.end() && stream->get<bool>();
+    request.stream = stream != json->end() && stream->get<bool>();
     return true;
 }
 
--- a/daemon/peercodec.cpp
+++ b/daemon/peercodec.cpp
@@ -1,5 +1,10 @@
 #include "peercodec.h"
 
+#include <limits>
+
+#include <asio/ip/address.hpp>
+#include <google/protobuf/stubs/logging.h>
+
 #include "peer.pb.h"
 
 namespace plantainswitch {
@@ -60,8 +65,21 @@
     }
 }
 
-Heartbeat read(const wire::Heartbeat &from)
+/// Sending to a member turns its address into an IP number; one that can't be would end the
+/// router at its next beat, so such a heartbeat is refused here, before any table holds it.
+bool isUsable(const wire::Endpoint &endpoint)
+{
+    asio::error_code error;
+    static_cast<void>(asio::ip::make_address(endpoint.host(), error));
+    return !error && endpoint.port() > 0
+           && endpoint.port() <= std::numeric_limits<std::uint16_t>::max();
+}
+
+std::optional<Heartbeat> read(const wire::Heartbeat &from)
 {
+    if (from.id().empty() || !isUsable(from.datagrams()) || !isUsable(from.calls())) {
+        return std::nullopt;
+    }
     Heartbeat to;
     to.id = from.id();
     to.place = from.place();
@@ -112,6 +130,10 @@
 
 std::optional<PeerMessage> decode(std::string_view bytes)
 {
+    // protobuf writes a line of its own to the error stream for each damaged text field, beside
+    // the numbered events; whoever floods the port would fill the log. Event 302 says it already.
+    static google::protobuf::LogHandler *const previous = google::protobuf::SetLogHandler(nullptr);
+    static_cast<void>(previous);
     wire::Datagram datagram;
     if (bytes.size() > longestDatagram
         || !datagram.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
@@ -120,9 +142,14 @@
     PeerMessage message;
     message.sender = datagram.sender();
     switch (datagram.body_case()) {
-    case wire::Datagram::kHeartbeat:
-        message.body = read(datagram.heartbeat());
+    case wire::Datagram::kHeartbeat: {
+        std::optional<Heartbeat> heartbeat = read(datagram.heartbeat());
+        if (!heartbeat) {
+            return std::nullopt;
+        }
+        message.body = std::move(*heartbeat);
         return message;
+    }
     case wire::Datagram::kAsk:
         message.body = read(datagram.ask());
         return message;
--- a/include/plantainswitch/catalogue/parse.h
+++ b/include/plantainswitch/catalogue/parse.h
@@ -33,7 +33,12 @@
 /// \returns the JSON form of \a body, which parseEntry() reads back.
 [[nodiscard]] nlohmann::json toJson(const EntryBody &body);
 
-/// Reads \a text as JSON without exceptions; a duplicate or malformed document is a fault.
+/// Levels of nesting that a document may have. Copying and printing a document recurse once a
+/// level: without a bound one object of the platform would overflow every router's stack at once.
+inline constexpr int deepestJson = 100;
+
+/// Reads \a text as JSON without exceptions. Malformed or too deeply nested text is a fault, and
+/// so is a field that stands twice, of which two readers may each take another one.
 [[nodiscard]] std::optional<nlohmann::json> parseJson(std::string_view text,
                                                       std::vector<Fault> &faults);
 
--- a/net/platform.cpp
+++ b/net/platform.cpp
@@ -1,5 +1,11 @@
 #include "platform.h"
 
+#include <limits>
+
+#include <asio/ip/address.hpp>
+
+#include "plantainswitch/catalogue/parse.h"
+
 namespace plantainswitch::net {
 
 namespace {
@@ -16,6 +22,19 @@
     return found != json.end() && found->is_string() ? found->get<std::string>() : std::string{};
 }
 
+std::optional<nlohmann::json> documentOf(std::string_view text)
+{
+    std::vector<Fault> faults;
+    return parseJson(text, faults);
+}
+
+bool isAddress(const std::string &host)
+{
+    asio::error_code error;
+    static_cast<void>(asio::ip::make_address(host, error));
+    return !error;
+}
+
 PlatformAnswer answerOf(const HttpAnswer &http)
 {
     PlatformAnswer answer;
@@ -25,8 +44,7 @@
             http.end == HttpEnd::NotConnected ? PlatformStatus::Rejected : PlatformStatus::Unknown;
         return answer;
     }
-    const nlohmann::json json = nlohmann::json::parse(http.body, nullptr, false);
-    answer.object = objectOf(json);
+    answer.object = objectOf(documentOf(http.body).value_or(nullptr));
     if (http.status == statusOk) {
         answer.status = answer.object ? PlatformStatus::Ok : PlatformStatus::Unknown;
     } else if (http.status == statusNotFound) {
@@ -51,6 +69,9 @@
     PlatformObject object;
     object.kind = textOf(json, "kind");
     object.name = textOf(json, "name");
+    if (object.kind.empty() || object.name.empty()) {
+        return std::nullopt;
+    }
     object.version = json["version"].get<std::uint64_t>();
     if (json.contains("body")) {
         object.body = json["body"];
@@ -67,16 +88,56 @@
     if (!role || !json.contains("port") || !json["port"].is_number_unsigned()) {
         return std::nullopt;
     }
+    const auto port = json["port"].get<std::uint64_t>();
     Vm vm;
     vm.id = textOf(json, "id");
     vm.role = *role;
     vm.service = textOf(json, "service");
     vm.place = textOf(json, "place");
-    vm.endpoint = {textOf(json, "host"), json["port"].get<std::uint16_t>()};
+    vm.endpoint = {textOf(json, "host"), static_cast<std::uint16_t>(port)};
+    // A port cut down to 16 bits or a name in place of an IP number would send work elsewhere or
+    // end the router at its next beat; such a VM can't be reached and is left out.
+    if (vm.id.empty() || port == 0 || port > std::numeric_limits<std::uint16_t>::max()
+        || !isAddress(vm.endpoint.host)) {
+        return std::nullopt;
+    }
     vm.leaving = json.contains("leaving") && json["leaving"] == true;
     return vm;
 }
 
+std::optional<PlatformChanges> changesOf(std::string_view text)
+{
+    const auto json = documentOf(text);
+    if (!json || !json->is_object() || !json->contains("version")
+        || !(*json)["version"].is_number_unsigned() || !json->contains("objects")
+        || !(*json)["objects"].is_array()) {
+        return std::nullopt;
+    }
+    PlatformChanges changes;
+    changes.version = (*json)["version"].get<std::uint64_t>();
+    for (const nlohmann::json &each : (*json)["objects"]) {
+        if (auto object = objectOf(each)) {
+            changes.objects.push_back(std::move(*object));
+        }
+    }
+    return changes;
+}
+
+std::optional<std::vector<Vm>> vmsOf(std::string_view text)
+{
+    const auto json = documentOf(text);
+    if (!json || !json->is_array()) {
+        return std::nullopt;
+    }
+    std::vector<Vm> vms;
+    for (const nlohmann::json &each : *json) {
+        if (auto vm = vmOf(each)) {
+            vms.push_back(std::move(*vm));
+        }
+    }
+    return vms;
+}
+
 nlohmann::json toJson(const PlatformObject &object)
 {
     return {{"kind", object.kind},
@@ -143,20 +204,8 @@
                                 + "&wait=" + std::to_string(wait.count()));
     call.wholeTimeout = callTimeout + wait;
     this->http.fetch(std::move(call), [done = std::move(done)](const HttpAnswer &answer) {
-        const nlohmann::json json = nlohmann::json::parse(answer.body, nullptr, false);
-        if (answer.end != HttpEnd::Whole || answer.status != statusOk || !json.is_object()
-            || !json.contains("version") || !json.contains("objects")) {
-            done(std::nullopt);
-            return;
-        }
-        PlatformChanges changes;
-        changes.version = json["version"].get<std::uint64_t>();
-        for (const nlohmann::json &each : json["objects"]) {
-            if (auto object = objectOf(each)) {
-                changes.objects.push_back(std::move(*object));
-            }
-        }
-        done(std::move(changes));
+        const bool whole = answer.end == HttpEnd::Whole && answer.status == statusOk;
+        done(whole ? changesOf(answer.body) : std::nullopt);
     });
 }
 
@@ -164,18 +213,8 @@
 {
     this->http.fetch(
         this->callTo("GET", "/vms"), [done = std::move(done)](const HttpAnswer &answer) {
-            const auto json = nlohmann::json::parse(answer.body, nullptr, false);
-            if (answer.end != HttpEnd::Whole || answer.status != statusOk || !json.is_array()) {
-                done(std::nullopt);
-                return;
-            }
-            std::vector<Vm> vms;
-            for (const nlohmann::json &each : json) {
-                if (auto vm = vmOf(each)) {
-                    vms.push_back(std::move(*vm));
-                }
-            }
-            done(std::move(vms));
+            const bool whole = answer.end == HttpEnd::Whole && answer.status == statusOk;
+            done(whole ? vmsOf(answer.body) : std::nullopt);
         });
 }
 
--- a/net/platform.h
+++ b/net/platform.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -85,6 +86,11 @@
 
 /// \returns the object that \a json describes, or nothing.
 [[nodiscard]] std::optional<PlatformObject> objectOf(const nlohmann::json &json);
+/// \returns the changes that the answer \a text lists, or nothing when it is no such answer.
+[[nodiscard]] std::optional<PlatformChanges> changesOf(std::string_view text);
+/// \returns the VMs that the answer \a text lists, or nothing when it is no such answer; a line
+/// that is no VM is left out.
+[[nodiscard]] std::optional<std::vector<Vm>> vmsOf(std::string_view text);
 /// \returns the VM that \a json describes, or nothing.
 [[nodiscard]] std::optional<Vm> vmOf(const nlohmann::json &json);
 [[nodiscard]] nlohmann::json toJson(const PlatformObject &object);
--- a/src/catalogue/parse.cpp
+++ b/src/catalogue/parse.cpp
@@ -1,6 +1,7 @@
 #include "plantainswitch/catalogue/parse.h"
 
 #include <array>
+#include <set>
 
 #include <nlohmann/json.hpp>
 
@@ -23,6 +24,29 @@
 constexpr std::uint32_t mostQueueMilliseconds = 60'000;
 constexpr std::uint32_t mostStaleSeconds = 7 * 24 * 3600;
 
+/// Watches a document while it is parsed, for what a finished document no longer shows.
+struct DocumentWatch
+{
+    std::vector<std::set<std::string>> names;
+    std::optional<std::string> twice;
+    bool tooDeep = false;
+
+    bool take(int depth, nlohmann::json::parse_event_t event, const nlohmann::json &parsed)
+    {
+        using Parsed = nlohmann::json::parse_event_t;
+        if (event == Parsed::object_start) {
+            this->names.emplace_back();
+        } else if (event == Parsed::object_end) {
+            this->names.pop_back();
+        } else if (event == Parsed::key
+                   && !this->names.back().insert(parsed.get<std::string>()).second) {
+            this->twice = parsed.get<std::string>();
+        }
+        this->tooDeep = this->tooDeep || depth > deepestJson;
+        return !this->tooDeep;
+    }
+};
+
 DataClass readDataClass(FieldReader &fields)
 {
     DataClass body;
@@ -143,11 +167,28 @@
 
 std::optional<nlohmann::json> parseJson(std::string_view text, std::vector<Fault> &faults)
 {
-    nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    DocumentWatch watch;
+    nlohmann::json json = nlohmann::json::parse(
+        text,
+        [&watch](int depth, nlohmann::json::parse_event_t event, nlohmann::json &parsed) {
+            return watch.take(depth, event, parsed);
+        },
+        false);
+    if (watch.tooDeep) {
+        faults.push_back(
+            {"/", "a deeper document", "at most " + std::to_string(deepestJson) + " levels"});
+        return std::nullopt;
+    }
     if (json.is_discarded()) {
         faults.push_back({"/", "text that is not JSON", "a JSON document"});
         return std::nullopt;
     }
+    if (watch.twice) {
+        constexpr std::size_t longestExcerpt = 60;
+        faults.push_back({"/", "the field \"" + watch.twice->substr(0, longestExcerpt) + "\" twice",
+                          "each field once"});
+        return std::nullopt;
+    }
     return json;
 }
 
