--- /dev/null
+++ b/daemon/claimservice.cpp
@@ -0,0 +1,337 @@
+#include "claimservice.h"
+
+#include <asio/bind_executor.hpp>
+#include <asio/post.hpp>
+
+#include "plantainswitch/base/hash.h"
+
+namespace plantainswitch {
+
+namespace {
+
+constexpr const char *logKind = "claimlog";
+/// After this time a request that could not be claimed is refused as not run.
+constexpr std::chrono::milliseconds claimDeadline{2000};
+constexpr std::chrono::milliseconds ackTimeout{100};
+constexpr std::chrono::milliseconds askAgainAfter{250};
+/// Asks without an acknowledgement after which a router writes itself.
+constexpr int unheardAsks = 2;
+/// Time of failing after which asks are refused at once instead of waiting out their deadline.
+constexpr std::chrono::milliseconds failingLong{1000};
+
+WallTime wallNow()
+{
+    return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
+}
+
+StoreAnswer answerOf(const net::PlatformAnswer &from)
+{
+    StoreAnswer to;
+    switch (from.status) {
+    case net::PlatformStatus::Ok:
+        to.outcome = StoreOutcome::Ok;
+        break;
+    case net::PlatformStatus::NotFound:
+        to.outcome = StoreOutcome::NotFound;
+        break;
+    case net::PlatformStatus::Conflict:
+        to.outcome = StoreOutcome::Conflict;
+        break;
+    case net::PlatformStatus::Rejected:
+        to.outcome = StoreOutcome::Rejected;
+        break;
+    case net::PlatformStatus::Unknown:
+        to.outcome = StoreOutcome::Unknown;
+        break;
+    }
+    if (from.object) {
+        to.version = from.object->version;
+        to.body = from.object->body;
+    }
+    return to;
+}
+
+} // namespace
+
+ClaimService::ClaimService(asio::io_context &context, Node &node, std::shared_ptr<PeerLink> link,
+                           PeerCalls &calls, net::HttpClient &http)
+    : node(node)
+    , link(std::move(link))
+    , calls(calls)
+    , platform(http, node.settings.platformUrl)
+    , strand(asio::make_strand(context))
+{}
+
+void ClaimService::start()
+{
+    this->link->handle<ClaimAsk>(
+        [self = this->shared_from_this()](std::uint64_t, const Endpoint &from, PeerBody body) {
+            asio::post(self->strand,
+                       [self, from, ask = std::get<ClaimAsk>(body)] { self->hearAsk(from, ask); });
+        });
+    this->link->handle<ClaimReply>(
+        [self = this->shared_from_this()](std::uint64_t, const Endpoint &, PeerBody body) {
+            asio::post(self->strand,
+                       [self, reply = std::get<ClaimReply>(body)] { self->hearReply(reply); });
+        });
+    this->link->handle<ClaimRelease>(
+        [self = this->shared_from_this()](std::uint64_t sender, const Endpoint &, PeerBody body) {
+            const auto release = std::get<ClaimRelease>(body);
+            asio::post(self->strand, [self, sender, release] {
+                Slice &slice = self->sliceFor(release.id);
+                releaseClaim(slice.log, {release.id, sender, release.nonce, 0});
+                self->pump(slice);
+            });
+        });
+}
+
+std::uint64_t ClaimService::nextNonce() noexcept
+{
+    return mixHash(this->node.identity, this->nonces++);
+}
+
+Heartbeat ClaimService::writerOf(const ClaimId &id) const
+{
+    const auto members = this->node.members.active();
+    std::vector<Candidate> candidates;
+    candidates.reserve(members.size());
+    for (const Heartbeat &member : members) {
+        candidates.push_back({hashOf(member.id), 1.0});
+    }
+    if (candidates.empty()) {
+        return this->node.heartbeat();
+    }
+    const std::uint64_t key = hashOf(logKind, sliceOf(id));
+    return members[rendezvousOrder(key, candidates).front()];
+}
+
+void ClaimService::claim(const ClaimAsk &ask, Done done)
+{
+    asio::post(this->strand,
+               [self = this->shared_from_this(), ask, done = std::move(done)]() mutable {
+                   auto entry = std::make_shared<Ask>();
+                   entry->ask = ask;
+                   entry->done = std::move(done);
+                   entry->timer = std::make_unique<asio::steady_timer>(self->strand);
+                   entry->deadline = self->node.clock.now() + claimDeadline;
+                   self->asks[ask.claim.nonce] = entry;
+                   self->begin(entry);
+               });
+}
+
+void ClaimService::begin(const std::shared_ptr<Ask> &ask)
+{
+    this->send(ask);
+    this->askAgain(ask);
+}
+
+void ClaimService::send(const std::shared_ptr<Ask> &ask)
+{
+    const Heartbeat writer = this->writerOf(ask->ask.claim.id);
+    if (ask->local || writer.id == this->node.settings.id) {
+        this->writeHere(ask);
+        return;
+    }
+    if (ask->unheard >= unheardAsks) {
+        logEvent(Event::ClaimWriterSilent, {{"writer", writer.id}});
+        this->writeHere(ask);
+        return;
+    }
+    ++ask->unheard;
+    this->link->send(writer.datagrams, ask->ask);
+}
+
+void ClaimService::writeHere(const std::shared_ptr<Ask> &ask)
+{
+    ask->local = true;
+    Slice &slice = this->sliceFor(ask->ask.claim.id);
+    const ClaimVerdict verdict = this->takeAsk(slice, ask->ask);
+    if (verdict == ClaimVerdict::Unavailable) {
+        this->finish(ask->ask.claim.nonce, {ask->ask.claim.nonce, verdict, {}});
+        return;
+    }
+    this->pump(slice);
+}
+
+void ClaimService::askAgain(const std::shared_ptr<Ask> &ask)
+{
+    ask->timer->expires_after(ask->unheard > 0 ? ackTimeout : askAgainAfter);
+    ask->timer->async_wait(asio::bind_executor(
+        this->strand, [self = this->shared_from_this(), ask](const asio::error_code &error) {
+            const std::uint64_t nonce = ask->ask.claim.nonce;
+            if (error || !self->asks.contains(nonce)) {
+                return;
+            }
+            if (self->node.clock.now() >= ask->deadline) {
+                self->finish(nonce, {nonce, ClaimVerdict::Unavailable, {}});
+                return;
+            }
+            self->begin(ask);
+        }));
+}
+
+void ClaimService::hearReply(const ClaimReply &reply)
+{
+    const auto found = this->asks.find(reply.nonce);
+    if (found == this->asks.end()) {
+        return;
+    }
+    const std::shared_ptr<Ask> ask = found->second;
+    ask->unheard = 0;
+    if (reply.verdict == ClaimVerdict::Queued) {
+        return;
+    }
+    if (reply.verdict == ClaimVerdict::Unavailable) {
+        // The writer may be cut off from the platform while this router is not.
+        this->writeHere(ask);
+        return;
+    }
+    ClaimReply own = reply;
+    own.holder.id = ask->ask.claim.id;
+    this->finish(reply.nonce, own);
+}
+
+void ClaimService::finish(std::uint64_t nonce, const ClaimReply &reply)
+{
+    const auto found = this->asks.find(nonce);
+    if (found == this->asks.end()) {
+        return;
+    }
+    const std::shared_ptr<Ask> ask = found->second;
+    this->asks.erase(found);
+    ask->timer->cancel();
+    ask->done(reply);
+}
+
+void ClaimService::hearAsk(const Endpoint &from, const ClaimAsk &ask)
+{
+    Slice &slice = this->sliceFor(ask.claim.id);
+    const ClaimVerdict verdict = this->takeAsk(slice, ask);
+    if (verdict == ClaimVerdict::Queued) {
+        slice.waiting[ask.claim.nonce] = from;
+    }
+    this->link->send(from, ClaimReply{ask.claim.nonce, verdict, {}});
+    this->pump(slice);
+}
+
+ClaimVerdict ClaimService::takeAsk(Slice &slice, const ClaimAsk &ask)
+{
+    const TimePoint now = this->node.clock.now();
+    const ClaimLog &log = slice.log;
+    // While the store fails, one ask at a time goes on as a probe; the others hear at once that
+    // they can't be claimed. What isn't queued is never written.
+    const bool failing = log.failingSince && now - *log.failingSince > failingLong;
+    if ((failing && (log.calling || now < log.writeAfter)) || !enqueueClaim(slice.log, ask)) {
+        return ClaimVerdict::Unavailable;
+    }
+    return ClaimVerdict::Queued;
+}
+
+ClaimService::Slice &ClaimService::sliceFor(const ClaimId &id)
+{
+    const std::uint32_t number = sliceOf(id);
+    const auto [found, fresh] = this->slices.try_emplace(number);
+    Slice &slice = found->second;
+    if (fresh) {
+        slice.log.slice = number;
+        slice.log.writer = this->node.identity;
+        slice.timer = std::make_unique<asio::steady_timer>(this->strand);
+    }
+    return slice;
+}
+
+void ClaimService::pump(Slice &slice)
+{
+    const TimePoint now = this->node.clock.now();
+    this->deliver(slice, settleClaims(slice.log, now));
+    if (const auto call = nextStoreCall(slice.log, now, wallNow())) {
+        this->runCall(slice, *call);
+        return;
+    }
+    const auto wake = wakeTime(slice.log, now);
+    if (!wake) {
+        return;
+    }
+    constexpr std::chrono::milliseconds least{1};
+    slice.timer->expires_at(std::max<TimePoint>(*wake, now + least));
+    slice.timer->async_wait(asio::bind_executor(
+        this->strand, [self = this->shared_from_this(), &slice](const asio::error_code &error) {
+            if (!error) {
+                self->pump(slice);
+            }
+        }));
+}
+
+void ClaimService::runCall(Slice &slice, const StoreCall &call)
+{
+    this->node.metrics.count(Counter::PlatformCalls);
+    auto done = [self = this->shared_from_this(), &slice](const net::PlatformAnswer &answer) {
+        asio::post(self->strand, [self, &slice, answer] { self->takeAnswer(slice, answer); });
+    };
+    if (call.write) {
+        this->node.metrics.count(Counter::ClaimWrites);
+        this->platform.put(logKind, call.name, call.ifVersion, call.body, std::move(done));
+    } else {
+        this->node.metrics.count(Counter::ClaimReads);
+        this->platform.get(logKind, call.name, std::move(done));
+    }
+}
+
+void ClaimService::takeAnswer(Slice &slice, const net::PlatformAnswer &answer)
+{
+    const bool failing = slice.log.failingSince.has_value();
+    this->deliver(slice, takeStoreAnswer(slice.log, answerOf(answer), this->node.clock.now()));
+    if (failing != slice.log.failingSince.has_value()) {
+        logEvent(failing ? Event::ClaimStoreBack : Event::ClaimStoreFailing,
+                 {{"slice", std::to_string(slice.log.slice)}, {"detail", answer.detail}});
+    }
+    this->pump(slice);
+}
+
+void ClaimService::deliver(Slice &slice, const std::vector<ClaimReply> &replies)
+{
+    for (const ClaimReply &reply : replies) {
+        const auto remote = slice.waiting.find(reply.nonce);
+        if (remote != slice.waiting.end()) {
+            this->link->send(remote->second, reply);
+            slice.waiting.erase(remote);
+        }
+        this->finish(reply.nonce, reply);
+    }
+}
+
+void ClaimService::release(const Claim &claim)
+{
+    logEvent(Event::ClaimReleased, {{"nonce", std::to_string(claim.nonce)}});
+    asio::post(this->strand, [self = this->shared_from_this(), claim] {
+        const Heartbeat writer = self->writerOf(claim.id);
+        if (writer.id != self->node.settings.id) {
+            self->link->send(writer.datagrams, ClaimRelease{claim.id, claim.nonce});
+        }
+        const auto own = self->slices.find(sliceOf(claim.id));
+        if (own != self->slices.end()) {
+            releaseClaim(own->second.log, claim);
+            self->pump(own->second);
+        }
+    });
+}
+
+void ClaimService::askOwner(const Claim &holder, OwnerDone done)
+{
+    if (holder.owner == this->node.identity) {
+        done(this->node.ownClaims.find(holder.nonce));
+        return;
+    }
+    for (const Heartbeat &member : this->node.members.all()) {
+        if (identityOf(member.id, member.incarnation) == holder.owner) {
+            this->calls.ownClaim(member, holder.nonce,
+                                 [done = std::move(done)](const std::optional<OwnClaim> &own) {
+                                     done(own.value_or(OwnClaim{}));
+                                 });
+            return;
+        }
+    }
+    done({});
+}
+
+} // namespace plantainswitch
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -28,6 +28,8 @@
     MemberTable members;
     UpstreamTable upstreams;
     KeeperTable keeper;
+    OwnClaimTable ownClaims;
+    SuspectTable suspects;
     ExplainTable explain;
     Metrics metrics;
     std::atomic<bool> stopping = false;
--- a/daemon/parse.cpp
+++ b/daemon/parse.cpp
@@ -56,6 +56,23 @@
     return true;
 }
 
+/// Seconds since 1970 as at most 11 digits.
+bool parseIssued(CallerRequest &request, std::string_view text)
+{
+    constexpr std::size_t mostDigits = 11;
+    constexpr std::uint64_t base = 10;
+    constexpr std::uint64_t millisecondsOfSecond = 1000;
+    if (text.size() > mostDigits
+        || text.find_first_not_of("0123456789") != std::string_view::npos) {
+        return false;
+    }
+    for (const char c : text) {
+        request.keyIssued = request.keyIssued * base + static_cast<std::uint64_t>(c - '0');
+    }
+    request.keyIssued *= millisecondsOfSecond;
+    return true;
+}
+
 bool parseMarks(CallerRequest &request, const net::HttpRequest &http, Reason &reason)
 {
     const std::string_view mark = http.header(nonIdempotentHeader);
@@ -70,6 +87,10 @@
         reason = bad("a non-idempotent request needs an idempotency-key");
         return false;
     }
+    if (!parseIssued(request, http.header(keyIssuedHeader))) {
+        reason = bad("x-key-issued must be whole seconds since 1970");
+        return false;
+    }
     if (request.idempotencyKey.size() > longestName || request.chat.size() > longestName) {
         reason = bad("a chat id or idempotency-key is longer than 200 bytes");
         return false;
--- a/daemon/parse.h
+++ b/daemon/parse.h
@@ -22,6 +22,8 @@
     std::string body;
     std::string contentType;
     std::string idempotencyKey;
+    /// When the caller made its key, in milliseconds since 1970; 0: not said.
+    std::uint64_t keyIssued = 0;
     bool model = true;
     bool stream = false;
     bool nonIdempotent = false;
@@ -31,6 +33,7 @@
 inline constexpr std::string_view chatHeader = "x-chat-id";
 inline constexpr std::string_view keyHeader = "idempotency-key";
 inline constexpr std::string_view nonIdempotentHeader = "x-non-idempotent";
+inline constexpr std::string_view keyIssuedHeader = "x-key-issued";
 inline constexpr std::string_view requestIdHeader = "x-request-id";
 
 /// Longest chat id and idempotency key, in bytes.
--- a/daemon/passage.cpp
+++ b/daemon/passage.cpp
@@ -6,10 +6,11 @@
 
 namespace plantainswitch {
 
-Passage::Passage(Node &node, std::shared_ptr<Slots> slots, net::HttpClient &client,
-                 std::shared_ptr<net::HttpReply> reply)
+Passage::Passage(Node &node, std::shared_ptr<Slots> slots, std::shared_ptr<ClaimService> claims,
+                 net::HttpClient &client, std::shared_ptr<net::HttpReply> reply)
     : node(node)
     , slots(std::move(slots))
+    , claims(std::move(claims))
     , client(client)
     , reply(std::move(reply))
     , began(node.clock.now())
@@ -68,6 +69,9 @@
                            this->admission.workspace, this->admission.limits.dataClass,
                            this->admission.catalogueVersion,
                            fmt::join(this->admission.places, ",")));
+    if (this->answerRepeat()) {
+        return;
+    }
     this->place();
 }
 
@@ -78,13 +82,26 @@
     logEvent(Event::RequestRefused, {{"request", this->id},
                                      {"kind", std::string(errorRow(reason.kind).name)},
                                      {"detail", reason.detail}});
-    refuse(*this->reply, reason, this->id);
+    refuse(*this->reply, reason, this->id, this->refusalScope());
+    this->endClaimRefused(errorRow(reason.kind).ran);
     this->account();
 }
 
+RefusalScope Passage::refusalScope() const
+{
+    // Before its claim is granted nobody here knows of earlier sendings with the same key.
+    return this->request.nonIdempotent && !this->claim ? RefusalScope::Attempt
+                                                       : RefusalScope::Request;
+}
+
 void Passage::callerGone()
 {
     this->gone = true;
+    if (this->request.nonIdempotent) {
+        // Half an order is worse than one whose caller left: it runs to its end, and the answer
+        // is kept for the caller's repeat.
+        return;
+    }
     const std::lock_guard lock(this->exchangeMutex);
     if (this->exchange) {
         this->exchange->cancel();
--- a/daemon/passage.h
+++ b/daemon/passage.h
@@ -8,8 +8,10 @@
 #include "httpclient.h"
 #include "httpserver.h"
 
+#include "claimservice.h"
 #include "node.h"
 #include "parse.h"
+#include "refusal.h"
 #include "slots.h"
 
 namespace plantainswitch {
@@ -19,8 +21,8 @@
 class Passage : public std::enable_shared_from_this<Passage>
 {
 public:
-    Passage(Node &node, std::shared_ptr<Slots> slots, net::HttpClient &client,
-            std::shared_ptr<net::HttpReply> reply);
+    Passage(Node &node, std::shared_ptr<Slots> slots, std::shared_ptr<ClaimService> claims,
+            net::HttpClient &client, std::shared_ptr<net::HttpReply> reply);
     ~Passage();
     Passage(const Passage &) = delete;
     Passage &operator=(const Passage &) = delete;
@@ -31,6 +33,16 @@
 private:
     void admitCaller();
     void place();
+    /// Answers a repeat of a claim of this router. \returns whether it was one.
+    bool answerRepeat();
+    [[nodiscard]] ClaimId claimId() const;
+    [[nodiscard]] std::uint64_t contentHash() const;
+    void claimOrDispatch(HeldSlot held);
+    void takeVerdict(const Claim &own, const ClaimReply &reply);
+    void answerTaken(const Claim &holder, const OwnClaim &own);
+    void endClaim(OwnState state, std::optional<KeptAnswer> answer = std::nullopt,
+                  bool notRun = false);
+    void endClaimRefused(Ran ran);
     void dispatch(HeldSlot held);
     net::HttpCall callTo(const Upstream &upstream) const;
     void relayHeaders(int status, const net::Headers &headers);
@@ -41,6 +53,7 @@
     void retryOrRefuse(const Reason &reason, bool mayRepeat);
     void cut(const Reason &reason);
     void refuseWith(const Reason &reason);
+    [[nodiscard]] RefusalScope refusalScope() const;
     void releaseSlot();
     void account();
     void callerGone();
@@ -48,6 +61,7 @@
 
     Node &node;
     std::shared_ptr<Slots> slots;
+    std::shared_ptr<ClaimService> claims;
     net::HttpClient &client;
     std::shared_ptr<net::HttpReply> reply;
     TimePoint began;
@@ -56,6 +70,10 @@
     Admission admission;
     std::shared_ptr<SlotNeed> need;
     std::optional<HeldSlot> slot;
+    /// Set while this passage may run a claimed request.
+    std::optional<Claim> claim;
+    /// What a claimed stream has brought so far, for its repeats.
+    std::string kept;
     std::string attempt;
     int attempts = 0;
 
--- a/daemon/passageplace.cpp
+++ b/daemon/passageplace.cpp
@@ -30,7 +30,7 @@
                 self->refuseWith(why);
                 return;
             }
-            self->dispatch(std::move(*held));
+            self->claimOrDispatch(std::move(*held));
         });
 }
 
--- a/daemon/passagerelay.cpp
+++ b/daemon/passagerelay.cpp
@@ -21,7 +21,7 @@
 void Passage::dispatch(HeldSlot held)
 {
     this->slot = std::move(held);
-    if (this->gone) {
+    if (this->gone && !this->claim) {
         this->releaseSlot();
         this->account();
         return;
@@ -115,6 +115,9 @@
         const std::lock_guard lock(this->exchangeMutex);
         this->exchange->cancel();
     }
+    if (this->claim && this->kept.size() + chunk.size() <= largestAnswer) {
+        this->kept += chunk;
+    }
     if (chunk.empty() || this->gone) {
         return true;
     }
@@ -143,8 +146,10 @@
     if (this->gone) {
         this->node.metrics.count(Counter::CallersGone);
         logEvent(Event::CallerGone, {{"request", this->id}});
-        this->account();
-        return;
+        if (!this->claim) {
+            this->account();
+            return;
+        }
     }
     if (this->garbage) {
         logEvent(Event::UpstreamGarbage, {{"request", this->id}, {"upstream", upstream.vm.id}});
@@ -185,18 +190,18 @@
             return;
         }
         this->reply->end();
+        this->endClaim(OwnState::Done, KeptAnswer{statusOk, "text/event-stream", this->kept});
     } else {
         const bool model = this->request.model && this->status == statusOk;
         if (model && !isWholeAnswer(this->body, this->attempt)) {
             this->cut({ErrorKind::UpstreamGarbage, "", std::nullopt});
             return;
         }
-        const auto type = this->headers.find("content-type");
-        this->reply->respond(
-            this->status,
-            {{"content-type", type == this->headers.end() ? "application/json" : type->second},
-             {"x-request-id", this->id}},
-            std::move(this->body));
+        const auto found = this->headers.find("content-type");
+        const std::string type = found == this->headers.end() ? "application/json" : found->second;
+        this->endClaim(OwnState::Done, KeptAnswer{this->status, type, this->body});
+        this->reply->respond(this->status, {{"content-type", type}, {"x-request-id", this->id}},
+                             std::move(this->body));
     }
     this->node.metrics.count(Counter::AnswersWhole);
     this->node.metrics.record(Timing::Whole, this->admission.workspace,
@@ -235,6 +240,7 @@
                            + refusalBody({kind, reason.detail, std::nullopt}, this->id) + "\n\n",
                        nullptr);
     this->reply->abort();
+    this->endClaimRefused(errorRow(kind).ran);
     this->account();
 }
 
--- a/daemon/peercalls.cpp
+++ b/daemon/peercalls.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::chrono::seconds pullDeadline{3};
+constexpr std::chrono::milliseconds ownClaimDeadline{1000};
 
 void toWire(const Entry &from, wire::CatalogueEntry &to)
 {
@@ -64,10 +65,51 @@
         return reactor;
     }
 
+    grpc::ServerUnaryReactor *OwnClaim(grpc::CallbackServerContext *context,
+                                       const wire::OwnClaimRequest *request,
+                                       wire::OwnClaimReply *reply) override
+    {
+        // A restarted router at the same address knows nothing of the claims of the one before.
+        if (request->owner() == this->node.identity) {
+            const auto own = this->node.ownClaims.find(request->nonce());
+            reply->set_state(static_cast<std::uint32_t>(own.state));
+            if (own.answer) {
+                reply->set_answered(true);
+                reply->set_status(own.answer->status);
+                reply->set_content_type(own.answer->contentType);
+                reply->set_body(own.answer->body);
+            }
+        }
+        grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
 private:
     Node &node;
 };
 
+plantainswitch::OwnClaim fromWire(const wire::OwnClaimReply &from)
+{
+    plantainswitch::OwnClaim own;
+    if (from.state() <= static_cast<std::uint32_t>(OwnState::Lost)) {
+        own.state = static_cast<OwnState>(from.state());
+    }
+    if (from.answered()) {
+        own.answer = KeptAnswer{from.status(), from.content_type(), from.body()};
+    }
+    return own;
+}
+
+struct OwnClaimCall
+{
+    grpc::ClientContext context;
+    wire::OwnClaimRequest request;
+    wire::OwnClaimReply reply;
+    std::shared_ptr<grpc::Channel> channel;
+    std::unique_ptr<wire::Peer::Stub> stub;
+};
+
 struct PullCall
 {
     grpc::ClientContext context;
@@ -152,4 +194,23 @@
                               });
 }
 
+void PeerCalls::ownClaim(const Heartbeat &owner, std::uint64_t nonce,
+                         std::function<void(std::optional<OwnClaim>)> done)
+{
+    auto call = std::make_shared<OwnClaimCall>();
+    call->channel = this->state->channelTo(owner.calls);
+    call->stub = wire::Peer::NewStub(call->channel);
+    call->request.set_owner(identityOf(owner.id, owner.incarnation));
+    call->request.set_nonce(nonce);
+    call->context.set_deadline(std::chrono::system_clock::now() + ownClaimDeadline);
+    call->stub->async()->OwnClaim(&call->context, &call->request, &call->reply,
+                                  [call, done = std::move(done)](const grpc::Status &status) {
+                                      if (!status.ok()) {
+                                          done(std::nullopt);
+                                          return;
+                                      }
+                                      done(fromWire(call->reply));
+                                  });
+}
+
 } // namespace plantainswitch
--- a/daemon/peercalls.h
+++ b/daemon/peercalls.h
@@ -25,6 +25,11 @@
     void pull(const Heartbeat &peer, std::uint64_t version,
               std::function<void(std::optional<std::vector<Entry>>)> done);
 
+    /// Asks \a owner what became of its claim \a nonce.
+    /// \param done gets the claim, or nothing when the owner can't be asked
+    void ownClaim(const Heartbeat &owner, std::uint64_t nonce,
+                  std::function<void(std::optional<OwnClaim>)> done);
+
 private:
     struct State;
     std::unique_ptr<State> state;
--- a/daemon/peercodec.h
+++ b/daemon/peercodec.h
@@ -9,7 +9,8 @@
 
 namespace plantainswitch {
 
-using PeerBody = std::variant<Heartbeat, SlotAsk, SlotReply, SlotRelease>;
+using PeerBody = std::variant<Heartbeat, SlotAsk, SlotReply, SlotRelease, ClaimAsk, ClaimReply,
+                              ClaimRelease, SuspectNews>;
 
 /// A datagram between routers.
 struct PeerMessage
--- a/daemon/refusal.cpp
+++ b/daemon/refusal.cpp
@@ -4,13 +4,14 @@
 
 namespace plantainswitch {
 
-std::string refusalBody(const Reason &reason, const std::string &requestId)
+std::string refusalBody(const Reason &reason, const std::string &requestId, RefusalScope scope)
 {
     const ErrorRow &row = errorRow(reason.kind);
     nlohmann::ordered_json error{{"kind", row.name},
                                  {"message", row.sentence},
                                  {"detail", reason.detail},
                                  {"ran", nameOf(row.ran)},
+                                 {"scope", scope == RefusalScope::Request ? "request" : "attempt"},
                                  {"request", requestId}};
     const std::optional<int> retry = reason.retryAfter ? reason.retryAfter : row.retryAfter;
     error["retryAfterSeconds"] = retry ? nlohmann::ordered_json(*retry) : nlohmann::ordered_json();
@@ -18,7 +19,8 @@
                                                          nlohmann::json::error_handler_t::replace);
 }
 
-void refuse(net::HttpReply &reply, const Reason &reason, const std::string &requestId)
+void refuse(net::HttpReply &reply, const Reason &reason, const std::string &requestId,
+            RefusalScope scope)
 {
     const ErrorRow &row = errorRow(reason.kind);
     net::Headers headers{{"content-type", "application/json"}, {"x-request-id", requestId}};
@@ -26,7 +28,7 @@
     if (retry) {
         headers["retry-after"] = std::to_string(*retry);
     }
-    reply.respond(row.status, headers, refusalBody(reason, requestId));
+    reply.respond(row.status, headers, refusalBody(reason, requestId, scope));
 }
 
 } // namespace plantainswitch
--- a/daemon/requestpath.cpp
+++ b/daemon/requestpath.cpp
@@ -5,16 +5,19 @@
 namespace plantainswitch {
 
 RequestPath::RequestPath(Node &node, std::shared_ptr<Slots> slots,
+                         std::shared_ptr<ClaimService> claims,
                          std::vector<net::HttpClient *> clients)
     : node(node)
     , slots(std::move(slots))
+    , claims(std::move(claims))
     , clients(std::move(clients))
 {}
 
 void RequestPath::serve(net::HttpRequest request, std::shared_ptr<net::HttpReply> reply)
 {
     net::HttpClient &client = *this->clients[this->nextClient++ % this->clients.size()];
-    auto passage = std::make_shared<Passage>(this->node, this->slots, client, std::move(reply));
+    auto passage =
+        std::make_shared<Passage>(this->node, this->slots, this->claims, client, std::move(reply));
     passage->run(std::move(request));
 }
 
--- a/daemon/requestpath.h
+++ b/daemon/requestpath.h
@@ -7,16 +7,18 @@
 #include "httpclient.h"
 #include "httpserver.h"
 
+#include "claimservice.h"
 #include "node.h"
 #include "slots.h"
 
 namespace plantainswitch {
 
-/// The way of a request: parse, admit, place, dispatch, relay, account.
+/// The way of a request: parse, admit, place, claim if non-idempotent, dispatch, relay, account.
 class RequestPath
 {
 public:
-    RequestPath(Node &node, std::shared_ptr<Slots> slots, std::vector<net::HttpClient *> clients);
+    RequestPath(Node &node, std::shared_ptr<Slots> slots, std::shared_ptr<ClaimService> claims,
+                std::vector<net::HttpClient *> clients);
 
     /// Serves one request of a caller.
     void serve(net::HttpRequest request, std::shared_ptr<net::HttpReply> reply);
@@ -24,6 +26,7 @@
 private:
     Node &node;
     std::shared_ptr<Slots> slots;
+    std::shared_ptr<ClaimService> claims;
     std::vector<net::HttpClient *> clients;
     std::atomic<std::size_t> nextClient = 0;
 };
--- a/daemon/router.cpp
+++ b/daemon/router.cpp
@@ -21,19 +21,21 @@
     , signals(context, SIGTERM, SIGINT)
     , drainTimer(context)
     , platformHttp(context)
+    , claimHttp(context)
     , link(std::make_shared<PeerLink>(context, node))
     , beats(std::make_shared<Beats>(context, node, link))
     , keeperService(std::make_shared<KeeperService>(node, link))
     , calls(node)
     , sync(std::make_shared<Sync>(context, node, platformHttp, beats, calls))
     , slots(std::make_shared<Slots>(context, node, link, keeperService))
+    , claims(std::make_shared<ClaimService>(context, node, link, calls, claimHttp))
 {
     std::vector<net::HttpClient *> clients;
     for (std::uint32_t index = 0; index < this->node.settings.workers; ++index) {
         this->upstreamHttp.push_back(std::make_unique<net::HttpClient>(this->context));
         clients.push_back(this->upstreamHttp.back().get());
     }
-    this->path = std::make_unique<RequestPath>(this->node, this->slots, clients);
+    this->path = std::make_unique<RequestPath>(this->node, this->slots, this->claims, clients);
 }
 
 Router::~Router()
@@ -49,6 +51,7 @@
     }
     this->keeperService->start();
     this->slots->start();
+    this->claims->start();
     this->beats->start();
     this->link->start();
     this->sync->start();
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -7,6 +7,7 @@
 #include <asio/steady_timer.hpp>
 
 #include "beats.h"
+#include "claimservice.h"
 #include "httpclient.h"
 #include "httpserver.h"
 #include "keeperservice.h"
@@ -46,6 +47,7 @@
     asio::signal_set signals;
     asio::steady_timer drainTimer;
     net::HttpClient platformHttp;
+    net::HttpClient claimHttp;
     std::vector<std::unique_ptr<net::HttpClient>> upstreamHttp;
     std::shared_ptr<PeerLink> link;
     std::shared_ptr<Beats> beats;
@@ -53,6 +55,7 @@
     PeerCalls calls;
     std::shared_ptr<Sync> sync;
     std::shared_ptr<Slots> slots;
+    std::shared_ptr<ClaimService> claims;
     std::unique_ptr<RequestPath> path;
     std::unique_ptr<net::HttpServer> callers;
     std::unique_ptr<net::HttpServer> operators;
--- a/include/plantainswitch/base/error.h
+++ b/include/plantainswitch/base/error.h
@@ -25,6 +25,7 @@
     MayHaveRun,
     InProgress,
     KeyExpired,
+    KeyReused,
     UpstreamUnreachable,
     UpstreamFailed,
     UpstreamGarbage,
--- /dev/null
+++ b/include/plantainswitch/claims/log.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "plantainswitch/claims/claim.h"
+
+namespace plantainswitch {
+
+/// Sizes of a slice's log. Equal on all routers.
+struct ClaimLogLimits
+{
+    /// Positions whose entries one segment gathers.
+    std::uint64_t segmentPositions = 256;
+    /// Segments that are kept; what they hold is what the log remembers.
+    std::uint64_t segments = 64;
+    /// Entries of one position; with segmentPositions it keeps a segment below a megabyte.
+    std::size_t batch = 44;
+    /// Shortest time between the writes of two positions.
+    Duration pace = Milliseconds{60};
+    /// Time between tries while the store fails.
+    Duration retryPause = Milliseconds{100};
+    /// Age at which the view of the log is brought up to date before it decides.
+    Duration freshness = Milliseconds{1000};
+    /// Asks that may wait for their write.
+    std::size_t mostPending = 4096;
+    /// How far the clocks of callers and routers may differ.
+    Milliseconds clockSkew{60'000};
+};
+
+/// An entry of the log: a claim, or its release by its owner.
+struct ClaimLogEntry
+{
+    Claim claim;
+    bool released = false;
+};
+
+/// A call on the store that a log wants done: a read, or a write on condition of the version.
+struct StoreCall
+{
+    bool write = false;
+    std::string name;
+    std::uint64_t ifVersion = 0;
+    nlohmann::json body;
+};
+
+enum class StoreOutcome : std::uint8_t {
+    Ok,
+    NotFound,
+    /// The condition did not hold; the present object is handed out.
+    Conflict,
+    /// Certainly not carried out.
+    Rejected,
+    /// A write may or may not have taken effect.
+    Unknown,
+};
+
+/// How a call on the store ended.
+struct StoreAnswer
+{
+    StoreOutcome outcome = StoreOutcome::Unknown;
+    std::uint64_t version = 0;
+    nlohmann::json body;
+};
+
+/// One router's view of a slice's log at the store, and what it wants written there.
+///
+/// Position n lives in ring object n modulo two segments. Writing it takes the version of what
+/// the object held before, so one writer wins a position, and a writer that was paused for any
+/// time can't win one that somebody else has written since: versions are never used again.
+struct ClaimLog
+{
+    enum class Phase : std::uint8_t { Segments, Positions, Ready };
+    struct Waiting
+    {
+        ClaimAsk ask;
+    };
+    struct InFlight
+    {
+        StoreCall call;
+        std::vector<ClaimLogEntry> entries;
+        bool segment = false;
+        /// An earlier try may have taken effect.
+        bool uncertain = false;
+    };
+    struct Segment
+    {
+        std::vector<ClaimLogEntry> entries;
+        std::uint64_t horizon = 0;
+    };
+
+    std::uint32_t slice = 0;
+    std::uint64_t writer = 0;
+    ClaimLogLimits limits;
+
+    Phase phase = Phase::Segments;
+    std::uint64_t loadSlot = 0;
+    std::map<std::uint64_t, Segment> loadedSegments;
+
+    std::uint64_t next = 0;
+    std::uint64_t sealed = 0;
+    std::uint64_t batches = 0;
+    std::map<std::string, std::uint64_t> versions;
+    std::map<ClaimId, Claim> claims;
+    /// Entries of the positions after the last segment.
+    std::vector<ClaimLogEntry> open;
+    std::deque<Segment> kept;
+    /// Time of the newest entry that was forgotten.
+    std::uint64_t horizon = 0;
+    std::uint64_t lastTime = 0;
+
+    std::vector<Waiting> pending;
+    std::vector<Claim> releases;
+    std::optional<InFlight> inFlight;
+    bool calling = false;
+    TimePoint writeAfter;
+    std::optional<TimePoint> syncedAt;
+    std::optional<TimePoint> failingSince;
+};
+
+/// Queues an ask; a repeat of the same nonce is taken once.
+/// \returns false when there is no room.
+bool enqueueClaim(ClaimLog &log, const ClaimAsk &ask);
+
+/// Gives a claim up that its owner has not used and never will use: one that waits is dropped,
+/// one that is written or may be gets a release entry.
+void releaseClaim(ClaimLog &log, const Claim &claim);
+
+/// \returns the call that the log wants done now, or nothing. One call at a time: takeAnswer()
+/// must follow before the next.
+[[nodiscard]] std::optional<StoreCall> nextStoreCall(ClaimLog &log, TimePoint now, WallTime wall);
+
+/// Takes the answer of the call that is out.
+/// \returns the asks that are decided by it.
+std::vector<ClaimReply> takeStoreAnswer(ClaimLog &log, const StoreAnswer &answer, TimePoint now);
+
+/// \returns the verdicts that the log's present view allows without a call, such as after
+/// enqueueClaim().
+std::vector<ClaimReply> settleClaims(ClaimLog &log, TimePoint now);
+
+/// \returns when nextStoreCall() is to be asked again, or nothing while there is nothing to do.
+[[nodiscard]] std::optional<TimePoint> wakeTime(const ClaimLog &log, TimePoint now);
+
+} // namespace plantainswitch
--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -7,6 +7,7 @@
 namespace plantainswitch {
 
 class Clock;
+class OwnClaimTable;
 class CatalogueTable;
 class ExplainTable;
 class KeeperTable;
@@ -17,6 +18,12 @@
 
 struct Admission;
 struct CatalogueView;
+struct Claim;
+struct ClaimAsk;
+struct ClaimId;
+struct ClaimLog;
+struct ClaimRelease;
+struct ClaimReply;
 struct DataClass;
 struct Entry;
 struct Fault;
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -31,10 +31,20 @@
     RequestRefused = 401,
     AnswerCut = 402,
     CallerGone = 403,
+    ClaimUnavailable = 410,
+    ClaimTaken = 411,
+    ClaimReleased = 412,
+    ClaimWriterSilent = 413,
+    ClaimStoreFailing = 414,
+    ClaimStoreBack = 415,
+    AnswerResumed = 416,
+    RetryBudgetSpent = 417,
     UpstreamUnreachable = 500,
     UpstreamGarbage = 501,
     UpstreamLeaving = 502,
     KeeperSilent = 503,
+    UpstreamCrashed = 550,
+    RequestQuarantined = 551,
 };
 
 /// Number, name and severity of one event.
--- a/include/plantainswitch/observe/metrics.h
+++ b/include/plantainswitch/observe/metrics.h
@@ -22,6 +22,10 @@
     ControlBytesSent,
     ControlBytesReceived,
     PlatformCalls,
+    ClaimReads,
+    ClaimWrites,
+    ClaimRepeats,
+    ClaimsGranted,
 };
 
 /// What is measured as a histogram for each workspace and data class.
--- /dev/null
+++ b/include/plantainswitch/upstreams/suspects.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "plantainswitch/base/clock.h"
+#include "plantainswitch/base/lockorder.h"
+#include "plantainswitch/upstreams/upstreams.h"
+
+namespace plantainswitch {
+
+/// Hash of a request's workspace and content, the same whichever router it reaches.
+using Fingerprint = std::uint64_t;
+
+/// What a router tells all others of a crash, or of suspects that have cleared themselves.
+struct SuspectNews
+{
+    UpstreamId upstream = 0;
+    std::vector<Fingerprint> crashed;
+    std::vector<Fingerprint> cleared;
+};
+
+/// Bounds on blame.
+struct SuspectLimits
+{
+    /// Crashes with the same request after which it is held back.
+    std::uint32_t crashes = 2;
+    /// How long a request is held back, and how long a suspect is remembered.
+    Duration quarantine = Seconds{600};
+    /// Reports of one upstream within this time are of one crash.
+    Duration sameCrash = Milliseconds{500};
+    std::size_t most = 10'000;
+};
+
+/// A request that was in flight on an upstream that crashed.
+struct Suspect
+{
+    std::uint32_t crashes = 0;
+    UpstreamId lastUpstream = 0;
+    TimePoint lastCrash;
+};
+
+/// The suspects as this router knows them.
+struct Suspects
+{
+    SuspectLimits limits;
+    std::map<Fingerprint, Suspect> known;
+};
+
+/// What a request's blame means for it.
+enum class Blame : std::uint8_t {
+    None,
+    /// Runs, but never beside another suspect.
+    Suspect,
+    /// Does not run.
+    Quarantined,
+};
+
+/// Takes a crash or a clearing into account, learnt here or from a peer.
+void takeNews(Suspects &suspects, const SuspectNews &news, TimePoint now);
+
+/// \returns the blame on \a fingerprint at \a now.
+[[nodiscard]] Blame blameOf(const Suspects &suspects, Fingerprint fingerprint, TimePoint now);
+
+/// \returns the upstreams that a request must keep away from: for a suspect, those on which
+/// another suspect runs. Two suspects on one engine would share the blame of its next crash, seen
+/// as an innocent request held back.
+/// \param running fingerprints by the upstream on which they run
+[[nodiscard]] std::vector<UpstreamId>
+keepAwayFrom(const Suspects &suspects, Fingerprint fingerprint,
+             const std::vector<std::pair<UpstreamId, Fingerprint>> &running, TimePoint now);
+
+/// \returns whether a copy of the same suspect runs already. A second copy could take a second
+/// upstream down before the first one's crash is known.
+[[nodiscard]] bool runsAlready(const Suspects &suspects, Fingerprint fingerprint,
+                               const std::vector<std::pair<UpstreamId, Fingerprint>> &running,
+                               TimePoint now);
+
+/// The same behind a lock.
+class SuspectTable
+{
+public:
+    void take(const SuspectNews &news, TimePoint now);
+    [[nodiscard]] Blame blame(Fingerprint fingerprint, TimePoint now) const;
+    [[nodiscard]] std::vector<UpstreamId>
+    keepAway(Fingerprint fingerprint,
+             const std::vector<std::pair<UpstreamId, Fingerprint>> &running, TimePoint now) const;
+    [[nodiscard]] bool runs(Fingerprint fingerprint,
+                            const std::vector<std::pair<UpstreamId, Fingerprint>> &running,
+                            TimePoint now) const;
+
+private:
+    mutable RankedMutex mutex{LockRank::Suspects};
+    Suspects suspects;
+};
+
+} // namespace plantainswitch
--- /dev/null
+++ b/src/claims/log.cpp
@@ -0,0 +1,418 @@
+#include "plantainswitch/claims/log.h"
+
+#include <algorithm>
+#include <set>
+
+#include "entrycodec.h"
+
+namespace plantainswitch {
+
+namespace {
+
+std::uint64_t ringSize(const ClaimLog &log) noexcept
+{
+    // Twice a segment: a position is written over only after the segment that holds it is known
+    // to be written, since the segment before last always is.
+    return 2 * log.limits.segmentPositions;
+}
+
+std::string positionName(const ClaimLog &log, std::uint64_t position)
+{
+    return std::to_string(log.slice) + "-p" + std::to_string(position % ringSize(log));
+}
+
+std::string segmentName(const ClaimLog &log, std::uint64_t number)
+{
+    return std::to_string(log.slice) + "-g" + std::to_string(number % log.limits.segments);
+}
+
+std::uint64_t versionOf(const ClaimLog &log, const std::string &name)
+{
+    const auto found = log.versions.find(name);
+    return found == log.versions.end() ? 0 : found->second;
+}
+
+void applyEntry(ClaimLog &log, const ClaimLogEntry &entry)
+{
+    const auto held = log.claims.find(entry.claim.id);
+    if (!entry.released) {
+        log.claims.try_emplace(entry.claim.id, entry.claim);
+    } else if (held != log.claims.end() && held->second.nonce == entry.claim.nonce) {
+        log.claims.erase(held);
+    }
+}
+
+void forget(ClaimLog &log, const ClaimLog::Segment &segment)
+{
+    for (const ClaimLogEntry &entry : segment.entries) {
+        const auto held = log.claims.find(entry.claim.id);
+        if (held != log.claims.end() && held->second.nonce == entry.claim.nonce) {
+            log.claims.erase(held);
+        }
+    }
+}
+
+/// Takes the entries of the next position in.
+void advance(ClaimLog &log, const std::vector<ClaimLogEntry> &entries, std::uint64_t time)
+{
+    for (const ClaimLogEntry &entry : entries) {
+        applyEntry(log, entry);
+        log.open.push_back(entry);
+    }
+    log.lastTime = std::max(log.lastTime, time);
+    ++log.next;
+}
+
+void startOver(ClaimLog &log)
+{
+    log.phase = ClaimLog::Phase::Segments;
+    log.loadSlot = 0;
+    log.loadedSegments.clear();
+    log.next = 0;
+    log.sealed = 0;
+    log.versions.clear();
+    log.claims.clear();
+    log.open.clear();
+    log.kept.clear();
+    log.inFlight.reset();
+    log.syncedAt.reset();
+}
+
+bool mustSeal(const ClaimLog &log) noexcept
+{
+    return log.next > 0 && log.next % log.limits.segmentPositions == 0
+           && log.sealed < log.next / log.limits.segmentPositions;
+}
+
+/// Keeps the entries since the last segment as a segment, and forgets the oldest one.
+void keepSegment(ClaimLog &log)
+{
+    log.kept.push_back({std::move(log.open), log.lastTime});
+    log.open.clear();
+    ++log.sealed;
+    if (log.kept.size() > log.limits.segments) {
+        log.horizon = std::max(log.horizon, log.kept.front().horizon);
+        forget(log, log.kept.front());
+        log.kept.pop_front();
+    }
+}
+
+void composeSegment(ClaimLog &log)
+{
+    const std::uint64_t number = log.sealed;
+    std::uint64_t horizon = log.horizon;
+    if (log.kept.size() == log.limits.segments) {
+        horizon = std::max(horizon, log.kept.front().horizon);
+    }
+    ClaimLog::InFlight next;
+    next.segment = true;
+    next.call = {true, segmentName(log, number), versionOf(log, segmentName(log, number)),
+                 encodeSegment({number, log.lastTime, horizon, log.open})};
+    log.inFlight = std::move(next);
+}
+
+bool isExpired(const ClaimLog &log, const ClaimAsk &ask)
+{
+    const auto skew = static_cast<std::uint64_t>(log.limits.clockSkew.count());
+    return ask.issuedMilliseconds != 0 && log.horizon != 0
+           && ask.issuedMilliseconds <= log.horizon + skew;
+}
+
+std::vector<ClaimLogEntry> entriesToWrite(ClaimLog &log)
+{
+    std::vector<ClaimLogEntry> entries;
+    const auto useless = [&log](const Claim &claim) {
+        const auto held = log.claims.find(claim.id);
+        return held == log.claims.end() || held->second.nonce != claim.nonce;
+    };
+    log.releases.erase(std::remove_if(log.releases.begin(), log.releases.end(), useless),
+                       log.releases.end());
+    for (const Claim &claim : log.releases) {
+        if (entries.size() < log.limits.batch) {
+            entries.push_back({claim, true});
+        }
+    }
+    std::set<ClaimId> ids;
+    for (const ClaimLog::Waiting &waiting : log.pending) {
+        const Claim &claim = waiting.ask.claim;
+        if (entries.size() < log.limits.batch && !log.claims.contains(claim.id)
+            && !isExpired(log, waiting.ask) && ids.insert(claim.id).second) {
+            entries.push_back({claim, false});
+        }
+    }
+    return entries;
+}
+
+void composeBatch(ClaimLog &log, std::vector<ClaimLogEntry> entries, WallTime wall)
+{
+    const auto time = static_cast<std::uint64_t>(wall.time_since_epoch().count());
+    const std::string name = positionName(log, log.next);
+    const std::string nonce = std::to_string(log.writer) + "." + std::to_string(++log.batches);
+    ClaimLog::InFlight next;
+    next.call = {true, name, versionOf(log, name),
+                 encodeBatch({log.next, nonce, std::max(time, log.lastTime), entries})};
+    next.entries = std::move(entries);
+    log.inFlight = std::move(next);
+}
+
+/// Finishes the load of segments: takes them in by number, or starts over when they are not one
+/// row, as then somebody wrote meanwhile or a read was old.
+void takeLoadedSegments(ClaimLog &log)
+{
+    if (log.loadedSegments.empty()) {
+        log.phase = ClaimLog::Phase::Positions;
+        return;
+    }
+    const std::uint64_t newest = log.loadedSegments.rbegin()->first;
+    const std::uint64_t oldest = log.loadedSegments.begin()->first;
+    if (newest - oldest + 1 != log.loadedSegments.size()
+        || (oldest != 0 && log.loadedSegments.size() != log.limits.segments)) {
+        startOver(log);
+        return;
+    }
+    for (auto &[number, segment] : log.loadedSegments) {
+        for (const ClaimLogEntry &entry : segment.entries) {
+            applyEntry(log, entry);
+        }
+        log.lastTime = std::max(log.lastTime, segment.horizon);
+        log.kept.push_back(std::move(segment));
+    }
+    log.loadedSegments.clear();
+    log.sealed = newest + 1;
+    log.next = log.sealed * log.limits.segmentPositions;
+    log.phase = ClaimLog::Phase::Positions;
+}
+
+void takeSegmentRead(ClaimLog &log, const StoreAnswer &answer)
+{
+    const auto record =
+        answer.outcome == StoreOutcome::Ok ? decodeSegment(answer.body) : std::nullopt;
+    if (!record) {
+        takeLoadedSegments(log);
+        return;
+    }
+    log.versions[segmentName(log, record->number)] = answer.version;
+    log.horizon = std::max(log.horizon, record->horizon);
+    log.loadedSegments[record->number] = {record->entries, record->time};
+    if (++log.loadSlot == log.limits.segments) {
+        takeLoadedSegments(log);
+    }
+}
+
+/// Takes what a ring object holds where the next position is looked for.
+void takePosition(ClaimLog &log, const StoreAnswer &answer, TimePoint now)
+{
+    const auto record = decodeBatch(answer.body);
+    if (answer.version != 0) {
+        log.versions[positionName(log, log.next)] = answer.version;
+    }
+    if (record && record->position == log.next) {
+        advance(log, record->entries, record->time);
+        return;
+    }
+    if (record && record->position > log.next) {
+        startOver(log);
+        return;
+    }
+    log.syncedAt = now;
+    log.phase = ClaimLog::Phase::Ready;
+}
+
+void takeRead(ClaimLog &log, const StoreAnswer &answer, TimePoint now)
+{
+    if (answer.outcome != StoreOutcome::Ok && answer.outcome != StoreOutcome::NotFound) {
+        return;
+    }
+    if (log.phase == ClaimLog::Phase::Segments) {
+        takeSegmentRead(log, answer);
+    } else {
+        takePosition(log, answer, now);
+    }
+}
+
+void takeSegmentWrite(ClaimLog &log, const StoreAnswer &answer)
+{
+    log.versions[log.inFlight->call.name] = answer.version;
+    if (answer.outcome == StoreOutcome::Conflict) {
+        const auto record = decodeSegment(answer.body);
+        if (record && record->number > log.sealed) {
+            startOver(log);
+            return;
+        }
+        if (!record || record->number < log.sealed) {
+            log.inFlight->call.ifVersion = answer.version;
+            return;
+        }
+    }
+    log.inFlight.reset();
+    keepSegment(log);
+}
+
+void takeBatchWrite(ClaimLog &log, const StoreAnswer &answer, TimePoint now)
+{
+    const auto written = decodeBatch(log.inFlight->call.body);
+    if (answer.outcome == StoreOutcome::Ok) {
+        log.versions[log.inFlight->call.name] = answer.version;
+        log.inFlight.reset();
+        advance(log, written->entries, written->time);
+        log.syncedAt = now;
+        log.writeAfter = now + log.limits.pace;
+        return;
+    }
+    const auto present = decodeBatch(answer.body);
+    if (!present || present->position < log.next) {
+        log.versions[log.inFlight->call.name] = answer.version;
+        log.inFlight->call.ifVersion = answer.version;
+        return;
+    }
+    // Here a lost answer is recognised: what holds the position has this batch's own nonce and
+    // so its own entries. Another writer's batch is read and gone on after.
+    const bool own = present->nonce == written->nonce;
+    log.inFlight.reset();
+    if (own) {
+        log.writeAfter = now + log.limits.pace;
+    }
+    takePosition(log, answer, now);
+}
+
+void takeFailure(ClaimLog &log, const StoreAnswer &answer, TimePoint now)
+{
+    if (!log.failingSince) {
+        log.failingSince = now;
+    }
+    log.writeAfter = std::max(log.writeAfter, now + log.limits.retryPause);
+    if (!log.inFlight) {
+        return;
+    }
+    log.inFlight->uncertain = log.inFlight->uncertain || answer.outcome == StoreOutcome::Unknown;
+    // A batch that can't have reached the store is made anew, without those who gave up. One that
+    // may have is sent again as it is, until the store says what holds its position.
+    if (!log.inFlight->uncertain) {
+        log.inFlight.reset();
+    }
+}
+
+bool isStale(const ClaimLog &log, TimePoint now)
+{
+    return !log.syncedAt || now - *log.syncedAt > log.limits.freshness;
+}
+
+} // namespace
+
+bool enqueueClaim(ClaimLog &log, const ClaimAsk &ask)
+{
+    for (const ClaimLog::Waiting &waiting : log.pending) {
+        if (waiting.ask.claim.nonce == ask.claim.nonce) {
+            return true;
+        }
+    }
+    if (log.pending.size() >= log.limits.mostPending) {
+        return false;
+    }
+    log.pending.push_back({ask});
+    return true;
+}
+
+void releaseClaim(ClaimLog &log, const Claim &claim)
+{
+    const auto same = [&claim](const ClaimLog::Waiting &waiting) {
+        return waiting.ask.claim.nonce == claim.nonce;
+    };
+    log.pending.erase(std::remove_if(log.pending.begin(), log.pending.end(), same),
+                      log.pending.end());
+    const auto known = [&claim](const Claim &each) { return each.nonce == claim.nonce; };
+    if (log.releases.size() < log.limits.mostPending
+        && std::none_of(log.releases.begin(), log.releases.end(), known)) {
+        log.releases.push_back(claim);
+    }
+}
+
+std::optional<StoreCall> nextStoreCall(ClaimLog &log, TimePoint now, WallTime wall)
+{
+    const bool work = !log.pending.empty() || !log.releases.empty() || log.inFlight;
+    if (log.calling || !work || (log.failingSince && now < log.writeAfter)) {
+        return std::nullopt;
+    }
+    log.calling = true;
+    if (log.inFlight) {
+        return log.inFlight->call;
+    }
+    if (log.phase == ClaimLog::Phase::Segments) {
+        return StoreCall{false, segmentName(log, log.loadSlot), 0, {}};
+    }
+    if (mustSeal(log)) {
+        composeSegment(log);
+        return log.inFlight->call;
+    }
+    if (log.phase == ClaimLog::Phase::Positions || isStale(log, now)) {
+        log.phase = ClaimLog::Phase::Positions;
+        return StoreCall{false, positionName(log, log.next), 0, {}};
+    }
+    if (now >= log.writeAfter) {
+        auto entries = entriesToWrite(log);
+        if (!entries.empty()) {
+            composeBatch(log, std::move(entries), wall);
+            return log.inFlight->call;
+        }
+    }
+    log.calling = false;
+    return std::nullopt;
+}
+
+std::vector<ClaimReply> settleClaims(ClaimLog &log, TimePoint now)
+{
+    std::vector<ClaimReply> replies;
+    if (log.phase != ClaimLog::Phase::Ready || isStale(log, now)) {
+        return replies;
+    }
+    const auto decide = [&](const ClaimLog::Waiting &waiting) {
+        const Claim &claim = waiting.ask.claim;
+        const auto held = log.claims.find(claim.id);
+        if (held != log.claims.end()) {
+            const bool own = held->second.nonce == claim.nonce;
+            replies.push_back(
+                {claim.nonce, own ? ClaimVerdict::Granted : ClaimVerdict::Taken, held->second});
+            return true;
+        }
+        // What is on its way to the store may be written yet, and is not expired then.
+        if (!log.inFlight && isExpired(log, waiting.ask)) {
+            replies.push_back({claim.nonce, ClaimVerdict::Expired, {}});
+            return true;
+        }
+        return false;
+    };
+    log.pending.erase(std::remove_if(log.pending.begin(), log.pending.end(), decide),
+                      log.pending.end());
+    return replies;
+}
+
+std::vector<ClaimReply> takeStoreAnswer(ClaimLog &log, const StoreAnswer &answer, TimePoint now)
+{
+    log.calling = false;
+    if (answer.outcome == StoreOutcome::Rejected || answer.outcome == StoreOutcome::Unknown) {
+        takeFailure(log, answer, now);
+        return {};
+    }
+    log.failingSince.reset();
+    if (!log.inFlight) {
+        takeRead(log, answer, now);
+    } else if (answer.outcome == StoreOutcome::NotFound) {
+        startOver(log);
+    } else if (log.inFlight->segment) {
+        takeSegmentWrite(log, answer);
+    } else {
+        takeBatchWrite(log, answer, now);
+    }
+    return settleClaims(log, now);
+}
+
+std::optional<TimePoint> wakeTime(const ClaimLog &log, TimePoint now)
+{
+    const bool work = !log.pending.empty() || !log.releases.empty() || log.inFlight;
+    if (log.calling || !work) {
+        return std::nullopt;
+    }
+    return std::max(now, log.writeAfter);
+}
+
+} // namespace plantainswitch
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -28,10 +28,20 @@
     EventRow{Event::RequestRefused, "request-refused", Severity::Info},
     EventRow{Event::AnswerCut, "answer-cut", Severity::Warning},
     EventRow{Event::CallerGone, "caller-gone", Severity::Info},
+    EventRow{Event::ClaimUnavailable, "claim-unavailable", Severity::Warning},
+    EventRow{Event::ClaimTaken, "claim-taken", Severity::Info},
+    EventRow{Event::ClaimReleased, "claim-released", Severity::Info},
+    EventRow{Event::ClaimWriterSilent, "claim-writer-silent", Severity::Warning},
+    EventRow{Event::ClaimStoreFailing, "claim-store-failing", Severity::Error},
+    EventRow{Event::ClaimStoreBack, "claim-store-back", Severity::Info},
+    EventRow{Event::AnswerResumed, "answer-resumed", Severity::Info},
+    EventRow{Event::RetryBudgetSpent, "retry-budget-spent", Severity::Warning},
     EventRow{Event::UpstreamUnreachable, "upstream-unreachable", Severity::Warning},
     EventRow{Event::UpstreamGarbage, "upstream-garbage", Severity::Error},
     EventRow{Event::UpstreamLeaving, "upstream-leaving", Severity::Info},
     EventRow{Event::KeeperSilent, "keeper-silent", Severity::Warning},
+    EventRow{Event::UpstreamCrashed, "upstream-crashed", Severity::Warning},
+    EventRow{Event::RequestQuarantined, "request-quarantined", Severity::Error},
 };
 
 std::string quoted(const std::string &value)
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -25,6 +25,10 @@
     std::string_view{"control_sent_bytes_total"},
     std::string_view{"control_received_bytes_total"},
     std::string_view{"platform_calls_total"},
+    std::string_view{"claim_reads_total"},
+    std::string_view{"claim_writes_total"},
+    std::string_view{"claim_repeats_total"},
+    std::string_view{"claims_granted_total"},
 };
 constexpr std::array timingNames{std::string_view{"first_byte_seconds"},
                                  std::string_view{"whole_seconds"},
--- /dev/null
+++ b/tests/claimlog.cpp
@@ -0,0 +1,139 @@
+#include <random>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "claimworld.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::lab;
+
+namespace {
+
+constexpr std::size_t stepsOfHistory = 600;
+
+ClaimLogLimits smallLimits()
+{
+    ClaimLogLimits limits;
+    limits.segmentPositions = 4;
+    limits.segments = 1000;
+    limits.batch = 3;
+    return limits;
+}
+
+std::vector<std::uint32_t> stepsOf(std::uint32_t seed)
+{
+    std::mt19937 random(seed);
+    std::vector<std::uint32_t> steps(stepsOfHistory);
+    for (std::uint32_t &step : steps) {
+        step = static_cast<std::uint32_t>(random());
+    }
+    return steps;
+}
+
+/// \returns how many of a hundred seeds break a promise under \a breakage.
+std::size_t violations(Breakage breakage)
+{
+    std::size_t found = 0;
+    for (std::uint32_t seed = 1; seed <= 100; ++seed) {
+        ClaimWorld world(breakage, smallLimits());
+        for (const std::uint32_t step : stepsOf(seed)) {
+            world.act(step);
+        }
+        found += checkAtMostOnce(world.history) || checkNoFalseNotRun(world.history) ? 1 : 0;
+    }
+    return found;
+}
+
+} // namespace
+
+TEST_CASE("claimLog_anyHistory_runsAtMostOnceAndTellsTheTruth", "[claims]")
+{
+    // Three routers write one log at once. Answers are lost, writes take effect long after their
+    // writer stopped waiting, routers crash, pause between a written claim and its dispatch, and
+    // give up claims. Callers repeat at every router. No request runs twice, and none runs of
+    // which a caller was told that it did not.
+    std::size_t granted = 0;
+    const bool held = rc::check("at most once, no false not-run", [&granted] {
+        const auto steps = *rc::gen::container<std::vector<std::uint32_t>>(
+            stepsOfHistory, rc::gen::arbitrary<std::uint32_t>());
+        ClaimWorld world(Breakage::None, smallLimits());
+        for (const std::uint32_t step : steps) {
+            world.act(step);
+        }
+        granted += world.granted;
+        RC_ASSERT(!checkAtMostOnce(world.history));
+        RC_ASSERT(!checkNoFalseNotRun(world.history));
+    });
+    CHECK(held);
+    CHECK(granted > 1000);
+    CHECK(violations(Breakage::None) == 0);
+}
+
+TEST_CASE("claimLog_brokenVariants_areCaught", "[claims]")
+{
+    CHECK(violations(Breakage::UnconditionalWrites) > 0);
+    CHECK(violations(Breakage::DispatchEarly) > 0);
+    CHECK(violations(Breakage::DispatchAbandoned) > 0);
+    CHECK(violations(Breakage::ReleaseDispatched) > 0);
+}
+
+TEST_CASE("claimLog_keysOlderThanTheLog_areRefusedNotRunAgain", "[claims]")
+{
+    // The log keeps only three segments, so it forgets keys while their callers still repeat.
+    // A key that says when it was made is refused once it is older than what the log remembers;
+    // without that refusal it would look new and run a second time.
+    ClaimLogLimits limits = smallLimits();
+    limits.segments = 3;
+    limits.clockSkew = Milliseconds{1000};
+    std::size_t expired = 0;
+    for (std::uint32_t seed = 1; seed <= 100; ++seed) {
+        ClaimWorld world(Breakage::None, limits);
+        world.dated = true;
+        for (std::uint32_t part = 0; part < 4; ++part) {
+            for (const std::uint32_t step : stepsOf(seed + part * 1000)) {
+                world.act(step);
+            }
+        }
+        expired += world.expired;
+        CHECK_FALSE(checkAtMostOnce(world.history));
+    }
+    CHECK(expired > 0);
+}
+
+TEST_CASE("ownClaims_answersBeyondBound_areForgottenOldestFirst", "[claims]")
+{
+    OwnClaims own;
+    own.limits.answerBytes = 10;
+    own.limits.claims = 2;
+    const TimePoint now{Seconds{1}};
+    for (std::uint64_t nonce = 1; nonce <= 3; ++nonce) {
+        beginClaim(own, {{nonce, 0}, 7, nonce, 0}, now);
+        REQUIRE(startClaim(own, nonce, now));
+        endClaim(own, nonce, OwnState::Done, KeptAnswer{200, "", "12345678"}, now);
+    }
+    CHECK(ownClaimOf(own, 1).state == OwnState::Unknown);
+    CHECK(ownClaimOf(own, 2).state == OwnState::Done);
+    CHECK_FALSE(ownClaimOf(own, 2).answer);
+    CHECK(ownClaimOf(own, 3).answer);
+}
+
+TEST_CASE("repeatReason_everyState_isTrueOfTheRequest", "[claims]")
+{
+    const Claim holder{{1, 1}, 2, 3, 4};
+    CHECK(repeatReason(4, holder, OwnState::Unknown).kind == ErrorKind::MayHaveRun);
+    CHECK(repeatReason(4, holder, OwnState::Lost).kind == ErrorKind::MayHaveRun);
+    CHECK(repeatReason(4, holder, OwnState::Running).kind == ErrorKind::InProgress);
+    CHECK(repeatReason(4, holder, OwnState::Done).kind == ErrorKind::AlreadyRan);
+    CHECK(repeatReason(4, holder, OwnState::Abandoned).kind == ErrorKind::ClaimUnavailable);
+    CHECK(repeatReason(5, holder, OwnState::Done).kind == ErrorKind::KeyReused);
+    CHECK_FALSE(claimIdOf("a", "key") == claimIdOf("b", "key"));
+}
+
+TEST_CASE("historyCheckers_violations_areSeen", "[claims]")
+{
+    CHECK(checkAtMostOnce({{HistoryKind::Ran, 1, 1, 0}, {HistoryKind::Ran, 1, 2, 0}}));
+    CHECK(checkOwnAnswer({{HistoryKind::Answered, 1, 1, 2}}));
+    CHECK(checkNoFalseNotRun({{HistoryKind::Ran, 1, 1, 0}, {HistoryKind::RefusedNotRun, 1, 1, 0}}));
+    CHECK(checkCrashBound({{HistoryKind::Crashed, 1, 1, 0}, {HistoryKind::Crashed, 1, 2, 0}}, 1));
+}
