Watch the platform from three routers a place and keep members by SWIM

Cause: every router held a watch and polled the VM list each second, and sent a heartbeat to every other router. At 1,200 routers that is over 2,000 platform calls a second and 1,200 heartbeats a second from each router.

Now the three first routers of a place by rendezvous watch; the others fetch from the peer that told them of a newer version, in deltas, catalogue and VM list alike. Members are probed inside their place, suspected before they count as gone, and news travels by rumour. Leaving upstreams are told from router to router within 100 ms. Entries that can't be read keep their last good version in force and are handed on as text, so that a router that can read them does. The catalogue's age travels with each message: a router that doesn't watch is as fresh as the peer it agrees with, and one that was never confirmed no longer counts as fresh.

--- a/daemon/beats.cpp
+++ b/daemon/beats.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds beatPeriod{1000};
+constexpr std::chrono::milliseconds tickPeriod{100};
 
 } // namespace
 
@@ -16,11 +16,14 @@
     , timer(this->link->executor())
 {}
 
-void Beats::start()
+void Beats::start(OnDiffering handler)
 {
-    this->link->handle<Heartbeat>(
-        [self = this->shared_from_this()](std::uint64_t, const Endpoint &, PeerBody body) {
-            self->hear(std::get<Heartbeat>(body));
+    this->differing = std::move(handler);
+    this->seeds.insert(this->node.settings.seeds.begin(), this->node.settings.seeds.end());
+    this->node.members.begin(this->node.heartbeat(), this->node.identity);
+    this->link->handle<SwimMessage>(
+        [self = this->shared_from_this()](std::uint64_t, const Endpoint &from, PeerBody body) {
+            self->hear(std::get<SwimMessage>(body), from);
         });
     asio::post(this->link->executor(), [self = this->shared_from_this()] { self->schedule(); });
 }
@@ -33,32 +36,36 @@
 
 void Beats::beat()
 {
-    asio::post(this->link->executor(), [self = this->shared_from_this()] { self->beatHere(); });
+    asio::post(this->link->executor(),
+               [self = this->shared_from_this()] { self->announce(false); });
 }
 
-void Beats::beatHere()
+void Beats::farewell(std::function<void()> done)
 {
-    const Heartbeat own = this->node.heartbeat();
-    std::set<Endpoint> targets = this->seeds;
-    for (const Heartbeat &member : this->node.members.all()) {
-        targets.insert(member.datagrams);
-    }
-    targets.erase(own.datagrams);
-    for (const Endpoint &target : targets) {
-        this->link->send(target, own);
-    }
+    asio::post(this->link->executor(), [self = this->shared_from_this(), done = std::move(done)] {
+        self->announce(true);
+        // The link sends by its own strand, in order: what is posted now runs behind the sends.
+        asio::post(self->link->executor(), done);
+    });
+}
+
+void Beats::tellVersion()
+{
+    asio::post(this->link->executor(), [self = this->shared_from_this()] {
+        self->take(self->node.members.tellFew(self->node.heartbeat()));
+    });
+}
+
+void Beats::announce(bool gone)
+{
+    this->take(this->node.members.announce(this->node.heartbeat(), gone));
 }
 
 void Beats::schedule()
 {
-    const TimePoint now = this->node.clock.now();
-    this->node.members.hear(this->node.heartbeat(), now);
-    for (const Heartbeat &gone : this->node.members.expire(now)) {
-        logEvent(Event::MemberGone, {{"member", gone.id}});
-        this->node.keeper.releaseRouter(identityOf(gone.id, gone.incarnation));
-    }
-    this->beatHere();
-    this->timer.expires_after(beatPeriod);
+    this->take(
+        this->node.members.tick(this->node.heartbeat(), this->seeds, this->node.clock.now()));
+    this->timer.expires_after(tickPeriod);
     this->timer.async_wait([self = this->shared_from_this()](const asio::error_code &error) {
         if (!error) {
             self->schedule();
@@ -66,14 +73,36 @@
     });
 }
 
-void Beats::hear(const Heartbeat &heartbeat)
+void Beats::hear(const SwimMessage &message, const Endpoint &from)
 {
-    const auto known = this->node.members.find(heartbeat.id);
-    if (known && known->incarnation < heartbeat.incarnation) {
-        this->node.keeper.releaseRouter(identityOf(known->id, known->incarnation));
+    const TimePoint now = this->node.clock.now();
+    this->take(this->node.members.receive(message, from, now));
+    const Heartbeat &peer = message.from;
+    if (peer.catalogueAge != neverConfirmed) {
+        this->node.catalogue.confirm(peer.catalogueVersion, now - Milliseconds{peer.catalogueAge});
+    }
+    const Heartbeat own = this->node.heartbeat();
+    const bool newerVms =
+        peer.place == own.place && peer.vmDigest != own.vmDigest && peer.vmStamp >= own.vmStamp;
+    if (peer.catalogueVersion > own.catalogueVersion || newerVms || own.vmStamp == 0) {
+        this->differing(peer);
+    }
+}
+
+void Beats::take(const SwimOutput &output)
+{
+    for (const Heartbeat &gone : output.gone) {
+        logEvent(Event::MemberGone, {{"member", gone.id}});
+        this->node.keeper.releaseRouter(identityOf(gone.id, gone.incarnation));
+    }
+    for (const Heartbeat &joined : output.joined) {
+        logEvent(Event::MemberJoined, {{"member", joined.id}, {"place", joined.place}});
+    }
+    for (const Heartbeat &suspected : output.suspected) {
+        logEvent(Event::MemberSuspected, {{"member", suspected.id}});
     }
-    if (this->node.members.hear(heartbeat, this->node.clock.now())) {
-        logEvent(Event::MemberJoined, {{"member", heartbeat.id}, {"place", heartbeat.place}});
+    for (const SwimSend &send : output.sends) {
+        this->link->send(send.to, send.message);
     }
 }
 
--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -1,7 +1,19 @@
 #include "node.h"
 
+#include <algorithm>
+
 namespace plantainswitch {
 
+namespace {
+
+std::uint32_t ageOf(TimePoint at, TimePoint now) noexcept
+{
+    const auto age = std::chrono::duration_cast<Milliseconds>(now - at).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, neverConfirmed - 1));
+}
+
+} // namespace
+
 std::uint64_t identityOf(const std::string &id, std::uint64_t incarnation) noexcept
 {
     return mixHash(hashOf(id), incarnation);
@@ -22,8 +34,13 @@
     heartbeat.datagrams = this->settings.peerDatagrams;
     heartbeat.calls = this->settings.peerCalls;
     heartbeat.incarnation = this->incarnation;
-    const auto view = this->catalogue.view();
-    heartbeat.catalogueVersion = view ? view->version : 0;
+    const CatalogueStanding standing = this->catalogue.standing();
+    heartbeat.catalogueVersion = standing.completeTo;
+    if (standing.confirmedAt) {
+        heartbeat.catalogueAge = ageOf(*standing.confirmedAt, this->clock.now());
+    }
+    heartbeat.vmStamp = this->vms.stamp();
+    heartbeat.vmDigest = this->vms.digest();
     heartbeat.leaving = this->stopping;
     return heartbeat;
 }
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -26,6 +26,7 @@
     std::uint64_t identity;
     CatalogueTable catalogue;
     MemberTable members;
+    VmTable vms;
     UpstreamTable upstreams;
     KeeperTable keeper;
     ExplainTable explain;
--- /dev/null
+++ b/daemon/notices.cpp
@@ -0,0 +1,81 @@
+#include "notices.h"
+
+#include <algorithm>
+
+#include <asio/post.hpp>
+
+namespace plantainswitch {
+
+namespace {
+
+constexpr std::chrono::milliseconds tellPeriod{100};
+constexpr std::size_t localTargets = 3;
+constexpr std::size_t anyTargets = 2;
+/// VMs in one datagram, so that it stays below the longest.
+constexpr std::size_t vmsInNotice = 12;
+
+} // namespace
+
+Notices::Notices(Node &node, std::shared_ptr<PeerLink> link)
+    : node(node)
+    , link(std::move(link))
+    , timer(this->link->executor())
+    , random(node.identity)
+{}
+
+void Notices::start()
+{
+    this->link->handle<LeavingNotice>(
+        [self = this->shared_from_this()](std::uint64_t, const Endpoint &, PeerBody body) {
+            for (const std::string &vm : std::get<LeavingNotice>(body).vms) {
+                self->node.upstreams.markLeaving(vm, self->node.clock.now());
+            }
+        });
+    asio::post(this->link->executor(), [self = this->shared_from_this()] { self->schedule(); });
+}
+
+void Notices::schedule()
+{
+    const LeavingNotice fresh{this->node.upstreams.takeNewlyLeaving()};
+    for (const std::string &vm : fresh.vms) {
+        logEvent(Event::LeavingHeard, {{"upstream", vm}});
+    }
+    this->tell(this->again);
+    this->tell(fresh);
+    this->again = fresh;
+    this->timer.expires_after(tellPeriod);
+    this->timer.async_wait([self = this->shared_from_this()](const asio::error_code &error) {
+        if (!error) {
+            self->schedule();
+        }
+    });
+}
+
+void Notices::tell(const LeavingNotice &notice)
+{
+    if (notice.vms.empty()) {
+        return;
+    }
+    std::vector<Heartbeat> local;
+    std::vector<Heartbeat> others;
+    for (const Heartbeat &member : this->node.members.all()) {
+        if (member.id != this->node.settings.id) {
+            (member.place == this->node.settings.place ? local : others).push_back(member);
+        }
+    }
+    std::vector<Heartbeat> targets;
+    std::sample(local.begin(), local.end(), std::back_inserter(targets), localTargets,
+                this->random);
+    std::sample(others.begin(), others.end(), std::back_inserter(targets), anyTargets,
+                this->random);
+    for (std::size_t first = 0; first < notice.vms.size(); first += vmsInNotice) {
+        const std::size_t last = std::min(notice.vms.size(), first + vmsInNotice);
+        const LeavingNotice part{{notice.vms.begin() + static_cast<std::ptrdiff_t>(first),
+                                  notice.vms.begin() + static_cast<std::ptrdiff_t>(last)}};
+        for (const Heartbeat &target : targets) {
+            this->link->send(target.datagrams, part);
+        }
+    }
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/daemon/notices.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <memory>
+#include <random>
+
+#include <asio/steady_timer.hpp>
+
+#include "node.h"
+#include "peerlink.h"
+
+namespace plantainswitch {
+
+/// Spreads the news that upstreams are leaving from router to router: each that hears of it for
+/// the first time tells a few others, twice, so that lost datagrams don't matter.
+class Notices : public std::enable_shared_from_this<Notices>
+{
+public:
+    Notices(Node &node, std::shared_ptr<PeerLink> link);
+
+    void start();
+
+private:
+    void schedule();
+    void tell(const LeavingNotice &notice);
+
+    Node &node;
+    std::shared_ptr<PeerLink> link;
+    asio::steady_timer timer;
+    std::mt19937_64 random;
+    LeavingNotice again;
+};
+
+} // namespace plantainswitch
--- a/daemon/passage.cpp
+++ b/daemon/passage.cpp
@@ -46,12 +46,11 @@
 void Passage::admitCaller()
 {
     const auto view = this->node.catalogue.view();
-    const auto confirmed = this->node.catalogue.confirmedAt();
     if (!view) {
         this->refuseWith({ErrorKind::NoCatalogue, "", std::nullopt});
         return;
     }
-    const Duration staleness = confirmed ? this->began - *confirmed : Duration{0};
+    const Duration staleness = this->node.catalogue.staleness(this->node.clock.now());
     Reason reason;
     auto admitted = admit(*view, this->request.token, this->request.service, staleness, reason);
     if (!admitted) {
--- a/daemon/peercalls.cpp
+++ b/daemon/peercalls.cpp
@@ -19,11 +19,20 @@
     to.set_kind(std::string(nameOf(from.key.kind)));
     to.set_name(from.key.name);
     to.set_version(from.version);
-    if (from.body) {
-        to.set_body(toJson(*from.body).dump());
+    const std::string body = from.body ? toJson(*from.body).dump() : std::string{};
+    to.set_body(from.unread.value_or(body));
+    if (from.unread) {
+        to.set_last_good(body);
     }
 }
 
+std::optional<EntryBody> readBody(EntryKind kind, const std::string &text)
+{
+    std::vector<Fault> faults;
+    const auto json = parseJson(text, faults);
+    return json ? parseEntry(kind, *json, faults) : std::nullopt;
+}
+
 std::optional<Entry> fromWire(const wire::CatalogueEntry &from)
 {
     const auto kind = entryKindOf(from.kind());
@@ -34,16 +43,61 @@
     if (from.body().empty()) {
         return entry;
     }
-    std::vector<Fault> faults;
-    const auto json = parseJson(from.body(), faults);
-    entry.body = json ? parseEntry(*kind, *json, faults) : std::nullopt;
+    entry.body = readBody(*kind, from.body());
     if (!entry.body) {
         logEvent(Event::EntryInvalid, {{"entry", entry.key.name}, {"from", "peer"}});
-        return std::nullopt;
+        entry.unread = from.body();
+        entry.body = readBody(*kind, from.last_good());
     }
     return entry;
 }
 
+void toWire(const VmLine &from, wire::VmLine &to)
+{
+    to.set_id(from.vm.id);
+    to.set_role(std::string(nameOf(from.vm.role)));
+    to.set_service(from.vm.service);
+    to.set_place(from.vm.place);
+    to.mutable_endpoint()->set_host(from.vm.endpoint.host);
+    to.mutable_endpoint()->set_port(from.vm.endpoint.port);
+    to.set_leaving(from.vm.leaving);
+    to.set_started(from.vm.started);
+    to.set_stamp(from.stamp);
+    to.set_gone(from.gone);
+}
+
+std::optional<VmLine> fromWire(const wire::VmLine &from)
+{
+    const auto role = vmRoleOf(from.role());
+    if (!role) {
+        return std::nullopt;
+    }
+    const Endpoint endpoint{from.endpoint().host(),
+                            static_cast<std::uint16_t>(from.endpoint().port())};
+    return VmLine{
+        {from.id(), *role, from.service(), from.place(), endpoint, from.leaving(), from.started()},
+        from.stamp(),
+        from.gone()};
+}
+
+Pulled fromWire(const wire::PullReply &from)
+{
+    Pulled pulled;
+    for (const wire::CatalogueEntry &each : from.entries()) {
+        if (auto entry = fromWire(each)) {
+            pulled.entries.push_back(std::move(*entry));
+        }
+    }
+    for (const wire::VmLine &each : from.vms()) {
+        if (auto line = fromWire(each)) {
+            pulled.vms.push_back(std::move(*line));
+        }
+    }
+    pulled.completeTo = from.complete_version();
+    pulled.catalogueAge = from.catalogue_age();
+    return pulled;
+}
+
 class PeerService final : public wire::Peer::CallbackService
 {
 public:
@@ -55,9 +109,17 @@
                                    const wire::PullRequest *request,
                                    wire::PullReply *reply) override
     {
+        // Read before the entries: what comes in between is then handed out without being
+        // promised, never promised without being handed out.
+        const Heartbeat own = this->node.heartbeat();
         for (const Entry &entry : this->node.catalogue.entriesAbove(request->after_version())) {
             toWire(entry, *reply->add_entries());
         }
+        for (const VmLine &line : this->node.vms.above(request->vm_stamp())) {
+            toWire(line, *reply->add_vms());
+        }
+        reply->set_complete_version(own.catalogueVersion);
+        reply->set_catalogue_age(own.catalogueAge);
         this->node.metrics.count(Counter::ControlBytesSent, reply->ByteSizeLong());
         grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
         reactor->Finish(grpc::Status::OK);
@@ -128,13 +190,14 @@
     }
 }
 
-void PeerCalls::pull(const Heartbeat &peer, std::uint64_t version,
-                     std::function<void(std::optional<std::vector<Entry>>)> done)
+void PeerCalls::pull(const Heartbeat &peer, std::uint64_t version, std::uint64_t vmStamp,
+                     std::function<void(std::optional<Pulled>)> done)
 {
     auto call = std::make_shared<PullCall>();
     call->channel = this->state->channelTo(peer.calls);
     call->stub = wire::Peer::NewStub(call->channel);
     call->request.set_after_version(version);
+    call->request.set_vm_stamp(vmStamp);
     call->context.set_deadline(std::chrono::system_clock::now() + pullDeadline);
     call->stub->async()->Pull(&call->context, &call->request, &call->reply,
                               [call, done = std::move(done)](const grpc::Status &status) {
@@ -142,13 +205,7 @@
                                       done(std::nullopt);
                                       return;
                                   }
-                                  std::vector<Entry> entries;
-                                  for (const wire::CatalogueEntry &each : call->reply.entries()) {
-                                      if (auto entry = fromWire(each)) {
-                                          entries.push_back(std::move(*entry));
-                                      }
-                                  }
-                                  done(std::move(entries));
+                                  done(fromWire(call->reply));
                               });
 }
 
--- a/daemon/peercalls.h
+++ b/daemon/peercalls.h
@@ -8,6 +8,15 @@
 
 namespace plantainswitch {
 
+/// What a peer handed out.
+struct Pulled
+{
+    std::vector<Entry> entries;
+    std::uint64_t completeTo = 0;
+    std::uint32_t catalogueAge = neverConfirmed;
+    std::vector<VmLine> vms;
+};
+
 /// The gRPC calls between routers: what doesn't fit into a datagram.
 class PeerCalls
 {
@@ -20,10 +29,11 @@
     /// Serves peers. \returns false when the port can't be had.
     [[nodiscard]] bool start();
     void stop();
-    /// Fetches from \a peer the catalogue entries above \a version.
-    /// \param done gets the entries, or nothing on failure; called on a gRPC thread
-    void pull(const Heartbeat &peer, std::uint64_t version,
-              std::function<void(std::optional<std::vector<Entry>>)> done);
+    /// Fetches from \a peer the catalogue entries above \a version and the VM lines above
+    /// \a vmStamp.
+    /// \param done gets what came, or nothing on failure; called on a gRPC thread
+    void pull(const Heartbeat &peer, std::uint64_t version, std::uint64_t vmStamp,
+              std::function<void(std::optional<Pulled>)> done);
 
 private:
     struct State;
--- a/daemon/peercodec.cpp
+++ b/daemon/peercodec.cpp
@@ -17,9 +17,8 @@
     return {from.host(), static_cast<std::uint16_t>(from.port())};
 }
 
-void fill(wire::Datagram &datagram, const Heartbeat &from)
+void toWire(const Heartbeat &from, wire::Heartbeat &to)
 {
-    wire::Heartbeat &to = *datagram.mutable_heartbeat();
     to.set_id(from.id);
     to.set_place(from.place);
     toWire(from.datagrams, *to.mutable_datagrams());
@@ -27,6 +26,35 @@
     to.set_incarnation(from.incarnation);
     to.set_catalogue_version(from.catalogueVersion);
     to.set_leaving(from.leaving);
+    to.set_refutation(from.refutation);
+    to.set_catalogue_age(from.catalogueAge);
+    to.set_vm_stamp(from.vmStamp);
+    to.set_vm_digest(from.vmDigest);
+}
+
+void fill(wire::Datagram &datagram, const SwimMessage &from)
+{
+    wire::Swim &to = *datagram.mutable_swim();
+    to.set_kind(static_cast<std::uint32_t>(from.kind));
+    to.set_probe(from.probe);
+    to.set_join(from.join);
+    toWire(from.from, *to.mutable_from());
+    if (from.kind == SwimKind::PingRequest) {
+        toWire(from.target, *to.mutable_target());
+    }
+    for (const MemberUpdate &update : from.updates) {
+        wire::MemberUpdate &added = *to.add_updates();
+        toWire(update.member, *added.mutable_member());
+        added.set_state(static_cast<std::uint32_t>(update.state));
+    }
+}
+
+void fill(wire::Datagram &datagram, const LeavingNotice &from)
+{
+    wire::LeavingNotice &to = *datagram.mutable_leaving();
+    for (const std::string &vm : from.vms) {
+        to.add_vms(vm);
+    }
 }
 
 void fill(wire::Datagram &datagram, const SlotAsk &from)
@@ -70,9 +98,38 @@
     to.incarnation = from.incarnation();
     to.catalogueVersion = from.catalogue_version();
     to.leaving = from.leaving();
+    to.refutation = from.refutation();
+    to.catalogueAge = from.catalogue_age();
+    to.vmStamp = from.vm_stamp();
+    to.vmDigest = from.vm_digest();
     return to;
 }
 
+std::optional<SwimMessage> read(const wire::Swim &from)
+{
+    SwimMessage to;
+    if (from.kind() > static_cast<std::uint32_t>(SwimKind::State)) {
+        return std::nullopt;
+    }
+    to.kind = static_cast<SwimKind>(from.kind());
+    to.probe = from.probe();
+    to.join = from.join();
+    to.from = read(from.from());
+    to.target = fromWire(from.target());
+    for (const wire::MemberUpdate &update : from.updates()) {
+        if (update.state() > static_cast<std::uint32_t>(MemberState::Gone)) {
+            return std::nullopt;
+        }
+        to.updates.push_back({read(update.member()), static_cast<MemberState>(update.state())});
+    }
+    return to;
+}
+
+LeavingNotice read(const wire::LeavingNotice &from)
+{
+    return {{from.vms().begin(), from.vms().end()}};
+}
+
 SlotAsk read(const wire::SlotAsk &from)
 {
     SlotAsk to;
@@ -120,8 +177,16 @@
     PeerMessage message;
     message.sender = datagram.sender();
     switch (datagram.body_case()) {
-    case wire::Datagram::kHeartbeat:
-        message.body = read(datagram.heartbeat());
+    case wire::Datagram::kSwim: {
+        std::optional<SwimMessage> swim = read(datagram.swim());
+        if (!swim) {
+            return std::nullopt;
+        }
+        message.body = std::move(*swim);
+        return message;
+    }
+    case wire::Datagram::kLeaving:
+        message.body = read(datagram.leaving());
         return message;
     case wire::Datagram::kAsk:
         message.body = read(datagram.ask());
--- a/daemon/peercodec.h
+++ b/daemon/peercodec.h
@@ -9,7 +9,7 @@
 
 namespace plantainswitch {
 
-using PeerBody = std::variant<Heartbeat, SlotAsk, SlotReply, SlotRelease>;
+using PeerBody = std::variant<SwimMessage, LeavingNotice, SlotAsk, SlotReply, SlotRelease>;
 
 /// A datagram between routers.
 struct PeerMessage
--- a/daemon/router.cpp
+++ b/daemon/router.cpp
@@ -23,6 +23,7 @@
     , platformHttp(context)
     , link(std::make_shared<PeerLink>(context, node))
     , beats(std::make_shared<Beats>(context, node, link))
+    , notices(std::make_shared<Notices>(node, link))
     , keeperService(std::make_shared<KeeperService>(node, link))
     , calls(node)
     , sync(std::make_shared<Sync>(context, node, platformHttp, beats, calls))
@@ -49,7 +50,12 @@
     }
     this->keeperService->start();
     this->slots->start();
-    this->beats->start();
+    this->beats->start([sync = std::weak_ptr<Sync>(this->sync)](const Heartbeat &peer) {
+        if (const auto target = sync.lock()) {
+            target->hearOf(peer);
+        }
+    });
+    this->notices->start();
     this->link->start();
     this->sync->start();
     this->openServers();
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -11,6 +11,7 @@
 #include "httpserver.h"
 #include "keeperservice.h"
 #include "node.h"
+#include "notices.h"
 #include "peercalls.h"
 #include "peerlink.h"
 #include "requestpath.h"
@@ -49,6 +50,7 @@
     std::vector<std::unique_ptr<net::HttpClient>> upstreamHttp;
     std::shared_ptr<PeerLink> link;
     std::shared_ptr<Beats> beats;
+    std::shared_ptr<Notices> notices;
     std::shared_ptr<KeeperService> keeperService;
     PeerCalls calls;
     std::shared_ptr<Sync> sync;
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -2,6 +2,8 @@
 
 #include "plantainswitch/base/fields.h"
 
+#include <charconv>
+
 #include <asio/ip/address.hpp>
 
 namespace plantainswitch {
@@ -23,6 +25,24 @@
     }
 }
 
+std::optional<Endpoint> endpointOf(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    std::uint16_t port = 0;
+    const char *const end = text.data() + text.size();
+    const auto [rest, fault] = std::from_chars(text.data() + colon + 1, end, port);
+    asio::error_code error;
+    const std::string host = text.substr(0, colon);
+    static_cast<void>(asio::ip::make_address(host, error));
+    if (error || fault != std::errc{} || rest != end || port == 0) {
+        return std::nullopt;
+    }
+    return Endpoint{host, port};
+}
+
 Endpoint readEndpoint(FieldReader &parent, std::string_view name, std::vector<Fault> &faults)
 {
     Endpoint endpoint;
@@ -36,6 +56,19 @@
     return endpoint;
 }
 
+void readSeeds(const std::vector<std::string> &seeds, const std::string &path, Settings &settings,
+               std::vector<Fault> &faults)
+{
+    for (const std::string &seed : seeds) {
+        const auto endpoint = endpointOf(seed);
+        if (endpoint) {
+            settings.seeds.push_back(*endpoint);
+        } else {
+            faults.push_back({path, "\"" + seed + "\"", "an IP number, a colon and a port"});
+        }
+    }
+}
+
 void readPeer(FieldReader &parent, Settings &settings, std::vector<Fault> &faults)
 {
     FieldReader fields(parent.child("peer"), parent.pathOf("peer"), faults);
@@ -46,6 +79,9 @@
     checkAddress(host, fields.pathOf("address"), faults);
     fields.read("datagramPort", datagramPort, 1, highestPort, true);
     fields.read("callPort", callPort, 1, highestPort, true);
+    std::vector<std::string> seeds;
+    fields.read("seeds", seeds);
+    readSeeds(seeds, fields.pathOf("seeds"), settings, faults);
     fields.finish();
     settings.peerDatagrams = {host, static_cast<std::uint16_t>(datagramPort)};
     settings.peerCalls = {host, static_cast<std::uint16_t>(callPort)};
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -22,6 +22,8 @@
     Endpoint operators;
     Endpoint peerDatagrams;
     Endpoint peerCalls;
+    /// Datagram addresses of other routers, by which a start without the platform finds them.
+    std::vector<Endpoint> seeds;
     /// Base address of the platform's object API.
     std::string platformUrl;
     std::uint32_t largestBody = 8 << 20;
--- a/daemon/slots.cpp
+++ b/daemon/slots.cpp
@@ -142,6 +142,14 @@
     entry.done(reply);
 }
 
+void Slots::flush(std::function<void()> done)
+{
+    asio::post(this->link->executor(), [self = this->shared_from_this(), done = std::move(done)] {
+        self->flushReleases();
+        asio::post(self->link->executor(), done);
+    });
+}
+
 void Slots::scheduleReleases()
 {
     this->flushReleases();
@@ -155,6 +163,10 @@
 
 void Slots::flushReleases()
 {
+    if (this->releases.empty()) {
+        return;
+    }
+    this->flushedAt = this->node.clock.now();
     const auto batch = std::move(this->releases);
     this->releases.clear();
     for (const auto &[target, ids] : batch) {
@@ -178,6 +190,11 @@
     asio::post(this->link->executor(), [self = this->shared_from_this(), to = slot.keeper.datagrams,
                                         shard = slot.shard, askId = slot.askId] {
         self->releases[{to, shard}].push_back(askId);
+        // A chat that returns right after its answer would find its own slot still counted and
+        // be displaced; only the releases of a busy moment wait for a common datagram.
+        if (self->node.clock.now() - self->flushedAt >= releasePeriod) {
+            self->flushReleases();
+        }
     });
 }
 
--- a/daemon/slots.h
+++ b/daemon/slots.h
@@ -50,6 +50,8 @@
     void acquire(const std::shared_ptr<const SlotNeed> &need, Note note, Done done);
     /// Gives \a slot back.
     void release(const HeldSlot &slot);
+    /// Sends the releases that wait; \a done runs once they are handed to the socket.
+    void flush(std::function<void()> done);
 
 private:
     using ReplyHandler = std::function<void(const std::optional<SlotReply> &)>;
@@ -75,6 +77,7 @@
     std::shared_ptr<KeeperService> keeper;
     asio::steady_timer releaseTimer;
     std::atomic<std::uint32_t> nextAsk = 1;
+    TimePoint flushedAt;
     std::unordered_map<std::uint32_t, PendingAsk> pending;
     std::map<std::pair<Endpoint, ShardId>, std::vector<std::uint32_t>> releases;
 };
--- a/daemon/sync.h
+++ b/daemon/sync.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <random>
 
 #include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
@@ -13,8 +14,8 @@
 
 namespace plantainswitch {
 
-/// Keeps the tables up to date: the catalogue and the VM list from the platform, and the
-/// catalogue from whichever peer has a newer one.
+/// Keeps the catalogue and the list of VMs up to date. Two or three routers of a place watch the
+/// platform; the others, and a watcher that is behind, fetch from a peer that has more.
 class Sync : public std::enable_shared_from_this<Sync>
 {
 public:
@@ -22,13 +23,21 @@
          PeerCalls &calls);
 
     void start();
+    /// Fetches from \a peer, which has a newer catalogue or another list of VMs.
+    void hearOf(const Heartbeat &peer);
 
 private:
     void watchCatalogue();
-    void takeChanges(const net::PlatformChanges &changes);
+    void callChanges(bool waiting);
+    void takeChanges(const net::PlatformChanges &changes, std::uint64_t known);
+    void losePlatform();
     void pollVms();
     void takeVms(const std::vector<Vm> &vms);
-    void pullFromPeers();
+    void putVmsInForce();
+    void pull();
+    [[nodiscard]] std::uint64_t vmStampToAsk(const Heartbeat &own) const;
+    void takePulled(const std::string &peer, const Pulled &pulled);
+    void setWatching(bool watching);
     void after(asio::steady_timer &timer, std::chrono::milliseconds delay, void (Sync::*next)());
 
     Node &node;
@@ -39,8 +48,15 @@
     asio::steady_timer watchTimer;
     asio::steady_timer vmTimer;
     asio::steady_timer pullTimer;
-    std::uint64_t storeVersion = 0;
+    std::mt19937_64 random;
+    VmPolls vmPolls;
+    std::optional<Heartbeat> source;
+    std::uint64_t vmPulls = 0;
+    bool pulling = false;
+    bool watching = false;
     bool platformLost = false;
+    bool platformBehind = false;
+    std::optional<TimePoint> rereadAt;
 };
 
 } // namespace plantainswitch
--- a/include/plantainswitch/base/lockorder.h
+++ b/include/plantainswitch/base/lockorder.h
@@ -9,6 +9,7 @@
     Requests = 10,
     Catalogue = 20,
     Members = 30,
+    Vms = 35,
     Upstreams = 40,
     Limits = 50,
     Slots = 60,
--- a/include/plantainswitch/catalogue/entry.h
+++ b/include/plantainswitch/catalogue/entry.h
@@ -76,6 +76,8 @@
     EntryKey key;
     std::uint64_t version = 0;
     std::optional<EntryBody> body;
+    /// Text of this version when it can't be read; \a body is the last one that could be.
+    std::optional<std::string> unread = std::nullopt;
 };
 
 } // namespace plantainswitch
--- a/include/plantainswitch/catalogue/table.h
+++ b/include/plantainswitch/catalogue/table.h
@@ -27,6 +27,15 @@
     std::uint64_t version = 0;
 };
 
+/// How complete and how fresh a router's catalogue is.
+struct CatalogueStanding
+{
+    /// Every change up to this version is known.
+    std::uint64_t completeTo = 0;
+    /// When the platform last confirmed that, if ever.
+    std::optional<TimePoint> confirmedAt;
+};
+
 /// The catalogue in force on this router. Entries only move to higher versions.
 class CatalogueTable
 {
@@ -39,21 +48,30 @@
     /// \returns how many were taken.
     std::size_t merge(const std::vector<Entry> &batch);
 
-    /// Marks that the store, or a peer fresh from it, confirmed the catalogue at \a now.
-    void confirm(TimePoint now);
+    /// Marks that every change up to \a version is known, and that the platform confirmed so at
+    /// \a at, itself or through a peer. Neither ever goes back.
+    void complete(std::uint64_t version, std::optional<TimePoint> at);
+    /// Marks that a peer, complete to \a version, was fresh from the platform at \a at. Counts
+    /// only when this table is complete to just there: a peer that knows less may have asked a
+    /// platform that was set back.
+    void confirm(std::uint64_t version, TimePoint at);
 
     /// \returns the view in force, or nothing before any entry is known.
     [[nodiscard]] std::shared_ptr<const CatalogueView> view() const;
     /// \returns every entry with a version above \a version, tombstones included.
     [[nodiscard]] std::vector<Entry> entriesAbove(std::uint64_t version) const;
-    /// \returns when the catalogue was last confirmed, if ever.
-    [[nodiscard]] std::optional<TimePoint> confirmedAt() const;
+    /// \returns how complete and how fresh the catalogue is.
+    [[nodiscard]] CatalogueStanding standing() const;
+    /// \returns the time since the catalogue was last confirmed; the longest if never.
+    [[nodiscard]] Duration staleness(TimePoint now) const;
+    /// \returns the entries whose newest version can't be read here.
+    [[nodiscard]] std::vector<EntryKey> unreadable() const;
 
 private:
     mutable RankedMutex mutex{LockRank::Catalogue};
     std::map<EntryKey, Entry> entries;
     std::shared_ptr<const CatalogueView> current;
-    std::optional<TimePoint> confirmed;
+    CatalogueStanding reached;
 };
 
 /// What a caller may do, taken from one view of the catalogue.
@@ -79,6 +97,9 @@
                                              std::string_view service, Duration staleness,
                                              Reason &reason);
 
+/// \returns whether \a admission permits \a place.
+[[nodiscard]] bool permits(const Admission &admission, std::string_view place) noexcept;
+
 /// Compares in a time that depends on the lengths only.
 [[nodiscard]] bool equalInConstantTime(std::string_view first, std::string_view second) noexcept;
 
--- a/include/plantainswitch/membership/vm.h
+++ b/include/plantainswitch/membership/vm.h
@@ -34,6 +34,9 @@
     /// For routers the peer link, for upstreams their HTTP address.
     Endpoint endpoint;
     bool leaving = false;
+    /// Start stamp where the platform gives one; 0: none. A higher one is a new life of the VM.
+    std::uint64_t started = 0;
+    auto operator<=>(const Vm &) const = default;
 };
 
 } // namespace plantainswitch
--- a/include/plantainswitch/upstreams/upstreams.h
+++ b/include/plantainswitch/upstreams/upstreams.h
@@ -28,6 +28,17 @@
     TimePoint avoidUntil;
 };
 
+/// A leaving VM that is off the list.
+struct LeftUpstream
+{
+    std::uint64_t started = 0;
+    TimePoint since;
+};
+
+/// Time off the list after which a VM of the same id is a new one: longer than copies of the
+/// list differ, so that a flapping list does not revive what is leaving.
+inline constexpr Duration newLifeAfter = Seconds{60};
+
 /// How long an upstream that refused a connection is left alone.
 inline constexpr Duration connectPenalty = Milliseconds{1000};
 
@@ -37,10 +48,14 @@
 public:
     /// Replaces the known upstreams by those of the platform's list.
     /// "Leaving" sticks for a VM's life: a lagging copy of the list would otherwise call it
-    /// back, seen as new work on a VM about to vanish.
-    void replace(const std::vector<Vm> &vms);
-    /// Marks an upstream as leaving, learnt from its own answer or from a peer.
-    void markLeaving(const std::string &id);
+    /// back, seen as new work on a VM about to vanish. A VM begins a new life by a higher start
+    /// stamp, or by coming back after newLifeAfter off the list.
+    void replace(const std::vector<Vm> &vms, TimePoint now = TimePoint{});
+    /// Marks an upstream as leaving, learnt from its own answer or from a peer; also one that
+    /// the list does not show yet.
+    void markLeaving(const std::string &id, TimePoint now = TimePoint{});
+    /// \returns the VMs that began to leave since the last call, for the notice to peers.
+    [[nodiscard]] std::vector<std::string> takeNewlyLeaving();
     /// Leaves an upstream alone for a moment after it could not be reached.
     void markUnreachable(UpstreamId id, TimePoint now);
 
@@ -55,6 +70,9 @@
 private:
     mutable RankedMutex mutex{LockRank::Upstreams};
     std::map<UpstreamId, Upstream> upstreams;
+    /// Leaving VMs that the list does not show at present.
+    std::map<UpstreamId, LeftUpstream> left;
+    std::vector<std::string> newlyLeaving;
     bool taken = false;
 };
 
--- a/lab/deployment.cpp
+++ b/lab/deployment.cpp
@@ -119,6 +119,23 @@
     return result;
 }
 
+namespace {
+
+/// A few routers that settings name, so that a router finds the others without the platform.
+std::vector<std::string> seedsOf(const Deployment &deployment)
+{
+    constexpr std::size_t mostSeeds = 4;
+    std::vector<std::string> seeds;
+    for (const RouterLayout &router : routersOf(deployment)) {
+        if (seeds.size() < mostSeeds) {
+            seeds.push_back(toText(router.datagrams));
+        }
+    }
+    return seeds;
+}
+
+} // namespace
+
 nlohmann::ordered_json settingsOf(const Deployment &deployment, const RouterLayout &router)
 {
     return {{"id", router.id},
@@ -129,7 +146,8 @@
             {"peer",
              {{"address", router.datagrams.host},
               {"datagramPort", router.datagrams.port},
-              {"callPort", router.calls.port}}},
+              {"callPort", router.calls.port},
+              {"seeds", seedsOf(deployment)}}},
             {"platform", {{"url", "http://" + toText(platformOf(deployment))}}},
             {"lingerMilliseconds", 500}};
 }
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -8,6 +8,7 @@
 #include <asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 
+#include "callsbench.h"
 #include "demo.h"
 #include "deployment.h"
 #include "load.h"
@@ -29,6 +30,7 @@
   settings   write the settings of a deployment's routers
   stand-ins  play platform, engines and plain service of a deployment
   load       send returning chats to a deployment's routers and check the answers
+  calls      count real routers' calls to the platform and their control bytes
   demo       stand-ins, load and an edit for all deployments; prints a table
 
 )";
@@ -125,6 +127,14 @@
         demo.seed = given["seed"].as<std::uint64_t>();
         return runDemo(deployments, demo) ? exitOk : exitFailed;
     }
+    if (command == "calls") {
+        CallsOptions calls;
+        calls.routers = given["routers"].as<unsigned>();
+        calls.duration = std::chrono::seconds(given["seconds"].as<unsigned>());
+        calls.editsPerSecond = given["edits"].as<double>();
+        calls.basePort = deployments.front().basePort;
+        return runCalls(calls) ? exitOk : exitFailed;
+    }
     std::cerr << "there is no command " << command << "\n";
     return exitBadInput;
 }
@@ -140,9 +150,11 @@
                                        "where settings are written")(
         "seconds", options::value<unsigned>()->default_value(15), "how long the load lasts")(
         "rate", options::value<double>()->default_value(60), "requests a second and deployment")(
-        "seed", options::value<std::uint64_t>()->default_value(1),
-        "seed of the load")("port-offset", options::value<unsigned>()->default_value(0),
-                            "added to every port, so that several demos fit on one machine");
+        "seed", options::value<std::uint64_t>()->default_value(1), "seed of the load")(
+        "routers", options::value<unsigned>()->default_value(8),
+        "number of routers")("edits", options::value<double>()->default_value(0), "edits a second")(
+        "port-offset", options::value<unsigned>()->default_value(0),
+        "added to every port, so that several demos fit on one machine");
     options::positional_options_description positions;
     positions.add("command", 1);
     options::variables_map given;
--- a/lab/platformstandin.cpp
+++ b/lab/platformstandin.cpp
@@ -227,15 +227,18 @@
     ++this->waits;
     Watch watch{kinds, after, reply, std::make_unique<asio::steady_timer>(this->context)};
     watch.timer->expires_after(std::chrono::milliseconds(wait));
-    watch.timer->async_wait(
-        [self = this->shared_from_this(), reply](const asio::error_code &error) {
-            if (error) {
-                return;
-            }
-            const std::lock_guard lock(self->mutex);
-            self->watches.remove_if([&](const Watch &each) { return each.reply == reply; });
-            respond(*reply, statusOk, {{"version", self->version}, {"objects", json::array()}});
-        });
+    watch.timer->async_wait([self = this->shared_from_this(),
+                             reply](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        const std::lock_guard lock(self->mutex);
+        self->watches.remove_if([&](const Watch &each) { return each.reply == reply; });
+        // Only up to where its list reaches: a higher version would promise an edit that the
+        // caller was never shown.
+        const std::uint64_t reached = self->faults.oldList ? self->frozenVersion : self->version;
+        respond(*reply, statusOk, {{"version", reached}, {"objects", json::array()}});
+    });
     this->watches.push_back(std::move(watch));
 }
 
@@ -322,6 +325,7 @@
             this->frozenVersion = this->version;
         }
         this->faults.oldList = oldList;
+        this->wakeWatches();
         if (this->faults.outage) {
             for (Watch &watch : this->watches) {
                 watch.timer->cancel();
--- a/net/platform.cpp
+++ b/net/platform.cpp
@@ -74,6 +74,9 @@
     vm.place = textOf(json, "place");
     vm.endpoint = {textOf(json, "host"), json["port"].get<std::uint16_t>()};
     vm.leaving = json.contains("leaving") && json["leaving"] == true;
+    if (json.contains("started") && json["started"].is_number_unsigned()) {
+        vm.started = json["started"].get<std::uint64_t>();
+    }
     return vm;
 }
 
@@ -87,9 +90,9 @@
 
 nlohmann::json toJson(const Vm &vm)
 {
-    return {{"id", vm.id},          {"role", nameOf(vm.role)},  {"service", vm.service},
-            {"place", vm.place},    {"host", vm.endpoint.host}, {"port", vm.endpoint.port},
-            {"leaving", vm.leaving}};
+    return {{"id", vm.id},           {"role", nameOf(vm.role)},  {"service", vm.service},
+            {"place", vm.place},     {"host", vm.endpoint.host}, {"port", vm.endpoint.port},
+            {"leaving", vm.leaving}, {"started", vm.started}};
 }
 
 HttpCall PlatformClient::callTo(const std::string &method, const std::string &path) const
@@ -154,6 +157,8 @@
         for (const nlohmann::json &each : json["objects"]) {
             if (auto object = objectOf(each)) {
                 changes.objects.push_back(std::move(*object));
+            } else {
+                ++changes.unreadable;
             }
         }
         done(std::move(changes));
--- a/net/platform.h
+++ b/net/platform.h
@@ -50,6 +50,8 @@
     /// Version up to which the list is complete.
     std::uint64_t version = 0;
     std::vector<PlatformObject> objects;
+    /// Objects without a usable kind, name or version, which are left out.
+    std::size_t unreadable = 0;
 };
 
 /// The platform's object API over HTTP.
--- a/src/catalogue/table.cpp
+++ b/src/catalogue/table.cpp
@@ -58,10 +58,18 @@
     std::size_t taken = 0;
     for (const Entry &entry : batch) {
         Entry &known = this->entries[entry.key];
-        if (known.version < entry.version) {
-            known = entry;
-            ++taken;
+        if (known.version >= entry.version) {
+            continue;
         }
+        ++taken;
+        if (entry.unread && !entry.body) {
+            // The last version that could be read stays in force until this one is mended.
+            known.key = entry.key;
+            known.version = entry.version;
+            known.unread = entry.unread;
+            continue;
+        }
+        known = entry;
     }
     if (taken > 0) {
         this->current = buildView(this->entries);
@@ -69,10 +77,23 @@
     return taken;
 }
 
-void CatalogueTable::confirm(TimePoint now)
+void CatalogueTable::complete(std::uint64_t version, std::optional<TimePoint> at)
 {
     const RankedLock lock(this->mutex);
-    this->confirmed = now;
+    this->reached.completeTo = std::max(this->reached.completeTo, version);
+    if (at && version >= this->reached.completeTo
+        && (!this->reached.confirmedAt || *this->reached.confirmedAt < *at)) {
+        this->reached.confirmedAt = at;
+    }
+}
+
+void CatalogueTable::confirm(std::uint64_t version, TimePoint at)
+{
+    const RankedLock lock(this->mutex);
+    if (version == this->reached.completeTo
+        && (!this->reached.confirmedAt || *this->reached.confirmedAt < at)) {
+        this->reached.confirmedAt = at;
+    }
 }
 
 std::shared_ptr<const CatalogueView> CatalogueTable::view() const
@@ -93,10 +114,28 @@
     return result;
 }
 
-std::optional<TimePoint> CatalogueTable::confirmedAt() const
+CatalogueStanding CatalogueTable::standing() const
+{
+    const RankedLock lock(this->mutex);
+    return this->reached;
+}
+
+Duration CatalogueTable::staleness(TimePoint now) const
 {
     const RankedLock lock(this->mutex);
-    return this->confirmed;
+    return this->reached.confirmedAt ? now - *this->reached.confirmedAt : Duration::max();
+}
+
+std::vector<EntryKey> CatalogueTable::unreadable() const
+{
+    const RankedLock lock(this->mutex);
+    std::vector<EntryKey> result;
+    for (const auto &[key, entry] : this->entries) {
+        if (entry.unread) {
+            result.push_back(key);
+        }
+    }
+    return result;
 }
 
 std::optional<Admission> admit(const CatalogueView &view, std::string_view token,
@@ -145,6 +184,12 @@
     return admission;
 }
 
+bool permits(const Admission &admission, std::string_view place) noexcept
+{
+    return std::find(admission.places.begin(), admission.places.end(), place)
+           != admission.places.end();
+}
+
 bool equalInConstantTime(std::string_view first, std::string_view second) noexcept
 {
     unsigned difference = first.size() == second.size() ? 0U : 1U;
--- /dev/null
+++ b/src/membership/watchers.cpp
@@ -0,0 +1,48 @@
+#include "plantainswitch/membership/watchers.h"
+
+#include <algorithm>
+
+#include "plantainswitch/base/hash.h"
+#include "plantainswitch/placement/rendezvous.h"
+
+namespace plantainswitch {
+
+namespace {
+
+/// Keeps the choice of watchers independent of the choice of keepers.
+constexpr std::uint64_t watchSeed = 0x7761746368657273;
+
+} // namespace
+
+std::vector<Heartbeat> watchersOf(std::string_view place, const std::vector<Heartbeat> &active,
+                                  std::size_t count)
+{
+    std::vector<const Heartbeat *> local;
+    std::vector<Candidate> candidates;
+    for (const Heartbeat &member : active) {
+        if (member.place == place && !member.leaving) {
+            local.push_back(&member);
+            candidates.push_back({hashOf(member.id), 1.0});
+        }
+    }
+    std::vector<Heartbeat> result;
+    for (const std::size_t index : rendezvousOrder(hashOf(place, watchSeed), candidates)) {
+        if (result.size() == count) {
+            break;
+        }
+        result.push_back(*local[index]);
+    }
+    return result;
+}
+
+bool isWatcher(std::string_view id, std::string_view place, const std::vector<Heartbeat> &active)
+{
+    const std::vector<Heartbeat> watchers = watchersOf(place, active);
+    const bool alone = std::none_of(watchers.begin(), watchers.end(),
+                                    [id](const Heartbeat &each) { return each.id != id; });
+    return alone || std::any_of(watchers.begin(), watchers.end(), [id](const Heartbeat &each) {
+               return each.id == id;
+           });
+}
+
+} // namespace plantainswitch
--- a/src/upstreams/upstreams.cpp
+++ b/src/upstreams/upstreams.cpp
@@ -1,5 +1,8 @@
 #include "plantainswitch/upstreams/upstreams.h"
 
+#include <limits>
+#include <utility>
+
 #include "plantainswitch/base/hash.h"
 
 namespace plantainswitch {
@@ -9,9 +12,23 @@
     return hashOf(id);
 }
 
-void UpstreamTable::replace(const std::vector<Vm> &vms)
+namespace {
+
+/// Start stamp of a VM that a notice named before the list did: no stamp counts as later.
+constexpr std::uint64_t unknownLife = std::numeric_limits<std::uint64_t>::max();
+
+bool isNewLife(const Vm &vm, std::uint64_t startedBefore) noexcept
+{
+    return vm.started > startedBefore;
+}
+
+} // namespace
+
+void UpstreamTable::replace(const std::vector<Vm> &vms, TimePoint now)
 {
     const RankedLock lock(this->mutex);
+    std::erase_if(this->left,
+                  [now](const auto &each) { return now - each.second.since >= newLifeAfter; });
     std::map<UpstreamId, Upstream> next;
     for (const Vm &vm : vms) {
         if (vm.role == VmRole::Router) {
@@ -20,25 +37,51 @@
         const UpstreamId id = upstreamIdOf(vm.id);
         Upstream upstream{vm, id, TimePoint{}};
         const auto known = this->upstreams.find(id);
-        if (known != this->upstreams.end()) {
-            upstream.vm.leaving = vm.leaving || known->second.vm.leaving;
+        const auto gone = this->left.find(id);
+        bool wasLeaving = false;
+        if (known != this->upstreams.end() && !isNewLife(vm, known->second.vm.started)) {
+            wasLeaving = known->second.vm.leaving;
             upstream.avoidUntil = known->second.avoidUntil;
+        } else if (gone != this->left.end() && !isNewLife(vm, gone->second.started)) {
+            wasLeaving = true;
+        }
+        this->left.erase(id);
+        upstream.vm.leaving = vm.leaving || wasLeaving;
+        if (vm.leaving && !wasLeaving) {
+            this->newlyLeaving.push_back(vm.id);
         }
         next.emplace(id, std::move(upstream));
     }
+    for (const auto &[id, upstream] : this->upstreams) {
+        if (upstream.vm.leaving && !next.contains(id)) {
+            this->left[id] = {upstream.vm.started, now};
+        }
+    }
     this->upstreams = std::move(next);
     this->taken = this->taken || !this->upstreams.empty();
 }
 
-void UpstreamTable::markLeaving(const std::string &id)
+void UpstreamTable::markLeaving(const std::string &id, TimePoint now)
 {
     const RankedLock lock(this->mutex);
-    const auto found = this->upstreams.find(upstreamIdOf(id));
-    if (found != this->upstreams.end()) {
+    const UpstreamId shortId = upstreamIdOf(id);
+    const auto found = this->upstreams.find(shortId);
+    if (found == this->upstreams.end()) {
+        if (this->left.emplace(shortId, LeftUpstream{unknownLife, now}).second) {
+            this->newlyLeaving.push_back(id);
+        }
+    } else if (!found->second.vm.leaving) {
         found->second.vm.leaving = true;
+        this->newlyLeaving.push_back(id);
     }
 }
 
+std::vector<std::string> UpstreamTable::takeNewlyLeaving()
+{
+    const RankedLock lock(this->mutex);
+    return std::exchange(this->newlyLeaving, {});
+}
+
 void UpstreamTable::markUnreachable(UpstreamId id, TimePoint now)
 {
     const RankedLock lock(this->mutex);
