Give each test fleet a block of ports of its own

Cause: two runs of the tests on one machine met on the same ports; seen as 'bind: Address already in use' in wholepath, which looked like a leaked socket but came from another run. Ruled out: a socket kept by a destroyed router (the test passes alone, three runs). Conclusion: a fleet takes the next free block.

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -1,6 +1,7 @@
 #include "fleet.h"
 
 #include <future>
+#include <stdexcept>
 
 namespace plantainswitch::lab {
 
@@ -10,11 +11,37 @@
 constexpr std::chrono::seconds patience{30};
 constexpr std::chrono::milliseconds pollPeriod{10};
 constexpr int statusOk = 200;
+constexpr std::uint16_t portsOfFleet = 400;
+constexpr std::uint16_t firstPort = 10'000;
+/// Above it the system hands out ports to outgoing connections.
+constexpr std::uint16_t lastPort = 32'400;
+
+/// Takes the last port of the first block that no other fleet of this machine has taken.
+asio::ip::tcp::acceptor takeBlock(asio::io_context &context, std::uint16_t &basePort)
+{
+    using asio::ip::tcp;
+    for (std::uint16_t tries = 0; tries < (lastPort - firstPort) / portsOfFleet; ++tries) {
+        tcp::acceptor guard(context);
+        guard.open(tcp::v4());
+        asio::error_code error;
+        const auto last = static_cast<std::uint16_t>(basePort + portsOfFleet - 1);
+        guard.bind({asio::ip::address_v4::loopback(), last}, error);
+        if (!error) {
+            return guard;
+        }
+        basePort = static_cast<std::uint16_t>(basePort + portsOfFleet);
+        if (basePort > lastPort) {
+            basePort = firstPort;
+        }
+    }
+    throw std::runtime_error("every block of ports is taken");
+}
 
 } // namespace
 
 Fleet::Fleet(Deployment wanted)
     : deployment(std::move(wanted))
+    , block(takeBlock(this->context, this->deployment.basePort))
     , layout(routersOf(this->deployment))
     , guard(asio::make_work_guard(context))
     , standIns(context, this->deployment)
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <asio/executor_work_guard.hpp>
+#include <asio/ip/tcp.hpp>
 
 #include "router.h"
 
@@ -19,7 +20,7 @@
 class Fleet
 {
 public:
-    /// \param deployment to build; change its basePort so that tests don't share ports
+    /// \param deployment to build; its ports move up while another fleet has them
     explicit Fleet(Deployment deployment);
     ~Fleet();
     Fleet(const Fleet &) = delete;
@@ -47,7 +48,16 @@
     /// Waits until \a condition holds, for at most a generous time. \returns whether it did.
     [[nodiscard]] static bool eventually(const std::function<bool()> &condition);
 
+private:
+    asio::io_context context;
+
+public:
     Deployment deployment;
+
+private:
+    asio::ip::tcp::acceptor block;
+
+public:
     std::vector<RouterLayout> layout;
 
 private:
@@ -60,7 +70,6 @@
     net::HttpAnswer fetch(net::HttpCall call);
 
     SystemClock clock;
-    asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> guard;
 
 public:
