Hold workspace limits over the fleet by shares that follow use

Each limited workspace has an owner by rendezvous over the active routers. Routers report what they want and hold, batched per owner; the owner divides the limit in proportion with a small floor. What may still be held elsewhere is never handed out twice, a new owner only confirms for one lease, and a partitioned fleet divides by the routers it lately knew.

--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -14,6 +14,18 @@
     , identity(identityOf(this->settings.id, incarnation))
 {}
 
+void Node::countRouters(std::size_t active)
+{
+    plantainswitch::countRouters(this->knownRouters, active, this->clock.now());
+    this->activeCount = active;
+    this->knownCount = this->knownRouters.count;
+}
+
+FleetSize Node::fleetSize() const noexcept
+{
+    return {this->activeCount, this->knownCount};
+}
+
 Heartbeat Node::heartbeat() const
 {
     Heartbeat heartbeat;
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -18,6 +18,10 @@
 
     /// \returns this router's heartbeat as of now.
     [[nodiscard]] Heartbeat heartbeat() const;
+    /// Takes the number of active routers into account.
+    void countRouters(std::size_t active);
+    /// \returns the number of routers by which limits are divided.
+    [[nodiscard]] FleetSize fleetSize() const noexcept;
 
     Settings settings;
     const Clock &clock;
@@ -28,11 +32,15 @@
     MemberTable members;
     UpstreamTable upstreams;
     KeeperTable keeper;
+    LimitTable limits;
     ExplainTable explain;
     Metrics metrics;
     std::atomic<bool> stopping = false;
     std::atomic<std::uint64_t> inFlight = 0;
     std::atomic<std::uint64_t> nextRequest = 1;
+    KnownRouters knownRouters;
+    std::atomic<std::size_t> activeCount = 1;
+    std::atomic<std::size_t> knownCount = 1;
 };
 
 /// \returns the hash by which peers know the process of that id and incarnation.
--- a/daemon/passage.cpp
+++ b/daemon/passage.cpp
@@ -21,6 +21,9 @@
 
 Passage::~Passage()
 {
+    if (this->limited) {
+        this->node.limits.end(*this->limited);
+    }
     --this->node.inFlight;
 }
 
@@ -68,6 +71,26 @@
                            this->admission.workspace, this->admission.limits.dataClass,
                            this->admission.catalogueVersion,
                            fmt::join(this->admission.places, ",")));
+    this->limit();
+}
+
+void Passage::limit()
+{
+    const WorkspaceLimit limit{this->admission.limits.requestsPerSecond,
+                               this->admission.limits.maxInFlight};
+    if (limit.requestsPerSecond != 0 || limit.maxInFlight != 0) {
+        const WorkspaceId workspace = workspaceIdOf(this->admission.workspace);
+        const auto refused = this->node.limits.admit(workspace, limit, this->node.fleetSize(),
+                                                     this->node.clock.now());
+        if (refused) {
+            this->refuseWith(
+                {ErrorKind::LimitReached,
+                 refused->inFlight ? "too many requests in flight" : "too many requests a second",
+                 refused->retryAfterSeconds});
+            return;
+        }
+        this->limited = workspace;
+    }
     this->place();
 }
 
--- a/daemon/passage.h
+++ b/daemon/passage.h
@@ -30,6 +30,7 @@
 
 private:
     void admitCaller();
+    void limit();
     void place();
     void dispatch(HeldSlot held);
     net::HttpCall callTo(const Upstream &upstream) const;
@@ -54,6 +55,8 @@
     std::string id;
     CallerRequest request;
     Admission admission;
+    /// Set while the request counts against its workspace's limit.
+    std::optional<WorkspaceId> limited;
     std::shared_ptr<SlotNeed> need;
     std::optional<HeldSlot> slot;
     std::string attempt;
--- a/daemon/peercodec.h
+++ b/daemon/peercodec.h
@@ -9,7 +9,7 @@
 
 namespace plantainswitch {
 
-using PeerBody = std::variant<Heartbeat, SlotAsk, SlotReply, SlotRelease>;
+using PeerBody = std::variant<Heartbeat, SlotAsk, SlotReply, SlotRelease, LimitReport, LimitShares>;
 
 /// A datagram between routers.
 struct PeerMessage
--- a/daemon/router.cpp
+++ b/daemon/router.cpp
@@ -24,6 +24,7 @@
     , link(std::make_shared<PeerLink>(context, node))
     , beats(std::make_shared<Beats>(context, node, link))
     , keeperService(std::make_shared<KeeperService>(node, link))
+    , limits(std::make_shared<LimitService>(node, link))
     , calls(node)
     , sync(std::make_shared<Sync>(context, node, platformHttp, beats, calls))
     , slots(std::make_shared<Slots>(context, node, link, keeperService))
@@ -49,6 +50,7 @@
     }
     this->keeperService->start();
     this->slots->start();
+    this->limits->start();
     this->beats->start();
     this->link->start();
     this->sync->start();
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -10,6 +10,7 @@
 #include "httpclient.h"
 #include "httpserver.h"
 #include "keeperservice.h"
+#include "limitservice.h"
 #include "node.h"
 #include "peercalls.h"
 #include "peerlink.h"
@@ -50,6 +51,7 @@
     std::shared_ptr<PeerLink> link;
     std::shared_ptr<Beats> beats;
     std::shared_ptr<KeeperService> keeperService;
+    std::shared_ptr<LimitService> limits;
     PeerCalls calls;
     std::shared_ptr<Sync> sync;
     std::shared_ptr<Slots> slots;
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -9,6 +9,8 @@
 #include "plantainswitch/catalogue/entry.h"
 #include "plantainswitch/catalogue/parse.h"
 #include "plantainswitch/catalogue/table.h"
+#include "plantainswitch/limits/shares.h"
+#include "plantainswitch/limits/table.h"
 #include "plantainswitch/membership/members.h"
 #include "plantainswitch/membership/vm.h"
 #include "plantainswitch/observe/event.h"
--- /dev/null
+++ b/src/limits/table.cpp
@@ -0,0 +1,116 @@
+#include "plantainswitch/limits/table.h"
+
+#include "plantainswitch/base/hash.h"
+#include "plantainswitch/placement/rendezvous.h"
+
+namespace plantainswitch {
+
+namespace {
+
+/// Longer than any lease, so that nothing that still counts is forgotten.
+constexpr Duration idleMemory = std::chrono::minutes{2};
+
+} // namespace
+
+WorkspaceId workspaceIdOf(std::string_view name) noexcept
+{
+    return hashOf(name);
+}
+
+std::optional<Heartbeat> limitOwnerOf(WorkspaceId workspace, const std::vector<Heartbeat> &active)
+{
+    const Heartbeat *best = nullptr;
+    double bestScore = 0;
+    for (const Heartbeat &member : active) {
+        const double score = rendezvousScore(workspace, {hashOf(member.id), 1.0});
+        if (best == nullptr || score > bestScore) {
+            best = &member;
+            bestScore = score;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(*best);
+}
+
+std::optional<LimitRefusal> LimitTable::admit(WorkspaceId workspace, const WorkspaceLimit &limit,
+                                              const FleetSize &fleet, TimePoint now)
+{
+    const RankedLock lock(this->mutex);
+    return admitWithinLimit(this->locals[workspace], limit, fleet, this->settings, now);
+}
+
+void LimitTable::end(WorkspaceId workspace)
+{
+    const RankedLock lock(this->mutex);
+    const auto found = this->locals.find(workspace);
+    if (found != this->locals.end()) {
+        endWithinLimit(found->second);
+    }
+}
+
+std::vector<LimitUse> LimitTable::due(std::uint32_t sequence, const LimitLookup &limitOf,
+                                      const FleetSize &fleet, TimePoint now)
+{
+    const RankedLock lock(this->mutex);
+    std::vector<LimitUse> uses;
+    for (auto &[workspace, local] : this->locals) {
+        const auto limit = limitOf(workspace);
+        if (!limit) {
+            continue;
+        }
+        if (const auto use =
+                dueUse(local, workspace, sequence, *limit, fleet, this->settings, now)) {
+            uses.push_back(*use);
+        }
+    }
+    return uses;
+}
+
+void LimitTable::take(const LimitShares &shares, TimePoint now)
+{
+    const RankedLock lock(this->mutex);
+    for (const LimitShare &share : shares.shares) {
+        const auto found = this->locals.find(share.workspace);
+        if (found != this->locals.end()) {
+            takeShare(found->second, share, shares.sequence, this->settings, now);
+        }
+    }
+}
+
+LimitShares LimitTable::divide(std::uint64_t router, const LimitReport &report,
+                               const LimitLookup &limitOf, const FleetSize &fleet, TimePoint now)
+{
+    const RankedLock lock(this->mutex);
+    LimitShares answer{report.sequence, {}};
+    for (const LimitUse &use : report.uses) {
+        const auto limit = limitOf(use.workspace);
+        if (!limit) {
+            continue;
+        }
+        if (const auto share = divideLimit(this->owned[use.workspace], *limit, router, use,
+                                           report.sequence, fleet, this->settings, now)) {
+            answer.shares.push_back(*share);
+        }
+    }
+    return answer;
+}
+
+void LimitTable::forgetIdle(TimePoint now)
+{
+    const RankedLock lock(this->mutex);
+    std::erase_if(this->locals, [now](const auto &item) {
+        return item.second.inFlight == 0 && now - item.second.used > idleMemory;
+    });
+    std::erase_if(this->owned,
+                  [now](const auto &item) { return now - item.second.heard > idleMemory; });
+}
+
+double LimitTable::rate(WorkspaceId workspace, const WorkspaceLimit &limit, const FleetSize &fleet,
+                        TimePoint now) const
+{
+    const RankedLock lock(this->mutex);
+    const auto found = this->locals.find(workspace);
+    return rateOf(found == this->locals.end() ? LocalLimit{} : found->second, limit, fleet,
+                  this->settings, now);
+}
+
+} // namespace plantainswitch
