Let requests wait in a fair queue at the keeper

When every engine of a plan's shards is at its bound, a request waits at the first shard's keeper: start-time fair queueing by workspace and weight, priorities within a workspace, bounded in length and by the service's queueMilliseconds. A wait that would be longer is refused at once with a hint; an expired ask is refused as not run. Routers repeat waiting asks, so lost grants are found and silent routers leave the queue; a grant that crosses a router's patience is given back.

--- a/daemon/keeperservice.cpp
+++ b/daemon/keeperservice.cpp
@@ -1,7 +1,31 @@
 #include "keeperservice.h"
 
+#include <algorithm>
+
+#include <asio/post.hpp>
+
 namespace plantainswitch {
 
+namespace {
+
+/// How late an ask may be told that it has expired.
+constexpr std::chrono::milliseconds expiryPeriod{20};
+constexpr std::int64_t longestRetrySeconds = 60;
+
+std::uint32_t retrySeconds(Duration expected)
+{
+    const auto whole = std::chrono::ceil<Seconds>(expected).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(whole, 1, longestRetrySeconds));
+}
+
+} // namespace
+
+KeeperService::KeeperService(Node &node, std::shared_ptr<PeerLink> link)
+    : node(node)
+    , link(std::move(link))
+    , timer(this->link->executor())
+{}
+
 void KeeperService::start()
 {
     this->link->handle<SlotAsk>([self = this->shared_from_this()](
@@ -13,10 +37,60 @@
         [self = this->shared_from_this()](std::uint64_t sender, const Endpoint &, PeerBody body) {
             self->release(sender, std::get<SlotRelease>(body));
         });
+    asio::post(this->link->executor(), [self = this->shared_from_this()] { self->schedule(); });
+}
+
+void KeeperService::ask(std::uint64_t router, const SlotAsk &ask, const Answer &done)
+{
+    Replies replies;
+    {
+        const RankedLock lock(this->mutex);
+        replies.emplace_back(done, this->askLocked(router, ask, done, replies));
+    }
+    send(replies);
+}
+
+SlotReply KeeperService::askLocked(std::uint64_t router, const SlotAsk &ask, const Answer &done,
+                                   Replies &replies)
+{
+    const auto found = this->queues.find(shardIdOf(ask.shard));
+    if (found == this->queues.end()) {
+        const SlotReply reply = this->grant(router, ask);
+        const bool mayWait = reply.verdict == SlotVerdict::Overflow && ask.waitMilliseconds != 0;
+        return mayWait ? this->enqueue(this->queues[shardIdOf(ask.shard)], router, ask, done)
+                       : reply;
+    }
+    // Those who wait come first; what is left after them is really free.
+    ShardQueue &shard = found->second;
+    this->drain(shard, replies);
+    if (shard.waiters.contains({router, ask.askId})) {
+        return this->enqueue(shard, router, ask, done);
+    }
+    const SlotReply reply = this->grant(router, ask);
+    if (reply.verdict == SlotVerdict::Overflow && ask.waitMilliseconds != 0) {
+        return this->enqueue(shard, router, ask, done);
+    }
+    return reply;
+}
+
+SlotReply KeeperService::enqueue(ShardQueue &shard, std::uint64_t router, const SlotAsk &ask,
+                                 const Answer &done)
+{
+    shard.shard = ask.shard;
+    const QueueOutcome outcome =
+        enqueueAsk(shard.queue, router, ask, QueueSettings{}, this->node.clock.now());
+    if (outcome.verdict == QueueVerdict::Refused) {
+        this->node.metrics.count(Counter::QueueRefused);
+        return {ask.askId, SlotVerdict::Busy, 0, retrySeconds(outcome.expected)};
+    }
+    if (outcome.verdict == QueueVerdict::Queued) {
+        this->node.metrics.count(Counter::QueueEntered);
+        shard.waiters[{router, ask.askId}] = done;
+    }
+    return {ask.askId, SlotVerdict::Queued, 0, 0};
 }
 
-void KeeperService::ask(std::uint64_t router, const SlotAsk &ask,
-                        const std::function<void(SlotReply)> &done)
+SlotReply KeeperService::grant(std::uint64_t router, const SlotAsk &ask)
 {
     const auto view = this->node.catalogue.view();
     const Service *service = nullptr;
@@ -25,20 +99,91 @@
         service = found == view->services.end() ? nullptr : &found->second;
     }
     if (service == nullptr) {
-        done({ask.askId, SlotVerdict::Empty, 0});
-        return;
+        return {ask.askId, SlotVerdict::Empty, 0};
     }
     BoundSettings bound;
     bound.capacity = service->engineCapacity;
     const TimePoint now = this->node.clock.now();
     const std::vector<UpstreamId> ready =
         readyOf(this->node.upstreams, ask.shard, service->shards, now);
-    done(this->node.keeper.grant(router, ask, ready, bound, now));
+    return this->node.keeper.grant(router, ask, ready, bound, now);
+}
+
+void KeeperService::drain(ShardQueue &shard, Replies &replies)
+{
+    while (const QueuedAsk *next = nextAsk(shard.queue)) {
+        const SlotKey key{next->router, next->ask.askId};
+        const SlotReply reply = this->grant(next->router, next->ask);
+        if (reply.verdict == SlotVerdict::Overflow) {
+            return;
+        }
+        popAsk(shard.queue, reply.verdict == SlotVerdict::Granted, this->node.clock.now());
+        const auto waiter = shard.waiters.extract(key);
+        if (waiter) {
+            replies.emplace_back(waiter.mapped(), reply);
+        }
+    }
+}
+
+void KeeperService::expire(ShardQueue &shard, Replies &replies)
+{
+    for (const QueuedAsk &expired : expireAsks(shard.queue, this->node.clock.now())) {
+        this->node.metrics.count(Counter::QueueExpired);
+        const auto waiter = shard.waiters.extract({expired.router, expired.ask.askId});
+        if (waiter) {
+            replies.emplace_back(waiter.mapped(),
+                                 SlotReply{expired.ask.askId, SlotVerdict::Expired, 0, 0});
+        }
+    }
 }
 
 void KeeperService::release(std::uint64_t router, const SlotRelease &release)
 {
-    this->node.keeper.release(router, release);
+    Replies replies;
+    {
+        const RankedLock lock(this->mutex);
+        this->node.keeper.release(router, release);
+        const auto found = this->queues.find(release.shard);
+        if (found != this->queues.end()) {
+            ShardQueue &shard = found->second;
+            for (const std::uint32_t askId : release.askIds) {
+                if (shard.waiters.erase({router, askId}) > 0) {
+                    cancelAsk(shard.queue, {router, askId});
+                }
+            }
+            this->drain(shard, replies);
+        }
+    }
+    send(replies);
+}
+
+void KeeperService::schedule()
+{
+    Replies replies;
+    {
+        const RankedLock lock(this->mutex);
+        for (auto &[id, shard] : this->queues) {
+            this->expire(shard, replies);
+            // Engines that joined and routers that left make room without a release.
+            this->drain(shard, replies);
+        }
+        // Kept only while somebody waits; its measured interval would be stale anyway.
+        std::erase_if(this->queues, [](const auto &item) { return item.second.queue.length == 0; });
+    }
+    send(replies);
+    this->timer.expires_after(expiryPeriod);
+    this->timer.async_wait([self = this->shared_from_this()](const asio::error_code &error) {
+        if (!error) {
+            self->schedule();
+        }
+    });
+}
+
+void KeeperService::send(const Replies &replies)
+{
+    for (const auto &[answer, reply] : replies) {
+        answer(reply);
+    }
 }
 
 } // namespace plantainswitch
--- a/daemon/keeperservice.h
+++ b/daemon/keeperservice.h
@@ -1,30 +1,58 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <vector>
+
+#include <asio/steady_timer.hpp>
 
 #include "node.h"
 #include "peerlink.h"
 
 namespace plantainswitch {
 
-/// The keeper's side of slots: answers asks out of this router's keeper table.
+/// The keeper's side of slots: answers asks out of this router's keeper table, and lets those
+/// wait in a fair queue for which no slot is free.
 class KeeperService : public std::enable_shared_from_this<KeeperService>
 {
 public:
-    KeeperService(Node &node, std::shared_ptr<PeerLink> link)
-        : node(node)
-        , link(std::move(link))
-    {}
+    using Answer = std::function<void(SlotReply)>;
+
+    KeeperService(Node &node, std::shared_ptr<PeerLink> link);
 
     void start();
-    /// Answers an ask of \a router, which may be this one; \a done is called once.
-    void ask(std::uint64_t router, const SlotAsk &ask, const std::function<void(SlotReply)> &done);
+    /// Answers an ask of \a router, which may be this one. \a done is called once, or twice when
+    /// the first reply is Queued.
+    void ask(std::uint64_t router, const SlotAsk &ask, const Answer &done);
     void release(std::uint64_t router, const SlotRelease &release);
 
 private:
+    /// The queue of one shard and who waits in it.
+    struct ShardQueue
+    {
+        Shard shard;
+        FairQueue queue;
+        std::map<SlotKey, Answer> waiters;
+    };
+    /// Replies that are sent once the queues are unlocked.
+    using Replies = std::vector<std::pair<Answer, SlotReply>>;
+
+    SlotReply askLocked(std::uint64_t router, const SlotAsk &ask, const Answer &done,
+                        Replies &replies);
+    SlotReply enqueue(ShardQueue &shard, std::uint64_t router, const SlotAsk &ask,
+                      const Answer &done);
+    SlotReply grant(std::uint64_t router, const SlotAsk &ask);
+    void drain(ShardQueue &shard, Replies &replies);
+    void expire(ShardQueue &shard, Replies &replies);
+    void schedule();
+    static void send(const Replies &replies);
+
     Node &node;
     std::shared_ptr<PeerLink> link;
+    asio::steady_timer timer;
+    RankedMutex mutex{LockRank::Queues};
+    std::map<ShardId, ShardQueue> queues;
 };
 
 } // namespace plantainswitch
--- a/daemon/passage.cpp
+++ b/daemon/passage.cpp
@@ -109,6 +109,9 @@
 {
     this->gone = true;
     const std::lock_guard lock(this->exchangeMutex);
+    if (this->need) {
+        this->need->abandoned = true;
+    }
     if (this->exchange) {
         this->exchange->cancel();
     }
--- a/daemon/passageplace.cpp
+++ b/daemon/passageplace.cpp
@@ -19,10 +19,18 @@
     next->plan = std::move(*plan);
     next->chat = chatHash;
     next->fingerprint = hashOf(this->request.body, hashOf(this->admission.workspace));
+    next->workspace = workspaceIdOf(this->admission.workspace);
+    next->weight = this->admission.limits.weight;
+    next->priority = this->admission.limits.priority;
+    next->waitMilliseconds = this->admission.serviceEntry.queueMilliseconds;
     if (this->need) {
         next->avoid = this->need->avoid;
     }
-    this->need = next;
+    {
+        const std::lock_guard lock(this->exchangeMutex);
+        next->abandoned = this->gone.load();
+        this->need = next;
+    }
     this->slots->acquire(
         next, [self = this->shared_from_this()](std::string step) { self->note(std::move(step)); },
         [self = this->shared_from_this()](std::optional<HeldSlot> held, const Reason &why) {
--- a/daemon/peercodec.cpp
+++ b/daemon/peercodec.cpp
@@ -41,6 +41,12 @@
     for (const UpstreamId id : from.avoid) {
         to.add_avoid(id);
     }
+    if (from.waitMilliseconds != 0) {
+        to.set_wait_milliseconds(from.waitMilliseconds);
+        to.set_workspace(from.workspace);
+        to.set_weight(from.weight);
+        to.set_priority(from.priority);
+    }
 }
 
 void fill(wire::Datagram &datagram, const SlotReply &from)
@@ -49,6 +55,7 @@
     to.set_ask_id(from.askId);
     to.set_verdict(static_cast<std::uint32_t>(from.verdict));
     to.set_upstream(from.upstream);
+    to.set_retry_after_seconds(from.retryAfterSeconds);
 }
 
 void fill(wire::Datagram &datagram, const SlotRelease &from)
@@ -141,15 +148,20 @@
     to.chat = from.chat();
     to.fingerprint = from.fingerprint();
     to.avoid.assign(from.avoid().begin(), from.avoid().end());
+    to.waitMilliseconds = from.wait_milliseconds();
+    to.workspace = from.workspace();
+    to.weight = from.weight();
+    to.priority = from.priority();
     return to;
 }
 
 std::optional<SlotReply> read(const wire::SlotReply &from)
 {
-    if (from.verdict() > static_cast<std::uint32_t>(SlotVerdict::Empty)) {
+    if (from.verdict() > static_cast<std::uint32_t>(SlotVerdict::Busy)) {
         return std::nullopt;
     }
-    return SlotReply{from.ask_id(), static_cast<SlotVerdict>(from.verdict()), from.upstream()};
+    return SlotReply{from.ask_id(), static_cast<SlotVerdict>(from.verdict()), from.upstream(),
+                     from.retry_after_seconds()};
 }
 
 SlotRelease read(const wire::SlotRelease &from)
--- a/daemon/slots.cpp
+++ b/daemon/slots.cpp
@@ -11,6 +11,11 @@
 constexpr std::chrono::milliseconds releasePeriod{50};
 constexpr std::chrono::milliseconds askTimeout{60};
 constexpr int askSends = 3;
+/// How often a waiting ask is repeated, so that a lost grant is found and the keeper knows that
+/// its router is alive.
+constexpr std::chrono::milliseconds queuedPeriod{250};
+/// How long a grant that arrives too late is still recognised and given back.
+constexpr std::chrono::seconds givenUpMemory{60};
 /// Releases that fit into one datagram with room to spare.
 constexpr std::size_t releasesInDatagram = 200;
 
@@ -24,6 +29,13 @@
     if (reply && reply->verdict == SlotVerdict::Overflow) {
         return {ErrorKind::Overloaded, "every engine is at its bound", std::nullopt};
     }
+    if (reply && reply->verdict == SlotVerdict::Busy) {
+        return {ErrorKind::Overloaded, "the wait for an engine is too long",
+                static_cast<int>(reply->retryAfterSeconds)};
+    }
+    if (reply && reply->verdict == SlotVerdict::Expired) {
+        return {ErrorKind::QueueExpired, "no engine came free in time", std::nullopt};
+    }
     return {ErrorKind::UpstreamUnreachable, "no engine could be had", std::nullopt};
 }
 
@@ -41,8 +53,7 @@
 {
     this->link->handle<SlotReply>(
         [self = this->shared_from_this()](std::uint64_t, const Endpoint &, PeerBody body) {
-            const auto &reply = std::get<SlotReply>(body);
-            self->finishAsk(reply.askId, reply);
+            self->takeReply(std::get<SlotReply>(body));
         });
     asio::post(this->link->executor(),
                [self = this->shared_from_this()] { self->scheduleReleases(); });
@@ -57,19 +68,29 @@
 void Slots::tryShard(const std::shared_ptr<const SlotNeed> &need, std::size_t index, Reason last,
                      Note note, Done done)
 {
-    if (index >= need->plan.shards.size()) {
+    // After each shard was full, the request waits at the first one.
+    const bool waiting = index == need->plan.shards.size() && last.kind == ErrorKind::Overloaded
+                         && need->waitMilliseconds != 0;
+    if (index >= need->plan.shards.size() && !waiting) {
         done(std::nullopt, std::move(last));
         return;
     }
-    const Shard &shard = need->plan.shards[index];
+    const std::size_t shardIndex = waiting ? 0 : index;
+    const Shard &shard = need->plan.shards[shardIndex];
     const auto keeper =
         keeperOf(shard, this->node.members.active()).value_or(this->node.heartbeat());
     SlotAsk ask{this->nextAsk++, shard, need->chat, need->fingerprint, need->avoid};
+    if (waiting) {
+        ask.waitMilliseconds = need->waitMilliseconds;
+        ask.workspace = need->workspace;
+        ask.weight = need->weight;
+        ask.priority = need->priority;
+    }
     const std::uint32_t askId = ask.askId;
     this->node.metrics.count(Counter::SlotAsks);
-    auto onReply = [self = this->shared_from_this(), need, index, keeper, askId, note,
+    auto onReply = [self = this->shared_from_this(), need, index, shardIndex, keeper, askId, note,
                     done = std::move(done)](const std::optional<SlotReply> &reply) mutable {
-        const Shard &asked = need->plan.shards[index];
+        const Shard &asked = need->plan.shards[shardIndex];
         note("shard " + describe(asked) + " keeper " + keeper.id + ": "
              + (reply ? std::string(nameOf(reply->verdict)) : std::string("silent")));
         if (!reply) {
@@ -90,19 +111,22 @@
         }
         self->tryShard(need, index + 1, reasonOf(reply), std::move(note), std::move(done));
     };
-    if (keeper.id == this->node.settings.id) {
+    if (keeper.id == this->node.settings.id && !waiting) {
         this->keeper->ask(this->node.identity, ask, std::move(onReply));
     } else {
-        this->ask(keeper, std::move(ask), std::move(onReply));
+        this->ask(keeper, std::move(ask), need, std::move(onReply));
     }
 }
 
-void Slots::ask(const Heartbeat &keeper, SlotAsk ask, ReplyHandler done)
+void Slots::ask(const Heartbeat &keeper, SlotAsk ask, std::shared_ptr<const SlotNeed> need,
+                ReplyHandler done)
 {
+    const bool local = keeper.id == this->node.settings.id;
     asio::post(this->link->executor(), [self = this->shared_from_this(), to = keeper.datagrams,
-                                        ask = std::move(ask), done = std::move(done)]() mutable {
+                                        ask = std::move(ask), need = std::move(need), local,
+                                        done = std::move(done)]() mutable {
         const std::uint32_t askId = ask.askId;
-        PendingAsk entry{to, std::move(ask), std::move(done), nullptr, 0};
+        PendingAsk entry{to, std::move(ask), std::move(done), nullptr, 0, std::move(need), local};
         entry.timer = std::make_unique<asio::steady_timer>(self->link->executor());
         self->pending.emplace(askId, std::move(entry));
         self->sendAsk(askId);
@@ -116,13 +140,20 @@
         return;
     }
     PendingAsk &entry = found->second;
-    if (++entry.sends > askSends) {
-        this->node.metrics.count(Counter::SlotAskTimeouts);
-        this->finishAsk(askId, std::nullopt);
+    if (++entry.sends > askSends || entry.need->abandoned) {
+        this->giveUp(askId);
         return;
     }
-    this->link->send(entry.keeper, entry.ask);
-    entry.timer->expires_after(askTimeout);
+    if (entry.local) {
+        this->keeper->ask(this->node.identity, entry.ask,
+                          [self = this->shared_from_this()](const SlotReply &reply) {
+                              asio::post(self->link->executor(),
+                                         [self, reply] { self->takeReply(reply); });
+                          });
+    } else {
+        this->link->send(entry.keeper, entry.ask);
+    }
+    entry.timer->expires_after(entry.queued ? queuedPeriod : askTimeout);
     entry.timer->async_wait(
         [self = this->shared_from_this(), askId](const asio::error_code &error) {
             if (!error) {
@@ -131,6 +162,65 @@
         });
 }
 
+void Slots::takeReply(const SlotReply &reply)
+{
+    const auto found = this->pending.find(reply.askId);
+    if (found == this->pending.end()) {
+        this->returnLateGrant(reply);
+        return;
+    }
+    if (reply.verdict != SlotVerdict::Queued) {
+        this->finishAsk(reply.askId, reply);
+        return;
+    }
+    PendingAsk &entry = found->second;
+    entry.sends = 0;
+    if (!entry.queued) {
+        entry.queued = true;
+        entry.timer->expires_after(queuedPeriod);
+        entry.timer->async_wait(
+            [self = this->shared_from_this(), askId = reply.askId](const asio::error_code &error) {
+                if (!error) {
+                    self->sendAsk(askId);
+                }
+            });
+    }
+}
+
+void Slots::giveUp(std::uint32_t askId)
+{
+    const PendingAsk &entry = this->pending.at(askId);
+    const ShardId shard = shardIdOf(entry.ask.shard);
+    const TimePoint now = this->node.clock.now();
+    this->node.metrics.count(Counter::SlotAskTimeouts);
+    std::erase_if(this->givenUp,
+                  [now](const auto &item) { return now - item.second.since > givenUpMemory; });
+    this->givenUp[askId] = {entry.keeper, shard, now};
+    this->give(entry.keeper, entry.local, shard, askId);
+    this->finishAsk(askId, std::nullopt);
+}
+
+/// A grant can cross the end of our patience. Dropped, its slot would stay counted until this
+/// router leaves, seen as an engine that fills up without work; so it is given back.
+void Slots::returnLateGrant(const SlotReply &reply)
+{
+    const auto found = this->givenUp.find(reply.askId);
+    if (reply.verdict != SlotVerdict::Granted || found == this->givenUp.end()) {
+        return;
+    }
+    this->give(found->second.keeper, found->second.keeper == this->node.settings.peerDatagrams,
+               found->second.shard, reply.askId);
+}
+
+void Slots::give(const Endpoint &keeper, bool local, ShardId shard, std::uint32_t askId)
+{
+    if (local) {
+        this->keeper->release(this->node.identity, {shard, {askId}});
+        return;
+    }
+    this->releases[{keeper, shard}].push_back(askId);
+}
+
 void Slots::finishAsk(std::uint32_t askId, const std::optional<SlotReply> &reply)
 {
     const auto found = this->pending.find(askId);
--- a/daemon/slots.h
+++ b/daemon/slots.h
@@ -31,6 +31,13 @@
     std::uint64_t chat = 0;
     std::uint64_t fingerprint = 0;
     std::vector<UpstreamId> avoid;
+    std::uint64_t workspace = 0;
+    std::uint32_t weight = 1;
+    std::uint32_t priority = 0;
+    /// Longest wait in a keeper's queue when every shard of the plan is full.
+    std::uint32_t waitMilliseconds = 0;
+    /// Set when the caller is gone; a waiting ask then leaves the queue.
+    std::atomic<bool> abandoned = false;
 };
 
 /// Gets slots from the keepers of the shards, in the order of the plan.
@@ -60,12 +67,28 @@
         ReplyHandler done;
         std::unique_ptr<asio::steady_timer> timer;
         int sends = 0;
+        std::shared_ptr<const SlotNeed> need;
+        /// The keeper is this router.
+        bool local = false;
+        bool queued = false;
+    };
+    /// An ask without an answer that this router no longer waits for.
+    struct GivenUpAsk
+    {
+        Endpoint keeper;
+        ShardId shard = 0;
+        TimePoint since;
     };
 
     void tryShard(const std::shared_ptr<const SlotNeed> &need, std::size_t index, Reason last,
                   Note note, Done done);
-    void ask(const Heartbeat &keeper, SlotAsk ask, ReplyHandler done);
+    void ask(const Heartbeat &keeper, SlotAsk ask, std::shared_ptr<const SlotNeed> need,
+             ReplyHandler done);
     void sendAsk(std::uint32_t askId);
+    void takeReply(const SlotReply &reply);
+    void giveUp(std::uint32_t askId);
+    void returnLateGrant(const SlotReply &reply);
+    void give(const Endpoint &keeper, bool local, ShardId shard, std::uint32_t askId);
     void finishAsk(std::uint32_t askId, const std::optional<SlotReply> &reply);
     void scheduleReleases();
     void flushReleases();
@@ -76,6 +99,7 @@
     asio::steady_timer releaseTimer;
     std::atomic<std::uint32_t> nextAsk = 1;
     std::unordered_map<std::uint32_t, PendingAsk> pending;
+    std::unordered_map<std::uint32_t, GivenUpAsk> givenUp;
     std::map<std::pair<Endpoint, ShardId>, std::vector<std::uint32_t>> releases;
 };
 
--- a/include/plantainswitch/base/lockorder.h
+++ b/include/plantainswitch/base/lockorder.h
@@ -7,6 +7,7 @@
 /// Lock order of the shared tables, stated here only: a thread takes locks in rising rank.
 enum class LockRank : int {
     Requests = 10,
+    Queues = 15,
     Catalogue = 20,
     Members = 30,
     Upstreams = 40,
--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -20,6 +20,7 @@
 struct CatalogueView;
 struct DataClass;
 struct Entry;
+struct FairQueue;
 struct Fault;
 struct Heartbeat;
 struct LimitReport;
--- a/include/plantainswitch/observe/metrics.h
+++ b/include/plantainswitch/observe/metrics.h
@@ -22,6 +22,9 @@
     ControlBytesSent,
     ControlBytesReceived,
     PlatformCalls,
+    QueueEntered,
+    QueueRefused,
+    QueueExpired,
 };
 
 /// What is measured as a histogram for each workspace and data class.
--- a/include/plantainswitch/placement/messages.h
+++ b/include/plantainswitch/placement/messages.h
@@ -35,6 +35,12 @@
     std::uint64_t fingerprint = 0;
     /// Upstreams that already failed this request.
     std::vector<UpstreamId> avoid;
+    /// Longest wait in the keeper's queue when the shard is full; 0: don't queue. What follows
+    /// is for the queue and not filled in without a wait.
+    std::uint32_t waitMilliseconds = 0;
+    std::uint64_t workspace = 0;
+    std::uint32_t weight = 1;
+    std::uint32_t priority = 0;
 };
 
 enum class SlotVerdict : std::uint8_t {
@@ -43,6 +49,12 @@
     Overflow,
     /// The shard has no ready engine as the keeper sees it.
     Empty,
+    /// The ask waits in the keeper's queue; another reply follows.
+    Queued,
+    /// The ask waited as long as it allowed and was not granted.
+    Expired,
+    /// The wait would be longer than the ask allows.
+    Busy,
 };
 [[nodiscard]] std::string_view nameOf(SlotVerdict verdict) noexcept;
 
@@ -51,6 +63,8 @@
     std::uint32_t askId = 0;
     SlotVerdict verdict = SlotVerdict::Empty;
     UpstreamId upstream = 0;
+    /// With Busy: when to come back.
+    std::uint32_t retryAfterSeconds = 0;
 };
 
 /// Gives slots back.
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -9,6 +9,7 @@
 #include "plantainswitch/catalogue/entry.h"
 #include "plantainswitch/catalogue/parse.h"
 #include "plantainswitch/catalogue/table.h"
+#include "plantainswitch/limits/fairqueue.h"
 #include "plantainswitch/limits/shares.h"
 #include "plantainswitch/limits/table.h"
 #include "plantainswitch/membership/members.h"
--- /dev/null
+++ b/src/limits/fairqueue.cpp
@@ -0,0 +1,187 @@
+#include "plantainswitch/limits/fairqueue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace plantainswitch {
+
+namespace {
+
+constexpr double intervalSmoothing = 0.1;
+
+bool isAsk(const QueuedAsk &queued, const SlotKey &key) noexcept
+{
+    return queued.router == key.first && queued.ask.askId == key.second;
+}
+
+std::uint32_t weightOf(const SlotAsk &ask) noexcept
+{
+    return std::max<std::uint32_t>(ask.weight, 1);
+}
+
+using FlowIterator = std::map<std::uint64_t, QueueFlow>::const_iterator;
+
+FlowIterator nextFlow(const FairQueue &queue)
+{
+    auto best = queue.flows.end();
+    for (auto each = queue.flows.begin(); each != queue.flows.end(); ++each) {
+        if (!each->second.waiting.empty()
+            && (best == queue.flows.end() || each->second.start < best->second.start)) {
+            best = each;
+        }
+    }
+    return best;
+}
+
+/// A flow without waiting asks is kept only while its virtual time is ahead: forgetting it
+/// earlier would let a workspace start afresh each time its queue runs empty.
+void forgetPassedFlows(FairQueue &queue)
+{
+    if (queue.length == 0) {
+        queue.flows.clear();
+        queue.virtualTime = 0;
+        queue.lastServed.reset();
+        return;
+    }
+    std::erase_if(queue.flows, [&queue](const auto &item) {
+        return item.second.waiting.empty() && item.second.start <= queue.virtualTime;
+    });
+}
+
+QueuedAsk *findAsk(FairQueue &queue, const SlotKey &key, std::uint64_t workspace)
+{
+    const auto flow = queue.flows.find(workspace);
+    if (flow == queue.flows.end()) {
+        return nullptr;
+    }
+    std::deque<QueuedAsk> &waiting = flow->second.waiting;
+    const auto found = std::find_if(waiting.begin(), waiting.end(),
+                                    [&key](const QueuedAsk &each) { return isAsk(each, key); });
+    return found == waiting.end() ? nullptr : &*found;
+}
+
+template<typename Condition>
+std::vector<QueuedAsk> takeOut(FairQueue &queue, Condition condition)
+{
+    std::vector<QueuedAsk> taken;
+    for (auto &[workspace, flow] : queue.flows) {
+        const auto rest =
+            std::stable_partition(flow.waiting.begin(), flow.waiting.end(),
+                                  [&condition](const QueuedAsk &each) { return !condition(each); });
+        std::move(rest, flow.waiting.end(), std::back_inserter(taken));
+        flow.waiting.erase(rest, flow.waiting.end());
+    }
+    queue.length -= taken.size();
+    forgetPassedFlows(queue);
+    return taken;
+}
+
+void insertByPriority(QueueFlow &flow, QueuedAsk queued)
+{
+    const auto place =
+        std::find_if(flow.waiting.begin(), flow.waiting.end(), [&queued](const QueuedAsk &each) {
+            return each.ask.priority < queued.ask.priority;
+        });
+    flow.waiting.insert(place, std::move(queued));
+}
+
+void noteServed(FairQueue &queue, TimePoint now)
+{
+    if (queue.lastServed) {
+        const Duration interval = now - *queue.lastServed;
+        const Duration before = queue.slotInterval.value_or(interval);
+        queue.slotInterval =
+            before + std::chrono::duration_cast<Duration>((interval - before) * intervalSmoothing);
+    }
+    queue.lastServed = now;
+}
+
+} // namespace
+
+Duration expectedWait(const FairQueue &queue, std::uint64_t workspace, std::uint32_t weight)
+{
+    if (!queue.slotInterval) {
+        return Duration{0};
+    }
+    double weights = weight;
+    std::size_t ahead = 0;
+    for (const auto &[id, flow] : queue.flows) {
+        if (id == workspace) {
+            ahead = flow.waiting.size();
+        } else if (!flow.waiting.empty()) {
+            weights += flow.weight;
+        }
+    }
+    const double turns = static_cast<double>(ahead + 1) * weights / weight;
+    // Never more turns than there are asks: small queues of others end before ours does.
+    const double most = static_cast<double>(queue.length + 1);
+    return std::chrono::duration_cast<Duration>(*queue.slotInterval * std::min(turns, most));
+}
+
+QueueOutcome enqueueAsk(FairQueue &queue, std::uint64_t router, const SlotAsk &ask,
+                        const QueueSettings &settings, TimePoint now)
+{
+    const std::uint32_t weight = weightOf(ask);
+    if (QueuedAsk *known = findAsk(queue, {router, ask.askId}, ask.workspace)) {
+        known->heard = now;
+        return {QueueVerdict::Repeated, Duration{0}};
+    }
+    const Duration expected = expectedWait(queue, ask.workspace, weight);
+    const Duration bound = Milliseconds{ask.waitMilliseconds};
+    const auto known = queue.flows.find(ask.workspace);
+    const std::size_t own = known == queue.flows.end() ? 0 : known->second.waiting.size();
+    if (expected > bound || own >= settings.mostForWeight * weight
+        || queue.length >= settings.mostInAll) {
+        return {QueueVerdict::Refused, expected};
+    }
+    QueueFlow &flow = queue.flows[ask.workspace];
+    if (flow.waiting.empty()) {
+        flow.start = std::max(flow.start, queue.virtualTime);
+    }
+    flow.weight = weight;
+    insertByPriority(flow, {router, ask, now, now + bound, now});
+    ++queue.length;
+    return {QueueVerdict::Queued, expected};
+}
+
+std::vector<QueuedAsk> expireAsks(FairQueue &queue, TimePoint now)
+{
+    return takeOut(queue, [now](const QueuedAsk &each) {
+        return now >= each.expires || now - each.heard > askerTimeout;
+    });
+}
+
+const QueuedAsk *nextAsk(const FairQueue &queue)
+{
+    const auto flow = nextFlow(queue);
+    return flow == queue.flows.end() ? nullptr : &flow->second.waiting.front();
+}
+
+void popAsk(FairQueue &queue, bool served, TimePoint now)
+{
+    const auto next = nextFlow(queue);
+    if (next == queue.flows.end()) {
+        return;
+    }
+    QueueFlow &flow = queue.flows.at(next->first);
+    flow.waiting.pop_front();
+    --queue.length;
+    if (served) {
+        queue.virtualTime = std::max(queue.virtualTime, flow.start);
+        flow.start += 1.0 / flow.weight;
+        noteServed(queue, now);
+    }
+    forgetPassedFlows(queue);
+}
+
+bool cancelAsk(FairQueue &queue, const SlotKey &key)
+{
+    return !takeOut(queue, [&key](const QueuedAsk &each) { return isAsk(each, key); }).empty();
+}
+
+void cancelRouter(FairQueue &queue, std::uint64_t router)
+{
+    takeOut(queue, [router](const QueuedAsk &each) { return each.router == router; });
+}
+
+} // namespace plantainswitch
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -25,6 +25,9 @@
     std::string_view{"control_sent_bytes_total"},
     std::string_view{"control_received_bytes_total"},
     std::string_view{"platform_calls_total"},
+    std::string_view{"queue_entered_total"},
+    std::string_view{"queue_refused_total"},
+    std::string_view{"queue_expired_total"},
 };
 constexpr std::array timingNames{std::string_view{"first_byte_seconds"},
                                  std::string_view{"whole_seconds"},
--- a/src/placement/keeper.cpp
+++ b/src/placement/keeper.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr std::array verdictNames{std::string_view{"granted"}, std::string_view{"overflow"},
-                                  std::string_view{"empty"}};
+                                  std::string_view{"empty"},   std::string_view{"queued"},
+                                  std::string_view{"expired"}, std::string_view{"busy"}};
 
 std::vector<Candidate> candidatesOf(const SlotAsk &ask, const std::vector<UpstreamId> &ready)
 {
--- /dev/null
+++ b/tests/fairqueue.cpp
@@ -0,0 +1,230 @@
+#include <set>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "plantainswitch/plantainswitch.h"
+
+using namespace plantainswitch;
+
+namespace {
+
+constexpr std::uint32_t allowedWait = 1000;
+
+SlotAsk askOf(std::uint32_t id, std::uint64_t workspace, std::uint32_t weight = 1,
+              std::uint32_t priority = 0)
+{
+    SlotAsk ask{id, {"model", "hall-a", 0}, id, id, {}};
+    ask.waitMilliseconds = allowedWait;
+    ask.workspace = workspace;
+    ask.weight = weight;
+    ask.priority = priority;
+    return ask;
+}
+
+class QueueFixture
+{
+protected:
+    QueueVerdict add(const SlotAsk &ask)
+    {
+        return enqueueAsk(this->queue, 1, ask, this->settings, this->clock.now()).verdict;
+    }
+
+    std::uint64_t serve()
+    {
+        const std::uint64_t workspace = nextAsk(this->queue)->ask.workspace;
+        popAsk(this->queue, true, this->clock.now());
+        return workspace;
+    }
+
+    ManualClock clock;
+    FairQueue queue;
+    QueueSettings settings;
+};
+
+/// One history of a keeper with one engine and its queue.
+struct KeeperHistory
+{
+    enum class Fault { None, GrantAfterExpiry, FirstInFirstOut, Unbounded };
+
+    void arrive(std::uint64_t workspace)
+    {
+        const SlotAsk ask = askOf(this->nextId++, workspace);
+        QueueSettings settings;
+        settings.mostForWeight = this->fault == Fault::Unbounded ? 100'000 : mostQueued;
+        SlotAsk queued = ask;
+        queued.workspace = this->fault == Fault::FirstInFirstOut ? 0 : workspace;
+        queued.waitMilliseconds =
+            this->fault == Fault::Unbounded ? 1000 * allowedWait : allowedWait;
+        const auto outcome = enqueueAsk(this->queue, 1, queued, settings, this->clock.now());
+        if (outcome.verdict == QueueVerdict::Queued) {
+            this->waiting[ask.askId] = workspace;
+        } else if (workspace == quiet) {
+            ++this->quietUnserved;
+        }
+        this->longest = std::max(this->longest, this->queue.length);
+    }
+
+    void expire()
+    {
+        for (const QueuedAsk &each : expireAsks(this->queue, this->clock.now())) {
+            this->expired.insert(each.ask.askId);
+            if (this->waiting.at(each.ask.askId) == quiet) {
+                ++this->quietUnserved;
+            }
+            if (this->fault == Fault::GrantAfterExpiry) {
+                this->granted.insert(each.ask.askId);
+            }
+        }
+    }
+
+    void serve()
+    {
+        const QueuedAsk *next = nextAsk(this->queue);
+        if (next == nullptr) {
+            return;
+        }
+        const SlotReply reply = grantSlot(this->shard, 1, next->ask, {11}, {}, this->clock.now());
+        if (reply.verdict == SlotVerdict::Granted) {
+            this->granted.insert(next->ask.askId);
+            releaseSlot(this->shard, {1, next->ask.askId});
+            popAsk(this->queue, true, this->clock.now());
+        }
+    }
+
+    static constexpr std::uint64_t quiet = 99;
+    static constexpr std::size_t mostQueued = 8;
+
+    Fault fault = Fault::None;
+    ManualClock clock;
+    FairQueue queue;
+    ShardState shard;
+    std::uint32_t nextId = 1;
+    std::size_t longest = 0;
+    std::size_t quietUnserved = 0;
+    std::map<std::uint32_t, std::uint64_t> waiting;
+    std::set<std::uint32_t> expired;
+    std::set<std::uint32_t> granted;
+};
+
+/// Drives arrivals of three surging workspaces and a quiet one, a slot every 50 ms.
+/// \returns whether the queue was bounded, nobody quiet starved and no ask ended in two ways.
+bool historyHolds(KeeperHistory::Fault fault)
+{
+    KeeperHistory history;
+    history.fault = fault;
+    const auto arrivals =
+        *rc::gen::container<std::vector<std::uint32_t>>(200, rc::gen::inRange<std::uint32_t>(0, 6));
+    std::size_t step = 0;
+    for (const std::uint32_t count : arrivals) {
+        for (std::uint32_t each = 0; each < count; ++each) {
+            history.arrive(each % 3 + 1);
+        }
+        if (++step % 20 == 0) {
+            history.arrive(KeeperHistory::quiet);
+        }
+        history.clock.advance(Milliseconds{50});
+        // The router repeats what waits, so silence plays no part here.
+        for (auto &[workspace, flow] : history.queue.flows) {
+            for (QueuedAsk &queued : flow.waiting) {
+                queued.heard = history.clock.now();
+            }
+        }
+        history.expire();
+        history.serve();
+    }
+    const bool twice = std::any_of(history.expired.begin(), history.expired.end(),
+                                   [&](std::uint32_t id) { return history.granted.contains(id); });
+    return !twice && history.quietUnserved == 0 && history.longest <= 4 * KeeperHistory::mostQueued;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(QueueFixture, "fairQueue_surgingWorkspace_delaysItself", "[fairqueue]")
+{
+    // Workspace 1 fills the queue before workspace 2 sends a single request. In order of
+    // arrival that one would wait behind all of the surge; here it is next but one.
+    for (std::uint32_t id = 1; id <= 50; ++id) {
+        this->add(askOf(id, 1));
+    }
+    this->serve();
+    this->add(askOf(100, 2));
+    const std::uint64_t first = this->serve();
+    const std::uint64_t second = this->serve();
+    CHECK((first == 2 || second == 2));
+}
+
+TEST_CASE_METHOD(QueueFixture, "fairQueue_weights_shareSlotsInProportion", "[fairqueue]")
+{
+    for (std::uint32_t id = 0; id < 100; ++id) {
+        this->add(askOf(2 * id, 1, 3));
+        this->add(askOf(2 * id + 1, 2, 1));
+    }
+    std::size_t heavy = 0;
+    for (int turn = 0; turn < 80; ++turn) {
+        heavy += this->serve() == 1 ? 1 : 0;
+    }
+    CHECK(heavy >= 59);
+    CHECK(heavy <= 61);
+}
+
+TEST_CASE_METHOD(QueueFixture, "fairQueue_priorities_orderOneWorkspaceOnly", "[fairqueue]")
+{
+    this->add(askOf(1, 1, 1, 0));
+    this->add(askOf(2, 1, 1, 9));
+    CHECK(nextAsk(this->queue)->ask.askId == 2);
+}
+
+TEST_CASE_METHOD(QueueFixture, "fairQueue_repeatedAsk_isQueuedOnce", "[fairqueue]")
+{
+    CHECK(this->add(askOf(1, 1)) == QueueVerdict::Queued);
+    CHECK(this->add(askOf(1, 1)) == QueueVerdict::Repeated);
+    CHECK(this->queue.length == 1);
+}
+
+TEST_CASE_METHOD(QueueFixture, "fairQueue_routerGoneOrSilent_leavesTheQueue", "[fairqueue]")
+{
+    // A router dies while its asks wait. Granted later, their slots would stay taken until the
+    // member timeout; so a router that doesn't repeat its asks loses its place.
+    this->add(askOf(1, 1));
+    this->add(askOf(2, 1));
+    CHECK(cancelAsk(this->queue, {1, 1}));
+    this->clock.advance(askerTimeout + Milliseconds{1});
+    CHECK(expireAsks(this->queue, this->clock.now()).size() == 1);
+    CHECK(this->queue.length == 0);
+}
+
+TEST_CASE_METHOD(QueueFixture, "fairQueue_waitBeyondBound_isRefusedAtOnceWithTime", "[fairqueue]")
+{
+    // A slot comes free every 100 ms and an ask allows a second. The eleventh of a workspace
+    // can't be served in time; letting it wait would only delay its refusal.
+    for (std::uint32_t id = 1; id <= 8; ++id) {
+        this->add(askOf(id, 1));
+    }
+    for (int turn = 0; turn < 5; ++turn) {
+        this->clock.advance(Milliseconds{100});
+        this->serve();
+    }
+    std::uint32_t id = 100;
+    QueueOutcome outcome;
+    do {
+        outcome = enqueueAsk(this->queue, 1, askOf(id++, 1), this->settings, this->clock.now());
+    } while (outcome.verdict == QueueVerdict::Queued);
+    CHECK(this->queue.length == 10);
+    CHECK(outcome.expected > Milliseconds{allowedWait});
+    CHECK(this->add(askOf(200, 2)) == QueueVerdict::Queued);
+}
+
+TEST_CASE("fairQueue_anyHistory_boundedFairAndTruthful", "[fairqueue]")
+{
+    CHECK(rc::check("bounded, nobody starves, expired or granted but not both",
+                    [] { RC_ASSERT(historyHolds(KeeperHistory::Fault::None)); }));
+}
+
+TEST_CASE("fairQueue_brokenVariants_areCaughtByTheChecker", "[fairqueue]")
+{
+    using Fault = KeeperHistory::Fault;
+    for (const Fault fault : {Fault::GrantAfterExpiry, Fault::FirstInFirstOut, Fault::Unbounded}) {
+        CHECK_FALSE(rc::check("broken on purpose", [fault] { RC_ASSERT(historyHolds(fault)); }));
+    }
+}
--- /dev/null
+++ b/tests/limitsfleet.cpp
@@ -0,0 +1,144 @@
+#include <atomic>
+
+#include <catch2/catch.hpp>
+
+#include "fleet.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::lab;
+
+namespace {
+
+constexpr std::uint16_t ownPorts = 29500;
+constexpr std::uint32_t routers = 3;
+constexpr std::uint32_t allowedRate = 20;
+const std::string token = "token-lowther-0";
+
+Deployment deploymentWith(std::uint32_t engines)
+{
+    Deployment deployment = *deploymentOf("lowther");
+    deployment.basePort = ownPorts;
+    deployment.routers = routers;
+    deployment.engines = engines;
+    return deployment;
+}
+
+template<typename Body>
+Body &bodyOf(Deployment &deployment, const std::string &name)
+{
+    for (Entry &entry : deployment.entries) {
+        if (entry.key.name == name) {
+            return std::get<Body>(*entry.body);
+        }
+    }
+    throw std::invalid_argument(name);
+}
+
+Deployment limitedDeployment()
+{
+    Deployment deployment = deploymentWith(3);
+    bodyOf<Workspace>(deployment, "workspace-0").requestsPerSecond = allowedRate;
+    return deployment;
+}
+
+Deployment queueDeployment(std::uint32_t queueMilliseconds)
+{
+    Deployment deployment = deploymentWith(1);
+    Service &service = bodyOf<Service>(deployment, deployment.modelService);
+    service.engineCapacity = 1;
+    service.queueMilliseconds = queueMilliseconds;
+    return deployment;
+}
+
+nlohmann::json chatBody(const Fleet &fleet, std::uint32_t tokens)
+{
+    return {{"model", fleet.deployment.modelService},
+            {"max_tokens", tokens},
+            {"messages", {{{"role", "user"}, {"content", "text"}}}}};
+}
+
+nlohmann::json errorOf(const net::HttpAnswer &answer)
+{
+    const auto json = nlohmann::json::parse(answer.body, nullptr, false);
+    return json.is_object() && json.contains("error") ? json["error"] : nlohmann::json::object();
+}
+
+/// Until all routers know each other they may disagree about owner and keeper.
+bool startAndMeet(Fleet &fleet)
+{
+    return fleet.start() && Fleet::eventually([&fleet] {
+               for (std::size_t router = 0; router < routers; ++router) {
+                   const auto page = fleet.operatorPage(router, "/status");
+                   if (nlohmann::json::parse(page.body)["members"].size() != routers) {
+                       return false;
+                   }
+               }
+               return true;
+           });
+}
+
+/// Lets router 0 run a long chat, then sends a short one to router 1.
+/// \returns the answers to both.
+std::pair<net::HttpAnswer, net::HttpAnswer> chatBehindLongOne(Fleet &fleet)
+{
+    constexpr std::uint32_t longAnswer = 300;
+    net::HttpAnswer first;
+    std::thread caller([&] { first = fleet.chat(0, token, "a", chatBody(fleet, longAnswer)); });
+    CHECK(Fleet::eventually([&] { return fleet.standIns.engines.front()->load() == 1; }));
+    net::HttpAnswer second = fleet.chat(1, token, "b", chatBody(fleet, 1));
+    caller.join();
+    return {std::move(first), std::move(second)};
+}
+
+} // namespace
+
+TEST_CASE("limits_surgeOverAllRouters_staysWithinStatedFactor", "[limitsfleet]")
+{
+    // A workspace of 20 requests a second calls three routers as fast as it can. Each router
+    // sees a third only; together they must not admit more than the stated multiple.
+    Fleet fleet(limitedDeployment());
+    REQUIRE(startAndMeet(fleet));
+    constexpr int calls = 250;
+    std::atomic<int> whole = 0;
+    std::atomic<int> limited = 0;
+    const auto began = std::chrono::steady_clock::now();
+    std::vector<std::thread> callers;
+    for (std::size_t router = 0; router < routers; ++router) {
+        callers.emplace_back([&, router] {
+            for (int each = 0; each < calls; ++each) {
+                const auto answer = fleet.chat(router, token, "c", chatBody(fleet, 1));
+                whole += answer.status == 200 ? 1 : 0;
+                limited += errorOf(answer).value("kind", "") == "limit-reached" ? 1 : 0;
+            }
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    const std::chrono::duration<double> lasted = std::chrono::steady_clock::now() - began;
+    CHECK(whole + limited == calls * static_cast<int>(routers));
+    CHECK(whole <= limitFactor * allowedRate * (lasted.count() + 1) + routers);
+    CHECK(whole >= 1);
+    const auto refused = fleet.chat(0, "token-lowther-1", "c", chatBody(fleet, 1));
+    CHECK(refused.status == 200);
+}
+
+TEST_CASE("queue_engineBusyBeyondBound_refusesAsExpiredAndNotRun", "[limitsfleet]")
+{
+    Fleet fleet(queueDeployment(200));
+    REQUIRE(startAndMeet(fleet));
+    const auto [first, second] = chatBehindLongOne(fleet);
+    CHECK(first.status == 200);
+    CHECK(second.status == 503);
+    CHECK(errorOf(second).value("kind", "") == "queue-expired");
+    CHECK(errorOf(second).value("ran", "") == "no");
+}
+
+TEST_CASE("queue_engineComesFreeInTime_answersTheWaitingRequest", "[limitsfleet]")
+{
+    Fleet fleet(queueDeployment(20'000));
+    REQUIRE(startAndMeet(fleet));
+    const auto [first, second] = chatBehindLongOne(fleet);
+    CHECK(first.status == 200);
+    CHECK(second.status == 200);
+}
