--- a/daemon/router.cpp
+++ b/daemon/router.cpp
@@ -26,6 +26,7 @@
     , beats(std::make_shared<Beats>(context, node, link))
     , notices(std::make_shared<Notices>(node, link))
     , keeperService(std::make_shared<KeeperService>(node, link))
+    , limits(std::make_shared<LimitService>(node, link))
     , calls(node)
     , sync(std::make_shared<Sync>(context, node, platformHttp, beats, calls))
     , slots(std::make_shared<Slots>(context, node, link, keeperService))
@@ -53,6 +54,7 @@
     this->keeperService->start();
     this->slots->start();
     this->claims->start();
+    this->limits->start();
     this->beats->start([sync = std::weak_ptr<Sync>(this->sync)](const Heartbeat &peer) {
         if (const auto target = sync.lock()) {
             target->hearOf(peer);
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -11,6 +11,7 @@
 #include "httpclient.h"
 #include "httpserver.h"
 #include "keeperservice.h"
+#include "limitservice.h"
 #include "node.h"
 #include "notices.h"
 #include "peercalls.h"
@@ -54,6 +55,7 @@
     std::shared_ptr<Beats> beats;
     std::shared_ptr<Notices> notices;
     std::shared_ptr<KeeperService> keeperService;
+    std::shared_ptr<LimitService> limits;
     PeerCalls calls;
     std::shared_ptr<Sync> sync;
     std::shared_ptr<Slots> slots;
