--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -12,8 +12,8 @@
 #include "demo.h"
 #include "deployment.h"
 #include "load.h"
-#include "relaybench.h"
 #include "policy.h"
+#include "relaybench.h"
 #include "standins.h"
 
 namespace {
