--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -11,6 +11,7 @@
 #include "demo.h"
 #include "deployment.h"
 #include "load.h"
+#include "scale.h"
 #include "standins.h"
 
 namespace {
@@ -30,6 +31,7 @@
   stand-ins  play platform, engines and plain service of a deployment
   load       send returning chats to a deployment's routers and check the answers
   demo       stand-ins, load and an edit for all deployments; prints a table
+  scale      measure how time and memory of the library's parts grow with each size
 
 )";
 
@@ -98,8 +100,34 @@
     return run.broken() == 0 && run.whole() > 0 ? exitOk : exitFailed;
 }
 
+int runScale(const options::variables_map &given)
+{
+    ScaleOptions scale;
+    scale.shrink = std::max(1U, given["shrink"].as<unsigned>());
+    const nlohmann::ordered_json report = scaleReport(scale);
+    if (given.count("json") > 0) {
+        std::cout << report.dump(2) << "\n";
+        return exitOk;
+    }
+    for (const auto &series : report["series"]) {
+        std::cout << series["name"].get<std::string>() << ": " << series["intercept"].get<double>()
+                  << " + " << series["slope"].get<double>() << " "
+                  << series["unit"].get<std::string>() << " per "
+                  << series["size"].get<std::string>() << ", fit " << series["fit"].get<double>()
+                  << ", largest " << series["points"].back()["value"].get<double>() << " at "
+                  << series["points"].back()["size"].get<double>() << "\n";
+    }
+    for (const auto &message : report["messages"]) {
+        std::cout << message["name"].get<std::string>() << ": " << message["bytes"] << " bytes\n";
+    }
+    return exitOk;
+}
+
 int runCommand(const std::string &command, const options::variables_map &given)
 {
+    if (command == "scale") {
+        return runScale(given);
+    }
     const std::vector<Deployment> deployments = chosenDeployments(given);
     if (deployments.empty()) {
         std::cerr << "there is no such deployment\n";
@@ -142,7 +170,9 @@
         "rate", options::value<double>()->default_value(60), "requests a second and deployment")(
         "seed", options::value<std::uint64_t>()->default_value(1),
         "seed of the load")("port-offset", options::value<unsigned>()->default_value(0),
-                            "added to every port, so that several demos fit on one machine");
+                            "added to every port, so that several demos fit on one machine")(
+        "json", "scale: print JSON with every point")(
+        "shrink", options::value<unsigned>()->default_value(1), "scale: divide each size");
     options::positional_options_description positions;
     positions.add("command", 1);
     options::variables_map given;
--- /dev/null
+++ b/lab/scalemeasures.cpp
@@ -0,0 +1,407 @@
+#include "scale.h"
+
+#include <algorithm>
+#include <functional>
+#include <malloc.h>
+
+#include "peercodec.h"
+#include "plantainswitch/plantainswitch.h"
+#include "platform.h"
+
+namespace plantainswitch::lab {
+
+namespace {
+
+constexpr std::size_t placeCount = 23;
+constexpr std::size_t modelCount = 30;
+constexpr const char *modelName = "sharpen-llm-00";
+constexpr const char *placeName = "place-00";
+
+/// Keeps results alive, so that the compiler can't drop the measured work.
+volatile std::size_t sink = 0;
+
+std::size_t heapInUse()
+{
+    const struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+std::string numbered(const std::string &prefix, std::size_t number)
+{
+    constexpr std::size_t digits = 4;
+    const std::string text = std::to_string(number);
+    return prefix + "-" + std::string(digits - std::min(digits, text.size()), '0') + text;
+}
+
+/// \returns the median nanoseconds of one call out of \a calls in a row.
+double timeOf(const ScaleOptions &options, std::size_t calls,
+              const std::function<void(std::size_t)> &operation)
+{
+    std::vector<double> runs;
+    for (unsigned repeat = 0; repeat < options.repeats; ++repeat) {
+        const auto begin = std::chrono::steady_clock::now();
+        for (std::size_t call = 0; call < calls; ++call) {
+            operation(call);
+        }
+        const std::chrono::duration<double, std::nano> spent =
+            std::chrono::steady_clock::now() - begin;
+        runs.push_back(spent.count() / static_cast<double>(calls));
+    }
+    std::nth_element(runs.begin(), runs.begin() + static_cast<std::ptrdiff_t>(runs.size() / 2),
+                     runs.end());
+    return runs[runs.size() / 2];
+}
+
+Heartbeat heartbeatOf(std::size_t number)
+{
+    constexpr std::uint64_t incarnation = 1'790'000'000'000'000ULL;
+    const std::string place = numbered("place", number % placeCount);
+    const std::string host = "10.20." + std::to_string(number % placeCount) + ".17";
+    return {numbered(place + "-router", number),
+            place,
+            {host, 8082},
+            {host, 8083},
+            incarnation + number,
+            42'000,
+            false};
+}
+
+Vm engineOf(std::size_t number, std::size_t places)
+{
+    Vm vm;
+    vm.id = numbered("engine", number);
+    vm.service = modelName;
+    vm.place = places == 1 ? placeName : numbered("place", number % places);
+    vm.endpoint = {"10.30.1.17", 9000};
+    return vm;
+}
+
+Entry workspaceOf(std::size_t number, std::uint64_t version)
+{
+    Workspace body;
+    body.owner = numbered("owner", number);
+    body.dataClass = numbered("class", number % placeCount);
+    body.token = numbered("token-0123456789abcdef0123456789abcdef", number);
+    body.services = {modelName, "job-desk"};
+    body.requestsPerSecond = 100;
+    body.maxInFlight = 200;
+    return {{EntryKind::Workspace, numbered("workspace", number)}, version, body};
+}
+
+std::vector<Entry> catalogueOf(std::size_t workspaces)
+{
+    std::vector<Entry> entries;
+    std::uint64_t version = 0;
+    for (std::size_t number = 0; number < placeCount; ++number) {
+        entries.push_back({{EntryKind::DataClass, numbered("class", number)},
+                           ++version,
+                           DataClass{"owner", {numbered("place", number), placeName}, 0}});
+    }
+    for (std::size_t number = 0; number < modelCount; ++number) {
+        Service body;
+        body.owner = "owner";
+        body.dataClass = numbered("class", 0);
+        const std::string name = number == 0 ? modelName : numbered("model", number);
+        entries.push_back({{EntryKind::Service, name}, ++version, body});
+    }
+    for (std::size_t number = 0; number < workspaces; ++number) {
+        entries.push_back(workspaceOf(number, ++version));
+    }
+    return entries;
+}
+
+/// Runs each part's measurement at several sizes and gathers the points.
+class Measurement
+{
+public:
+    explicit Measurement(const ScaleOptions &options)
+        : options(options)
+    {}
+
+    void members();
+    void keepers();
+    void upstreams();
+    void catalogue();
+    void metrics();
+    void stream();
+    void datagrams();
+    void platformLists();
+
+    std::vector<ScaleSeries> series;
+
+private:
+    void add(const std::string &name, const std::string &size, const std::string &unit, double at,
+             double value)
+    {
+        const auto found =
+            std::find_if(this->series.begin(), this->series.end(),
+                         [&name](const ScaleSeries &each) { return each.name == name; });
+        if (found == this->series.end()) {
+            this->series.push_back({name, size, unit, {{at, value}}});
+            return;
+        }
+        found->points.push_back({at, value});
+    }
+
+    [[nodiscard]] std::vector<std::size_t> sizes(std::vector<std::size_t> full) const
+    {
+        for (std::size_t &size : full) {
+            size = std::max<std::size_t>(2, size / this->options.shrink);
+        }
+        return full;
+    }
+
+    ScaleOptions options;
+};
+
+void Measurement::members()
+{
+    constexpr std::size_t rounds = 2000;
+    for (const std::size_t routers : this->sizes({52, 300, 600, 900, 1200})) {
+        std::vector<Heartbeat> beats;
+        for (std::size_t number = 0; number < routers; ++number) {
+            beats.push_back(heartbeatOf(number));
+        }
+        const std::size_t before = heapInUse();
+        MemberTable table;
+        for (const Heartbeat &beat : beats) {
+            table.hear(beat, TimePoint{});
+        }
+        const auto at = static_cast<double>(routers);
+        const auto grown = static_cast<double>(heapInUse() - before);
+        this->add("members.memory", "routers", "bytes", at, grown);
+        this->add("members.hear", "routers", "ns", at,
+                  timeOf(this->options, rounds, [&](std::size_t call) {
+                      table.hear(beats[call % routers], TimePoint{});
+                  }));
+        this->add(
+            "members.list-active", "routers", "ns", at,
+            timeOf(this->options, rounds / 10, [&](std::size_t) { sink = table.active().size(); }));
+        const std::vector<Heartbeat> active = table.active();
+        this->add("members.keeper-of-shard", "routers", "ns", at,
+                  timeOf(this->options, rounds / 10, [&](std::size_t call) {
+                      const Shard shard{modelName, numbered("place", call % placeCount), 0};
+                      sink = keeperOf(shard, active)->id.size();
+                  }));
+    }
+}
+
+void Measurement::keepers()
+{
+    constexpr std::uint32_t held = 20'000;
+    constexpr std::uint64_t router = 7;
+    for (const std::size_t engines : this->sizes({10, 50, 100, 200, 434})) {
+        std::vector<UpstreamId> ready;
+        for (std::size_t number = 0; number < engines; ++number) {
+            ready.push_back(upstreamIdOf(numbered("engine", number)));
+        }
+        BoundSettings bound;
+        bound.capacity = held;
+        ShardState state;
+        const Shard shard{modelName, placeName, 0};
+        const std::size_t before = heapInUse();
+        for (std::uint32_t id = 1; id <= held; ++id) {
+            grantSlot(state, router, {id, shard, hashOf("chat", id), id, {}}, ready, bound,
+                      TimePoint{});
+        }
+        const auto at = static_cast<double>(engines);
+        this->add("keeper.memory-a-slot", "engines", "bytes", at,
+                  static_cast<double>(heapInUse() - before) / held);
+        this->add("keeper.grant-and-release", "engines", "ns", at,
+                  timeOf(this->options, 2000, [&](std::size_t call) {
+                      const auto id = static_cast<std::uint32_t>(held + 1 + call);
+                      grantSlot(state, router, {id, shard, hashOf("chat", id), id, {}}, ready,
+                                bound, TimePoint{});
+                      releaseSlot(state, {router, id});
+                  }));
+    }
+}
+
+void Measurement::upstreams()
+{
+    Admission admission;
+    admission.service = modelName;
+    admission.places = {numbered("place", 0), numbered("place", 1)};
+    admission.serviceEntry.shards = 8;
+    for (const std::size_t engines : this->sizes({400, 2500, 5000, 10'000})) {
+        std::vector<Vm> vms;
+        for (std::size_t number = 0; number < engines; ++number) {
+            vms.push_back(engineOf(number, placeCount));
+        }
+        const std::size_t before = heapInUse();
+        UpstreamTable table;
+        table.replace(vms);
+        const auto at = static_cast<double>(engines);
+        this->add("upstreams.memory", "engines", "bytes", at,
+                  static_cast<double>(heapInUse() - before));
+        this->add("upstreams.take-list", "engines", "ns", at,
+                  timeOf(this->options, 3, [&](std::size_t) { table.replace(vms); }));
+        Reason reason;
+        this->add("placement.plan", "engines", "ns", at,
+                  timeOf(this->options, 100, [&](std::size_t call) {
+                      sink = planPlacement(admission, call, table, TimePoint{Seconds{1}}, reason)
+                                 ->shards.size();
+                  }));
+        const Shard shard{modelName, admission.places.front(), 0};
+        this->add("keeper.ready-engines", "engines", "ns", at,
+                  timeOf(this->options, 100, [&](std::size_t) {
+                      sink = readyOf(table, shard, admission.serviceEntry.shards,
+                                     TimePoint{Seconds{1}})
+                                 .size();
+                  }));
+    }
+}
+
+void Measurement::catalogue()
+{
+    for (const std::size_t workspaces : this->sizes({100, 1000, 2500, 5000, 7300})) {
+        const std::vector<Entry> entries = catalogueOf(workspaces);
+        const std::size_t before = heapInUse();
+        CatalogueTable table;
+        table.merge(entries);
+        const auto at = static_cast<double>(workspaces);
+        this->add("catalogue.memory", "workspaces", "bytes", at,
+                  static_cast<double>(heapInUse() - before));
+        std::uint64_t version = entries.size();
+        this->add("catalogue.merge-one-edit", "workspaces", "ns", at,
+                  timeOf(this->options, 5, [&](std::size_t call) {
+                      table.merge({workspaceOf(call % workspaces, ++version)});
+                  }));
+        this->add("catalogue.pull-one-edit", "workspaces", "ns", at,
+                  timeOf(this->options, 20,
+                         [&](std::size_t) { sink = table.entriesAbove(version - 1).size(); }));
+        const auto view = table.view();
+        Reason reason;
+        const std::string token = std::get<Workspace>(*workspaceOf(workspaces / 2, 1).body).token;
+        this->add("catalogue.admit", "workspaces", "ns", at,
+                  timeOf(this->options, 2000, [&](std::size_t) {
+                      sink = admit(*view, token, modelName, Duration{}, reason)->places.size();
+                  }));
+    }
+}
+
+void Measurement::metrics()
+{
+    for (const std::size_t workspaces : this->sizes({10, 500, 2000, 4000, 7300})) {
+        const std::size_t before = heapInUse();
+        Metrics metrics;
+        const auto record = [&](std::size_t call) {
+            metrics.record(Timing::Whole, numbered("workspace", call % workspaces), "class-0000",
+                           Milliseconds{static_cast<int>(call % 1000)});
+        };
+        for (std::size_t call = 0; call < workspaces; ++call) {
+            record(call);
+        }
+        const auto at = static_cast<double>(workspaces);
+        this->add("metrics.memory-one-timing", "workspaces", "bytes", at,
+                  static_cast<double>(heapInUse() - before));
+        this->add("metrics.record", "workspaces", "ns", at, timeOf(this->options, 5000, record));
+        this->add("metrics.render-one-timing", "workspaces", "ns", at,
+                  timeOf(this->options, 1, [&](std::size_t) { sink = metrics.render().size(); }));
+        this->add("metrics.page-one-timing", "workspaces", "bytes", at,
+                  static_cast<double>(metrics.render().size()));
+    }
+}
+
+void Measurement::stream()
+{
+    for (const std::size_t tokens : this->sizes({100, 400, 1000, 2000})) {
+        std::string bytes;
+        for (std::size_t number = 0; number < tokens; ++number) {
+            bytes += R"(data: {"id":"attempt-0001","object":"chat.completion.chunk","choices":[)"
+                     R"({"index":0,"delta":{"content":" wheel"},"finish_reason":null}]})"
+                     "\n\n";
+        }
+        this->add("relay.check-an-answer", "tokens", "ns", static_cast<double>(tokens),
+                  timeOf(this->options, 5, [&](std::size_t) {
+                      SseParser parser;
+                      StreamProgress progress;
+                      std::vector<std::string> events;
+                      sink = parser.feed(bytes, events) ? 1 : 0;
+                      for (const std::string &event : events) {
+                          sink = acceptEvent(event, "attempt-0001", progress) ? 1 : 0;
+                      }
+                  }));
+    }
+}
+
+void Measurement::datagrams()
+{
+    constexpr std::size_t rounds = 20'000;
+    for (const std::size_t slots : this->sizes({2, 8, 32, 128})) {
+        SlotRelease release{1, std::vector<std::uint32_t>(slots, 1'000'000)};
+        this->add("codec.release-both-ways", "slots", "ns", static_cast<double>(slots),
+                  timeOf(this->options, rounds / slots, [&](std::size_t call) {
+                      sink = decode(encode({call, release}))->body.index();
+                  }));
+    }
+    for (const std::size_t letters : this->sizes({8, 32, 64})) {
+        Heartbeat beat = heartbeatOf(1);
+        beat.id.assign(letters, 'r');
+        this->add("codec.heartbeat-both-ways", "letters of the id", "ns",
+                  static_cast<double>(letters),
+                  timeOf(this->options, rounds, [&](std::size_t call) {
+                      sink = decode(encode({call, beat}))->body.index();
+                  }));
+    }
+}
+
+void Measurement::platformLists()
+{
+    for (const std::size_t vms : this->sizes({400, 2500, 5000, 11'200})) {
+        nlohmann::json list = nlohmann::json::array();
+        for (std::size_t number = 0; number < vms; ++number) {
+            list.push_back(net::toJson(engineOf(number, placeCount)));
+        }
+        const std::string text = list.dump();
+        const auto at = static_cast<double>(vms);
+        this->add("platform.vm-list-size", "vms", "bytes", at, static_cast<double>(text.size()));
+        this->add("platform.read-vm-list", "vms", "ns", at,
+                  timeOf(this->options, 1, [&](std::size_t) { sink = net::vmsOf(text)->size(); }));
+    }
+}
+
+std::size_t encodedSize(const PeerBody &body)
+{
+    constexpr std::uint64_t sender = 0x1234'5678'9abc'def0ULL;
+    return encode({sender, body}).size();
+}
+
+} // namespace
+
+std::vector<ScaleSeries> measureScale(const ScaleOptions &options)
+{
+    Measurement measurement(options);
+    measurement.members();
+    measurement.keepers();
+    measurement.upstreams();
+    measurement.catalogue();
+    measurement.metrics();
+    measurement.stream();
+    measurement.datagrams();
+    measurement.platformLists();
+    return measurement.series;
+}
+
+std::vector<MessageSize> messageSizes()
+{
+    constexpr std::uint32_t askId = 1'000'000;
+    const Shard shard{modelName, placeName, 3};
+    const UpstreamId upstream = upstreamIdOf("engine-0001");
+    const std::uint64_t chat = hashOf("workspace/chat");
+    const std::uint64_t content = hashOf("body");
+    SlotRelease release{shardIdOf(shard), {askId}};
+    std::vector<MessageSize> sizes{
+        {"heartbeat", encodedSize(heartbeatOf(1))},
+        {"slot-ask", encodedSize(SlotAsk{askId, shard, chat, content, {}})},
+        {"slot-reply", encodedSize(SlotReply{askId, SlotVerdict::Granted, upstream})},
+        {"slot-release-of-1", encodedSize(release)}};
+    constexpr std::size_t severalReleases = 8;
+    release.askIds.assign(severalReleases, askId);
+    sizes.push_back({"slot-release-of-8", encodedSize(release)});
+    const Entry workspace = workspaceOf(1, 1);
+    sizes.push_back({"workspace-entry-json", toJson(*workspace.body).dump().size()});
+    return sizes;
+}
+
+} // namespace plantainswitch::lab
--- a/src/catalogue/parse.cpp
+++ b/src/catalogue/parse.cpp
@@ -1,7 +1,7 @@
 #include "plantainswitch/catalogue/parse.h"
 
+#include <algorithm>
 #include <array>
-#include <set>
 
 #include <nlohmann/json.hpp>
 
@@ -24,27 +24,59 @@
 constexpr std::uint32_t mostQueueMilliseconds = 60'000;
 constexpr std::uint32_t mostStaleSeconds = 7 * 24 * 3600;
 
-/// Watches a document while it is parsed, for what a finished document no longer shows.
-struct DocumentWatch
+/// Reads a document without building it, for what a finished document no longer shows.
+class DocumentCheck final : public nlohmann::json_sax<nlohmann::json>
 {
-    std::vector<std::set<std::string>> names;
+public:
+    bool null() override { return true; }
+    bool boolean(bool /*value*/) override { return true; }
+    bool number_integer(number_integer_t /*value*/) override { return true; }
+    bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
+    bool number_float(number_float_t /*value*/, const string_t & /*text*/) override { return true; }
+    bool string(string_t & /*value*/) override { return true; }
+    bool binary(binary_t & /*value*/) override { return true; }
+    bool start_object(std::size_t /*size*/) override { return this->enter(); }
+    bool start_array(std::size_t /*size*/) override { return this->enter(); }
+    bool key(string_t &name) override
+    {
+        this->levels.back().push_back(std::move(name));
+        return true;
+    }
+    bool end_object() override
+    {
+        std::vector<std::string> &names = this->levels.back();
+        std::sort(names.begin(), names.end());
+        const auto twin = std::adjacent_find(names.begin(), names.end());
+        if (twin != names.end()) {
+            this->twice = *twin;
+        }
+        this->levels.pop_back();
+        return !this->twice;
+    }
+    bool end_array() override
+    {
+        this->levels.pop_back();
+        return true;
+    }
+    bool parse_error(std::size_t /*position*/, const std::string & /*last*/,
+                     const nlohmann::detail::exception & /*error*/) override
+    {
+        return false;
+    }
+
     std::optional<std::string> twice;
     bool tooDeep = false;
 
-    bool take(int depth, nlohmann::json::parse_event_t event, const nlohmann::json &parsed)
+private:
+    bool enter()
     {
-        using Parsed = nlohmann::json::parse_event_t;
-        if (event == Parsed::object_start) {
-            this->names.emplace_back();
-        } else if (event == Parsed::object_end) {
-            this->names.pop_back();
-        } else if (event == Parsed::key
-                   && !this->names.back().insert(parsed.get<std::string>()).second) {
-            this->twice = parsed.get<std::string>();
-        }
-        this->tooDeep = this->tooDeep || depth > deepestJson;
+        this->levels.emplace_back();
+        this->tooDeep = this->levels.size() > deepestJson;
         return !this->tooDeep;
     }
+
+    /// The field names of each open object; empty for an array.
+    std::vector<std::vector<std::string>> levels;
 };
 
 DataClass readDataClass(FieldReader &fields)
@@ -167,29 +199,24 @@
 
 std::optional<nlohmann::json> parseJson(std::string_view text, std::vector<Fault> &faults)
 {
-    DocumentWatch watch;
-    nlohmann::json json = nlohmann::json::parse(
-        text,
-        [&watch](int depth, nlohmann::json::parse_event_t event, nlohmann::json &parsed) {
-            return watch.take(depth, event, parsed);
-        },
-        false);
-    if (watch.tooDeep) {
+    DocumentCheck check;
+    const bool whole = nlohmann::json::sax_parse(text, &check);
+    if (check.tooDeep) {
         faults.push_back(
             {"/", "a deeper document", "at most " + std::to_string(deepestJson) + " levels"});
         return std::nullopt;
     }
-    if (json.is_discarded()) {
-        faults.push_back({"/", "text that is not JSON", "a JSON document"});
-        return std::nullopt;
-    }
-    if (watch.twice) {
+    if (check.twice) {
         constexpr std::size_t longestExcerpt = 60;
-        faults.push_back({"/", "the field \"" + watch.twice->substr(0, longestExcerpt) + "\" twice",
+        faults.push_back({"/", "the field \"" + check.twice->substr(0, longestExcerpt) + "\" twice",
                           "each field once"});
         return std::nullopt;
     }
-    return json;
+    if (!whole) {
+        faults.push_back({"/", "text that is not JSON", "a JSON document"});
+        return std::nullopt;
+    }
+    return nlohmann::json::parse(text, nullptr, false);
 }
 
 } // namespace plantainswitch
