--- a/src/claims/entrycodec.cpp
+++ b/src/claims/entrycodec.cpp
@@ -97,7 +97,8 @@
 {
     const auto position = numberAt(json, "position");
     const auto time = numberAt(json, "time");
-    if (!position || !time || !json.contains("entries") || !json.contains("nonce")) {
+    if (!position || !time || !json.contains("entries") || !json.contains("nonce")
+        || !json["nonce"].is_string()) {
         return std::nullopt;
     }
     return BatchRecord{*position, json["nonce"].get<std::string>(), *time,
--- a/tests/fuzz.cpp
+++ b/tests/fuzz.cpp
@@ -11,6 +11,8 @@
 #include "refusal.h"
 #include "settings.h"
 
+#include "../src/claims/entrycodec.h"
+
 using namespace plantainswitch;
 
 namespace {
@@ -299,7 +301,10 @@
     return {{1, Heartbeat{"r0", "hall-a", address, address, 5, 6, true}},
             {2, SlotAsk{7, shard, 8, 9, {10, 11}}},
             {3, SlotReply{7, SlotVerdict::Overflow, 12}},
-            {4, SlotRelease{13, {14, 15, 16}}}};
+            {4, SlotRelease{13, {14, 15, 16}}},
+            {5, ClaimAsk{{{1, 2}, 3, 4, 5}, 6}},
+            {6, ClaimReply{4, ClaimVerdict::Taken, {{1, 2}, 3, 4, 5}}},
+            {7, ClaimRelease{{1, 2}, 4}}};
 }
 
 void checkAddress(const Endpoint &endpoint)
@@ -456,6 +461,27 @@
     }
 }
 
+TEST_CASE_METHOD(FuzzFixture, "claimRecord_damagedField_isRefusedOrReadsBackEqual", "[fuzz]")
+{
+    const ClaimLogEntry entry{{{1, 2}, 3, 4, 5}, false};
+    const nlohmann::json batch = encodeBatch({9, "nonce", 10, {entry}});
+    const nlohmann::json segment = encodeSegment({11, 12, 13, {entry}});
+    for (std::size_t round = 0; round < fieldRounds; ++round) {
+        nlohmann::json document = batch;
+        this->damageField(document);
+        if (const auto read = decodeBatch(document)) {
+            REQUIRE(decodeBatch(encodeBatch(*read)));
+        }
+        document = segment;
+        this->damageField(document);
+        if (const auto read = decodeSegment(document)) {
+            REQUIRE(decodeSegment(encodeSegment(*read)));
+        }
+    }
+    REQUIRE(encodeBatch(*decodeBatch(batch)) == batch);
+    REQUIRE(encodeSegment(*decodeSegment(segment)) == segment);
+}
+
 TEST_CASE("platformAnswer_versionAsText_isRefused", "[fuzz]")
 {
     // A proxy before the platform answers in its place with JSON of another shape. Reading the
