--- a/lab/scalemeasures.cpp
+++ b/lab/scalemeasures.cpp
@@ -126,6 +126,7 @@
     void stream();
     void datagrams();
     void platformLists();
+    void claims();
 
     std::vector<ScaleSeries> series;
 
@@ -361,6 +362,51 @@
     }
 }
 
+/// Writes \a count claims through a log whose store answers at once. \returns the bytes written.
+std::size_t writeClaims(ClaimLog &log, std::size_t count)
+{
+    constexpr std::size_t batch = 8;
+    std::size_t bytes = 0;
+    std::uint64_t version = 0;
+    TimePoint now{Seconds{1}};
+    for (std::size_t done = 0; done < count; now += log.limits.pace) {
+        for (std::size_t each = 0; each < batch && log.pending.size() < batch; ++each) {
+            const std::uint64_t nonce = ++version;
+            enqueueClaim(log, {{{hashOf("key", nonce), nonce}, 7, nonce, nonce}, 0});
+        }
+        const WallTime wall{Milliseconds{1'790'000'000'000} + Milliseconds{version}};
+        const std::optional<StoreCall> call = nextStoreCall(log, now, wall);
+        if (!call) {
+            continue;
+        }
+        StoreAnswer answer{StoreOutcome::NotFound, 0, nullptr};
+        if (call->write) {
+            bytes += call->body.dump().size();
+            answer = {StoreOutcome::Ok, ++version, call->body};
+        }
+        done += takeStoreAnswer(log, answer, now).size();
+    }
+    return bytes;
+}
+
+void Measurement::claims()
+{
+    for (const std::size_t count : this->sizes({1000, 8000, 32'000, 100'000})) {
+        const auto at = static_cast<double>(count);
+        const std::size_t before = heapInUse();
+        ClaimLog log;
+        log.writer = 7;
+        const auto begin = std::chrono::steady_clock::now();
+        const std::size_t bytes = writeClaims(log, count);
+        const std::chrono::duration<double, std::nano> spent =
+            std::chrono::steady_clock::now() - begin;
+        this->add("claims.memory", "claims", "bytes", at,
+                  static_cast<double>(heapInUse() - before));
+        this->add("claims.written", "claims", "bytes", at, static_cast<double>(bytes));
+        this->add("claims.write-in-batches-of-8", "claims", "ns", at, spent.count());
+    }
+}
+
 std::size_t encodedSize(const PeerBody &body)
 {
     constexpr std::uint64_t sender = 0x1234'5678'9abc'def0ULL;
@@ -380,6 +426,7 @@
     measurement.stream();
     measurement.datagrams();
     measurement.platformLists();
+    measurement.claims();
     return measurement.series;
 }
 
@@ -399,6 +446,11 @@
     constexpr std::size_t severalReleases = 8;
     release.askIds.assign(severalReleases, askId);
     sizes.push_back({"slot-release-of-8", encodedSize(release)});
+    const Claim claim{{content, chat}, upstream, upstream, content};
+    sizes.push_back({"claim-ask", encodedSize(ClaimAsk{claim, 1'790'000'000'000})});
+    sizes.push_back(
+        {"claim-reply", encodedSize(ClaimReply{claim.nonce, ClaimVerdict::Granted, {}})});
+    sizes.push_back({"claim-release", encodedSize(ClaimRelease{claim.id, claim.nonce})});
     const Entry workspace = workspaceOf(1, 1);
     sizes.push_back({"workspace-entry-json", toJson(*workspace.body).dump().size()});
     return sizes;
