Refuse probe requests without a target; keep rumours within a datagram

A probe request whose target was lost made the router send to no address, which threw and ended it. Rumours beside long names made a datagram larger than receivers take: with names of 200 bytes every message with eight rumours was refused, and a place would think nobody is there. encode() leaves rumours out until the datagram fits; they come again. Both tests fail without the mends by construction (the message decodes, or doesn't).

--- a/daemon/peercodec.cpp
+++ b/daemon/peercodec.cpp
@@ -197,11 +197,13 @@
     to.probe = from.probe();
     to.join = from.join();
     std::optional<Heartbeat> sender = read(from.from());
-    if (!sender || (from.has_target() && !isUsable(from.target()))) {
+    if (!sender || (to.kind == SwimKind::PingRequest && !isUsable(from.target()))) {
         return std::nullopt;
     }
     to.from = std::move(*sender);
-    to.target = fromWire(from.target());
+    if (to.kind == SwimKind::PingRequest) {
+        to.target = fromWire(from.target());
+    }
     for (const wire::MemberUpdate &update : from.updates()) {
         if (update.state() > static_cast<std::uint32_t>(MemberState::Gone)) {
             return std::nullopt;
@@ -254,6 +256,11 @@
     wire::Datagram datagram;
     datagram.set_sender(message.sender);
     std::visit([&datagram](const auto &body) { fill(datagram, body); }, message.body);
+    // With long names a few rumours are more than a datagram takes. The receiver would refuse it
+    // as a whole, heartbeat and all, and take the sender for gone; rumours come again.
+    while (datagram.ByteSizeLong() > longestDatagram && datagram.swim().updates_size() > 0) {
+        datagram.mutable_swim()->mutable_updates()->RemoveLast();
+    }
     return datagram.SerializeAsString();
 }
 
--- a/tests/fuzz.cpp
+++ b/tests/fuzz.cpp
@@ -373,6 +373,9 @@
         REQUIRE(encode(*again) == once);
         if (const auto *swim = std::get_if<SwimMessage>(&message->body)) {
             checkHeartbeat(swim->from);
+            if (swim->kind == SwimKind::PingRequest) {
+                checkAddress(swim->target);
+            }
             for (const MemberUpdate &update : swim->updates) {
                 checkHeartbeat(update.member);
             }
@@ -381,6 +384,37 @@
     CHECK(accepted > 0);
 }
 
+TEST_CASE("pingRequest_withoutTarget_isRefused", "[fuzz]")
+{
+    // A datagram asks a router to probe somebody, and the field that names whom was lost. The
+    // probe would go to no address at all, which can't be turned into an IP number: the router
+    // that tries ends.
+    const Endpoint good{"10.0.0.1", 2};
+    SwimMessage swim;
+    swim.from = heartbeatOf("r0", good, good);
+    wire::Datagram request;
+    REQUIRE(request.ParseFromString(encode({1, swim})));
+    CHECK(decode(request.SerializeAsString()));
+    request.mutable_swim()->set_kind(static_cast<std::uint32_t>(SwimKind::PingRequest));
+    CHECK_FALSE(decode(request.SerializeAsString()));
+}
+
+TEST_CASE("swimMessage_longNames_staysWithinADatagram", "[fuzz]")
+{
+    // Operators give routers names of 200 bytes. Eight rumours beside the sender's heartbeat are
+    // then larger than a datagram may be; every receiver refuses it, and the whole place comes
+    // to think that nobody is there.
+    const Endpoint good{"10.0.0.1", 2};
+    SwimMessage swim;
+    constexpr std::size_t longName = 200;
+    swim.from = heartbeatOf(std::string(longName, 'r'), good, good);
+    swim.updates.assign(SwimSettings{}.updatesInMessage,
+                        {heartbeatOf(std::string(longName, 's'), good, good), MemberState::Alive});
+    const auto decoded = decode(encode({1, swim}));
+    REQUIRE(decoded);
+    CHECK(std::get<SwimMessage>(decoded->body).from.id == swim.from.id);
+}
+
 TEST_CASE("heartbeat_withoutUsableAddress_isRefused", "[fuzz]")
 {
     // One damaged heartbeat names a peer by "ghost" instead of an IP number. The next beat goes
