Show claims with real routers: repeats, kills, outages, lost answers, leaving callers

The service stand-in can hold, drop, refuse and confuse its answers. An answer that echoes another request's id is not handed on. A crashed router's leftovers no longer hold its peer port.

--- a/daemon/passagerelay.cpp
+++ b/daemon/passagerelay.cpp
@@ -197,6 +197,12 @@
             this->cut({ErrorKind::UpstreamGarbage, "", std::nullopt});
             return;
         }
+        const auto echoed = this->headers.find("x-request-id");
+        if (echoed != this->headers.end() && echoed->second != this->attempt) {
+            logEvent(Event::UpstreamGarbage, {{"request", this->id}, {"echoed", echoed->second}});
+            this->cut({ErrorKind::UpstreamGarbage, "the answer to another request", {}});
+            return;
+        }
         const auto found = this->headers.find("content-type");
         const std::string type = found == this->headers.end() ? "application/json" : found->second;
         this->endClaim(OwnState::Done, KeptAnswer{this->status, type, this->body});
--- a/daemon/peerlink.cpp
+++ b/daemon/peerlink.cpp
@@ -33,6 +33,13 @@
     asio::post(this->strand, [self = this->shared_from_this()] { self->receive(); });
 }
 
+void PeerLink::forgetHandlers()
+{
+    this->handlers.clear();
+    asio::error_code ignored;
+    this->socket.close(ignored);
+}
+
 void PeerLink::receive()
 {
     this->socket.async_receive_from(
--- a/daemon/peerlink.h
+++ b/daemon/peerlink.h
@@ -33,8 +33,9 @@
     /// Opens the socket and starts receiving. \throws std::system_error when it can't be had.
     void start();
     void send(const Endpoint &to, const PeerBody &body);
-    /// Lets go of the handlers, which own their parts, once no worker runs any more.
-    void forgetHandlers() { this->handlers.clear(); }
+    /// Lets go of the handlers, which own their parts, once no worker runs any more,
+    /// and closes the socket: what a crash in a test leaves behind must not hold the port.
+    void forgetHandlers();
 
     [[nodiscard]] const asio::strand<asio::io_context::executor_type> &executor() const noexcept
     {
--- a/lab/servicestandin.cpp
+++ b/lab/servicestandin.cpp
@@ -28,22 +28,84 @@
     return this->runs.size();
 }
 
+void ServiceOrders::letGo()
+{
+    std::vector<std::function<void()>> ready;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->held = false;
+        ready.swap(this->waiting);
+    }
+    for (const auto &send : ready) {
+        send();
+    }
+}
+
+bool ServiceOrders::keep(std::function<void()> send)
+{
+    const std::lock_guard lock(this->mutex);
+    if (!this->held) {
+        return false;
+    }
+    this->waiting.push_back(std::move(send));
+    return true;
+}
+
+bool ServiceOrders::take(std::atomic<int> &left)
+{
+    int now = left;
+    while (now > 0) {
+        if (left.compare_exchange_weak(now, now - 1)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+namespace {
+
+void serveOrder(const std::string &replica, RunCounts &counts, ServiceOrders &orders,
+                const net::HttpRequest &request, const std::shared_ptr<net::HttpReply> &reply)
+{
+    constexpr int statusOk = 200;
+    constexpr int statusUnavailable = 503;
+    if (orders.takeRefusal()) {
+        reply->respond(statusUnavailable, {{"x-ran", "no"}}, "refused");
+        return;
+    }
+    const std::string key(request.header("idempotency-key"));
+    const nlohmann::json answer{{"replica", replica},
+                                {"key", key},
+                                {"run", key.empty() ? 0 : counts.add(key)},
+                                {"echo", request.body}};
+    if (orders.takeDrop()) {
+        reply->start(statusOk, {});
+        reply->abort();
+        return;
+    }
+    std::string id(request.header("x-request-id"));
+    if (orders.takeConfusion()) {
+        id += "-other";
+    }
+    const auto send = [reply, answer, id] {
+        reply->respond(statusOk, {{"content-type", "application/json"}, {"x-request-id", id}},
+                       answer.dump());
+    };
+    if (!orders.keep(send)) {
+        send();
+    }
+}
+
+} // namespace
+
 ServiceStandIn::ServiceStandIn(asio::io_context &context, const Vm &vm,
-                               std::shared_ptr<RunCounts> counts)
+                               std::shared_ptr<RunCounts> counts,
+                               std::shared_ptr<ServiceOrders> orders)
     : server(std::make_unique<net::HttpServer>(
         context, net::HttpServerOptions{vm.endpoint.host, vm.endpoint.port},
-        [counts = std::move(counts), id = vm.id](const net::HttpRequest &request,
-                                                 const std::shared_ptr<net::HttpReply> &reply) {
-            constexpr int statusOk = 200;
-            const std::string key(request.header("idempotency-key"));
-            const nlohmann::json answer{{"replica", id},
-                                        {"key", key},
-                                        {"run", key.empty() ? 0 : counts->add(key)},
-                                        {"echo", request.body}};
-            reply->respond(statusOk,
-                           {{"content-type", "application/json"},
-                            {"x-request-id", std::string(request.header("x-request-id"))}},
-                           answer.dump());
+        [counts = std::move(counts), orders = std::move(orders), id = vm.id](
+            const net::HttpRequest &request, const std::shared_ptr<net::HttpReply> &reply) {
+            serveOrder(id, *counts, *orders, request, reply);
         }))
 {}
 
--- a/lab/servicestandin.h
+++ b/lab/servicestandin.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <vector>
 
 #include "httpserver.h"
 #include "plantainswitch/membership/vm.h"
@@ -24,11 +27,43 @@
     std::map<std::string, std::uint64_t> runs;
 };
 
+/// What the replicas of a plain service are told to do wrong.
+class ServiceOrders
+{
+public:
+    /// While held, requests run but their answers wait.
+    void hold() { this->held = true; }
+    /// Ends the hold and sends the answers that wait.
+    void letGo();
+    /// Keeps \a send until letGo(). \returns whether it is held.
+    bool keep(std::function<void()> send);
+    /// The next \a count requests run, and their connections break without an answer.
+    void dropAfterRun(int count) { this->drops = count; }
+    /// The next \a count requests are refused as not run.
+    void refuse(int count) { this->refusals = count; }
+    /// The next \a count answers carry another request's id.
+    void confuse(int count) { this->confusions = count; }
+    [[nodiscard]] bool takeDrop() { return take(this->drops); }
+    [[nodiscard]] bool takeRefusal() { return take(this->refusals); }
+    [[nodiscard]] bool takeConfusion() { return take(this->confusions); }
+
+private:
+    static bool take(std::atomic<int> &left);
+
+    std::atomic<bool> held = false;
+    std::atomic<int> drops = 0;
+    std::atomic<int> refusals = 0;
+    std::atomic<int> confusions = 0;
+    std::mutex mutex;
+    std::vector<std::function<void()>> waiting;
+};
+
 /// Stand-in for a replica of a plain service: each request is a run of its idempotency key.
 class ServiceStandIn
 {
 public:
-    ServiceStandIn(asio::io_context &context, const Vm &vm, std::shared_ptr<RunCounts> counts);
+    ServiceStandIn(asio::io_context &context, const Vm &vm, std::shared_ptr<RunCounts> counts,
+                   std::shared_ptr<ServiceOrders> orders);
     void open() { this->server->open(); }
 
 private:
--- a/lab/standins.cpp
+++ b/lab/standins.cpp
@@ -5,6 +5,7 @@
 StandIns::StandIns(asio::io_context &context, const Deployment &deployment)
     : platform(context, platformOf(deployment))
     , runs(std::make_shared<RunCounts>())
+    , orders(std::make_shared<ServiceOrders>())
 {
     for (const Entry &entry : deployment.entries) {
         this->platform.set(std::string(nameOf(entry.key.kind)), entry.key.name,
@@ -15,7 +16,8 @@
         if (vm.role == VmRole::Engine) {
             this->engines.push_back(std::make_unique<EngineStandIn>(context, vm, EngineSpeed{}));
         } else {
-            this->services.push_back(std::make_unique<ServiceStandIn>(context, vm, this->runs));
+            this->services.push_back(
+                std::make_unique<ServiceStandIn>(context, vm, this->runs, this->orders));
         }
     }
     for (const RouterLayout &router : routersOf(deployment)) {
--- a/lab/standins.h
+++ b/lab/standins.h
@@ -19,6 +19,7 @@
     PlatformStandIn platform;
     std::vector<std::unique_ptr<EngineStandIn>> engines;
     std::shared_ptr<RunCounts> runs;
+    std::shared_ptr<ServiceOrders> orders;
     std::vector<std::unique_ptr<ServiceStandIn>> services;
 };
 
--- /dev/null
+++ b/tests/claimfleet.cpp
@@ -0,0 +1,267 @@
+#include <future>
+
+#include <catch2/catch.hpp>
+
+#include "fleet.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::lab;
+
+namespace {
+
+constexpr std::uint16_t ownPorts = 26500;
+
+Deployment smallDeployment()
+{
+    Deployment deployment = *deploymentOf("lowther");
+    deployment.basePort = ownPorts;
+    deployment.routers = 3;
+    return deployment;
+}
+
+/// A caller that may leave in the middle of its request.
+class Phone
+{
+public:
+    Phone()
+        : guard(asio::make_work_guard(context))
+        , http(context)
+        , worker([this] { this->context.run(); })
+    {}
+    ~Phone()
+    {
+        this->context.stop();
+        this->worker.join();
+    }
+    Phone(const Phone &) = delete;
+    Phone &operator=(const Phone &) = delete;
+
+    void send(net::HttpCall call) { this->exchange = this->http.start(std::move(call), {}); }
+    void leave() { this->exchange->cancel(); }
+
+private:
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> guard;
+    net::HttpClient http;
+    std::shared_ptr<net::HttpExchange> exchange;
+    std::thread worker;
+};
+
+class ClaimFixture
+{
+protected:
+    ClaimFixture()
+        : fleet(smallDeployment())
+    {
+        REQUIRE(this->fleet.start());
+        for (std::size_t router = 0; router < 3; ++router) {
+            REQUIRE(Fleet::eventually([&] {
+                const auto page = this->fleet.operatorPage(router, "/status");
+                return nlohmann::json::parse(page.body)["members"].size() == 3;
+            }));
+        }
+    }
+
+    static net::HttpCall orderCall(const std::string &key, const std::string &body = "sign",
+                                   std::uint32_t workspace = 0)
+    {
+        net::HttpCall call;
+        call.method = "POST";
+        call.url = "/services/track-app/receipts";
+        call.headers = {{"authorization", "Bearer token-lowther-" + std::to_string(workspace)},
+                        {"idempotency-key", key},
+                        {"x-non-idempotent", "true"}};
+        call.body = body;
+        return call;
+    }
+
+    net::HttpAnswer order(std::size_t router, const std::string &key,
+                          const std::string &body = "sign", std::uint32_t workspace = 0)
+    {
+        return this->fleet.call(router, orderCall(key, body, workspace));
+    }
+
+    void send(Phone &phone, const std::string &key) const
+    {
+        net::HttpCall call = orderCall(key);
+        call.url = "http://" + toText(this->fleet.layout[0].callers) + call.url;
+        phone.send(std::move(call));
+    }
+
+    std::future<net::HttpAnswer> orderAside(std::size_t router, const std::string &key)
+    {
+        return std::async(std::launch::async, [=, this] { return this->order(router, key); });
+    }
+
+    [[nodiscard]] bool eventuallyRan(std::size_t keys) const
+    {
+        return Fleet::eventually([&] { return this->fleet.standIns.runs->keys() == keys; });
+    }
+
+    [[nodiscard]] std::uint64_t mostRuns() const { return this->fleet.standIns.runs->highest(); }
+
+    Fleet fleet;
+};
+
+nlohmann::json errorOf(const net::HttpAnswer &answer)
+{
+    const auto json = nlohmann::json::parse(answer.body, nullptr, false);
+    return json.is_object() && json.contains("error") ? json["error"] : nlohmann::json::object();
+}
+
+std::string kindOf(const net::HttpAnswer &answer)
+{
+    return errorOf(answer).value("kind", "");
+}
+
+} // namespace
+
+TEST_CASE_METHOD(ClaimFixture, "claim_repeatAtEveryRouter_getsTheFirstAnswer", "[claims]")
+{
+    // A courier's confirmation is answered, but the answer is lost on the way to the phone.
+    // The phone sends it again and the balancer picks another router: it must get the same
+    // receipt, and the service must have run once.
+    const auto first = this->order(0, "k1");
+    REQUIRE(first.status == 200);
+    for (std::size_t router = 0; router < 3; ++router) {
+        const auto repeat = this->order(router, "k1");
+        CHECK(repeat.status == 200);
+        CHECK(repeat.body == first.body);
+        CHECK(repeat.headers.at("x-repeat") == "true");
+    }
+    CHECK(this->mostRuns() == 1);
+}
+
+TEST_CASE_METHOD(ClaimFixture, "claim_keyMisuse_isToldApart", "[claims]")
+{
+    REQUIRE(this->order(0, "k1", "sign").status == 200);
+    CHECK(kindOf(this->order(1, "k1", "refuse")) == "key-reused");
+    const auto other = this->order(1, "k1", "sign", 1);
+    CHECK(other.status == 200);
+    CHECK(other.headers.count("x-repeat") == 0);
+    CHECK(this->mostRuns() == 2);
+}
+
+TEST_CASE_METHOD(ClaimFixture, "claim_repeatWhileRunning_hearsInProgressThenAnswer", "[claims]")
+{
+    this->fleet.standIns.orders->hold();
+    auto first = this->orderAside(0, "k1");
+    REQUIRE(this->eventuallyRan(1));
+    for (std::size_t router = 0; router < 3; ++router) {
+        const auto repeat = this->order(router, "k1");
+        CHECK(kindOf(repeat) == "in-progress");
+        CHECK(errorOf(repeat).value("ran", "") == "unknown");
+    }
+    this->fleet.standIns.orders->letGo();
+    CHECK(first.get().status == 200);
+    CHECK(this->order(1, "k1").status == 200);
+    CHECK(this->mostRuns() == 1);
+}
+
+TEST_CASE_METHOD(ClaimFixture, "claim_routerKilledWhileRunning_neverRunsAgain", "[claims]")
+{
+    // The router that runs a receipt dies before the answer. The phone repeats at the others.
+    // Only the dead router knew what became of it, so the truth is that it may have run.
+    this->fleet.standIns.orders->hold();
+    Phone phone;
+    this->send(phone, "k1");
+    REQUIRE(this->eventuallyRan(1));
+    this->fleet.killRouter(0);
+    this->fleet.standIns.orders->letGo();
+    for (std::size_t router = 1; router < 3; ++router) {
+        const auto repeat = this->order(router, "k1");
+        CHECK(kindOf(repeat) == "may-have-run");
+        CHECK(errorOf(repeat).value("ran", "") == "unknown");
+    }
+    CHECK(this->mostRuns() == 1);
+}
+
+TEST_CASE_METHOD(ClaimFixture, "claim_platformOutage_refusesAsNotRunAndServesAfter", "[claims]")
+{
+    // The platform is down, so nothing can be claimed: the receipt is refused as not run, and
+    // says when to come back. Back again, the same key runs, although the write of the first
+    // try may have taken effect in between.
+    this->fleet.setFaults({{"outage", true}});
+    for (std::size_t router = 0; router < 3; ++router) {
+        const auto refused = this->order(router, "k1");
+        CHECK(kindOf(refused) == "claim-unavailable");
+        CHECK(errorOf(refused).value("ran", "") == "no");
+        CHECK(errorOf(refused).value("scope", "") == "attempt");
+        CHECK(refused.headers.count("retry-after") == 1);
+    }
+    CHECK(this->mostRuns() == 0);
+    this->fleet.setFaults({{"outage", false}});
+    CHECK(Fleet::eventually([&] { return this->order(1, "k1").status == 200; }));
+    CHECK(this->mostRuns() == 1);
+}
+
+TEST_CASE_METHOD(ClaimFixture, "claim_writeAnswerLost_isRecognisedAsOwn", "[claims]")
+{
+    // The platform takes the write and its answer is lost. The writer finds its own nonce at the
+    // position and goes on; the caller notices nothing, and a repeat doesn't run.
+    REQUIRE(this->order(0, "warm").status == 200);
+    this->fleet.setFaults({{"loseAnswers", 2}});
+    CHECK(this->order(0, "k1").status == 200);
+    CHECK(this->order(1, "k1").status == 200);
+    CHECK(this->mostRuns() == 1);
+}
+
+TEST_CASE_METHOD(ClaimFixture, "claim_slowStoreWriteAfterRefusal_isHarmless", "[claims]")
+{
+    // A write takes so long that the caller is refused as not run; then it takes effect. The
+    // claim stands in the log, but its owner never dispatched it and gives it back, so that the
+    // repeat runs, once.
+    REQUIRE(this->order(0, "warm").status == 200);
+    this->fleet.setFaults({{"slowMilliseconds", 2900}});
+    CHECK(kindOf(this->order(0, "k1")) == "claim-unavailable");
+    CHECK(this->mostRuns() == 1);
+    this->fleet.setFaults({{"slowMilliseconds", 0}});
+    CHECK(Fleet::eventually([&] { return this->order(2, "k1").status == 200; }));
+    CHECK(this->mostRuns() == 1);
+}
+
+TEST_CASE_METHOD(ClaimFixture, "claim_upstreamBreaksOff_isNotRepeated", "[claims]")
+{
+    this->fleet.standIns.orders->dropAfterRun(1);
+    const auto broken = this->order(0, "k1");
+    CHECK(kindOf(broken) == "upstream-failed");
+    CHECK(errorOf(broken).value("ran", "") == "unknown");
+    CHECK(kindOf(this->order(0, "k1")) == "may-have-run");
+    CHECK(kindOf(this->order(1, "k1")) == "may-have-run");
+    CHECK(this->mostRuns() == 1);
+}
+
+TEST_CASE_METHOD(ClaimFixture, "claim_upstreamsRefuseAsNotRun_givesTheClaimBack", "[claims]")
+{
+    // Every replica says that it did not run the receipt. The caller hears "not run", and the
+    // claim is given back: a repeat at another router runs.
+    this->fleet.standIns.orders->refuse(3);
+    const auto refused = this->order(0, "k1");
+    CHECK(errorOf(refused).value("ran", "") == "no");
+    CHECK(errorOf(refused).value("scope", "") == "request");
+    this->fleet.standIns.orders->refuse(0);
+    CHECK(Fleet::eventually([&] { return this->order(1, "k1").status == 200; }));
+    CHECK(this->mostRuns() == 1);
+}
+
+TEST_CASE_METHOD(ClaimFixture, "claim_callerLeaves_orderEndsAndRepeatGetsAnswer", "[claims]")
+{
+    // A phone loses its connection while its receipt runs. The receipt is not cut off half-way:
+    // its answer is kept, and the phone's repeat gets it, also at another router.
+    this->fleet.standIns.orders->hold();
+    Phone phone;
+    this->send(phone, "k1");
+    REQUIRE(this->eventuallyRan(1));
+    phone.leave();
+    this->fleet.standIns.orders->letGo();
+    CHECK(Fleet::eventually([&] { return this->order(1, "k1").status == 200; }));
+    CHECK(this->mostRuns() == 1);
+}
+
+TEST_CASE_METHOD(ClaimFixture, "service_answerToAnotherRequest_isNotHandedOn", "[answers]")
+{
+    this->fleet.standIns.orders->confuse(1);
+    const auto answer = this->order(0, "k1");
+    CHECK(kindOf(answer) == "upstream-garbage");
+    CHECK(errorOf(answer).value("ran", "") == "unknown");
+}
