Let a stop wait for the last written byte; admit again before each dispatch

Stop: it looked only at the count of passages, which end when an answer is made, not when it is handed to the caller's connection, so a slow caller's last bytes could be cut by the end of the process. The server now counts requests until their last write is done, ends each connection with its answer from the begin of the stop, accepts until no request has come for 200 ms (at most five times the linger), then waits for what is left, flushes slot releases and tells peers that it is gone.

Dispatch: a request that waited for a slot, or is retried, is admitted again by the view in force; a slot in a place that an edit has forbidden meanwhile, or on an upstream that began to leave, is given back and the request placed anew.

Suspicions and their denials stay in their place; only deaths, joins and leaving cross.

--- a/daemon/passage.h
+++ b/daemon/passage.h
@@ -31,6 +31,8 @@
 private:
     void admitCaller();
     void place();
+    bool admitAgain();
+    bool leftOnDispatch(const HeldSlot &held);
     void dispatch(HeldSlot held);
     net::HttpCall callTo(const Upstream &upstream) const;
     void relayHeaders(int status, const net::Headers &headers);
--- a/daemon/passageplace.cpp
+++ b/daemon/passageplace.cpp
@@ -6,6 +6,9 @@
 
 void Passage::place()
 {
+    if (!this->admitAgain()) {
+        return;
+    }
     const std::string &chat = this->request.chat.empty() ? this->id : this->request.chat;
     const std::uint64_t chatHash = mixHash(hashOf(this->admission.workspace), hashOf(chat));
     Reason reason;
--- a/daemon/passagerelay.cpp
+++ b/daemon/passagerelay.cpp
@@ -20,6 +20,9 @@
 
 void Passage::dispatch(HeldSlot held)
 {
+    if (this->leftOnDispatch(held)) {
+        return;
+    }
     this->slot = std::move(held);
     if (this->gone) {
         this->releaseSlot();
--- a/daemon/router.cpp
+++ b/daemon/router.cpp
@@ -12,6 +12,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds drainPoll{50};
+/// A balancer that has noticed the stop sends nothing for so long.
+constexpr std::chrono::milliseconds quietPeriod{200};
+/// A balancer that never notices is not waited for longer than so many times the linger.
+constexpr int mostLingers = 5;
 
 } // namespace
 
@@ -123,19 +127,46 @@
     }
     logEvent(Event::Stopping, {{"inFlight", std::to_string(this->node.inFlight)}});
     this->beats->beat();
-    this->drainTimer.expires_after(
-        std::chrono::milliseconds(this->node.settings.lingerMilliseconds));
-    this->drainTimer.async_wait([this](const asio::error_code &) { this->drain(); });
+    this->callers->closeAfterAnswers();
+    this->stopBegan = this->node.clock.now();
+    this->afterDelay(std::chrono::milliseconds(this->node.settings.lingerMilliseconds),
+                     &Router::awaitQuiet);
+}
+
+void Router::afterDelay(std::chrono::milliseconds delay, void (Router::*next)())
+{
+    this->drainTimer.expires_after(delay);
+    this->drainTimer.async_wait([this, next](const asio::error_code &error) {
+        if (!error) {
+            (this->*next)();
+        }
+    });
+}
+
+void Router::awaitQuiet()
+{
+    const TimePoint now = this->node.clock.now();
+    const std::chrono::milliseconds linger(this->node.settings.lingerMilliseconds);
+    const bool quiet = now - this->callers->lastRequest() >= quietPeriod;
+    if (!quiet && now - this->stopBegan < mostLingers * linger) {
+        this->afterDelay(drainPoll, &Router::awaitQuiet);
+        return;
+    }
+    logEvent(Event::StopDraining, {{"inFlight", std::to_string(this->node.inFlight)}});
+    this->callers->stopAccepting();
+    // What was accepted in the very last moment gets read and counted before it is looked at.
+    this->afterDelay(drainPoll, &Router::drain);
 }
 
 void Router::drain()
 {
-    if (this->node.inFlight == 0) {
-        this->context.stop();
+    const bool busy = this->node.inFlight > 0 || this->callers->unanswered() > 0
+                      || this->node.clock.now() - this->callers->lastRequest() < drainPoll;
+    if (busy) {
+        this->afterDelay(drainPoll, &Router::drain);
         return;
     }
-    this->drainTimer.expires_after(drainPoll);
-    this->drainTimer.async_wait([this](const asio::error_code &) { this->drain(); });
+    this->slots->flush([this] { this->beats->farewell([this] { this->context.stop(); }); });
 }
 
 } // namespace plantainswitch
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -40,12 +40,15 @@
     void openServers();
     void awaitSignal();
     void beginStop();
+    void awaitQuiet();
     void drain();
+    void afterDelay(std::chrono::milliseconds delay, void (Router::*next)());
 
     asio::io_context context;
     Node node;
     asio::signal_set signals;
     asio::steady_timer drainTimer;
+    TimePoint stopBegan;
     net::HttpClient platformHttp;
     std::vector<std::unique_ptr<net::HttpClient>> upstreamHttp;
     std::shared_ptr<PeerLink> link;
--- a/include/plantainswitch/membership/swim.h
+++ b/include/plantainswitch/membership/swim.h
@@ -126,6 +126,8 @@
     std::map<std::string, Rumour> rumours;
     std::vector<std::string> order;
     std::vector<std::string> crossOrder;
+    /// Whether any member is suspect or gone, so that a quiet tick walks no list.
+    bool unsettled = false;
     std::uint32_t nextProbe = 1;
     std::uint64_t periods = 0;
     TimePoint probeAt;
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -12,6 +12,7 @@
 #include "demo.h"
 #include "deployment.h"
 #include "load.h"
+#include "membersbench.h"
 #include "standins.h"
 
 namespace {
@@ -31,6 +32,7 @@
   stand-ins  play platform, engines and plain service of a deployment
   load       send returning chats to a deployment's routers and check the answers
   calls      count real routers' calls to the platform and their control bytes
+  members    run the membership functions over a queue of messages with loss and deaths
   demo       stand-ins, load and an edit for all deployments; prints a table
 
 )";
@@ -100,6 +102,24 @@
     return run.broken() == 0 && run.whole() > 0 ? exitOk : exitFailed;
 }
 
+int runMembersBench(const options::variables_map &given)
+{
+    MembersOptions members;
+    members.routers = given["routers"].as<unsigned>();
+    members.places = given["places"].as<unsigned>();
+    members.loss = given["loss"].as<double>();
+    members.seed = given["seed"].as<std::uint64_t>();
+    members.seconds = given["seconds"].as<unsigned>();
+    members.deaths = given["deaths"].as<unsigned>();
+    members.cutSeconds = given["cut"].as<unsigned>();
+    if (members.routers < members.deaths + 2 || members.places == 0) {
+        std::cerr << "there must be places, and more routers than deaths\n";
+        return exitBadInput;
+    }
+    printMembers(members, runMembers(members));
+    return exitOk;
+}
+
 int runCommand(const std::string &command, const options::variables_map &given)
 {
     const std::vector<Deployment> deployments = chosenDeployments(given);
@@ -127,6 +147,9 @@
         demo.seed = given["seed"].as<std::uint64_t>();
         return runDemo(deployments, demo) ? exitOk : exitFailed;
     }
+    if (command == "members") {
+        return runMembersBench(given);
+    }
     if (command == "calls") {
         CallsOptions calls;
         calls.routers = given["routers"].as<unsigned>();
@@ -155,6 +178,12 @@
         "number of routers")("edits", options::value<double>()->default_value(0), "edits a second")(
         "port-offset", options::value<unsigned>()->default_value(0),
         "added to every port, so that several demos fit on one machine");
+    described.add_options()("places", options::value<unsigned>()->default_value(1),
+                            "places of the members' run")(
+        "loss", options::value<double>()->default_value(0.05), "share of lost datagrams")(
+        "deaths", options::value<unsigned>()->default_value(5),
+        "routers that die")("cut", options::value<unsigned>()->default_value(0),
+                            "seconds for which the first place is cut off");
     options::positional_options_description positions;
     positions.add("command", 1);
     options::variables_map given;
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "httpserver.h"
 
+#include <atomic>
 #include <mutex>
 #include <unordered_map>
 
@@ -21,6 +22,33 @@
 
 class Reply;
 
+/// What the replies of a server share.
+struct ServerStanding
+{
+    std::atomic<bool> closing = false;
+    std::atomic<std::size_t> unanswered = 0;
+    std::atomic<std::chrono::steady_clock::rep> lastRequest = 0;
+};
+
+/// Counts as one unanswered request for as long as it lives. A reply hands it to the last write
+/// of its answer: a stop that looked only at whether an answer was made would end the process
+/// while a slow caller's last bytes wait in it, seen as a cut answer.
+class Unanswered
+{
+public:
+    explicit Unanswered(std::shared_ptr<ServerStanding> standing)
+        : standing(std::move(standing))
+    {
+        ++this->standing->unanswered;
+    }
+    ~Unanswered() { --this->standing->unanswered; }
+    Unanswered(const Unanswered &) = delete;
+    Unanswered &operator=(const Unanswered &) = delete;
+
+private:
+    std::shared_ptr<ServerStanding> standing;
+};
+
 /// Replies in progress by connection, for the news that a connection closed.
 class OpenReplies
 {
@@ -79,9 +107,12 @@
 class Reply final : public HttpReply, public std::enable_shared_from_this<Reply>
 {
 public:
-    Reply(restinio::request_handle_t request, std::shared_ptr<OpenReplies> replies)
+    Reply(restinio::request_handle_t request, std::shared_ptr<OpenReplies> replies,
+          std::shared_ptr<ServerStanding> standing)
         : request(std::move(request))
         , replies(std::move(replies))
+        , standing(std::move(standing))
+        , unanswered(std::make_shared<Unanswered>(this->standing))
     {}
 
     ~Reply() override
@@ -103,8 +134,11 @@
         for (const auto &[name, value] : headers) {
             response.append_header(name, value);
         }
+        if (this->standing->closing) {
+            response.connection_close();
+        }
         response.set_body(std::move(body));
-        response.done();
+        response.done([held = std::move(this->unanswered)](const auto &) {});
     }
 
     void start(int status, const Headers &headers) override
@@ -179,11 +213,13 @@
         if (whole) {
             this->stream->append_body(std::string("0\r\n\r\n"));
         }
-        this->stream->done();
+        this->stream->done([held = std::move(this->unanswered)](const auto &) {});
     }
 
     restinio::request_handle_t request;
     std::shared_ptr<OpenReplies> replies;
+    std::shared_ptr<ServerStanding> standing;
+    std::shared_ptr<Unanswered> unanswered;
     std::mutex mutex;
     std::optional<Streaming> stream;
     std::function<void()> gone;
@@ -267,6 +303,7 @@
 struct HttpServer::State
 {
     std::shared_ptr<OpenReplies> replies = std::make_shared<OpenReplies>();
+    std::shared_ptr<ServerStanding> standing = std::make_shared<ServerStanding>();
     std::unique_ptr<restinio::http_server_t<ServerTraits>> server;
 };
 
@@ -274,9 +311,11 @@
     : state(std::make_unique<State>())
 {
     const auto replies = this->state->replies;
-    auto onRequest = [replies,
+    const auto standing = this->state->standing;
+    auto onRequest = [replies, standing,
                       handler = std::move(handler)](const restinio::request_handle_t &request) {
-        auto reply = std::make_shared<Reply>(request, replies);
+        auto reply = std::make_shared<Reply>(request, replies, standing);
+        standing->lastRequest = std::chrono::steady_clock::now().time_since_epoch().count();
         replies->add(request->connection_id(), reply);
         handler(requestOf(request), std::move(reply));
         return restinio::request_accepted();
@@ -314,6 +353,22 @@
     this->state->server->open_sync();
 }
 
+void HttpServer::closeAfterAnswers()
+{
+    this->state->standing->closing = true;
+}
+
+std::size_t HttpServer::unanswered() const noexcept
+{
+    return this->state->standing->unanswered;
+}
+
+std::chrono::steady_clock::time_point HttpServer::lastRequest() const noexcept
+{
+    using Clock = std::chrono::steady_clock;
+    return Clock::time_point(Clock::duration(this->state->standing->lastRequest.load()));
+}
+
 void HttpServer::stopAccepting()
 {
     this->state->server->close_async([] {}, [](const std::exception_ptr &) {});
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -72,8 +73,15 @@
 
     /// Opens the port. \throws std::system_error when it can't be had.
     void open();
+    /// From now on each answer ends its connection, so that callers go elsewhere.
+    void closeAfterAnswers();
     /// Takes no further connections; those there are go on.
     void stopAccepting();
+    /// \returns the number of requests whose answer is not yet wholly handed to the caller's
+    /// connection.
+    [[nodiscard]] std::size_t unanswered() const noexcept;
+    /// \returns when the last request came in, by the steady clock.
+    [[nodiscard]] std::chrono::steady_clock::time_point lastRequest() const noexcept;
 
 private:
     struct State;
--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -94,30 +94,44 @@
     return message;
 }
 
-void gossip(SwimState &state, const SwimSettings &settings, std::vector<MemberUpdate> news,
+/// News of a member. Only wide news crosses places: at 5% loss 1,200 routers suspect and
+/// contradict each other more than once a second, which the other places need not hear of.
+struct News
+{
+    MemberUpdate update;
+    bool wide = false;
+};
+
+void gossip(SwimState &state, const SwimSettings &settings, const std::vector<News> &news,
             SwimOutput &output)
 {
     if (news.empty()) {
         return;
     }
-    SwimMessage message;
-    message.from = state.own;
-    message.updates = std::move(news);
+    SwimMessage local;
+    local.from = state.own;
+    SwimMessage across = local;
+    for (const News &each : news) {
+        local.updates.push_back(each.update);
+        if (each.wide) {
+            across.updates.push_back(each.update);
+        }
+    }
     for (const Member *member : pick(state, true, settings.fanout, "")) {
-        output.sends.push_back({member->last.datagrams, message});
+        output.sends.push_back({member->last.datagrams, local});
     }
-    if (!speaksAcross(state)) {
+    if (across.updates.empty() || !speaksAcross(state)) {
         return;
     }
     for (const Member *member : pick(state, false, settings.crossFanout, "")) {
-        output.sends.push_back({member->last.datagrams, message});
+        output.sends.push_back({member->last.datagrams, across});
     }
 }
 
 /// Takes what is said of this router itself. A wrong rumour that it is gone would take its
 /// keeper work away while it serves; a higher refutation wins over the rumour everywhere.
 void refute(SwimState &state, const SwimSettings &settings, const MemberUpdate &update,
-            std::vector<MemberUpdate> &news)
+            std::vector<News> &news)
 {
     if (update.member.incarnation != state.own.incarnation || update.state == MemberState::Alive
         || update.member.refutation < state.own.refutation) {
@@ -126,7 +140,7 @@
     state.own.refutation = update.member.refutation + 1;
     const MemberUpdate denial{state.own, MemberState::Alive};
     spread(state, settings, denial);
-    news.push_back(denial);
+    news.push_back({denial, update.state == MemberState::Gone});
 }
 
 void reportChange(const Member *known, const MemberUpdate &update, SwimOutput &output)
@@ -162,27 +176,37 @@
         next.last.vmDigest = known->last.vmDigest;
     }
     state.members[update.member.id] = std::move(next);
+    state.unsettled = state.unsettled || update.state != MemberState::Alive;
     return true;
 }
 
 void applyNews(SwimState &state, const SwimSettings &settings, const MemberUpdate &update,
-               TimePoint now, SwimOutput &output, std::vector<MemberUpdate> &news)
+               TimePoint now, SwimOutput &output, std::vector<News> &news)
 {
     if (update.member.id == state.own.id) {
         refute(state, settings, update, news);
         return;
     }
-    if (apply(state, update, now, output)) {
-        spread(state, settings, update);
-        if (update.state != MemberState::Suspect) {
-            news.push_back(update);
-        }
+    const auto known = state.members.find(update.member.id);
+    const bool wide = known == state.members.end() || !isLive(known->second)
+                      || known->second.last.incarnation != update.member.incarnation
+                      || known->second.last.leaving != update.member.leaving
+                      || update.state == MemberState::Gone;
+    if (!apply(state, update, now, output)) {
+        return;
+    }
+    if (!wide && update.member.place != state.own.place) {
+        return;
+    }
+    spread(state, settings, update);
+    if (update.state != MemberState::Suspect) {
+        news.push_back({update, wide});
     }
 }
 
 /// Takes the heartbeat that its sender put into a message.
 void hearSender(SwimState &state, const SwimSettings &settings, const Heartbeat &from,
-                TimePoint now, SwimOutput &output, std::vector<MemberUpdate> &news)
+                TimePoint now, SwimOutput &output, std::vector<News> &news)
 {
     applyNews(state, settings, {from, MemberState::Alive}, now, output, news);
     const auto found = state.members.find(from.id);
@@ -253,7 +277,9 @@
     }
     const MemberUpdate update{found->second.last, MemberState::Suspect};
     if (apply(state, update, now, output)) {
-        spread(state, settings, update);
+        if (update.member.place == state.own.place) {
+            spread(state, settings, update);
+        }
         // The suspect hears it first hand, so that it can contradict in time.
         SwimMessage told = messageOf(state, settings, SwimKind::Ping, 0);
         told.updates.insert(told.updates.begin(), update);
@@ -300,21 +326,27 @@
 void judgeSuspects(SwimState &state, const SwimSettings &settings, TimePoint now,
                    SwimOutput &output)
 {
-    std::vector<MemberUpdate> news;
+    if (!state.unsettled) {
+        return;
+    }
+    std::vector<News> news;
     for (const auto &[id, member] : state.members) {
         if (member.state == MemberState::Suspect && now - member.since >= settings.suspicion) {
-            news.push_back({member.last, MemberState::Gone});
+            news.push_back({{member.last, MemberState::Gone}, true});
         }
     }
-    for (const MemberUpdate &update : news) {
-        apply(state, update, now, output);
-        spread(state, settings, update);
+    for (const News &each : news) {
+        apply(state, each.update, now, output);
+        spread(state, settings, each.update);
     }
     gossip(state, settings, news, output);
     std::erase_if(state.members, [&](const auto &each) {
         return each.second.state == MemberState::Gone
                && now - each.second.since >= settings.remembered;
     });
+    state.unsettled = std::any_of(state.members.begin(), state.members.end(), [](const auto &each) {
+        return each.second.state != MemberState::Alive;
+    });
 }
 
 /// \returns the next member of the round, in an order shuffled anew for each round.
@@ -444,7 +476,7 @@
     if (message.from.id == state.own.id) {
         return output;
     }
-    std::vector<MemberUpdate> news;
+    std::vector<News> news;
     hearSender(state, settings, message.from, now, output, news);
     for (const MemberUpdate &update : message.updates) {
         if (message.kind == SwimKind::State && update.member.id != state.own.id) {
@@ -453,7 +485,7 @@
             applyNews(state, settings, update, now, output, news);
         }
     }
-    gossip(state, settings, std::move(news), output);
+    gossip(state, settings, news, output);
     switch (message.kind) {
     case SwimKind::Ping:
         output.sends.push_back({from, messageOf(state, settings, SwimKind::Ack, message.probe)});
