--- a/daemon/node.h
+++ b/daemon/node.h
@@ -29,6 +29,8 @@
     VmTable vms;
     UpstreamTable upstreams;
     KeeperTable keeper;
+    OwnClaimTable ownClaims;
+    SuspectTable suspects;
     ExplainTable explain;
     Metrics metrics;
     std::atomic<bool> stopping = false;
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -7,6 +7,7 @@
 #include <asio/steady_timer.hpp>
 
 #include "beats.h"
+#include "claimservice.h"
 #include "httpclient.h"
 #include "httpserver.h"
 #include "keeperservice.h"
@@ -50,6 +51,7 @@
     asio::steady_timer drainTimer;
     TimePoint stopBegan;
     net::HttpClient platformHttp;
+    net::HttpClient claimHttp;
     std::vector<std::unique_ptr<net::HttpClient>> upstreamHttp;
     std::shared_ptr<PeerLink> link;
     std::shared_ptr<Beats> beats;
@@ -58,6 +60,7 @@
     PeerCalls calls;
     std::shared_ptr<Sync> sync;
     std::shared_ptr<Slots> slots;
+    std::shared_ptr<ClaimService> claims;
     std::unique_ptr<RequestPath> path;
     std::unique_ptr<net::HttpServer> callers;
     std::unique_ptr<net::HttpServer> operators;
