Keep suspicions inside a place, tell the accused every period

Cause: a suspicion of another place's member was taken in from piggybacked rumours, but its denial stays in that place, so the listener's timer ran out. Suspicions of other places are now ignored, whoever suspects by its own probes tells the suspect again each period, and an answer to a ping carries one member at random, which mends what lost datagrams left out.

--- a/include/plantainswitch/membership/swim.h
+++ b/include/plantainswitch/membership/swim.h
@@ -124,6 +124,8 @@
     std::map<std::uint32_t, Probe> probes;
     std::map<std::uint32_t, Relay> relays;
     std::map<std::string, Rumour> rumours;
+    /// Members that this router suspects by its own probes.
+    std::set<std::string> accused;
     std::vector<std::string> order;
     std::vector<std::string> crossOrder;
     /// Whether any member is suspect or gone, so that a quiet tick walks no list.
--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -187,6 +187,12 @@
         refute(state, settings, update, news);
         return;
     }
+    const bool elsewhere = update.member.place != state.own.place;
+    if (elsewhere && update.state == MemberState::Suspect) {
+        // Its denial stays in its place, so that whoever took the suspicion in would find the
+        // member gone although it has answered.
+        return;
+    }
     const auto known = state.members.find(update.member.id);
     const bool wide = known == state.members.end() || !isLive(known->second)
                       || known->second.last.incarnation != update.member.incarnation
@@ -195,7 +201,7 @@
     if (!apply(state, update, now, output)) {
         return;
     }
-    if (!wide && update.member.place != state.own.place) {
+    if (!wide && elsewhere) {
         return;
     }
     spread(state, settings, update);
@@ -237,7 +243,7 @@
         if (!isLive(member)) {
             continue;
         }
-        message.updates.push_back({member.last, member.state});
+        message.updates.push_back({member.last, MemberState::Alive});
         if (message.updates.size() == membersInState) {
             output.sends.push_back({to, message});
             message.updates.clear();
@@ -248,6 +254,23 @@
     }
 }
 
+/// An answer to a ping, with one member at random: what a router missed by lost datagrams is
+/// mended by and by without a full exchange.
+SwimMessage ackOf(SwimState &state, const SwimSettings &settings, std::uint32_t probe)
+{
+    SwimMessage ack = messageOf(state, settings, SwimKind::Ack, probe);
+    if (ack.updates.size() >= settings.updatesInMessage || state.members.empty()) {
+        return ack;
+    }
+    std::uniform_int_distribution<std::size_t> choice(0, state.members.size() - 1);
+    const auto &[id, member] =
+        *std::next(state.members.begin(), static_cast<std::ptrdiff_t>(choice(state.random)));
+    if (member.state != MemberState::Suspect) {
+        ack.updates.push_back({member.last, member.state});
+    }
+    return ack;
+}
+
 void takeAck(SwimState &state, const SwimSettings &settings, std::uint32_t probe,
              SwimOutput &output)
 {
@@ -280,10 +303,23 @@
         if (update.member.place == state.own.place) {
             spread(state, settings, update);
         }
-        // The suspect hears it first hand, so that it can contradict in time.
+        state.accused.insert(id);
+    }
+}
+
+/// Tells each suspect first hand, period by period, so that it can contradict in time even when
+/// datagrams are lost; in another place nobody else would tell it.
+void tellAccused(SwimState &state, const SwimSettings &settings, SwimOutput &output)
+{
+    std::erase_if(state.accused, [&state](const std::string &id) {
+        const auto found = state.members.find(id);
+        return found == state.members.end() || found->second.state != MemberState::Suspect;
+    });
+    for (const std::string &id : state.accused) {
+        const Member &member = state.members.at(id);
         SwimMessage told = messageOf(state, settings, SwimKind::Ping, 0);
-        told.updates.insert(told.updates.begin(), update);
-        output.sends.push_back({update.member.datagrams, std::move(told)});
+        told.updates.insert(told.updates.begin(), {member.last, member.state});
+        output.sends.push_back({member.last.datagrams, std::move(told)});
     }
 }
 
@@ -456,6 +492,7 @@
         return output;
     }
     state.probeAt = now + settings.period;
+    tellAccused(state, settings, output);
     probe(state, settings, nextInRound(state, state.order, true), now, output);
     if (speaksAcross(state)) {
         probe(state, settings, nextInRound(state, state.crossOrder, false), now, output);
@@ -488,7 +525,7 @@
     gossip(state, settings, news, output);
     switch (message.kind) {
     case SwimKind::Ping:
-        output.sends.push_back({from, messageOf(state, settings, SwimKind::Ack, message.probe)});
+        output.sends.push_back({from, ackOf(state, settings, message.probe)});
         if (message.join) {
             answerNewcomer(state, from, output);
         }
