--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -12,6 +12,7 @@
 #include "demo.h"
 #include "deployment.h"
 #include "load.h"
+#include "membersbench.h"
 #include "policy.h"
 #include "relaybench.h"
 #include "scale.h"
@@ -35,6 +36,7 @@
   load       send returning chats to a deployment's routers and check the answers
   relay      measure what the bench deployment's router adds; needs --router-pid
   calls      count real routers' calls to the platform and their control bytes
+  members    run the membership functions over a queue of messages with loss and deaths
   demo       stand-ins, load and an edit for all deployments; prints a table
   policy     play a placement policy in the bench; see plantain-lab policy --help
   scale      measure how time and memory of the library's parts grow with each size
@@ -130,6 +132,24 @@
     return exitOk;
 }
 
+int runMembersBench(const options::variables_map &given)
+{
+    MembersOptions members;
+    members.routers = given["routers"].as<unsigned>();
+    members.places = given["places"].as<unsigned>();
+    members.loss = given["loss"].as<double>();
+    members.seed = given["seed"].as<std::uint64_t>();
+    members.seconds = given["seconds"].as<unsigned>();
+    members.deaths = given["deaths"].as<unsigned>();
+    members.cutSeconds = given["cut"].as<unsigned>();
+    if (members.routers < members.deaths + 2 || members.places == 0) {
+        std::cerr << "there must be places, and more routers than deaths\n";
+        return exitBadInput;
+    }
+    printMembers(members, runMembers(members));
+    return exitOk;
+}
+
 int runCommand(const std::string &command, const options::variables_map &given)
 {
     if (command == "scale") {
@@ -165,6 +185,9 @@
         demo.seed = given["seed"].as<std::uint64_t>();
         return runDemo(deployments, demo) ? exitOk : exitFailed;
     }
+    if (command == "members") {
+        return runMembersBench(given);
+    }
     if (command == "calls") {
         CallsOptions calls;
         calls.routers = given["routers"].as<unsigned>();
@@ -199,6 +222,12 @@
         "added to every port, so that several demos fit on one machine")(
         "json", "scale: print JSON with every point")(
         "shrink", options::value<unsigned>()->default_value(1), "scale: divide each size");
+    described.add_options()("places", options::value<unsigned>()->default_value(1),
+                            "places of the members' run")(
+        "loss", options::value<double>()->default_value(0.05), "share of lost datagrams")(
+        "deaths", options::value<unsigned>()->default_value(5),
+        "routers that die")("cut", options::value<unsigned>()->default_value(0),
+                            "seconds for which the first place is cut off");
     options::positional_options_description positions;
     positions.add("command", 1);
     options::variables_map given;
