--- /dev/null
+++ b/tests/inforce.cpp
@@ -0,0 +1,116 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "plantainswitch/plantainswitch.h"
+
+using namespace plantainswitch;
+
+namespace {
+
+Entry classAt(std::uint64_t version, const std::string &place)
+{
+    return {{EntryKind::DataClass, "regulated"}, version, DataClass{"o", {place}, 0}};
+}
+
+/// A table that takes whatever comes last, as it must not.
+class LastWinsTable
+{
+public:
+    void merge(const std::vector<Entry> &batch) { this->latest = batch.back().version; }
+    [[nodiscard]] std::uint64_t version() const { return this->latest; }
+
+private:
+    std::uint64_t latest = 0;
+};
+
+class RealTable
+{
+public:
+    void merge(const std::vector<Entry> &batch) { this->table.merge(batch); }
+    [[nodiscard]] std::uint64_t version() const { return this->table.view()->version; }
+
+private:
+    CatalogueTable table;
+};
+
+/// The platform's edits reach a table late, doubled and out of order, from peers and old lists.
+/// \returns whether the version in force ever fell.
+template<typename Table>
+bool versionFalls(const std::vector<std::uint64_t> &history)
+{
+    Table table;
+    std::uint64_t before = 0;
+    for (const std::uint64_t version : history) {
+        table.merge({classAt(version, "hall-a")});
+        if (table.version() < before) {
+            return true;
+        }
+        before = table.version();
+    }
+    return false;
+}
+
+class InForceFixture
+{
+protected:
+    ManualClock clock;
+    CatalogueTable table;
+};
+
+} // namespace
+
+TEST_CASE("inForce_anyHistory_versionNeverFalls", "[inforce]")
+{
+    const bool held = rc::check("versions never fall", [] {
+        const auto history =
+            *rc::gen::container<std::vector<std::uint64_t>>(rc::gen::inRange<std::uint64_t>(1, 50));
+        RC_ASSERT_FALSE(versionFalls<RealTable>(history));
+    });
+    CHECK(held);
+    CHECK(versionFalls<LastWinsTable>({3, 2}));
+}
+
+TEST_CASE_METHOD(InForceFixture, "inForce_unreadableEdit_keepsLastGoodAndTakesOthers", "[inforce]")
+{
+    // One batch holds an entry that this version can't read and one that it can. The first keeps
+    // its last good text in force and is handed on as it came; the second is taken.
+    this->table.merge({classAt(1, "hall-a")});
+    const Entry unread{{EntryKind::DataClass, "regulated"}, 2, std::nullopt, "{\"new\":1}"};
+    const Entry other{{EntryKind::DataClass, "other"}, 3, DataClass{"o", {"hall-b"}, 0}};
+    CHECK(this->table.merge({unread, other}) == 2);
+    CHECK(this->table.view()->dataClasses.at("regulated").places.front() == "hall-a");
+    CHECK(this->table.view()->dataClasses.contains("other"));
+    CHECK(this->table.unreadable().size() == 1);
+    CHECK(this->table.entriesAbove(1).front().version >= 2);
+    this->table.merge({classAt(4, "hall-c")});
+    CHECK(this->table.unreadable().empty());
+}
+
+TEST_CASE_METHOD(InForceFixture, "inForce_neverConfirmed_countsAsStale", "[inforce]")
+{
+    // A router starts from its peers while the platform is down. Nobody fresh ever confirmed what
+    // it got, so a class with a limit must not be served by it.
+    this->table.merge({classAt(1, "hall-a")});
+    this->table.complete(1, std::nullopt);
+    CHECK(this->table.staleness(this->clock.now()) == Duration::max());
+}
+
+TEST_CASE_METHOD(InForceFixture, "inForce_peerFreshFromPlatform_confirms", "[inforce]")
+{
+    this->table.complete(5, this->clock.now());
+    this->clock.advance(Seconds{100});
+    this->table.confirm(5, this->clock.now() - Seconds{3});
+    CHECK(this->table.staleness(this->clock.now()) == Seconds{3});
+}
+
+TEST_CASE_METHOD(InForceFixture, "inForce_peerOrPlatformBehind_doesNotConfirm", "[inforce]")
+{
+    // The platform was set back to an older copy; it and whoever asked it are fresh, but of a
+    // catalogue that this router has left behind.
+    this->table.complete(5, this->clock.now());
+    this->clock.advance(Seconds{100});
+    this->table.confirm(4, this->clock.now());
+    this->table.complete(4, this->clock.now());
+    CHECK(this->table.standing().completeTo == 5);
+    CHECK(this->table.staleness(this->clock.now()) == Seconds{100});
+}
