Prove outage, restart, edit and stops with eight real routers

test-fleetmembers: an edit on watchers and others, seven of eight routers killed and restarted during an outage, an old list, half of the routers stopped twice during streams with the platform down, all engines of a place leaving. The check of the stop is shown to fail when the routers are killed instead.

It found a crash: an answer of a peer's call came on a gRPC thread after its router was gone. The calls are now cancelled and waited for at the end of a router.

--- a/daemon/peercalls.cpp
+++ b/daemon/peercalls.cpp
@@ -1,7 +1,9 @@
 #include "peercalls.h"
 
+#include <condition_variable>
 #include <map>
 #include <mutex>
+#include <set>
 
 #include <grpcpp/grpcpp.h>
 #include <nlohmann/json.hpp>
@@ -203,7 +205,36 @@
     Node &node;
     PeerService service;
     std::unique_ptr<grpc::Server> server;
+    /// Remembers \a call until it has ended. \returns false once the router is ending.
+    bool begin(const std::shared_ptr<PullCall> &call)
+    {
+        const std::lock_guard lock(this->mutex);
+        return !this->ending && this->calls.insert(call).second;
+    }
+
+    void end(const std::shared_ptr<PullCall> &call)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->calls.erase(call);
+        this->ended.notify_all();
+    }
+
+    /// Cancels what runs and waits for it: the answers come on gRPC's threads, which would
+    /// otherwise hand them to a router that is no more.
+    void endAll()
+    {
+        std::unique_lock lock(this->mutex);
+        this->ending = true;
+        for (const auto &call : this->calls) {
+            call->context.TryCancel();
+        }
+        this->ended.wait(lock, [this] { return this->calls.empty(); });
+    }
+
     std::mutex mutex;
+    std::condition_variable ended;
+    std::set<std::shared_ptr<PullCall>> calls;
+    bool ending = false;
     std::map<Endpoint, std::shared_ptr<grpc::Channel>> channels;
 };
 
@@ -227,6 +258,7 @@
 
 void PeerCalls::stop()
 {
+    this->state->endAll();
     if (this->state->server) {
         this->state->server->Shutdown(std::chrono::system_clock::now() + std::chrono::seconds(1));
     }
@@ -241,14 +273,15 @@
     call->request.set_after_version(version);
     call->request.set_vm_stamp(vmStamp);
     call->context.set_deadline(std::chrono::system_clock::now() + pullDeadline);
-    call->stub->async()->Pull(&call->context, &call->request, &call->reply,
-                              [call, done = std::move(done)](const grpc::Status &status) {
-                                  if (!status.ok()) {
-                                      done(std::nullopt);
-                                      return;
-                                  }
-                                  done(fromWire(call->reply));
-                              });
+    if (!this->state->begin(call)) {
+        return;
+    }
+    call->stub->async()->Pull(
+        &call->context, &call->request, &call->reply,
+        [call, state = this->state.get(), done = std::move(done)](const grpc::Status &status) {
+            done(status.ok() ? std::optional(fromWire(call->reply)) : std::nullopt);
+            state->end(call);
+        });
 }
 
 void PeerCalls::ownClaim(const Heartbeat &owner, std::uint64_t nonce,
--- /dev/null
+++ b/tests/fleetmembers.cpp
@@ -0,0 +1,211 @@
+#include <atomic>
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include "fleet.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::lab;
+
+namespace {
+
+constexpr std::uint16_t ownPorts = 28000;
+/// Four in each of two places, so that one of each place does not watch.
+constexpr std::size_t routerCount = 8;
+constexpr std::size_t stoppedCount = 4;
+constexpr int callersEach = 2;
+
+Deployment eightRouters()
+{
+    Deployment deployment = *deploymentOf("lowther");
+    deployment.basePort = ownPorts;
+    deployment.routers = routerCount;
+    deployment.places = {"hall-a", "hall-b"};
+    return deployment;
+}
+
+class FleetMembersFixture
+{
+protected:
+    FleetMembersFixture()
+        : fleet(eightRouters())
+    {
+        REQUIRE(this->fleet.start());
+        REQUIRE(Fleet::eventually([this] { return this->allKnowEachOther(); }));
+    }
+
+    [[nodiscard]] nlohmann::json status(std::size_t router)
+    {
+        return nlohmann::json::parse(this->fleet.operatorPage(router, "/status").body, nullptr,
+                                     false);
+    }
+
+    bool allKnowEachOther()
+    {
+        for (std::size_t router = 0; router < routerCount; ++router) {
+            const auto page = this->status(router);
+            if (!page.is_object() || page["members"].size() != routerCount) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    bool inForce(std::size_t router, std::uint64_t version)
+    {
+        const auto page = this->status(router);
+        return page.is_object() && page["catalogueVersion"].get<std::uint64_t>() >= version;
+    }
+
+    std::uint64_t narrowClass(const std::string &place)
+    {
+        return this->fleet.standIns.platform.set("dataclass", "regulated",
+                                                 toJson(EntryBody(DataClass{"o", {place}, 0})));
+    }
+
+    [[nodiscard]] nlohmann::json body(int tokens = 8) const
+    {
+        return {{"model", this->fleet.deployment.modelService},
+                {"max_tokens", tokens},
+                {"messages", {{{"role", "user"}, {"content", "hello"}}}}};
+    }
+
+    /// Sends long answers through half of the routers and runs \a end on each of these.
+    /// \returns how many answers came whole.
+    template<typename End>
+    int wholeAnswersWhile(End end)
+    {
+        std::atomic<int> whole = 0;
+        std::vector<std::thread> callers;
+        for (int each = 0; each < callersEach * static_cast<int>(stoppedCount); ++each) {
+            callers.emplace_back([this, each, &whole] {
+                const auto answer =
+                    this->fleet.chat(static_cast<std::size_t>(each) % stoppedCount, this->token,
+                                     std::to_string(each), this->body(150));
+                const bool good = answer.status == 200 && answer.end == net::HttpEnd::Whole;
+                whole += good ? 1 : 0;
+            });
+        }
+        for (std::size_t router = 0; router < stoppedCount; ++router) {
+            CHECK(
+                Fleet::eventually([&] { return this->status(router)["inFlight"] == callersEach; }));
+        }
+        this->fleet.setFaults({{"outage", true}});
+        for (std::size_t router = 0; router < stoppedCount; ++router) {
+            end(router);
+        }
+        for (std::thread &caller : callers) {
+            caller.join();
+        }
+        return whole;
+    }
+
+    Fleet fleet;
+    std::string token = "token-lowther-0";
+};
+
+} // namespace
+
+TEST_CASE_METHOD(FleetMembersFixture, "fleet_edit_isInForceOnWatchersAndOthers", "[fleet]")
+{
+    const std::uint64_t version = this->narrowClass("hall-a");
+    for (std::size_t router = 0; router < routerCount; ++router) {
+        CHECK(Fleet::eventually([&] { return this->inForce(router, version); }));
+    }
+    const auto answer = this->fleet.chat(1, this->token, "c", this->body());
+    CHECK(answer.status == 200);
+}
+
+TEST_CASE_METHOD(FleetMembersFixture, "fleet_allButOneRestartedInOutage_keepTheNewestEdit",
+                 "[fleet]")
+{
+    // An edit is in force; the platform goes down; all routers but one are replaced. The new ones
+    // know neither the platform nor the catalogue and must get the edit from the one that stayed,
+    // not serve by nothing or by something older.
+    const std::uint64_t version = this->narrowClass("hall-b");
+    CHECK(Fleet::eventually([&] { return this->inForce(0, version); }));
+    this->fleet.setFaults({{"outage", true}});
+    for (std::size_t router = 1; router < routerCount; ++router) {
+        this->fleet.killRouter(router);
+        this->fleet.startRouter(router);
+    }
+    for (std::size_t router = 1; router < routerCount; ++router) {
+        CHECK(this->fleet.awaitReady(router));
+        CHECK(this->inForce(router, version));
+    }
+    CHECK(Fleet::eventually([this] { return this->allKnowEachOther(); }));
+    for (std::size_t router = 0; router < routerCount; ++router) {
+        CHECK(this->fleet.chat(router, this->token, "c", this->body()).status == 200);
+    }
+    this->fleet.setFaults({{"outage", false}});
+    const std::uint64_t next = this->narrowClass("hall-a");
+    for (std::size_t router = 0; router < routerCount; ++router) {
+        CHECK(Fleet::eventually([&] { return this->inForce(router, next); }));
+    }
+}
+
+TEST_CASE_METHOD(FleetMembersFixture, "fleet_oldListAfterEdit_turnsNothingBack", "[fleet]")
+{
+    // The platform goes on handing out the list as it was before an edit that the routers know.
+    this->fleet.setFaults({{"oldList", true}});
+    const std::uint64_t hidden = this->narrowClass("hall-a");
+    this->fleet.killRouter(3);
+    this->fleet.startRouter(3);
+    CHECK(this->fleet.awaitReady(3));
+    CHECK_FALSE(this->inForce(3, hidden));
+    this->fleet.setFaults({{"oldList", false}});
+    for (std::size_t router = 0; router < routerCount; ++router) {
+        CHECK(Fleet::eventually([&] { return this->inForce(router, hidden); }));
+    }
+}
+
+TEST_CASE_METHOD(FleetMembersFixture, "fleet_halfStoppedTwiceDuringStreams_cutsNothing", "[fleet]")
+{
+    // Half of the routers are asked to stop at once, and again, while each relays long answers
+    // and the platform is down. Every caller must get its whole answer, a request that comes
+    // late too, and the routers left must serve without the keepers that went.
+    const int whole = this->wholeAnswersWhile([this](std::size_t router) {
+        this->fleet.stopRouter(router);
+        this->fleet.stopRouter(router);
+        CHECK(Fleet::eventually(
+            [&] { return this->fleet.operatorPage(router, "/readyz").status == 503; }));
+        CHECK(this->fleet.chat(router, this->token, "late", this->body()).status == 200);
+    });
+    CHECK(whole == callersEach * static_cast<int>(stoppedCount));
+    for (std::size_t router = 0; router < stoppedCount; ++router) {
+        this->fleet.awaitStopped(router);
+    }
+    CHECK(Fleet::eventually([this] {
+        return this->status(routerCount - 1)["members"].size() == routerCount - stoppedCount;
+    }));
+    CHECK(this->fleet.chat(routerCount - 1, this->token, "after", this->body()).status == 200);
+}
+
+TEST_CASE_METHOD(FleetMembersFixture, "fleet_halfKilledDuringStreams_checkSeesCutAnswers",
+                 "[fleet]")
+{
+    // The broken variant of a stop ends the process at once; the check above must see it.
+    const int whole =
+        this->wholeAnswersWhile([this](std::size_t router) { this->fleet.killRouter(router); });
+    CHECK(whole == 0);
+}
+
+TEST_CASE_METHOD(FleetMembersFixture, "fleet_leavingByList_reachesRoutersThatDoNotWatch", "[fleet]")
+{
+    // All engines of hall-a begin to leave; the class permits hall-a alone, so each router that
+    // knows it refuses, and none may go on sending work there.
+    const std::uint64_t version = this->narrowClass("hall-a");
+    for (Vm vm : upstreamsOf(this->fleet.deployment)) {
+        if (vm.place == "hall-a") {
+            vm.leaving = true;
+            this->fleet.standIns.platform.setVm(vm);
+        }
+    }
+    for (std::size_t router = 0; router < routerCount; ++router) {
+        CHECK(Fleet::eventually([&] { return this->inForce(router, version); }));
+        CHECK(Fleet::eventually([&] {
+            return this->fleet.chat(router, this->token, "c", this->body()).status == 503;
+        }));
+    }
+}
