--- a/daemon/peercalls.cpp
+++ b/daemon/peercalls.cpp
@@ -263,10 +263,10 @@
 
 void PeerCalls::stop()
 {
+    this->state->open.cancelAndWait();
     if (this->state->server) {
         this->state->server->Shutdown(std::chrono::system_clock::now() + std::chrono::seconds(1));
     }
-    this->state->open.cancelAndWait();
 }
 
 void PeerCalls::pull(const Heartbeat &peer, std::uint64_t version, std::uint64_t vmStamp,
