--- a/lab/scalemeasures.cpp
+++ b/lab/scalemeasures.cpp
@@ -5,18 +5,13 @@
 #include <malloc.h>
 
 #include "peercodec.h"
-#include "plantainswitch/plantainswitch.h"
 #include "platform.h"
+#include "scaleobjects.h"
 
 namespace plantainswitch::lab {
 
 namespace {
 
-constexpr std::size_t placeCount = 23;
-constexpr std::size_t modelCount = 30;
-constexpr const char *modelName = "sharpen-llm-00";
-constexpr const char *placeName = "place-00";
-
 /// Keeps results alive, so that the compiler can't drop the measured work.
 volatile std::size_t sink = 0;
 
@@ -26,13 +21,6 @@
     return info.uordblks + info.hblkhd;
 }
 
-std::string numbered(const std::string &prefix, std::size_t number)
-{
-    constexpr std::size_t digits = 4;
-    const std::string text = std::to_string(number);
-    return prefix + "-" + std::string(digits - std::min(digits, text.size()), '0') + text;
-}
-
 /// \returns the median nanoseconds of one call out of \a calls in a row.
 double timeOf(const ScaleOptions &options, std::size_t calls,
               const std::function<void(std::size_t)> &operation)
@@ -52,68 +40,6 @@
     return runs[runs.size() / 2];
 }
 
-Heartbeat heartbeatOf(std::size_t number)
-{
-    constexpr std::uint64_t incarnation = 1'790'000'000'000'000ULL;
-    Heartbeat heartbeat;
-    heartbeat.place = numbered("place", number % placeCount);
-    heartbeat.id = numbered(heartbeat.place + "-router", number);
-    const std::string host = "10.20." + std::to_string(number % placeCount) + "."
-                             + std::to_string(1 + number / placeCount);
-    heartbeat.datagrams = {host, 8082};
-    heartbeat.calls = {host, 8083};
-    heartbeat.incarnation = incarnation + number;
-    heartbeat.catalogueVersion = 42'000;
-    heartbeat.catalogueAge = 300;
-    heartbeat.vmStamp = incarnation / 1000;
-    heartbeat.vmDigest = static_cast<std::uint32_t>(hashOf("digest"));
-    return heartbeat;
-}
-
-Vm engineOf(std::size_t number, std::size_t places)
-{
-    Vm vm;
-    vm.id = numbered("engine", number);
-    vm.service = modelName;
-    vm.place = places == 1 ? placeName : numbered("place", number % places);
-    vm.endpoint = {"10.30.1.17", 9000};
-    return vm;
-}
-
-Entry workspaceOf(std::size_t number, std::uint64_t version)
-{
-    Workspace body;
-    body.owner = numbered("owner", number);
-    body.dataClass = numbered("class", number % placeCount);
-    body.token = numbered("token-0123456789abcdef0123456789abcdef", number);
-    body.services = {modelName, "job-desk"};
-    body.requestsPerSecond = 100;
-    body.maxInFlight = 200;
-    return {{EntryKind::Workspace, numbered("workspace", number)}, version, body};
-}
-
-std::vector<Entry> catalogueOf(std::size_t workspaces)
-{
-    std::vector<Entry> entries;
-    std::uint64_t version = 0;
-    for (std::size_t number = 0; number < placeCount; ++number) {
-        entries.push_back({{EntryKind::DataClass, numbered("class", number)},
-                           ++version,
-                           DataClass{"owner", {numbered("place", number), placeName}, 0}});
-    }
-    for (std::size_t number = 0; number < modelCount; ++number) {
-        Service body;
-        body.owner = "owner";
-        body.dataClass = numbered("class", 0);
-        const std::string name = number == 0 ? modelName : numbered("model", number);
-        entries.push_back({{EntryKind::Service, name}, ++version, body});
-    }
-    for (std::size_t number = 0; number < workspaces; ++number) {
-        entries.push_back(workspaceOf(number, ++version));
-    }
-    return entries;
-}
-
 /// Runs each part's measurement at several sizes and gathers the points.
 class Measurement
 {
@@ -437,12 +363,6 @@
     }
 }
 
-std::size_t encodedSize(const PeerBody &body)
-{
-    constexpr std::uint64_t sender = 0x1234'5678'9abc'def0ULL;
-    return encode({sender, body}).size();
-}
-
 } // namespace
 
 std::vector<ScaleSeries> measureScale(const ScaleOptions &options)
@@ -460,34 +380,4 @@
     return measurement.series;
 }
 
-std::vector<MessageSize> messageSizes()
-{
-    constexpr std::uint32_t askId = 1'000'000;
-    const Shard shard{modelName, placeName, 3};
-    const UpstreamId upstream = upstreamIdOf("engine-0001");
-    const std::uint64_t chat = hashOf("workspace/chat");
-    const std::uint64_t content = hashOf("body");
-    SlotRelease release{shardIdOf(shard), {askId}};
-    SwimMessage swim;
-    swim.from = heartbeatOf(1);
-    std::vector<MessageSize> sizes{
-        {"swim-ping", encodedSize(swim)},
-        {"slot-ask", encodedSize(SlotAsk{askId, shard, chat, content, {}})},
-        {"slot-reply", encodedSize(SlotReply{askId, SlotVerdict::Granted, upstream})},
-        {"slot-release-of-1", encodedSize(release)}};
-    constexpr std::size_t severalReleases = 8;
-    release.askIds.assign(severalReleases, askId);
-    sizes.push_back({"slot-release-of-8", encodedSize(release)});
-    swim.updates.assign(SwimSettings{}.updatesInMessage, {heartbeatOf(2), MemberState::Alive});
-    sizes.push_back({"swim-ping-with-8-rumours", encodedSize(swim)});
-    const Claim claim{{content, chat}, upstream, upstream, content};
-    sizes.push_back({"claim-ask", encodedSize(ClaimAsk{claim, 1'790'000'000'000})});
-    sizes.push_back(
-        {"claim-reply", encodedSize(ClaimReply{claim.nonce, ClaimVerdict::Granted, {}})});
-    sizes.push_back({"claim-release", encodedSize(ClaimRelease{claim.id, claim.nonce})});
-    const Entry workspace = workspaceOf(1, 1);
-    sizes.push_back({"workspace-entry-json", toJson(*workspace.body).dump().size()});
-    return sizes;
-}
-
 } // namespace plantainswitch::lab
--- a/tests/fuzz.cpp
+++ b/tests/fuzz.cpp
@@ -324,7 +324,9 @@
             {4, SlotRelease{13, {14, 15, 16}}},
             {5, ClaimAsk{{{1, 2}, 3, 4, 5}, 6}},
             {6, ClaimReply{4, ClaimVerdict::Taken, {{1, 2}, 3, 4, 5}}},
-            {7, ClaimRelease{{1, 2}, 4}}};
+            {7, ClaimRelease{{1, 2}, 4}},
+            {8, LimitReport{9, {{10, 11.5, 12, 13.5, 14}}}},
+            {9, LimitShares{9, {{10, 15.5, 16}}}}};
 }
 
 void checkAddress(const Endpoint &endpoint)
