--- a/daemon/limitservice.cpp
+++ b/daemon/limitservice.cpp
@@ -52,7 +52,7 @@
 {
     const TimePoint now = this->node.clock.now();
     const std::vector<Heartbeat> active = this->node.members.active();
-    this->node.countRouters(active.size());
+    this->node.countRouters(active);
     this->node.limits.forgetIdle(now);
     const auto uses =
         this->node.limits.due(++this->sequence, this->lookup(), this->node.fleetSize(), now);
--- /dev/null
+++ b/daemon/orders.cpp
@@ -0,0 +1,268 @@
+#include "orders.h"
+
+#include <algorithm>
+
+#include <asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+namespace plantainswitch {
+
+namespace {
+
+constexpr std::chrono::milliseconds roundPeriod{1000};
+constexpr std::chrono::milliseconds engineTimeout{2000};
+constexpr const char *leaseKind = "orderlease";
+constexpr int statusOk = 200;
+
+std::string ordersOf(const Vm &engine)
+{
+    return "http://" + toText(engine.endpoint) + "/orders";
+}
+
+std::string textOf(const nlohmann::json &json, const char *name)
+{
+    const auto found = json.find(name);
+    return found != json.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+EngineReading readingOf(const Vm &vm, const net::HttpAnswer &answer)
+{
+    EngineReading reading;
+    reading.vm = vm;
+    const auto json = nlohmann::json::parse(answer.body, nullptr, false);
+    if (answer.status != statusOk || !json.is_object()) {
+        return reading;
+    }
+    reading.read = true;
+    reading.setup = {textOf(json, "model"), textOf(json, "version"), textOf(json, "adapter"),
+                     textOf(json, "role")};
+    const auto loading = json.find("loading");
+    reading.loading = loading != json.end() && loading->is_boolean() && loading->get<bool>();
+    const auto fencing = json.find("fencing");
+    if (fencing != json.end() && fencing->is_number_unsigned()) {
+        reading.fencing = fencing->get<std::uint64_t>();
+    }
+    return reading;
+}
+
+nlohmann::json orderBody(const EngineSetup &wanted, std::uint64_t fencing)
+{
+    return {{"model", wanted.model},
+            {"version", wanted.version},
+            {"adapter", wanted.adapter},
+            {"role", wanted.role},
+            {"fencing", fencing}};
+}
+
+std::optional<LeaseObject> leaseOf(const net::PlatformAnswer &answer)
+{
+    if (!answer.object || !answer.object->body.is_object()) {
+        return std::nullopt;
+    }
+    return LeaseObject{textOf(answer.object->body, "holder"), answer.object->version};
+}
+
+} // namespace
+
+OrderService::OrderService(asio::io_context &context, Node &node, net::HttpClient &http)
+    : node(node)
+    , http(http)
+    , platform(http, node.settings.platformUrl)
+    , strand(asio::make_strand(context))
+    , timer(strand)
+{}
+
+void OrderService::start()
+{
+    asio::post(this->strand, [self = this->shared_from_this()] { self->schedule(); });
+}
+
+void OrderService::schedule()
+{
+    this->look();
+    this->timer.expires_after(roundPeriod);
+    this->timer.async_wait([self = this->shared_from_this()](const asio::error_code &error) {
+        if (!error) {
+            self->schedule();
+        }
+    });
+}
+
+void OrderService::look()
+{
+    const auto view = this->node.catalogue.view();
+    if (!view || this->node.stopping) {
+        return;
+    }
+    for (const auto &[name, service] : view->services) {
+        if (service.engines.setup.empty() || !this->watchesPool(name)) {
+            continue;
+        }
+        PoolPointer &pool = this->pools[name];
+        if (!pool) {
+            pool = std::make_shared<Pool>();
+            pool->service = name;
+        }
+        if (!pool->busy) {
+            pool->wanted = service.engines;
+            this->readEngines(pool);
+        }
+    }
+}
+
+bool OrderService::watchesPool(const std::string &service) const
+{
+    const auto watcher =
+        keeperOf({service, this->node.settings.place, 0}, this->node.members.active());
+    return watcher && watcher->id == this->node.settings.id;
+}
+
+void OrderService::readEngines(const PoolPointer &pool)
+{
+    const auto engines = this->node.upstreams.ready(pool->service, this->node.settings.place,
+                                                    this->node.clock.now());
+    pool->engines.clear();
+    pool->unread = engines.size();
+    pool->busy = !engines.empty();
+    for (const Upstream &engine : engines) {
+        EngineReading reading;
+        reading.vm = engine.vm;
+        pool->engines.push_back(std::move(reading));
+    }
+    for (std::size_t index = 0; index < engines.size(); ++index) {
+        net::HttpCall call;
+        call.url = ordersOf(engines[index].vm);
+        call.wholeTimeout = engineTimeout;
+        this->http.fetch(std::move(call), [self = this->shared_from_this(), pool,
+                                           index](const net::HttpAnswer &answer) {
+            asio::post(self->strand,
+                       [self, pool, index, answer] { self->takeReading(pool, index, answer); });
+        });
+    }
+}
+
+void OrderService::takeReading(const PoolPointer &pool, std::size_t index,
+                               const net::HttpAnswer &answer)
+{
+    pool->engines[index] = readingOf(pool->engines[index].vm, answer);
+    if (--pool->unread > 0) {
+        return;
+    }
+    const bool done = std::all_of(
+        pool->engines.begin(), pool->engines.end(), [&pool](const EngineReading &engine) {
+            return engine.read && isInState(engine.setup, pool->wanted.setup);
+        });
+    if (done && !pool->done) {
+        logEvent(Event::OrdersDone, {{"service", pool->service}});
+    }
+    pool->done = done;
+    if (done) {
+        // Without work the lease is left to lapse, so that an idle fleet writes nothing.
+        pool->busy = false;
+        return;
+    }
+    this->readLease(pool, &OrderService::decide);
+}
+
+void OrderService::readLease(const PoolPointer &pool,
+                             void (OrderService::*next)(const PoolPointer &))
+{
+    this->node.metrics.count(Counter::PlatformCalls);
+    this->platform.get(
+        leaseKind, this->leaseName(pool->service),
+        [self = this->shared_from_this(), pool, next](const net::PlatformAnswer &answer) {
+            asio::post(self->strand, [self, pool, next, answer] {
+                const bool known = answer.status == net::PlatformStatus::Ok
+                                   || answer.status == net::PlatformStatus::NotFound;
+                if (!known) {
+                    pool->busy = false;
+                    return;
+                }
+                const bool held = pool->lease.heldVersion.has_value();
+                observeLease(pool->lease, leaseOf(answer), self->self(), self->node.clock.now());
+                if (held && !pool->lease.heldVersion) {
+                    logEvent(Event::OrderLeaseLost, {{"service", pool->service}});
+                }
+                ((*self).*next)(pool);
+            });
+        });
+}
+
+void OrderService::decide(const PoolPointer &pool)
+{
+    const TimePoint now = this->node.clock.now();
+    if (decideLease(pool->lease, this->self(), this->settings, now).action != LeaseAction::None) {
+        this->writeLease(pool);
+        return;
+    }
+    // Read again directly before sending: reading the engines may have taken long.
+    this->readLease(pool, &OrderService::sendOrders);
+}
+
+void OrderService::writeLease(const PoolPointer &pool)
+{
+    const TimePoint sentAt = this->node.clock.now();
+    const LeaseDecision decision = decideLease(pool->lease, this->self(), this->settings, sentAt);
+    this->node.metrics.count(Counter::PlatformCalls);
+    this->platform.put(
+        leaseKind, this->leaseName(pool->service), decision.ifVersion,
+        {{"holder", this->self()}, {"place", this->node.settings.place}},
+        [self = this->shared_from_this(), pool, decision,
+         sentAt](const net::PlatformAnswer &answer) {
+            asio::post(self->strand, [self, pool, decision, sentAt, answer] {
+                // A lost answer is settled by the next reading of the lease.
+                if (answer.status == net::PlatformStatus::Ok && answer.object) {
+                    leaseWritten(pool->lease, self->self(), answer.object->version, self->settings,
+                                 sentAt);
+                    if (decision.action == LeaseAction::Take) {
+                        logEvent(Event::OrderLeaseTaken, {{"service", pool->service}});
+                    }
+                }
+                pool->busy = false;
+            });
+        });
+}
+
+void OrderService::sendOrders(const PoolPointer &pool)
+{
+    pool->busy = false;
+    const auto fencing = fencingNumber(pool->lease, pool->wanted.checkFencing, this->settings,
+                                       this->node.clock.now());
+    if (!fencing || pool->lease.seen->version != *fencing) {
+        return;
+    }
+    for (const std::size_t index : planOrders(pool->engines, pool->wanted)) {
+        this->send(pool->engines[index], pool, *fencing);
+    }
+}
+
+void OrderService::send(const EngineReading &engine, const PoolPointer &pool, std::uint64_t fencing)
+{
+    logEvent(Event::OrderSent, {{"engine", engine.vm.id},
+                                {"service", pool->service},
+                                {"fencing", std::to_string(fencing)}});
+    net::HttpCall call;
+    call.method = "PUT";
+    call.url = ordersOf(engine.vm);
+    call.body = orderBody(pool->wanted.setup, fencing).dump();
+    call.wholeTimeout = engineTimeout;
+    call.freshConnection = true;
+    this->http.fetch(std::move(call), [id = engine.vm.id](const net::HttpAnswer &answer) {
+        if (answer.status != statusOk) {
+            logEvent(Event::OrderRefused,
+                     {{"engine", id}, {"status", std::to_string(answer.status)}});
+        }
+    });
+}
+
+std::string OrderService::leaseName(const std::string &service) const
+{
+    return service + "@" + this->node.settings.place;
+}
+
+std::string OrderService::self() const
+{
+    return this->node.settings.id + "#" + std::to_string(this->node.incarnation);
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/daemon/orders.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+
+#include "httpclient.h"
+#include "platform.h"
+
+#include "node.h"
+
+namespace plantainswitch {
+
+/// Brings the engines of this router's place into the state that the catalogue names. One router
+/// of the place looks at a service's engines; the platform's lease says who may give orders.
+class OrderService : public std::enable_shared_from_this<OrderService>
+{
+public:
+    OrderService(asio::io_context &context, Node &node, net::HttpClient &http);
+
+    void start();
+
+private:
+    /// A service's engines in this place.
+    struct Pool
+    {
+        std::string service;
+        EngineOrders wanted;
+        LeaseWatch lease;
+        std::vector<EngineReading> engines;
+        std::size_t unread = 0;
+        /// A round of reading, deciding and ordering is under way.
+        bool busy = false;
+        bool done = false;
+    };
+    using PoolPointer = std::shared_ptr<Pool>;
+
+    void schedule();
+    void look();
+    void readEngines(const PoolPointer &pool);
+    void takeReading(const PoolPointer &pool, std::size_t index, const net::HttpAnswer &answer);
+    void decide(const PoolPointer &pool);
+    void readLease(const PoolPointer &pool, void (OrderService::*next)(const PoolPointer &));
+    void writeLease(const PoolPointer &pool);
+    void sendOrders(const PoolPointer &pool);
+    void send(const EngineReading &engine, const PoolPointer &pool, std::uint64_t fencing);
+    [[nodiscard]] bool watchesPool(const std::string &service) const;
+    [[nodiscard]] std::string leaseName(const std::string &service) const;
+    /// This process as a holder of leases.
+    [[nodiscard]] std::string self() const;
+
+    Node &node;
+    net::HttpClient &http;
+    net::PlatformClient platform;
+    asio::strand<asio::io_context::executor_type> strand;
+    asio::steady_timer timer;
+    LeaseSettings settings;
+    std::map<std::string, PoolPointer> pools;
+};
+
+} // namespace plantainswitch
--- a/daemon/parse.cpp
+++ b/daemon/parse.cpp
@@ -17,28 +17,31 @@
 
 bool parseChatBody(CallerRequest &request, Reason &reason)
 {
-    const nlohmann::json json = nlohmann::json::parse(request.body, nullptr, false);
-    if (!json.is_object()) {
-        reason = bad("the body is not a JSON object");
+    std::vector<Fault> faults;
+    const std::optional<nlohmann::json> json = parseJson(request.body, faults);
+    if (!json || !json->is_object()) {
+        reason =
+            bad(json ? "the body is not a JSON object" : "the body: " + toText(faults.front()));
         return false;
     }
-    const auto model = json.find("model");
-    if (model == json.end() || !model->is_string()) {
-        reason = bad("\"model\" must be a string");
+    const auto model = json->find("model");
+    if (model == json->end() || !model->is_string()
+        || model->get_ref<const std::string &>().empty()) {
+        reason = bad("\"model\" must be a non-empty string");
         return false;
     }
-    const auto messages = json.find("messages");
-    if (messages == json.end() || !messages->is_array() || messages->empty()) {
+    const auto messages = json->find("messages");
+    if (messages == json->end() || !messages->is_array() || messages->empty()) {
         reason = bad("\"messages\" must be a list with at least one message");
         return false;
     }
-    const auto stream = json.find("stream");
-    if (stream != json.end() && !stream->is_boolean()) {
+    const auto stream = json->find("stream");
+    if (stream != json->end() && !stream->is_boolean()) {
         reason = bad("\"stream\" must be true or false");
         return false;
     }
     request.service = model->get<std::string>();
-    request.stream = stream != json.end() && stream->get<bool>();
+    request.stream = stream != json->end() && stream->get<bool>();
     return true;
 }
 
@@ -56,6 +59,23 @@
     return true;
 }
 
+/// Seconds since 1970 as at most 11 digits.
+bool parseIssued(CallerRequest &request, std::string_view text)
+{
+    constexpr std::size_t mostDigits = 11;
+    constexpr std::uint64_t base = 10;
+    constexpr std::uint64_t millisecondsOfSecond = 1000;
+    if (text.size() > mostDigits
+        || text.find_first_not_of("0123456789") != std::string_view::npos) {
+        return false;
+    }
+    for (const char c : text) {
+        request.keyIssued = request.keyIssued * base + static_cast<std::uint64_t>(c - '0');
+    }
+    request.keyIssued *= millisecondsOfSecond;
+    return true;
+}
+
 bool parseMarks(CallerRequest &request, const net::HttpRequest &http, Reason &reason)
 {
     const std::string_view mark = http.header(nonIdempotentHeader);
@@ -70,6 +90,10 @@
         reason = bad("a non-idempotent request needs an idempotency-key");
         return false;
     }
+    if (!parseIssued(request, http.header(keyIssuedHeader))) {
+        reason = bad("x-key-issued must be whole seconds since 1970");
+        return false;
+    }
     if (request.idempotencyKey.size() > longestName || request.chat.size() > longestName) {
         reason = bad("a chat id or idempotency-key is longer than 200 bytes");
         return false;
--- a/daemon/passage.cpp
+++ b/daemon/passage.cpp
@@ -6,10 +6,11 @@
 
 namespace plantainswitch {
 
-Passage::Passage(Node &node, std::shared_ptr<Slots> slots, net::HttpClient &client,
-                 std::shared_ptr<net::HttpReply> reply)
+Passage::Passage(Node &node, std::shared_ptr<Slots> slots, std::shared_ptr<ClaimService> claims,
+                 net::HttpClient &client, std::shared_ptr<net::HttpReply> reply)
     : node(node)
     , slots(std::move(slots))
+    , claims(std::move(claims))
     , client(client)
     , reply(std::move(reply))
     , began(node.clock.now())
@@ -31,6 +32,10 @@
 {
     this->node.metrics.count(Counter::Requests);
     this->explanation.requestId = this->id;
+    if (http.crowded) {
+        this->refuseWith({ErrorKind::Overloaded, "too many connections", std::nullopt});
+        return;
+    }
     Reason reason;
     auto parsed = parseRequest(std::move(http), this->node.settings.largestBody, reason);
     if (!parsed) {
@@ -71,6 +76,9 @@
                            this->admission.workspace, this->admission.limits.dataClass,
                            this->admission.catalogueVersion,
                            fmt::join(this->admission.places, ",")));
+    if (this->answerRepeat()) {
+        return;
+    }
     this->limit();
 }
 
@@ -83,6 +91,7 @@
         const auto refused = this->node.limits.admit(workspace, limit, this->node.fleetSize(),
                                                      this->node.clock.now());
         if (refused) {
+            logEvent(Event::LimitReached, {{"workspace", this->admission.workspace}});
             this->refuseWith(
                 {ErrorKind::LimitReached,
                  refused->inFlight ? "too many requests in flight" : "too many requests a second",
@@ -101,13 +110,26 @@
     logEvent(Event::RequestRefused, {{"request", this->id},
                                      {"kind", std::string(errorRow(reason.kind).name)},
                                      {"detail", reason.detail}});
-    refuse(*this->reply, reason, this->id);
+    refuse(*this->reply, reason, this->id, this->refusalScope());
+    this->endClaimRefused(errorRow(reason.kind).ran);
     this->account();
 }
 
+RefusalScope Passage::refusalScope() const
+{
+    // Before its claim is granted nobody here knows of earlier sendings with the same key.
+    return this->request.nonIdempotent && !this->claim ? RefusalScope::Attempt
+                                                       : RefusalScope::Request;
+}
+
 void Passage::callerGone()
 {
     this->gone = true;
+    if (this->request.nonIdempotent) {
+        // Half an order is worse than one whose caller left: it runs to its end, and the answer
+        // is kept for the caller's repeat.
+        return;
+    }
     const std::lock_guard lock(this->exchangeMutex);
     if (this->need) {
         this->need->abandoned = true;
--- a/daemon/passageplace.cpp
+++ b/daemon/passageplace.cpp
@@ -28,7 +28,7 @@
     }
     {
         const std::lock_guard lock(this->exchangeMutex);
-        next->abandoned = this->gone.load();
+        next->abandoned = this->gone && !this->request.nonIdempotent;
         this->need = next;
     }
     this->slots->acquire(
@@ -38,7 +38,7 @@
                 self->refuseWith(why);
                 return;
             }
-            self->dispatch(std::move(*held));
+            self->claimOrDispatch(std::move(*held));
         });
 }
 
--- a/daemon/peercodec.h
+++ b/daemon/peercodec.h
@@ -9,7 +9,8 @@
 
 namespace plantainswitch {
 
-using PeerBody = std::variant<Heartbeat, SlotAsk, SlotReply, SlotRelease, LimitReport, LimitShares>;
+using PeerBody = std::variant<Heartbeat, SlotAsk, SlotReply, SlotRelease, ClaimAsk, ClaimReply,
+                              ClaimRelease, SuspectNews, LimitReport, LimitShares>;
 
 /// A datagram between routers.
 struct PeerMessage
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -7,11 +7,13 @@
 #include <asio/steady_timer.hpp>
 
 #include "beats.h"
+#include "claimservice.h"
 #include "httpclient.h"
 #include "httpserver.h"
 #include "keeperservice.h"
 #include "limitservice.h"
 #include "node.h"
+#include "orders.h"
 #include "peercalls.h"
 #include "peerlink.h"
 #include "requestpath.h"
@@ -47,14 +49,17 @@
     asio::signal_set signals;
     asio::steady_timer drainTimer;
     net::HttpClient platformHttp;
+    net::HttpClient claimHttp;
     std::vector<std::unique_ptr<net::HttpClient>> upstreamHttp;
     std::shared_ptr<PeerLink> link;
     std::shared_ptr<Beats> beats;
     std::shared_ptr<KeeperService> keeperService;
     std::shared_ptr<LimitService> limits;
+    std::shared_ptr<OrderService> orders;
     PeerCalls calls;
     std::shared_ptr<Sync> sync;
     std::shared_ptr<Slots> slots;
+    std::shared_ptr<ClaimService> claims;
     std::unique_ptr<RequestPath> path;
     std::unique_ptr<net::HttpServer> callers;
     std::unique_ptr<net::HttpServer> operators;
--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -7,6 +7,7 @@
 namespace plantainswitch {
 
 class Clock;
+class OwnClaimTable;
 class CatalogueTable;
 class ExplainTable;
 class KeeperTable;
@@ -18,11 +19,21 @@
 
 struct Admission;
 struct CatalogueView;
+struct Claim;
+struct ClaimAsk;
+struct ClaimId;
+struct ClaimLog;
+struct ClaimRelease;
+struct ClaimReply;
 struct DataClass;
+struct EngineOrders;
+struct EngineReading;
+struct EngineSetup;
 struct Entry;
 struct FairQueue;
 struct Fault;
 struct Heartbeat;
+struct LeaseWatch;
 struct LimitReport;
 struct LimitShares;
 struct LimitUse;
--- a/include/plantainswitch/limits/shares.h
+++ b/include/plantainswitch/limits/shares.h
@@ -27,11 +27,14 @@
     /// Least time between two reports of one workspace.
     Duration reportPeriod = Seconds{1};
     /// Part of the limit that is kept for routers without a share, split evenly over all known.
-    double reserve = 0.2;
+    double reserve = 0.1;
     /// Part of the limit that is split evenly over the routers that report.
     double floorPart = 0.1;
     /// Seconds of its rate that a router may save up.
     double burstSeconds = 1.0;
+    /// Requests that a router may save up whatever its rate. With one only, two requests at
+    /// once of a workspace far below its limit would be refused before the owner has answered.
+    double leastBurst = 2.0;
 };
 
 /// Routers as one router counts them. What is known lags behind what is active when routers
@@ -40,10 +43,13 @@
 {
     std::size_t active = 1;
     std::size_t known = 1;
+    /// When the set of active routers last changed in this router's sight, if ever.
+    std::optional<TimePoint> changed;
 };
 
-/// The sum of what routers admit never exceeds the limit times this factor, but for one request
-/// for each router, while routers disagree about the owner: two owners hand out one limit each.
+/// The sum of what routers admit never exceeds the limit times this factor, but for the least
+/// burst of each router, while routers disagree about the owner: two owners hand out one limit
+/// each.
 inline constexpr double limitFactor = 2.0;
 
 /// What a router wants of a workspace's limit and what it holds.
@@ -141,8 +147,9 @@
 /// Takes the end of an admitted request into account.
 void endWithinLimit(LocalLimit &local) noexcept;
 
-/// \returns the router's report of \a workspace when one is due: at first use, when its share is
-/// short, and to renew the share in time.
+/// \returns the router's report of \a workspace when one is due: when its part is short, when it
+/// no longer needs a part that others may want, and to renew the share in time. A router that
+/// gets along with its part of the reserve sends nothing.
 std::optional<LimitUse> dueUse(LocalLimit &local, WorkspaceId workspace, std::uint32_t sequence,
                                const WorkspaceLimit &limit, const FleetSize &fleet,
                                const ShareSettings &settings, TimePoint now);
@@ -157,8 +164,9 @@
 /// What others hold, or may still hold because an answer was lost, is never handed out twice:
 /// a part counts with the larger of what was granted and what its router says it holds, until
 /// the router reports the smaller one or the lease has lapsed.
-/// A new owner doesn't know what its predecessor granted. For one lease it therefore only
-/// confirms what a router holds, or the even part; after that nothing unknown can be held.
+/// A new owner doesn't know what its predecessor granted. For one lease after the set of routers
+/// changed it therefore only confirms what a router holds, or the even part; after that nothing
+/// unknown can be held.
 /// \param router identity hash of the reporting router
 /// \returns the share, or nothing when the report is older than one already taken.
 std::optional<LimitShare> divideLimit(OwnedLimit &owned, const WorkspaceLimit &limit,
--- a/include/plantainswitch/observe/metrics.h
+++ b/include/plantainswitch/observe/metrics.h
@@ -25,6 +25,10 @@
     QueueEntered,
     QueueRefused,
     QueueExpired,
+    ClaimReads,
+    ClaimWrites,
+    ClaimRepeats,
+    ClaimsGranted,
 };
 
 /// What is measured as a histogram for each workspace and data class.
--- a/lab/enginestandin.cpp
+++ b/lab/enginestandin.cpp
@@ -6,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 
 #include "answers.h"
+#include "enginesetup.h"
 
 namespace plantainswitch::lab {
 
@@ -30,8 +31,14 @@
     std::uint32_t promptTokens = 0;
     bool stream = false;
     std::string text;
+    TimePoint taken;
 };
 
+std::int64_t nanosecondsOf(TimePoint instant)
+{
+    return Duration(instant.time_since_epoch()).count();
+}
+
 void respond(net::HttpReply &reply, int status, const json &body)
 {
     reply.respond(status, {{"content-type", "application/json"}}, body.dump());
@@ -64,6 +71,7 @@
     Vm vm;
     mutable std::mutex mutex;
     EngineModel model;
+    SimulatedSetup setup;
     asio::steady_timer timer;
     std::map<std::string, Call> calls;
     bool leaving = false;
@@ -83,6 +91,9 @@
                  {"queued", this->model.queued()},
                  {"cachedTokens", this->model.cachedTokens()},
                  {"leaving", this->leaving}});
+    } else if (request.path == "/orders") {
+        const auto [status, answer] = this->setup.serve(request.method, request.body);
+        respond(*reply, status, answer);
     } else if (request.path == "/control" && request.method == "PUT") {
         const json wanted = json::parse(request.body, nullptr, false);
         this->leaving = wanted.is_object() && wanted.value("leaving", false);
@@ -94,6 +105,10 @@
 
 void EngineStandIn::State::serveChat(const net::HttpRequest &request, const ReplyPointer &reply)
 {
+    if (this->setup.loading()) {
+        reply->respond(statusUnavailable, {{"x-ran", "no"}}, "loading");
+        return;
+    }
     if (this->leaving) {
         reply->respond(statusUnavailable, {{"x-ran", "no"}, {"x-leaving", "true"}}, "leaving");
         return;
@@ -116,6 +131,7 @@
     Call call;
     call.reply = reply;
     call.stream = body.value("stream", false);
+    call.taken = std::chrono::steady_clock::now();
     call.promptHash = work.prompt.empty() ? 0 : work.prompt.back().prefixHash;
     for (const PromptBlock &block : work.prompt) {
         call.promptTokens += block.tokens;
@@ -187,7 +203,9 @@
         json event{{"id", token.id},
                    {"object", "chat.completion.chunk"},
                    {"choices",
-                    {{{"index", 0}, {"delta", {{"content", word}}}, {"finish_reason", finish}}}}};
+                    {{{"index", 0}, {"delta", {{"content", word}}}, {"finish_reason", finish}}}},
+                   {"taken_ns", nanosecondsOf(call.taken)},
+                   {"sent_ns", nanosecondsOf(std::chrono::steady_clock::now())}};
         std::string text;
         if (token.last) {
             event["usage"] = usageOf(call, token.index + 1);
@@ -226,7 +244,12 @@
           }))
 {}
 
-EngineStandIn::~EngineStandIn() = default;
+EngineStandIn::~EngineStandIn()
+{
+    std::map<std::string, Call> open;
+    const std::lock_guard lock(this->state->mutex);
+    open.swap(this->state->calls);
+}
 
 void EngineStandIn::open()
 {
@@ -249,6 +272,18 @@
     return this->state->vm;
 }
 
+void EngineStandIn::setChecksFencing(bool checks)
+{
+    const std::lock_guard lock(this->state->mutex);
+    this->state->setup.checksFencing = checks;
+}
+
+EngineSetup EngineStandIn::setup() const
+{
+    const std::lock_guard lock(this->state->mutex);
+    return this->state->setup.current;
+}
+
 void EngineStandIn::setLeaving(bool leaving)
 {
     const std::lock_guard lock(this->state->mutex);
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -10,7 +10,11 @@
 
 #include "demo.h"
 #include "deployment.h"
+#include "fairness.h"
+#include "limitsim.h"
 #include "load.h"
+#include "policy.h"
+#include "relaybench.h"
 #include "standins.h"
 
 namespace {
@@ -29,7 +33,11 @@
   settings   write the settings of a deployment's routers
   stand-ins  play platform, engines and plain service of a deployment
   load       send returning chats to a deployment's routers and check the answers
+  relay      measure what the bench deployment's router adds; needs --router-pid
   demo       stand-ins, load and an edit for all deployments; prints a table
+  fairness   measure the waits of others while one workspace surges
+  limits     measure a workspace's limit over many routers
+  policy     play a placement policy in the bench; see plantain-lab policy --help
 
 )";
 
@@ -37,8 +45,9 @@
 {
     std::vector<Deployment> result;
     const std::string wanted = given["deployment"].as<std::string>();
-    for (const std::string &name : deploymentNames()) {
-        if (wanted == "all" || wanted == name) {
+    const auto names = wanted == "all" ? deploymentNames() : std::vector<std::string>{wanted};
+    for (const std::string &name : names) {
+        if (deploymentOf(name)) {
             Deployment deployment = *deploymentOf(name);
             deployment.basePort = static_cast<std::uint16_t>(deployment.basePort
                                                              + given["port-offset"].as<unsigned>());
@@ -105,6 +114,15 @@
         std::cerr << "there is no such deployment\n";
         return exitBadInput;
     }
+    const auto seed = given["seed"].as<std::uint64_t>();
+    if (command == "fairness") {
+        std::cout << measureFairness(seed).dump(2) << "\n";
+        return exitOk;
+    }
+    if (command == "limits") {
+        std::cout << measureLimits(seed, given["routers"].as<std::size_t>()).dump(2) << "\n";
+        return exitOk;
+    }
     if (command == "settings") {
         return writeSettings(deployments, given["directory"].as<std::string>());
     }
@@ -115,14 +133,19 @@
         LoadOptions load;
         load.duration = std::chrono::seconds(given["seconds"].as<unsigned>());
         load.requestsPerSecond = given["rate"].as<double>();
-        load.seed = given["seed"].as<std::uint64_t>();
+        load.seed = seed;
         return runLoad(deployments.front(), load);
     }
+    if (command == "relay") {
+        const auto measured = measureRelay(deployments.front(), given["router-pid"].as<int>());
+        std::cout << measured.dump(2) << "\n";
+        return exitOk;
+    }
     if (command == "demo") {
         DemoOptions demo;
         demo.duration = std::chrono::seconds(given["seconds"].as<unsigned>());
         demo.requestsPerSecond = given["rate"].as<double>();
-        demo.seed = given["seed"].as<std::uint64_t>();
+        demo.seed = seed;
         return runDemo(deployments, demo) ? exitOk : exitFailed;
     }
     std::cerr << "there is no command " << command << "\n";
@@ -131,18 +154,24 @@
 
 int runLab(int argc, char **argv)
 {
+    if (argc > 1 && std::string_view(argv[1]) == "policy") {
+        return runPolicyCommand({argv + 2, argv + argc});
+    }
     options::options_description described("Options");
     described.add_options()("help", "show this text")("command", options::value<std::string>(),
                                                       "what to do")(
         "deployment", options::value<std::string>()->default_value("all"),
-        "cooperative, lowther or all")("directory",
-                                       options::value<std::string>()->default_value("settings.d"),
-                                       "where settings are written")(
-        "seconds", options::value<unsigned>()->default_value(15), "how long the load lasts")(
+        "cooperative, lowther, bench or all")(
+        "directory", options::value<std::string>()->default_value("settings.d"),
+        "where settings are written")("seconds", options::value<unsigned>()->default_value(15),
+                                      "how long the load lasts")(
         "rate", options::value<double>()->default_value(60), "requests a second and deployment")(
-        "seed", options::value<std::uint64_t>()->default_value(1),
-        "seed of the load")("port-offset", options::value<unsigned>()->default_value(0),
-                            "added to every port, so that several demos fit on one machine");
+        "seed", options::value<std::uint64_t>()->default_value(1), "seed of the load")(
+        "routers", options::value<std::size_t>()->default_value(8),
+        "routers of a measurement")("json", "write JSON, which the measurements always do")(
+        "router-pid", options::value<int>()->default_value(0), "the bench router's process")(
+        "port-offset", options::value<unsigned>()->default_value(0),
+        "added to every port, so that several demos fit on one machine");
     options::positional_options_description positions;
     positions.add("command", 1);
     options::variables_map given;
--- a/src/limits/table.cpp
+++ b/src/limits/table.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// Longer than any lease, so that nothing that still counts is forgotten.
-constexpr Duration idleMemory = std::chrono::minutes{2};
+/// A forgotten workspace starts with a full least burst again; forgetting late keeps what that
+/// lets through far below any limit.
+constexpr Duration idleMemory = std::chrono::hours{1};
 
 } // namespace
 
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -28,6 +28,10 @@
     std::string_view{"queue_entered_total"},
     std::string_view{"queue_refused_total"},
     std::string_view{"queue_expired_total"},
+    std::string_view{"claim_reads_total"},
+    std::string_view{"claim_writes_total"},
+    std::string_view{"claim_repeats_total"},
+    std::string_view{"claims_granted_total"},
 };
 constexpr std::array timingNames{std::string_view{"first_byte_seconds"},
                                  std::string_view{"whole_seconds"},
--- a/tests/limits.cpp
+++ b/tests/limits.cpp
@@ -28,7 +28,7 @@
         , owned(routers)
         , ownerSeenBy(routers, 0)
         , island(routers, 0)
-        , fleet(routers, FleetSize{routers, routers})
+        , fleet(routers, FleetSize{routers, routers, {}})
     {}
 
     void send(Message message, Duration delay)
@@ -138,6 +138,7 @@
         // Owner 1 follows owner 0; each router learns of it at a time of its own.
         if (random % 97 == 0) {
             world.ownerSeenBy[router] = 1;
+            world.fleet[1].changed = world.clock.now();
         }
         if (random % 11 == 0 && !world.link.empty()) {
             world.link.pop_front();
@@ -220,13 +221,13 @@
         this->world.island[router] = 1;
         this->world.ownerSeenBy[router] = 3;
     }
-    this->world.fleet.assign(routers, FleetSize{3, routers});
+    this->world.fleet.assign(routers, FleetSize{3, routers, {}});
     this->offer(15 * stepsInSecond, std::vector<std::size_t>(routers, 2));
     const std::size_t admitted =
         this->offer(10 * stepsInSecond, std::vector<std::size_t>(routers, 2));
     CHECK(admitted <= 1000 + routers);
     CHECK(admitted >= 800);
-    this->world.fleet.assign(routers, FleetSize{3, 3});
+    this->world.fleet.assign(routers, FleetSize{3, 3, {}});
     this->offer(15 * stepsInSecond, std::vector<std::size_t>(routers, 2));
     CHECK(this->offer(10 * stepsInSecond, std::vector<std::size_t>(routers, 2)) > 1500);
 }
@@ -248,9 +249,10 @@
     const WorkspaceLimit limit{10, 0};
     const ShareSettings settings;
     const TimePoint now{Seconds{100}};
-    CHECK_FALSE(admitWithinLimit(local, limit, {4, 4}, settings, now));
-    const auto refused = admitWithinLimit(local, limit, {4, 4}, settings, now);
+    CHECK_FALSE(admitWithinLimit(local, limit, {4, 4, {}}, settings, now));
+    CHECK_FALSE(admitWithinLimit(local, limit, {4, 4, {}}, settings, now));
+    const auto refused = admitWithinLimit(local, limit, {4, 4, {}}, settings, now);
     REQUIRE(refused);
-    CHECK_FALSE(admitWithinLimit(local, limit, {4, 4}, settings,
+    CHECK_FALSE(admitWithinLimit(local, limit, {4, 4, {}}, settings,
                                  now + Seconds{refused->retryAfterSeconds}));
 }
