--- a/include/plantainswitch/limits/shares.h
+++ b/include/plantainswitch/limits/shares.h
@@ -99,6 +99,8 @@
     std::uint32_t arrived = 0;
     std::uint32_t refusedInFlight = 0;
     double rateWanted = 0;
+    /// The rate held as of the last report, which the owner counts until the next one.
+    double rateReported = 0;
     std::optional<TimePoint> reported;
     std::uint32_t reportedIn = 0;
     TimePoint used;
--- a/lab/limitsim.cpp
+++ b/lab/limitsim.cpp
@@ -174,35 +174,55 @@
     return report;
 }
 
-/// One router of many: each request belongs to a workspace by a Zipf law.
-nlohmann::ordered_json measureBytes(std::uint64_t seed, double headroom)
+constexpr std::size_t fleetSize = 1200;
+constexpr std::size_t workspaceCount = 7300;
+constexpr double requestRate = 62.0;
+
+std::vector<double> zipfWeights()
 {
-    constexpr std::size_t fleetSize = 1200;
-    constexpr std::size_t workspaceCount = 7300;
-    constexpr double requestRate = 62.0;
-    constexpr int lasting = 60;
-    std::mt19937_64 random(seed);
     std::vector<double> weights;
     for (std::size_t rank = 1; rank <= workspaceCount; ++rank) {
         weights.push_back(1.0 / static_cast<double>(rank));
     }
-    std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
-    std::vector<Heartbeat> members(fleetSize);
-    for (std::size_t index = 0; index < fleetSize; ++index) {
-        members[index].id = "router-" + std::to_string(index);
-    }
-    ManualClock clock;
-    LimitTable table;
-    const FleetSize size{fleetSize, fleetSize, {}};
-    // Each limit is a multiple of what the whole fleet gets of the workspace.
+    return weights;
+}
+
+/// \returns limits of \a headroom times what the whole fleet gets of each workspace.
+std::map<WorkspaceId, WorkspaceLimit> limitsAbove(const std::vector<double> &weights,
+                                                  double headroom)
+{
     const double wholeRate = requestRate * static_cast<double>(fleetSize);
     const double wholeWeight = std::accumulate(weights.begin(), weights.end(), 0.0);
     std::map<WorkspaceId, WorkspaceLimit> limits;
-    for (std::size_t rank = 0; rank < workspaceCount; ++rank) {
+    for (std::size_t rank = 0; rank < weights.size(); ++rank) {
         const double rate = headroom * wholeRate * weights[rank] / wholeWeight;
         limits[workspaceIdOf(std::to_string(rank))] = {static_cast<std::uint32_t>(std::ceil(rate)),
                                                        0};
     }
+    return limits;
+}
+
+std::vector<Heartbeat> wholeFleet()
+{
+    std::vector<Heartbeat> members(fleetSize);
+    for (std::size_t index = 0; index < fleetSize; ++index) {
+        members[index].id = "router-" + std::to_string(index);
+    }
+    return members;
+}
+
+/// One router of many: each request belongs to a workspace by a Zipf law.
+nlohmann::ordered_json measureBytes(std::uint64_t seed, double headroom)
+{
+    constexpr int lasting = 60;
+    std::mt19937_64 random(seed);
+    const std::vector<double> weights = zipfWeights();
+    std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+    const std::vector<Heartbeat> members = wholeFleet();
+    ManualClock clock;
+    LimitTable table;
+    const FleetSize size{fleetSize, fleetSize, {}};
+    const auto limits = limitsAbove(weights, headroom);
     const LimitLookup lookup = [&limits](WorkspaceId id) { return std::optional(limits.at(id)); };
     std::uint32_t sequence = 0;
     std::size_t reportBytes = 0;
--- a/src/limits/shares.cpp
+++ b/src/limits/shares.cpp
@@ -19,6 +19,8 @@
 constexpr double mostShare = 4.0;
 /// Part of the rate that was reported below which a scarce share is given back early.
 constexpr double fallenRate = 0.5;
+/// Smaller shares are left to lapse; giving them back costs more than they are worth.
+constexpr double worthGivingBack = 1.0;
 
 double secondsOf(Duration duration) noexcept
 {
@@ -160,7 +162,7 @@
         return std::nullopt;
     }
     const double arrivals = local.arrived / std::max(secondsOf(since), 1e-3);
-    const double wanted =
+    double wanted =
         local.reported ? smoothing * arrivals + (1 - smoothing) * local.rateWanted : arrivals;
     const std::uint32_t inFlightWanted = local.inFlight + local.refusedInFlight;
     const bool held = hasShare(local, now);
@@ -172,17 +174,21 @@
     const bool active = local.arrived > 0 || local.inFlight > 0;
     const bool renew = held && active && now + settings.lease / 2 >= local.shareLapses;
     const bool first = !held && active && limit.requestsPerSecond != 0 && local.tokens < 1.0;
-    const bool fallen = held && local.share->rate < ampleShare * local.rateWanted
+    const bool fallen = held && local.share->rate > worthGivingBack
+                        && local.share->rate < ampleShare * local.rateWanted
                         && arrivals < fallenRate * local.rateWanted;
-    if (!first && !renew && !shortRate && !shortInFlight && !fallen) {
+    const bool confirm = held && local.rateReported - local.share->rate > worthGivingBack;
+    if (!first && !renew && !shortRate && !shortInFlight && !fallen && !confirm) {
         return std::nullopt;
     }
+    wanted = fallen ? arrivals : wanted;
     LimitUse use{workspace, wanted, inFlightWanted, 0, 0};
     if (held) {
         use.rateHeld = local.share->rate;
         use.inFlightHeld = local.share->inFlight;
     }
     local.rateWanted = wanted;
+    local.rateReported = use.rateHeld;
     local.arrived = 0;
     local.refusedInFlight = 0;
     local.reported = now;
