--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -26,16 +26,24 @@
     , identity(identityOf(this->settings.id, incarnation))
 {}
 
-void Node::countRouters(std::size_t active)
+void Node::countRouters(const std::vector<Heartbeat> &active)
 {
-    plantainswitch::countRouters(this->knownRouters, active, this->clock.now());
-    this->activeCount = active;
+    std::uint64_t hash = 0;
+    for (const Heartbeat &member : active) {
+        hash += identityOf(member.id, member.incarnation);
+    }
+    if (hash != this->activeHash) {
+        this->activeHash = hash;
+        this->activeChanged = this->clock.now();
+    }
+    plantainswitch::countRouters(this->knownRouters, active.size(), this->clock.now());
+    this->activeCount = active.size();
     this->knownCount = this->knownRouters.count;
 }
 
 FleetSize Node::fleetSize() const noexcept
 {
-    return {this->activeCount, this->knownCount};
+    return {this->activeCount, this->knownCount, this->activeChanged};
 }
 
 Heartbeat Node::heartbeat() const
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -18,8 +18,8 @@
 
     /// \returns this router's heartbeat as of now.
     [[nodiscard]] Heartbeat heartbeat() const;
-    /// Takes the number of active routers into account.
-    void countRouters(std::size_t active);
+    /// Takes the active routers into account; always called on the peer link's strand.
+    void countRouters(const std::vector<Heartbeat> &active);
     /// \returns the number of routers by which limits are divided.
     [[nodiscard]] FleetSize fleetSize() const noexcept;
 
@@ -44,6 +44,8 @@
     KnownRouters knownRouters;
     std::atomic<std::size_t> activeCount = 1;
     std::atomic<std::size_t> knownCount = 1;
+    std::atomic<TimePoint> activeChanged;
+    std::uint64_t activeHash = 0;
 };
 
 /// \returns the hash by which peers know the process of that id and incarnation.
--- a/daemon/passage.cpp
+++ b/daemon/passage.cpp
@@ -90,6 +90,7 @@
         const auto refused = this->node.limits.admit(workspace, limit, this->node.fleetSize(),
                                                      this->node.clock.now());
         if (refused) {
+            logEvent(Event::LimitReached, {{"workspace", this->admission.workspace}});
             this->refuseWith(
                 {ErrorKind::LimitReached,
                  refused->inFlight ? "too many requests in flight" : "too many requests a second",
--- a/daemon/passageplace.cpp
+++ b/daemon/passageplace.cpp
@@ -31,7 +31,7 @@
     }
     {
         const std::lock_guard lock(this->exchangeMutex);
-        next->abandoned = this->gone.load();
+        next->abandoned = this->gone && !this->request.nonIdempotent;
         this->need = next;
     }
     this->slots->acquire(
--- a/daemon/router.cpp
+++ b/daemon/router.cpp
@@ -31,6 +31,7 @@
     , notices(std::make_shared<Notices>(node, link))
     , keeperService(std::make_shared<KeeperService>(node, link))
     , limits(std::make_shared<LimitService>(node, link))
+    , orders(std::make_shared<OrderService>(context, node, platformHttp))
     , calls(node)
     , sync(std::make_shared<Sync>(context, node, platformHttp, beats, calls))
     , slots(std::make_shared<Slots>(context, node, link, keeperService))
@@ -59,6 +60,7 @@
     this->slots->start();
     this->claims->start();
     this->limits->start();
+    this->orders->start();
     this->beats->start([sync = std::weak_ptr<Sync>(this->sync)](const Heartbeat &peer) {
         if (const auto target = sync.lock()) {
             target->hearOf(peer);
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -14,6 +14,7 @@
 #include "limitservice.h"
 #include "node.h"
 #include "notices.h"
+#include "orders.h"
 #include "peercalls.h"
 #include "peerlink.h"
 #include "requestpath.h"
@@ -59,6 +60,7 @@
     std::shared_ptr<Notices> notices;
     std::shared_ptr<KeeperService> keeperService;
     std::shared_ptr<LimitService> limits;
+    std::shared_ptr<OrderService> orders;
     PeerCalls calls;
     std::shared_ptr<Sync> sync;
     std::shared_ptr<Slots> slots;
--- a/include/plantainswitch/catalogue/entry.h
+++ b/include/plantainswitch/catalogue/entry.h
@@ -46,6 +46,33 @@
     std::uint32_t priority = 0;
 };
 
+/// What an engine has loaded and does; an empty part is left as it is.
+struct EngineSetup
+{
+    std::string model;
+    std::string version;
+    std::string adapter;
+    std::string role;
+
+    [[nodiscard]] bool empty() const noexcept
+    {
+        return this->model.empty() && this->version.empty() && this->adapter.empty()
+               && this->role.empty();
+    }
+};
+
+/// The state that a service's engines are ordered to take on.
+struct EngineOrders
+{
+    EngineSetup setup;
+    /// Whether the engines refuse an order with an old fencing number.
+    bool checkFencing = false;
+    /// Engines of a place that load at a time.
+    std::uint32_t loadsAtOnce = 1;
+    /// Part of a place's engines that stays ready, in percent.
+    std::uint32_t readyPercent = 70;
+};
+
 /// A routed service: a model pool or a plain application.
 struct Service
 {
@@ -58,6 +85,7 @@
     std::uint32_t shards = 1;
     /// Longest wait for an engine, in milliseconds.
     std::uint32_t queueMilliseconds = 2000;
+    EngineOrders engines;
 };
 
 using EntryBody = std::variant<DataClass, Workspace, Service>;
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -46,12 +46,18 @@
     ClaimStoreBack = 415,
     AnswerResumed = 416,
     RetryBudgetSpent = 417,
+    LimitReached = 450,
     UpstreamUnreachable = 500,
     UpstreamGarbage = 501,
     UpstreamLeaving = 502,
     KeeperSilent = 503,
     UpstreamCrashed = 550,
     RequestQuarantined = 551,
+    OrderLeaseTaken = 600,
+    OrderLeaseLost = 601,
+    OrderSent = 602,
+    OrderRefused = 603,
+    OrdersDone = 604,
 };
 
 /// Number, name and severity of one event.
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -24,6 +24,8 @@
 #include "plantainswitch/observe/event.h"
 #include "plantainswitch/observe/explain.h"
 #include "plantainswitch/observe/metrics.h"
+#include "plantainswitch/orders/lease.h"
+#include "plantainswitch/orders/plan.h"
 #include "plantainswitch/placement/keeper.h"
 #include "plantainswitch/placement/messages.h"
 #include "plantainswitch/placement/plan.h"
--- a/lab/enginestandin.cpp
+++ b/lab/enginestandin.cpp
@@ -6,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 
 #include "answers.h"
+#include "enginesetup.h"
 
 namespace plantainswitch::lab {
 
@@ -70,6 +71,7 @@
     Vm vm;
     mutable std::mutex mutex;
     EngineModel model;
+    SimulatedSetup setup;
     asio::steady_timer timer;
     std::map<std::string, Call> calls;
     bool leaving = false;
@@ -89,6 +91,9 @@
                  {"queued", this->model.queued()},
                  {"cachedTokens", this->model.cachedTokens()},
                  {"leaving", this->leaving}});
+    } else if (request.path == "/orders") {
+        const auto [status, answer] = this->setup.serve(request.method, request.body);
+        respond(*reply, status, answer);
     } else if (request.path == "/control" && request.method == "PUT") {
         const json wanted = json::parse(request.body, nullptr, false);
         this->leaving = wanted.is_object() && wanted.value("leaving", false);
@@ -100,6 +105,10 @@
 
 void EngineStandIn::State::serveChat(const net::HttpRequest &request, const ReplyPointer &reply)
 {
+    if (this->setup.loading()) {
+        reply->respond(statusUnavailable, {{"x-ran", "no"}}, "loading");
+        return;
+    }
     if (this->leaving) {
         reply->respond(statusUnavailable, {{"x-ran", "no"}, {"x-leaving", "true"}}, "leaving");
         return;
@@ -263,6 +272,18 @@
     return this->state->vm;
 }
 
+void EngineStandIn::setChecksFencing(bool checks)
+{
+    const std::lock_guard lock(this->state->mutex);
+    this->state->setup.checksFencing = checks;
+}
+
+EngineSetup EngineStandIn::setup() const
+{
+    const std::lock_guard lock(this->state->mutex);
+    return this->state->setup.current;
+}
+
 void EngineStandIn::setLeaving(bool leaving)
 {
     const std::lock_guard lock(this->state->mutex);
--- a/lab/enginestandin.h
+++ b/lab/enginestandin.h
@@ -5,6 +5,7 @@
 #include "httpserver.h"
 
 #include "enginemodel.h"
+#include "plantainswitch/catalogue/entry.h"
 #include "plantainswitch/membership/vm.h"
 
 namespace plantainswitch::lab {
@@ -12,7 +13,8 @@
 /// Stand-in for a model engine over HTTP: the usual chat protocol with streams, a load report,
 /// and orders to leave or to crash on a marked request.
 ///
-/// POST /v1/chat/completions; GET /load; PUT /control with {"leaving": bool}.
+/// POST /v1/chat/completions; GET /load; PUT /control with {"leaving": bool};
+/// GET and PUT /orders.
 class EngineStandIn
 {
 public:
@@ -28,6 +30,9 @@
     [[nodiscard]] std::size_t load() const;
     [[nodiscard]] const Vm &vm() const noexcept;
     void setLeaving(bool leaving);
+    /// Whether orders with an old fencing number are refused; they are by default.
+    void setChecksFencing(bool checks);
+    [[nodiscard]] EngineSetup setup() const;
 
     struct State;
 
--- a/src/catalogue/parse.cpp
+++ b/src/catalogue/parse.cpp
@@ -22,6 +22,9 @@
 constexpr std::uint32_t mostCapacity = 4096;
 constexpr std::uint32_t mostShards = 256;
 constexpr std::uint32_t mostQueueMilliseconds = 60'000;
+constexpr std::uint32_t mostLoadsAtOnce = 1000;
+/// At 100 no engine could ever be ordered.
+constexpr std::uint32_t mostReadyPercent = 99;
 constexpr std::uint32_t mostStaleSeconds = 7 * 24 * 3600;
 
 /// Reads a document without building it, for what a finished document no longer shows.
@@ -102,7 +105,22 @@
     return body;
 }
 
-Service readService(FieldReader &fields)
+EngineOrders readEngineOrders(FieldReader &parent, std::vector<Fault> &faults)
+{
+    EngineOrders orders;
+    FieldReader fields(parent.child("engines"), parent.pathOf("engines"), faults);
+    fields.read("model", orders.setup.model);
+    fields.read("version", orders.setup.version);
+    fields.read("adapter", orders.setup.adapter);
+    fields.read("role", orders.setup.role);
+    fields.read("checkFencing", orders.checkFencing);
+    fields.read("loadsAtOnce", orders.loadsAtOnce, 1, mostLoadsAtOnce);
+    fields.read("readyPercent", orders.readyPercent, 0, mostReadyPercent);
+    fields.finish();
+    return orders;
+}
+
+Service readService(FieldReader &fields, std::vector<Fault> &faults)
 {
     Service body;
     std::size_t type = 0;
@@ -113,6 +131,7 @@
     fields.read("engineCapacity", body.engineCapacity, 1, mostCapacity);
     fields.read("shards", body.shards, 1, mostShards);
     fields.read("queueMilliseconds", body.queueMilliseconds, 0, mostQueueMilliseconds);
+    body.engines = readEngineOrders(fields, faults);
     return body;
 }
 
@@ -134,11 +153,34 @@
             {"priority", body.priority}};
 }
 
+nlohmann::json toJson(const EngineOrders &orders)
+{
+    nlohmann::json json{{"checkFencing", orders.checkFencing},
+                        {"loadsAtOnce", orders.loadsAtOnce},
+                        {"readyPercent", orders.readyPercent}};
+    const EngineSetup &setup = orders.setup;
+    const std::array<std::pair<const char *, const std::string &>, 4> parts{
+        {{"model", setup.model},
+         {"version", setup.version},
+         {"adapter", setup.adapter},
+         {"role", setup.role}}};
+    for (const auto &[name, value] : parts) {
+        if (!value.empty()) {
+            json[name] = value;
+        }
+    }
+    return json;
+}
+
 nlohmann::json bodyToJson(const Service &body)
 {
-    return {{"owner", body.owner},       {"dataClass", body.dataClass},
-            {"type", nameOf(body.type)}, {"engineCapacity", body.engineCapacity},
-            {"shards", body.shards},     {"queueMilliseconds", body.queueMilliseconds}};
+    return {{"owner", body.owner},
+            {"dataClass", body.dataClass},
+            {"type", nameOf(body.type)},
+            {"engineCapacity", body.engineCapacity},
+            {"shards", body.shards},
+            {"queueMilliseconds", body.queueMilliseconds},
+            {"engines", toJson(body.engines)}};
 }
 
 } // namespace
@@ -182,7 +224,7 @@
         body = readWorkspace(fields);
         break;
     case EntryKind::Service:
-        body = readService(fields);
+        body = readService(fields, faults);
         break;
     }
     fields.finish();
--- a/src/limits/shares.cpp
+++ b/src/limits/shares.cpp
@@ -12,6 +12,15 @@
 constexpr double smoothing = 0.5;
 /// Part of its share above which a router reports at once instead of at half the lease.
 constexpr double shortShare = 0.7;
+/// Multiple of the wanted rate below which a share counts as scarce: others may want it.
+constexpr double ampleShare = 2.0;
+/// Most that a router gets, as a multiple of what it wants, unless its even part is more. The
+/// first to report would otherwise get all, and the others nothing until it reports again.
+constexpr double mostShare = 4.0;
+/// Part of the rate that was reported below which a scarce share is given back early.
+constexpr double fallenRate = 0.5;
+/// Smaller shares are left to lapse; giving them back costs more than they are worth.
+constexpr double worthGivingBack = 1.0;
 
 double secondsOf(Duration duration) noexcept
 {
@@ -37,9 +46,9 @@
 
 void refill(LocalLimit &local, double rate, const ShareSettings &settings, TimePoint now)
 {
-    const double room = std::max(1.0, rate * settings.burstSeconds);
+    const double room = std::max(settings.leastBurst, rate * settings.burstSeconds);
     if (!local.filled) {
-        local.tokens = 1.0;
+        local.tokens = settings.leastBurst;
     } else {
         local.tokens += rate * secondsOf(now - *local.filled);
     }
@@ -86,7 +95,10 @@
     const double floors = shared * settings.floorPart;
     const double each = floors / static_cast<double>(division.reporters);
     const double portion = division.allWanted > 0 ? division.wanted / division.allWanted : 1.0;
-    const double target = each + (shared - floors) * portion;
+    const double most =
+        std::max(limit / static_cast<double>(std::max<std::size_t>(fleet.active, 1)),
+                 mostShare * division.wanted);
+    const double target = std::min(most, each + (shared - floors) * portion);
     return std::clamp(target, 0.0, std::max(0.0, shared - division.othersOut));
 }
 
@@ -150,27 +162,33 @@
         return std::nullopt;
     }
     const double arrivals = local.arrived / std::max(secondsOf(since), 1e-3);
-    const double wanted =
+    double wanted =
         local.reported ? smoothing * arrivals + (1 - smoothing) * local.rateWanted : arrivals;
     const std::uint32_t inFlightWanted = local.inFlight + local.refusedInFlight;
     const bool held = hasShare(local, now);
-    const bool shortRate = limit.requestsPerSecond != 0
+    const bool shortRate = held && limit.requestsPerSecond != 0
                            && arrivals > shortShare * rateOf(local, limit, fleet, settings, now);
     const bool shortInFlight =
         limit.maxInFlight != 0
         && inFlightWanted > shortShare * inFlightOf(local, limit, fleet, settings, now);
     const bool active = local.arrived > 0 || local.inFlight > 0;
     const bool renew = held && active && now + settings.lease / 2 >= local.shareLapses;
-    const bool first = !held && active;
-    if (!first && !renew && !shortRate && !shortInFlight) {
+    const bool first = !held && active && limit.requestsPerSecond != 0 && local.tokens < 1.0;
+    const bool fallen = held && local.share->rate > worthGivingBack
+                        && local.share->rate < ampleShare * local.rateWanted
+                        && arrivals < fallenRate * local.rateWanted;
+    const bool confirm = held && local.rateReported - local.share->rate > worthGivingBack;
+    if (!first && !renew && !shortRate && !shortInFlight && !fallen && !confirm) {
         return std::nullopt;
     }
+    wanted = fallen ? arrivals : wanted;
     LimitUse use{workspace, wanted, inFlightWanted, 0, 0};
     if (held) {
         use.rateHeld = local.share->rate;
         use.inFlightHeld = local.share->inFlight;
     }
     local.rateWanted = wanted;
+    local.rateReported = use.rateHeld;
     local.arrived = 0;
     local.refusedInFlight = 0;
     local.reported = now;
@@ -224,7 +242,8 @@
         }
     }
     rate.reporters = inFlight.reporters = owned.parts.size();
-    const bool learning = now - *owned.since < settings.lease;
+    const bool learning = fleet.changed && now - *fleet.changed < settings.lease
+                          && now - *owned.since < settings.lease;
     LimitShare share{use.workspace, partOf(rate, fleet, settings, learning),
                      static_cast<std::uint32_t>(partOf(inFlight, fleet, settings, learning))};
     part.sequence = sequence;
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -43,12 +43,18 @@
     EventRow{Event::ClaimStoreBack, "claim-store-back", Severity::Info},
     EventRow{Event::AnswerResumed, "answer-resumed", Severity::Info},
     EventRow{Event::RetryBudgetSpent, "retry-budget-spent", Severity::Warning},
+    EventRow{Event::LimitReached, "limit-reached", Severity::Debug},
     EventRow{Event::UpstreamUnreachable, "upstream-unreachable", Severity::Warning},
     EventRow{Event::UpstreamGarbage, "upstream-garbage", Severity::Error},
     EventRow{Event::UpstreamLeaving, "upstream-leaving", Severity::Info},
     EventRow{Event::KeeperSilent, "keeper-silent", Severity::Warning},
     EventRow{Event::UpstreamCrashed, "upstream-crashed", Severity::Warning},
     EventRow{Event::RequestQuarantined, "request-quarantined", Severity::Error},
+    EventRow{Event::OrderLeaseTaken, "order-lease-taken", Severity::Info},
+    EventRow{Event::OrderLeaseLost, "order-lease-lost", Severity::Warning},
+    EventRow{Event::OrderSent, "order-sent", Severity::Info},
+    EventRow{Event::OrderRefused, "order-refused", Severity::Error},
+    EventRow{Event::OrdersDone, "orders-done", Severity::Info},
 };
 
 std::string quoted(const std::string &value)
--- /dev/null
+++ b/tests/orders.cpp
@@ -0,0 +1,203 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "enginesetup.h"
+#include "plantainswitch/plantainswitch.h"
+
+using namespace plantainswitch;
+using lab::SimulatedSetup;
+
+namespace {
+
+/// The lease object with conditional updates.
+struct LeaseStore
+{
+    /// \returns the new version, or nothing when the condition didn't hold.
+    std::optional<std::uint64_t> put(const std::string &holder, std::uint64_t ifVersion)
+    {
+        const std::uint64_t current = this->object ? this->object->version : 0;
+        if (this->broken) {
+            this->object = LeaseObject{holder, std::max<std::uint64_t>(current, 1)};
+            return this->object->version;
+        }
+        if (current != ifVersion) {
+            return std::nullopt;
+        }
+        this->object = LeaseObject{holder, current + 1};
+        return current + 1;
+    }
+
+    std::optional<LeaseObject> object;
+    /// Ignores the condition and doesn't count versions.
+    bool broken = false;
+};
+
+/// A router that gives orders, with the order it was about to send when it was paused.
+struct Orderer
+{
+    /// One round up to the moment before sending. \returns the fencing number to send under.
+    std::optional<std::uint64_t> round(LeaseStore &store, bool enginesCheck, TimePoint now,
+                                       bool answerLost = false)
+    {
+        observeLease(this->watch, store.object, this->self, now);
+        const LeaseDecision decision = decideLease(this->watch, this->self, this->settings, now);
+        if (decision.action != LeaseAction::None) {
+            const auto version = store.put(this->self, decision.ifVersion);
+            if (version && !answerLost) {
+                leaseWritten(this->watch, this->self, *version, this->settings, now);
+            }
+        }
+        return fencingNumber(this->watch, enginesCheck, this->settings, now);
+    }
+
+    std::string self;
+    EngineSetup wanted;
+    LeaseSettings settings;
+    LeaseWatch watch;
+    std::optional<std::uint64_t> inHand;
+};
+
+class OrderFixture
+{
+protected:
+    /// Lets an orderer go on until it may send. \returns its fencing number.
+    std::uint64_t untilAllowed(Orderer &orderer)
+    {
+        std::optional<std::uint64_t> fencing;
+        while (!(fencing =
+                     orderer.round(this->store, this->engine.checksFencing, this->clock.now()))) {
+            this->clock.advance(Seconds{1});
+        }
+        return *fencing;
+    }
+
+    /// The first orderer is paused with an order in hand; the second takes over and orders.
+    /// \returns the first one's number.
+    std::uint64_t takeOverDuringPause()
+    {
+        const std::uint64_t old = this->untilAllowed(this->first);
+        const std::uint64_t young = this->untilAllowed(this->second);
+        CHECK(young > old);
+        CHECK(this->engine.order(this->second.wanted, young));
+        return old;
+    }
+
+    ManualClock clock;
+    LeaseStore store;
+    SimulatedSetup engine;
+    Orderer first{"first", {"m", "1", "", ""}, {}, {}, {}};
+    Orderer second{"second", {"m", "2", "", ""}, {}, {}, {}};
+};
+
+std::vector<EngineReading> readingsOf(std::size_t count, std::size_t loading)
+{
+    std::vector<EngineReading> readings(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        readings[index].read = true;
+        readings[index].loading = index < loading;
+    }
+    return readings;
+}
+
+/// Drives two orderers with pauses and lost answers at one engine.
+/// \returns whether numbers never fell at the engine and each number had one sender.
+bool fencingHolds(bool engineChecks, bool brokenStore)
+{
+    ManualClock clock;
+    LeaseStore store;
+    store.broken = brokenStore;
+    SimulatedSetup engine;
+    engine.checksFencing = engineChecks;
+    std::array<Orderer, 2> orderers{Orderer{"first", {"m", "1", "", ""}, {}, {}, {}},
+                                    Orderer{"second", {"m", "2", "", ""}, {}, {}, {}}};
+    std::map<std::uint64_t, std::string> senders;
+    const auto steps = *rc::gen::container<std::vector<std::uint32_t>>(
+        200, rc::gen::inRange<std::uint32_t>(0, 1000));
+    for (const std::uint32_t step : steps) {
+        Orderer &orderer = orderers.at(step % 2);
+        clock.advance(Milliseconds{step * 7});
+        if (orderer.inHand && step % 3 != 0) {
+            // Awake again: it still believes what it decided before the pause.
+            if (engine.order(orderer.wanted, *orderer.inHand)) {
+                const auto [known, fresh] = senders.emplace(*orderer.inHand, orderer.self);
+                if (!fresh && known->second != orderer.self) {
+                    return false;
+                }
+            }
+            orderer.inHand.reset();
+        } else if (!orderer.inHand) {
+            orderer.inHand = orderer.round(store, true, clock.now(), step % 11 == 0);
+        }
+    }
+    return std::is_sorted(engine.carriedOut.begin(), engine.carriedOut.end());
+}
+
+} // namespace
+
+TEST_CASE_METHOD(OrderFixture, "orders_pausedOrderer_checkingEngineRefusesOldNumber", "[orders]")
+{
+    // An orderer decides, is paused past its lease, and wakes still believing. Meanwhile
+    // another took the lease and gave a newer order. The engine sees an old number and refuses.
+    const std::uint64_t old = this->takeOverDuringPause();
+    CHECK_FALSE(this->engine.order(this->first.wanted, old));
+    CHECK(this->engine.current.version == "2");
+}
+
+TEST_CASE_METHOD(OrderFixture, "orders_pausedOrderer_ignoringEngineIsRepairedByReadBack",
+                 "[orders]")
+{
+    // The same with an engine that ignores the number and a pause longer than the stated one.
+    // The old order is carried out, which nobody can prevent; the holder reads the engine
+    // back, finds the old state, and orders again. Only the end state is right.
+    this->engine.checksFencing = false;
+    const std::uint64_t old = this->takeOverDuringPause();
+    CHECK(this->engine.order(this->first.wanted, old));
+    CHECK(this->engine.current.version == "1");
+    CHECK_FALSE(fencingNumber(this->first.watch, false, this->first.settings, this->clock.now()));
+    EngineReading reading;
+    reading.read = true;
+    reading.setup = this->engine.current;
+    REQUIRE(planOrders({reading}, {this->second.wanted}).size() == 1);
+    CHECK(this->engine.order(this->second.wanted, this->untilAllowed(this->second)));
+    CHECK(this->engine.current.version == "2");
+}
+
+TEST_CASE_METHOD(OrderFixture, "orders_newHolderAtIgnoringEngines_waitsTheStatedPause", "[orders]")
+{
+    this->first.round(this->store, false, this->clock.now());
+    const TimePoint taken = this->clock.now();
+    this->engine.checksFencing = false;
+    this->untilAllowed(this->first);
+    CHECK(this->clock.now() - taken >= this->first.settings.longestPause);
+}
+
+TEST_CASE("orders_staggered_neverBelowReadyShareNorAboveLoads", "[orders]")
+{
+    CHECK(rc::check("loads at once and ready share", [] {
+        const auto count = *rc::gen::inRange<std::size_t>(1, 40);
+        const auto loading = *rc::gen::inRange<std::size_t>(0, count + 1);
+        EngineOrders wanted;
+        wanted.setup.version = "2";
+        wanted.loadsAtOnce = *rc::gen::inRange<std::uint32_t>(1, 8);
+        wanted.readyPercent = *rc::gen::inRange<std::uint32_t>(0, 100);
+        const auto chosen = planOrders(readingsOf(count, loading), wanted).size();
+        const std::size_t least = count * wanted.readyPercent / 100;
+        RC_ASSERT(chosen == 0 || chosen + loading <= wanted.loadsAtOnce);
+        RC_ASSERT(chosen == 0 || count - loading - chosen >= least);
+        RC_ASSERT(loading > 0 || chosen > 0);
+    }));
+}
+
+TEST_CASE("orders_anyPausesAndLostAnswers_oneSenderForEachNumber", "[orders]")
+{
+    CHECK(rc::check("numbers never fall, one sender each",
+                    [] { RC_ASSERT(fencingHolds(true, false)); }));
+}
+
+TEST_CASE("orders_brokenVariants_areCaughtByTheChecker", "[orders]")
+{
+    CHECK_FALSE(rc::check("an engine that ignores the number",
+                          [] { RC_ASSERT(fencingHolds(false, false)); }));
+    CHECK_FALSE(
+        rc::check("a store without conditions", [] { RC_ASSERT(fencingHolds(true, true)); }));
+}
