Keep chats at the engine that has their prefix, and mend lost slots by digests

Cause: by hash order alone, a chat that the bound moved lost its prefix twice, going and coming back; and a lost release, a lost answer or a new keeper left wrong counts behind for ever.

Keeper: it remembers where chats ran (bounded), keeps them there up to an inner bound of 1.15, places unknown chats by hash up to the mean and else on the least loaded; an engine that failed a request is shunned for a second; a new or doubted keeper rounds its bound down; shards of a pool exchange load and engines each second and use the pool's mean. Slots: a router tells each keeper a digest of what it holds every two seconds, and the list where it differs; a new keeper learns so, a leaving one hands over. An asker that gives up releases. A silent keeper is replaced by the next in the shard's order, last of all by the router's own count. Releases go at once: batched by 50 ms, a chat's quick next request was sent away from its engine.

--- a/daemon/passageplace.cpp
+++ b/daemon/passageplace.cpp
@@ -21,6 +21,9 @@
     next->fingerprint = hashOf(this->request.body, hashOf(this->admission.workspace));
     if (this->need) {
         next->avoid = this->need->avoid;
+        // Only after a failed attempt: a router that has just started hears of its peers late and
+        // would take every chat to its own place.
+        preferLivePlaces(next->plan, this->node.members.active());
     }
     this->need = next;
     this->slots->acquire(
--- a/daemon/peercodec.cpp
+++ b/daemon/peercodec.cpp
@@ -65,6 +65,45 @@
     }
 }
 
+void fill(wire::Datagram &datagram, const SlotDigest &from)
+{
+    wire::SlotDigest &to = *datagram.mutable_digest();
+    to.set_shard(from.shard);
+    to.set_below(from.below);
+    to.set_count(from.count);
+    to.set_mix(from.mix);
+}
+
+void fill(wire::Datagram &datagram, const SlotListAsk &from)
+{
+    datagram.mutable_list_ask()->set_shard(from.shard);
+}
+
+void fill(wire::Datagram &datagram, const SlotList &from)
+{
+    wire::SlotList &to = *datagram.mutable_list();
+    to.set_service(from.shard.service);
+    to.set_place(from.shard.place);
+    to.set_shard(from.shard.number);
+    to.set_router(from.router);
+    to.set_from(from.from);
+    to.set_below(from.below);
+    for (const ListedSlot &slot : from.slots) {
+        to.add_ask_ids(slot.askId);
+        to.add_upstreams(slot.upstream);
+    }
+}
+
+void fill(wire::Datagram &datagram, const ShardSummary &from)
+{
+    wire::ShardSummary &to = *datagram.mutable_summary();
+    to.set_service(from.shard.service);
+    to.set_place(from.shard.place);
+    to.set_shard(from.shard.number);
+    to.set_load(from.load);
+    to.set_engines(from.engines);
+}
+
 void fill(wire::Datagram &datagram, const ClaimAsk &from)
 {
     wire::ClaimAsk &to = *datagram.mutable_claim_ask();
@@ -182,6 +221,37 @@
     return to;
 }
 
+SlotDigest read(const wire::SlotDigest &from)
+{
+    return {from.shard(), from.below(), from.count(), from.mix()};
+}
+
+SlotListAsk read(const wire::SlotListAsk &from)
+{
+    return {from.shard()};
+}
+
+std::optional<SlotList> read(const wire::SlotList &from)
+{
+    if (from.ask_ids_size() != from.upstreams_size()) {
+        return std::nullopt;
+    }
+    SlotList to;
+    to.shard = {from.service(), from.place(), from.shard()};
+    to.router = from.router();
+    to.from = from.from();
+    to.below = from.below();
+    for (int index = 0; index < from.ask_ids_size(); ++index) {
+        to.slots.push_back({from.ask_ids(index), from.upstreams(index)});
+    }
+    return to;
+}
+
+ShardSummary read(const wire::ShardSummary &from)
+{
+    return {{from.service(), from.place(), from.shard()}, from.load(), from.engines()};
+}
+
 } // namespace
 
 std::string encode(const PeerMessage &message)
@@ -245,6 +315,23 @@
     case wire::Datagram::kSuspectNews:
         message.body = read(datagram.suspect_news());
         return message;
+    case wire::Datagram::kDigest:
+        message.body = read(datagram.digest());
+        return message;
+    case wire::Datagram::kListAsk:
+        message.body = read(datagram.list_ask());
+        return message;
+    case wire::Datagram::kList: {
+        std::optional<SlotList> list = read(datagram.list());
+        if (!list) {
+            return std::nullopt;
+        }
+        message.body = std::move(*list);
+        return message;
+    }
+    case wire::Datagram::kSummary:
+        message.body = read(datagram.summary());
+        return message;
     case wire::Datagram::BODY_NOT_SET:
         return std::nullopt;
     }
--- a/daemon/peercodec.h
+++ b/daemon/peercodec.h
@@ -9,8 +9,9 @@
 
 namespace plantainswitch {
 
-using PeerBody = std::variant<Heartbeat, SlotAsk, SlotReply, SlotRelease, ClaimAsk, ClaimReply,
-                              ClaimRelease, SuspectNews>;
+using PeerBody =
+    std::variant<Heartbeat, SlotAsk, SlotReply, SlotRelease, ClaimAsk, ClaimReply, ClaimRelease,
+                 SuspectNews, SlotDigest, SlotListAsk, SlotList, ShardSummary>;
 
 /// A datagram between routers.
 struct PeerMessage
--- a/daemon/router.cpp
+++ b/daemon/router.cpp
@@ -120,6 +120,7 @@
     }
     logEvent(Event::Stopping, {{"inFlight", std::to_string(this->node.inFlight)}});
     this->beats->beat();
+    this->keeperService->handOver();
     this->drainTimer.expires_after(
         std::chrono::milliseconds(this->node.settings.lingerMilliseconds));
     this->drainTimer.async_wait([this](const asio::error_code &) { this->drain(); });
--- a/daemon/slots.h
+++ b/daemon/slots.h
@@ -19,7 +19,7 @@
 struct HeldSlot
 {
     Heartbeat keeper;
-    ShardId shard = 0;
+    Shard shard;
     std::uint32_t askId = 0;
     Upstream upstream;
 };
@@ -62,21 +62,55 @@
         int sends = 0;
     };
 
-    void tryShard(const std::shared_ptr<const SlotNeed> &need, std::size_t index, Reason last,
-                  Note note, Done done);
+    /// A request on its way to a slot.
+    struct Acquisition
+    {
+        std::shared_ptr<const SlotNeed> need;
+        Note note;
+        Done done;
+        std::size_t shard = 0;
+        /// Position in the shard's order of keepers.
+        std::size_t keeper = 0;
+        bool answered = false;
+        Reason last;
+    };
+    using AcquisitionPointer = std::shared_ptr<Acquisition>;
+    /// What this router holds in a shard.
+    struct HeldShard
+    {
+        Shard shard;
+        std::map<std::uint32_t, UpstreamId> slots;
+        TimePoint lastUsed;
+    };
+
+    void tryShard(const AcquisitionPointer &way);
+    void askKeeper(const AcquisitionPointer &way, const Heartbeat &keeper);
+    void takeReply(const AcquisitionPointer &way, const Heartbeat &keeper, std::uint32_t askId,
+                   const std::optional<SlotReply> &reply);
+    bool takeGrant(const AcquisitionPointer &way, const Heartbeat &keeper, std::uint32_t askId,
+                   UpstreamId upstream);
+    [[nodiscard]] std::vector<Heartbeat> keepersToAsk(const Shard &shard);
+    void markSilent(const std::string &keeper);
+    void hold(const Shard &shard, std::uint32_t askId, UpstreamId upstream);
+    void releaseHere(const HeldSlot &slot);
+    void scheduleDigests();
+    void sendDigests();
+    void sendList(const Endpoint &to, ShardId shard);
+    [[nodiscard]] std::uint32_t lowestPending(ShardId shard) const;
     void ask(const Heartbeat &keeper, SlotAsk ask, ReplyHandler done);
     void sendAsk(std::uint32_t askId);
     void finishAsk(std::uint32_t askId, const std::optional<SlotReply> &reply);
-    void scheduleReleases();
-    void flushReleases();
 
     Node &node;
     std::shared_ptr<PeerLink> link;
     std::shared_ptr<KeeperService> keeper;
-    asio::steady_timer releaseTimer;
+    asio::steady_timer digestTimer;
     std::atomic<std::uint32_t> nextAsk = 1;
     std::unordered_map<std::uint32_t, PendingAsk> pending;
-    std::map<std::pair<Endpoint, ShardId>, std::vector<std::uint32_t>> releases;
+    std::map<ShardId, HeldShard> held;
+    RankedMutex mutex{LockRank::Slots};
+    /// Keepers that gave no answer of late are asked last until then.
+    std::map<std::string, TimePoint> silentUntil;
 };
 
 } // namespace plantainswitch
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -43,6 +43,9 @@
     UpstreamGarbage = 501,
     UpstreamLeaving = 502,
     KeeperSilent = 503,
+    KeeperReplaced = 510,
+    SlotsDiffer = 511,
+    ShardsHandedOver = 512,
     UpstreamCrashed = 550,
     RequestQuarantined = 551,
 };
--- a/include/plantainswitch/placement/keeper.h
+++ b/include/plantainswitch/placement/keeper.h
@@ -2,23 +2,40 @@
 
 #include <cstdint>
 #include <map>
-#include <string>
+#include <optional>
 #include <utility>
 #include <vector>
 
 #include "plantainswitch/base/clock.h"
 #include "plantainswitch/base/lockorder.h"
+#include "plantainswitch/placement/chatmemory.h"
 #include "plantainswitch/placement/messages.h"
 
 namespace plantainswitch {
 
+/// How an engine is chosen among those within the bound.
+enum class ChooseRule : std::uint8_t {
+    /// The first in the chat's own order.
+    HashOrder,
+    /// Where the chat ran before, as long as that is within the inner bound; else the least loaded.
+    LeastLoaded,
+};
+
 /// How the bound on an engine's load is set.
 struct BoundSettings
 {
     /// No engine gets a request that would bring it above this multiple of the mean.
     double multiple = 1.25;
+    /// Multiple up to which a chat is kept at the engine that has its prefix; below the hard one,
+    /// because the mean falls between a grant and the end of its request.
+    double innerMultiple = 1.15;
+    /// Multiple up to which a chat that isn't remembered goes to its first engine by hash.
+    double newMultiple = 1.0;
     /// Requests that one engine takes at a time, whatever the mean.
     std::uint32_t capacity = 64;
+    ChooseRule rule = ChooseRule::LeastLoaded;
+    /// Chats of a shard whose engine is remembered.
+    std::size_t rememberedChats = 32'768;
 };
 
 /// Identity of a granted slot: the asking router's incarnation hash and its ask id.
@@ -32,26 +49,71 @@
     TimePoint since;
 };
 
+/// What a keeper noticed of an engine.
+struct EngineNote
+{
+    /// Until then it gets new work only when nothing else is there.
+    TimePoint shunnedUntil;
+};
+
+/// Load and engines of another shard of the same pool, as its keeper told.
+struct PoolPart
+{
+    std::uint64_t load = 0;
+    std::uint32_t engines = 0;
+    TimePoint heard;
+};
+
 /// The exact counts of one shard, as its keeper holds them.
 struct ShardState
 {
+    Shard shard;
     std::map<SlotKey, Slot> slots;
     std::map<UpstreamId, std::uint32_t> loads;
+    ChatMemory memory;
+    std::map<UpstreamId, EngineNote> engines;
+    std::map<ShardId, PoolPart> others;
+    /// When this router began to keep the shard.
+    TimePoint since;
+    /// When another router was last heard to keep it too.
+    std::optional<TimePoint> rivalHeard;
+    /// When the shard was last asked for or reported here.
+    TimePoint lastUsed;
+    /// Ready engines at the last grant.
+    std::uint32_t ready = 0;
+};
+
+/// What a grant looks at besides the shard's state.
+struct GrantView
+{
+    /// Ready engines of the shard as the keeper sees them.
+    std::vector<UpstreamId> ready;
+    BoundSettings settings;
+    /// Whether another router may keep the shard too, or slots may be held that are not known.
+    bool careful = false;
 };
 
-/// \returns the highest load an engine may have after the next grant.
-/// With a mean below one the bound is one request: rounding up is part of the promise.
+/// Time during which a summary of another shard, or a sign of a rival, counts.
+inline constexpr Duration poolPartLife = Milliseconds{3500};
+/// Time after which a new keeper has heard from every router what it holds.
+inline constexpr Duration settlePeriod = Milliseconds{4000};
+/// Time without an ask or a digest after which a shard is forgotten: its routers have moved on to
+/// another keeper, which learnt the slots from them.
+inline constexpr Duration unusedLife = Milliseconds{10'000};
+/// Time for which an engine that failed a request gets no other.
+inline constexpr Duration shunPeriod = Milliseconds{1000};
+/// \returns the highest load an engine may have after the next grant: the multiple of the mean,
+/// rounded up. A careful keeper rounds down, yet never below an even spread; two keepers' shares
+/// then add up to the bound of their sum and at most one request.
 [[nodiscard]] std::uint32_t loadBound(const BoundSettings &settings, std::uint64_t total,
-                                      std::size_t engines) noexcept;
+                                      std::size_t engines, bool careful = false) noexcept;
 
-/// Grants a slot on the first engine in the chat's own order that stays within the bound.
+/// Grants a slot on an engine of the shard that stays within the bound.
 /// \param state of the shard
 /// \param router incarnation hash of the asking router
 /// \param ask of the router; a repeat gets the same grant
-/// \param ready engines of the shard as the keeper sees them
 SlotReply grantSlot(ShardState &state, std::uint64_t router, const SlotAsk &ask,
-                    const std::vector<UpstreamId> &ready, const BoundSettings &settings,
-                    TimePoint now);
+                    const GrantView &view, TimePoint now);
 
 /// Gives a slot back; unknown slots are ignored.
 void releaseSlot(ShardState &state, const SlotKey &key);
@@ -59,18 +121,34 @@
 /// Gives back all slots of a router that is gone.
 void releaseRouter(ShardState &state, std::uint64_t router);
 
+/// \returns whether a keeper has to be careful with the shard at \a now.
+/// \param own whether this router is the shard's keeper in its own view
+[[nodiscard]] bool mustBeCareful(const ShardState &state, bool own, TimePoint now) noexcept;
+
 /// The shards that this router keeps.
 class KeeperTable
 {
 public:
-    SlotReply grant(std::uint64_t router, const SlotAsk &ask, const std::vector<UpstreamId> &ready,
-                    const BoundSettings &settings, TimePoint now);
+    /// \param own whether this router is the shard's keeper in its own view
+    SlotReply grant(std::uint64_t router, const SlotAsk &ask, GrantView view, bool own,
+                    TimePoint now);
     void release(std::uint64_t router, const SlotRelease &release);
     void releaseRouter(std::uint64_t router);
+    /// Takes a router's digest. \returns whether its list has to be asked for.
+    [[nodiscard]] bool differs(std::uint64_t router, const SlotDigest &digest, TimePoint now);
+    void takeList(std::uint64_t sender, const SlotList &list, TimePoint now);
+    void takeSummary(const ShardSummary &summary, TimePoint now);
+    /// \returns the summary of each shard that has state here, forgetting those that were handed
+    /// over a while ago.
+    std::vector<ShardSummary> summaries(TimePoint now);
+    /// \returns all slots of all shards, for a keeper that leaves.
+    [[nodiscard]] std::vector<SlotList> lists() const;
     /// \returns the load of each engine of the shard that has any.
     [[nodiscard]] std::map<UpstreamId, std::uint32_t> loads(ShardId shard) const;
 
 private:
+    ShardState &stateOf(const Shard &shard, TimePoint now);
+
     mutable RankedMutex mutex{LockRank::Keeper};
     std::map<ShardId, ShardState> shards;
 };
--- a/include/plantainswitch/placement/messages.h
+++ b/include/plantainswitch/placement/messages.h
@@ -60,4 +60,49 @@
     std::vector<std::uint32_t> askIds;
 };
 
+/// A router's regular word to a shard's keeper on the slots it holds there.
+/// A lost release would otherwise leave a slot behind for ever, seen as an engine that gets less
+/// and less work; a new keeper would know nothing of what runs.
+struct SlotDigest
+{
+    ShardId shard = 0;
+    /// Only asks below this id count; the asks from there on may be under way.
+    std::uint32_t below = 0;
+    std::uint32_t count = 0;
+    /// All ids mixed and combined by exclusive or.
+    std::uint64_t mix = 0;
+};
+
+/// The keeper's answer to a digest that differs from what it knows.
+struct SlotListAsk
+{
+    ShardId shard = 0;
+};
+
+/// A slot as its holder knows it.
+struct ListedSlot
+{
+    std::uint32_t askId = 0;
+    UpstreamId upstream = 0;
+};
+
+/// All slots of one router in a shard with ids from `from` to below `below`.
+struct SlotList
+{
+    Shard shard;
+    /// Incarnation hash of the holder, which is not the sender when a keeper hands over.
+    std::uint64_t router = 0;
+    std::uint32_t from = 0;
+    std::uint32_t below = 0;
+    std::vector<ListedSlot> slots;
+};
+
+/// A keeper's word to the keepers of the pool's other shards.
+struct ShardSummary
+{
+    Shard shard;
+    std::uint64_t load = 0;
+    std::uint32_t engines = 0;
+};
+
 } // namespace plantainswitch
--- a/include/plantainswitch/placement/plan.h
+++ b/include/plantainswitch/placement/plan.h
@@ -37,6 +37,15 @@
                                                          const UpstreamTable &upstreams,
                                                          TimePoint now, Reason &reason);
 
+/// Moves shards in places without a live router to the end, in both parts keeping the order:
+/// a data centre that is cut off goes on with its own engines and doesn't wait for others first.
+void preferLivePlaces(PlacementPlan &plan, const std::vector<Heartbeat> &active);
+
+/// \returns the routers that may keep \a shard, the keeper first, then who stands in when it is
+/// silent.
+[[nodiscard]] std::vector<Heartbeat> keepersOf(const Shard &shard,
+                                               const std::vector<Heartbeat> &active);
+
 /// \returns the router that keeps \a shard: by rendezvous over the active routers of its place,
 /// or over all when the place has none.
 [[nodiscard]] std::optional<Heartbeat> keeperOf(const Shard &shard,
--- a/lab/policy.cpp
+++ b/lab/policy.cpp
@@ -39,7 +39,8 @@
 {
     po::options_description described("plantain-lab policy, the policy bench");
     described.add_options()("help", "show this text")("json", "print JSON, the only format")(
-        "policy", po::value(&options.policy), "random, least-loaded, hash, local-bound, plantain")(
+        "policy", po::value(&options.policy),
+        "random, least-loaded, hash, local-bound, keeper-hash, keeper-last, plantain")(
         "routers", po::value(&options.routers), "routers")(
         "engines", po::value(&options.engines), "engines")("places", po::value(&options.places),
                                                            "places, each a pool of its own")(
--- a/lab/policychoice.cpp
+++ b/lab/policychoice.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 
 #include "policyworld.h"
 
@@ -97,6 +98,12 @@
     return std::nullopt;
 }
 
+bool keepsIn(const BenchWorld &world, std::uint32_t router, const Shard &shard)
+{
+    const auto member = keeperOf(shard, world.routers[router]->active);
+    return member && world.routerIndex.at(member->id) == router;
+}
+
 /// Asks the shards' keepers in the plan's order; with \a local each router is its own keeper.
 std::optional<BenchChoice> chooseBounded(BenchWorld &world, const TraceRequest &request,
                                          const std::vector<UpstreamId> &avoid, bool local)
@@ -114,15 +121,20 @@
         }
         BenchRouter &keeping = *world.routers[keeper];
         const SlotAsk ask{router.nextAsk++, shard, chatHashOf(request), chatHashOf(request), avoid};
-        const std::vector<UpstreamId> ready =
-            readyOf(keeping.upstreams, shard, world.service.shards, world.clock.now());
-        const SlotReply reply = grantSlot(keeping.shards[shardIdOf(shard)], request.router, ask,
-                                          ready, world.bound(), world.clock.now());
+        GrantView view;
+        view.settings = world.bound();
+        view.ready = readyOf(keeping.upstreams, shard, world.service.shards, world.clock.now());
+        const SlotReply reply =
+            keeping.keeper.grant(request.router, ask, std::move(view),
+                                 local || keepsIn(world, keeper, shard), world.clock.now());
         if (keeper != request.router) {
             world.send(ask);
             world.send(reply);
         }
         if (reply.verdict == SlotVerdict::Granted) {
+            auto &held = router.held[shardIdOf(shard)];
+            held.first = shard;
+            held.second[ask.askId] = reply.upstream;
             return BenchChoice{reply.upstream, keeper, shardIdOf(shard), ask.askId, true};
         }
     }
@@ -145,6 +157,8 @@
                                               {"least-loaded", chooseLeastLoaded},
                                               {"hash", chooseHash},
                                               {"local-bound", chooseLocalBound},
+                                              {"keeper-hash", choosePlantain},
+                                              {"keeper-last", choosePlantain},
                                               {"plantain", choosePlantain}};
 
 } // namespace
@@ -155,10 +169,67 @@
     return choosers.at(world.options.policy)(world, request, avoid);
 }
 
+void sendSummaries(BenchWorld &world)
+{
+    if (world.options.policy == "local-bound") {
+        return;
+    }
+    for (std::uint32_t index = 0; index < world.routers.size(); ++index) {
+        BenchRouter &router = *world.routers[index];
+        for (const ShardSummary &summary : router.keeper.summaries(world.clock.now())) {
+            std::set<std::uint32_t> targets;
+            Shard shard = summary.shard;
+            for (shard.number = 0; shard.number < world.service.shards; ++shard.number) {
+                if (const auto keeper = keeperOf(shard, router.active)) {
+                    targets.insert(world.routerIndex.at(keeper->id));
+                }
+            }
+            targets.erase(index);
+            for (const std::uint32_t target : targets) {
+                world.send(summary);
+                world.routers[target]->keeper.takeSummary(summary, world.clock.now());
+            }
+        }
+    }
+}
+
+void sendDigests(BenchWorld &world)
+{
+    if (world.options.policy == "local-bound") {
+        return;
+    }
+    const TimePoint now = world.clock.now();
+    for (std::uint32_t index = 0; index < world.routers.size(); ++index) {
+        BenchRouter &router = *world.routers[index];
+        for (const auto &[id, entry] : router.held) {
+            const auto keeper = keeperOf(entry.first, router.active);
+            if (!keeper || keeper->id == router.self.id) {
+                continue;
+            }
+            KeeperTable &table = world.routers[world.routerIndex.at(keeper->id)]->keeper;
+            const SlotDigest digest = digestOf(id, entry.second, router.nextAsk);
+            world.send(digest);
+            if (!table.differs(index, digest, now)) {
+                continue;
+            }
+            world.send(SlotListAsk{id});
+            for (const SlotList &list : listsOf(entry.first, index, entry.second, router.nextAsk)) {
+                world.send(list);
+                table.takeList(index, list, now);
+            }
+        }
+    }
+}
+
 const std::vector<std::string> &policyNames()
 {
-    static const std::vector<std::string> names{"random", "least-loaded", "hash", "local-bound",
-                                                "plantain"};
+    static const std::vector<std::string> names = [] {
+        std::vector<std::string> result;
+        for (const auto &[name, chooser] : choosers) {
+            result.push_back(name);
+        }
+        return result;
+    }();
     return names;
 }
 
--- a/lab/policysim.cpp
+++ b/lab/policysim.cpp
@@ -16,9 +16,10 @@
 constexpr double prefillTokensPerSecond = 10'000.0;
 constexpr double tokenSeconds = 0.015;
 constexpr Duration listPeriod = Seconds{1};
-constexpr Duration releasePeriod = Milliseconds{50};
 constexpr Duration samplePeriod = Milliseconds{100};
 constexpr Duration reportPeriod = Seconds{1};
+constexpr Duration summaryPeriod = Seconds{1};
+constexpr Duration digestPeriod = Seconds{2};
 constexpr Duration disagreePeriod = Seconds{30};
 /// Pools start empty; what is measured begins after this part of the run, at most.
 constexpr double warmUpShare = 0.25;
@@ -69,9 +70,10 @@
             this->schedule(change.at, [this, &change] { this->change(change); });
         }
         this->every(listPeriod, [this] { this->takeList(); });
-        this->every(releasePeriod, [this] { this->flushReleases(); });
         this->every(samplePeriod, [this] { this->sample(); });
         this->every(reportPeriod, [this] { this->report(); });
+        this->every(summaryPeriod, [this] { sendSummaries(this->world); });
+        this->every(digestPeriod, [this] { sendDigests(this->world); });
         if (this->options.disagreeSeconds > 0) {
             this->every(disagreePeriod, [this] { this->disagree(); });
         }
@@ -175,25 +177,18 @@
         if (!choice.counted) {
             return;
         }
-        if (choice.keeper == router) {
-            releaseSlot(this->world.routers[router]->shards[choice.shard], {router, choice.askId});
-            return;
+        const SlotRelease release{choice.shard, {choice.askId}};
+        if (choice.keeper != router) {
+            this->world.send(release);
         }
-        this->world.routers[router]->releases[{choice.keeper, choice.shard}].push_back(
-            choice.askId);
-    }
-
-    void flushReleases()
-    {
-        for (std::uint32_t router = 0; router < this->world.routers.size(); ++router) {
-            for (const auto &[target, ids] : this->world.routers[router]->releases) {
-                this->world.send(SlotRelease{target.second, ids});
-                for (const std::uint32_t id : ids) {
-                    releaseSlot(this->world.routers[target.first]->shards[target.second],
-                                {router, id});
-                }
-            }
-            this->world.routers[router]->releases.clear();
+        this->world.routers[choice.keeper]->keeper.release(router, release);
+        this->world.routers[router]->held[choice.shard].second.erase(choice.askId);
+        const auto present = keeperOf(this->world.routers[router]->held[choice.shard].first,
+                                      this->world.routers[router]->active);
+        const std::uint32_t now = present ? this->world.routerIndex.at(present->id) : choice.keeper;
+        if (now != choice.keeper && this->options.policy != "local-bound") {
+            this->world.send(release);
+            this->world.routers[now]->keeper.release(router, release);
         }
     }
 
@@ -267,7 +262,7 @@
     {
         PoolLoad pool;
         for (const BenchEngine &engine : this->world.engines) {
-            if (engine.vm.place == place && engine.up) {
+            if (engine.vm.place == place && engine.up && this->isListed(engine.id)) {
                 pool.total += engine.load;
                 pool.most = std::max(pool.most, engine.load);
                 ++pool.count;
@@ -276,6 +271,12 @@
         return pool;
     }
 
+    /// An engine that the platform's late list doesn't show yet is no part of its pool.
+    [[nodiscard]] bool isListed(UpstreamId id) const
+    {
+        return this->world.routers.front()->upstreams.find(id).has_value();
+    }
+
     /// \a engine has just got a request; the bound was set by the load before it.
     void checkBound(const BenchEngine &engine)
     {
--- a/lab/policyworld.cpp
+++ b/lab/policyworld.cpp
@@ -1,7 +1,5 @@
 #include "policyworld.h"
 
-#include "peercodec.h"
-
 namespace plantainswitch::lab {
 
 namespace {
@@ -92,22 +90,18 @@
 {
     BoundSettings settings;
     settings.capacity = this->service.engineCapacity;
+    if (this->options.policy == "local-bound" || this->options.policy == "keeper-hash") {
+        settings.rule = ChooseRule::HashOrder;
+        settings.rememberedChats = 0;
+    } else if (this->options.policy == "keeper-last") {
+        settings.rule = ChooseRule::HashOrder;
+    }
     return settings;
 }
 
-void BenchWorld::send(const SlotAsk &ask)
-{
-    this->controlBytes += encode({1, ask}).size() + datagramOverhead;
-}
-
-void BenchWorld::send(const SlotReply &reply)
-{
-    this->controlBytes += encode({1, reply}).size() + datagramOverhead;
-}
-
-void BenchWorld::send(const SlotRelease &release)
+void BenchWorld::send(const PeerBody &body)
 {
-    this->controlBytes += encode({1, release}).size() + datagramOverhead;
+    this->controlBytes += encode({1, body}).size() + datagramOverhead;
 }
 
 } // namespace plantainswitch::lab
--- a/lab/policyworld.h
+++ b/lab/policyworld.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "plantainswitch/plantainswitch.h"
+#include "peercodec.h"
 
 #include "policytrace.h"
 
@@ -33,10 +33,10 @@
     Heartbeat self;
     std::vector<Heartbeat> active;
     UpstreamTable upstreams;
-    std::map<ShardId, ShardState> shards;
+    KeeperTable keeper;
     std::uint32_t nextAsk = 1;
-    /// Releases not yet sent, by keeper and shard.
-    std::map<std::pair<std::uint32_t, ShardId>, std::vector<std::uint32_t>> releases;
+    /// What the router holds, by shard.
+    std::map<ShardId, std::pair<Shard, std::map<std::uint32_t, UpstreamId>>> held;
 };
 
 /// A slot that a policy chose.
@@ -62,9 +62,7 @@
     [[nodiscard]] std::vector<Vm> listOfVms() const;
     [[nodiscard]] BoundSettings bound() const;
     /// Counts a datagram as control traffic.
-    void send(const SlotAsk &ask);
-    void send(const SlotReply &reply);
-    void send(const SlotRelease &release);
+    void send(const PeerBody &body);
 
     const PolicyOptions &options;
     Service service;
@@ -82,6 +80,11 @@
 [[nodiscard]] std::optional<BenchChoice> choose(BenchWorld &world, const TraceRequest &request,
                                                 const std::vector<UpstreamId> &avoid);
 
+/// Each keeper tells the other shards' keepers its load, as KeeperService does.
+void sendSummaries(BenchWorld &world);
+/// Each router tells the keepers what it holds, as Slots does; a list follows where they differ.
+void sendDigests(BenchWorld &world);
+
 /// \returns the names of the policies.
 [[nodiscard]] const std::vector<std::string> &policyNames();
 
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -40,6 +40,9 @@
     EventRow{Event::UpstreamGarbage, "upstream-garbage", Severity::Error},
     EventRow{Event::UpstreamLeaving, "upstream-leaving", Severity::Info},
     EventRow{Event::KeeperSilent, "keeper-silent", Severity::Warning},
+    EventRow{Event::KeeperReplaced, "keeper-replaced", Severity::Warning},
+    EventRow{Event::SlotsDiffer, "slots-differ", Severity::Info},
+    EventRow{Event::ShardsHandedOver, "shards-handed-over", Severity::Info},
     EventRow{Event::UpstreamCrashed, "upstream-crashed", Severity::Warning},
     EventRow{Event::RequestQuarantined, "request-quarantined", Severity::Error},
 };
--- a/src/placement/keeper.cpp
+++ b/src/placement/keeper.cpp
@@ -14,26 +14,164 @@
 constexpr std::array verdictNames{std::string_view{"granted"}, std::string_view{"overflow"},
                                   std::string_view{"empty"}};
 
-std::vector<Candidate> candidatesOf(const SlotAsk &ask, const std::vector<UpstreamId> &ready)
+bool contains(const std::vector<UpstreamId> &list, UpstreamId id)
 {
-    std::vector<Candidate> result;
-    result.reserve(ready.size());
+    return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+std::uint32_t loadOf(const ShardState &state, UpstreamId id)
+{
+    const auto found = state.loads.find(id);
+    return found == state.loads.end() ? 0 : found->second;
+}
+
+std::uint64_t totalLoad(const ShardState &state, const std::vector<UpstreamId> &ready)
+{
+    std::uint64_t total = 0;
+    for (const UpstreamId id : ready) {
+        total += loadOf(state, id);
+    }
+    return total;
+}
+
+bool isShunned(const ShardState &state, UpstreamId id, TimePoint now)
+{
+    const auto found = state.engines.find(id);
+    return found != state.engines.end() && found->second.shunnedUntil > now;
+}
+
+/// An engine that failed a request looks empty and would draw the next ones; the asker's list of
+/// engines to avoid is the first sign, long before the platform's list.
+void shun(ShardState &state, const std::vector<UpstreamId> &failed, TimePoint now)
+{
+    for (const UpstreamId id : failed) {
+        state.engines[id].shunnedUntil = now + shunPeriod;
+    }
+}
+
+/// \returns the engines in service: all that are ready but the shunned ones, unless none is left.
+std::vector<UpstreamId> inService(const ShardState &state, const std::vector<UpstreamId> &ready,
+                                  TimePoint now)
+{
+    std::vector<UpstreamId> result;
     for (const UpstreamId id : ready) {
-        if (std::find(ask.avoid.begin(), ask.avoid.end(), id) == ask.avoid.end()) {
+        if (!isShunned(state, id, now)) {
+            result.push_back(id);
+        }
+    }
+    return result.empty() ? ready : result;
+}
+
+std::vector<Candidate> candidatesOf(const SlotAsk &ask, const std::vector<UpstreamId> &engines)
+{
+    std::vector<Candidate> result;
+    result.reserve(engines.size());
+    for (const UpstreamId id : engines) {
+        if (!contains(ask.avoid, id)) {
             result.push_back({id, 1.0});
         }
     }
     return result;
 }
 
-std::uint64_t totalLoad(const ShardState &state, const std::vector<UpstreamId> &ready)
+/// \returns the engines in the order in which the chat prefers them: where it ran last, where it
+/// ran before, then by its hash.
+std::vector<UpstreamId> preferredOrder(const std::optional<ChatPlace> &place, const SlotAsk &ask,
+                                       const std::vector<Candidate> &candidates)
 {
-    std::uint64_t total = 0;
-    for (const UpstreamId id : ready) {
-        const auto found = state.loads.find(id);
-        total += found == state.loads.end() ? 0 : found->second;
+    std::vector<UpstreamId> result;
+    result.reserve(candidates.size());
+    for (const std::size_t index : rendezvousOrder(ask.chat, candidates)) {
+        result.push_back(candidates[index].id);
     }
-    return total;
+    if (!place) {
+        return result;
+    }
+    for (const UpstreamId known : {place->before, place->latest}) {
+        const auto found = std::find(result.begin(), result.end(), known);
+        if (found != result.end()) {
+            std::rotate(result.begin(), found, found + 1);
+        }
+    }
+    return result;
+}
+
+/// The limits on an engine's load at a grant: for a chat's first engine by hash, for an engine
+/// that has its prefix, and for any.
+struct Limits
+{
+    std::uint32_t unknown = 0;
+    std::uint32_t inner = 0;
+    std::uint32_t hard = 0;
+};
+
+std::optional<UpstreamId> firstBelow(const ShardState &state, const std::vector<UpstreamId> &order,
+                                     std::uint32_t limit)
+{
+    for (const UpstreamId id : order) {
+        if (loadOf(state, id) < limit) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<UpstreamId> leastLoaded(const ShardState &state, const std::vector<UpstreamId> &order,
+                                      std::uint32_t limit)
+{
+    const auto least =
+        std::min_element(order.begin(), order.end(), [&state](UpstreamId first, UpstreamId second) {
+            return loadOf(state, first) < loadOf(state, second);
+        });
+    if (least == order.end() || loadOf(state, *least) >= limit) {
+        return std::nullopt;
+    }
+    return *least;
+}
+
+std::optional<UpstreamId> chooseEngine(ShardState &state, const SlotAsk &ask,
+                                       const std::vector<Candidate> &candidates, ChooseRule rule,
+                                       const Limits &limits)
+{
+    const std::optional<ChatPlace> place = state.memory.find(ask.chat);
+    const std::vector<UpstreamId> order = preferredOrder(place, ask, candidates);
+    if (rule == ChooseRule::HashOrder) {
+        return firstBelow(state, order, limits.hard);
+    }
+    // A chat that no engine has cached costs nothing to move: new chats even out the load, so
+    // that returning ones can stay. Where there is room they go by hash, so that the next keeper
+    // finds them without being told.
+    if (place) {
+        for (const UpstreamId id : order) {
+            const bool cached = id == place->latest || id == place->before;
+            if (cached && loadOf(state, id) < limits.inner) {
+                return id;
+            }
+        }
+    } else if (loadOf(state, order.front()) < limits.unknown) {
+        return order.front();
+    }
+    return leastLoaded(state, order, limits.hard);
+}
+
+Limits limitsOf(const ShardState &state, const std::vector<UpstreamId> &serving,
+                const GrantView &view, TimePoint now)
+{
+    std::uint64_t total = totalLoad(state, serving);
+    std::size_t engines = serving.size();
+    for (const auto &[shard, part] : state.others) {
+        if (now - part.heard < poolPartLife) {
+            total += part.load;
+            engines += part.engines;
+        }
+    }
+    const auto limit = [&](double multiple) {
+        BoundSettings settings = view.settings;
+        settings.multiple = std::min(multiple, settings.multiple);
+        return loadBound(settings, total, engines, view.careful);
+    };
+    return {limit(view.settings.newMultiple), limit(view.settings.innerMultiple),
+            limit(view.settings.multiple)};
 }
 
 } // namespace
@@ -48,41 +186,44 @@
     return mixHash(mixHash(hashOf(shard.service), hashOf(shard.place)), shard.number);
 }
 
-std::uint32_t loadBound(const BoundSettings &settings, std::uint64_t total,
-                        std::size_t engines) noexcept
+std::uint32_t loadBound(const BoundSettings &settings, std::uint64_t total, std::size_t engines,
+                        bool careful) noexcept
 {
     if (engines == 0) {
         return 0;
     }
     const double mean = static_cast<double>(total + 1) / static_cast<double>(engines);
-    const auto bound = static_cast<std::uint32_t>(std::ceil(settings.multiple * mean));
-    return std::min(bound, settings.capacity);
+    const double allowed = settings.multiple * mean;
+    // What an even spread needs: without it, small loads would leave no engine to grant.
+    const double even = std::floor(static_cast<double>(total) / static_cast<double>(engines)) + 1.0;
+    const double rounded = careful ? std::max(even, std::floor(allowed)) : std::ceil(allowed);
+    return std::min(static_cast<std::uint32_t>(rounded), settings.capacity);
 }
 
 SlotReply grantSlot(ShardState &state, std::uint64_t router, const SlotAsk &ask,
-                    const std::vector<UpstreamId> &ready, const BoundSettings &settings,
-                    TimePoint now)
+                    const GrantView &view, TimePoint now)
 {
     const SlotKey key{router, ask.askId};
     const auto known = state.slots.find(key);
     if (known != state.slots.end()) {
         return {ask.askId, SlotVerdict::Granted, known->second.upstream};
     }
-    const std::vector<Candidate> candidates = candidatesOf(ask, ready);
+    shun(state, ask.avoid, now);
+    state.ready = static_cast<std::uint32_t>(view.ready.size());
+    const std::vector<UpstreamId> serving = inService(state, view.ready, now);
+    const std::vector<Candidate> candidates = candidatesOf(ask, serving);
     if (candidates.empty()) {
         return {ask.askId, SlotVerdict::Empty, 0};
     }
-    const std::uint32_t bound = loadBound(settings, totalLoad(state, ready), ready.size());
-    for (const std::size_t index : rendezvousOrder(ask.chat, candidates)) {
-        const UpstreamId upstream = candidates[index].id;
-        std::uint32_t &load = state.loads[upstream];
-        if (load < bound) {
-            ++load;
-            state.slots.emplace(key, Slot{upstream, ask.fingerprint, now});
-            return {ask.askId, SlotVerdict::Granted, upstream};
-        }
+    const auto upstream = chooseEngine(state, ask, candidates, view.settings.rule,
+                                       limitsOf(state, serving, view, now));
+    if (!upstream) {
+        return {ask.askId, SlotVerdict::Overflow, 0};
     }
-    return {ask.askId, SlotVerdict::Overflow, 0};
+    ++state.loads[*upstream];
+    state.slots.emplace(key, Slot{*upstream, ask.fingerprint, now});
+    state.memory.keep(ask.chat, *upstream, view.settings.rememberedChats);
+    return {ask.askId, SlotVerdict::Granted, *upstream};
 }
 
 void releaseSlot(ShardState &state, const SlotKey &key)
@@ -108,42 +249,11 @@
     }
 }
 
-SlotReply KeeperTable::grant(std::uint64_t router, const SlotAsk &ask,
-                             const std::vector<UpstreamId> &ready, const BoundSettings &settings,
-                             TimePoint now)
-{
-    const RankedLock lock(this->mutex);
-    return grantSlot(this->shards[shardIdOf(ask.shard)], router, ask, ready, settings, now);
-}
-
-void KeeperTable::release(std::uint64_t router, const SlotRelease &release)
-{
-    const RankedLock lock(this->mutex);
-    const auto found = this->shards.find(release.shard);
-    if (found == this->shards.end()) {
-        return;
-    }
-    for (const std::uint32_t askId : release.askIds) {
-        releaseSlot(found->second, {router, askId});
-    }
-}
-
-void KeeperTable::releaseRouter(std::uint64_t router)
+bool mustBeCareful(const ShardState &state, bool own, TimePoint now) noexcept
 {
-    const RankedLock lock(this->mutex);
-    for (auto &[id, state] : this->shards) {
-        plantainswitch::releaseRouter(state, router);
-    }
-}
-
-std::map<UpstreamId, std::uint32_t> KeeperTable::loads(ShardId shard) const
-{
-    const RankedLock lock(this->mutex);
-    const auto found = this->shards.find(shard);
-    if (found == this->shards.end()) {
-        return {};
-    }
-    return found->second.loads;
+    const bool isNew = now - state.since < settlePeriod;
+    const bool hasRival = state.rivalHeard && now - *state.rivalHeard < poolPartLife;
+    return !own || isNew || hasRival;
 }
 
 } // namespace plantainswitch
--- /dev/null
+++ b/src/placement/keepertable.cpp
@@ -0,0 +1,117 @@
+#include "plantainswitch/placement/slotsync.h"
+
+namespace plantainswitch {
+
+ShardState &KeeperTable::stateOf(const Shard &shard, TimePoint now)
+{
+    const auto [found, isNew] = this->shards.try_emplace(shardIdOf(shard));
+    ShardState &state = found->second;
+    if (isNew) {
+        state.shard = shard;
+        state.since = now;
+    }
+    state.lastUsed = now;
+    return state;
+}
+
+SlotReply KeeperTable::grant(std::uint64_t router, const SlotAsk &ask, GrantView view, bool own,
+                             TimePoint now)
+{
+    const RankedLock lock(this->mutex);
+    ShardState &state = this->stateOf(ask.shard, now);
+    view.careful = view.careful || mustBeCareful(state, own, now);
+    return grantSlot(state, router, ask, view, now);
+}
+
+void KeeperTable::release(std::uint64_t router, const SlotRelease &release)
+{
+    const RankedLock lock(this->mutex);
+    const auto found = this->shards.find(release.shard);
+    if (found == this->shards.end()) {
+        return;
+    }
+    for (const std::uint32_t askId : release.askIds) {
+        releaseSlot(found->second, {router, askId});
+    }
+}
+
+void KeeperTable::releaseRouter(std::uint64_t router)
+{
+    const RankedLock lock(this->mutex);
+    for (auto &[id, state] : this->shards) {
+        plantainswitch::releaseRouter(state, router);
+    }
+}
+
+bool KeeperTable::differs(std::uint64_t router, const SlotDigest &digest, TimePoint now)
+{
+    const RankedLock lock(this->mutex);
+    const auto found = this->shards.find(digest.shard);
+    if (found == this->shards.end()) {
+        return digest.count > 0;
+    }
+    found->second.lastUsed = now;
+    return differsFrom(found->second, router, digest);
+}
+
+void KeeperTable::takeList(std::uint64_t sender, const SlotList &list, TimePoint now)
+{
+    const RankedLock lock(this->mutex);
+    applyList(this->stateOf(list.shard, now), list, list.router == sender, now);
+}
+
+void KeeperTable::takeSummary(const ShardSummary &summary, TimePoint now)
+{
+    const RankedLock lock(this->mutex);
+    const ShardId told = shardIdOf(summary.shard);
+    for (auto &[id, state] : this->shards) {
+        if (id == told) {
+            state.rivalHeard = now;
+        } else if (state.shard.service == summary.shard.service
+                   && state.shard.place == summary.shard.place) {
+            state.others[told] = {summary.load, summary.engines, now};
+        }
+    }
+}
+
+std::vector<ShardSummary> KeeperTable::summaries(TimePoint now)
+{
+    const RankedLock lock(this->mutex);
+    std::erase_if(this->shards,
+                  [now](const auto &each) { return now - each.second.lastUsed > unusedLife; });
+    std::vector<ShardSummary> result;
+    for (const auto &[id, state] : this->shards) {
+        result.push_back({state.shard, state.slots.size(), state.ready});
+    }
+    return result;
+}
+
+std::vector<SlotList> KeeperTable::lists() const
+{
+    const RankedLock lock(this->mutex);
+    std::vector<SlotList> result;
+    for (const auto &[id, state] : this->shards) {
+        std::map<std::uint64_t, std::map<std::uint32_t, UpstreamId>> held;
+        for (const auto &[key, slot] : state.slots) {
+            held[key.first][key.second] = slot.upstream;
+        }
+        for (const auto &[router, slots] : held) {
+            const std::uint32_t below = slots.rbegin()->first + 1;
+            const auto lists = listsOf(state.shard, router, slots, below);
+            result.insert(result.end(), lists.begin(), lists.end());
+        }
+    }
+    return result;
+}
+
+std::map<UpstreamId, std::uint32_t> KeeperTable::loads(ShardId shard) const
+{
+    const RankedLock lock(this->mutex);
+    const auto found = this->shards.find(shard);
+    if (found == this->shards.end()) {
+        return {};
+    }
+    return found->second.loads;
+}
+
+} // namespace plantainswitch
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -1,5 +1,6 @@
 #include "plantainswitch/placement/plan.h"
 
+#include <algorithm>
 #include <map>
 
 #include "plantainswitch/base/hash.h"
@@ -51,7 +52,16 @@
     return plan;
 }
 
-std::optional<Heartbeat> keeperOf(const Shard &shard, const std::vector<Heartbeat> &active)
+void preferLivePlaces(PlacementPlan &plan, const std::vector<Heartbeat> &active)
+{
+    std::stable_partition(plan.shards.begin(), plan.shards.end(), [&active](const Shard &shard) {
+        return std::any_of(active.begin(), active.end(), [&shard](const Heartbeat &member) {
+            return member.place == shard.place;
+        });
+    });
+}
+
+std::vector<Heartbeat> keepersOf(const Shard &shard, const std::vector<Heartbeat> &active)
 {
     std::vector<const Heartbeat *> local;
     for (const Heartbeat &member : active) {
@@ -69,10 +79,18 @@
     for (const Heartbeat *member : local) {
         candidates.push_back({hashOf(member->id), 1.0});
     }
-    if (candidates.empty()) {
-        return std::nullopt;
+    std::vector<Heartbeat> result;
+    result.reserve(local.size());
+    for (const std::size_t index : rendezvousOrder(shardIdOf(shard), candidates)) {
+        result.push_back(*local[index]);
     }
-    return *local[rendezvousOrder(shardIdOf(shard), candidates).front()];
+    return result;
+}
+
+std::optional<Heartbeat> keeperOf(const Shard &shard, const std::vector<Heartbeat> &active)
+{
+    const std::vector<Heartbeat> keepers = keepersOf(shard, active);
+    return keepers.empty() ? std::nullopt : std::optional(keepers.front());
 }
 
 } // namespace plantainswitch
--- /dev/null
+++ b/src/placement/slotsync.cpp
@@ -0,0 +1,85 @@
+#include "plantainswitch/placement/slotsync.h"
+
+#include "plantainswitch/base/hash.h"
+
+namespace plantainswitch {
+
+namespace {
+
+void releaseUnlisted(ShardState &state, const SlotList &list)
+{
+    std::map<std::uint32_t, UpstreamId> listed;
+    for (const ListedSlot &slot : list.slots) {
+        listed.emplace(slot.askId, slot.upstream);
+    }
+    std::vector<SlotKey> gone;
+    const auto end = state.slots.lower_bound({list.router, list.below});
+    for (auto each = state.slots.lower_bound({list.router, list.from}); each != end; ++each) {
+        const auto found = listed.find(each->first.second);
+        if (found == listed.end() || found->second != each->second.upstream) {
+            gone.push_back(each->first);
+        }
+    }
+    for (const SlotKey &key : gone) {
+        releaseSlot(state, key);
+    }
+}
+
+} // namespace
+
+SlotDigest digestOf(ShardId shard, const std::map<std::uint32_t, UpstreamId> &held,
+                    std::uint32_t below) noexcept
+{
+    SlotDigest digest{shard, below, 0, 0};
+    for (const auto &[askId, upstream] : held) {
+        if (askId >= below) {
+            break;
+        }
+        ++digest.count;
+        digest.mix ^= mixHash(askId, upstream);
+    }
+    return digest;
+}
+
+bool differsFrom(const ShardState &state, std::uint64_t router, const SlotDigest &digest)
+{
+    SlotDigest own{digest.shard, digest.below, 0, 0};
+    const auto end = state.slots.lower_bound({router, digest.below});
+    for (auto each = state.slots.lower_bound({router, 0}); each != end; ++each) {
+        ++own.count;
+        own.mix ^= mixHash(each->first.second, each->second.upstream);
+    }
+    return own.count != digest.count || own.mix != digest.mix;
+}
+
+std::vector<SlotList> listsOf(const Shard &shard, std::uint64_t router,
+                              const std::map<std::uint32_t, UpstreamId> &held, std::uint32_t below)
+{
+    std::vector<SlotList> result{{shard, router, 0, below, {}}};
+    for (const auto &[askId, upstream] : held) {
+        if (askId >= below) {
+            break;
+        }
+        if (result.back().slots.size() == slotsInList) {
+            result.back().below = askId;
+            result.push_back({shard, router, askId, below, {}});
+        }
+        result.back().slots.push_back({askId, upstream});
+    }
+    return result;
+}
+
+void applyList(ShardState &state, const SlotList &list, bool whole, TimePoint now)
+{
+    if (whole) {
+        releaseUnlisted(state, list);
+    }
+    for (const ListedSlot &slot : list.slots) {
+        const SlotKey key{list.router, slot.askId};
+        if (state.slots.emplace(key, Slot{slot.upstream, 0, now}).second) {
+            ++state.loads[slot.upstream];
+        }
+    }
+}
+
+} // namespace plantainswitch
--- a/tests/concurrency.cpp
+++ b/tests/concurrency.cpp
@@ -107,7 +107,7 @@
             static_cast<void>(upstreams.ready("model", "here", now));
             const std::uint32_t askId = round;
             const SlotAsk ask{askId, shard, round, round, {}};
-            keeper.grant(thread, ask, engines, BoundSettings{}, now);
+            keeper.grant(thread, ask, {engines, {}, false}, true, now);
             keeper.release(thread, {shardIdOf(shard), {askId}});
             explain.keep({name, {"step"}});
             metrics.record(Timing::Whole, name, "class", Milliseconds{round});
--- a/tests/keeper.cpp
+++ b/tests/keeper.cpp
@@ -18,6 +18,7 @@
     Shard shard{"model", "hall-a", 0};
     std::vector<UpstreamId> engines{11, 22, 33, 44};
     BoundSettings bound;
+    GrantView view{this->engines, this->bound, false};
     ShardState state;
     TimePoint now{Seconds{1}};
 };
@@ -28,10 +29,8 @@
 {
     // A router's first datagram is answered, but the answer is lost, so it asks again.
     // Counting twice would leave a slot behind that nobody gives back.
-    const SlotReply first =
-        grantSlot(this->state, 1, this->askOf(1, 5), this->engines, this->bound, this->now);
-    const SlotReply second =
-        grantSlot(this->state, 1, this->askOf(1, 5), this->engines, this->bound, this->now);
+    const SlotReply first = grantSlot(this->state, 1, this->askOf(1, 5), this->view, this->now);
+    const SlotReply second = grantSlot(this->state, 1, this->askOf(1, 5), this->view, this->now);
     CHECK(first.verdict == SlotVerdict::Granted);
     CHECK(first.upstream == second.upstream);
     CHECK(this->state.slots.size() == 1);
@@ -40,7 +39,7 @@
 TEST_CASE_METHOD(KeeperFixture, "keeper_oneHotChat_staysWithinBound", "[keeper]")
 {
     for (std::uint32_t id = 1; id <= 100; ++id) {
-        grantSlot(this->state, 1, this->askOf(id, 5), this->engines, this->bound, this->now);
+        grantSlot(this->state, 1, this->askOf(id, 5), this->view, this->now);
     }
     for (const auto &[engine, load] : this->state.loads) {
         CHECK(load <= loadBound(this->bound, 100, this->engines.size()));
@@ -50,8 +49,8 @@
 
 TEST_CASE_METHOD(KeeperFixture, "keeper_routerGone_givesItsSlotsBack", "[keeper]")
 {
-    grantSlot(this->state, 1, this->askOf(1, 5), this->engines, this->bound, this->now);
-    grantSlot(this->state, 2, this->askOf(1, 6), this->engines, this->bound, this->now);
+    grantSlot(this->state, 1, this->askOf(1, 5), this->view, this->now);
+    grantSlot(this->state, 2, this->askOf(1, 6), this->view, this->now);
     releaseRouter(this->state, 1);
     CHECK(this->state.slots.size() == 1);
     CHECK(this->state.slots.begin()->first.first == 2);
@@ -73,8 +72,8 @@
                 continue;
             }
             const std::uint64_t total = generated.slots.size();
-            const SlotReply reply = grantSlot(generated, 1, this->askOf(nextId, step % 7),
-                                              this->engines, this->bound, this->now);
+            const SlotReply reply =
+                grantSlot(generated, 1, this->askOf(nextId, step % 7), this->view, this->now);
             if (reply.verdict == SlotVerdict::Granted) {
                 RC_ASSERT(generated.loads.at(reply.upstream)
                           <= loadBound(this->bound, total, this->engines.size()));
--- /dev/null
+++ b/tests/keeperloss.cpp
@@ -0,0 +1,66 @@
+#include <catch2/catch.hpp>
+
+#include "fleet.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::lab;
+
+namespace {
+
+constexpr std::uint16_t ownPorts = 25500;
+constexpr std::uint32_t chats = 24;
+
+Deployment sixRouters()
+{
+    Deployment deployment = *deploymentOf("lowther");
+    deployment.basePort = ownPorts;
+    return deployment;
+}
+
+class KeeperLossFixture
+{
+protected:
+    KeeperLossFixture()
+        : fleet(sixRouters())
+    {
+        REQUIRE(this->fleet.start());
+    }
+
+    /// \returns how many of the chats got a whole answer from \a router.
+    [[nodiscard]] std::uint32_t served(std::size_t router, const std::string &token)
+    {
+        std::uint32_t whole = 0;
+        for (std::uint32_t chat = 0; chat < chats; ++chat) {
+            const nlohmann::json body{
+                {"model", this->fleet.deployment.modelService},
+                {"messages", {{{"role", "user"}, {"content", "hello " + std::to_string(chat)}}}}};
+            const auto answer = this->fleet.chat(router, token, "c" + std::to_string(chat), body);
+            whole += answer.status == 200 ? 1 : 0;
+        }
+        return whole;
+    }
+
+    Fleet fleet;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(KeeperLossFixture, "router_keepersKilled_chatsGoOnAtOnce", "[keeperloss]")
+{
+    // Two routers die without a word, and with them the counts of the shards they kept. Until
+    // their heartbeats are missed, asks to them stay without an answer. The caller sees a little
+    // delay and its answer: the next router in the shard's order stands in.
+    this->fleet.killRouter(1);
+    this->fleet.killRouter(2);
+    CHECK(this->served(0, "token-lowther-0") == chats);
+}
+
+TEST_CASE_METHOD(KeeperLossFixture, "router_alone_servesOnItsOwnCount", "[keeperloss]")
+{
+    // Every other router is gone at once. None of the keepers in reach answers, and still no
+    // caller is refused: the last router grants carefully by its own count.
+    for (std::size_t router = 1; router < this->fleet.layout.size(); ++router) {
+        this->fleet.killRouter(router);
+    }
+    CHECK(this->served(0, "token-lowther-0") == chats);
+}
