--- a/daemon/peercodec.cpp
+++ b/daemon/peercodec.cpp
@@ -22,9 +22,8 @@
     return {from.host(), static_cast<std::uint16_t>(from.port())};
 }
 
-void fill(wire::Datagram &datagram, const Heartbeat &from)
+void toWire(const Heartbeat &from, wire::Heartbeat &to)
 {
-    wire::Heartbeat &to = *datagram.mutable_heartbeat();
     to.set_id(from.id);
     to.set_place(from.place);
     toWire(from.datagrams, *to.mutable_datagrams());
@@ -32,6 +31,35 @@
     to.set_incarnation(from.incarnation);
     to.set_catalogue_version(from.catalogueVersion);
     to.set_leaving(from.leaving);
+    to.set_refutation(from.refutation);
+    to.set_catalogue_age(from.catalogueAge);
+    to.set_vm_stamp(from.vmStamp);
+    to.set_vm_digest(from.vmDigest);
+}
+
+void fill(wire::Datagram &datagram, const SwimMessage &from)
+{
+    wire::Swim &to = *datagram.mutable_swim();
+    to.set_kind(static_cast<std::uint32_t>(from.kind));
+    to.set_probe(from.probe);
+    to.set_join(from.join);
+    toWire(from.from, *to.mutable_from());
+    if (from.kind == SwimKind::PingRequest) {
+        toWire(from.target, *to.mutable_target());
+    }
+    for (const MemberUpdate &update : from.updates) {
+        wire::MemberUpdate &added = *to.add_updates();
+        toWire(update.member, *added.mutable_member());
+        added.set_state(static_cast<std::uint32_t>(update.state));
+    }
+}
+
+void fill(wire::Datagram &datagram, const LeavingNotice &from)
+{
+    wire::LeavingNotice &to = *datagram.mutable_leaving();
+    for (const std::string &vm : from.vms) {
+        to.add_vms(vm);
+    }
 }
 
 void fill(wire::Datagram &datagram, const SlotAsk &from)
@@ -46,6 +74,12 @@
     for (const UpstreamId id : from.avoid) {
         to.add_avoid(id);
     }
+    if (from.waitMilliseconds != 0) {
+        to.set_wait_milliseconds(from.waitMilliseconds);
+        to.set_workspace(from.workspace);
+        to.set_weight(from.weight);
+        to.set_priority(from.priority);
+    }
 }
 
 void fill(wire::Datagram &datagram, const SlotReply &from)
@@ -54,6 +88,7 @@
     to.set_ask_id(from.askId);
     to.set_verdict(static_cast<std::uint32_t>(from.verdict));
     to.set_upstream(from.upstream);
+    to.set_retry_after_seconds(from.retryAfterSeconds);
 }
 
 void fill(wire::Datagram &datagram, const SlotRelease &from)
@@ -65,6 +100,66 @@
     }
 }
 
+constexpr double rateUnits = 256.0;
+
+/// Rounds down, so that what a router holds never is more than what its owner counts.
+std::uint32_t rateToWire(double rate)
+{
+    return static_cast<std::uint32_t>(rate * rateUnits);
+}
+
+double rateFromWire(std::uint32_t rate)
+{
+    return rate / rateUnits;
+}
+
+void fill(wire::Datagram &datagram, const LimitReport &from)
+{
+    wire::LimitReport &to = *datagram.mutable_limit_report();
+    to.set_sequence(from.sequence);
+    for (const LimitUse &use : from.uses) {
+        wire::LimitUse &each = *to.add_uses();
+        each.set_workspace(use.workspace);
+        each.set_rate_wanted(rateToWire(use.rateWanted));
+        each.set_in_flight_wanted(use.inFlightWanted);
+        each.set_rate_held(rateToWire(use.rateHeld));
+        each.set_in_flight_held(use.inFlightHeld);
+    }
+}
+
+void fill(wire::Datagram &datagram, const LimitShares &from)
+{
+    wire::LimitShares &to = *datagram.mutable_limit_shares();
+    to.set_sequence(from.sequence);
+    for (const LimitShare &share : from.shares) {
+        wire::LimitShare &each = *to.add_shares();
+        each.set_workspace(share.workspace);
+        each.set_rate(rateToWire(share.rate));
+        each.set_in_flight(share.inFlight);
+    }
+}
+
+LimitReport read(const wire::LimitReport &from)
+{
+    LimitReport to;
+    to.sequence = from.sequence();
+    for (const wire::LimitUse &use : from.uses()) {
+        to.uses.push_back({use.workspace(), rateFromWire(use.rate_wanted()), use.in_flight_wanted(),
+                           rateFromWire(use.rate_held()), use.in_flight_held()});
+    }
+    return to;
+}
+
+LimitShares read(const wire::LimitShares &from)
+{
+    LimitShares to;
+    to.sequence = from.sequence();
+    for (const wire::LimitShare &share : from.shares()) {
+        to.shares.push_back({share.workspace(), rateFromWire(share.rate()), share.in_flight()});
+    }
+    return to;
+}
+
 void fill(wire::Datagram &datagram, const SlotDigest &from)
 {
     wire::SlotDigest &to = *datagram.mutable_digest();
@@ -191,9 +286,46 @@
     to.incarnation = from.incarnation();
     to.catalogueVersion = from.catalogue_version();
     to.leaving = from.leaving();
+    to.refutation = from.refutation();
+    to.catalogueAge = from.catalogue_age();
+    to.vmStamp = from.vm_stamp();
+    to.vmDigest = from.vm_digest();
+    return to;
+}
+
+std::optional<SwimMessage> read(const wire::Swim &from)
+{
+    SwimMessage to;
+    if (from.kind() > static_cast<std::uint32_t>(SwimKind::State)) {
+        return std::nullopt;
+    }
+    to.kind = static_cast<SwimKind>(from.kind());
+    to.probe = from.probe();
+    to.join = from.join();
+    std::optional<Heartbeat> sender = read(from.from());
+    if (!sender || (from.has_target() && !isUsable(from.target()))) {
+        return std::nullopt;
+    }
+    to.from = std::move(*sender);
+    to.target = fromWire(from.target());
+    for (const wire::MemberUpdate &update : from.updates()) {
+        if (update.state() > static_cast<std::uint32_t>(MemberState::Gone)) {
+            return std::nullopt;
+        }
+        std::optional<Heartbeat> member = read(update.member());
+        if (!member) {
+            return std::nullopt;
+        }
+        to.updates.push_back({std::move(*member), static_cast<MemberState>(update.state())});
+    }
     return to;
 }
 
+LeavingNotice read(const wire::LeavingNotice &from)
+{
+    return {{from.vms().begin(), from.vms().end()}};
+}
+
 SlotAsk read(const wire::SlotAsk &from)
 {
     SlotAsk to;
@@ -202,15 +334,20 @@
     to.chat = from.chat();
     to.fingerprint = from.fingerprint();
     to.avoid.assign(from.avoid().begin(), from.avoid().end());
+    to.waitMilliseconds = from.wait_milliseconds();
+    to.workspace = from.workspace();
+    to.weight = from.weight();
+    to.priority = from.priority();
     return to;
 }
 
 std::optional<SlotReply> read(const wire::SlotReply &from)
 {
-    if (from.verdict() > static_cast<std::uint32_t>(SlotVerdict::Empty)) {
+    if (from.verdict() > static_cast<std::uint32_t>(SlotVerdict::Busy)) {
         return std::nullopt;
     }
-    return SlotReply{from.ask_id(), static_cast<SlotVerdict>(from.verdict()), from.upstream()};
+    return SlotReply{from.ask_id(), static_cast<SlotVerdict>(from.verdict()), from.upstream(),
+                     from.retry_after_seconds()};
 }
 
 SlotRelease read(const wire::SlotRelease &from)
@@ -252,6 +389,22 @@
     return {{from.service(), from.place(), from.shard()}, from.load(), from.engines()};
 }
 
+/// Messages by which routers and keepers keep their slots equal.
+std::optional<PeerBody> readSlotSync(const wire::Datagram &datagram)
+{
+    if (datagram.has_digest()) {
+        return read(datagram.digest());
+    }
+    if (datagram.has_list_ask()) {
+        return read(datagram.list_ask());
+    }
+    if (datagram.has_list()) {
+        std::optional<SlotList> list = read(datagram.list());
+        return list ? std::optional<PeerBody>(std::move(*list)) : std::nullopt;
+    }
+    return read(datagram.summary());
+}
+
 } // namespace
 
 std::string encode(const PeerMessage &message)
@@ -276,14 +429,17 @@
     PeerMessage message;
     message.sender = datagram.sender();
     switch (datagram.body_case()) {
-    case wire::Datagram::kHeartbeat: {
-        std::optional<Heartbeat> heartbeat = read(datagram.heartbeat());
-        if (!heartbeat) {
+    case wire::Datagram::kSwim: {
+        std::optional<SwimMessage> swim = read(datagram.swim());
+        if (!swim) {
             return std::nullopt;
         }
-        message.body = std::move(*heartbeat);
+        message.body = std::move(*swim);
         return message;
     }
+    case wire::Datagram::kLeaving:
+        message.body = read(datagram.leaving());
+        return message;
     case wire::Datagram::kAsk:
         message.body = read(datagram.ask());
         return message;
@@ -315,23 +471,23 @@
     case wire::Datagram::kSuspectNews:
         message.body = read(datagram.suspect_news());
         return message;
-    case wire::Datagram::kDigest:
-        message.body = read(datagram.digest());
+    case wire::Datagram::kLimitReport:
+        message.body = read(datagram.limit_report());
         return message;
-    case wire::Datagram::kListAsk:
-        message.body = read(datagram.list_ask());
+    case wire::Datagram::kLimitShares:
+        message.body = read(datagram.limit_shares());
         return message;
-    case wire::Datagram::kList: {
-        std::optional<SlotList> list = read(datagram.list());
-        if (!list) {
+    case wire::Datagram::kDigest:
+    case wire::Datagram::kListAsk:
+    case wire::Datagram::kList:
+    case wire::Datagram::kSummary: {
+        std::optional<PeerBody> body = readSlotSync(datagram);
+        if (!body) {
             return std::nullopt;
         }
-        message.body = std::move(*list);
+        message.body = std::move(*body);
         return message;
     }
-    case wire::Datagram::kSummary:
-        message.body = read(datagram.summary());
-        return message;
     case wire::Datagram::BODY_NOT_SET:
         return std::nullopt;
     }
--- a/daemon/peercodec.h
+++ b/daemon/peercodec.h
@@ -9,9 +9,9 @@
 
 namespace plantainswitch {
 
-using PeerBody =
-    std::variant<Heartbeat, SlotAsk, SlotReply, SlotRelease, ClaimAsk, ClaimReply, ClaimRelease,
-                 SuspectNews, SlotDigest, SlotListAsk, SlotList, ShardSummary>;
+using PeerBody = std::variant<SwimMessage, LeavingNotice, SlotAsk, SlotReply, SlotRelease, ClaimAsk,
+                              ClaimReply, ClaimRelease, SuspectNews, LimitReport, LimitShares,
+                              SlotDigest, SlotListAsk, SlotList, ShardSummary>;
 
 /// A datagram between routers.
 struct PeerMessage
--- a/daemon/router.cpp
+++ b/daemon/router.cpp
@@ -24,7 +24,10 @@
     , claimHttp(context)
     , link(std::make_shared<PeerLink>(context, node))
     , beats(std::make_shared<Beats>(context, node, link))
+    , notices(std::make_shared<Notices>(node, link))
     , keeperService(std::make_shared<KeeperService>(node, link))
+    , shardSync(std::make_shared<ShardSync>(node, link))
+    , limits(std::make_shared<LimitService>(node, link))
     , calls(node)
     , sync(std::make_shared<Sync>(context, node, platformHttp, beats, calls))
     , slots(std::make_shared<Slots>(context, node, link, keeperService))
@@ -50,9 +53,16 @@
                                 "peer calls at " + toText(this->node.settings.peerCalls));
     }
     this->keeperService->start();
+    this->shardSync->start();
     this->slots->start();
     this->claims->start();
-    this->beats->start();
+    this->limits->start();
+    this->beats->start([sync = std::weak_ptr<Sync>(this->sync)](const Heartbeat &peer) {
+        if (const auto target = sync.lock()) {
+            target->hearOf(peer);
+        }
+    });
+    this->notices->start();
     this->link->start();
     this->sync->start();
     this->openServers();
@@ -120,7 +130,7 @@
     }
     logEvent(Event::Stopping, {{"inFlight", std::to_string(this->node.inFlight)}});
     this->beats->beat();
-    this->keeperService->handOver();
+    this->shardSync->handOver();
     this->drainTimer.expires_after(
         std::chrono::milliseconds(this->node.settings.lingerMilliseconds));
     this->drainTimer.async_wait([this](const asio::error_code &) { this->drain(); });
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -11,10 +11,13 @@
 #include "httpclient.h"
 #include "httpserver.h"
 #include "keeperservice.h"
+#include "limitservice.h"
 #include "node.h"
+#include "notices.h"
 #include "peercalls.h"
 #include "peerlink.h"
 #include "requestpath.h"
+#include "shardsync.h"
 #include "slots.h"
 #include "sync.h"
 
@@ -51,7 +54,10 @@
     std::vector<std::unique_ptr<net::HttpClient>> upstreamHttp;
     std::shared_ptr<PeerLink> link;
     std::shared_ptr<Beats> beats;
+    std::shared_ptr<Notices> notices;
     std::shared_ptr<KeeperService> keeperService;
+    std::shared_ptr<ShardSync> shardSync;
+    std::shared_ptr<LimitService> limits;
     PeerCalls calls;
     std::shared_ptr<Sync> sync;
     std::shared_ptr<Slots> slots;
--- a/daemon/slots.cpp
+++ b/daemon/slots.cpp
@@ -3,18 +3,23 @@
 #include <algorithm>
 #include <set>
 
-#include <asio/dispatch.hpp>
 #include <asio/post.hpp>
 
 namespace plantainswitch {
 
 namespace {
 
+constexpr std::chrono::milliseconds releasePeriod{50};
 constexpr std::chrono::milliseconds askTimeout{60};
 constexpr int askSends = 3;
-constexpr std::chrono::milliseconds digestPeriod{2000};
-/// A shard without slots is still reported for this long: a lost release is found in that time.
-constexpr std::chrono::seconds reportedAfterUse{30};
+/// How often a waiting ask is repeated, so that a lost grant is found and the keeper knows that
+/// its router is alive.
+constexpr std::chrono::milliseconds queuedPeriod{250};
+/// How long a grant that arrives too late is still recognised and given back.
+constexpr std::chrono::seconds givenUpMemory{60};
+/// Releases that fit into one datagram with room to spare.
+constexpr std::size_t releasesInDatagram = 200;
+
 /// The keeper and the next in its order; further ones would keep the caller waiting.
 constexpr std::size_t keepersAsked = 2;
 constexpr std::chrono::milliseconds silencePenalty{1000};
@@ -29,6 +34,13 @@
     if (reply && reply->verdict == SlotVerdict::Overflow) {
         return {ErrorKind::Overloaded, "every engine is at its bound", std::nullopt};
     }
+    if (reply && reply->verdict == SlotVerdict::Busy) {
+        return {ErrorKind::Overloaded, "the wait for an engine is too long",
+                static_cast<int>(reply->retryAfterSeconds)};
+    }
+    if (reply && reply->verdict == SlotVerdict::Expired) {
+        return {ErrorKind::QueueExpired, "no engine came free in time", std::nullopt};
+    }
     return {ErrorKind::UpstreamUnreachable, "no engine could be had", std::nullopt};
 }
 
@@ -39,22 +51,22 @@
     : node(node)
     , link(std::move(link))
     , keeper(std::move(keeper))
-    , digestTimer(this->link->executor())
+    , held(std::make_shared<HeldSlots>(node, this->link))
+    , releaseTimer(this->link->executor())
 {}
 
 void Slots::start()
 {
     this->link->handle<SlotReply>(
         [self = this->shared_from_this()](std::uint64_t, const Endpoint &, PeerBody body) {
-            const auto &reply = std::get<SlotReply>(body);
-            self->finishAsk(reply.askId, reply);
-        });
-    this->link->handle<SlotListAsk>(
-        [self = this->shared_from_this()](std::uint64_t, const Endpoint &from, PeerBody body) {
-            self->sendList(from, std::get<SlotListAsk>(body).shard);
+            self->takeReply(std::get<SlotReply>(body));
         });
+    this->held->start([weak = this->weak_from_this()](ShardId shard) {
+        const auto self = weak.lock();
+        return self ? self->lowestPending(shard) : 0;
+    });
     asio::post(this->link->executor(),
-               [self = this->shared_from_this()] { self->scheduleDigests(); });
+               [self = this->shared_from_this()] { self->scheduleReleases(); });
 }
 
 void Slots::acquire(const std::shared_ptr<const SlotNeed> &need, Note note, Done done)
@@ -71,26 +83,40 @@
 {
     const auto &shards = way->need->plan.shards;
     if (way->shard >= shards.size()) {
-        if (way->answered || shards.empty()) {
-            way->done(std::nullopt, std::move(way->last));
-            return;
-        }
-        // No keeper of any permitted shard answers. This router's own count is a safe last
-        // resort: a careful keeper's share of the bound, on the same permitted shards.
-        way->answered = true;
-        way->shard = 0;
-        logEvent(Event::KeeperReplaced, {{"shard", describe(shards.front())}});
-        this->askKeeper(way, this->node.heartbeat());
+        this->tryElsewhere(way);
         return;
     }
     const std::vector<Heartbeat> keepers = this->keepersToAsk(shards[way->shard]);
-    if (way->keeper >= keepers.size()) {
-        way->keeper = 0;
-        ++way->shard;
+    if (way->keeper < keepers.size()) {
+        this->askKeeper(way, keepers[way->keeper]);
+        return;
+    }
+    way->keeper = 0;
+    way->shard = way->waiting ? shards.size() : way->shard + 1;
+    this->tryShard(way);
+}
+
+/// No shard of the plan has given a slot.
+void Slots::tryElsewhere(const AcquisitionPointer &way)
+{
+    const auto &shards = way->need->plan.shards;
+    const bool full = way->last.kind == ErrorKind::Overloaded;
+    if (full && !way->waiting && way->need->waitMilliseconds != 0) {
+        way->waiting = true;
+        way->shard = 0;
         this->tryShard(way);
         return;
     }
-    this->askKeeper(way, keepers[way->keeper]);
+    if (way->answered || shards.empty()) {
+        way->done(std::nullopt, std::move(way->last));
+        return;
+    }
+    // No keeper of any permitted shard answers. This router's own count is a safe last resort: a
+    // careful keeper's share of the bound, on the same permitted shard.
+    way->answered = true;
+    way->shard = 0;
+    logEvent(Event::KeeperReplaced, {{"shard", describe(shards.front())}});
+    this->askKeeper(way, this->node.heartbeat());
 }
 
 std::vector<Heartbeat> Slots::keepersToAsk(const Shard &shard)
@@ -119,20 +145,26 @@
     const SlotNeed &need = *way->need;
     SlotAsk ask{this->nextAsk++, need.plan.shards[way->shard], need.chat, need.fingerprint,
                 need.avoid};
+    if (way->waiting) {
+        ask.waitMilliseconds = need.waitMilliseconds;
+        ask.workspace = need.workspace;
+        ask.weight = need.weight;
+        ask.priority = need.priority;
+    }
     this->node.metrics.count(Counter::SlotAsks);
     auto onReply = [self = this->shared_from_this(), way, keeper,
                     askId = ask.askId](const std::optional<SlotReply> &reply) {
-        self->takeReply(way, keeper, askId, reply);
+        self->takeOutcome(way, keeper, askId, reply);
     };
-    if (keeper.id == this->node.settings.id) {
+    if (keeper.id == this->node.settings.id && !way->waiting) {
         this->keeper->ask(this->node.identity, ask, onReply);
     } else {
-        this->ask(keeper, std::move(ask), std::move(onReply));
+        this->ask(keeper, std::move(ask), way->need, std::move(onReply));
     }
 }
 
-void Slots::takeReply(const AcquisitionPointer &way, const Heartbeat &keeper, std::uint32_t askId,
-                      const std::optional<SlotReply> &reply)
+void Slots::takeOutcome(const AcquisitionPointer &way, const Heartbeat &keeper, std::uint32_t askId,
+                        const std::optional<SlotReply> &reply)
 {
     const Shard &asked = way->need->plan.shards[way->shard];
     way->note("shard " + describe(asked) + " keeper " + keeper.id + ": "
@@ -151,7 +183,7 @@
     }
     way->last = reasonOf(reply);
     way->keeper = 0;
-    ++way->shard;
+    way->shard = way->waiting ? way->need->plan.shards.size() : way->shard + 1;
     this->tryShard(way);
 }
 
@@ -160,7 +192,7 @@
 {
     const Shard &asked = way->need->plan.shards[way->shard];
     HeldSlot slot{keeper, asked, askId, {}};
-    this->hold(asked, askId, upstreamId);
+    this->held->hold(asked, askId, upstreamId);
     const auto upstream = this->node.upstreams.find(upstreamId);
     // The keeper's list of VMs may be ahead of ours or behind: what we don't know to be
     // in the asked place is never used, or a request could leave its permitted places.
@@ -174,12 +206,15 @@
     return true;
 }
 
-void Slots::ask(const Heartbeat &keeper, SlotAsk ask, ReplyHandler done)
+void Slots::ask(const Heartbeat &keeper, SlotAsk ask, std::shared_ptr<const SlotNeed> need,
+                ReplyHandler done)
 {
+    const bool local = keeper.id == this->node.settings.id;
     asio::post(this->link->executor(), [self = this->shared_from_this(), to = keeper.datagrams,
-                                        ask = std::move(ask), done = std::move(done)]() mutable {
+                                        ask = std::move(ask), need = std::move(need), local,
+                                        done = std::move(done)]() mutable {
         const std::uint32_t askId = ask.askId;
-        PendingAsk entry{to, std::move(ask), std::move(done), nullptr, 0};
+        PendingAsk entry{to, std::move(ask), std::move(done), nullptr, 0, std::move(need), local};
         entry.timer = std::make_unique<asio::steady_timer>(self->link->executor());
         self->pending.emplace(askId, std::move(entry));
         self->sendAsk(askId);
@@ -193,15 +228,20 @@
         return;
     }
     PendingAsk &entry = found->second;
-    if (++entry.sends > askSends) {
-        this->node.metrics.count(Counter::SlotAskTimeouts);
-        // The keeper may have granted and its answer be lost: the slot is given back.
-        this->link->send(entry.keeper, SlotRelease{shardIdOf(entry.ask.shard), {askId}});
-        this->finishAsk(askId, std::nullopt);
+    if (++entry.sends > askSends || entry.need->abandoned) {
+        this->giveUp(askId);
         return;
     }
-    this->link->send(entry.keeper, entry.ask);
-    entry.timer->expires_after(askTimeout);
+    if (entry.local) {
+        this->keeper->ask(this->node.identity, entry.ask,
+                          [self = this->shared_from_this()](const SlotReply &reply) {
+                              asio::post(self->link->executor(),
+                                         [self, reply] { self->takeReply(reply); });
+                          });
+    } else {
+        this->link->send(entry.keeper, entry.ask);
+    }
+    entry.timer->expires_after(entry.queued ? queuedPeriod : askTimeout);
     entry.timer->async_wait(
         [self = this->shared_from_this(), askId](const asio::error_code &error) {
             if (!error) {
@@ -210,6 +250,65 @@
         });
 }
 
+void Slots::takeReply(const SlotReply &reply)
+{
+    const auto found = this->pending.find(reply.askId);
+    if (found == this->pending.end()) {
+        this->returnLateGrant(reply);
+        return;
+    }
+    if (reply.verdict != SlotVerdict::Queued) {
+        this->finishAsk(reply.askId, reply);
+        return;
+    }
+    PendingAsk &entry = found->second;
+    entry.sends = 0;
+    if (!entry.queued) {
+        entry.queued = true;
+        entry.timer->expires_after(queuedPeriod);
+        entry.timer->async_wait(
+            [self = this->shared_from_this(), askId = reply.askId](const asio::error_code &error) {
+                if (!error) {
+                    self->sendAsk(askId);
+                }
+            });
+    }
+}
+
+void Slots::giveUp(std::uint32_t askId)
+{
+    const PendingAsk &entry = this->pending.at(askId);
+    const ShardId shard = shardIdOf(entry.ask.shard);
+    const TimePoint now = this->node.clock.now();
+    this->node.metrics.count(Counter::SlotAskTimeouts);
+    std::erase_if(this->givenUp,
+                  [now](const auto &item) { return now - item.second.since > givenUpMemory; });
+    this->givenUp[askId] = {entry.keeper, shard, now};
+    this->give(entry.keeper, entry.local, shard, askId);
+    this->finishAsk(askId, std::nullopt);
+}
+
+/// A grant can cross the end of our patience. Dropped, its slot would stay counted until this
+/// router leaves, seen as an engine that fills up without work; so it is given back.
+void Slots::returnLateGrant(const SlotReply &reply)
+{
+    const auto found = this->givenUp.find(reply.askId);
+    if (reply.verdict != SlotVerdict::Granted || found == this->givenUp.end()) {
+        return;
+    }
+    this->give(found->second.keeper, found->second.keeper == this->node.settings.peerDatagrams,
+               found->second.shard, reply.askId);
+}
+
+void Slots::give(const Endpoint &keeper, bool local, ShardId shard, std::uint32_t askId)
+{
+    if (local) {
+        this->keeper->release(this->node.identity, {shard, {askId}});
+        return;
+    }
+    this->releases[{keeper, shard}].push_back(askId);
+}
+
 void Slots::finishAsk(std::uint32_t askId, const std::optional<SlotReply> &reply)
 {
     const auto found = this->pending.find(askId);
@@ -221,15 +320,43 @@
     entry.done(reply);
 }
 
-void Slots::hold(const Shard &shard, std::uint32_t askId, UpstreamId upstream)
+void Slots::flush(std::function<void()> done)
+{
+    asio::post(this->link->executor(), [self = this->shared_from_this(), done = std::move(done)] {
+        self->flushReleases();
+        asio::post(self->link->executor(), done);
+    });
+}
+
+void Slots::scheduleReleases()
 {
-    asio::dispatch(this->link->executor(),
-                   [self = this->shared_from_this(), shard, askId, upstream] {
-                       HeldShard &entry = self->held[shardIdOf(shard)];
-                       entry.shard = shard;
-                       entry.slots[askId] = upstream;
-                       entry.lastUsed = self->node.clock.now();
-                   });
+    this->flushReleases();
+    this->releaseTimer.expires_after(releasePeriod);
+    this->releaseTimer.async_wait([self = this->shared_from_this()](const asio::error_code &error) {
+        if (!error) {
+            self->scheduleReleases();
+        }
+    });
+}
+
+void Slots::flushReleases()
+{
+    if (this->releases.empty()) {
+        return;
+    }
+    this->flushedAt = this->node.clock.now();
+    const auto batch = std::move(this->releases);
+    this->releases.clear();
+    for (const auto &[target, ids] : batch) {
+        for (std::size_t first = 0; first < ids.size(); first += releasesInDatagram) {
+            const std::size_t last = std::min(ids.size(), first + releasesInDatagram);
+            SlotRelease release;
+            release.shard = target.second;
+            release.askIds.assign(ids.begin() + static_cast<std::ptrdiff_t>(first),
+                                  ids.begin() + static_cast<std::ptrdiff_t>(last));
+            this->link->send(target.first, release);
+        }
+    }
 }
 
 void Slots::release(const HeldSlot &slot)
@@ -244,66 +371,19 @@
 void Slots::releaseHere(const HeldSlot &slot)
 {
     const ShardId shard = shardIdOf(slot.shard);
-    HeldShard &entry = this->held[shard];
-    entry.shard = slot.shard;
-    entry.slots.erase(slot.askId);
-    entry.lastUsed = this->node.clock.now();
+    this->held->erase(slot.shard, slot.askId);
     // The shard may have another keeper by now, which learnt of the slot from our list.
     std::set<Endpoint> keepers{slot.keeper.datagrams};
     if (const auto present = keeperOf(slot.shard, this->node.members.active())) {
         keepers.insert(present->datagrams);
     }
     for (const Endpoint &keeper : keepers) {
-        if (keeper == this->node.settings.peerDatagrams) {
-            this->keeper->release(this->node.identity, {shard, {slot.askId}});
-        } else {
-            // At once: the chat's next request may come right behind the answer, and would be
-            // sent away from its engine while the slot still counts.
-            this->link->send(keeper, SlotRelease{shard, {slot.askId}});
-        }
-    }
-}
-
-void Slots::scheduleDigests()
-{
-    this->sendDigests();
-    this->digestTimer.expires_after(digestPeriod);
-    this->digestTimer.async_wait([self = this->shared_from_this()](const asio::error_code &error) {
-        if (!error) {
-            self->scheduleDigests();
-        }
-    });
-}
-
-void Slots::sendDigests()
-{
-    const TimePoint now = this->node.clock.now();
-    std::erase_if(this->held, [now](const auto &each) {
-        return each.second.slots.empty() && now - each.second.lastUsed > reportedAfterUse;
-    });
-    const std::vector<Heartbeat> active = this->node.members.active();
-    for (const auto &[id, entry] : this->held) {
-        const auto keeper = keeperOf(entry.shard, active);
-        if (keeper && keeper->id != this->node.settings.id) {
-            this->link->send(keeper->datagrams, digestOf(id, entry.slots, this->lowestPending(id)));
-        } else if (keeper) {
-            for (SlotList &list :
-                 listsOf(entry.shard, this->node.identity, entry.slots, this->lowestPending(id))) {
-                this->node.keeper.takeList(0, list, now);
-            }
-        }
-    }
-}
-
-void Slots::sendList(const Endpoint &to, ShardId shard)
-{
-    const auto found = this->held.find(shard);
-    if (found == this->held.end()) {
-        return;
+        this->give(keeper, keeper == this->node.settings.peerDatagrams, shard, slot.askId);
     }
-    for (const SlotList &list : listsOf(found->second.shard, this->node.identity,
-                                        found->second.slots, this->lowestPending(shard))) {
-        this->link->send(to, list);
+    // A chat that returns right after its answer would find its own slot still counted and
+    // be displaced; only the releases of a busy moment wait for a common datagram.
+    if (this->node.clock.now() - this->flushedAt >= releasePeriod) {
+        this->flushReleases();
     }
 }
 
--- a/daemon/slots.h
+++ b/daemon/slots.h
@@ -9,6 +9,7 @@
 
 #include <asio/steady_timer.hpp>
 
+#include "heldslots.h"
 #include "keeperservice.h"
 #include "node.h"
 #include "peerlink.h"
@@ -31,6 +32,13 @@
     std::uint64_t chat = 0;
     std::uint64_t fingerprint = 0;
     std::vector<UpstreamId> avoid;
+    std::uint64_t workspace = 0;
+    std::uint32_t weight = 1;
+    std::uint32_t priority = 0;
+    /// Longest wait in a keeper's queue when every shard of the plan is full.
+    std::uint32_t waitMilliseconds = 0;
+    /// Set when the caller is gone; a waiting ask then leaves the queue.
+    std::atomic<bool> abandoned = false;
 };
 
 /// Gets slots from the keepers of the shards, in the order of the plan.
@@ -50,6 +58,8 @@
     void acquire(const std::shared_ptr<const SlotNeed> &need, Note note, Done done);
     /// Gives \a slot back.
     void release(const HeldSlot &slot);
+    /// Sends the releases that wait; \a done runs once they are handed to the socket.
+    void flush(std::function<void()> done);
 
 private:
     using ReplyHandler = std::function<void(const std::optional<SlotReply> &)>;
@@ -60,6 +70,17 @@
         ReplyHandler done;
         std::unique_ptr<asio::steady_timer> timer;
         int sends = 0;
+        std::shared_ptr<const SlotNeed> need;
+        /// The keeper is this router.
+        bool local = false;
+        bool queued = false;
+    };
+    /// An ask without an answer that this router no longer waits for.
+    struct GivenUpAsk
+    {
+        Endpoint keeper;
+        ShardId shard = 0;
+        TimePoint since;
     };
 
     /// A request on its way to a slot.
@@ -72,42 +93,43 @@
         /// Position in the shard's order of keepers.
         std::size_t keeper = 0;
         bool answered = false;
+        bool waiting = false;
         Reason last;
     };
     using AcquisitionPointer = std::shared_ptr<Acquisition>;
-    /// What this router holds in a shard.
-    struct HeldShard
-    {
-        Shard shard;
-        std::map<std::uint32_t, UpstreamId> slots;
-        TimePoint lastUsed;
-    };
 
     void tryShard(const AcquisitionPointer &way);
+    void tryElsewhere(const AcquisitionPointer &way);
     void askKeeper(const AcquisitionPointer &way, const Heartbeat &keeper);
-    void takeReply(const AcquisitionPointer &way, const Heartbeat &keeper, std::uint32_t askId,
-                   const std::optional<SlotReply> &reply);
+    void takeOutcome(const AcquisitionPointer &way, const Heartbeat &keeper, std::uint32_t askId,
+                     const std::optional<SlotReply> &reply);
     bool takeGrant(const AcquisitionPointer &way, const Heartbeat &keeper, std::uint32_t askId,
-                   UpstreamId upstream);
+                   UpstreamId upstreamId);
     [[nodiscard]] std::vector<Heartbeat> keepersToAsk(const Shard &shard);
     void markSilent(const std::string &keeper);
-    void hold(const Shard &shard, std::uint32_t askId, UpstreamId upstream);
     void releaseHere(const HeldSlot &slot);
-    void scheduleDigests();
-    void sendDigests();
-    void sendList(const Endpoint &to, ShardId shard);
     [[nodiscard]] std::uint32_t lowestPending(ShardId shard) const;
-    void ask(const Heartbeat &keeper, SlotAsk ask, ReplyHandler done);
+    void ask(const Heartbeat &keeper, SlotAsk ask, std::shared_ptr<const SlotNeed> need,
+             ReplyHandler done);
     void sendAsk(std::uint32_t askId);
+    void takeReply(const SlotReply &reply);
+    void giveUp(std::uint32_t askId);
+    void returnLateGrant(const SlotReply &reply);
+    void give(const Endpoint &keeper, bool local, ShardId shard, std::uint32_t askId);
     void finishAsk(std::uint32_t askId, const std::optional<SlotReply> &reply);
+    void scheduleReleases();
+    void flushReleases();
 
     Node &node;
     std::shared_ptr<PeerLink> link;
     std::shared_ptr<KeeperService> keeper;
-    asio::steady_timer digestTimer;
+    std::shared_ptr<HeldSlots> held;
+    asio::steady_timer releaseTimer;
     std::atomic<std::uint32_t> nextAsk = 1;
+    TimePoint flushedAt;
     std::unordered_map<std::uint32_t, PendingAsk> pending;
-    std::map<ShardId, HeldShard> held;
+    std::unordered_map<std::uint32_t, GivenUpAsk> givenUp;
+    std::map<std::pair<Endpoint, ShardId>, std::vector<std::uint32_t>> releases;
     RankedMutex mutex{LockRank::Slots};
     /// Keepers that gave no answer of late are asked last until then.
     std::map<std::string, TimePoint> silentUntil;
--- a/include/plantainswitch/observe/metrics.h
+++ b/include/plantainswitch/observe/metrics.h
@@ -26,6 +26,9 @@
     ClaimWrites,
     ClaimRepeats,
     ClaimsGranted,
+    QueueEntered,
+    QueueRefused,
+    QueueExpired,
 };
 
 /// What is measured as a histogram for each workspace and data class.
--- a/lab/policychoice.cpp
+++ b/lab/policychoice.cpp
@@ -225,6 +225,7 @@
 {
     static const std::vector<std::string> names = [] {
         std::vector<std::string> result;
+        result.reserve(choosers.size());
         for (const auto &[name, chooser] : choosers) {
             result.push_back(name);
         }
--- a/net/platform.cpp
+++ b/net/platform.cpp
@@ -102,6 +102,9 @@
         return std::nullopt;
     }
     vm.leaving = json.contains("leaving") && json["leaving"] == true;
+    if (json.contains("started") && json["started"].is_number_unsigned()) {
+        vm.started = json["started"].get<std::uint64_t>();
+    }
     return vm;
 }
 
@@ -118,6 +121,8 @@
     for (const nlohmann::json &each : (*json)["objects"]) {
         if (auto object = objectOf(each)) {
             changes.objects.push_back(std::move(*object));
+        } else {
+            ++changes.unreadable;
         }
     }
     return changes;
@@ -148,9 +153,9 @@
 
 nlohmann::json toJson(const Vm &vm)
 {
-    return {{"id", vm.id},          {"role", nameOf(vm.role)},  {"service", vm.service},
-            {"place", vm.place},    {"host", vm.endpoint.host}, {"port", vm.endpoint.port},
-            {"leaving", vm.leaving}};
+    return {{"id", vm.id},           {"role", nameOf(vm.role)},  {"service", vm.service},
+            {"place", vm.place},     {"host", vm.endpoint.host}, {"port", vm.endpoint.port},
+            {"leaving", vm.leaving}, {"started", vm.started}};
 }
 
 HttpCall PlatformClient::callTo(const std::string &method, const std::string &path) const
--- a/src/placement/keeper.cpp
+++ b/src/placement/keeper.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr std::array verdictNames{std::string_view{"granted"}, std::string_view{"overflow"},
-                                  std::string_view{"empty"}};
+                                  std::string_view{"empty"},   std::string_view{"queued"},
+                                  std::string_view{"expired"}, std::string_view{"busy"}};
 
 bool contains(const std::vector<UpstreamId> &list, UpstreamId id)
 {
@@ -168,10 +169,12 @@
     const auto limit = [&](double multiple) {
         BoundSettings settings = view.settings;
         settings.multiple = std::min(multiple, settings.multiple);
-        return loadBound(settings, total, engines, view.careful);
+        return loadBound(settings, total, engines);
     };
-    return {limit(view.settings.newMultiple), limit(view.settings.innerMultiple),
-            limit(view.settings.multiple)};
+    // Carefulness touches the promise alone; the inner limits are only preferences.
+    const std::uint32_t hard = loadBound(view.settings, total, engines, view.careful);
+    return {std::min(limit(view.settings.newMultiple), hard),
+            std::min(limit(view.settings.innerMultiple), hard), hard};
 }
 
 } // namespace
--- a/tests/fuzz.cpp
+++ b/tests/fuzz.cpp
@@ -292,11 +292,31 @@
 
 namespace {
 
+Heartbeat heartbeatOf(std::string id, const Endpoint &datagrams, const Endpoint &calls)
+{
+    Heartbeat heartbeat;
+    heartbeat.id = std::move(id);
+    heartbeat.place = "hall-a";
+    heartbeat.datagrams = datagrams;
+    heartbeat.calls = calls;
+    heartbeat.incarnation = 5;
+    heartbeat.catalogueVersion = 6;
+    heartbeat.leaving = true;
+    return heartbeat;
+}
+
 std::vector<PeerMessage> validMessages()
 {
     const Endpoint address{"10.0.0.1", 8082};
     const Shard shard{"model", "hall-a", 3};
-    return {{1, Heartbeat{"r0", "hall-a", address, address, 5, 6, true}},
+    SwimMessage swim;
+    swim.kind = SwimKind::PingRequest;
+    swim.probe = 9;
+    swim.from = heartbeatOf("r0", address, address);
+    swim.target = address;
+    swim.updates = {{heartbeatOf("r1", address, address), MemberState::Suspect}};
+    return {{1, swim},
+            {5, LeavingNotice{}},
             {2, SlotAsk{7, shard, 8, 9, {10, 11}}},
             {3, SlotReply{7, SlotVerdict::Overflow, 12}},
             {4, SlotRelease{13, {14, 15, 16}}}};
@@ -310,6 +330,13 @@
     REQUIRE(endpoint.port != 0);
 }
 
+void checkHeartbeat(const Heartbeat &heartbeat)
+{
+    checkAddress(heartbeat.datagrams);
+    checkAddress(heartbeat.calls);
+    REQUIRE_FALSE(heartbeat.id.empty());
+}
+
 } // namespace
 
 TEST_CASE("datagram_validMessage_decodesToTheSame", "[fuzz]")
@@ -339,10 +366,11 @@
         const auto again = decode(once);
         REQUIRE(again);
         REQUIRE(encode(*again) == once);
-        if (const auto *beat = std::get_if<Heartbeat>(&message->body)) {
-            checkAddress(beat->datagrams);
-            checkAddress(beat->calls);
-            REQUIRE_FALSE(beat->id.empty());
+        if (const auto *swim = std::get_if<SwimMessage>(&message->body)) {
+            checkHeartbeat(swim->from);
+            for (const MemberUpdate &update : swim->updates) {
+                checkHeartbeat(update.member);
+            }
         }
     }
     CHECK(accepted > 0);
@@ -353,12 +381,22 @@
     // One damaged heartbeat names a peer by "ghost" instead of an IP number. The next beat goes
     // to every member, the address can't be turned into one, and the router would end: each
     // router of the fleet that hears the datagram, at its next beat.
-    PeerMessage message{1, Heartbeat{"r0", "a", {"ghost", 1}, {"10.0.0.1", 2}, 1, 1, false}};
-    CHECK_FALSE(decode(encode(message)));
+    const Endpoint good{"10.0.0.1", 2};
+    SwimMessage swim;
+    swim.from = heartbeatOf("r0", {"ghost", 1}, good);
+    CHECK_FALSE(decode(encode({1, swim})));
+    swim.from = heartbeatOf("r0", good, good);
+    CHECK(decode(encode({1, swim})));
+    swim.kind = SwimKind::PingRequest;
+    swim.target = {"ghost", 1};
+    CHECK_FALSE(decode(encode({1, swim})));
+    swim.kind = SwimKind::Gossip;
+    swim.updates = {{heartbeatOf("r1", good, {"ghost", 1}), MemberState::Alive}};
+    CHECK_FALSE(decode(encode({1, swim})));
     wire::Datagram wide;
-    wide.mutable_heartbeat()->set_id("r0");
-    for (wire::Endpoint *endpoint : {wide.mutable_heartbeat()->mutable_datagrams(),
-                                     wide.mutable_heartbeat()->mutable_calls()}) {
+    wire::Heartbeat &from = *wide.mutable_swim()->mutable_from();
+    from.set_id("r0");
+    for (wire::Endpoint *endpoint : {from.mutable_datagrams(), from.mutable_calls()}) {
         endpoint->set_host("10.0.0.1");
         endpoint->set_port(65'536 + 22);
     }
