--- a/daemon/peercodec.cpp
+++ b/daemon/peercodec.cpp
@@ -402,7 +402,10 @@
         std::optional<SlotList> list = read(datagram.list());
         return list ? std::optional<PeerBody>(std::move(*list)) : std::nullopt;
     }
-    return read(datagram.summary());
+    if (datagram.has_summary()) {
+        return read(datagram.summary());
+    }
+    return std::nullopt;
 }
 
 } // namespace
@@ -477,21 +480,15 @@
     case wire::Datagram::kLimitShares:
         message.body = read(datagram.limit_shares());
         return message;
-    case wire::Datagram::kDigest:
-    case wire::Datagram::kListAsk:
-    case wire::Datagram::kList:
-    case wire::Datagram::kSummary: {
-        std::optional<PeerBody> body = readSlotSync(datagram);
-        if (!body) {
-            return std::nullopt;
-        }
-        message.body = std::move(*body);
-        return message;
+    default:
+        break;
     }
-    case wire::Datagram::BODY_NOT_SET:
+    std::optional<PeerBody> body = readSlotSync(datagram);
+    if (!body) {
         return std::nullopt;
     }
-    return std::nullopt;
+    message.body = std::move(*body);
+    return message;
 }
 
 } // namespace plantainswitch
--- a/include/plantainswitch/placement/keeper.h
+++ b/include/plantainswitch/placement/keeper.h
@@ -62,6 +62,8 @@
     std::uint64_t load = 0;
     std::uint32_t engines = 0;
     TimePoint heard;
+    /// This shard's own mean at that time: the other is taken to have risen as much since.
+    double ownMean = 0;
 };
 
 /// The exact counts of one shard, as its keeper holds them.
--- a/src/placement/keeper.cpp
+++ b/src/placement/keeper.cpp
@@ -160,9 +160,13 @@
 {
     std::uint64_t total = totalLoad(state, serving);
     std::size_t engines = serving.size();
+    const double ownMean = static_cast<double>(total) / static_cast<double>(engines);
     for (const auto &[shard, part] : state.others) {
         if (now - part.heard < poolPartLife) {
-            total += part.load;
+            // The summary is up to a second old. In a surge it would hold the bound down, and
+            // every shard would send its requests to the others.
+            const double risen = std::max(0.0, ownMean - part.ownMean) * part.engines;
+            total += part.load + static_cast<std::uint64_t>(risen);
             engines += part.engines;
         }
     }
--- a/src/placement/keepertable.cpp
+++ b/src/placement/keepertable.cpp
@@ -69,7 +69,10 @@
             state.rivalHeard = now;
         } else if (state.shard.service == summary.shard.service
                    && state.shard.place == summary.shard.place) {
-            state.others[told] = {summary.load, summary.engines, now};
+            const double own = state.ready == 0 ? 0.0
+                                                : static_cast<double>(state.slots.size())
+                                                      / static_cast<double>(state.ready);
+            state.others[told] = {summary.load, summary.engines, now, own};
         }
     }
 }
