--- /dev/null
+++ b/daemon/heldslots.cpp
@@ -0,0 +1,88 @@
+#include "heldslots.h"
+
+#include <asio/dispatch.hpp>
+#include <asio/post.hpp>
+
+namespace plantainswitch {
+
+namespace {
+
+constexpr std::chrono::milliseconds digestPeriod{2000};
+/// A shard without slots is still reported for this long: a lost release is found in that time.
+constexpr std::chrono::seconds reportedAfterUse{30};
+
+} // namespace
+
+void HeldSlots::start(LowestPending pending)
+{
+    this->lowestPending = std::move(pending);
+    this->link->handle<SlotListAsk>(
+        [self = this->shared_from_this()](std::uint64_t, const Endpoint &from, PeerBody body) {
+            self->sendList(from, std::get<SlotListAsk>(body).shard);
+        });
+    asio::post(this->link->executor(), [self = this->shared_from_this()] { self->schedule(); });
+}
+
+void HeldSlots::hold(const Shard &shard, std::uint32_t askId, UpstreamId upstream)
+{
+    asio::dispatch(this->link->executor(),
+                   [self = this->shared_from_this(), shard, askId, upstream] {
+                       HeldShard &entry = self->held[shardIdOf(shard)];
+                       entry.shard = shard;
+                       entry.slots[askId] = upstream;
+                       entry.lastUsed = self->node.clock.now();
+                   });
+}
+
+void HeldSlots::erase(const Shard &shard, std::uint32_t askId)
+{
+    HeldShard &entry = this->held[shardIdOf(shard)];
+    entry.shard = shard;
+    entry.slots.erase(askId);
+    entry.lastUsed = this->node.clock.now();
+}
+
+void HeldSlots::schedule()
+{
+    this->sendDigests();
+    this->timer.expires_after(digestPeriod);
+    this->timer.async_wait([self = this->shared_from_this()](const asio::error_code &error) {
+        if (!error) {
+            self->schedule();
+        }
+    });
+}
+
+void HeldSlots::sendDigests()
+{
+    const TimePoint now = this->node.clock.now();
+    std::erase_if(this->held, [now](const auto &each) {
+        return each.second.slots.empty() && now - each.second.lastUsed > reportedAfterUse;
+    });
+    const std::vector<Heartbeat> active = this->node.members.active();
+    for (const auto &[id, entry] : this->held) {
+        const auto keeper = keeperOf(entry.shard, active);
+        if (keeper && keeper->id != this->node.settings.id) {
+            this->link->send(keeper->datagrams, digestOf(id, entry.slots, this->lowestPending(id)));
+        } else if (keeper) {
+            for (SlotList &list :
+                 listsOf(entry.shard, this->node.identity, entry.slots, this->lowestPending(id))) {
+                this->node.keeper.takeList(0, list, now);
+            }
+        }
+    }
+}
+
+void HeldSlots::sendList(const Endpoint &to, ShardId shard)
+{
+    const auto found = this->held.find(shard);
+    if (found == this->held.end()) {
+        return;
+    }
+    for (const SlotList &list : listsOf(found->second.shard, this->node.identity,
+                                        found->second.slots, this->lowestPending(shard))) {
+        this->link->send(to, list);
+    }
+}
+
+} // namespace plantainswitch
--- a/daemon/keeperservice.cpp
+++ b/daemon/keeperservice.cpp
@@ -101,12 +101,13 @@
     if (service == nullptr) {
         return {ask.askId, SlotVerdict::Empty, 0};
     }
-    BoundSettings bound;
-    bound.capacity = service->engineCapacity;
     const TimePoint now = this->node.clock.now();
-    const std::vector<UpstreamId> ready =
-        readyOf(this->node.upstreams, ask.shard, service->shards, now);
-    return this->node.keeper.grant(router, ask, ready, bound, now);
+    GrantView grantView;
+    grantView.settings.capacity = service->engineCapacity;
+    grantView.ready = readyOf(this->node.upstreams, ask.shard, service->shards, now);
+    const auto keeper = keeperOf(ask.shard, this->node.members.active());
+    const bool own = keeper && keeper->id == this->node.settings.id;
+    return this->node.keeper.grant(router, ask, std::move(grantView), own, now);
 }
 
 void KeeperService::drain(ShardQueue &shard, Replies &replies)
--- a/daemon/passageplace.cpp
+++ b/daemon/passageplace.cpp
@@ -28,6 +28,9 @@
     next->waitMilliseconds = this->admission.serviceEntry.queueMilliseconds;
     if (this->need) {
         next->avoid = this->need->avoid;
+        // Only after a failed attempt: a router that has just started hears of its peers late and
+        // would take every chat to its own place.
+        preferLivePlaces(next->plan, this->node.members.active());
     }
     {
         const std::lock_guard lock(this->exchangeMutex);
--- a/daemon/peercodec.cpp
+++ b/daemon/peercodec.cpp
@@ -160,6 +160,45 @@
     return to;
 }
 
+void fill(wire::Datagram &datagram, const SlotDigest &from)
+{
+    wire::SlotDigest &to = *datagram.mutable_digest();
+    to.set_shard(from.shard);
+    to.set_below(from.below);
+    to.set_count(from.count);
+    to.set_mix(from.mix);
+}
+
+void fill(wire::Datagram &datagram, const SlotListAsk &from)
+{
+    datagram.mutable_list_ask()->set_shard(from.shard);
+}
+
+void fill(wire::Datagram &datagram, const SlotList &from)
+{
+    wire::SlotList &to = *datagram.mutable_list();
+    to.set_service(from.shard.service);
+    to.set_place(from.shard.place);
+    to.set_shard(from.shard.number);
+    to.set_router(from.router);
+    to.set_from(from.from);
+    to.set_below(from.below);
+    for (const ListedSlot &slot : from.slots) {
+        to.add_ask_ids(slot.askId);
+        to.add_upstreams(slot.upstream);
+    }
+}
+
+void fill(wire::Datagram &datagram, const ShardSummary &from)
+{
+    wire::ShardSummary &to = *datagram.mutable_summary();
+    to.set_service(from.shard.service);
+    to.set_place(from.shard.place);
+    to.set_shard(from.shard.number);
+    to.set_load(from.load);
+    to.set_engines(from.engines);
+}
+
 void fill(wire::Datagram &datagram, const ClaimAsk &from)
 {
     wire::ClaimAsk &to = *datagram.mutable_claim_ask();
@@ -321,6 +360,56 @@
     return to;
 }
 
+SlotDigest read(const wire::SlotDigest &from)
+{
+    return {from.shard(), from.below(), from.count(), from.mix()};
+}
+
+SlotListAsk read(const wire::SlotListAsk &from)
+{
+    return {from.shard()};
+}
+
+std::optional<SlotList> read(const wire::SlotList &from)
+{
+    if (from.ask_ids_size() != from.upstreams_size()) {
+        return std::nullopt;
+    }
+    SlotList to;
+    to.shard = {from.service(), from.place(), from.shard()};
+    to.router = from.router();
+    to.from = from.from();
+    to.below = from.below();
+    for (int index = 0; index < from.ask_ids_size(); ++index) {
+        to.slots.push_back({from.ask_ids(index), from.upstreams(index)});
+    }
+    return to;
+}
+
+ShardSummary read(const wire::ShardSummary &from)
+{
+    return {{from.service(), from.place(), from.shard()}, from.load(), from.engines()};
+}
+
+/// Messages by which routers and keepers keep their slots equal.
+std::optional<PeerBody> readSlotSync(const wire::Datagram &datagram)
+{
+    if (datagram.has_digest()) {
+        return read(datagram.digest());
+    }
+    if (datagram.has_list_ask()) {
+        return read(datagram.list_ask());
+    }
+    if (datagram.has_list()) {
+        std::optional<SlotList> list = read(datagram.list());
+        return list ? std::optional<PeerBody>(std::move(*list)) : std::nullopt;
+    }
+    if (datagram.has_summary()) {
+        return read(datagram.summary());
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::string encode(const PeerMessage &message)
@@ -398,10 +487,15 @@
     case wire::Datagram::kLimitShares:
         message.body = read(datagram.limit_shares());
         return message;
-    case wire::Datagram::BODY_NOT_SET:
+    default:
+        break;
+    }
+    std::optional<PeerBody> body = readSlotSync(datagram);
+    if (!body) {
         return std::nullopt;
     }
-    return std::nullopt;
+    message.body = std::move(*body);
+    return message;
 }
 
 } // namespace plantainswitch
--- a/daemon/peercodec.h
+++ b/daemon/peercodec.h
@@ -10,7 +10,8 @@
 namespace plantainswitch {
 
 using PeerBody = std::variant<SwimMessage, LeavingNotice, SlotAsk, SlotReply, SlotRelease, ClaimAsk,
-                              ClaimReply, ClaimRelease, SuspectNews, LimitReport, LimitShares>;
+                              ClaimReply, ClaimRelease, SuspectNews, LimitReport, LimitShares,
+                              SlotDigest, SlotListAsk, SlotList, ShardSummary>;
 
 /// A datagram between routers.
 struct PeerMessage
--- a/daemon/router.cpp
+++ b/daemon/router.cpp
@@ -30,6 +30,7 @@
     , beats(std::make_shared<Beats>(context, node, link))
     , notices(std::make_shared<Notices>(node, link))
     , keeperService(std::make_shared<KeeperService>(node, link))
+    , shardSync(std::make_shared<ShardSync>(node, link))
     , limits(std::make_shared<LimitService>(node, link))
     , orders(std::make_shared<OrderService>(context, node, platformHttp))
     , calls(node)
@@ -57,6 +58,7 @@
                                 "peer calls at " + toText(this->node.settings.peerCalls));
     }
     this->keeperService->start();
+    this->shardSync->start();
     this->slots->start();
     this->claims->start();
     this->limits->start();
@@ -134,6 +136,7 @@
     }
     logEvent(Event::Stopping, {{"inFlight", std::to_string(this->node.inFlight)}});
     this->beats->beat();
+    this->shardSync->handOver();
     this->callers->closeAfterAnswers();
     this->stopBegan = this->node.clock.now();
     this->afterDelay(std::chrono::milliseconds(this->node.settings.lingerMilliseconds),
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -18,6 +18,7 @@
 #include "peercalls.h"
 #include "peerlink.h"
 #include "requestpath.h"
+#include "shardsync.h"
 #include "slots.h"
 #include "sync.h"
 
@@ -59,6 +60,7 @@
     std::shared_ptr<Beats> beats;
     std::shared_ptr<Notices> notices;
     std::shared_ptr<KeeperService> keeperService;
+    std::shared_ptr<ShardSync> shardSync;
     std::shared_ptr<LimitService> limits;
     std::shared_ptr<OrderService> orders;
     PeerCalls calls;
--- a/daemon/slots.cpp
+++ b/daemon/slots.cpp
@@ -1,6 +1,7 @@
 #include "slots.h"
 
 #include <algorithm>
+#include <set>
 
 #include <asio/post.hpp>
 
@@ -19,6 +20,10 @@
 /// Releases that fit into one datagram with room to spare.
 constexpr std::size_t releasesInDatagram = 200;
 
+/// The keeper and the next in its order; further ones would keep the caller waiting.
+constexpr std::size_t keepersAsked = 2;
+constexpr std::chrono::milliseconds silencePenalty{1000};
+
 std::string describe(const Shard &shard)
 {
     return shard.service + "@" + shard.place + "#" + std::to_string(shard.number);
@@ -46,6 +51,7 @@
     : node(node)
     , link(std::move(link))
     , keeper(std::move(keeper))
+    , held(std::make_shared<HeldSlots>(node, this->link))
     , releaseTimer(this->link->executor())
 {}
 
@@ -55,69 +61,151 @@
         [self = this->shared_from_this()](std::uint64_t, const Endpoint &, PeerBody body) {
             self->takeReply(std::get<SlotReply>(body));
         });
+    this->held->start([weak = this->weak_from_this()](ShardId shard) {
+        const auto self = weak.lock();
+        return self ? self->lowestPending(shard) : 0;
+    });
     asio::post(this->link->executor(),
                [self = this->shared_from_this()] { self->scheduleReleases(); });
 }
 
 void Slots::acquire(const std::shared_ptr<const SlotNeed> &need, Note note, Done done)
 {
-    const Reason none{ErrorKind::UpstreamUnreachable, "no shard could be asked", std::nullopt};
-    this->tryShard(need, 0, none, std::move(note), std::move(done));
+    auto way = std::make_shared<Acquisition>();
+    way->need = need;
+    way->note = std::move(note);
+    way->done = std::move(done);
+    way->last = {ErrorKind::UpstreamUnreachable, "no shard could be asked", std::nullopt};
+    this->tryShard(way);
 }
 
-void Slots::tryShard(const std::shared_ptr<const SlotNeed> &need, std::size_t index, Reason last,
-                     Note note, Done done)
+void Slots::tryShard(const AcquisitionPointer &way)
 {
-    // After each shard was full, the request waits at the first one.
-    const bool waiting = index == need->plan.shards.size() && last.kind == ErrorKind::Overloaded
-                         && need->waitMilliseconds != 0;
-    if (index >= need->plan.shards.size() && !waiting) {
-        done(std::nullopt, std::move(last));
+    const auto &shards = way->need->plan.shards;
+    if (way->shard >= shards.size()) {
+        this->tryElsewhere(way);
         return;
     }
-    const std::size_t shardIndex = waiting ? 0 : index;
-    const Shard &shard = need->plan.shards[shardIndex];
-    const auto keeper =
-        keeperOf(shard, this->node.members.active()).value_or(this->node.heartbeat());
-    SlotAsk ask{this->nextAsk++, shard, need->chat, need->fingerprint, need->avoid};
-    if (waiting) {
-        ask.waitMilliseconds = need->waitMilliseconds;
-        ask.workspace = need->workspace;
-        ask.weight = need->weight;
-        ask.priority = need->priority;
+    const std::vector<Heartbeat> keepers = this->keepersToAsk(shards[way->shard]);
+    if (way->keeper < keepers.size()) {
+        this->askKeeper(way, keepers[way->keeper]);
+        return;
+    }
+    way->keeper = 0;
+    way->shard = way->waiting ? shards.size() : way->shard + 1;
+    this->tryShard(way);
+}
+
+/// No shard of the plan has given a slot.
+void Slots::tryElsewhere(const AcquisitionPointer &way)
+{
+    const auto &shards = way->need->plan.shards;
+    const bool full = way->last.kind == ErrorKind::Overloaded;
+    if (full && !way->waiting && way->need->waitMilliseconds != 0) {
+        way->waiting = true;
+        way->shard = 0;
+        this->tryShard(way);
+        return;
+    }
+    if (way->answered || shards.empty()) {
+        way->done(std::nullopt, std::move(way->last));
+        return;
+    }
+    // No keeper of any permitted shard answers. This router's own count is a safe last resort: a
+    // careful keeper's share of the bound, on the same permitted shard.
+    way->answered = true;
+    way->shard = 0;
+    logEvent(Event::KeeperReplaced, {{"shard", describe(shards.front())}});
+    this->askKeeper(way, this->node.heartbeat());
+}
+
+std::vector<Heartbeat> Slots::keepersToAsk(const Shard &shard)
+{
+    std::vector<Heartbeat> keepers = keepersOf(shard, this->node.members.active());
+    if (keepers.size() > keepersAsked) {
+        keepers.resize(keepersAsked);
+    }
+    const TimePoint now = this->node.clock.now();
+    const RankedLock lock(this->mutex);
+    std::stable_partition(keepers.begin(), keepers.end(), [this, now](const Heartbeat &keeper) {
+        const auto found = this->silentUntil.find(keeper.id);
+        return found == this->silentUntil.end() || found->second <= now;
+    });
+    return keepers;
+}
+
+void Slots::markSilent(const std::string &keeper)
+{
+    const RankedLock lock(this->mutex);
+    this->silentUntil[keeper] = this->node.clock.now() + silencePenalty;
+}
+
+void Slots::askKeeper(const AcquisitionPointer &way, const Heartbeat &keeper)
+{
+    const SlotNeed &need = *way->need;
+    SlotAsk ask{this->nextAsk++, need.plan.shards[way->shard], need.chat, need.fingerprint,
+                need.avoid};
+    if (way->waiting) {
+        ask.waitMilliseconds = need.waitMilliseconds;
+        ask.workspace = need.workspace;
+        ask.weight = need.weight;
+        ask.priority = need.priority;
     }
-    const std::uint32_t askId = ask.askId;
     this->node.metrics.count(Counter::SlotAsks);
-    auto onReply = [self = this->shared_from_this(), need, index, shardIndex, keeper, askId, note,
-                    done = std::move(done)](const std::optional<SlotReply> &reply) mutable {
-        const Shard &asked = need->plan.shards[shardIndex];
-        note("shard " + describe(asked) + " keeper " + keeper.id + ": "
-             + (reply ? std::string(nameOf(reply->verdict)) : std::string("silent")));
-        if (!reply) {
-            logEvent(Event::KeeperSilent, {{"keeper", keeper.id}, {"shard", describe(asked)}});
-        }
-        if (reply && reply->verdict == SlotVerdict::Granted) {
-            HeldSlot slot{keeper, shardIdOf(asked), askId, {}};
-            const auto upstream = self->node.upstreams.find(reply->upstream);
-            // The keeper's list of VMs may be ahead of ours or behind: what we don't know to be
-            // in the asked place is never used, or a request could leave its permitted places.
-            if (upstream && upstream->vm.place == asked.place
-                && upstream->vm.service == asked.service && !upstream->vm.leaving) {
-                slot.upstream = *upstream;
-                done(std::move(slot), {});
-                return;
-            }
-            self->release(slot);
-        }
-        self->tryShard(need, index + 1, reasonOf(reply), std::move(note), std::move(done));
+    auto onReply = [self = this->shared_from_this(), way, keeper,
+                    askId = ask.askId](const std::optional<SlotReply> &reply) {
+        self->takeOutcome(way, keeper, askId, reply);
     };
-    if (keeper.id == this->node.settings.id && !waiting) {
-        this->keeper->ask(this->node.identity, ask, std::move(onReply));
+    if (keeper.id == this->node.settings.id && !way->waiting) {
+        this->keeper->ask(this->node.identity, ask, onReply);
     } else {
-        this->ask(keeper, std::move(ask), need, std::move(onReply));
+        this->ask(keeper, std::move(ask), way->need, std::move(onReply));
     }
 }
 
+void Slots::takeOutcome(const AcquisitionPointer &way, const Heartbeat &keeper, std::uint32_t askId,
+                        const std::optional<SlotReply> &reply)
+{
+    const Shard &asked = way->need->plan.shards[way->shard];
+    way->note("shard " + describe(asked) + " keeper " + keeper.id + ": "
+              + (reply ? std::string(nameOf(reply->verdict)) : std::string("silent")));
+    if (!reply) {
+        logEvent(Event::KeeperSilent, {{"keeper", keeper.id}, {"shard", describe(asked)}});
+        this->markSilent(keeper.id);
+        ++way->keeper;
+        this->tryShard(way);
+        return;
+    }
+    way->answered = true;
+    if (reply->verdict == SlotVerdict::Granted
+        && this->takeGrant(way, keeper, askId, reply->upstream)) {
+        return;
+    }
+    way->last = reasonOf(reply);
+    way->keeper = 0;
+    way->shard = way->waiting ? way->need->plan.shards.size() : way->shard + 1;
+    this->tryShard(way);
+}
+
+bool Slots::takeGrant(const AcquisitionPointer &way, const Heartbeat &keeper, std::uint32_t askId,
+                      UpstreamId upstreamId)
+{
+    const Shard &asked = way->need->plan.shards[way->shard];
+    HeldSlot slot{keeper, asked, askId, {}};
+    this->held->hold(asked, askId, upstreamId);
+    const auto upstream = this->node.upstreams.find(upstreamId);
+    // The keeper's list of VMs may be ahead of ours or behind: what we don't know to be
+    // in the asked place is never used, or a request could leave its permitted places.
+    if (!upstream || upstream->vm.place != asked.place || upstream->vm.service != asked.service
+        || upstream->vm.leaving) {
+        this->release(slot);
+        return false;
+    }
+    slot.upstream = *upstream;
+    way->done(std::move(slot), {});
+    return true;
+}
+
 void Slots::ask(const Heartbeat &keeper, SlotAsk ask, std::shared_ptr<const SlotNeed> need,
                 ReplyHandler done)
 {
@@ -274,18 +362,40 @@
 void Slots::release(const HeldSlot &slot)
 {
     if (slot.keeper.id == this->node.settings.id) {
-        this->keeper->release(this->node.identity, {slot.shard, {slot.askId}});
-        return;
+        this->keeper->release(this->node.identity, {shardIdOf(slot.shard), {slot.askId}});
     }
-    asio::post(this->link->executor(), [self = this->shared_from_this(), to = slot.keeper.datagrams,
-                                        shard = slot.shard, askId = slot.askId] {
-        self->releases[{to, shard}].push_back(askId);
-        // A chat that returns right after its answer would find its own slot still counted and
-        // be displaced; only the releases of a busy moment wait for a common datagram.
-        if (self->node.clock.now() - self->flushedAt >= releasePeriod) {
-            self->flushReleases();
+    asio::post(this->link->executor(),
+               [self = this->shared_from_this(), slot] { self->releaseHere(slot); });
+}
+
+void Slots::releaseHere(const HeldSlot &slot)
+{
+    const ShardId shard = shardIdOf(slot.shard);
+    this->held->erase(slot.shard, slot.askId);
+    // The shard may have another keeper by now, which learnt of the slot from our list.
+    std::set<Endpoint> keepers{slot.keeper.datagrams};
+    if (const auto present = keeperOf(slot.shard, this->node.members.active())) {
+        keepers.insert(present->datagrams);
+    }
+    for (const Endpoint &keeper : keepers) {
+        this->give(keeper, keeper == this->node.settings.peerDatagrams, shard, slot.askId);
+    }
+    // A chat that returns right after its answer would find its own slot still counted and
+    // be displaced; only the releases of a busy moment wait for a common datagram.
+    if (this->node.clock.now() - this->flushedAt >= releasePeriod) {
+        this->flushReleases();
+    }
+}
+
+std::uint32_t Slots::lowestPending(ShardId shard) const
+{
+    std::uint32_t lowest = this->nextAsk;
+    for (const auto &[askId, entry] : this->pending) {
+        if (shardIdOf(entry.ask.shard) == shard) {
+            lowest = std::min(lowest, askId);
         }
-    });
+    }
+    return lowest;
 }
 
 } // namespace plantainswitch
--- a/daemon/slots.h
+++ b/daemon/slots.h
@@ -9,6 +9,7 @@
 
 #include <asio/steady_timer.hpp>
 
+#include "heldslots.h"
 #include "keeperservice.h"
 #include "node.h"
 #include "peerlink.h"
@@ -19,7 +20,7 @@
 struct HeldSlot
 {
     Heartbeat keeper;
-    ShardId shard = 0;
+    Shard shard;
     std::uint32_t askId = 0;
     Upstream upstream;
 };
@@ -82,8 +83,32 @@
         TimePoint since;
     };
 
-    void tryShard(const std::shared_ptr<const SlotNeed> &need, std::size_t index, Reason last,
-                  Note note, Done done);
+    /// A request on its way to a slot.
+    struct Acquisition
+    {
+        std::shared_ptr<const SlotNeed> need;
+        Note note;
+        Done done;
+        std::size_t shard = 0;
+        /// Position in the shard's order of keepers.
+        std::size_t keeper = 0;
+        bool answered = false;
+        bool waiting = false;
+        Reason last;
+    };
+    using AcquisitionPointer = std::shared_ptr<Acquisition>;
+
+    void tryShard(const AcquisitionPointer &way);
+    void tryElsewhere(const AcquisitionPointer &way);
+    void askKeeper(const AcquisitionPointer &way, const Heartbeat &keeper);
+    void takeOutcome(const AcquisitionPointer &way, const Heartbeat &keeper, std::uint32_t askId,
+                     const std::optional<SlotReply> &reply);
+    bool takeGrant(const AcquisitionPointer &way, const Heartbeat &keeper, std::uint32_t askId,
+                   UpstreamId upstreamId);
+    [[nodiscard]] std::vector<Heartbeat> keepersToAsk(const Shard &shard);
+    void markSilent(const std::string &keeper);
+    void releaseHere(const HeldSlot &slot);
+    [[nodiscard]] std::uint32_t lowestPending(ShardId shard) const;
     void ask(const Heartbeat &keeper, SlotAsk ask, std::shared_ptr<const SlotNeed> need,
              ReplyHandler done);
     void sendAsk(std::uint32_t askId);
@@ -98,12 +123,16 @@
     Node &node;
     std::shared_ptr<PeerLink> link;
     std::shared_ptr<KeeperService> keeper;
+    std::shared_ptr<HeldSlots> held;
     asio::steady_timer releaseTimer;
     std::atomic<std::uint32_t> nextAsk = 1;
     TimePoint flushedAt;
     std::unordered_map<std::uint32_t, PendingAsk> pending;
     std::unordered_map<std::uint32_t, GivenUpAsk> givenUp;
     std::map<std::pair<Endpoint, ShardId>, std::vector<std::uint32_t>> releases;
+    RankedMutex mutex{LockRank::Slots};
+    /// Keepers that gave no answer of late are asked last until then.
+    std::map<std::string, TimePoint> silentUntil;
 };
 
 } // namespace plantainswitch
--- a/lab/fairness.cpp
+++ b/lab/fairness.cpp
@@ -105,7 +105,7 @@
     bool grant(const SlotAsk &ask, TimePoint arrived)
     {
         const SlotReply reply =
-            grantSlot(this->shard, 1, ask, this->ready, this->bound, this->clock.now());
+            grantSlot(this->shard, 1, ask, {this->ready, this->bound, false}, this->clock.now());
         if (reply.verdict != SlotVerdict::Granted) {
             return false;
         }
--- a/lab/scalemeasures.cpp
+++ b/lab/scalemeasures.cpp
@@ -153,12 +153,12 @@
         }
         BoundSettings bound;
         bound.capacity = held;
+        const GrantView view{ready, bound, false};
         ShardState state;
         const Shard shard{modelName, placeName, 0};
         const std::size_t before = heapInUse();
         for (std::uint32_t id = 1; id <= held; ++id) {
-            grantSlot(state, router, {id, shard, hashOf("chat", id), id, {}}, ready, bound,
-                      TimePoint{});
+            grantSlot(state, router, {id, shard, hashOf("chat", id), id, {}}, view, TimePoint{});
         }
         const auto at = static_cast<double>(engines);
         this->add("keeper.memory-a-slot", "engines", "bytes", at,
@@ -166,8 +166,8 @@
         this->add("keeper.grant-and-release", "engines", "ns", at,
                   timeOf(this->options, 2000, [&](std::size_t call) {
                       const auto id = static_cast<std::uint32_t>(held + 1 + call);
-                      grantSlot(state, router, {id, shard, hashOf("chat", id), id, {}}, ready,
-                                bound, TimePoint{});
+                      grantSlot(state, router, {id, shard, hashOf("chat", id), id, {}}, view,
+                                TimePoint{});
                       releaseSlot(state, {router, id});
                   }));
     }
--- a/tests/fairqueue.cpp
+++ b/tests/fairqueue.cpp
@@ -84,7 +84,8 @@
         if (next == nullptr) {
             return;
         }
-        const SlotReply reply = grantSlot(this->shard, 1, next->ask, {11}, {}, this->clock.now());
+        const SlotReply reply =
+            grantSlot(this->shard, 1, next->ask, {{11}, {}, false}, this->clock.now());
         if (reply.verdict == SlotVerdict::Granted) {
             this->granted.insert(next->ask.askId);
             releaseSlot(this->shard, {1, next->ask.askId});
