--- a/daemon/node.h
+++ b/daemon/node.h
@@ -30,11 +30,12 @@
     std::uint64_t identity;
     CatalogueTable catalogue;
     MemberTable members;
+    VmTable vms;
     UpstreamTable upstreams;
     KeeperTable keeper;
-    LimitTable limits;
     OwnClaimTable ownClaims;
     SuspectTable suspects;
+    LimitTable limits;
     ExplainTable explain;
     Metrics metrics;
     std::atomic<bool> stopping = false;
--- a/daemon/peercodec.h
+++ b/daemon/peercodec.h
@@ -9,8 +9,8 @@
 
 namespace plantainswitch {
 
-using PeerBody = std::variant<Heartbeat, SlotAsk, SlotReply, SlotRelease, ClaimAsk, ClaimReply,
-                              ClaimRelease, SuspectNews, LimitReport, LimitShares>;
+using PeerBody = std::variant<SwimMessage, LeavingNotice, SlotAsk, SlotReply, SlotRelease, ClaimAsk,
+                              ClaimReply, ClaimRelease, SuspectNews, LimitReport, LimitShares>;
 
 /// A datagram between routers.
 struct PeerMessage
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -13,6 +13,7 @@
 #include "keeperservice.h"
 #include "limitservice.h"
 #include "node.h"
+#include "notices.h"
 #include "orders.h"
 #include "peercalls.h"
 #include "peerlink.h"
@@ -53,6 +54,7 @@
     std::vector<std::unique_ptr<net::HttpClient>> upstreamHttp;
     std::shared_ptr<PeerLink> link;
     std::shared_ptr<Beats> beats;
+    std::shared_ptr<Notices> notices;
     std::shared_ptr<KeeperService> keeperService;
     std::shared_ptr<LimitService> limits;
     std::shared_ptr<OrderService> orders;
--- a/include/plantainswitch/base/lockorder.h
+++ b/include/plantainswitch/base/lockorder.h
@@ -10,6 +10,7 @@
     Queues = 15,
     Catalogue = 20,
     Members = 30,
+    Vms = 35,
     Upstreams = 40,
     Limits = 50,
     Slots = 60,
--- a/include/plantainswitch/observe/metrics.h
+++ b/include/plantainswitch/observe/metrics.h
@@ -22,13 +22,13 @@
     ControlBytesSent,
     ControlBytesReceived,
     PlatformCalls,
-    QueueEntered,
-    QueueRefused,
-    QueueExpired,
     ClaimReads,
     ClaimWrites,
     ClaimRepeats,
     ClaimsGranted,
+    QueueEntered,
+    QueueRefused,
+    QueueExpired,
 };
 
 /// What is measured as a histogram for each workspace and data class.
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -8,6 +8,7 @@
 #include <asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 
+#include "callsbench.h"
 #include "demo.h"
 #include "deployment.h"
 #include "fairness.h"
@@ -15,6 +16,7 @@
 #include "load.h"
 #include "policy.h"
 #include "relaybench.h"
+#include "scale.h"
 #include "standins.h"
 
 namespace {
@@ -34,10 +36,12 @@
   stand-ins  play platform, engines and plain service of a deployment
   load       send returning chats to a deployment's routers and check the answers
   relay      measure what the bench deployment's router adds; needs --router-pid
+  calls      count real routers' calls to the platform and their control bytes
   demo       stand-ins, load and an edit for all deployments; prints a table
   fairness   measure the waits of others while one workspace surges
   limits     measure a workspace's limit over many routers
   policy     play a placement policy in the bench; see plantain-lab policy --help
+  scale      measure how time and memory of the library's parts grow with each size
 
 )";
 
@@ -107,20 +111,46 @@
     return run.broken() == 0 && run.whole() > 0 ? exitOk : exitFailed;
 }
 
+int runScale(const options::variables_map &given)
+{
+    ScaleOptions scale;
+    scale.shrink = std::max(1U, given["shrink"].as<unsigned>());
+    const nlohmann::ordered_json report = scaleReport(scale);
+    if (given.count("json") > 0) {
+        std::cout << report.dump(2) << "\n";
+        return exitOk;
+    }
+    for (const auto &series : report["series"]) {
+        std::cout << series["name"].get<std::string>() << ": " << series["intercept"].get<double>()
+                  << " + " << series["slope"].get<double>() << " "
+                  << series["unit"].get<std::string>() << " per "
+                  << series["size"].get<std::string>() << ", fit " << series["fit"].get<double>()
+                  << ", largest " << series["points"].back()["value"].get<double>() << " at "
+                  << series["points"].back()["size"].get<double>() << "\n";
+    }
+    for (const auto &message : report["messages"]) {
+        std::cout << message["name"].get<std::string>() << ": " << message["bytes"] << " bytes\n";
+    }
+    return exitOk;
+}
+
 int runCommand(const std::string &command, const options::variables_map &given)
 {
+    if (command == "scale") {
+        return runScale(given);
+    }
     const std::vector<Deployment> deployments = chosenDeployments(given);
     if (deployments.empty()) {
         std::cerr << "there is no such deployment\n";
         return exitBadInput;
     }
-    const auto seed = given["seed"].as<std::uint64_t>();
     if (command == "fairness") {
-        std::cout << measureFairness(seed).dump(2) << "\n";
+        std::cout << measureFairness(given["seed"].as<std::uint64_t>()).dump(2) << "\n";
         return exitOk;
     }
     if (command == "limits") {
-        std::cout << measureLimits(seed, given["routers"].as<std::size_t>()).dump(2) << "\n";
+        const auto seed = given["seed"].as<std::uint64_t>();
+        std::cout << measureLimits(seed, given["routers"].as<unsigned>()).dump(2) << "\n";
         return exitOk;
     }
     if (command == "settings") {
@@ -133,7 +163,7 @@
         LoadOptions load;
         load.duration = std::chrono::seconds(given["seconds"].as<unsigned>());
         load.requestsPerSecond = given["rate"].as<double>();
-        load.seed = seed;
+        load.seed = given["seed"].as<std::uint64_t>();
         return runLoad(deployments.front(), load);
     }
     if (command == "relay") {
@@ -145,9 +175,17 @@
         DemoOptions demo;
         demo.duration = std::chrono::seconds(given["seconds"].as<unsigned>());
         demo.requestsPerSecond = given["rate"].as<double>();
-        demo.seed = seed;
+        demo.seed = given["seed"].as<std::uint64_t>();
         return runDemo(deployments, demo) ? exitOk : exitFailed;
     }
+    if (command == "calls") {
+        CallsOptions calls;
+        calls.routers = given["routers"].as<unsigned>();
+        calls.duration = std::chrono::seconds(given["seconds"].as<unsigned>());
+        calls.editsPerSecond = given["edits"].as<double>();
+        calls.basePort = deployments.front().basePort;
+        return runCalls(calls) ? exitOk : exitFailed;
+    }
     std::cerr << "there is no command " << command << "\n";
     return exitBadInput;
 }
@@ -167,11 +205,13 @@
                                       "how long the load lasts")(
         "rate", options::value<double>()->default_value(60), "requests a second and deployment")(
         "seed", options::value<std::uint64_t>()->default_value(1), "seed of the load")(
-        "routers", options::value<std::size_t>()->default_value(8),
-        "routers of a measurement")("json", "write JSON, which the measurements always do")(
         "router-pid", options::value<int>()->default_value(0), "the bench router's process")(
+        "routers", options::value<unsigned>()->default_value(8),
+        "number of routers")("edits", options::value<double>()->default_value(0), "edits a second")(
         "port-offset", options::value<unsigned>()->default_value(0),
-        "added to every port, so that several demos fit on one machine");
+        "added to every port, so that several demos fit on one machine")(
+        "json", "scale: print JSON with every point")(
+        "shrink", options::value<unsigned>()->default_value(1), "scale: divide each size");
     options::positional_options_description positions;
     positions.add("command", 1);
     options::variables_map given;
