--- a/tests/orders.cpp
+++ b/tests/orders.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 #include "enginesetup.h"
@@ -201,3 +202,24 @@
     CHECK_FALSE(
         rc::check("a store without conditions", [] { RC_ASSERT(fencingHolds(true, true)); }));
 }
+
+TEST_CASE("orders_entryWithEngines_readsBackAsWritten", "[orders]")
+{
+    Service service;
+    service.owner = "o";
+    service.dataClass = "d";
+    const std::string version = "7";
+    service.engines.setup.version = version;
+    service.engines.checkFencing = true;
+    std::vector<Fault> faults;
+    const auto body = parseEntry(EntryKind::Service, toJson(service), faults);
+    REQUIRE(body);
+    const EngineOrders &read = std::get<Service>(*body).engines;
+    CHECK(read.setup.version == version);
+    CHECK(read.setup.model.empty());
+    CHECK(read.checkFencing);
+    auto wrong = toJson(service);
+    wrong["engines"]["readyPercent"] = 100;
+    CHECK_FALSE(parseEntry(EntryKind::Service, wrong, faults));
+    CHECK(faults.front().path == "/engines/readyPercent");
+}
