--- a/daemon/passage.cpp
+++ b/daemon/passage.cpp
@@ -109,9 +109,12 @@
     logEvent(Event::RequestRefused, {{"request", this->id},
                                      {"kind", std::string(errorRow(reason.kind).name)},
                                      {"detail", reason.detail}});
-    refuse(*this->reply, reason, this->id, this->refusalScope());
+    // The books are closed before the caller hears: its repeat may come at once, and would meet a
+    // claim "in progress" of a request that has ended.
+    const RefusalScope scope = this->refusalScope();
     this->endClaimRefused(errorRow(reason.kind).ran);
     this->account();
+    refuse(*this->reply, reason, this->id, scope);
 }
 
 RefusalScope Passage::refusalScope() const
