--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -164,13 +164,13 @@
         std::cerr << "there is no such deployment\n";
         return exitBadInput;
     }
-    const auto seed = given["seed"].as<std::uint64_t>();
     if (command == "fairness") {
-        std::cout << measureFairness(seed).dump(2) << "\n";
+        std::cout << measureFairness(given["seed"].as<std::uint64_t>()).dump(2) << "\n";
         return exitOk;
     }
     if (command == "limits") {
-        std::cout << measureLimits(seed, given["routers"].as<std::size_t>()).dump(2) << "\n";
+        const auto seed = given["seed"].as<std::uint64_t>();
+        std::cout << measureLimits(seed, given["routers"].as<unsigned>()).dump(2) << "\n";
         return exitOk;
     }
     if (command == "settings") {
@@ -183,7 +183,7 @@
         LoadOptions load;
         load.duration = std::chrono::seconds(given["seconds"].as<unsigned>());
         load.requestsPerSecond = given["rate"].as<double>();
-        load.seed = seed;
+        load.seed = given["seed"].as<std::uint64_t>();
         return runLoad(deployments.front(), load);
     }
     if (command == "relay") {
@@ -195,7 +195,7 @@
         DemoOptions demo;
         demo.duration = std::chrono::seconds(given["seconds"].as<unsigned>());
         demo.requestsPerSecond = given["rate"].as<double>();
-        demo.seed = seed;
+        demo.seed = given["seed"].as<std::uint64_t>();
         return runDemo(deployments, demo) ? exitOk : exitFailed;
     }
     if (command == "members") {
@@ -228,8 +228,6 @@
                                       "how long the load lasts")(
         "rate", options::value<double>()->default_value(60), "requests a second and deployment")(
         "seed", options::value<std::uint64_t>()->default_value(1), "seed of the load")(
-        "routers", options::value<std::size_t>()->default_value(8),
-        "routers of a measurement")("json", "write JSON, which the measurements always do")(
         "router-pid", options::value<int>()->default_value(0), "the bench router's process")(
         "routers", options::value<unsigned>()->default_value(8),
         "number of routers")("edits", options::value<double>()->default_value(0), "edits a second")(
