--- /dev/null
+++ b/ctl/commands.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <string>
+
+#include "entryfile.h"
+#include "platformcalls.h"
+
+namespace plantainswitch::ctl {
+
+/// Exit codes; docs/operating/members.md lists them.
+inline constexpr int exitOk = 0;
+inline constexpr int exitFailed = 1;
+inline constexpr int exitBadInput = 2;
+inline constexpr int exitConflict = 3;
+inline constexpr int exitNotFound = 4;
+inline constexpr int exitUnknown = 5;
+
+/// How results are written.
+enum class Output : std::uint8_t { Table, Json };
+
+/// Prints all entries with their versions; tokens are hidden.
+int listEntries(PlatformCalls &platform, Output output);
+/// Prints one entry.
+int getEntry(PlatformCalls &platform, const EntryKey &key, Output output);
+/// Writes the entry file at \a path, after its references were checked.
+int applyFile(PlatformCalls &platform, const std::string &path, Output output);
+/// Prints what applyFile() would change.
+int diffFile(PlatformCalls &platform, const std::string &path, Output output);
+/// Deletes an entry that nothing refers to, if it is still at \a ifVersion.
+int deleteEntry(PlatformCalls &platform, const EntryKey &key, std::uint64_t ifVersion,
+                Output output);
+/// Prints which place's routers have which version in force.
+int showStatus(PlatformCalls &platform, Output output);
+
+} // namespace plantainswitch::ctl
--- a/daemon/passage.cpp
+++ b/daemon/passage.cpp
@@ -22,6 +22,9 @@
 
 Passage::~Passage()
 {
+    if (this->limited) {
+        this->node.limits.end(*this->limited);
+    }
     --this->node.inFlight;
 }
 
@@ -75,6 +78,26 @@
     if (this->answerRepeat()) {
         return;
     }
+    this->limit();
+}
+
+void Passage::limit()
+{
+    const WorkspaceLimit limit{this->admission.limits.requestsPerSecond,
+                               this->admission.limits.maxInFlight};
+    if (limit.requestsPerSecond != 0 || limit.maxInFlight != 0) {
+        const WorkspaceId workspace = workspaceIdOf(this->admission.workspace);
+        const auto refused = this->node.limits.admit(workspace, limit, this->node.fleetSize(),
+                                                     this->node.clock.now());
+        if (refused) {
+            this->refuseWith(
+                {ErrorKind::LimitReached,
+                 refused->inFlight ? "too many requests in flight" : "too many requests a second",
+                 refused->retryAfterSeconds});
+            return;
+        }
+        this->limited = workspace;
+    }
     this->place();
 }
 
@@ -106,6 +129,9 @@
         return;
     }
     const std::lock_guard lock(this->exchangeMutex);
+    if (this->need) {
+        this->need->abandoned = true;
+    }
     if (this->exchange) {
         this->exchange->cancel();
     }
--- a/daemon/passage.h
+++ b/daemon/passage.h
@@ -32,6 +32,7 @@
 
 private:
     void admitCaller();
+    void limit();
     void place();
     bool admitAgain();
     bool leftOnDispatch(const HeldSlot &held);
@@ -70,6 +71,8 @@
     std::string id;
     CallerRequest request;
     Admission admission;
+    /// Set while the request counts against its workspace's limit.
+    std::optional<WorkspaceId> limited;
     std::shared_ptr<SlotNeed> need;
     std::optional<HeldSlot> slot;
     /// Set while this passage may run a claimed request.
--- a/daemon/peercodec.h
+++ b/daemon/peercodec.h
@@ -10,7 +10,7 @@
 namespace plantainswitch {
 
 using PeerBody = std::variant<SwimMessage, LeavingNotice, SlotAsk, SlotReply, SlotRelease, ClaimAsk,
-                              ClaimReply, ClaimRelease, SuspectNews>;
+                              ClaimReply, ClaimRelease, SuspectNews, LimitReport, LimitShares>;
 
 /// A datagram between routers.
 struct PeerMessage
--- a/daemon/router.cpp
+++ b/daemon/router.cpp
@@ -30,8 +30,10 @@
     , beats(std::make_shared<Beats>(context, node, link))
     , notices(std::make_shared<Notices>(node, link))
     , keeperService(std::make_shared<KeeperService>(node, link))
+    , limits(std::make_shared<LimitService>(node, link))
     , calls(node)
     , sync(std::make_shared<Sync>(context, node, platformHttp, beats, calls))
+    , statusWriter(std::make_shared<StatusWriter>(context, node, platformHttp))
     , slots(std::make_shared<Slots>(context, node, link, keeperService))
     , claims(std::make_shared<ClaimService>(context, node, link, calls, claimHttp))
 {
@@ -57,6 +59,7 @@
     this->keeperService->start();
     this->slots->start();
     this->claims->start();
+    this->limits->start();
     this->beats->start([sync = std::weak_ptr<Sync>(this->sync)](const Heartbeat &peer) {
         if (const auto target = sync.lock()) {
             target->hearOf(peer);
@@ -65,6 +68,7 @@
     this->notices->start();
     this->link->start();
     this->sync->start();
+    this->statusWriter->start();
     this->openServers();
     this->awaitSignal();
     logEvent(Event::Started, {{"callers", toText(this->node.settings.callers)}});
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -11,12 +11,14 @@
 #include "httpclient.h"
 #include "httpserver.h"
 #include "keeperservice.h"
+#include "limitservice.h"
 #include "node.h"
 #include "notices.h"
 #include "peercalls.h"
 #include "peerlink.h"
 #include "requestpath.h"
 #include "slots.h"
+#include "statuswriter.h"
 #include "sync.h"
 
 namespace plantainswitch {
@@ -57,8 +59,10 @@
     std::shared_ptr<Beats> beats;
     std::shared_ptr<Notices> notices;
     std::shared_ptr<KeeperService> keeperService;
+    std::shared_ptr<LimitService> limits;
     PeerCalls calls;
     std::shared_ptr<Sync> sync;
+    std::shared_ptr<StatusWriter> statusWriter;
     std::shared_ptr<Slots> slots;
     std::shared_ptr<ClaimService> claims;
     std::unique_ptr<RequestPath> path;
--- /dev/null
+++ b/daemon/statuswriter.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <memory>
+
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+
+#include "platform.h"
+
+#include "node.h"
+
+namespace plantainswitch {
+
+/// Writes down, as the first watcher of a place, which catalogue version its routers have in
+/// force: one small object a place, only when it changed, for `plantainctl status`.
+class StatusWriter : public std::enable_shared_from_this<StatusWriter>
+{
+public:
+    StatusWriter(asio::io_context &context, Node &node, net::HttpClient &http);
+
+    void start();
+
+private:
+    void schedule();
+    void writeIfChanged();
+    void takeAnswer(const net::PlatformAnswer &answer, const nlohmann::json &body);
+    [[nodiscard]] bool isFirstWatcher() const;
+    [[nodiscard]] nlohmann::json body() const;
+
+    Node &node;
+    net::PlatformClient platform;
+    asio::strand<asio::io_context::executor_type> strand;
+    asio::steady_timer timer;
+    nlohmann::json written;
+    std::uint64_t version = 0;
+    bool writing = false;
+};
+
+} // namespace plantainswitch
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -15,6 +15,7 @@
 #include "membersbench.h"
 #include "policy.h"
 #include "relaybench.h"
+#include "scale.h"
 #include "standins.h"
 
 namespace {
@@ -38,6 +39,7 @@
   members    run the membership functions over a queue of messages with loss and deaths
   demo       stand-ins, load and an edit for all deployments; prints a table
   policy     play a placement policy in the bench; see plantain-lab policy --help
+  scale      measure how time and memory of the library's parts grow with each size
 
 )";
 
@@ -125,8 +127,34 @@
     return exitOk;
 }
 
+int runScale(const options::variables_map &given)
+{
+    ScaleOptions scale;
+    scale.shrink = std::max(1U, given["shrink"].as<unsigned>());
+    const nlohmann::ordered_json report = scaleReport(scale);
+    if (given.count("json") > 0) {
+        std::cout << report.dump(2) << "\n";
+        return exitOk;
+    }
+    for (const auto &series : report["series"]) {
+        std::cout << series["name"].get<std::string>() << ": " << series["intercept"].get<double>()
+                  << " + " << series["slope"].get<double>() << " "
+                  << series["unit"].get<std::string>() << " per "
+                  << series["size"].get<std::string>() << ", fit " << series["fit"].get<double>()
+                  << ", largest " << series["points"].back()["value"].get<double>() << " at "
+                  << series["points"].back()["size"].get<double>() << "\n";
+    }
+    for (const auto &message : report["messages"]) {
+        std::cout << message["name"].get<std::string>() << ": " << message["bytes"] << " bytes\n";
+    }
+    return exitOk;
+}
+
 int runCommand(const std::string &command, const options::variables_map &given)
 {
+    if (command == "scale") {
+        return runScale(given);
+    }
     const std::vector<Deployment> deployments = chosenDeployments(given);
     if (deployments.empty()) {
         std::cerr << "there is no such deployment\n";
@@ -195,9 +223,11 @@
     described.add_options()("places", options::value<unsigned>()->default_value(1),
                             "places of the members' run")(
         "loss", options::value<double>()->default_value(0.05), "share of lost datagrams")(
-        "deaths", options::value<unsigned>()->default_value(5),
-        "routers that die")("cut", options::value<unsigned>()->default_value(0),
-                            "seconds for which the first place is cut off");
+        "deaths", options::value<unsigned>()->default_value(5), "routers that die")(
+        "cut", options::value<unsigned>()->default_value(0),
+        "seconds for which the first place is cut off")("json",
+                                                        "scale: print JSON with every point")(
+        "shrink", options::value<unsigned>()->default_value(1), "scale: divide each size");
     options::positional_options_description positions;
     positions.add("command", 1);
     options::variables_map given;
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -29,6 +29,9 @@
     std::string_view{"claim_writes_total"},
     std::string_view{"claim_repeats_total"},
     std::string_view{"claims_granted_total"},
+    std::string_view{"queue_entered_total"},
+    std::string_view{"queue_refused_total"},
+    std::string_view{"queue_expired_total"},
 };
 constexpr std::array timingNames{std::string_view{"first_byte_seconds"},
                                  std::string_view{"whole_seconds"},
--- a/tests/fuzz.cpp
+++ b/tests/fuzz.cpp
@@ -11,6 +11,8 @@
 #include "refusal.h"
 #include "settings.h"
 
+#include "../src/claims/entrycodec.h"
+
 using namespace plantainswitch;
 
 namespace {
@@ -319,7 +321,10 @@
             {5, LeavingNotice{}},
             {2, SlotAsk{7, shard, 8, 9, {10, 11}}},
             {3, SlotReply{7, SlotVerdict::Overflow, 12}},
-            {4, SlotRelease{13, {14, 15, 16}}}};
+            {4, SlotRelease{13, {14, 15, 16}}},
+            {5, ClaimAsk{{{1, 2}, 3, 4, 5}, 6}},
+            {6, ClaimReply{4, ClaimVerdict::Taken, {{1, 2}, 3, 4, 5}}},
+            {7, ClaimRelease{{1, 2}, 4}}};
 }
 
 void checkAddress(const Endpoint &endpoint)
@@ -368,6 +373,9 @@
         REQUIRE(encode(*again) == once);
         if (const auto *swim = std::get_if<SwimMessage>(&message->body)) {
             checkHeartbeat(swim->from);
+            if (swim->kind == SwimKind::PingRequest) {
+                checkAddress(swim->target);
+            }
             for (const MemberUpdate &update : swim->updates) {
                 checkHeartbeat(update.member);
             }
@@ -376,6 +384,37 @@
     CHECK(accepted > 0);
 }
 
+TEST_CASE("pingRequest_withoutTarget_isRefused", "[fuzz]")
+{
+    // A datagram asks a router to probe somebody, and the field that names whom was lost. The
+    // probe would go to no address at all, which can't be turned into an IP number: the router
+    // that tries ends.
+    const Endpoint good{"10.0.0.1", 2};
+    SwimMessage swim;
+    swim.from = heartbeatOf("r0", good, good);
+    wire::Datagram request;
+    REQUIRE(request.ParseFromString(encode({1, swim})));
+    CHECK(decode(request.SerializeAsString()));
+    request.mutable_swim()->set_kind(static_cast<std::uint32_t>(SwimKind::PingRequest));
+    CHECK_FALSE(decode(request.SerializeAsString()));
+}
+
+TEST_CASE("swimMessage_longNames_staysWithinADatagram", "[fuzz]")
+{
+    // Operators give routers names of 200 bytes. Eight rumours beside the sender's heartbeat are
+    // then larger than a datagram may be; every receiver refuses it, and the whole place comes
+    // to think that nobody is there.
+    const Endpoint good{"10.0.0.1", 2};
+    SwimMessage swim;
+    constexpr std::size_t longName = 200;
+    swim.from = heartbeatOf(std::string(longName, 'r'), good, good);
+    swim.updates.assign(SwimSettings{}.updatesInMessage,
+                        {heartbeatOf(std::string(longName, 's'), good, good), MemberState::Alive});
+    const auto decoded = decode(encode({1, swim}));
+    REQUIRE(decoded);
+    CHECK(std::get<SwimMessage>(decoded->body).from.id == swim.from.id);
+}
+
 TEST_CASE("heartbeat_withoutUsableAddress_isRefused", "[fuzz]")
 {
     // One damaged heartbeat names a peer by "ghost" instead of an IP number. The next beat goes
@@ -494,6 +533,27 @@
     }
 }
 
+TEST_CASE_METHOD(FuzzFixture, "claimRecord_damagedField_isRefusedOrReadsBackEqual", "[fuzz]")
+{
+    const ClaimLogEntry entry{{{1, 2}, 3, 4, 5}, false};
+    const nlohmann::json batch = encodeBatch({9, "nonce", 10, {entry}});
+    const nlohmann::json segment = encodeSegment({11, 12, 13, {entry}});
+    for (std::size_t round = 0; round < fieldRounds; ++round) {
+        nlohmann::json document = batch;
+        this->damageField(document);
+        if (const auto read = decodeBatch(document)) {
+            REQUIRE(decodeBatch(encodeBatch(*read)));
+        }
+        document = segment;
+        this->damageField(document);
+        if (const auto read = decodeSegment(document)) {
+            REQUIRE(decodeSegment(encodeSegment(*read)));
+        }
+    }
+    REQUIRE(encodeBatch(*decodeBatch(batch)) == batch);
+    REQUIRE(encodeSegment(*decodeSegment(segment)) == segment);
+}
+
 TEST_CASE("platformAnswer_versionAsText_isRefused", "[fuzz]")
 {
     // A proxy before the platform answers in its place with JSON of another shape. Reading the
--- /dev/null
+++ b/tests/operators.cpp
@@ -0,0 +1,91 @@
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include "commands.h"
+#include "fleet.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::lab;
+using namespace plantainswitch::ctl;
+
+namespace {
+
+constexpr std::uint16_t ownPorts = 29000;
+
+Deployment oneRouter()
+{
+    Deployment deployment = *deploymentOf("lowther");
+    deployment.basePort = ownPorts;
+    deployment.routers = 1;
+    return deployment;
+}
+
+class OperatorsFixture
+{
+protected:
+    OperatorsFixture()
+        : fleet(oneRouter())
+        , platform("http://" + toText(platformOf(this->fleet.deployment)))
+    {}
+
+    Fleet fleet;
+    PlatformCalls platform;
+    EntryKey regulated{EntryKind::DataClass, "regulated"};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(OperatorsFixture, "operators_racingEdits_oneWinsEachRoundAndNoneIsLost",
+                 "[operators]")
+{
+    // Two operators edit the same entry again and again, each by the version it has read. A write
+    // over an unseen edit would lose it silently; the loser must be told what is there instead.
+    std::atomic<std::uint32_t> written = 0;
+    const std::uint64_t first = this->platform.get(this->regulated).object->version;
+    const auto edit = [this, &written](PlatformCalls &calls) {
+        for (int round = 0; round < 20; ++round) {
+            const auto read = calls.get(this->regulated);
+            auto body = read.object->body;
+            body["maxStaleSeconds"] = body["maxStaleSeconds"].get<std::uint32_t>() + 1;
+            const auto answer = calls.put(this->regulated, read.object->version, body);
+            written += answer.status == net::PlatformStatus::Ok ? 1U : 0U;
+            CHECK((answer.status == net::PlatformStatus::Ok || answer.object.has_value()));
+        }
+    };
+    PlatformCalls other("http://" + toText(platformOf(this->fleet.deployment)));
+    std::thread second([&] { edit(other); });
+    edit(this->platform);
+    second.join();
+    const auto last = this->platform.get(this->regulated).object;
+    CHECK(last->body["maxStaleSeconds"] == written.load());
+    CHECK(last->version >= first + written);
+}
+
+TEST_CASE_METHOD(OperatorsFixture, "operators_deleteOfUsedClass_isRefused", "[operators]")
+{
+    const auto version = this->platform.get(this->regulated).object->version;
+    CHECK(deleteEntry(this->platform, this->regulated, version, Output::Json) == exitBadInput);
+    CHECK(this->platform.get(this->regulated).status == net::PlatformStatus::Ok);
+}
+
+TEST_CASE("references_unknownClassOrService_areFaults", "[operators]")
+{
+    Workspace workspace;
+    workspace.dataClass = "no-such-class";
+    workspace.services = {"no-such-service"};
+    CHECK(checkReferences(workspace, {}).size() == 2);
+    const KnownEntries known{{{EntryKind::DataClass, "no-such-class"}, DataClass{}},
+                             {{EntryKind::Service, "no-such-service"}, Service{}}};
+    CHECK(checkReferences(workspace, known).empty());
+}
+
+TEST_CASE_METHOD(OperatorsFixture, "status_ofPlace_isWrittenByItsFirstWatcher", "[operators]")
+{
+    REQUIRE(this->fleet.start());
+    CHECK(Fleet::eventually([this] {
+        const auto reports = this->platform.list("status");
+        return reports && reports->objects.size() == 1
+               && reports->objects.front().body["lowestVersion"] > 0;
+    }));
+}
