End a claim before its refusal is sent

Cause: claim_upstreamBreaksOff_isNotRepeated failed in two of five runs under load: the refusal went out before the claim was marked lost, so a caller that repeated at once heard in-progress instead of may-have-run.

--- a/daemon/passage.cpp
+++ b/daemon/passage.cpp
@@ -108,8 +108,10 @@
     logEvent(Event::RequestRefused, {{"request", this->id},
                                      {"kind", std::string(errorRow(reason.kind).name)},
                                      {"detail", reason.detail}});
-    refuse(*this->reply, reason, this->id, this->refusalScope());
+    const RefusalScope scope = this->refusalScope();
+    // Before the answer: a caller that repeats at once would else find its claim still running.
     this->endClaimRefused(errorRow(reason.kind).ran);
+    refuse(*this->reply, reason, this->id, scope);
     this->account();
 }
 
