--- /dev/null
+++ b/ctl/commands.cpp
@@ -0,0 +1,274 @@
+#include "commands.h"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <fmt/format.h>
+
+namespace plantainswitch::ctl {
+
+namespace {
+
+using net::PlatformAnswer;
+using net::PlatformStatus;
+using nlohmann::ordered_json;
+
+constexpr const char *entryKinds = "dataclass,workspace,service";
+constexpr const char *hidden = "(hidden)";
+
+std::optional<EntryFile> loadEntryFile(const std::string &path)
+{
+    std::ifstream stream(path);
+    if (!stream) {
+        std::cerr << path << ": can't be read\n";
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    std::vector<Fault> faults;
+    auto file = parseEntryFile(text.str(), faults);
+    for (const Fault &fault : faults) {
+        std::cerr << path << ": " << toText(fault) << "\n";
+    }
+    return file;
+}
+
+nlohmann::json withoutToken(nlohmann::json body)
+{
+    if (body.is_object() && body.contains("token")) {
+        body["token"] = hidden;
+    }
+    return body;
+}
+
+ordered_json differenceOf(const nlohmann::json &from, const nlohmann::json &to)
+{
+    ordered_json result = ordered_json::array();
+    for (const nlohmann::json &change : nlohmann::json::diff(from, to)) {
+        const auto path = change["path"].get<std::string>();
+        ordered_json line{{"op", change["op"]}, {"path", path}};
+        if (change.contains("value")) {
+            const bool secret = path.find("token") != std::string::npos;
+            line["value"] = secret ? nlohmann::json(hidden) : withoutToken(change["value"]);
+        }
+        result.push_back(std::move(line));
+    }
+    return result;
+}
+
+/// Prints what came of a command: as JSON, or the sentence and the difference as text.
+void printResult(Output output, const ordered_json &result)
+{
+    if (output == Output::Json) {
+        std::cout << result.dump(2) << "\n";
+        return;
+    }
+    std::cout << result["result"].get<std::string>() << "\n";
+    if (result.contains("difference")) {
+        for (const auto &change : result["difference"]) {
+            std::cout << "  " << change["op"].get<std::string>() << " "
+                      << change["path"].get<std::string>() << " "
+                      << (change.contains("value") ? change["value"].dump() : "") << "\n";
+        }
+    }
+}
+
+int reportConflict(const PlatformAnswer &answer, const nlohmann::json &wanted, Output output)
+{
+    if (!answer.object) {
+        printResult(output, {{"result", "not written: there is no such entry any more"}});
+        return exitConflict;
+    }
+    printResult(output, {{"result", fmt::format("not written: version {} is there already; your "
+                                                "file is kept as it is, and this leads from "
+                                                "what is there to your text:",
+                                                answer.object->version)},
+                         {"version", answer.object->version},
+                         {"difference", differenceOf(answer.object->body, wanted)}});
+    return exitConflict;
+}
+
+int reportWrite(const PlatformAnswer &answer, const nlohmann::json &wanted, Output output)
+{
+    switch (answer.status) {
+    case PlatformStatus::Ok:
+        printResult(output, {{"result", fmt::format("written, version {}", answer.object->version)},
+                             {"version", answer.object->version}});
+        return exitOk;
+    case PlatformStatus::Conflict:
+        return reportConflict(answer, wanted, output);
+    case PlatformStatus::NotFound:
+        printResult(output, {{"result", "there is no such entry"}});
+        return exitNotFound;
+    case PlatformStatus::Rejected:
+        printResult(output, {{"result", "not written: " + answer.detail}});
+        return exitFailed;
+    case PlatformStatus::Unknown:
+        break;
+    }
+    printResult(output, {{"result", "no answer: the write may have taken effect; look with get"}});
+    return exitUnknown;
+}
+
+std::optional<KnownEntries> readKnown(PlatformCalls &platform)
+{
+    const auto changes = platform.list(entryKinds);
+    if (!changes) {
+        std::cerr << "the platform can't be reached\n";
+        return std::nullopt;
+    }
+    KnownEntries known;
+    for (const net::PlatformObject &object : changes->objects) {
+        const auto kind = entryKindOf(object.kind);
+        std::vector<Fault> faults;
+        auto body =
+            kind && !object.body.is_null() ? parseEntry(*kind, object.body, faults) : std::nullopt;
+        if (body) {
+            known.emplace(EntryKey{*kind, object.name}, std::move(*body));
+        }
+    }
+    return known;
+}
+
+std::string toText(const EntryKey &key)
+{
+    return std::string(nameOf(key.kind)) + " " + key.name;
+}
+
+} // namespace
+
+int listEntries(PlatformCalls &platform, Output output)
+{
+    const auto changes = platform.list(entryKinds);
+    if (!changes) {
+        std::cerr << "the platform can't be reached\n";
+        return exitFailed;
+    }
+    ordered_json all = ordered_json::array();
+    for (const net::PlatformObject &object : changes->objects) {
+        if (object.body.is_null()) {
+            continue;
+        }
+        all.push_back({{"kind", object.kind},
+                       {"name", object.name},
+                       {"version", object.version},
+                       {"body", withoutToken(object.body)}});
+        if (output == Output::Table) {
+            std::cout << fmt::format("{:<10} {:<32} {:>10}  {}\n", object.kind, object.name,
+                                     object.version, object.body.value("owner", ""));
+        }
+    }
+    if (output == Output::Json) {
+        std::cout << all.dump(2) << "\n";
+    }
+    return exitOk;
+}
+
+int getEntry(PlatformCalls &platform, const EntryKey &key, Output output)
+{
+    const PlatformAnswer answer = platform.get(key);
+    if (answer.status == PlatformStatus::NotFound) {
+        std::cerr << "there is no such entry\n";
+        return exitNotFound;
+    }
+    if (answer.status != PlatformStatus::Ok) {
+        std::cerr << "the platform can't be reached\n";
+        return exitFailed;
+    }
+    // In both forms the text is one that apply takes back.
+    const auto object = toJson(*answer.object);
+    std::cout << (output == Output::Json ? object.dump() : object.dump(2)) << "\n";
+    return exitOk;
+}
+
+int applyFile(PlatformCalls &platform, const std::string &path, Output output)
+{
+    const auto file = loadEntryFile(path);
+    if (!file) {
+        return exitBadInput;
+    }
+    const auto known = readKnown(platform);
+    if (!known) {
+        return exitFailed;
+    }
+    std::vector<Fault> faults;
+    const auto body = parseEntry(file->key.kind, file->body, faults);
+    for (const Fault &fault : checkReferences(*body, *known)) {
+        std::cerr << path << ": " << plantainswitch::toText(fault) << "\n";
+        faults.push_back(fault);
+    }
+    if (!faults.empty()) {
+        return exitBadInput;
+    }
+    return reportWrite(platform.put(file->key, file->version, file->body), file->body, output);
+}
+
+int diffFile(PlatformCalls &platform, const std::string &path, Output output)
+{
+    const auto file = loadEntryFile(path);
+    if (!file) {
+        return exitBadInput;
+    }
+    const PlatformAnswer answer = platform.get(file->key);
+    if (answer.status != PlatformStatus::Ok && answer.status != PlatformStatus::NotFound) {
+        std::cerr << "the platform can't be reached\n";
+        return exitFailed;
+    }
+    const nlohmann::json there = answer.object ? answer.object->body : nlohmann::json();
+    printResult(output, {{"result", "apply would change:"},
+                         {"difference", differenceOf(there, file->body)}});
+    return exitOk;
+}
+
+int deleteEntry(PlatformCalls &platform, const EntryKey &key, std::uint64_t ifVersion,
+                Output output)
+{
+    const auto known = readKnown(platform);
+    if (!known) {
+        return exitFailed;
+    }
+    const std::vector<EntryKey> users = usersOf(key, *known);
+    for (const EntryKey &user : users) {
+        std::cerr << toText(key) << " is in use by " << toText(user) << "\n";
+    }
+    if (!users.empty()) {
+        return exitBadInput;
+    }
+    return reportWrite(platform.remove(key, ifVersion), {}, output);
+}
+
+int showStatus(PlatformCalls &platform, Output output)
+{
+    const auto entries = platform.list(entryKinds);
+    const auto reports = platform.list("status");
+    if (!entries || !reports) {
+        std::cerr << "the platform can't be reached\n";
+        return exitFailed;
+    }
+    std::uint64_t newest = 0;
+    for (const net::PlatformObject &object : entries->objects) {
+        newest = std::max(newest, object.version);
+    }
+    ordered_json places = ordered_json::array();
+    for (const net::PlatformObject &object : reports->objects) {
+        if (object.body.is_object()) {
+            places.push_back(ordered_json(object.body));
+        }
+    }
+    if (output == Output::Json) {
+        std::cout << ordered_json{{"newestVersion", newest}, {"places", places}}.dump(2) << "\n";
+        return exitOk;
+    }
+    std::cout << fmt::format("newest version {}\n{:<20} {:>8} {:>10} {:>8}  {}\n", newest, "place",
+                             "routers", "lowest", "behind", "unreadable");
+    for (const auto &place : places) {
+        std::cout << fmt::format("{:<20} {:>8} {:>10} {:>8}  {}\n", place.value("place", ""),
+                                 place.value("routers", 0U), place.value("lowestVersion", 0U),
+                                 place.value("lowestVersion", 0U) < newest ? "yes" : "no",
+                                 place.value("unreadable", ordered_json::array()).dump());
+    }
+    return exitOk;
+}
+
+} // namespace plantainswitch::ctl
--- /dev/null
+++ b/ctl/platformcalls.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <thread>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+
+#include "plantainswitch/plantainswitch.h"
+#include "platform.h"
+
+namespace plantainswitch::ctl {
+
+/// Calls the platform and waits for the answer.
+class PlatformCalls
+{
+public:
+    explicit PlatformCalls(const std::string &url);
+    ~PlatformCalls();
+    PlatformCalls(const PlatformCalls &) = delete;
+    PlatformCalls &operator=(const PlatformCalls &) = delete;
+
+    net::PlatformAnswer get(const EntryKey &key);
+    net::PlatformAnswer put(const EntryKey &key, std::uint64_t ifVersion,
+                            const nlohmann::json &body);
+    net::PlatformAnswer remove(const EntryKey &key, std::uint64_t ifVersion);
+    /// \returns all objects of \a kinds, or nothing when the platform can't be reached.
+    std::optional<net::PlatformChanges> list(const std::string &kinds);
+
+private:
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> guard;
+    net::HttpClient http;
+    net::PlatformClient client;
+    std::thread worker;
+};
+
+} // namespace plantainswitch::ctl
--- a/daemon/passage.cpp
+++ b/daemon/passage.cpp
@@ -113,6 +113,7 @@
     // claim "in progress" of a request that has ended.
     const RefusalScope scope = this->refusalScope();
     this->endClaimRefused(errorRow(reason.kind).ran);
+    refuse(*this->reply, reason, this->id, scope);
     this->account();
     refuse(*this->reply, reason, this->id, scope);
 }
--- a/daemon/router.cpp
+++ b/daemon/router.cpp
@@ -35,6 +35,7 @@
     , orders(std::make_shared<OrderService>(context, node, platformHttp))
     , calls(node)
     , sync(std::make_shared<Sync>(context, node, platformHttp, beats, calls))
+    , statusWriter(std::make_shared<StatusWriter>(context, node, platformHttp))
     , slots(std::make_shared<Slots>(context, node, link, keeperService))
     , claims(std::make_shared<ClaimService>(context, node, link, calls, claimHttp))
 {
@@ -71,6 +72,7 @@
     this->notices->start();
     this->link->start();
     this->sync->start();
+    this->statusWriter->start();
     this->openServers();
     this->awaitSignal();
     logEvent(Event::Started, {{"callers", toText(this->node.settings.callers)}});
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -20,6 +20,7 @@
 #include "requestpath.h"
 #include "shardsync.h"
 #include "slots.h"
+#include "statuswriter.h"
 #include "sync.h"
 
 namespace plantainswitch {
@@ -65,6 +66,7 @@
     std::shared_ptr<OrderService> orders;
     PeerCalls calls;
     std::shared_ptr<Sync> sync;
+    std::shared_ptr<StatusWriter> statusWriter;
     std::shared_ptr<Slots> slots;
     std::shared_ptr<ClaimService> claims;
     std::unique_ptr<RequestPath> path;
