--- a/daemon/passagerelay.cpp
+++ b/daemon/passagerelay.cpp
@@ -20,6 +20,9 @@
 
 void Passage::dispatch(HeldSlot held)
 {
+    if (this->leftOnDispatch(held)) {
+        return;
+    }
     this->slot = std::move(held);
     if (this->gone && !this->claim) {
         this->releaseSlot();
@@ -189,8 +192,8 @@
                                 !this->request.nonIdempotent);
             return;
         }
-        this->reply->end();
         this->endClaim(OwnState::Done, KeptAnswer{statusOk, "text/event-stream", this->kept});
+        this->reply->end();
     } else {
         const bool model = this->request.model && this->status == statusOk;
         if (model && !isWholeAnswer(this->body, this->attempt)) {
@@ -245,9 +248,9 @@
     this->reply->write("event: error\ndata: "
                            + refusalBody({kind, reason.detail, std::nullopt}, this->id) + "\n\n",
                        nullptr);
-    this->reply->abort();
     this->endClaimRefused(errorRow(kind).ran);
     this->account();
+    this->reply->abort();
 }
 
 } // namespace plantainswitch
