--- a/tests/fuzz.cpp
+++ b/tests/fuzz.cpp
@@ -102,7 +102,7 @@
          "maxInFlight":9,"weight":2,"priority":1})"},
     {EntryKind::Service,
      R"({"owner":"o","dataClass":"c","type":"plain","engineCapacity":8,"shards":4,
-         "queueMilliseconds":100})"}};
+         "queueMilliseconds":100,"engines":{"model":"x","version":"2","checkFencing":true}})"}};
 
 /// A fault has to be one that an operator can act on: it has a path, and it stays short.
 void checkFaults(const std::vector<Fault> &faults)
