Hear of closed connections outside of the write that closes them

A failed write closes its connection inline; the listener then took the reply's lock again, and the worker hung for ever. Seen once in ctest as a hang of test-answerfleet for ten minutes (stack: step, write, closed).

--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -41,8 +41,9 @@
 class ConnectionListener
 {
 public:
-    explicit ConnectionListener(std::shared_ptr<OpenReplies> replies)
-        : replies(std::move(replies))
+    ConnectionListener(asio::io_context &context, std::shared_ptr<OpenReplies> replies)
+        : context(context)
+        , replies(std::move(replies))
     {}
 
     // RESTinio calls the listener by this name.
@@ -51,13 +52,19 @@
     {
         if (std::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
             --this->replies->connections;
-            this->replies->closed(notice.connection_id());
+            // A failed write closes its connection within write() itself, under the reply's lock
+            // and its caller's; hearing of it there would hang the worker for ever. Posted, the
+            // news comes when no lock is held.
+            asio::post(this->context, [replies = this->replies, id = notice.connection_id()] {
+                replies->closed(id);
+            });
         } else if (std::holds_alternative<restinio::connection_state::accepted_t>(notice.cause())) {
             ++this->replies->connections;
         }
     }
 
 private:
+    asio::io_context &context;
     std::shared_ptr<OpenReplies> replies;
 };
 
@@ -297,7 +304,7 @@
                 .write_http_response_timelimit(slowCallerTimeout)
                 .handle_request_timeout(longestAnswer)
                 .max_pipelined_requests(pipelinedRequests)
-                .connection_state_listener(std::make_shared<ConnectionListener>(replies))
+                .connection_state_listener(std::make_shared<ConnectionListener>(context, replies))
                 .socket_options_setter([](auto &socketOptions) {
                     socketOptions.set_option(asio::ip::tcp::no_delay{true});
                 })
