Resume broken streams, budget retries, hold back requests that crash upstreams

A request that crashed its engine was retried and repeated without end. The second crash with the same content now quarantines it on all routers; 10 sendings at 3 routers crash 2 engines and 10 of 10 chats beside it are answered. A stream whose connection breaks goes on from its engine. After an attempt that may have run no refusal says 'not run'.

--- a/daemon/keeperservice.cpp
+++ b/daemon/keeperservice.cpp
@@ -33,7 +33,19 @@
     const TimePoint now = this->node.clock.now();
     const std::vector<UpstreamId> ready =
         readyOf(this->node.upstreams, ask.shard, service->shards, now);
-    done(this->node.keeper.grant(router, ask, ready, bound, now));
+    if (this->node.suspects.blame(ask.fingerprint, now) == Blame::None) {
+        done(this->node.keeper.grant(router, ask, ready, bound, now));
+        return;
+    }
+    const auto running = this->node.keeper.running(shardIdOf(ask.shard), {router, ask.askId});
+    if (this->node.suspects.heldBack(ask.fingerprint, running, now)) {
+        done({ask.askId, SlotVerdict::Overflow, 0});
+        return;
+    }
+    SlotAsk apart = ask;
+    const auto away = this->node.suspects.keepAway(ask.fingerprint, running, now);
+    apart.avoid.insert(apart.avoid.end(), away.begin(), away.end());
+    done(this->node.keeper.grant(router, apart, ready, bound, now));
 }
 
 void KeeperService::release(std::uint64_t router, const SlotRelease &release)
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -31,6 +31,7 @@
     KeeperTable keeper;
     OwnClaimTable ownClaims;
     SuspectTable suspects;
+    RetryBudget retryBudget;
     ExplainTable explain;
     Metrics metrics;
     std::atomic<bool> stopping = false;
--- a/daemon/passage.cpp
+++ b/daemon/passage.cpp
@@ -7,10 +7,12 @@
 namespace plantainswitch {
 
 Passage::Passage(Node &node, std::shared_ptr<Slots> slots, std::shared_ptr<ClaimService> claims,
-                 net::HttpClient &client, std::shared_ptr<net::HttpReply> reply)
+                 std::shared_ptr<SuspectSharing> suspects, net::HttpClient &client,
+                 std::shared_ptr<net::HttpReply> reply)
     : node(node)
     , slots(std::move(slots))
     , claims(std::move(claims))
+    , suspects(std::move(suspects))
     , client(client)
     , reply(std::move(reply))
     , began(node.clock.now())
@@ -28,6 +30,7 @@
 void Passage::run(net::HttpRequest http)
 {
     this->node.metrics.count(Counter::Requests);
+    this->node.retryBudget.earn();
     this->explanation.requestId = this->id;
     if (http.crowded) {
         this->refuseWith({ErrorKind::Overloaded, "too many connections", std::nullopt});
@@ -78,8 +81,14 @@
     this->place();
 }
 
-void Passage::refuseWith(const Reason &reason)
+void Passage::refuseWith(const Reason &wanted)
 {
+    Reason reason = wanted;
+    if (this->mayHaveRun && errorRow(wanted.kind).ran == Ran::No) {
+        // The last try did not run, but one before may have: "not run" would be false.
+        reason = {ErrorKind::UpstreamFailed, "then " + std::string(errorRow(wanted.kind).name),
+                  wanted.retryAfter};
+    }
     this->node.metrics.countRefusal(reason.kind);
     this->note("refused: " + std::string(errorRow(reason.kind).name) + " " + reason.detail);
     logEvent(Event::RequestRefused, {{"request", this->id},
--- a/daemon/passage.h
+++ b/daemon/passage.h
@@ -13,6 +13,7 @@
 #include "parse.h"
 #include "refusal.h"
 #include "slots.h"
+#include "suspectnews.h"
 
 namespace plantainswitch {
 
@@ -22,7 +23,8 @@
 {
 public:
     Passage(Node &node, std::shared_ptr<Slots> slots, std::shared_ptr<ClaimService> claims,
-            net::HttpClient &client, std::shared_ptr<net::HttpReply> reply);
+            std::shared_ptr<SuspectSharing> suspects, net::HttpClient &client,
+            std::shared_ptr<net::HttpReply> reply);
     ~Passage();
     Passage(const Passage &) = delete;
     Passage &operator=(const Passage &) = delete;
@@ -48,6 +50,13 @@
     void relayHeaders(int status, const net::Headers &headers);
     bool relayData(std::string_view bytes);
     bool relayStream(std::string_view bytes);
+    [[nodiscard]] net::HttpEvents relayEvents();
+    [[nodiscard]] bool canResume(net::HttpEnd end) const;
+    /// Goes on with a broken stream from the engine that keeps it.
+    void resumeStream();
+    void blameCrash(const Upstream &upstream);
+    void clearBlame();
+    void upstreamFailed(const Upstream &upstream, net::HttpEnd end, const std::string &detail);
     void upstreamEnded(net::HttpEnd end, const std::string &detail);
     void answerWhole();
     void retryOrRefuse(const Reason &reason, bool mayRepeat);
@@ -62,6 +71,7 @@
     Node &node;
     std::shared_ptr<Slots> slots;
     std::shared_ptr<ClaimService> claims;
+    std::shared_ptr<SuspectSharing> suspects;
     net::HttpClient &client;
     std::shared_ptr<net::HttpReply> reply;
     TimePoint began;
@@ -76,6 +86,9 @@
     std::string kept;
     std::string attempt;
     int attempts = 0;
+    int resumes = 0;
+    /// An attempt broke off after it may have run.
+    bool mayHaveRun = false;
 
     int status = 0;
     net::Headers headers;
--- a/daemon/passageplace.cpp
+++ b/daemon/passageplace.cpp
@@ -6,6 +6,13 @@
 
 void Passage::place()
 {
+    const std::uint64_t fingerprint = hashOf(this->request.body, hashOf(this->admission.workspace));
+    if (this->node.suspects.blame(fingerprint, this->node.clock.now()) == Blame::Quarantined) {
+        logEvent(Event::RequestQuarantined,
+                 {{"request", this->id}, {"workspace", this->admission.workspace}});
+        this->refuseWith({ErrorKind::Quarantined, "", std::nullopt});
+        return;
+    }
     const std::string &chat = this->request.chat.empty() ? this->id : this->request.chat;
     const std::uint64_t chatHash = mixHash(hashOf(this->admission.workspace), hashOf(chat));
     Reason reason;
@@ -18,7 +25,7 @@
     auto next = std::make_shared<SlotNeed>();
     next->plan = std::move(*plan);
     next->chat = chatHash;
-    next->fingerprint = hashOf(this->request.body, hashOf(this->admission.workspace));
+    next->fingerprint = fingerprint;
     if (this->need) {
         next->avoid = this->need->avoid;
     }
--- a/daemon/passagerelay.cpp
+++ b/daemon/passagerelay.cpp
@@ -37,6 +37,12 @@
     this->node.metrics.record(Timing::Placement, this->admission.workspace,
                               this->admission.limits.dataClass,
                               this->node.clock.now() - this->began);
+    const std::lock_guard lock(this->exchangeMutex);
+    this->exchange = this->client.start(this->callTo(this->slot->upstream), this->relayEvents());
+}
+
+net::HttpEvents Passage::relayEvents()
+{
     net::HttpEvents events;
     const auto self = this->shared_from_this();
     events.onHeaders = [self](int code, const net::Headers &fields) {
@@ -46,8 +52,7 @@
     events.onEnd = [self](net::HttpEnd end, const std::string &detail) {
         self->upstreamEnded(end, detail);
     };
-    const std::lock_guard lock(this->exchangeMutex);
-    this->exchange = this->client.start(this->callTo(this->slot->upstream), std::move(events));
+    return events;
 }
 
 net::HttpCall Passage::callTo(const Upstream &upstream) const
@@ -142,6 +147,10 @@
 void Passage::upstreamEnded(net::HttpEnd end, const std::string &detail)
 {
     const Upstream upstream = this->slot->upstream;
+    if (this->canResume(end)) {
+        this->resumeStream();
+        return;
+    }
     this->releaseSlot();
     if (this->gone) {
         this->node.metrics.count(Counter::CallersGone);
@@ -156,17 +165,12 @@
         this->cut({ErrorKind::UpstreamGarbage, "", std::nullopt});
         return;
     }
-    if (end == net::HttpEnd::NotConnected) {
-        logEvent(Event::UpstreamUnreachable, {{"upstream", upstream.vm.id}, {"why", detail}});
-        this->node.upstreams.markUnreachable(upstream.shortId, this->node.clock.now());
-        this->need->avoid.push_back(upstream.shortId);
-        this->retryOrRefuse({ErrorKind::UpstreamUnreachable, detail, std::nullopt}, true);
+    if (end != net::HttpEnd::Whole) {
+        this->upstreamFailed(upstream, end, detail);
         return;
     }
-    if (end != net::HttpEnd::Whole) {
-        this->need->avoid.push_back(upstream.shortId);
-        this->retryOrRefuse({ErrorKind::UpstreamFailed, detail, std::nullopt},
-                            !this->request.nonIdempotent);
+    if (this->started && this->status != statusOk) {
+        this->cut({ErrorKind::AnswerCut, "the engine no longer keeps the stream", std::nullopt});
         return;
     }
     if (this->status == statusUnavailable && this->headers["x-ran"] == "no") {
@@ -181,10 +185,28 @@
     this->answerWhole();
 }
 
+void Passage::upstreamFailed(const Upstream &upstream, net::HttpEnd end, const std::string &detail)
+{
+    this->need->avoid.push_back(upstream.shortId);
+    if (end == net::HttpEnd::NotConnected) {
+        logEvent(Event::UpstreamUnreachable, {{"upstream", upstream.vm.id}, {"why", detail}});
+        this->node.upstreams.markUnreachable(upstream.shortId, this->node.clock.now());
+        if (this->resumes > 0) {
+            this->blameCrash(upstream);
+        }
+        this->retryOrRefuse({ErrorKind::UpstreamUnreachable, detail, std::nullopt}, true);
+        return;
+    }
+    this->blameCrash(upstream);
+    this->retryOrRefuse({ErrorKind::UpstreamFailed, detail, std::nullopt},
+                        !this->request.nonIdempotent);
+}
+
 void Passage::answerWhole()
 {
     if (this->request.stream && this->status == statusOk) {
         if (!this->progress.done || this->parser.hasRemainder()) {
+            this->mayHaveRun = true;
             this->retryOrRefuse({ErrorKind::UpstreamFailed, "the stream ended early", {}},
                                 !this->request.nonIdempotent);
             return;
@@ -209,6 +231,10 @@
         this->reply->respond(this->status, {{"content-type", type}, {"x-request-id", this->id}},
                              std::move(this->body));
     }
+    this->clearBlame();
+    if (this->resumes > 0) {
+        logEvent(Event::AnswerResumed, {{"request", this->id}});
+    }
     this->node.metrics.count(Counter::AnswersWhole);
     this->node.metrics.record(Timing::Whole, this->admission.workspace,
                               this->admission.limits.dataClass,
@@ -227,6 +253,11 @@
         this->refuseWith(reason);
         return;
     }
+    if (!this->node.retryBudget.spend()) {
+        logEvent(Event::RetryBudgetSpent, {{"request", this->id}});
+        this->refuseWith(reason);
+        return;
+    }
     this->node.metrics.count(Counter::Retries);
     this->place();
 }
--- a/daemon/requestpath.h
+++ b/daemon/requestpath.h
@@ -10,6 +10,7 @@
 #include "claimservice.h"
 #include "node.h"
 #include "slots.h"
+#include "suspectnews.h"
 
 namespace plantainswitch {
 
@@ -18,7 +19,7 @@
 {
 public:
     RequestPath(Node &node, std::shared_ptr<Slots> slots, std::shared_ptr<ClaimService> claims,
-                std::vector<net::HttpClient *> clients);
+                std::shared_ptr<SuspectSharing> suspects, std::vector<net::HttpClient *> clients);
 
     /// Serves one request of a caller.
     void serve(net::HttpRequest request, std::shared_ptr<net::HttpReply> reply);
@@ -27,6 +28,7 @@
     Node &node;
     std::shared_ptr<Slots> slots;
     std::shared_ptr<ClaimService> claims;
+    std::shared_ptr<SuspectSharing> suspects;
     std::vector<net::HttpClient *> clients;
     std::atomic<std::size_t> nextClient = 0;
 };
--- a/daemon/router.cpp
+++ b/daemon/router.cpp
@@ -30,13 +30,15 @@
     , sync(std::make_shared<Sync>(context, node, platformHttp, beats, calls))
     , slots(std::make_shared<Slots>(context, node, link, keeperService))
     , claims(std::make_shared<ClaimService>(context, node, link, calls, claimHttp))
+    , suspects(std::make_shared<SuspectSharing>(node, link))
 {
     std::vector<net::HttpClient *> clients;
     for (std::uint32_t index = 0; index < this->node.settings.workers; ++index) {
         this->upstreamHttp.push_back(std::make_unique<net::HttpClient>(this->context));
         clients.push_back(this->upstreamHttp.back().get());
     }
-    this->path = std::make_unique<RequestPath>(this->node, this->slots, this->claims, clients);
+    this->path = std::make_unique<RequestPath>(this->node, this->slots, this->claims,
+                                               this->suspects, clients);
 }
 
 Router::~Router()
@@ -53,6 +55,7 @@
     this->keeperService->start();
     this->slots->start();
     this->claims->start();
+    this->suspects->start();
     this->beats->start([sync = std::weak_ptr<Sync>(this->sync)](const Heartbeat &peer) {
         if (const auto target = sync.lock()) {
             target->hearOf(peer);
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -17,6 +17,7 @@
 #include "peerlink.h"
 #include "requestpath.h"
 #include "slots.h"
+#include "suspectnews.h"
 #include "sync.h"
 
 namespace plantainswitch {
@@ -58,6 +59,7 @@
     std::shared_ptr<Sync> sync;
     std::shared_ptr<Slots> slots;
     std::shared_ptr<ClaimService> claims;
+    std::shared_ptr<SuspectSharing> suspects;
     std::unique_ptr<RequestPath> path;
     std::unique_ptr<net::HttpServer> callers;
     std::unique_ptr<net::HttpServer> operators;
--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -13,7 +13,9 @@
 class KeeperTable;
 class MemberTable;
 class Metrics;
+class RetryBudget;
 class SseParser;
+class SuspectTable;
 class UpstreamTable;
 
 struct Admission;
--- a/include/plantainswitch/placement/keeper.h
+++ b/include/plantainswitch/placement/keeper.h
@@ -67,6 +67,9 @@
                     const BoundSettings &settings, TimePoint now);
     void release(std::uint64_t router, const SlotRelease &release);
     void releaseRouter(std::uint64_t router);
+    /// \returns what runs on the engines of \a shard, but for the slot \a except.
+    [[nodiscard]] std::vector<std::pair<UpstreamId, std::uint64_t>>
+    running(ShardId shard, const SlotKey &except) const;
     /// \returns the load of each engine of the shard that has any.
     [[nodiscard]] std::map<UpstreamId, std::uint32_t> loads(ShardId shard) const;
 
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -25,6 +25,7 @@
 #include "plantainswitch/placement/messages.h"
 #include "plantainswitch/placement/plan.h"
 #include "plantainswitch/placement/rendezvous.h"
+#include "plantainswitch/upstreams/retrybudget.h"
 #include "plantainswitch/upstreams/sse.h"
 #include "plantainswitch/upstreams/suspects.h"
 #include "plantainswitch/upstreams/upstreams.h"
--- /dev/null
+++ b/include/plantainswitch/upstreams/retrybudget.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "plantainswitch/base/lockorder.h"
+
+namespace plantainswitch {
+
+/// Retries as a share of requests: when most upstreams fail, retries of all requests would
+/// multiply the load on those that are left.
+struct RetryBudgetSettings
+{
+    double perRequest = 0.1;
+    /// Retries that may follow each other after a quiet time.
+    double most = 50.0;
+};
+
+/// The retries that a router may still make.
+class RetryBudget
+{
+public:
+    explicit RetryBudget(RetryBudgetSettings settings = {})
+        : settings(settings)
+        , tokens(settings.most)
+    {}
+
+    /// Earns a request's share.
+    void earn();
+    /// Takes one retry. \returns whether there was one.
+    [[nodiscard]] bool spend();
+
+private:
+    RankedMutex mutex{LockRank::Suspects};
+    RetryBudgetSettings settings;
+    double tokens;
+};
+
+} // namespace plantainswitch
--- a/include/plantainswitch/upstreams/suspects.h
+++ b/include/plantainswitch/upstreams/suspects.h
@@ -73,11 +73,12 @@
 keepAwayFrom(const Suspects &suspects, Fingerprint fingerprint,
              const std::vector<std::pair<UpstreamId, Fingerprint>> &running, TimePoint now);
 
-/// \returns whether a copy of the same suspect runs already. A second copy could take a second
-/// upstream down before the first one's crash is known.
-[[nodiscard]] bool runsAlready(const Suspects &suspects, Fingerprint fingerprint,
-                               const std::vector<std::pair<UpstreamId, Fingerprint>> &running,
-                               TimePoint now);
+/// \returns whether a keeper must not let the request run now: it is quarantined, though its
+/// router may not have heard yet, or a copy of the same suspect runs already. A second copy could
+/// take a second upstream down before the first one's crash is known.
+[[nodiscard]] bool isHeldBack(const Suspects &suspects, Fingerprint fingerprint,
+                              const std::vector<std::pair<UpstreamId, Fingerprint>> &running,
+                              TimePoint now);
 
 /// The same behind a lock.
 class SuspectTable
@@ -88,9 +89,9 @@
     [[nodiscard]] std::vector<UpstreamId>
     keepAway(Fingerprint fingerprint,
              const std::vector<std::pair<UpstreamId, Fingerprint>> &running, TimePoint now) const;
-    [[nodiscard]] bool runs(Fingerprint fingerprint,
-                            const std::vector<std::pair<UpstreamId, Fingerprint>> &running,
-                            TimePoint now) const;
+    [[nodiscard]] bool heldBack(Fingerprint fingerprint,
+                                const std::vector<std::pair<UpstreamId, Fingerprint>> &running,
+                                TimePoint now) const;
 
 private:
     mutable RankedMutex mutex{LockRank::Suspects};
--- a/lab/enginestandin.cpp
+++ b/lab/enginestandin.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint32_t defaultTokens = 16;
 /// A prompt with this text crashes the engine that runs it.
 constexpr std::string_view crashMark = "crash-the-engine";
+/// Time after a crash in which the engine takes nothing.
+constexpr std::chrono::milliseconds restartTime{300};
 
 struct Call
 {
@@ -30,6 +32,9 @@
     std::uint32_t promptTokens = 0;
     bool stream = false;
     std::string text;
+    /// Events sent so far, so that a broken stream can be resumed.
+    std::vector<std::string> sent;
+    bool ended = false;
     TimePoint taken;
 };
 
@@ -62,6 +67,9 @@
 
     void serve(const net::HttpRequest &request, const ReplyPointer &reply);
     void serveChat(const net::HttpRequest &request, const ReplyPointer &reply);
+    void serveResume(const net::HttpRequest &request, const ReplyPointer &reply);
+    void dropStreams();
+    void watchCaller(const std::string &id, const ReplyPointer &reply);
     void crash();
     void scheduleStep();
     void step();
@@ -74,6 +82,8 @@
     std::map<std::string, Call> calls;
     bool leaving = false;
     bool stepping = false;
+    TimePoint downUntil;
+    std::atomic<std::uint64_t> crashes = 0;
     std::atomic<std::uint64_t> cachedTokens = 0;
     std::atomic<std::uint64_t> promptTokens = 0;
 };
@@ -104,6 +114,14 @@
         reply->respond(statusUnavailable, {{"x-ran", "no"}, {"x-leaving", "true"}}, "leaving");
         return;
     }
+    if (!request.header("x-resume-attempt").empty()) {
+        this->serveResume(request, reply);
+        return;
+    }
+    if (std::chrono::steady_clock::now() < this->downUntil) {
+        reply->respond(statusUnavailable, {{"x-ran", "no"}}, "restarting");
+        return;
+    }
     const json body = json::parse(request.body, nullptr, false);
     if (!body.is_object() || !body.contains("messages") || !body["messages"].is_array()) {
         respond(*reply, statusBad, {{"error", "no messages"}});
@@ -131,6 +149,16 @@
     call.cached = this->model.submit(std::move(work));
     this->cachedTokens += call.cached;
     this->promptTokens += call.promptTokens;
+    this->watchCaller(id, reply);
+    if (call.stream) {
+        reply->start(statusOk, {{"content-type", "text/event-stream"}, {"x-request-id", id}});
+    }
+    this->calls[id] = std::move(call);
+    this->scheduleStep();
+}
+
+void EngineStandIn::State::watchCaller(const std::string &id, const ReplyPointer &reply)
+{
     reply->onGone([weak = this->weak_from_this(), id] {
         if (const auto self = weak.lock()) {
             const std::lock_guard lock(self->mutex);
@@ -138,16 +166,55 @@
             self->calls.erase(id);
         }
     });
-    if (call.stream) {
-        reply->start(statusOk, {{"content-type", "text/event-stream"}, {"x-request-id", id}});
+}
+
+void EngineStandIn::State::serveResume(const net::HttpRequest &request, const ReplyPointer &reply)
+{
+    const std::string id(request.header("x-resume-attempt"));
+    const auto found = this->calls.find(id);
+    const auto had = std::stoul("0" + std::string(request.header("x-resume-events")));
+    if (found == this->calls.end() || !found->second.stream || had > found->second.sent.size()) {
+        respond(*reply, statusNotFound, {{"error", "no such stream"}});
+        return;
+    }
+    Call &call = found->second;
+    reply->start(statusOk, {{"content-type", "text/event-stream"}, {"x-request-id", id}});
+    std::string rest;
+    for (std::size_t index = had; index < call.sent.size(); ++index) {
+        rest += call.sent[index];
+    }
+    if (call.ended && had == call.sent.size()) {
+        rest = "data: [DONE]\n\n";
+    }
+    reply->write(std::move(rest), nullptr);
+    if (call.ended) {
+        reply->end();
+        this->calls.erase(found);
+        return;
+    }
+    call.reply = reply;
+    this->watchCaller(id, reply);
+}
+
+/// Breaks the connections of all streams; the engine goes on and keeps them for a resume.
+void EngineStandIn::State::dropStreams()
+{
+    for (auto &[id, call] : this->calls) {
+        if (call.stream && call.reply) {
+            call.reply->abort();
+            call.reply.reset();
+        }
     }
-    this->calls[id] = std::move(call);
-    this->scheduleStep();
 }
 
 void EngineStandIn::State::crash()
 {
+    ++this->crashes;
+    this->downUntil = std::chrono::steady_clock::now() + restartTime;
     for (auto &[id, call] : this->calls) {
+        if (!call.reply) {
+            continue;
+        }
         if (!call.stream) {
             call.reply->start(statusOk, {});
         }
@@ -204,6 +271,11 @@
         } else {
             text = "data: " + event.dump() + "\n\n";
         }
+        call.sent.push_back(text);
+        call.ended = token.last;
+        if (!call.reply) {
+            return;
+        }
         call.reply->write(std::move(text), nullptr);
         if (token.last) {
             call.reply->end();
@@ -247,6 +319,17 @@
     this->server->open();
 }
 
+void EngineStandIn::dropStreams()
+{
+    const std::lock_guard lock(this->state->mutex);
+    this->state->dropStreams();
+}
+
+std::uint64_t EngineStandIn::crashes() const
+{
+    return this->state->crashes;
+}
+
 std::pair<std::uint64_t, std::uint64_t> EngineStandIn::reuse() const
 {
     return {this->state->cachedTokens, this->state->promptTokens};
--- a/lab/enginestandin.h
+++ b/lab/enginestandin.h
@@ -12,7 +12,8 @@
 /// Stand-in for a model engine over HTTP: the usual chat protocol with streams, a load report,
 /// and orders to leave or to crash on a marked request.
 ///
-/// POST /v1/chat/completions; GET /load; PUT /control with {"leaving": bool}.
+/// POST /v1/chat/completions, with x-resume-attempt and x-resume-events to go on with a stream
+/// whose connection broke; GET /load; PUT /control with {"leaving": bool}.
 class EngineStandIn
 {
 public:
@@ -28,6 +29,10 @@
     [[nodiscard]] std::size_t load() const;
     [[nodiscard]] const Vm &vm() const noexcept;
     void setLeaving(bool leaving);
+    /// Breaks the connections of all streams; the engine keeps them for a resume.
+    void dropStreams();
+    /// \returns how often a marked request crashed it.
+    [[nodiscard]] std::uint64_t crashes() const;
 
     struct State;
 
--- a/src/placement/keeper.cpp
+++ b/src/placement/keeper.cpp
@@ -136,6 +136,23 @@
     }
 }
 
+std::vector<std::pair<UpstreamId, std::uint64_t>> KeeperTable::running(ShardId shard,
+                                                                       const SlotKey &except) const
+{
+    const RankedLock lock(this->mutex);
+    std::vector<std::pair<UpstreamId, std::uint64_t>> result;
+    const auto found = this->shards.find(shard);
+    if (found == this->shards.end()) {
+        return result;
+    }
+    for (const auto &[key, slot] : found->second.slots) {
+        if (key != except) {
+            result.emplace_back(slot.upstream, slot.fingerprint);
+        }
+    }
+    return result;
+}
+
 std::map<UpstreamId, std::uint32_t> KeeperTable::loads(ShardId shard) const
 {
     const RankedLock lock(this->mutex);
--- a/src/upstreams/suspects.cpp
+++ b/src/upstreams/suspects.cpp
@@ -74,12 +74,15 @@
     return result;
 }
 
-bool runsAlready(const Suspects &suspects, Fingerprint fingerprint,
-                 const std::vector<std::pair<UpstreamId, Fingerprint>> &running, TimePoint now)
+bool isHeldBack(const Suspects &suspects, Fingerprint fingerprint,
+                const std::vector<std::pair<UpstreamId, Fingerprint>> &running, TimePoint now)
 {
-    return blameOf(suspects, fingerprint, now) != Blame::None
-           && std::any_of(running.begin(), running.end(),
-                          [fingerprint](const auto &each) { return each.second == fingerprint; });
+    const Blame blame = blameOf(suspects, fingerprint, now);
+    return blame == Blame::Quarantined
+           || (blame == Blame::Suspect
+               && std::any_of(running.begin(), running.end(), [fingerprint](const auto &each) {
+                      return each.second == fingerprint;
+                  }));
 }
 
 void SuspectTable::take(const SuspectNews &news, TimePoint now)
@@ -103,12 +106,12 @@
     return keepAwayFrom(this->suspects, fingerprint, running, now);
 }
 
-bool SuspectTable::runs(Fingerprint fingerprint,
-                        const std::vector<std::pair<UpstreamId, Fingerprint>> &running,
-                        TimePoint now) const
+bool SuspectTable::heldBack(Fingerprint fingerprint,
+                            const std::vector<std::pair<UpstreamId, Fingerprint>> &running,
+                            TimePoint now) const
 {
     const RankedLock lock(this->mutex);
-    return runsAlready(this->suspects, fingerprint, running, now);
+    return isHeldBack(this->suspects, fingerprint, running, now);
 }
 
 } // namespace plantainswitch
--- /dev/null
+++ b/tests/answerfleet.cpp
@@ -0,0 +1,181 @@
+#include <future>
+
+#include <catch2/catch.hpp>
+
+#include "fleet.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::lab;
+
+namespace {
+
+constexpr std::uint16_t ownPorts = 26900;
+
+Deployment smallDeployment()
+{
+    Deployment deployment = *deploymentOf("lowther");
+    deployment.basePort = ownPorts;
+    deployment.routers = 3;
+    return deployment;
+}
+
+class AnswerFixture
+{
+protected:
+    AnswerFixture()
+        : fleet(smallDeployment())
+    {
+        REQUIRE(this->fleet.start());
+        for (std::size_t router = 0; router < 3; ++router) {
+            REQUIRE(Fleet::eventually([&] {
+                const auto page = this->fleet.operatorPage(router, "/status");
+                return nlohmann::json::parse(page.body)["members"].size() == 3;
+            }));
+        }
+    }
+
+    net::HttpAnswer chat(std::size_t router, const std::string &chatId, const std::string &text,
+                         std::uint32_t tokens, bool stream)
+    {
+        return this->fleet.chat(router, "token-lowther-0", chatId,
+                                {{"model", this->fleet.deployment.modelService},
+                                 {"messages", {{{"role", "user"}, {"content", text}}}},
+                                 {"max_tokens", tokens},
+                                 {"stream", stream}});
+    }
+
+    [[nodiscard]] bool eventuallyLoaded() const
+    {
+        return Fleet::eventually([this] {
+            std::size_t load = 0;
+            for (const auto &engine : this->fleet.standIns.engines) {
+                load += engine->load();
+            }
+            return load > 0;
+        });
+    }
+
+    [[nodiscard]] std::uint64_t crashes() const
+    {
+        std::uint64_t sum = 0;
+        for (const auto &engine : this->fleet.standIns.engines) {
+            sum += engine->crashes();
+        }
+        return sum;
+    }
+
+    Fleet fleet;
+};
+
+std::string errorField(const net::HttpAnswer &answer, const char *name)
+{
+    const auto json = nlohmann::json::parse(answer.body, nullptr, false);
+    return json.is_object() && json.contains("error") ? json["error"].value(name, "") : "";
+}
+
+std::size_t eventsIn(const std::string &body)
+{
+    std::size_t count = 0;
+    for (std::size_t at = body.find("data: "); at != std::string::npos;
+         at = body.find("data: ", at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(AnswerFixture, "stream_connectionBreaks_isResumedWhole", "[answers]")
+{
+    // The connection to an engine breaks in the middle of a long answer; the engine goes on and
+    // keeps the stream. The caller must get every event once, in order, up to [DONE].
+    constexpr std::uint32_t tokens = 200;
+    auto answer =
+        std::async(std::launch::async, [this] { return this->chat(0, "c", "long", tokens, true); });
+    REQUIRE(this->eventuallyLoaded());
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    for (const auto &engine : this->fleet.standIns.engines) {
+        engine->dropStreams();
+    }
+    const auto whole = answer.get();
+    CHECK(whole.end == net::HttpEnd::Whole);
+    CHECK(eventsIn(whole.body) == tokens + 1);
+    CHECK(whole.body.find("data: [DONE]") != std::string::npos);
+    for (std::uint32_t index = 0; index < tokens; ++index) {
+        CHECK(whole.body.find("w" + std::to_string(index) + "-") != std::string::npos);
+    }
+}
+
+TEST_CASE_METHOD(AnswerFixture, "crashRequest_repeatedAtEveryRouter_isHeldBack", "[suspects]")
+{
+    // One request crashes each engine that runs it; its caller repeats it at every router. Long
+    // chats run on the same engines. The crasher is held back after two crashes wherever it is
+    // sent, and says so truthfully; the long chats are retried and get their answers.
+    std::vector<std::future<net::HttpAnswer>> innocents;
+    for (int index = 0; index < 10; ++index) {
+        innocents.push_back(std::async(std::launch::async, [this, index] {
+            const auto name = "innocent-" + std::to_string(index);
+            return this->chat(static_cast<std::size_t>(index % 3), name, name, 100, false);
+        }));
+    }
+    REQUIRE(this->eventuallyLoaded());
+    const auto first = this->chat(0, "crash", "crash-the-engine", 10, false);
+    CHECK(errorField(first, "kind") == "upstream-failed");
+    CHECK(errorField(first, "ran") == "unknown");
+    for (std::size_t round = 0; round < 9; ++round) {
+        const auto repeat =
+            this->chat(round % 3, "crash-" + std::to_string(round), "crash-the-engine", 10, false);
+        CHECK(errorField(repeat, "kind") == "quarantined");
+        CHECK(errorField(repeat, "ran") == "no");
+    }
+    CHECK(this->crashes() == 2);
+    for (auto &innocent : innocents) {
+        CHECK(innocent.get().status == 200);
+    }
+}
+
+TEST_CASE_METHOD(AnswerFixture, "crashRequest_atTwoRoutersAtOnce_staysWithinBound", "[suspects]")
+{
+    std::vector<std::future<net::HttpAnswer>> copies;
+    for (std::size_t router = 0; router < 3; ++router) {
+        copies.push_back(std::async(std::launch::async, [this, router] {
+            return this->chat(router, "c" + std::to_string(router), "crash-the-engine", 10, false);
+        }));
+    }
+    for (auto &copy : copies) {
+        CHECK(copy.get().status != 200);
+    }
+    // Each copy that starts before any news may crash one engine, and retry once.
+    CHECK(this->crashes() <= 6);
+    CHECK(errorField(this->chat(1, "d", "crash-the-engine", 10, false), "kind") == "quarantined");
+}
+
+TEST_CASE_METHOD(AnswerFixture, "stream_callerLeaves_cancelsTheEnginesWork", "[answers]")
+{
+    net::HttpCall call;
+    call.method = "POST";
+    call.url = "http://" + toText(this->fleet.layout[0].callers) + "/v1/chat/completions";
+    call.headers = {{"authorization", "Bearer token-lowther-0"}};
+    call.body = nlohmann::json{
+        {"model", this->fleet.deployment.modelService},
+        {"messages", {{{"role", "user"}, {"content", "long"}}}},
+        {"max_tokens", 100'000},
+        {"stream",
+         true}}.dump();
+    asio::io_context context;
+    auto guard = asio::make_work_guard(context);
+    net::HttpClient http(context);
+    std::thread worker([&context] { context.run(); });
+    const auto exchange = http.start(std::move(call), {});
+    CHECK(this->eventuallyLoaded());
+    exchange->cancel();
+    CHECK(Fleet::eventually([this] {
+        std::size_t load = 0;
+        for (const auto &engine : this->fleet.standIns.engines) {
+            load += engine->load();
+        }
+        return load == 0;
+    }));
+    context.stop();
+    worker.join();
+}
