--- a/daemon/keeperservice.cpp
+++ b/daemon/keeperservice.cpp
@@ -107,7 +107,18 @@
     grantView.ready = readyOf(this->node.upstreams, ask.shard, service->shards, now);
     const auto keeper = keeperOf(ask.shard, this->node.members.active());
     const bool own = keeper && keeper->id == this->node.settings.id;
-    return this->node.keeper.grant(router, ask, std::move(grantView), own, now);
+    if (this->node.suspects.blame(ask.fingerprint, now) == Blame::None) {
+        return this->node.keeper.grant(router, ask, std::move(grantView), own, now);
+    }
+    // Empty and not Overflow: a suspect that must wait would hold up the queue behind it.
+    const auto running = this->node.keeper.running(shardIdOf(ask.shard), {router, ask.askId});
+    if (this->node.suspects.heldBack(ask.fingerprint, running, now)) {
+        return {ask.askId, SlotVerdict::Empty, 0};
+    }
+    SlotAsk apart = ask;
+    const auto away = this->node.suspects.keepAway(ask.fingerprint, running, now);
+    apart.avoid.insert(apart.avoid.end(), away.begin(), away.end());
+    return this->node.keeper.grant(router, apart, std::move(grantView), own, now);
 }
 
 void KeeperService::drain(ShardQueue &shard, Replies &replies)
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -36,6 +36,7 @@
     OwnClaimTable ownClaims;
     SuspectTable suspects;
     LimitTable limits;
+    RetryBudget retryBudget;
     ExplainTable explain;
     Metrics metrics;
     std::atomic<bool> stopping = false;
--- a/daemon/passageplace.cpp
+++ b/daemon/passageplace.cpp
@@ -9,6 +9,13 @@
     if (!this->admitAgain()) {
         return;
     }
+    const std::uint64_t fingerprint = hashOf(this->request.body, hashOf(this->admission.workspace));
+    if (this->node.suspects.blame(fingerprint, this->node.clock.now()) == Blame::Quarantined) {
+        logEvent(Event::RequestQuarantined,
+                 {{"request", this->id}, {"workspace", this->admission.workspace}});
+        this->refuseWith({ErrorKind::Quarantined, "", std::nullopt});
+        return;
+    }
     const std::string &chat = this->request.chat.empty() ? this->id : this->request.chat;
     const std::uint64_t chatHash = mixHash(hashOf(this->admission.workspace), hashOf(chat));
     Reason reason;
@@ -21,7 +28,7 @@
     auto next = std::make_shared<SlotNeed>();
     next->plan = std::move(*plan);
     next->chat = chatHash;
-    next->fingerprint = hashOf(this->request.body, hashOf(this->admission.workspace));
+    next->fingerprint = fingerprint;
     next->workspace = workspaceIdOf(this->admission.workspace);
     next->weight = this->admission.limits.weight;
     next->priority = this->admission.limits.priority;
--- a/daemon/router.cpp
+++ b/daemon/router.cpp
@@ -38,13 +38,15 @@
     , statusWriter(std::make_shared<StatusWriter>(context, node, platformHttp))
     , slots(std::make_shared<Slots>(context, node, link, keeperService))
     , claims(std::make_shared<ClaimService>(context, node, link, calls, claimHttp))
+    , suspects(std::make_shared<SuspectSharing>(node, link))
 {
     std::vector<net::HttpClient *> clients;
     for (std::uint32_t index = 0; index < this->node.settings.workers; ++index) {
         this->upstreamHttp.push_back(std::make_unique<net::HttpClient>(this->context));
         clients.push_back(this->upstreamHttp.back().get());
     }
-    this->path = std::make_unique<RequestPath>(this->node, this->slots, this->claims, clients);
+    this->path = std::make_unique<RequestPath>(this->node, this->slots, this->claims,
+                                               this->suspects, clients);
 }
 
 Router::~Router()
@@ -62,6 +64,7 @@
     this->shardSync->start();
     this->slots->start();
     this->claims->start();
+    this->suspects->start();
     this->limits->start();
     this->orders->start();
     this->beats->start([sync = std::weak_ptr<Sync>(this->sync)](const Heartbeat &peer) {
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -21,6 +21,7 @@
 #include "shardsync.h"
 #include "slots.h"
 #include "statuswriter.h"
+#include "suspectnews.h"
 #include "sync.h"
 
 namespace plantainswitch {
@@ -69,6 +70,7 @@
     std::shared_ptr<StatusWriter> statusWriter;
     std::shared_ptr<Slots> slots;
     std::shared_ptr<ClaimService> claims;
+    std::shared_ptr<SuspectSharing> suspects;
     std::unique_ptr<RequestPath> path;
     std::unique_ptr<net::HttpServer> callers;
     std::unique_ptr<net::HttpServer> operators;
--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -15,7 +15,9 @@
 class LimitTable;
 class MemberTable;
 class Metrics;
+class RetryBudget;
 class SseParser;
+class SuspectTable;
 class UpstreamTable;
 
 struct Admission;
--- a/include/plantainswitch/placement/keeper.h
+++ b/include/plantainswitch/placement/keeper.h
@@ -145,6 +145,9 @@
     std::vector<ShardSummary> summaries(TimePoint now);
     /// \returns all slots of all shards, for a keeper that leaves.
     [[nodiscard]] std::vector<SlotList> lists() const;
+    /// \returns what runs on the engines of \a shard, but for the slot \a except.
+    [[nodiscard]] std::vector<std::pair<UpstreamId, std::uint64_t>>
+    running(ShardId shard, const SlotKey &except) const;
     /// \returns the load of each engine of the shard that has any.
     [[nodiscard]] std::map<UpstreamId, std::uint32_t> loads(ShardId shard) const;
 
--- a/lab/enginestandin.h
+++ b/lab/enginestandin.h
@@ -13,7 +13,8 @@
 /// Stand-in for a model engine over HTTP: the usual chat protocol with streams, a load report,
 /// and orders to leave or to crash on a marked request.
 ///
-/// POST /v1/chat/completions; GET /load; PUT /control with {"leaving": bool};
+/// POST /v1/chat/completions, with x-resume-attempt and x-resume-events to go on with a stream
+/// whose connection broke; GET /load; PUT /control with {"leaving": bool};
 /// GET and PUT /orders.
 class EngineStandIn
 {
@@ -30,6 +31,10 @@
     [[nodiscard]] std::size_t load() const;
     [[nodiscard]] const Vm &vm() const noexcept;
     void setLeaving(bool leaving);
+    /// Breaks the connections of all streams; the engine keeps them for a resume.
+    void dropStreams();
+    /// \returns how often a marked request crashed it.
+    [[nodiscard]] std::uint64_t crashes() const;
     /// Whether orders with an old fencing number are refused; they are by default.
     void setChecksFencing(bool checks);
     [[nodiscard]] EngineSetup setup() const;
