--- a/daemon/passage.h
+++ b/daemon/passage.h
@@ -34,6 +34,8 @@
     void admitCaller();
     void limit();
     void place();
+    bool admitAgain();
+    bool leftOnDispatch(const HeldSlot &held);
     /// Answers a repeat of a claim of this router. \returns whether it was one.
     bool answerRepeat();
     [[nodiscard]] ClaimId claimId() const;
--- a/daemon/passagerelay.cpp
+++ b/daemon/passagerelay.cpp
@@ -20,6 +20,9 @@
 
 void Passage::dispatch(HeldSlot held)
 {
+    if (this->leftOnDispatch(held)) {
+        return;
+    }
     this->slot = std::move(held);
     if (this->gone && !this->claim) {
         this->releaseSlot();
@@ -189,14 +192,20 @@
                                 !this->request.nonIdempotent);
             return;
         }
-        this->reply->end();
         this->endClaim(OwnState::Done, KeptAnswer{statusOk, "text/event-stream", this->kept});
+        this->reply->end();
     } else {
         const bool model = this->request.model && this->status == statusOk;
         if (model && !isWholeAnswer(this->body, this->attempt)) {
             this->cut({ErrorKind::UpstreamGarbage, "", std::nullopt});
             return;
         }
+        const auto echoed = this->headers.find("x-request-id");
+        if (echoed != this->headers.end() && echoed->second != this->attempt) {
+            logEvent(Event::UpstreamGarbage, {{"request", this->id}, {"echoed", echoed->second}});
+            this->cut({ErrorKind::UpstreamGarbage, "the answer to another request", {}});
+            return;
+        }
         const auto found = this->headers.find("content-type");
         const std::string type = found == this->headers.end() ? "application/json" : found->second;
         this->endClaim(OwnState::Done, KeptAnswer{this->status, type, this->body});
@@ -239,9 +248,9 @@
     this->reply->write("event: error\ndata: "
                            + refusalBody({kind, reason.detail, std::nullopt}, this->id) + "\n\n",
                        nullptr);
-    this->reply->abort();
     this->endClaimRefused(errorRow(kind).ran);
     this->account();
+    this->reply->abort();
 }
 
 } // namespace plantainswitch
--- a/daemon/peercalls.cpp
+++ b/daemon/peercalls.cpp
@@ -1,7 +1,9 @@
 #include "peercalls.h"
 
+#include <condition_variable>
 #include <map>
 #include <mutex>
+#include <set>
 
 #include <grpcpp/grpcpp.h>
 #include <nlohmann/json.hpp>
@@ -163,22 +165,55 @@
     return own;
 }
 
-struct OwnClaimCall
+/// A running call to a peer.
+template<typename Request, typename Reply>
+struct PeerCall
 {
     grpc::ClientContext context;
-    wire::OwnClaimRequest request;
-    wire::OwnClaimReply reply;
+    Request request;
+    Reply reply;
     std::shared_ptr<grpc::Channel> channel;
     std::unique_ptr<wire::Peer::Stub> stub;
 };
 
-struct PullCall
+using PullCall = PeerCall<wire::PullRequest, wire::PullReply>;
+using OwnClaimCall = PeerCall<wire::OwnClaimRequest, wire::OwnClaimReply>;
+
+/// The calls that have not ended. A call that ends on a gRPC thread after the router's tables are
+/// gone would run its callback on freed memory, seen as an abort at the end of a process; so the
+/// end of a router cancels its calls and waits for the last callback.
+class OpenCalls
 {
-    grpc::ClientContext context;
-    wire::PullRequest request;
-    wire::PullReply reply;
-    std::shared_ptr<grpc::Channel> channel;
-    std::unique_ptr<wire::Peer::Stub> stub;
+public:
+    /// \returns false when no further call may begin.
+    bool begin(grpc::ClientContext &context)
+    {
+        const std::lock_guard lock(this->mutex);
+        return !this->closed && this->open.insert(&context).second;
+    }
+
+    void end(grpc::ClientContext &context)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->open.erase(&context);
+        this->allEnded.notify_all();
+    }
+
+    void cancelAndWait()
+    {
+        std::unique_lock lock(this->mutex);
+        this->closed = true;
+        for (grpc::ClientContext *context : this->open) {
+            context->TryCancel();
+        }
+        this->allEnded.wait(lock, [this] { return this->open.empty(); });
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable allEnded;
+    std::set<grpc::ClientContext *> open;
+    bool closed = false;
 };
 
 } // namespace
@@ -205,6 +240,7 @@
     std::unique_ptr<grpc::Server> server;
     std::mutex mutex;
     std::map<Endpoint, std::shared_ptr<grpc::Channel>> channels;
+    OpenCalls open;
 };
 
 PeerCalls::PeerCalls(Node &node)
@@ -227,6 +263,7 @@
 
 void PeerCalls::stop()
 {
+    this->state->open.cancelAndWait();
     if (this->state->server) {
         this->state->server->Shutdown(std::chrono::system_clock::now() + std::chrono::seconds(1));
     }
@@ -241,13 +278,18 @@
     call->request.set_after_version(version);
     call->request.set_vm_stamp(vmStamp);
     call->context.set_deadline(std::chrono::system_clock::now() + pullDeadline);
+    if (!this->state->open.begin(call->context)) {
+        done(std::nullopt);
+        return;
+    }
     call->stub->async()->Pull(&call->context, &call->request, &call->reply,
-                              [call, done = std::move(done)](const grpc::Status &status) {
-                                  if (!status.ok()) {
-                                      done(std::nullopt);
-                                      return;
-                                  }
-                                  done(fromWire(call->reply));
+                              [call, open = &this->state->open,
+                               done = std::move(done)](const grpc::Status &status) mutable {
+                                  done(status.ok() ? std::optional(fromWire(call->reply))
+                                                   : std::nullopt);
+                                  // What the callback owns goes before the call counts as ended.
+                                  done = nullptr;
+                                  open->end(call->context);
                               });
 }
 
@@ -260,13 +302,19 @@
     call->request.set_owner(identityOf(owner.id, owner.incarnation));
     call->request.set_nonce(nonce);
     call->context.set_deadline(std::chrono::system_clock::now() + ownClaimDeadline);
+    if (!this->state->open.begin(call->context)) {
+        done(std::nullopt);
+        return;
+    }
     call->stub->async()->OwnClaim(&call->context, &call->request, &call->reply,
-                                  [call, done = std::move(done)](const grpc::Status &status) {
-                                      if (!status.ok()) {
-                                          done(std::nullopt);
-                                          return;
-                                      }
-                                      done(fromWire(call->reply));
+                                  [call, open = &this->state->open,
+                                   done = std::move(done)](const grpc::Status &status) mutable {
+                                      done(status.ok() ? std::optional(fromWire(call->reply))
+                                                       : std::nullopt);
+                                      // What the callback owns goes before the call counts as
+                                      // ended.
+                                      done = nullptr;
+                                      open->end(call->context);
                                   });
 }
 
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -12,8 +12,10 @@
 #include "demo.h"
 #include "deployment.h"
 #include "load.h"
+#include "membersbench.h"
 #include "policy.h"
 #include "relaybench.h"
+#include "scale.h"
 #include "standins.h"
 
 namespace {
@@ -34,8 +36,10 @@
   load       send returning chats to a deployment's routers and check the answers
   relay      measure what the bench deployment's router adds; needs --router-pid
   calls      count real routers' calls to the platform and their control bytes
+  members    run the membership functions over a queue of messages with loss and deaths
   demo       stand-ins, load and an edit for all deployments; prints a table
   policy     play a placement policy in the bench; see plantain-lab policy --help
+  scale      measure how time and memory of the library's parts grow with each size
 
 )";
 
@@ -105,8 +109,52 @@
     return run.broken() == 0 && run.whole() > 0 ? exitOk : exitFailed;
 }
 
+int runScale(const options::variables_map &given)
+{
+    ScaleOptions scale;
+    scale.shrink = std::max(1U, given["shrink"].as<unsigned>());
+    const nlohmann::ordered_json report = scaleReport(scale);
+    if (given.count("json") > 0) {
+        std::cout << report.dump(2) << "\n";
+        return exitOk;
+    }
+    for (const auto &series : report["series"]) {
+        std::cout << series["name"].get<std::string>() << ": " << series["intercept"].get<double>()
+                  << " + " << series["slope"].get<double>() << " "
+                  << series["unit"].get<std::string>() << " per "
+                  << series["size"].get<std::string>() << ", fit " << series["fit"].get<double>()
+                  << ", largest " << series["points"].back()["value"].get<double>() << " at "
+                  << series["points"].back()["size"].get<double>() << "\n";
+    }
+    for (const auto &message : report["messages"]) {
+        std::cout << message["name"].get<std::string>() << ": " << message["bytes"] << " bytes\n";
+    }
+    return exitOk;
+}
+
+int runMembersBench(const options::variables_map &given)
+{
+    MembersOptions members;
+    members.routers = given["routers"].as<unsigned>();
+    members.places = given["places"].as<unsigned>();
+    members.loss = given["loss"].as<double>();
+    members.seed = given["seed"].as<std::uint64_t>();
+    members.seconds = given["seconds"].as<unsigned>();
+    members.deaths = given["deaths"].as<unsigned>();
+    members.cutSeconds = given["cut"].as<unsigned>();
+    if (members.routers < members.deaths + 2 || members.places == 0) {
+        std::cerr << "there must be places, and more routers than deaths\n";
+        return exitBadInput;
+    }
+    printMembers(members, runMembers(members));
+    return exitOk;
+}
+
 int runCommand(const std::string &command, const options::variables_map &given)
 {
+    if (command == "scale") {
+        return runScale(given);
+    }
     const std::vector<Deployment> deployments = chosenDeployments(given);
     if (deployments.empty()) {
         std::cerr << "there is no such deployment\n";
@@ -137,6 +185,9 @@
         demo.seed = given["seed"].as<std::uint64_t>();
         return runDemo(deployments, demo) ? exitOk : exitFailed;
     }
+    if (command == "members") {
+        return runMembersBench(given);
+    }
     if (command == "calls") {
         CallsOptions calls;
         calls.routers = given["routers"].as<unsigned>();
@@ -168,7 +219,15 @@
         "routers", options::value<unsigned>()->default_value(8),
         "number of routers")("edits", options::value<double>()->default_value(0), "edits a second")(
         "port-offset", options::value<unsigned>()->default_value(0),
-        "added to every port, so that several demos fit on one machine");
+        "added to every port, so that several demos fit on one machine")(
+        "json", "scale: print JSON with every point")(
+        "shrink", options::value<unsigned>()->default_value(1), "scale: divide each size");
+    described.add_options()("places", options::value<unsigned>()->default_value(1),
+                            "places of the members' run")(
+        "loss", options::value<double>()->default_value(0.05), "share of lost datagrams")(
+        "deaths", options::value<unsigned>()->default_value(5),
+        "routers that die")("cut", options::value<unsigned>()->default_value(0),
+                            "seconds for which the first place is cut off");
     options::positional_options_description positions;
     positions.add("command", 1);
     options::variables_map given;
