--- a/lab/scalemeasures.cpp
+++ b/lab/scalemeasures.cpp
@@ -153,6 +153,8 @@
         }
         BoundSettings bound;
         bound.capacity = held;
+        // The memory of chats is bounded by its own number, not by the slots.
+        bound.rememberedChats = 0;
         const GrantView view{ready, bound, false};
         ShardState state;
         const Shard shard{modelName, placeName, 0};
