Check the recorded history of real routers under faults

Cause: the checkers read histories of the decision code only. Callers now send receipts to three real routers and send each again, to any router, while routers die and return, the platform is down or slow and answers of its writes are lost; service stand-ins record what ran, and the same checkers read it. A second case checks every answer to returning chats under the same faults.

--- a/daemon/claimservice.h
+++ b/daemon/claimservice.h
@@ -38,6 +38,9 @@
     /// \returns a nonce that no other claim has.
     [[nodiscard]] std::uint64_t nextNonce() noexcept;
 
+    /// Lets go of the requests that wait, once no worker runs any more.
+    void forgetAsks() { this->asks.clear(); }
+
 private:
     struct Ask
     {
--- a/daemon/keeperservice.h
+++ b/daemon/keeperservice.h
@@ -27,6 +27,9 @@
     void ask(std::uint64_t router, const SlotAsk &ask, const Answer &done);
     void release(std::uint64_t router, const SlotRelease &release);
 
+    /// Lets go of the requests that wait, once no worker runs any more.
+    void forgetWaiters() { this->queues.clear(); }
+
 private:
     /// The queue of one shard and who waits in it.
     struct ShardQueue
--- a/daemon/router.cpp
+++ b/daemon/router.cpp
@@ -51,6 +51,11 @@
 
 Router::~Router()
 {
+    // Requests that wait here own the parts they wait at; a router that ends with some in flight
+    // would otherwise keep itself, and its sockets, for ever.
+    this->slots->forgetAsks();
+    this->keeperService->forgetWaiters();
+    this->claims->forgetAsks();
     this->link->forgetHandlers();
 }
 
--- a/daemon/slots.h
+++ b/daemon/slots.h
@@ -61,6 +61,9 @@
     /// Sends the releases that wait; \a done runs once they are handed to the socket.
     void flush(std::function<void()> done);
 
+    /// Lets go of the requests that wait, once no worker runs any more.
+    void forgetAsks() { this->pending.clear(); }
+
 private:
     using ReplyHandler = std::function<void(const std::optional<SlotReply> &)>;
     struct PendingAsk
--- a/lab/servicestandin.cpp
+++ b/lab/servicestandin.cpp
@@ -6,17 +6,24 @@
 
 namespace plantainswitch::lab {
 
-std::uint64_t RunCounts::add(const std::string &key)
+std::uint64_t RunCounts::add(const Run &run)
 {
     const std::lock_guard lock(this->mutex);
-    return ++this->runs[key];
+    this->runs.push_back(run);
+    return ++this->counts[run.key];
+}
+
+std::vector<Run> RunCounts::all() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->runs;
 }
 
 std::uint64_t RunCounts::highest() const
 {
     const std::lock_guard lock(this->mutex);
     std::uint64_t most = 0;
-    for (const auto &[key, count] : this->runs) {
+    for (const auto &[key, count] : this->counts) {
         most = std::max(most, count);
     }
     return most;
@@ -25,7 +32,7 @@
 std::size_t RunCounts::keys() const
 {
     const std::lock_guard lock(this->mutex);
-    return this->runs.size();
+    return this->counts.size();
 }
 
 void ServiceOrders::letGo()
@@ -74,16 +81,16 @@
         return;
     }
     const std::string key(request.header("idempotency-key"));
+    std::string id(request.header("x-request-id"));
     const nlohmann::json answer{{"replica", replica},
                                 {"key", key},
-                                {"run", key.empty() ? 0 : counts.add(key)},
+                                {"run", key.empty() ? 0 : counts.add({key, id})},
                                 {"echo", request.body}};
     if (orders.takeDrop()) {
         reply->start(statusOk, {});
         reply->abort();
         return;
     }
-    std::string id(request.header("x-request-id"));
     if (orders.takeConfusion()) {
         id += "-other";
     }
--- a/lab/servicestandin.h
+++ b/lab/servicestandin.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <vector>
 
 #include "httpserver.h"
@@ -12,19 +13,30 @@
 
 namespace plantainswitch::lab {
 
+/// A run at a replica of a plain service.
+struct Run
+{
+    std::string key;
+    /// The router's attempt id that came with it.
+    std::string attempt;
+};
+
 /// How often each idempotency key ran, over all replicas of a plain service.
 class RunCounts
 {
 public:
     /// Counts a run. \returns the number of runs of that key so far.
-    std::uint64_t add(const std::string &key);
+    std::uint64_t add(const Run &run);
+    /// \returns all runs in their order.
+    [[nodiscard]] std::vector<Run> all() const;
     /// \returns the highest number of runs of any key.
     [[nodiscard]] std::uint64_t highest() const;
     [[nodiscard]] std::size_t keys() const;
 
 private:
     mutable std::mutex mutex;
-    std::map<std::string, std::uint64_t> runs;
+    std::map<std::string, std::uint64_t> counts;
+    std::vector<Run> runs;
 };
 
 /// What the replicas of a plain service are told to do wrong.
--- /dev/null
+++ b/tests/fleethistory.cpp
@@ -0,0 +1,215 @@
+#include <atomic>
+#include <mutex>
+#include <random>
+
+#include <catch2/catch.hpp>
+
+#include "fleet.h"
+#include "history.h"
+#include "load.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::lab;
+
+namespace {
+
+constexpr std::uint16_t ownPorts = 31'200;
+constexpr std::size_t routerCount = 3;
+constexpr int statusOk = 200;
+constexpr std::uint32_t callers = 4;
+constexpr std::uint32_t mostOrders = 10'000;
+constexpr std::uint32_t sendingsOfOrder = 6;
+constexpr std::uint32_t faultRounds = 8;
+
+/// A sending of an order as its caller saw it.
+struct Sending
+{
+    std::uint32_t order = 0;
+    std::string request;
+    std::string answeredKey;
+    bool answered = false;
+    bool refusedNotRun = false;
+};
+
+std::string keyOf(std::uint32_t order)
+{
+    return "order-" + std::to_string(order);
+}
+
+/// Real routers under load while routers die, the platform fails and answers of writes are lost.
+class FleetHistoryFixture
+{
+protected:
+    FleetHistoryFixture()
+        : fleet(smallDeployment())
+    {
+        REQUIRE(this->fleet.start());
+    }
+
+    static Deployment smallDeployment()
+    {
+        Deployment deployment = *deploymentOf("lowther");
+        deployment.basePort = ownPorts;
+        deployment.routers = routerCount;
+        return deployment;
+    }
+
+    Sending sendOrder(std::uint32_t order, std::size_t router)
+    {
+        net::HttpCall call;
+        call.method = "POST";
+        call.url = "/services/" + this->fleet.deployment.plainService + "/receipts";
+        call.headers = {{"authorization", "Bearer token-lowther-0"},
+                        {"idempotency-key", keyOf(order)},
+                        {"x-non-idempotent", "true"}};
+        call.body = keyOf(order);
+        const net::HttpAnswer answer = this->fleet.call(router, std::move(call));
+        Sending sending;
+        sending.order = order;
+        const auto id = answer.headers.find("x-request-id");
+        sending.request = id == answer.headers.end() ? "" : id->second;
+        const auto json = nlohmann::json::parse(answer.body, nullptr, false);
+        sending.answered = answer.end == net::HttpEnd::Whole && answer.status == statusOk;
+        if (sending.answered && json.is_object()) {
+            sending.answeredKey = json.value("key", "");
+        }
+        sending.refusedNotRun = answer.end == net::HttpEnd::Whole && json.is_object()
+                                && json.contains("error") && json["error"].value("ran", "") == "no";
+        return sending;
+    }
+
+    void runCaller(std::uint32_t caller)
+    {
+        std::mt19937 random(caller);
+        for (std::uint32_t index = 0; !this->faultsEnded && index < mostOrders; ++index) {
+            const std::uint32_t order = caller * mostOrders + index;
+            bool answered = false;
+            for (std::uint32_t turn = 0; turn < sendingsOfOrder && !answered; ++turn) {
+                const Sending sending = this->sendOrder(order, random() % routerCount);
+                answered = sending.answered;
+                const std::lock_guard lock(this->mutex);
+                this->sendings.push_back(sending);
+            }
+        }
+    }
+
+    void breakThings()
+    {
+        std::mt19937 random(callers);
+        for (std::uint32_t round = 0; round < faultRounds; ++round) {
+            switch (round % 4) {
+            case 0: {
+                const std::size_t victim = random() % routerCount;
+                this->fleet.killRouter(victim);
+                this->fleet.startRouter(victim);
+                static_cast<void>(this->fleet.awaitReady(victim));
+                break;
+            }
+            case 1:
+                this->fleet.setFaults({{"loseAnswers", 3}});
+                break;
+            case 2:
+                this->fleet.setFaults({{"outage", true}});
+                std::this_thread::sleep_for(std::chrono::milliseconds(300));
+                this->fleet.setFaults({{"outage", false}});
+                break;
+            default:
+                this->fleet.setFaults({{"slowMilliseconds", round * 20}});
+                break;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        }
+        this->fleet.setFaults({{"slowMilliseconds", 0}, {"loseAnswers", 0}});
+    }
+
+    /// Numbers the routers' request ids, so that a sending and the runs it caused are the same
+    /// attempt.
+    std::uint64_t attemptOf(const std::string &request)
+    {
+        return this->attempts.emplace(request, this->attempts.size() + 1).first->second;
+    }
+
+    History recorded()
+    {
+        History history;
+        for (const Run &run : this->fleet.standIns.runs->all()) {
+            const std::string request = run.attempt.substr(0, run.attempt.rfind('.'));
+            const std::uint64_t order = std::stoull(run.key.substr(run.key.rfind('-') + 1));
+            history.push_back({HistoryKind::Ran, order, this->attemptOf(request), 0});
+        }
+        for (const Sending &sending : this->sendings) {
+            if (sending.answered) {
+                const std::string &key = sending.answeredKey;
+                const std::uint64_t owner = std::stoull("0" + key.substr(key.rfind('-') + 1));
+                history.push_back({HistoryKind::Answered, sending.order, 0, owner});
+            } else if (sending.refusedNotRun) {
+                history.push_back({HistoryKind::RefusedNotRun, sending.order,
+                                   this->attemptOf(sending.request), 0});
+            }
+        }
+        return history;
+    }
+
+    Fleet fleet;
+    std::atomic<bool> faultsEnded = false;
+    std::mutex mutex;
+    std::vector<Sending> sendings;
+    std::map<std::string, std::uint64_t> attempts;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(FleetHistoryFixture, "fleet_faultsDuringOrders_keepsPromisesInRecordedHistory",
+                 "[fleethistory]")
+{
+    // Couriers send signature receipts and send each again, to any router, until they have an
+    // answer, while routers die and come back, the platform is down or slow, and answers of its
+    // writes are lost. Each receipt may run once; an answer belongs to its own receipt; whoever
+    // heard "not run" was told the truth.
+    std::vector<std::thread> threads;
+    threads.reserve(callers);
+    for (std::uint32_t caller = 0; caller < callers; ++caller) {
+        threads.emplace_back([this, caller] { this->runCaller(caller); });
+    }
+    this->breakThings();
+    this->faultsEnded = true;
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    const History history = this->recorded();
+    std::map<std::string, int> counts;
+    for (const Sending &each : this->sendings) {
+        ++counts[each.answered ? "answered" : each.refusedNotRun ? "not run" : "unknown"];
+    }
+    for (const auto &[name, count] : counts) {
+        UNSCOPED_INFO(name << ": " << count);
+    }
+    CHECK(checkAtMostOnce(history).value_or("") == "");
+    CHECK(checkOwnAnswer(history).value_or("") == "");
+    CHECK(checkNoFalseNotRun(history).value_or("") == "");
+    const auto answered = std::count_if(this->sendings.begin(), this->sendings.end(),
+                                        [](const Sending &each) { return each.answered; });
+    CHECK(answered > 0);
+}
+
+TEST_CASE_METHOD(FleetHistoryFixture, "fleet_faultsDuringChats_givesOnlyWholeOwnAnswers",
+                 "[fleethistory]")
+{
+    // Chats return to any router while routers die and the platform fails. A caller may be cut
+    // off or refused, but what looks like a whole answer is whole and its own.
+    asio::io_context context;
+    LoadOptions options;
+    options.duration = std::chrono::seconds(4);
+    options.orderShare = 0;
+    Load load(context, this->fleet.deployment, options);
+    load.start([&context] { context.stop(); });
+    std::thread worker([&context] {
+        const auto guard = asio::make_work_guard(context);
+        context.run();
+    });
+    this->breakThings();
+    worker.join();
+    INFO(load.report().dump());
+    CHECK(load.broken() == 0);
+    CHECK(load.whole() > 0);
+}
