--- a/daemon/peercalls.cpp
+++ b/daemon/peercalls.cpp
@@ -216,6 +216,22 @@
     bool closed = false;
 };
 
+/// Runs \a call by \a start unless the router is ending.
+/// \param done gets the answer, or nothing; it is let go before the call counts as ended
+template<typename Call, typename Done, typename Start>
+void startCall(OpenCalls &open, const std::shared_ptr<Call> &call, Done done, const Start &start)
+{
+    if (!open.begin(call->context)) {
+        done(std::nullopt);
+        return;
+    }
+    start([call, &open, done = std::move(done)](const grpc::Status &status) mutable {
+        done(status.ok() ? std::optional(fromWire(call->reply)) : std::nullopt);
+        done = nullptr;
+        open.end(call->context);
+    });
+}
+
 } // namespace
 
 struct PeerCalls::State
@@ -278,19 +294,9 @@
     call->request.set_after_version(version);
     call->request.set_vm_stamp(vmStamp);
     call->context.set_deadline(std::chrono::system_clock::now() + pullDeadline);
-    if (!this->state->open.begin(call->context)) {
-        done(std::nullopt);
-        return;
-    }
-    call->stub->async()->Pull(&call->context, &call->request, &call->reply,
-                              [call, open = &this->state->open,
-                               done = std::move(done)](const grpc::Status &status) mutable {
-                                  done(status.ok() ? std::optional(fromWire(call->reply))
-                                                   : std::nullopt);
-                                  // What the callback owns goes before the call counts as ended.
-                                  done = nullptr;
-                                  open->end(call->context);
-                              });
+    startCall(this->state->open, call, std::move(done), [&call](auto ended) {
+        call->stub->async()->Pull(&call->context, &call->request, &call->reply, std::move(ended));
+    });
 }
 
 void PeerCalls::ownClaim(const Heartbeat &owner, std::uint64_t nonce,
@@ -302,20 +308,10 @@
     call->request.set_owner(identityOf(owner.id, owner.incarnation));
     call->request.set_nonce(nonce);
     call->context.set_deadline(std::chrono::system_clock::now() + ownClaimDeadline);
-    if (!this->state->open.begin(call->context)) {
-        done(std::nullopt);
-        return;
-    }
-    call->stub->async()->OwnClaim(&call->context, &call->request, &call->reply,
-                                  [call, open = &this->state->open,
-                                   done = std::move(done)](const grpc::Status &status) mutable {
-                                      done(status.ok() ? std::optional(fromWire(call->reply))
-                                                       : std::nullopt);
-                                      // What the callback owns goes before the call counts as
-                                      // ended.
-                                      done = nullptr;
-                                      open->end(call->context);
-                                  });
+    startCall(this->state->open, call, std::move(done), [&call](auto ended) {
+        call->stub->async()->OwnClaim(&call->context, &call->request, &call->reply,
+                                      std::move(ended));
+    });
 }
 
 } // namespace plantainswitch
