Refuse once, after the books are closed

The first answered before the request was accounted for, so that a caller's immediate repeat could still find it open; the second was dead, as a reply takes one answer. Ruled out: the same left over elsewhere (no other line stands twice in a row; cut() and answerWhole() read through). Before and after: 26 of 26 suites pass; the tests don't reach that moment. Conclusion: the order is the one that the comment above it states.

--- a/daemon/passage.cpp
+++ b/daemon/passage.cpp
@@ -122,7 +122,6 @@
     // claim "in progress" of a request that has ended.
     const RefusalScope scope = this->refusalScope();
     this->endClaimRefused(errorRow(reason.kind).ran);
-    refuse(*this->reply, reason, this->id, scope);
     this->account();
     refuse(*this->reply, reason, this->id, scope);
 }
