Let the fleet wait until its routers know each other

Cause: four fleet tests each had their own copy of that wait. Fleet::startAndMeet() and allKnowEachOther() serve them all; the assertions are the same.

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -80,6 +80,23 @@
     return true;
 }
 
+bool Fleet::startAndMeet()
+{
+    return this->start() && eventually([this] { return this->allKnowEachOther(); });
+}
+
+bool Fleet::allKnowEachOther()
+{
+    for (std::size_t router = 0; router < this->layout.size(); ++router) {
+        const auto page = this->operatorPage(router, "/status");
+        const auto json = nlohmann::json::parse(page.body, nullptr, false);
+        if (!json.is_object() || json["members"].size() != this->layout.size()) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void Fleet::startRouter(std::size_t index)
 {
     std::vector<Fault> faults;
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -28,6 +28,10 @@
 
     /// Starts all routers and waits until each is ready. \returns whether all are.
     [[nodiscard]] bool start();
+    /// Starts all routers and waits until each is ready and knows all others.
+    [[nodiscard]] bool startAndMeet();
+    /// \returns whether each router counts all routers of the layout as members.
+    [[nodiscard]] bool allKnowEachOther();
     void startRouter(std::size_t index);
     /// Asks for a graceful stop; awaitStopped() waits for its end.
     void stopRouter(std::size_t index);
--- a/tests/answerfleet.cpp
+++ b/tests/answerfleet.cpp
@@ -25,13 +25,7 @@
     AnswerFixture()
         : fleet(smallDeployment())
     {
-        REQUIRE(this->fleet.start());
-        for (std::size_t router = 0; router < 3; ++router) {
-            REQUIRE(Fleet::eventually([&] {
-                const auto page = this->fleet.operatorPage(router, "/status");
-                return nlohmann::json::parse(page.body)["members"].size() == 3;
-            }));
-        }
+        REQUIRE(this->fleet.startAndMeet());
     }
 
     net::HttpAnswer chat(std::size_t router, const std::string &chatId, const std::string &text,
--- a/tests/claimfleet.cpp
+++ b/tests/claimfleet.cpp
@@ -53,13 +53,7 @@
     ClaimFixture()
         : fleet(smallDeployment())
     {
-        REQUIRE(this->fleet.start());
-        for (std::size_t router = 0; router < 3; ++router) {
-            REQUIRE(Fleet::eventually([&] {
-                const auto page = this->fleet.operatorPage(router, "/status");
-                return nlohmann::json::parse(page.body)["members"].size() == 3;
-            }));
-        }
+        REQUIRE(this->fleet.startAndMeet());
     }
 
     static net::HttpCall orderCall(const std::string &key, const std::string &body = "sign",
--- a/tests/fleetmembers.cpp
+++ b/tests/fleetmembers.cpp
@@ -32,7 +32,7 @@
         : fleet(eightRouters())
     {
         REQUIRE(this->fleet.start());
-        REQUIRE(Fleet::eventually([this] { return this->allKnowEachOther(); }));
+        REQUIRE(Fleet::eventually([this] { return this->fleet.allKnowEachOther(); }));
     }
 
     [[nodiscard]] nlohmann::json status(std::size_t router)
@@ -41,17 +41,6 @@
                                      false);
     }
 
-    bool allKnowEachOther()
-    {
-        for (std::size_t router = 0; router < routerCount; ++router) {
-            const auto page = this->status(router);
-            if (!page.is_object() || page["members"].size() != routerCount) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     bool inForce(std::size_t router, std::uint64_t version)
     {
         const auto page = this->status(router);
@@ -135,7 +124,7 @@
         CHECK(this->fleet.awaitReady(router));
         CHECK(this->inForce(router, version));
     }
-    CHECK(Fleet::eventually([this] { return this->allKnowEachOther(); }));
+    CHECK(Fleet::eventually([this] { return this->fleet.allKnowEachOther(); }));
     for (std::size_t router = 0; router < routerCount; ++router) {
         CHECK(this->fleet.chat(router, this->token, "c", this->body()).status == 200);
     }
--- a/tests/limitsfleet.cpp
+++ b/tests/limitsfleet.cpp
@@ -65,19 +65,6 @@
 }
 
 /// Until all routers know each other they may disagree about owner and keeper.
-bool startAndMeet(Fleet &fleet)
-{
-    return fleet.start() && Fleet::eventually([&fleet] {
-               for (std::size_t router = 0; router < routers; ++router) {
-                   const auto page = fleet.operatorPage(router, "/status");
-                   if (nlohmann::json::parse(page.body)["members"].size() != routers) {
-                       return false;
-                   }
-               }
-               return true;
-           });
-}
-
 /// Lets router 0 run a long chat, then sends a short one to router 1.
 /// \returns the answers to both.
 std::pair<net::HttpAnswer, net::HttpAnswer> chatBehindLongOne(Fleet &fleet)
@@ -98,7 +85,7 @@
     // A workspace of 20 requests a second calls three routers as fast as it can. Each router
     // sees a third only; together they must not admit more than the stated multiple.
     Fleet fleet(limitedDeployment());
-    REQUIRE(startAndMeet(fleet));
+    REQUIRE(fleet.startAndMeet());
     constexpr int calls = 250;
     std::atomic<int> whole = 0;
     std::atomic<int> limited = 0;
@@ -127,7 +114,7 @@
 TEST_CASE("queue_engineBusyBeyondBound_refusesAsExpiredAndNotRun", "[limitsfleet]")
 {
     Fleet fleet(queueDeployment(200));
-    REQUIRE(startAndMeet(fleet));
+    REQUIRE(fleet.startAndMeet());
     const auto [first, second] = chatBehindLongOne(fleet);
     CHECK(first.status == 200);
     CHECK(second.status == 503);
@@ -138,7 +125,7 @@
 TEST_CASE("queue_engineComesFreeInTime_answersTheWaitingRequest", "[limitsfleet]")
 {
     Fleet fleet(queueDeployment(20'000));
-    REQUIRE(startAndMeet(fleet));
+    REQUIRE(fleet.startAndMeet());
     const auto [first, second] = chatBehindLongOne(fleet);
     CHECK(first.status == 200);
     CHECK(second.status == 200);
@@ -155,7 +142,7 @@
     service.engines.checkFencing = true;
     service.engines.readyPercent = 50;
     Fleet fleet(deployment);
-    REQUIRE(startAndMeet(fleet));
+    REQUIRE(fleet.startAndMeet());
     CHECK(Fleet::eventually([&] {
         return std::all_of(fleet.standIns.engines.begin(), fleet.standIns.engines.end(),
                            [&](const auto &engine) { return engine->setup().version == wanted; });
