Break the two rings that kept a killed router's requests

Cause: the whole check was red at times with leaks reported in the recorded-history test under AddressSanitizer. Two rings of references outlived a router that was killed under load: request -> exchange -> callbacks -> request, when the work that begins the exchange had not run; and request -> reply -> connection -> waiting write -> request, when bytes waited for the caller. Ruled out: asks at slots, keeper and claims, which are let go of at the end of a router.

Callbacks now belong to the posted work until the exchange has begun; a waiting write refers to its request weakly; work that never ran ends before the node whose tables it counts out of.

--- a/daemon/passagerelay.cpp
+++ b/daemon/passagerelay.cpp
@@ -137,7 +137,14 @@
     }
     const std::size_t size = chunk.size();
     this->unflushed += size;
-    this->reply->write(std::move(chunk), [self = this->shared_from_this(), size](bool) {
+    // The write lives in the connection that the passage's reply owns: a strong reference would
+    // keep a request, its connection and its upstream exchange for ever when a router ends while
+    // bytes wait for a slow caller. The exchange keeps the passage for as long as it can resume.
+    this->reply->write(std::move(chunk), [weak = this->weak_from_this(), size](bool) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
         const std::size_t before = self->unflushed.fetch_sub(size);
         if (before > mostUnflushed && before - size <= mostUnflushed) {
             const std::lock_guard lock(self->exchangeMutex);
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -50,8 +50,10 @@
     void drain();
     void afterDelay(std::chrono::milliseconds delay, void (Router::*next)());
 
-    asio::io_context context;
     Node node;
+    /// Goes before the node: work that never ran dies with it, and requests in that work still
+    /// count themselves out of the node's tables.
+    asio::io_context context;
     asio::signal_set signals;
     asio::steady_timer drainTimer;
     TimePoint stopBegan;
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -58,7 +58,7 @@
     State(const State &) = delete;
     State &operator=(const State &) = delete;
 
-    void add(const std::shared_ptr<Exchange> &exchange);
+    void add(const std::shared_ptr<Exchange> &exchange, HttpEvents events);
     void remove(const std::shared_ptr<Exchange> &exchange);
     /// Lets libcurl act again after an exchange was unpaused.
     void kick();
@@ -99,10 +99,9 @@
 class Exchange final : public HttpExchange, public std::enable_shared_from_this<Exchange>
 {
 public:
-    Exchange(std::weak_ptr<HttpClient::State> owner, HttpCall call, HttpEvents events)
+    Exchange(std::weak_ptr<HttpClient::State> owner, HttpCall call)
         : owner(std::move(owner))
         , call(std::move(call))
-        , events(std::move(events))
     {}
 
     ~Exchange() override
@@ -119,7 +118,6 @@
     {
         if (const auto state = this->owner.lock()) {
             asio::post(state->executor(), [state, self = this->shared_from_this()] {
-                self->cancelled = true;
                 state->remove(self);
                 self->finish(HttpEnd::Cancelled, "cancelled");
             });
@@ -139,8 +137,8 @@
         }
     }
 
-    /// Makes the easy handle. \returns false when it was cancelled before.
-    bool prepare();
+    /// Makes the easy handle; from now on \a heard hears of the exchange.
+    void prepare(HttpEvents heard);
     void complete(CURLcode code);
     void finish(HttpEnd end, const std::string &detail)
     {
@@ -172,16 +170,13 @@
     curl_slist *fields = nullptr;
     Headers headers;
     bool paused = false;
-    bool cancelled = false;
     bool finished = false;
     bool headersHanded = false;
 };
 
-bool Exchange::prepare()
+void Exchange::prepare(HttpEvents heard)
 {
-    if (this->cancelled) {
-        return false;
-    }
+    this->events = std::move(heard);
     this->easy = curl_easy_init();
     CURL *handle = this->easy;
     curl_easy_setopt(handle, CURLOPT_URL, this->call.url.c_str());
@@ -219,7 +214,6 @@
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &Exchange::dataCame);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, this);
-    return true;
 }
 
 std::size_t Exchange::headerCame(char *bytes, std::size_t size, std::size_t count, void *self)
@@ -291,11 +285,9 @@
     curl_multi_cleanup(this->multi);
 }
 
-void HttpClient::State::add(const std::shared_ptr<Exchange> &exchange)
+void HttpClient::State::add(const std::shared_ptr<Exchange> &exchange, HttpEvents events)
 {
-    if (!exchange->prepare()) {
-        return;
-    }
+    exchange->prepare(std::move(events));
     this->exchanges.emplace(exchange->handle(), exchange);
     curl_multi_add_handle(this->multi, exchange->handle());
 }
@@ -423,8 +415,14 @@
 
 std::shared_ptr<HttpExchange> HttpClient::start(HttpCall call, HttpEvents events)
 {
-    auto exchange = std::make_shared<Exchange>(this->state, std::move(call), std::move(events));
-    asio::post(this->state->executor(), [owner = this->state, exchange] { owner->add(exchange); });
+    auto exchange = std::make_shared<Exchange>(this->state, std::move(call));
+    // Until the exchange has begun its callbacks belong to the posted work alone. Their owner owns
+    // the exchange: kept there too, both would live on for ever when a router ends before the work
+    // has run, seen as a leak at the end of a killed router.
+    asio::post(this->state->executor(),
+               [owner = this->state, exchange, events = std::move(events)]() mutable {
+                   owner->add(exchange, std::move(events));
+               });
     return exchange;
 }
 
