Hand a plain service the query byte for byte

Cause: parseRequest took the path without its query, so a plain service never saw what stood behind '?', and a claim's content hash did not know it: another query under the same idempotency key got the first request's kept answer.

The server keeps the query as it came, '?' included, and a service call's path at the upstream ends with it.

Ruled out: sending the request target past libcurl's URL parser. It leaves doubled '&', '%20', a bare '?', '/../' within the query and bytes above 127 as they are (service_queryOfCall_...).

--- a/daemon/parse.cpp
+++ b/daemon/parse.cpp
@@ -45,12 +45,14 @@
     return true;
 }
 
-bool parseServicePath(CallerRequest &request, std::string_view path, Reason &reason)
+bool parseServicePath(CallerRequest &request, const net::HttpRequest &http, Reason &reason)
 {
+    std::string_view path = http.path;
     path.remove_prefix(servicePrefix.size());
     const std::size_t slash = path.find('/');
     request.service = path.substr(0, slash);
     request.path = slash == std::string_view::npos ? "/" : path.substr(slash);
+    request.path += http.rawQuery;
     request.model = false;
     if (request.service.empty()) {
         reason = bad("the path names no service");
@@ -128,8 +130,8 @@
         return parseChatBody(request, reason) ? std::optional(std::move(request)) : std::nullopt;
     }
     if (http.path.starts_with(servicePrefix)) {
-        return parseServicePath(request, http.path, reason) ? std::optional(std::move(request))
-                                                            : std::nullopt;
+        return parseServicePath(request, http, reason) ? std::optional(std::move(request))
+                                                       : std::nullopt;
     }
     reason = {ErrorKind::NotFound, http.method + " " + http.path, std::nullopt};
     return std::nullopt;
--- a/daemon/parse.h
+++ b/daemon/parse.h
@@ -17,7 +17,7 @@
     std::string service;
     std::string chat;
     std::string method;
-    /// Path at the upstream.
+    /// Path at the upstream, with the query byte for byte as the caller sent it.
     std::string path;
     std::string body;
     std::string contentType;
--- a/lab/servicestandin.cpp
+++ b/lab/servicestandin.cpp
@@ -85,6 +85,7 @@
     const nlohmann::json answer{{"replica", replica},
                                 {"key", key},
                                 {"run", key.empty() ? 0 : counts.add({key, id})},
+                                {"target", request.path + request.rawQuery},
                                 {"echo", request.body}};
     if (orders.takeDrop()) {
         reply->start(statusOk, {});
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -282,7 +282,9 @@
 {
     HttpRequest result;
     result.method = request->header().method().c_str();
+    const std::string &target = request->header().request_target();
     result.path = std::string(request->header().path());
+    result.rawQuery = target.substr(result.path.size(), target.find('#') - result.path.size());
     const auto query =
         restinio::try_parse_query<restinio::parse_query_traits::relaxed>(request->header().query());
     if (query) {
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -23,6 +23,8 @@
     /// Path without the query.
     std::string path;
     std::map<std::string, std::string, std::less<>> query;
+    /// Query byte for byte as it came, with its '?'; empty if there was none.
+    std::string rawQuery;
     Headers headers;
     std::string body;
     /// The server has more connections than it should; the request is best refused.
--- a/tests/claimfleet.cpp
+++ b/tests/claimfleet.cpp
@@ -130,6 +130,9 @@
 {
     REQUIRE(this->order(0, "k1", "sign").status == 200);
     CHECK(kindOf(this->order(1, "k1", "refuse")) == "key-reused");
+    net::HttpCall otherQuery = orderCall("k1");
+    otherQuery.url += "?copies=2";
+    CHECK(kindOf(this->fleet.call(1, otherQuery)) == "key-reused");
     const auto other = this->order(1, "k1", "sign", 1);
     CHECK(other.status == 200);
     CHECK(other.headers.count("x-repeat") == 0);
--- a/tests/wholepath.cpp
+++ b/tests/wholepath.cpp
@@ -98,3 +98,16 @@
     this->fleet.awaitStopped(0);
     CHECK(answer.status == 200);
 }
+
+TEST_CASE_METHOD(WholePathFixture, "service_queryOfCall_reachesUpstreamByteForByte", "[wholepath]")
+{
+    for (const std::string target :
+         {"/", "/a", "/a?", "/a?b=%20+%3F&&b=2&c", "/?x?y=/../z;\xc3\xa9"}) {
+        net::HttpCall call;
+        call.url = "/services/" + this->fleet.deployment.plainService + target;
+        call.headers = {{"authorization", "Bearer " + this->token}};
+        const auto answer = this->fleet.call(0, call);
+        REQUIRE(answer.status == 200);
+        CHECK(nlohmann::json::parse(answer.body)["target"] == target);
+    }
+}
