Hide a workspace's token in get unless it is asked for

What get prints is what apply takes. Applied with the hidden mark, a file keeps the stored token, taken from the version that the file was made from only: the write is conditional on it, so that a token changed meanwhile is not turned back (exit code 3). Without a stored token the file is refused (exit code 2). diff shows no change of the token for the mark.

Ruled out: the token out of the list that apply reads for references; that list may be older than the write's version.

--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -15,7 +15,6 @@
 using nlohmann::ordered_json;
 
 constexpr const char *entryKinds = "dataclass,workspace,service";
-constexpr const char *hidden = "(hidden)";
 
 std::optional<EntryFile> loadEntryFile(const std::string &path)
 {
@@ -37,7 +36,7 @@
 nlohmann::json withoutToken(nlohmann::json body)
 {
     if (body.is_object() && body.contains("token")) {
-        body["token"] = hidden;
+        body["token"] = hiddenToken;
     }
     return body;
 }
@@ -50,7 +49,7 @@
         ordered_json line{{"op", change["op"]}, {"path", path}};
         if (change.contains("value")) {
             const bool secret = path.find("token") != std::string::npos;
-            line["value"] = secret ? nlohmann::json(hidden) : withoutToken(change["value"]);
+            line["value"] = secret ? nlohmann::json(hiddenToken) : withoutToken(change["value"]);
         }
         result.push_back(std::move(line));
     }
@@ -131,6 +130,35 @@
     return known;
 }
 
+/// Puts the stored token in the place of the hidden mark.
+/// An entry that was read without its token and edited holds the mark; written as it is, the mark
+/// would become the token and every caller of the workspace would be refused. The token is taken
+/// from the version that the file was made from only, so that a token changed meanwhile is never
+/// turned back: the write is conditional on the same version.
+/// \returns the exit code that ends the command, or nothing.
+std::optional<int> restoreToken(PlatformCalls &platform, EntryFile &file, Output output)
+{
+    if (!hidesToken(file)) {
+        return std::nullopt;
+    }
+    const PlatformAnswer stored = platform.get(file.key);
+    if (stored.status != PlatformStatus::Ok && stored.status != PlatformStatus::NotFound) {
+        std::cerr << "the platform can't be reached\n";
+        return exitFailed;
+    }
+    const nlohmann::json body = stored.object ? stored.object->body : nlohmann::json();
+    if (!body.is_object() || !body.contains("token") || body["token"] == hiddenToken) {
+        std::cerr << "/body/token: \"" << hiddenToken
+                  << "\" stands for a stored token and there is none; write the token itself\n";
+        return exitBadInput;
+    }
+    if (stored.object->version != file.version) {
+        return reportConflict(stored, file.body, output);
+    }
+    file.body["token"] = body["token"];
+    return std::nullopt;
+}
+
 std::string toText(const EntryKey &key)
 {
     return std::string(nameOf(key.kind)) + " " + key.name;
@@ -165,7 +193,7 @@
     return exitOk;
 }
 
-int getEntry(PlatformCalls &platform, const EntryKey &key, Output output)
+int getEntry(PlatformCalls &platform, const EntryKey &key, Output output, Tokens tokens)
 {
     const PlatformAnswer answer = platform.get(key);
     if (answer.status == PlatformStatus::NotFound) {
@@ -176,18 +204,24 @@
         std::cerr << "the platform can't be reached\n";
         return exitFailed;
     }
-    // In both forms the text is one that apply takes back.
-    const auto object = toJson(*answer.object);
+    // In both forms the text is one that apply takes back, a hidden token included.
+    auto object = toJson(*answer.object);
+    if (tokens == Tokens::Hidden) {
+        object["body"] = withoutToken(object["body"]);
+    }
     std::cout << (output == Output::Json ? object.dump() : object.dump(2)) << "\n";
     return exitOk;
 }
 
 int applyFile(PlatformCalls &platform, const std::string &path, Output output)
 {
-    const auto file = loadEntryFile(path);
+    auto file = loadEntryFile(path);
     if (!file) {
         return exitBadInput;
     }
+    if (const auto ended = restoreToken(platform, *file, output)) {
+        return *ended;
+    }
     const auto known = readKnown(platform);
     if (!known) {
         return exitFailed;
@@ -206,7 +240,7 @@
 
 int diffFile(PlatformCalls &platform, const std::string &path, Output output)
 {
-    const auto file = loadEntryFile(path);
+    auto file = loadEntryFile(path);
     if (!file) {
         return exitBadInput;
     }
@@ -216,6 +250,9 @@
         return exitFailed;
     }
     const nlohmann::json there = answer.object ? answer.object->body : nlohmann::json();
+    if (hidesToken(*file) && there.is_object() && there.contains("token")) {
+        file->body["token"] = there["token"];
+    }
     printResult(output, {{"result", "apply would change:"},
                          {"difference", differenceOf(there, file->body)}});
     return exitOk;
--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -18,11 +18,15 @@
 /// How results are written.
 enum class Output : std::uint8_t { Table, Json };
 
+/// Whether a workspace's token is printed or hiddenToken in its place.
+enum class Tokens : std::uint8_t { Hidden, Shown };
+
 /// Prints all entries with their versions; tokens are hidden.
 int listEntries(PlatformCalls &platform, Output output);
 /// Prints one entry.
-int getEntry(PlatformCalls &platform, const EntryKey &key, Output output);
-/// Writes the entry file at \a path, after its references were checked.
+int getEntry(PlatformCalls &platform, const EntryKey &key, Output output, Tokens tokens);
+/// Writes the entry file at \a path, after its references were checked. hiddenToken in it keeps the
+/// stored token.
 int applyFile(PlatformCalls &platform, const std::string &path, Output output);
 /// Prints what applyFile() would change.
 int diffFile(PlatformCalls &platform, const std::string &path, Output output);
--- a/ctl/entryfile.cpp
+++ b/ctl/entryfile.cpp
@@ -75,6 +75,11 @@
     return file;
 }
 
+bool hidesToken(const EntryFile &file)
+{
+    return file.key.kind == EntryKind::Workspace && file.body.value("token", "") == hiddenToken;
+}
+
 std::vector<Fault> checkReferences(const EntryBody &body, const KnownEntries &known)
 {
     std::vector<Fault> faults;
--- a/ctl/entryfile.h
+++ b/ctl/entryfile.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -11,6 +12,9 @@
 
 namespace plantainswitch::ctl {
 
+/// Stands in the place of a workspace's token where that is not shown.
+inline constexpr std::string_view hiddenToken = "(hidden)";
+
 /// An entry file once it is checked.
 struct EntryFile
 {
@@ -24,6 +28,9 @@
 [[nodiscard]] std::optional<EntryFile> parseEntryFile(const std::string &text,
                                                       std::vector<Fault> &faults);
 
+/// \returns whether the file holds the hidden mark in the place of a token.
+[[nodiscard]] bool hidesToken(const EntryFile &file);
+
 /// All entries that exist at the platform, by key; bodies that can't be read are left out.
 using KnownEntries = std::map<EntryKey, EntryBody>;
 
--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -15,7 +15,7 @@
 Commands:
   status               which version is in force at the routers of each place
   list                 all entries with their versions
-  get KIND NAME        one entry
+  get KIND NAME        one entry; --show-token prints a workspace's token too
   apply -f FILE        write an entry: {"kind", "name", "version", "body"}; version 0 makes it new
   diff -f FILE         show what apply would change
   delete KIND NAME --if-version N
@@ -36,7 +36,8 @@
     }
     const EntryKey key{*kind, words[2]};
     if (words.front() == "get") {
-        return getEntry(platform, key, output);
+        const bool shown = given.count("show-token") > 0;
+        return getEntry(platform, key, output, shown ? Tokens::Shown : Tokens::Hidden);
     }
     if (given.count("if-version") == 0) {
         std::cerr << "delete needs --if-version N, the version that you looked at\n";
@@ -86,7 +87,8 @@
         "platform", options::value<std::string>()->default_value("http://127.0.0.1:21000"),
         "address of the platform's object API")("file,f", options::value<std::string>(),
                                                 "entry file")(
-        "if-version", options::value<std::uint64_t>(), "version that delete expects")(
+        "if-version", options::value<std::uint64_t>(),
+        "version that delete expects")("show-token", "let get print a workspace's token")(
         "output", options::value<std::string>()->default_value("table"), "json or table");
     options::positional_options_description positions;
     positions.add("words", -1);
--- a/tests/operators.cpp
+++ b/tests/operators.cpp
@@ -1,3 +1,7 @@
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
 #include <thread>
 
 #include <catch2/catch.hpp>
@@ -29,8 +33,29 @@
         , platform("http://" + toText(platformOf(this->fleet.deployment)))
     {}
 
+    /// \returns what get prints.
+    std::string printed(Tokens tokens)
+    {
+        std::ostringstream text;
+        std::streambuf *const before = std::cout.rdbuf(text.rdbuf());
+        const int code = getEntry(this->platform, this->workspace, Output::Json, tokens);
+        std::cout.rdbuf(before);
+        REQUIRE(code == exitOk);
+        return text.str();
+    }
+
+    int apply(const nlohmann::json &file)
+    {
+        const auto path = std::filesystem::temp_directory_path() / "plantainswitch-operators.json";
+        std::ofstream(path) << file.dump();
+        const int code = applyFile(this->platform, path.string(), Output::Json);
+        std::filesystem::remove(path);
+        return code;
+    }
+
     Fleet fleet;
     PlatformCalls platform;
+    EntryKey workspace{EntryKind::Workspace, "workspace-0"};
     EntryKey regulated{EntryKind::DataClass, "regulated"};
 };
 
@@ -89,3 +114,42 @@
                && reports->objects.front().body["lowestVersion"] > 0;
     }));
 }
+
+TEST_CASE_METHOD(OperatorsFixture, "get_workspace_hidesTokenUnlessAsked", "[operators]")
+{
+    CHECK(this->printed(Tokens::Hidden).find("token-lowther-0") == std::string::npos);
+    CHECK(this->printed(Tokens::Shown).find("token-lowther-0") != std::string::npos);
+}
+
+TEST_CASE_METHOD(OperatorsFixture, "apply_hiddenMark_keepsTheStoredToken", "[operators]")
+{
+    // An operator reads a workspace without its token, edits a limit and applies the file. The
+    // mark written as a token would lock all callers of the workspace out.
+    auto file = nlohmann::json::parse(this->printed(Tokens::Hidden));
+    file["body"]["weight"] = 7;
+    REQUIRE(this->apply(file) == exitOk);
+    const auto stored = this->platform.get(this->workspace).object;
+    CHECK(stored->body["token"] == "token-lowther-0");
+    CHECK(stored->body["weight"] == 7);
+}
+
+TEST_CASE_METHOD(OperatorsFixture, "apply_hiddenMarkAfterTokenChanged_losesTheRace", "[operators]")
+{
+    // The token is changed between one operator's get and apply. The old one must not come back.
+    const auto file = nlohmann::json::parse(this->printed(Tokens::Hidden));
+    auto newer = nlohmann::json::parse(this->printed(Tokens::Shown));
+    newer["body"]["token"] = "token-renewed";
+    REQUIRE(this->apply(newer) == exitOk);
+    CHECK(this->apply(file) == exitConflict);
+    CHECK(this->platform.get(this->workspace).object->body["token"] == "token-renewed");
+}
+
+TEST_CASE_METHOD(OperatorsFixture, "apply_hiddenMarkOfNewWorkspace_isRefused", "[operators]")
+{
+    auto file = nlohmann::json::parse(this->printed(Tokens::Hidden));
+    file["name"] = "workspace-new";
+    file["version"] = 0;
+    CHECK(this->apply(file) == exitBadInput);
+    CHECK(this->platform.get({EntryKind::Workspace, "workspace-new"}).status
+          == net::PlatformStatus::NotFound);
+}
