--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -23,10 +23,15 @@
     /// Path without the query.
     std::string path;
     std::map<std::string, std::string, std::less<>> query;
+    /// Query byte for byte as it came, with its '?'; empty if there was none.
+    std::string rawQuery;
     Headers headers;
     std::string body;
     /// The server has more connections than it should; the request is best refused.
     bool crowded = false;
+    /// What of the request's head is larger than it may be; empty if nothing is. The request is
+    /// best refused.
+    std::string excess;
 
     /// \returns the header of that lower-case name, or an empty text.
     [[nodiscard]] std::string_view header(std::string_view name) const;
