Count sent control messages by kind

Cause: the demo's 2.6 to 3.1 KB/s of control a router could not be taken apart.

control_sent_kind_messages_total and control_sent_kind_bytes_total have a label for the kind of message; the demo prints the bytes by kind. The sum is counted as before.

Ruled out as the cause: catalogue pulls (2 and 0), limits, lists and summaries (none sent).

--- a/daemon/peercalls.cpp
+++ b/daemon/peercalls.cpp
@@ -123,7 +123,7 @@
         }
         reply->set_complete_version(own.catalogueVersion);
         reply->set_catalogue_age(own.catalogueAge);
-        this->node.metrics.count(Counter::ControlBytesSent, reply->ByteSizeLong());
+        this->node.metrics.countSent(ControlKind::Pull, reply->ByteSizeLong());
         grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
         reactor->Finish(grpc::Status::OK);
         return reactor;
--- a/daemon/peerlink.cpp
+++ b/daemon/peerlink.cpp
@@ -12,6 +12,9 @@
 /// Bytes of IP and UDP headers, counted as control traffic like the payload.
 constexpr std::size_t datagramOverhead = 28;
 
+static_assert(std::variant_size_v<PeerBody> == static_cast<std::size_t>(ControlKind::Pull),
+              "ControlKind lists the bodies in their order, then the call");
+
 udp::endpoint addressOf(const Endpoint &endpoint)
 {
     return {asio::ip::make_address(endpoint.host), endpoint.port};
@@ -73,7 +76,8 @@
 void PeerLink::send(const Endpoint &to, const PeerBody &body)
 {
     auto bytes = std::make_shared<std::string>(encode({this->node.identity, body}));
-    this->node.metrics.count(Counter::ControlBytesSent, bytes->size() + datagramOverhead);
+    this->node.metrics.countSent(static_cast<ControlKind>(body.index()),
+                                 bytes->size() + datagramOverhead);
     asio::post(this->strand, [self = this->shared_from_this(), bytes, to = addressOf(to)] {
         self->socket.async_send_to(asio::buffer(*bytes), to,
                                    [bytes](const asio::error_code &, std::size_t) {});
--- a/include/plantainswitch/observe/metrics.h
+++ b/include/plantainswitch/observe/metrics.h
@@ -34,6 +34,26 @@
 /// What is measured as a histogram for each workspace and data class.
 enum class Timing : std::uint8_t { FirstByte, Whole, Placement };
 
+/// Kinds of control messages that a router sends.
+enum class ControlKind : std::uint8_t {
+    Swim,
+    Leaving,
+    SlotAsk,
+    SlotReply,
+    SlotRelease,
+    ClaimAsk,
+    ClaimReply,
+    ClaimRelease,
+    SuspectNews,
+    LimitReport,
+    LimitShares,
+    SlotDigest,
+    SlotListAsk,
+    SlotList,
+    ShardSummary,
+    Pull,
+};
+
 /// Counters and Boost.Histogram histograms of one router, safe to use from all workers.
 class Metrics
 {
@@ -44,6 +64,8 @@
     Metrics &operator=(const Metrics &) = delete;
 
     void count(Counter counter, std::uint64_t amount = 1) noexcept;
+    /// Counts a control message that is sent, by its kind and in the sum of all.
+    void countSent(ControlKind kind, std::uint64_t bytes) noexcept;
     void countRefusal(ErrorKind kind) noexcept;
     /// Records \a elapsed for the workspace and its data class.
     void record(Timing timing, const std::string &workspace, const std::string &dataClass,
--- a/lab/demo.cpp
+++ b/lab/demo.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <future>
 #include <iostream>
+#include <map>
 #include <mutex>
+#include <sstream>
 #include <thread>
 
 #include <asio/executor_work_guard.hpp>
@@ -26,6 +28,9 @@
 constexpr std::chrono::seconds inForcePatience{16};
 constexpr double tail = 0.99;
 
+/// Control bytes that the routers of a deployment have sent, by kind of message.
+using ControlBytes = std::map<std::string, std::uint64_t>;
+
 /// One deployment while the demo runs.
 struct Stage
 {
@@ -40,8 +45,8 @@
     Load load;
     std::vector<double> skews;
     std::vector<double> inForceSeconds;
-    std::vector<std::uint64_t> controlBefore;
-    std::vector<std::uint64_t> controlAfter;
+    ControlBytes controlBefore;
+    ControlBytes controlAfter;
 };
 
 /// Fetches a page and waits for it; for the demo's own thread only.
@@ -58,12 +63,19 @@
     return promise->get_future().get();
 }
 
-std::uint64_t controlBytes(net::HttpClient &http, const RouterLayout &router)
+/// Adds what the router has sent to \a into.
+void addControl(net::HttpClient &http, const RouterLayout &router, ControlBytes &into)
 {
-    const std::string page = fetchNow(http, "http://" + toText(router.operators) + "/metrics");
-    constexpr std::string_view name = "\nplantainswitch_control_sent_bytes_total ";
-    const std::size_t found = page.find(name);
-    return found == std::string::npos ? 0 : std::stoull(page.substr(found + name.size()));
+    constexpr std::string_view name = "plantainswitch_control_sent_kind_bytes_total{kind=\"";
+    constexpr std::string_view afterKind = "\"} ";
+    std::istringstream page(fetchNow(http, "http://" + toText(router.operators) + "/metrics"));
+    for (std::string line; std::getline(page, line);) {
+        const std::size_t end = line.find(afterKind);
+        if (line.starts_with(name) && end != std::string::npos) {
+            into[line.substr(name.size(), end - name.size())] +=
+                std::stoull(line.substr(end + afterKind.size()));
+        }
+    }
 }
 
 bool awaitReady(net::HttpClient &http, const Deployment &deployment)
@@ -127,10 +139,10 @@
     return true;
 }
 
-void readControl(net::HttpClient &http, const Stage &stage, std::vector<std::uint64_t> &into)
+void readControl(net::HttpClient &http, const Stage &stage, ControlBytes &into)
 {
     for (const RouterLayout &router : routersOf(stage.deployment)) {
-        into.push_back(controlBytes(http, router));
+        addControl(http, router, into);
     }
 }
 
@@ -149,6 +161,23 @@
     std::cout << fmt::format("  {:<44} {}\n", name, value);
 }
 
+void printControl(const Stage &stage, std::chrono::seconds duration)
+{
+    const auto shares = static_cast<double>(routersOf(stage.deployment).size())
+                        * static_cast<double>(duration.count());
+    double sum = 0;
+    std::string kinds;
+    for (const auto &[kind, bytes] : stage.controlAfter) {
+        const auto before = stage.controlBefore.find(kind);
+        const std::uint64_t known = before == stage.controlBefore.end() ? 0 : before->second;
+        const double rate = static_cast<double>(bytes - known) / shares;
+        sum += rate;
+        kinds += fmt::format("{}{} {:.0f}", kinds.empty() ? "" : ", ", kind, rate);
+    }
+    printRow("control bytes a second and router", fmt::format("{:.0f}", sum));
+    printRow("  of these by kind of message", kinds);
+}
+
 bool printStage(const Stage &stage, std::chrono::seconds duration)
 {
     std::uint64_t cached = 0;
@@ -158,12 +187,6 @@
         cached += reused;
         prompt += all;
     }
-    double control = 0;
-    for (std::size_t index = 0; index < stage.controlAfter.size(); ++index) {
-        control += static_cast<double>(stage.controlAfter[index] - stage.controlBefore[index]);
-    }
-    const auto routers = static_cast<double>(stage.controlAfter.size());
-    control /= routers * static_cast<double>(duration.count());
     const auto report = stage.load.report();
     std::cout << "\n" << stage.deployment.name << "\n";
     printRow("requests sent", report["sent"].dump());
@@ -179,7 +202,7 @@
     printRow(
         "skew within a place, p50 and p99",
         fmt::format("{:.2f}, {:.2f}", quantileOf(stage.skews, 0.5), quantileOf(stage.skews, tail)));
-    printRow("control bytes a second and router", fmt::format("{:.0f}", control));
+    printControl(stage, duration);
     printRow("edit in force, slowest router, seconds",
              fmt::format("{:.2f}", quantileOf(stage.inForceSeconds, 1.0)));
     printRow("first event p50, p99, seconds",
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -33,6 +33,16 @@
     std::string_view{"queue_refused_total"},
     std::string_view{"queue_expired_total"},
 };
+constexpr std::array controlNames{
+    std::string_view{"swim"},          std::string_view{"leaving"},
+    std::string_view{"slot_ask"},      std::string_view{"slot_reply"},
+    std::string_view{"slot_release"},  std::string_view{"claim_ask"},
+    std::string_view{"claim_reply"},   std::string_view{"claim_release"},
+    std::string_view{"suspect_news"},  std::string_view{"limit_report"},
+    std::string_view{"limit_shares"},  std::string_view{"slot_digest"},
+    std::string_view{"slot_list_ask"}, std::string_view{"slot_list"},
+    std::string_view{"shard_summary"}, std::string_view{"pull"},
+};
 constexpr std::array timingNames{std::string_view{"first_byte_seconds"},
                                  std::string_view{"whole_seconds"},
                                  std::string_view{"placement_seconds"}};
@@ -55,6 +65,26 @@
 
 using SeriesKey = std::tuple<Timing, std::string, std::string>;
 
+/// Counters of one control kind.
+struct Sent
+{
+    std::atomic<std::uint64_t> messages;
+    std::atomic<std::uint64_t> bytes;
+};
+using SentByKind = std::array<Sent, controlNames.size()>;
+
+void renderSent(std::ostringstream &out, std::string_view name, const SentByKind &sent,
+                std::atomic<std::uint64_t> Sent::*field)
+{
+    out << "# TYPE " << prefix << name << " counter\n";
+    for (std::size_t kind = 0; kind < sent.size(); ++kind) {
+        const std::uint64_t value = sent.at(kind).*field;
+        if (value > 0) {
+            out << prefix << name << "{kind=\"" << controlNames.at(kind) << "\"} " << value << "\n";
+        }
+    }
+}
+
 void renderSeries(std::ostringstream &out, const SeriesKey &key, const Series &series)
 {
     const auto &[timing, workspace, dataClass] = key;
@@ -79,6 +109,7 @@
 {
     std::array<std::atomic<std::uint64_t>, counterNames.size()> counters{};
     std::array<std::atomic<std::uint64_t>, errorKinds> refusals{};
+    SentByKind sent{};
     mutable RankedMutex mutex{LockRank::Metrics};
     std::map<SeriesKey, Series> series;
 };
@@ -94,6 +125,14 @@
     this->state->counters.at(static_cast<std::size_t>(counter)) += amount;
 }
 
+void Metrics::countSent(ControlKind kind, std::uint64_t bytes) noexcept
+{
+    Sent &sent = this->state->sent.at(static_cast<std::size_t>(kind));
+    ++sent.messages;
+    sent.bytes += bytes;
+    this->count(Counter::ControlBytesSent, bytes);
+}
+
 void Metrics::countRefusal(ErrorKind kind) noexcept
 {
     ++this->state->refusals.at(static_cast<std::size_t>(kind));
@@ -130,6 +169,8 @@
                 << errorRow(static_cast<ErrorKind>(index)).name << "\"} " << refused << "\n";
         }
     }
+    renderSent(out, "control_sent_kind_messages_total", this->state->sent, &Sent::messages);
+    renderSent(out, "control_sent_kind_bytes_total", this->state->sent, &Sent::bytes);
     const RankedLock lock(this->state->mutex);
     for (const std::string_view name : timingNames) {
         out << "# TYPE " << prefix << name << " histogram\n";
