Choose a claim's writer in the library

Cause: which router is asked to write a claim, when it counts as silent and when a router writes itself stood inside the daemon, where no bench can drive it on a manual clock.

The choice is now writersOf() and nextAskStep(), with time handed in; limits keep the present way (one writer, no memory of silence). An acknowledged ask is repeated after 250 ms, as was meant, and not after the 100 ms of one that is not acknowledged.

--- a/daemon/claimservice.cpp
+++ b/daemon/claimservice.cpp
@@ -1,5 +1,7 @@
 #include "claimservice.h"
 
+#include <algorithm>
+
 #include <asio/bind_executor.hpp>
 #include <asio/post.hpp>
 
@@ -12,10 +14,6 @@
 constexpr const char *logKind = "claimlog";
 /// After this time a request that could not be claimed is refused as not run.
 constexpr std::chrono::milliseconds claimDeadline{2000};
-constexpr std::chrono::milliseconds ackTimeout{100};
-constexpr std::chrono::milliseconds askAgainAfter{250};
-/// Asks without an acknowledgement after which a router writes itself.
-constexpr int unheardAsks = 2;
 /// Time of failing after which asks are refused at once instead of waiting out their deadline.
 constexpr std::chrono::milliseconds failingLong{1000};
 
@@ -90,19 +88,20 @@
     return mixHash(this->node.identity, this->nonces++);
 }
 
-Heartbeat ClaimService::writerOf(const ClaimId &id) const
+std::vector<Heartbeat> ClaimService::writersFor(const ClaimId &id) const
 {
     const auto members = this->node.members.active();
-    std::vector<Candidate> candidates;
+    std::vector<WriterCandidate> candidates;
     candidates.reserve(members.size());
     for (const Heartbeat &member : members) {
-        candidates.push_back({hashOf(member.id), 1.0});
+        candidates.push_back({hashOf(member.id), member.place});
     }
-    if (candidates.empty()) {
-        return this->node.heartbeat();
+    std::vector<Heartbeat> writers;
+    for (const std::size_t index :
+         writersOf(sliceOf(id), candidates, this->node.settings.place, this->limits)) {
+        writers.push_back(members[index]);
     }
-    const std::uint64_t key = hashOf(logKind, sliceOf(id));
-    return members[rendezvousOrder(key, candidates).front()];
+    return writers;
 }
 
 void ClaimService::claim(const ClaimAsk &ask, Done done)
@@ -121,29 +120,36 @@
 
 void ClaimService::begin(const std::shared_ptr<Ask> &ask)
 {
-    this->send(ask);
-    this->askAgain(ask);
-}
-
-void ClaimService::send(const std::shared_ptr<Ask> &ask)
-{
-    const Heartbeat writer = this->writerOf(ask->ask.claim.id);
-    if (ask->local || writer.id == this->node.settings.id) {
-        this->writeHere(ask);
+    const auto writers = this->writersFor(ask->ask.claim.id);
+    std::vector<std::uint64_t> ids;
+    ids.reserve(writers.size());
+    for (const Heartbeat &writer : writers) {
+        ids.push_back(hashOf(writer.id));
+    }
+    const AskStep step = nextAskStep(ask->route, this->silent, ids, hashOf(this->node.settings.id),
+                                     this->limits, this->node.clock.now());
+    if (step.silent != 0) {
+        const auto given = std::find(ids.begin(), ids.end(), step.silent);
+        const bool member = given != ids.end();
+        logEvent(Event::ClaimWriterSilent,
+                 {{"writer", member ? writers[static_cast<std::size_t>(given - ids.begin())].id
+                                    : std::to_string(step.silent)}});
+    }
+    if (step.action == AskAction::Refuse) {
+        const std::uint64_t nonce = ask->ask.claim.nonce;
+        this->finish(nonce, {nonce, ClaimVerdict::Unavailable, {}});
         return;
     }
-    if (ask->unheard >= unheardAsks) {
-        logEvent(Event::ClaimWriterSilent, {{"writer", writer.id}});
-        this->writeHere(ask);
+    this->askAgain(ask, step.wait);
+    if (step.action == AskAction::Send) {
+        this->link->send(writers[step.writer].datagrams, ask->ask);
         return;
     }
-    ++ask->unheard;
-    this->link->send(writer.datagrams, ask->ask);
+    this->writeHere(ask);
 }
 
 void ClaimService::writeHere(const std::shared_ptr<Ask> &ask)
 {
-    ask->local = true;
     Slice &slice = this->sliceFor(ask->ask.claim.id);
     const ClaimVerdict verdict = this->takeAsk(slice, ask->ask);
     if (verdict == ClaimVerdict::Unavailable) {
@@ -153,9 +159,9 @@
     this->pump(slice);
 }
 
-void ClaimService::askAgain(const std::shared_ptr<Ask> &ask)
+void ClaimService::askAgain(const std::shared_ptr<Ask> &ask, Duration wait)
 {
-    ask->timer->expires_after(ask->unheard > 0 ? ackTimeout : askAgainAfter);
+    ask->timer->expires_after(wait);
     ask->timer->async_wait(asio::bind_executor(
         this->strand, [self = this->shared_from_this(), ask](const asio::error_code &error) {
             const std::uint64_t nonce = ask->ask.claim.nonce;
@@ -177,13 +183,15 @@
         return;
     }
     const std::shared_ptr<Ask> ask = found->second;
-    ask->unheard = 0;
+    hearWriter(ask->route, this->silent);
     if (reply.verdict == ClaimVerdict::Queued) {
+        this->askAgain(ask, this->limits.askAgainAfter);
         return;
     }
     if (reply.verdict == ClaimVerdict::Unavailable) {
-        // The writer may be cut off from the platform while this router is not.
-        this->writeHere(ask);
+        // The writer may be cut off from the platform while others are not.
+        refuseWriter(ask->route);
+        this->begin(ask);
         return;
     }
     ClaimReply own = reply;
@@ -304,9 +312,9 @@
 {
     logEvent(Event::ClaimReleased, {{"nonce", std::to_string(claim.nonce)}});
     asio::post(this->strand, [self = this->shared_from_this(), claim] {
-        const Heartbeat writer = self->writerOf(claim.id);
-        if (writer.id != self->node.settings.id) {
-            self->link->send(writer.datagrams, ClaimRelease{claim.id, claim.nonce});
+        const auto writers = self->writersFor(claim.id);
+        if (!writers.empty() && writers.front().id != self->node.settings.id) {
+            self->link->send(writers.front().datagrams, ClaimRelease{claim.id, claim.nonce});
         }
         const auto own = self->slices.find(sliceOf(claim.id));
         if (own != self->slices.end()) {
--- a/daemon/claimservice.h
+++ b/daemon/claimservice.h
@@ -48,8 +48,7 @@
         Done done;
         std::unique_ptr<asio::steady_timer> timer;
         TimePoint deadline;
-        int unheard = 0;
-        bool local = false;
+        AskRoute route;
     };
     struct Slice
     {
@@ -60,8 +59,7 @@
     };
 
     void begin(const std::shared_ptr<Ask> &ask);
-    void send(const std::shared_ptr<Ask> &ask);
-    void askAgain(const std::shared_ptr<Ask> &ask);
+    void askAgain(const std::shared_ptr<Ask> &ask, Duration wait);
     void hearReply(const ClaimReply &reply);
     void finish(std::uint64_t nonce, const ClaimReply &reply);
     void hearAsk(const Endpoint &from, const ClaimAsk &ask);
@@ -72,7 +70,7 @@
     void runCall(Slice &slice, const StoreCall &call);
     void takeAnswer(Slice &slice, const net::PlatformAnswer &answer);
     void deliver(Slice &slice, const std::vector<ClaimReply> &replies);
-    [[nodiscard]] Heartbeat writerOf(const ClaimId &id) const;
+    [[nodiscard]] std::vector<Heartbeat> writersFor(const ClaimId &id) const;
 
     Node &node;
     std::shared_ptr<PeerLink> link;
@@ -80,6 +78,8 @@
     net::PlatformClient platform;
     asio::strand<asio::io_context::executor_type> strand;
     std::atomic<std::uint64_t> nonces = 1;
+    WriterLimits limits;
+    SilentWriters silent;
     std::map<std::uint32_t, Slice> slices;
     std::unordered_map<std::uint64_t, std::shared_ptr<Ask>> asks;
 };
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -12,6 +12,7 @@
 #include "plantainswitch/claims/claim.h"
 #include "plantainswitch/claims/log.h"
 #include "plantainswitch/claims/ownclaims.h"
+#include "plantainswitch/claims/writerchoice.h"
 #include "plantainswitch/limits/fairqueue.h"
 #include "plantainswitch/limits/shares.h"
 #include "plantainswitch/limits/table.h"
