Measure claims at size by a bench on a manual clock

Cause: writes a claim, reads of a takeover and tries while two sides write were arithmetic.

plantain-lab claims runs the decision functions of 1,200 routers over a store in memory.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -9,6 +9,7 @@
 #include <boost/program_options.hpp>
 
 #include "callsbench.h"
+#include "claimsbench.h"
 #include "demo.h"
 #include "deployment.h"
 #include "fairness.h"
@@ -38,6 +39,7 @@
   load       send returning chats to a deployment's routers and check the answers
   relay      measure what the bench deployment's router adds; needs --router-pid
   calls      count real routers' calls to the platform and their control bytes
+  claims     run the claims' functions over a store in memory with one fault
   members    run the membership functions over a queue of messages with loss and deaths
   demo       stand-ins, load and an edit for all deployments; prints a table
   fairness   measure the waits of others while one workspace surges
@@ -154,11 +156,46 @@
     return exitOk;
 }
 
+int runClaimsBench(const options::variables_map &given)
+{
+    ClaimsOptions claims;
+    const auto fault = claimFaultOf(given["fault"].as<std::string>());
+    claims.routers = given["routers"].as<unsigned>();
+    claims.places = given["places"].as<unsigned>();
+    claims.claimsPerSecond = given["rate"].as<double>();
+    claims.seconds = given["seconds"].as<unsigned>();
+    claims.seed = given["seed"].as<std::uint64_t>();
+    claims.loss = given["loss"].as<double>();
+    claims.cutPlaces = given["cut-places"].as<unsigned>();
+    claims.storeTime = Milliseconds{given["store-ms"].as<unsigned>()};
+    if (given["cut"].as<unsigned>() > 0) {
+        claims.faultSeconds = given["cut"].as<unsigned>();
+    }
+    if (!fault || claims.routers < claims.places || claims.places == 0 || claims.seconds == 0
+        || claims.claimsPerSecond <= 0) {
+        std::cerr << "there must be a fault by name, places, more routers, a rate and a time\n";
+        return exitBadInput;
+    }
+    claims.fault = *fault;
+    const nlohmann::ordered_json report = measureClaims(claims);
+    if (given.count("json") > 0) {
+        std::cout << report.dump(2) << "\n";
+        return exitOk;
+    }
+    for (const auto &[name, value] : report.items()) {
+        std::cout << name << ": " << value.dump() << "\n";
+    }
+    return exitOk;
+}
+
 int runCommand(const std::string &command, const options::variables_map &given)
 {
     if (command == "scale") {
         return runScale(given);
     }
+    if (command == "claims") {
+        return runClaimsBench(given);
+    }
     const std::vector<Deployment> deployments = chosenDeployments(given);
     if (deployments.empty()) {
         std::cerr << "there is no such deployment\n";
@@ -233,14 +270,19 @@
         "number of routers")("edits", options::value<double>()->default_value(0), "edits a second")(
         "port-offset", options::value<unsigned>()->default_value(0),
         "added to every port, so that several demos fit on one machine")(
-        "json", "scale: print JSON with every point")(
-        "shrink", options::value<unsigned>()->default_value(1), "scale: divide each size");
+        "json", "scale, claims: print JSON")("shrink", options::value<unsigned>()->default_value(1),
+                                             "scale: divide each size");
     described.add_options()("places", options::value<unsigned>()->default_value(1),
                             "places of the members' run")(
         "loss", options::value<double>()->default_value(0.05), "share of lost datagrams")(
-        "deaths", options::value<unsigned>()->default_value(5),
-        "routers that die")("cut", options::value<unsigned>()->default_value(0),
-                            "seconds for which the first place is cut off");
+        "deaths", options::value<unsigned>()->default_value(5), "routers that die")(
+        "cut", options::value<unsigned>()->default_value(0),
+        "seconds for which the first place is cut off, or a fault of claims lasts")(
+        "fault", options::value<std::string>()->default_value("none"),
+        "claims: none, silent, cut or store-down")("cut-places",
+                                                   options::value<unsigned>()->default_value(1),
+                                                   "claims: places that are cut off")(
+        "store-ms", options::value<unsigned>()->default_value(3), "claims: time of a store's call");
     options::positional_options_description positions;
     positions.add("command", 1);
     options::variables_map given;
