Prove at most once with routers frozen longer than every timeout

Cause: no test froze a real router; the pause between claim and dispatch was proved in the decision code only. Router::freeze() blocks all workers; what peers call meanwhile is lost by a predicate that is empty in the daemon. fleethistory's record of orders moves to lab/orderrecord.h, for both tests.

Not run: AddressSanitizer.

--- a/daemon/node.h
+++ b/daemon/node.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 
 #include <asio/io_context.hpp>
 
@@ -11,6 +12,9 @@
 
 namespace plantainswitch {
 
+/// Tells whether what is sent to a peer's address is lost; empty but in tests of cut networks.
+using PeerLoss = std::function<bool(const Endpoint &to)>;
+
 /// What the parts of a router share: its settings, clock and tables.
 struct Node
 {
@@ -22,8 +26,15 @@
     void countRouters(const std::vector<Heartbeat> &active);
     /// \returns the number of routers by which limits are divided.
     [[nodiscard]] FleetSize fleetSize() const noexcept;
+    /// \returns whether what is sent to a peer's address is lost.
+    [[nodiscard]] bool loses(const Endpoint &to) const
+    {
+        return this->peerLoss && this->peerLoss(to);
+    }
 
     Settings settings;
+    /// Set before the router runs.
+    PeerLoss peerLoss;
     const Clock &clock;
     std::uint64_t incarnation;
     /// Hash of id and incarnation, by which peers know this process.
--- a/daemon/peercalls.cpp
+++ b/daemon/peercalls.cpp
@@ -288,6 +288,10 @@
 void PeerCalls::pull(const Heartbeat &peer, std::uint64_t version, std::uint64_t vmStamp,
                      std::function<void(std::optional<Pulled>)> done)
 {
+    if (this->state->node.loses(peer.calls)) {
+        done(std::nullopt);
+        return;
+    }
     auto call = std::make_shared<PullCall>();
     call->channel = this->state->channelTo(peer.calls);
     call->stub = wire::Peer::NewStub(call->channel);
@@ -302,6 +306,10 @@
 void PeerCalls::ownClaim(const Heartbeat &owner, std::uint64_t nonce,
                          std::function<void(std::optional<OwnClaim>)> done)
 {
+    if (this->state->node.loses(owner.calls)) {
+        done(std::nullopt);
+        return;
+    }
     auto call = std::make_shared<OwnClaimCall>();
     call->channel = this->state->channelTo(owner.calls);
     call->stub = wire::Peer::NewStub(call->channel);
--- a/daemon/peerlink.cpp
+++ b/daemon/peerlink.cpp
@@ -74,6 +74,9 @@
 {
     auto bytes = std::make_shared<std::string>(encode({this->node.identity, body}));
     this->node.metrics.count(Counter::ControlBytesSent, bytes->size() + datagramOverhead);
+    if (this->node.loses(to)) {
+        return;
+    }
     asio::post(this->strand, [self = this->shared_from_this(), bytes, to = addressOf(to)] {
         self->socket.async_send_to(asio::buffer(*bytes), to,
                                    [bytes](const asio::error_code &, std::size_t) {});
--- a/daemon/router.cpp
+++ b/daemon/router.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-Router::Router(Settings settings, const Clock &clock)
+Router::Router(Settings settings, const Clock &clock, PeerLoss peerLoss)
     : node(std::move(settings), clock,
            static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count()))
     , signals(context, SIGTERM, SIGINT)
@@ -40,6 +40,7 @@
     , claims(std::make_shared<ClaimService>(context, node, link, calls, claimHttp))
     , suspects(std::make_shared<SuspectSharing>(node, link))
 {
+    this->node.peerLoss = std::move(peerLoss);
     std::vector<net::HttpClient *> clients;
     for (std::uint32_t index = 0; index < this->node.settings.workers; ++index) {
         this->upstreamHttp.push_back(std::make_unique<net::HttpClient>(this->context));
@@ -104,6 +105,17 @@
 void Router::kill()
 {
     this->context.stop();
+    this->pause.end();
+}
+
+void Router::freeze()
+{
+    this->pause.begin(this->context, this->node.settings.workers);
+}
+
+void Router::thaw()
+{
+    this->pause.end();
 }
 
 void Router::openServers()
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -23,6 +23,7 @@
 #include "statuswriter.h"
 #include "suspectnews.h"
 #include "sync.h"
+#include "workerpause.h"
 
 namespace plantainswitch {
 
@@ -30,7 +31,8 @@
 class Router
 {
 public:
-    Router(Settings settings, const Clock &clock);
+    /// \param peerLoss for tests: what of the traffic to peers gets lost
+    Router(Settings settings, const Clock &clock, PeerLoss peerLoss = {});
     ~Router();
     Router(const Router &) = delete;
     Router &operator=(const Router &) = delete;
@@ -41,6 +43,9 @@
     void stop();
     /// Leaves at once, as a crash would, for tests of failures. Safe from any thread.
     void kill();
+    /// Pauses all workers, as the pause of a VM does, for tests of failures; sockets stay open.
+    void freeze();
+    void thaw();
 
 private:
     void openServers();
@@ -54,6 +59,7 @@
     /// Goes before the node: work that never ran dies with it, and requests in that work still
     /// count themselves out of the node's tables.
     asio::io_context context;
+    WorkerPause pause;
     asio::signal_set signals;
     asio::steady_timer drainTimer;
     TimePoint stopBegan;
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -43,6 +43,7 @@
     : deployment(std::move(wanted))
     , block(takeBlock(this->context, this->deployment.basePort))
     , layout(routersOf(this->deployment))
+    , cuts(layout)
     , guard(asio::make_work_guard(context))
     , standIns(context, this->deployment)
     , http(context)
@@ -85,12 +86,16 @@
     return this->start() && eventually([this] { return this->allKnowEachOther(); });
 }
 
+std::size_t Fleet::memberCount(std::size_t router)
+{
+    const nlohmann::json page = this->status(router);
+    return page.is_object() ? page.at("members").size() : 0;
+}
+
 bool Fleet::allKnowEachOther()
 {
     for (std::size_t router = 0; router < this->layout.size(); ++router) {
-        const auto page = this->operatorPage(router, "/status");
-        const auto json = nlohmann::json::parse(page.body, nullptr, false);
-        if (!json.is_object() || json["members"].size() != this->layout.size()) {
+        if (this->memberCount(router) != this->layout.size()) {
             return false;
         }
     }
@@ -102,7 +107,9 @@
     std::vector<Fault> faults;
     const std::string text = settingsOf(this->deployment, this->layout[index]).dump();
     Running &running = this->routers[index];
-    running.router = std::make_unique<Router>(*parseSettings(text, faults), this->clock);
+    running.router = std::make_unique<Router>(
+        *parseSettings(text, faults), this->clock,
+        [this, index](const Endpoint &to) { return this->cuts.loses(index, to); });
     running.thread = std::thread([router = running.router.get()] { router->run(); });
 }
 
@@ -123,6 +130,28 @@
     this->routers.erase(index);
 }
 
+void Fleet::freezeRouter(std::size_t index)
+{
+    this->cuts.silence(index, true);
+    this->routers.at(index).router->freeze();
+}
+
+void Fleet::thawRouter(std::size_t index)
+{
+    this->routers.at(index).router->thaw();
+    this->cuts.silence(index, false);
+}
+
+void Fleet::cut(const std::vector<std::size_t> &one, const std::vector<std::size_t> &other)
+{
+    this->cuts.cut(one, other);
+}
+
+void Fleet::heal()
+{
+    this->cuts.heal();
+}
+
 bool Fleet::awaitReady(std::size_t index)
 {
     return eventually(
@@ -162,6 +191,19 @@
     return this->fetch(std::move(call));
 }
 
+nlohmann::json Fleet::status(std::size_t router)
+{
+    auto page = nlohmann::json::parse(this->operatorPage(router, "/status").body, nullptr, false);
+    return page.is_object() ? page : nlohmann::json();
+}
+
+net::HttpAnswer Fleet::platformPage(const std::string &path)
+{
+    net::HttpCall call;
+    call.url = "http://" + toText(platformOf(this->deployment)) + path;
+    return this->fetch(std::move(call));
+}
+
 void Fleet::setFaults(const nlohmann::json &faults)
 {
     net::HttpCall call;
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -11,6 +11,7 @@
 
 #include "router.h"
 
+#include "cuts.h"
 #include "deployment.h"
 #include "standins.h"
 
@@ -30,6 +31,8 @@
     [[nodiscard]] bool start();
     /// Starts all routers and waits until each is ready and knows all others.
     [[nodiscard]] bool startAndMeet();
+    /// \returns how many routers a router counts as members, itself included.
+    [[nodiscard]] std::size_t memberCount(std::size_t router);
     /// \returns whether each router counts all routers of the layout as members.
     [[nodiscard]] bool allKnowEachOther();
     void startRouter(std::size_t index);
@@ -38,6 +41,13 @@
     /// Ends a router at once, as a crash does.
     void killRouter(std::size_t index);
     void awaitStopped(std::size_t index);
+    /// Pauses a router as the pause of its VM does: it neither answers nor sends, its sockets
+    /// stay open. Returns once it is paused.
+    void freezeRouter(std::size_t index);
+    void thawRouter(std::size_t index);
+    /// Cuts the routers of \a one and those of \a other from each other, until heal().
+    void cut(const std::vector<std::size_t> &one, const std::vector<std::size_t> &other);
+    void heal();
     [[nodiscard]] bool awaitReady(std::size_t index);
 
     /// Calls a router's callers' address and waits for the answer.
@@ -47,6 +57,10 @@
                          const nlohmann::json &body);
     /// Fetches a page of a router's operators' address.
     net::HttpAnswer operatorPage(std::size_t router, const std::string &path);
+    /// \returns a router's /status page, or null when it has none to show.
+    nlohmann::json status(std::size_t router);
+    /// Fetches a page of the platform.
+    net::HttpAnswer platformPage(const std::string &path);
     /// Puts the platform's faults.
     void setFaults(const nlohmann::json &faults);
     /// Waits until \a condition holds, for at most a generous time. \returns whether it did.
@@ -73,6 +87,7 @@
 
     net::HttpAnswer fetch(net::HttpCall call);
 
+    Cuts cuts;
     SystemClock clock;
     asio::executor_work_guard<asio::io_context::executor_type> guard;
 
--- a/tests/fleethistory.cpp
+++ b/tests/fleethistory.cpp
@@ -1,5 +1,4 @@
 #include <atomic>
-#include <mutex>
 #include <random>
 
 #include <catch2/catch.hpp>
@@ -7,6 +6,7 @@
 #include "fleet.h"
 #include "history.h"
 #include "load.h"
+#include "orderrecord.h"
 
 using namespace plantainswitch;
 using namespace plantainswitch::lab;
@@ -15,33 +15,17 @@
 
 constexpr std::uint16_t ownPorts = 31'200;
 constexpr std::size_t routerCount = 3;
-constexpr int statusOk = 200;
 constexpr std::uint32_t callers = 4;
 constexpr std::uint32_t mostOrders = 10'000;
 constexpr std::uint32_t sendingsOfOrder = 6;
 constexpr std::uint32_t faultRounds = 8;
 
-/// A sending of an order as its caller saw it.
-struct Sending
-{
-    std::uint32_t order = 0;
-    std::string request;
-    std::string answeredKey;
-    bool answered = false;
-    bool refusedNotRun = false;
-};
-
 void expectNone(const std::optional<std::string> &violation)
 {
     INFO(violation.value_or(""));
     CHECK_FALSE(violation.has_value());
 }
 
-std::string keyOf(std::uint32_t order)
-{
-    return "order-" + std::to_string(order);
-}
-
 /// Real routers under load while routers die, the platform fails and answers of writes are lost.
 class FleetHistoryFixture
 {
@@ -60,30 +44,6 @@
         return deployment;
     }
 
-    Sending sendOrder(std::uint32_t order, std::size_t router)
-    {
-        net::HttpCall call;
-        call.method = "POST";
-        call.url = "/services/" + this->fleet.deployment.plainService + "/receipts";
-        call.headers = {{"authorization", "Bearer token-lowther-0"},
-                        {"idempotency-key", keyOf(order)},
-                        {"x-non-idempotent", "true"}};
-        call.body = keyOf(order);
-        const net::HttpAnswer answer = this->fleet.call(router, std::move(call));
-        Sending sending;
-        sending.order = order;
-        const auto id = answer.headers.find("x-request-id");
-        sending.request = id == answer.headers.end() ? "" : id->second;
-        const auto json = nlohmann::json::parse(answer.body, nullptr, false);
-        sending.answered = answer.end == net::HttpEnd::Whole && answer.status == statusOk;
-        if (sending.answered && json.is_object()) {
-            sending.answeredKey = json.value("key", "");
-        }
-        sending.refusedNotRun = answer.end == net::HttpEnd::Whole && json.is_object()
-                                && json.contains("error") && json["error"].value("ran", "") == "no";
-        return sending;
-    }
-
     void runCaller(std::uint32_t caller)
     {
         std::mt19937 random(caller);
@@ -91,10 +51,7 @@
             const std::uint32_t order = caller * mostOrders + index;
             bool answered = false;
             for (std::uint32_t turn = 0; turn < sendingsOfOrder && !answered; ++turn) {
-                const Sending sending = this->sendOrder(order, random() % routerCount);
-                answered = sending.answered;
-                const std::lock_guard lock(this->mutex);
-                this->sendings.push_back(sending);
+                answered = this->orders.send(order, random() % routerCount).answered;
             }
         }
     }
@@ -128,39 +85,9 @@
         this->fleet.setFaults({{"slowMilliseconds", 0}, {"loseAnswers", 0}});
     }
 
-    /// Numbers the routers' request ids, so that a sending and the runs it caused are the same
-    /// attempt.
-    std::uint64_t attemptOf(const std::string &request)
-    {
-        return this->attempts.emplace(request, this->attempts.size() + 1).first->second;
-    }
-
-    History recorded()
-    {
-        History history;
-        for (const Run &run : this->fleet.standIns.runs->all()) {
-            const std::string request = run.attempt.substr(0, run.attempt.rfind('.'));
-            const std::uint64_t order = std::stoull(run.key.substr(run.key.rfind('-') + 1));
-            history.push_back({HistoryKind::Ran, order, this->attemptOf(request), 0});
-        }
-        for (const Sending &sending : this->sendings) {
-            if (sending.answered) {
-                const std::string &key = sending.answeredKey;
-                const std::uint64_t owner = std::stoull("0" + key.substr(key.rfind('-') + 1));
-                history.push_back({HistoryKind::Answered, sending.order, 0, owner});
-            } else if (sending.refusedNotRun) {
-                history.push_back({HistoryKind::RefusedNotRun, sending.order,
-                                   this->attemptOf(sending.request), 0});
-            }
-        }
-        return history;
-    }
-
     Fleet fleet;
     std::atomic<bool> faultsEnded = false;
-    std::mutex mutex;
-    std::vector<Sending> sendings;
-    std::map<std::string, std::uint64_t> attempts;
+    OrderRecord orders{fleet};
 };
 
 } // namespace
@@ -182,9 +109,10 @@
     for (std::thread &thread : threads) {
         thread.join();
     }
-    const History history = this->recorded();
+    const History history = this->orders.history();
+    const std::vector<Sending> sendings = this->orders.sendings();
     std::map<std::string, int> counts;
-    for (const Sending &each : this->sendings) {
+    for (const Sending &each : sendings) {
         ++counts[each.answered ? "answered" : each.refusedNotRun ? "not run" : "unknown"];
     }
     for (const auto &[name, count] : counts) {
@@ -193,7 +121,7 @@
     expectNone(checkAtMostOnce(history));
     expectNone(checkOwnAnswer(history));
     expectNone(checkNoFalseNotRun(history));
-    const auto answered = std::count_if(this->sendings.begin(), this->sendings.end(),
+    const auto answered = std::count_if(sendings.begin(), sendings.end(),
                                         [](const Sending &each) { return each.answered; });
     CHECK(answered > 0);
 }
