Prove that queued requests follow a narrowing edit

Cause: the safeguard at dispatch was not tested with real routers and queues.

Conclusion: holds; no fault found.

--- /dev/null
+++ b/tests/fleetnarrow.cpp
@@ -0,0 +1,131 @@
+#include <algorithm>
+#include <future>
+
+#include <catch2/catch.hpp>
+
+#include "fleet.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::lab;
+
+namespace {
+
+constexpr std::uint16_t ownPorts = 30'000;
+constexpr int statusOk = 200;
+constexpr std::uint32_t routers = 3;
+constexpr std::uint32_t replicas = 3;
+constexpr std::uint32_t waiting = 9;
+constexpr std::uint32_t longQueue = 25'000;
+const std::string allowedPlace = "hall-a";
+const std::string dataClass = "regulated";
+
+/// One replica a place, each of which takes one request at a time.
+Deployment narrowDeployment()
+{
+    Deployment deployment = *deploymentOf("lowther");
+    deployment.basePort = ownPorts;
+    deployment.routers = routers;
+    deployment.plainReplicas = replicas;
+    for (Entry &entry : deployment.entries) {
+        if (entry.key.name == deployment.plainService) {
+            auto &service = std::get<Service>(*entry.body);
+            service.engineCapacity = 1;
+            service.queueMilliseconds = longQueue;
+        }
+    }
+    return deployment;
+}
+
+class NarrowFixture
+{
+protected:
+    using Answers = std::vector<std::future<net::HttpAnswer>>;
+
+    NarrowFixture()
+        : fleet(narrowDeployment())
+    {
+        REQUIRE(this->fleet.startAndMeet());
+        this->fleet.standIns.orders->hold();
+    }
+
+    Answers sendAside(std::uint32_t count, const std::string &prefix)
+    {
+        Answers answers;
+        for (std::uint32_t index = 0; index < count; ++index) {
+            net::HttpCall call;
+            call.method = "POST";
+            call.url = "/services/" + this->fleet.deployment.plainService + "/notes";
+            call.headers = {{"authorization", "Bearer token-lowther-0"},
+                            {"idempotency-key", prefix + std::to_string(index)}};
+            answers.push_back(std::async(std::launch::async, [this, index, call = std::move(call)] {
+                return this->fleet.call(index % routers, call);
+            }));
+        }
+        return answers;
+    }
+
+    [[nodiscard]] bool eventuallyInFlight(std::uint64_t wanted)
+    {
+        return Fleet::eventually([&] {
+            std::uint64_t inFlight = 0;
+            for (std::size_t router = 0; router < routers; ++router) {
+                inFlight += this->fleet.status(router).value("inFlight", std::uint64_t{0});
+            }
+            return inFlight == wanted;
+        });
+    }
+
+    [[nodiscard]] std::size_t ran() const { return this->fleet.standIns.runs->keys(); }
+
+    /// Takes all places but one from the data class and waits until that is in force.
+    [[nodiscard]] bool narrow()
+    {
+        const DataClass narrowed{this->fleet.deployment.name, {allowedPlace}, 0};
+        const std::uint64_t version =
+            this->fleet.standIns.platform.set("dataclass", dataClass, toJson(EntryBody{narrowed}));
+        return Fleet::eventually([&] {
+            for (std::size_t router = 0; router < routers; ++router) {
+                if (this->fleet.status(router).value("catalogueVersion", std::uint64_t{0})
+                    < version) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+
+    Fleet fleet;
+};
+
+std::string replicaOf(const net::HttpAnswer &answer)
+{
+    const auto json = nlohmann::json::parse(answer.body, nullptr, false);
+    return json.is_object() ? json.value("replica", "") : "";
+}
+
+} // namespace
+
+TEST_CASE_METHOD(NarrowFixture, "edit_narrowsClassWhileRequestsQueue_noneRunsInForbiddenPlace",
+                 "[fleetnarrow]")
+{
+    // One request runs in each place and others wait in the queues. An operator takes all places
+    // but one from the data class; the edit is in force at every router; then the replicas come
+    // free. What waited was admitted under the old entry and may hold its slot already, but its
+    // data must not go to a place that is forbidden now.
+    Answers running = this->sendAside(replicas, "running-");
+    REQUIRE(Fleet::eventually([this] { return this->ran() == replicas; }));
+    Answers queued = this->sendAside(waiting, "queued-");
+    REQUIRE(this->eventuallyInFlight(replicas + waiting));
+    REQUIRE(this->narrow());
+    REQUIRE(this->ran() == replicas);
+    this->fleet.standIns.orders->letGo();
+    for (auto &answer : running) {
+        CHECK(answer.get().status == statusOk);
+    }
+    for (auto &each : queued) {
+        const net::HttpAnswer answer = each.get();
+        CHECK(answer.status == statusOk);
+        CHECK(replicaOf(answer).rfind(allowedPlace, 0) == 0);
+    }
+    CHECK(this->ran() == replicas + waiting);
+}
