Tell the next keeper where chats ran

Cause: the memory of chats lives at one keeper. While members disagree two keepers place one shard's chats, and each places anew what the other moved.

A keeper now tells the next router in the shard's order once a second of the chats that moved, and whoever told it; a target that is new gets the recently used chats too, and a planned stop hands them over. Hints only reorder ready engines of the shard below the inner multiple.

--- a/daemon/peercodec.cpp
+++ b/daemon/peercodec.cpp
@@ -42,6 +42,8 @@
         return asBody(read(datagram.list()));
     case wire::Datagram::kSummary:
         return asBody(read(datagram.summary()));
+    case wire::Datagram::kChatHints:
+        return asBody(read(datagram.chat_hints()));
     case wire::Datagram::kClaimAsk:
         return asBody(read(datagram.claim_ask(), datagram.sender()));
     case wire::Datagram::kClaimReply:
--- a/daemon/peercodec.h
+++ b/daemon/peercodec.h
@@ -11,7 +11,7 @@
 
 using PeerBody = std::variant<SwimMessage, LeavingNotice, SlotAsk, SlotReply, SlotRelease, ClaimAsk,
                               ClaimReply, ClaimRelease, SuspectNews, LimitReport, LimitShares,
-                              SlotDigest, SlotListAsk, SlotList, ShardSummary>;
+                              SlotDigest, SlotListAsk, SlotList, ShardSummary, ChatHints>;
 
 /// A datagram between routers.
 struct PeerMessage
--- a/daemon/shardsync.cpp
+++ b/daemon/shardsync.cpp
@@ -30,12 +30,18 @@
         [self = this->shared_from_this()](std::uint64_t, const Endpoint &, PeerBody body) {
             self->node.keeper.takeSummary(std::get<ShardSummary>(body), self->node.clock.now());
         });
+    this->link->handle<ChatHints>(
+        [self = this->shared_from_this()](std::uint64_t, const Endpoint &from, PeerBody body) {
+            self->node.keeper.takeHints(std::get<ChatHints>(body), from, self->node.clock.now());
+        });
     asio::post(this->link->executor(), [self = this->shared_from_this()] { self->schedule(); });
 }
 
 void ShardSync::schedule()
 {
     this->sendSummaries();
+    this->send(this->node.keeper.hints(this->node.settings.peerDatagrams,
+                                       this->node.members.active(), this->node.clock.now()));
     this->timer.expires_after(summaryPeriod);
     this->timer.async_wait([self = this->shared_from_this()](const asio::error_code &error) {
         if (!error) {
@@ -69,6 +75,13 @@
     }
 }
 
+void ShardSync::send(const std::vector<HintSending> &sendings)
+{
+    for (const auto &[to, hints] : sendings) {
+        this->link->send(to, hints);
+    }
+}
+
 void ShardSync::handOver()
 {
     std::vector<Heartbeat> others = this->node.members.active();
@@ -81,6 +94,7 @@
             this->link->send(next->datagrams, list);
         }
     }
+    this->send(this->node.keeper.handOverHints(others));
     logEvent(Event::ShardsHandedOver, {{"slots", std::to_string(slots)}});
 }
 
--- a/daemon/shardsync.h
+++ b/daemon/shardsync.h
@@ -27,6 +27,7 @@
 private:
     void schedule();
     void sendSummaries();
+    void send(const std::vector<HintSending> &sendings);
 
     Node &node;
     std::shared_ptr<PeerLink> link;
--- a/daemon/wirecodec.h
+++ b/daemon/wirecodec.h
@@ -23,6 +23,7 @@
 void fill(wire::Datagram &datagram, const SlotListAsk &from);
 void fill(wire::Datagram &datagram, const SlotList &from);
 void fill(wire::Datagram &datagram, const ShardSummary &from);
+void fill(wire::Datagram &datagram, const ChatHints &from);
 [[nodiscard]] SlotAsk read(const wire::SlotAsk &from);
 [[nodiscard]] std::optional<SlotReply> read(const wire::SlotReply &from);
 [[nodiscard]] SlotRelease read(const wire::SlotRelease &from);
@@ -30,6 +31,7 @@
 [[nodiscard]] SlotListAsk read(const wire::SlotListAsk &from);
 [[nodiscard]] std::optional<SlotList> read(const wire::SlotList &from);
 [[nodiscard]] ShardSummary read(const wire::ShardSummary &from);
+[[nodiscard]] std::optional<ChatHints> read(const wire::ChatHints &from);
 
 /// Claims and requests that crash upstreams.
 void fill(wire::Datagram &datagram, const ClaimAsk &from);
--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -22,6 +22,7 @@
 
 struct Admission;
 struct CatalogueView;
+struct ChatHints;
 struct Claim;
 struct ClaimAsk;
 struct ClaimId;
--- a/include/plantainswitch/placement/chatmemory.h
+++ b/include/plantainswitch/placement/chatmemory.h
@@ -5,6 +5,7 @@
 #include <list>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "plantainswitch/upstreams/upstreams.h"
 
@@ -26,7 +27,12 @@
 public:
     /// \returns where \a chat ran, and marks it as used.
     std::optional<ChatPlace> find(std::uint64_t chat);
-    void keep(std::uint64_t chat, UpstreamId upstream, std::size_t capacity);
+    /// \returns where \a chat ran, without marking it.
+    [[nodiscard]] std::optional<ChatPlace> peek(std::uint64_t chat) const;
+    /// \returns the chats used last, at most \a most, the latest first.
+    [[nodiscard]] std::vector<std::uint64_t> recent(std::size_t most) const;
+    /// \returns whether the chat is remembered and was not before, or on another engine.
+    bool keep(std::uint64_t chat, UpstreamId upstream, std::size_t capacity);
     [[nodiscard]] std::size_t size() const noexcept { return this->order.size(); }
 
 private:
--- a/include/plantainswitch/placement/keeper.h
+++ b/include/plantainswitch/placement/keeper.h
@@ -8,6 +8,7 @@
 
 #include "plantainswitch/base/clock.h"
 #include "plantainswitch/base/lockorder.h"
+#include "plantainswitch/placement/chathints.h"
 #include "plantainswitch/placement/chatmemory.h"
 #include "plantainswitch/placement/messages.h"
 
@@ -73,6 +74,7 @@
     std::map<SlotKey, Slot> slots;
     std::map<UpstreamId, std::uint32_t> loads;
     ChatMemory memory;
+    HintOutbox outbox;
     std::map<UpstreamId, EngineNote> engines;
     std::map<ShardId, PoolPart> others;
     /// When this router began to keep the shard.
@@ -102,6 +104,10 @@
 /// Time without an ask or a digest after which a shard is forgotten: its routers have moved on to
 /// another keeper, which learnt the slots from them.
 inline constexpr Duration unusedLife = Milliseconds{10'000};
+/// Shards of which the chats are remembered that this router doesn't keep at present, and their
+/// number for each.
+inline constexpr std::size_t mostParkedShards = 16;
+inline constexpr std::size_t mostParkedChats = 8192;
 /// Time for which an engine that failed a request gets no other.
 inline constexpr Duration shunPeriod = Milliseconds{1000};
 /// \returns the highest load an engine may have after the next grant: the multiple of the mean,
@@ -143,6 +149,14 @@
     /// \returns the summary of each shard that has state here, forgetting those that were handed
     /// over a while ago.
     std::vector<ShardSummary> summaries(TimePoint now);
+    /// \returns a second's hints on the chats of each shard that has state here.
+    /// \param self address of this router
+    [[nodiscard]] std::vector<HintSending>
+    hints(const Endpoint &self, const std::vector<Heartbeat> &active, TimePoint now);
+    /// \returns the most recently used chats of each shard, for the next keepers among \a others.
+    [[nodiscard]] std::vector<HintSending>
+    handOverHints(const std::vector<Heartbeat> &others) const;
+    void takeHints(const ChatHints &hints, const Endpoint &from, TimePoint now);
     /// \returns all slots of all shards, for a keeper that leaves.
     [[nodiscard]] std::vector<SlotList> lists() const;
     /// \returns the number of slots in use in all shards kept here.
@@ -154,10 +168,20 @@
     [[nodiscard]] std::map<UpstreamId, std::uint32_t> loads(ShardId shard) const;
 
 private:
+    /// Chats of a shard that this router doesn't keep.
+    struct ParkedMemory
+    {
+        ChatMemory memory;
+        TimePoint lastUsed;
+    };
+
     ShardState &stateOf(const Shard &shard, TimePoint now);
+    ParkedMemory &parkedOf(ShardId shard, TimePoint now);
+    void forgetUnused(TimePoint now);
 
     mutable RankedMutex mutex{LockRank::Keeper};
     std::map<ShardId, ShardState> shards;
+    std::map<ShardId, ParkedMemory> parked;
 };
 
 } // namespace plantainswitch
--- a/include/plantainswitch/placement/messages.h
+++ b/include/plantainswitch/placement/messages.h
@@ -111,6 +111,23 @@
     std::vector<ListedSlot> slots;
 };
 
+/// A chat and the engine on which it ran last.
+struct ChatHint
+{
+    std::uint64_t chat = 0;
+    UpstreamId upstream = 0;
+};
+
+/// A keeper's word on where the chats of a shard ran, to who keeps it now or next. It may be late,
+/// lost or wrong.
+struct ChatHints
+{
+    ShardId shard = 0;
+    /// Whether the chats have just moved there; else it is older knowledge.
+    bool moved = false;
+    std::vector<ChatHint> chats;
+};
+
 /// A keeper's word to the keepers of the pool's other shards.
 struct ShardSummary
 {
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -26,6 +26,7 @@
 #include "plantainswitch/observe/metrics.h"
 #include "plantainswitch/orders/lease.h"
 #include "plantainswitch/orders/plan.h"
+#include "plantainswitch/placement/chathints.h"
 #include "plantainswitch/placement/chatmemory.h"
 #include "plantainswitch/placement/keeper.h"
 #include "plantainswitch/placement/messages.h"
--- a/lab/policychoice.cpp
+++ b/lab/policychoice.cpp
@@ -193,6 +193,21 @@
     }
 }
 
+void sendHints(BenchWorld &world)
+{
+    if (world.options.policy == "local-bound") {
+        return;
+    }
+    const TimePoint now = world.clock.now();
+    for (const auto &router : world.routers) {
+        for (const auto &[to, hints] :
+             router->keeper.hints(router->self.datagrams, router->active, now)) {
+            world.send(hints);
+            world.routers[to.port]->keeper.takeHints(hints, router->self.datagrams, now);
+        }
+    }
+}
+
 void sendDigests(BenchWorld &world)
 {
     if (world.options.policy == "local-bound") {
--- a/lab/policysim.cpp
+++ b/lab/policysim.cpp
@@ -72,7 +72,10 @@
         this->every(listPeriod, [this] { this->takeList(); });
         this->every(samplePeriod, [this] { this->sample(); });
         this->every(reportPeriod, [this] { this->report(); });
-        this->every(summaryPeriod, [this] { sendSummaries(this->world); });
+        this->every(summaryPeriod, [this] {
+            sendSummaries(this->world);
+            sendHints(this->world);
+        });
         this->every(digestPeriod, [this] { sendDigests(this->world); });
         if (this->options.disagreeSeconds > 0) {
             this->every(disagreePeriod, [this] { this->disagree(); });
--- a/lab/policyworld.cpp
+++ b/lab/policyworld.cpp
@@ -28,6 +28,7 @@
         auto router = std::make_unique<BenchRouter>();
         router->self.id = "router-" + std::to_string(index);
         router->self.place = placeName(index % options.places);
+        router->self.datagrams.port = static_cast<std::uint16_t>(index);
         members.push_back(router->self);
         this->routerIndex[router->self.id] = index;
         this->routers.push_back(std::move(router));
--- a/lab/policyworld.h
+++ b/lab/policyworld.h
@@ -82,6 +82,8 @@
 
 /// Each keeper tells the other shards' keepers its load, as KeeperService does.
 void sendSummaries(BenchWorld &world);
+/// Each keeper tells the next one where chats ran, as ShardSync does.
+void sendHints(BenchWorld &world);
 /// Each router tells the keepers what it holds, as Slots does; a list follows where they differ.
 void sendDigests(BenchWorld &world);
 
--- a/src/placement/keeper.cpp
+++ b/src/placement/keeper.cpp
@@ -229,7 +229,9 @@
     }
     ++state.loads[*upstream];
     state.slots.emplace(key, Slot{*upstream, ask.fingerprint, now});
-    state.memory.keep(ask.chat, *upstream, view.settings.rememberedChats);
+    if (state.memory.keep(ask.chat, *upstream, view.settings.rememberedChats)) {
+        noteMoved(state.outbox, ask.chat);
+    }
     return {ask.askId, SlotVerdict::Granted, *upstream};
 }
 
--- a/src/placement/keepertable.cpp
+++ b/src/placement/keepertable.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+
+#include "plantainswitch/placement/plan.h"
 #include "plantainswitch/placement/slotsync.h"
 
 namespace plantainswitch {
@@ -9,6 +12,9 @@
     if (isNew) {
         state.shard = shard;
         state.since = now;
+        if (auto known = this->parked.extract(found->first)) {
+            state.memory = std::move(known.mapped().memory);
+        }
     }
     state.lastUsed = now;
     return state;
@@ -80,8 +86,7 @@
 std::vector<ShardSummary> KeeperTable::summaries(TimePoint now)
 {
     const RankedLock lock(this->mutex);
-    std::erase_if(this->shards,
-                  [now](const auto &each) { return now - each.second.lastUsed > unusedLife; });
+    this->forgetUnused(now);
     std::vector<ShardSummary> result;
     for (const auto &[id, state] : this->shards) {
         result.push_back({state.shard, state.slots.size(), state.ready});
@@ -89,6 +94,76 @@
     return result;
 }
 
+KeeperTable::ParkedMemory &KeeperTable::parkedOf(ShardId shard, TimePoint now)
+{
+    if (!this->parked.contains(shard) && this->parked.size() >= mostParkedShards) {
+        this->parked.erase(std::min_element(
+            this->parked.begin(), this->parked.end(), [](const auto &first, const auto &second) {
+                return first.second.lastUsed < second.second.lastUsed;
+            }));
+    }
+    ParkedMemory &result = this->parked[shard];
+    result.lastUsed = now;
+    return result;
+}
+
+void KeeperTable::forgetUnused(TimePoint now)
+{
+    for (auto each = this->shards.begin(); each != this->shards.end();) {
+        if (now - each->second.lastUsed <= unusedLife) {
+            ++each;
+            continue;
+        }
+        // Its chats come back when the keeper changes again, and the slots' end is no end of them.
+        this->parkedOf(each->first, now).memory = std::move(each->second.memory);
+        each = this->shards.erase(each);
+    }
+}
+
+std::vector<HintSending> KeeperTable::hints(const Endpoint &self,
+                                            const std::vector<Heartbeat> &active, TimePoint now)
+{
+    const RankedLock lock(this->mutex);
+    std::vector<HintSending> result;
+    for (auto &[id, state] : this->shards) {
+        const auto targets = hintTargets(state.outbox, state.shard, active, self, now);
+        for (const ChatHints &hints : nextHints(state.outbox, id, state.memory, targets)) {
+            for (const Endpoint &target : targets) {
+                result.push_back({target, hints});
+            }
+        }
+    }
+    return result;
+}
+
+std::vector<HintSending> KeeperTable::handOverHints(const std::vector<Heartbeat> &others) const
+{
+    const RankedLock lock(this->mutex);
+    std::vector<HintSending> result;
+    for (const auto &[id, state] : this->shards) {
+        const auto next = keeperOf(state.shard, others);
+        if (!next) {
+            continue;
+        }
+        for (ChatHints &hints : allHints(id, state.memory)) {
+            result.push_back({next->datagrams, std::move(hints)});
+        }
+    }
+    return result;
+}
+
+void KeeperTable::takeHints(const ChatHints &hints, const Endpoint &from, TimePoint now)
+{
+    const RankedLock lock(this->mutex);
+    const auto found = this->shards.find(hints.shard);
+    if (found == this->shards.end()) {
+        applyHints(this->parkedOf(hints.shard, now).memory, hints, mostParkedChats);
+        return;
+    }
+    noteTeller(found->second.outbox, from, now);
+    applyHints(found->second.memory, hints, BoundSettings{}.rememberedChats);
+}
+
 std::vector<SlotList> KeeperTable::lists() const
 {
     const RankedLock lock(this->mutex);
--- /dev/null
+++ b/tests/chathints.cpp
@@ -0,0 +1,206 @@
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "peercodec.h"
+
+using namespace plantainswitch;
+
+namespace {
+
+Heartbeat routerOf(std::uint16_t port)
+{
+    Heartbeat member;
+    member.id = "router-" + std::to_string(port);
+    member.place = "hall-a";
+    member.datagrams = {"127.0.0.1", port};
+    return member;
+}
+
+class ChatHintsFixture
+{
+protected:
+    [[nodiscard]] GrantView view() const { return {this->engines, this->bound, false}; }
+
+    SlotReply grant(KeeperTable &keeper, std::uint64_t chat, std::vector<UpstreamId> avoid = {})
+    {
+        return keeper.grant(1, {this->nextAsk++, this->shard, chat, chat, std::move(avoid)},
+                            this->view(), true, this->now);
+    }
+
+    /// Runs each chat once, away from its first engine. \returns where.
+    std::map<std::uint64_t, UpstreamId> displace(KeeperTable &keeper, std::uint64_t chats)
+    {
+        std::map<std::uint64_t, UpstreamId> result;
+        for (std::uint64_t chat = 1; chat <= chats; ++chat) {
+            KeeperTable fresh;
+            const UpstreamId first = this->grant(fresh, chat).upstream;
+            result[chat] = this->grant(keeper, chat, {first}).upstream;
+            keeper.release(1, {shardIdOf(this->shard), {this->nextAsk - 1}});
+            REQUIRE(result[chat] != first);
+        }
+        this->now += shunPeriod;
+        return result;
+    }
+
+    /// \returns how many of the chats run where they ran before.
+    std::size_t found(KeeperTable &keeper, const std::map<std::uint64_t, UpstreamId> &places)
+    {
+        std::size_t count = 0;
+        for (const auto &[chat, engine] : places) {
+            count += this->grant(keeper, chat).upstream == engine ? 1 : 0;
+            keeper.release(1, {shardIdOf(this->shard), {this->nextAsk - 1}});
+        }
+        return count;
+    }
+
+    /// Carries a second's hints of \a from to \a to, when they are for it.
+    void carry(KeeperTable &from, const Heartbeat &sender, KeeperTable &to, const Heartbeat &target)
+    {
+        for (const auto &[endpoint, hints] :
+             from.hints(sender.datagrams, this->members, this->now)) {
+            if (endpoint == target.datagrams) {
+                to.takeHints(hints, sender.datagrams, this->now);
+            }
+        }
+    }
+
+    Shard shard{"model", "hall-a", 0};
+    std::vector<UpstreamId> engines{11, 22, 33, 44};
+    BoundSettings bound;
+    TimePoint now{Seconds{1}};
+    std::uint32_t nextAsk = 1;
+    std::vector<Heartbeat> members =
+        keepersOf(this->shard, {routerOf(1), routerOf(2), routerOf(3), routerOf(4)});
+    KeeperTable keeper;
+    KeeperTable next;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(ChatHintsFixture, "chatHints_keeperDies_nextOneFindsChatsAtTheirEngines",
+                 "[chathints]")
+{
+    // Chats run away from their first engine, whose caches hold nothing of them. Then the keeper
+    // dies without a word. The next one has been told each second; by hash it would find none.
+    const auto places = this->displace(this->keeper, 40);
+    this->carry(this->keeper, this->members[0], this->next, this->members[1]);
+    CHECK(this->found(this->next, places) == places.size());
+    KeeperTable untold;
+    CHECK(this->found(untold, places) == 0);
+}
+
+TEST_CASE_METHOD(ChatHintsFixture, "chatHints_plannedStop_handsWholeMemoryOver", "[chathints]")
+{
+    const auto places = this->displace(this->keeper, 400);
+    for (const auto &[to, hints] : this->keeper.handOverHints({this->members[1]})) {
+        CHECK(to == this->members[1].datagrams);
+        this->next.takeHints(hints, this->members[0].datagrams, this->now);
+    }
+    CHECK(this->found(this->next, places) == places.size());
+}
+
+TEST_CASE_METHOD(ChatHintsFixture, "chatHints_routerJoinsAsKeeper_isToldWithinSeconds",
+                 "[chathints]")
+{
+    // A router joins that comes first in the shard's order. The keeper before it has told another
+    // one until now; it notices a target that knows nothing, and tells its memory in parts.
+    const auto places = this->displace(this->keeper, 400);
+    const Heartbeat joined = this->members.front();
+    this->members.erase(this->members.begin());
+    this->carry(this->keeper, this->members[0], this->next, joined);
+    this->members.insert(this->members.begin(), joined);
+    for (int second = 0; second < 3; ++second) {
+        this->carry(this->keeper, this->members[1], this->next, joined);
+    }
+    CHECK(this->found(this->next, places) == places.size());
+}
+
+TEST_CASE_METHOD(ChatHintsFixture, "chatHints_twoKeepers_eachTellsTheOther", "[chathints]")
+{
+    // The second keeper's members miss the first one, so that it would tell a third router. It
+    // hears the first one's hints and tells it in return.
+    this->displace(this->keeper, 2);
+    const auto places = this->displace(this->next, 5);
+    this->carry(this->keeper, this->members[0], this->next, this->members[1]);
+    const Heartbeat first = this->members.front();
+    this->members.erase(this->members.begin());
+    this->carry(this->next, this->members[0], this->keeper, first);
+    CHECK(this->found(this->keeper, places) == places.size());
+}
+
+TEST_CASE_METHOD(ChatHintsFixture, "chatHints_lateOlderHint_doesNotReplaceOwnKnowledge",
+                 "[chathints]")
+{
+    const auto places = this->displace(this->next, 5);
+    ChatHints late{shardIdOf(this->shard), false, {}};
+    for (const auto &[chat, engine] : places) {
+        late.chats.push_back({chat, engine == 11 ? 22U : 11U});
+    }
+    this->next.takeHints(late, this->members[0].datagrams, this->now);
+    CHECK(this->found(this->next, places) == places.size());
+}
+
+TEST_CASE_METHOD(ChatHintsFixture, "chatHints_anyHostileHints_neverLeadOutsideShardOrBound",
+                 "[chathints]")
+{
+    // Hints name engines that are gone, that stand in another place or are full already. The
+    // caller's chat still runs on a ready engine of the shard, within the bound.
+    const bool held = rc::check("each grant on a ready engine within the bound", [this] {
+        ShardState state;
+        const auto steps = *rc::gen::container<std::vector<std::uint32_t>>(
+            rc::gen::inRange<std::uint32_t>(0, 10'000));
+        for (const std::uint32_t step : steps) {
+            const std::uint64_t chat = step % 5;
+            const UpstreamId hinted = (step / 5) % 2 == 0 ? 11 : (step / 10) % 60;
+            applyHints(state.memory, {1, (step / 7) % 2 == 0, {{chat, hinted}}}, 4);
+            const std::uint64_t total = state.slots.size();
+            const SlotReply reply = grantSlot(
+                state, 1, {this->nextAsk++, this->shard, chat, chat, {}}, this->view(), this->now);
+            if (reply.verdict == SlotVerdict::Granted) {
+                RC_ASSERT(std::count(this->engines.begin(), this->engines.end(), reply.upstream)
+                          == 1);
+                RC_ASSERT(state.loads.at(reply.upstream)
+                          <= loadBound(this->bound, total, this->engines.size()));
+            }
+        }
+    });
+    CHECK(held);
+}
+
+TEST_CASE_METHOD(ChatHintsFixture, "chatHints_manyMoves_stayWithinDatagramsASecond", "[chathints]")
+{
+    this->displace(this->keeper, 5000);
+    for (int second = 0; second < 20; ++second) {
+        const auto sendings =
+            this->keeper.hints(this->members[0].datagrams, this->members, this->now);
+        CHECK(sendings.size() <= 1 + handOverDatagrams);
+    }
+}
+
+TEST_CASE("chatHintsCodec_fullestHints_fitAndComeBack", "[chathints]")
+{
+    ChatHints hints{7, true, {}};
+    for (std::uint64_t chat = 0; chat < chatsInHints; ++chat) {
+        hints.chats.push_back({~chat, ~(chat * 1000)});
+    }
+    const std::string bytes = encode({1, hints});
+    REQUIRE(bytes.size() <= longestDatagram);
+    const auto message = decode(bytes);
+    REQUIRE(message);
+    const auto &read = std::get<ChatHints>(message->body);
+    CHECK(read.moved);
+    REQUIRE(read.chats.size() == hints.chats.size());
+    CHECK(read.chats.back().chat == hints.chats.back().chat);
+    CHECK(read.chats.back().upstream == hints.chats.back().upstream);
+}
+
+TEST_CASE("chatHintsCodec_engineOutsideTheList_isRefused", "[chathints]")
+{
+    std::string bytes = encode({1, ChatHints{7, true, {{5, 11}}}});
+    // The last byte is the index of the chat's engine; only index 0 is listed.
+    REQUIRE(bytes.back() == '\0');
+    bytes.back() = '\1';
+    CHECK_FALSE(decode(bytes));
+}
