--- a/daemon/shardsync.cpp
+++ b/daemon/shardsync.cpp
@@ -41,7 +41,7 @@
 {
     this->sendSummaries();
     this->send(this->node.keeper.hints(this->node.settings.peerDatagrams,
-                                       this->node.members.active(), this->node.clock.now()));
+                                       *this->node.members.active(), this->node.clock.now()));
     this->timer.expires_after(summaryPeriod);
     this->timer.async_wait([self = this->shared_from_this()](const asio::error_code &error) {
         if (!error) {
--- a/include/plantainswitch/observe/metrics.h
+++ b/include/plantainswitch/observe/metrics.h
@@ -51,6 +51,7 @@
     SlotListAsk,
     SlotList,
     ShardSummary,
+    ChatHints,
     Pull,
 };
 
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -41,7 +41,8 @@
     std::string_view{"suspect_news"},  std::string_view{"limit_report"},
     std::string_view{"limit_shares"},  std::string_view{"slot_digest"},
     std::string_view{"slot_list_ask"}, std::string_view{"slot_list"},
-    std::string_view{"shard_summary"}, std::string_view{"pull"},
+    std::string_view{"shard_summary"}, std::string_view{"chat_hints"},
+    std::string_view{"pull"},
 };
 constexpr std::array timingNames{std::string_view{"first_byte_seconds"},
                                  std::string_view{"whole_seconds"},
--- a/tests/controlmetrics.cpp
+++ b/tests/controlmetrics.cpp
@@ -45,4 +45,5 @@
     CHECK(isCountedAs<SlotListAsk>(ControlKind::SlotListAsk));
     CHECK(isCountedAs<SlotList>(ControlKind::SlotList));
     CHECK(isCountedAs<ShardSummary>(ControlKind::ShardSummary));
+    CHECK(isCountedAs<ChatHints>(ControlKind::ChatHints));
 }
