Bound the metrics page and leave out what reads as nothing

Cause: each of 3 x 7,300 series was printed whole through a stream under the lock that every request's record takes: 57 MB and 0.32 s a scrape, 2.1% of a core at one in 15 s, and requests that waited for it.

The page holds every data class whole (class_*_seconds, new) and of each timing the 500 busiest workspaces with a sample in the last ten minutes; series_idle and series_beyond_bound count the rest. Series are never erased, so that one that comes back has not fallen. Of a series only the empty buckets below the first sample are left out, but the last of them: absent reads as 0 there. The lock is held for one series at a time. Counts are printed whole; as six digits they were rounded above a million.

Ruled out: leaving out a bucket that repeats the one below it. In a sum over routers or workspaces it would lack from the higher edge, whose count could then fall below the lower one's.

--- a/daemon/operators.cpp
+++ b/daemon/operators.cpp
@@ -61,7 +61,7 @@
             !node.stopping && node.catalogue.view() != nullptr && node.upstreams.known();
         respondText(reply, ready ? statusOk : statusUnavailable, ready ? "ready\n" : "not ready\n");
     } else if (request.path == "/metrics") {
-        respondText(reply, statusOk, node.metrics.render());
+        respondText(reply, statusOk, node.metrics.render(node.clock.now()));
     } else if (request.path == "/explain") {
         explain(node, request, reply);
     } else if (request.path == "/status") {
--- a/daemon/passage.h
+++ b/daemon/passage.h
@@ -50,6 +50,7 @@
     void endClaimRefused(Ran ran);
     void dispatch(HeldSlot held);
     net::HttpCall callTo(const Upstream &upstream) const;
+    void recordTiming(Timing timing);
     void relayHeaders(int status, const net::Headers &headers);
     bool relayData(std::string_view bytes);
     bool relayStream(std::string_view bytes);
--- a/daemon/passagerelay.cpp
+++ b/daemon/passagerelay.cpp
@@ -37,9 +37,7 @@
     this->progress = {};
     this->garbage = false;
     this->note("attempt " + this->attempt + " to " + this->slot->upstream.vm.id);
-    this->node.metrics.record(Timing::Placement, this->admission.workspace,
-                              this->admission.limits.dataClass,
-                              this->node.clock.now() - this->began);
+    this->recordTiming(Timing::Placement);
     const std::lock_guard lock(this->exchangeMutex);
     this->exchange = this->client.start(this->callTo(this->slot->upstream), this->relayEvents());
 }
@@ -78,13 +76,18 @@
     return call;
 }
 
+void Passage::recordTiming(Timing timing)
+{
+    const TimePoint now = this->node.clock.now();
+    this->node.metrics.record(timing, this->admission.workspace, this->admission.limits.dataClass,
+                              now - this->began, now);
+}
+
 void Passage::relayHeaders(int code, const net::Headers &fields)
 {
     this->status = code;
     this->headers = fields;
-    this->node.metrics.record(Timing::FirstByte, this->admission.workspace,
-                              this->admission.limits.dataClass,
-                              this->node.clock.now() - this->began);
+    this->recordTiming(Timing::FirstByte);
 }
 
 bool Passage::relayData(std::string_view bytes)
@@ -246,9 +249,7 @@
         logEvent(Event::AnswerResumed, {{"request", this->id}});
     }
     this->node.metrics.count(Counter::AnswersWhole);
-    this->node.metrics.record(Timing::Whole, this->admission.workspace,
-                              this->admission.limits.dataClass,
-                              this->node.clock.now() - this->began);
+    this->recordTiming(Timing::Whole);
     logEvent(Event::RequestDone, {{"request", this->id}, {"workspace", this->admission.workspace}});
     this->account();
 }
--- a/include/plantainswitch/observe/metrics.h
+++ b/include/plantainswitch/observe/metrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -34,6 +36,12 @@
 /// What is measured as a histogram for each workspace and data class.
 enum class Timing : std::uint8_t { FirstByte, Whole, Placement };
 
+/// A workspace's series is left out of the page when nothing was recorded for so long: twice the
+/// five minutes that scrapers look back.
+inline constexpr std::chrono::minutes idleSeriesAge{10};
+/// Most workspaces of each timing on the page; about 1.3 MB.
+inline constexpr std::size_t mostWorkspacesOnPage = 500;
+
 /// Counters and Boost.Histogram histograms of one router, safe to use from all workers.
 class Metrics
 {
@@ -45,15 +53,19 @@
 
     void count(Counter counter, std::uint64_t amount = 1) noexcept;
     void countRefusal(ErrorKind kind) noexcept;
-    /// Records \a elapsed for the workspace and its data class.
+    /// Records \a elapsed for the workspace and its data class, and for the class as a whole.
     void record(Timing timing, const std::string &workspace, const std::string &dataClass,
-                Duration elapsed);
+                Duration elapsed, TimePoint now);
 
     [[nodiscard]] std::uint64_t value(Counter counter) const noexcept;
-    /// \returns everything in the text format that scrapers read.
-    [[nodiscard]] std::string render() const;
+    /// \returns the text that scrapers read: all counters and classes, and of each timing the
+    /// busiest workspaces that were not idle lately. What is left out keeps counting, so that a
+    /// series that comes back has not fallen.
+    [[nodiscard]] std::string render(TimePoint now) const;
 
 private:
+    void renderTimings(std::string &page, TimePoint now) const;
+
     struct State;
     std::unique_ptr<State> state;
 };
--- a/lab/scalemeasures.cpp
+++ b/lab/scalemeasures.cpp
@@ -245,7 +245,7 @@
         Metrics metrics;
         const auto record = [&](std::size_t call) {
             metrics.record(Timing::Whole, numbered("workspace", call % workspaces), "class-0000",
-                           Milliseconds{static_cast<int>(call % 1000)});
+                           Milliseconds{static_cast<int>(call % 1000)}, TimePoint{});
         };
         for (std::size_t call = 0; call < workspaces; ++call) {
             record(call);
@@ -255,9 +255,10 @@
                   static_cast<double>(heapInUse() - before));
         this->add("metrics.record", "workspaces", "ns", at, timeOf(this->options, 5000, record));
         this->add("metrics.render-one-timing", "workspaces", "ns", at,
-                  timeOf(this->options, 1, [&](std::size_t) { sink = metrics.render().size(); }));
+                  timeOf(this->options, 1,
+                         [&](std::size_t) { sink = metrics.render(TimePoint{}).size(); }));
         this->add("metrics.page-one-timing", "workspaces", "bytes", at,
-                  static_cast<double>(metrics.render().size()));
+                  static_cast<double>(metrics.render(TimePoint{}).size()));
     }
 }
 
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -1,10 +1,13 @@
 #include "plantainswitch/observe/metrics.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <charconv>
 #include <map>
 #include <sstream>
 #include <tuple>
+#include <vector>
 
 #include <boost/histogram.hpp>
 
@@ -51,26 +54,151 @@
 {
     Histogram histogram = bh::make_histogram(Axis(binCount, leastSeconds, mostSeconds));
     double sum = 0;
+    std::uint64_t count = 0;
+    TimePoint last;
 };
 
+/// A workspace's series; that of a whole class has no workspace.
 using SeriesKey = std::tuple<Timing, std::string, std::string>;
+using SeriesMap = std::map<SeriesKey, Series>;
 
-void renderSeries(std::ostringstream &out, const SeriesKey &key, const Series &series)
+bool isOfClass(const SeriesKey &key)
+{
+    return std::get<1>(key).empty();
+}
+
+std::string nameOfSeries(const SeriesKey &key)
+{
+    std::string name(prefix);
+    name += isOfClass(key) ? "class_" : "";
+    name += timingNames.at(static_cast<std::size_t>(std::get<Timing>(key)));
+    return name;
+}
+
+std::string labelsOf(const SeriesKey &key)
 {
     const auto &[timing, workspace, dataClass] = key;
-    const std::string name =
-        std::string(prefix) + std::string(timingNames.at(static_cast<std::size_t>(timing)));
-    const std::string labels = "workspace=\"" + workspace + "\",class=\"" + dataClass + "\"";
-    double total = series.histogram.at(-1);
-    for (int bin = 0; bin < static_cast<int>(binCount); ++bin) {
-        total += series.histogram.at(bin);
-        out << name << "_bucket{" << labels << ",le=\"" << series.histogram.axis().bin(bin).upper()
-            << "\"} " << total << "\n";
+    const std::string ofClass = "class=\"" + dataClass + "\"";
+    return isOfClass(key) ? ofClass : "workspace=\"" + workspace + "\"," + ofClass;
+}
+
+/// The upper edges of the bins as scrapers know them.
+std::array<std::string, binCount> edgeTexts()
+{
+    const Axis axis(binCount, leastSeconds, mostSeconds);
+    std::array<std::string, binCount> texts;
+    for (unsigned bin = 0; bin < binCount; ++bin) {
+        std::ostringstream out;
+        out << axis.bin(static_cast<int>(bin)).upper();
+        texts.at(bin) = out.str();
+    }
+    return texts;
+}
+
+template<typename Number>
+void appendNumber(std::string &page, Number number)
+{
+    constexpr std::size_t longestNumber = 32;
+    std::array<char, longestNumber> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), number).ptr;
+    page.append(digits.data(), end);
+    page += '\n';
+}
+
+void appendBucket(std::string &page, const std::string &head, std::string_view edge,
+                  std::uint64_t count)
+{
+    page.append(head).append(edge).append("\"} ");
+    appendNumber(page, count);
+}
+
+/// Leaves out the empty buckets below the first sample, but for the one next to it.
+/// A bucket left out reads as absent. Below the first sample that is the same as its 0, also in a
+/// sum over routers or workspaces; above it the sum would lack this series' count and its buckets
+/// would no longer be cumulative, seen as quantiles that are too high. The one empty bucket that
+/// stays gives the lower edge of the first filled one.
+void renderSeries(std::string &page, const SeriesKey &key, const Series &series)
+{
+    static const std::array<std::string, binCount> edges = edgeTexts();
+    const std::string name = nameOfSeries(key);
+    const std::string labels = labelsOf(key);
+    const std::string head = name + "_bucket{" + labels + ",le=\"";
+    auto total = static_cast<std::uint64_t>(series.histogram.at(-1));
+    for (unsigned bin = 0; bin < binCount; ++bin) {
+        const auto next = bin + 1 < binCount ? series.histogram.at(static_cast<int>(bin) + 1) : 1.0;
+        total += static_cast<std::uint64_t>(series.histogram.at(static_cast<int>(bin)));
+        if (total > 0 || next > 0) {
+            appendBucket(page, head, edges.at(bin), total);
+        }
+    }
+    appendBucket(page, head, "+Inf", series.count);
+    page.append(name).append("_sum{").append(labels).append("} ");
+    appendNumber(page, series.sum);
+    page.append(name).append("_count{").append(labels).append("} ");
+    appendNumber(page, series.count);
+}
+
+using Chosen = std::vector<const SeriesMap::value_type *>;
+
+/// What of the histograms goes onto one page.
+struct PageChoice
+{
+    Chosen series;
+    std::size_t idle = 0;
+    std::size_t beyondBound = 0;
+};
+
+/// Keeps the busiest of \a active, which all have one timing. The counts only grow, so that the
+/// choice changes seldom from page to page.
+void keepBusiest(Chosen &active, PageChoice &choice)
+{
+    if (active.size() > mostWorkspacesOnPage) {
+        const auto end = active.begin() + static_cast<std::ptrdiff_t>(mostWorkspacesOnPage);
+        std::nth_element(active.begin(), end, active.end(), [](const auto *one, const auto *other) {
+            return one->second.count > other->second.count;
+        });
+        choice.beyondBound += active.size() - mostWorkspacesOnPage;
+        active.resize(mostWorkspacesOnPage);
+        std::sort(active.begin(), active.end(),
+                  [](const auto *one, const auto *other) { return one->first < other->first; });
+    }
+    choice.series.insert(choice.series.end(), active.begin(), active.end());
+    active.clear();
+}
+
+PageChoice chooseSeries(const SeriesMap &all, TimePoint now)
+{
+    PageChoice choice;
+    Chosen active;
+    auto timing = Timing::FirstByte;
+    for (const auto &each : all) {
+        if (std::get<Timing>(each.first) != timing) {
+            keepBusiest(active, choice);
+            timing = std::get<Timing>(each.first);
+        }
+        if (isOfClass(each.first)) {
+            choice.series.push_back(&each);
+        } else if (now - each.second.last > idleSeriesAge) {
+            ++choice.idle;
+        } else {
+            active.push_back(&each);
+        }
     }
-    total += series.histogram.at(static_cast<int>(binCount));
-    out << name << "_bucket{" << labels << ",le=\"+Inf\"} " << total << "\n";
-    out << name << "_sum{" << labels << "} " << series.sum << "\n";
-    out << name << "_count{" << labels << "} " << total << "\n";
+    keepBusiest(active, choice);
+    return choice;
+}
+
+void appendType(std::string &page, std::string_view name, std::string_view type)
+{
+    page.append("# TYPE ").append(name).append(" ").append(type).append("\n");
+}
+
+void renderGauge(std::string &page, std::string_view gauge, std::uint64_t value)
+{
+    const std::string name = std::string(prefix) + std::string(gauge);
+    appendType(page, name, "gauge");
+    page.append(name).append(" ");
+    appendNumber(page, value);
 }
 
 } // namespace
@@ -80,7 +208,8 @@
     std::array<std::atomic<std::uint64_t>, counterNames.size()> counters{};
     std::array<std::atomic<std::uint64_t>, errorKinds> refusals{};
     mutable RankedMutex mutex{LockRank::Metrics};
-    std::map<SeriesKey, Series> series;
+    /// Nothing is ever erased: a page in the making points into it.
+    SeriesMap series;
 };
 
 Metrics::Metrics()
@@ -100,13 +229,17 @@
 }
 
 void Metrics::record(Timing timing, const std::string &workspace, const std::string &dataClass,
-                     Duration elapsed)
+                     Duration elapsed, TimePoint now)
 {
     const double seconds = std::chrono::duration<double>(elapsed).count();
     const RankedLock lock(this->state->mutex);
-    Series &series = this->state->series[{timing, workspace, dataClass}];
-    series.histogram(seconds);
-    series.sum += seconds;
+    for (const std::string &name : {workspace, std::string()}) {
+        Series &series = this->state->series[{timing, name, dataClass}];
+        series.histogram(seconds);
+        series.sum += seconds;
+        ++series.count;
+        series.last = now;
+    }
 }
 
 std::uint64_t Metrics::value(Counter counter) const noexcept
@@ -114,30 +247,48 @@
     return this->state->counters.at(static_cast<std::size_t>(counter));
 }
 
-std::string Metrics::render() const
+std::string Metrics::render(TimePoint now) const
 {
-    std::ostringstream out;
+    std::string page;
     for (std::size_t index = 0; index < counterNames.size(); ++index) {
         const std::string name = std::string(prefix) + std::string(counterNames.at(index));
-        out << "# TYPE " << name << " counter\n"
-            << name << " " << this->state->counters.at(index) << "\n";
+        appendType(page, name, "counter");
+        page.append(name).append(" ");
+        appendNumber(page, this->state->counters.at(index).load());
     }
-    out << "# TYPE " << prefix << "refusals_total counter\n";
+    const std::string refusals = std::string(prefix) + "refusals_total";
+    appendType(page, refusals, "counter");
     for (std::size_t index = 0; index < errorKinds; ++index) {
         const std::uint64_t refused = this->state->refusals.at(index);
         if (refused > 0) {
-            out << prefix << "refusals_total{kind=\""
-                << errorRow(static_cast<ErrorKind>(index)).name << "\"} " << refused << "\n";
+            const std::string_view kind = errorRow(static_cast<ErrorKind>(index)).name;
+            page.append(refusals).append("{kind=\"").append(kind).append("\"} ");
+            appendNumber(page, refused);
         }
     }
-    const RankedLock lock(this->state->mutex);
-    for (const std::string_view name : timingNames) {
-        out << "# TYPE " << prefix << name << " histogram\n";
+    this->renderTimings(page, now);
+    return page;
+}
+
+void Metrics::renderTimings(std::string &page, TimePoint now) const
+{
+    PageChoice choice;
+    {
+        const RankedLock lock(this->state->mutex);
+        choice = chooseSeries(this->state->series, now);
     }
-    for (const auto &[key, series] : this->state->series) {
-        renderSeries(out, key, series);
+    renderGauge(page, "series_idle", choice.idle);
+    renderGauge(page, "series_beyond_bound", choice.beyondBound);
+    std::string group;
+    for (const auto *each : choice.series) {
+        if (const std::string name = nameOfSeries(each->first); name != group) {
+            group = name;
+            appendType(page, name, "histogram");
+        }
+        // One series at a time: requests that record theirs must not wait for a whole page.
+        const RankedLock lock(this->state->mutex);
+        renderSeries(page, each->first, each->second);
     }
-    return out.str();
 }
 
 } // namespace plantainswitch
--- a/tests/concurrency.cpp
+++ b/tests/concurrency.cpp
@@ -111,7 +111,7 @@
             keeper.grant(thread, ask, {engines, {}, false}, true, now);
             keeper.release(thread, {shardIdOf(shard), {askId}});
             explain.keep({name, {"step"}});
-            metrics.record(Timing::Whole, name, "class", Milliseconds{round});
+            metrics.record(Timing::Whole, name, "class", Milliseconds{round}, TimePoint{});
             metrics.count(Counter::Requests);
         }
     });
