Share between catalogue views what an edit leaves alone

Cause: each merge built the whole view anew from all entries, 6.7 ms at 7,300 workspaces, 3.3% of a core at the peak of edits.

A view's tables are treaps with path copying (SharedMap): the next view copies the nodes on the path to what changes and shares the rest. No persistent map is in Debian's archive (immer isn't), hence the own one.

Ruled out: gathering edits for a second, which delays each and leaves its cost.

Not changed: the table of limits is still made anew from all workspaces at the first look after an edit.

--- a/daemon/keeperservice.cpp
+++ b/daemon/keeperservice.cpp
@@ -95,8 +95,7 @@
     const auto view = this->node.catalogue.view();
     const Service *service = nullptr;
     if (view) {
-        const auto found = view->services.find(ask.shard.service);
-        service = found == view->services.end() ? nullptr : &found->second;
+        service = view->services.find(ask.shard.service);
     }
     if (service == nullptr) {
         return {ask.askId, SlotVerdict::Empty, 0};
--- a/include/plantainswitch/catalogue/table.h
+++ b/include/plantainswitch/catalogue/table.h
@@ -11,18 +11,20 @@
 #include "plantainswitch/base/clock.h"
 #include "plantainswitch/base/error.h"
 #include "plantainswitch/base/lockorder.h"
+#include "plantainswitch/base/sharedmap.h"
 #include "plantainswitch/catalogue/entry.h"
 
 namespace plantainswitch {
 
-/// An immutable view of the catalogue; a request uses one from beginning to end.
+/// An immutable view of the catalogue; a request uses one from beginning to end. The next view
+/// shares all that an edit doesn't change.
 struct CatalogueView
 {
-    std::map<std::string, DataClass, std::less<>> dataClasses;
-    std::map<std::string, Workspace, std::less<>> workspaces;
-    std::map<std::string, Service, std::less<>> services;
+    SharedMap<std::string, DataClass> dataClasses;
+    SharedMap<std::string, Workspace> workspaces;
+    SharedMap<std::string, Service> services;
     /// Token hash to workspace names, so that look-up doesn't walk every workspace.
-    std::multimap<std::uint64_t, std::string> tokens;
+    SharedMap<std::uint64_t, std::vector<std::string>> tokens;
     /// Highest version taken in.
     std::uint64_t version = 0;
 };
--- a/src/catalogue/table.cpp
+++ b/src/catalogue/table.cpp
@@ -8,38 +8,75 @@
 
 namespace {
 
-void insertBody(CatalogueView &view, const std::string &name, const EntryBody &body)
+template<typename Body>
+void putBody(SharedMap<std::string, Body> &bodies, const Entry &entry)
 {
-    if (const auto *dataClass = std::get_if<DataClass>(&body)) {
-        view.dataClasses[name] = *dataClass;
-    } else if (const auto *workspace = std::get_if<Workspace>(&body)) {
-        view.workspaces[name] = *workspace;
-        view.tokens.emplace(hashOf(workspace->token), name);
-    } else if (const auto *service = std::get_if<Service>(&body)) {
-        view.services[name] = *service;
+    const Body *body = entry.body ? std::get_if<Body>(&*entry.body) : nullptr;
+    if (body == nullptr) {
+        bodies.erase(entry.key.name);
+        return;
     }
+    bodies.set(entry.key.name, *body);
 }
 
-std::shared_ptr<const CatalogueView> buildView(const std::map<EntryKey, Entry> &entries)
+void removeToken(CatalogueView &view, const std::string &workspace)
 {
-    auto view = std::make_shared<CatalogueView>();
-    for (const auto &[key, entry] : entries) {
-        view->version = std::max(view->version, entry.version);
-        if (entry.body) {
-            insertBody(*view, key.name, *entry.body);
-        }
+    const Workspace *known = view.workspaces.find(workspace);
+    if (known == nullptr) {
+        return;
+    }
+    const std::uint64_t hash = hashOf(known->token);
+    std::vector<std::string> names = view.tokens.at(hash);
+    std::erase(names, workspace);
+    if (names.empty()) {
+        view.tokens.erase(hash);
+    } else {
+        view.tokens.set(hash, std::move(names));
+    }
+}
+
+void addToken(CatalogueView &view, const std::string &workspace)
+{
+    const Workspace *known = view.workspaces.find(workspace);
+    if (known == nullptr) {
+        return;
+    }
+    const std::uint64_t hash = hashOf(known->token);
+    const std::vector<std::string> *others = view.tokens.find(hash);
+    std::vector<std::string> names = others == nullptr ? std::vector<std::string>{} : *others;
+    names.push_back(workspace);
+    std::sort(names.begin(), names.end());
+    view.tokens.set(hash, std::move(names));
+}
+
+void putEntry(CatalogueView &view, const Entry &entry)
+{
+    switch (entry.key.kind) {
+    case EntryKind::DataClass:
+        putBody(view.dataClasses, entry);
+        break;
+    case EntryKind::Workspace:
+        removeToken(view, entry.key.name);
+        putBody(view.workspaces, entry);
+        addToken(view, entry.key.name);
+        break;
+    case EntryKind::Service:
+        putBody(view.services, entry);
+        break;
     }
-    return view;
 }
 
 const Workspace *findWorkspace(const CatalogueView &view, std::string_view token, std::string &name)
 {
-    const auto [first, last] = view.tokens.equal_range(hashOf(token));
-    for (auto each = first; each != last; ++each) {
-        const auto found = view.workspaces.find(each->second);
-        if (found != view.workspaces.end() && equalInConstantTime(found->second.token, token)) {
-            name = found->first;
-            return &found->second;
+    const std::vector<std::string> *names = view.tokens.find(hashOf(token));
+    if (names == nullptr) {
+        return nullptr;
+    }
+    for (const std::string &each : *names) {
+        const Workspace *found = view.workspaces.find(each);
+        if (found != nullptr && equalInConstantTime(found->token, token)) {
+            name = each;
+            return found;
         }
     }
     return nullptr;
@@ -56,12 +93,15 @@
 {
     const RankedLock lock(this->mutex);
     std::size_t taken = 0;
+    auto next = this->current ? std::make_shared<CatalogueView>(*this->current)
+                              : std::make_shared<CatalogueView>();
     for (const Entry &entry : batch) {
         Entry &known = this->entries[entry.key];
         if (known.version >= entry.version) {
             continue;
         }
         ++taken;
+        next->version = std::max(next->version, entry.version);
         if (entry.unread && !entry.body) {
             // The last version that could be read stays in force until this one is mended.
             known.key = entry.key;
@@ -70,9 +110,10 @@
             continue;
         }
         known = entry;
+        putEntry(*next, entry);
     }
     if (taken > 0) {
-        this->current = buildView(this->entries);
+        this->current = std::move(next);
     }
     return taken;
 }
@@ -147,8 +188,8 @@
         reason = {ErrorKind::Unauthorized, "", std::nullopt};
         return std::nullopt;
     }
-    const auto found = view.services.find(service);
-    if (found == view.services.end()) {
+    const Service *found = view.services.find(service);
+    if (found == nullptr) {
         reason = {ErrorKind::NotFound, "service " + std::string(service), std::nullopt};
         return std::nullopt;
     }
@@ -157,18 +198,18 @@
         reason = {ErrorKind::NotPermitted, "service " + std::string(service), std::nullopt};
         return std::nullopt;
     }
-    const auto own = view.dataClasses.find(workspace->dataClass);
-    const auto other = view.dataClasses.find(found->second.dataClass);
-    if (own == view.dataClasses.end() || other == view.dataClasses.end()) {
+    const DataClass *own = view.dataClasses.find(workspace->dataClass);
+    const DataClass *other = view.dataClasses.find(found->dataClass);
+    if (own == nullptr || other == nullptr) {
         reason = {ErrorKind::NoPermittedPlace, "a data class is not in the catalogue", {}};
         return std::nullopt;
     }
-    if (isTooStale(own->second, staleness) || isTooStale(other->second, staleness)) {
+    if (isTooStale(*own, staleness) || isTooStale(*other, staleness)) {
         reason = {ErrorKind::NoCatalogue, "the catalogue is older than the class allows", {}};
         return std::nullopt;
     }
-    for (const std::string &place : own->second.places) {
-        const auto &others = other->second.places;
+    for (const std::string &place : own->places) {
+        const auto &others = other->places;
         if (std::find(others.begin(), others.end(), place) != others.end()) {
             admission.places.push_back(place);
         }
@@ -179,7 +220,7 @@
     }
     admission.limits = *workspace;
     admission.service = service;
-    admission.serviceEntry = found->second;
+    admission.serviceEntry = *found;
     admission.catalogueVersion = view.version;
     return admission;
 }
--- a/tests/catalogue.cpp
+++ b/tests/catalogue.cpp
@@ -71,3 +71,22 @@
     CHECK(faults[0].path == "/places");
     CHECK(faults[1].path == "/colour");
 }
+
+TEST_CASE_METHOD(CatalogueFixture, "catalogue_tokenChanged_onlyTheNewOneAdmits", "[catalogue]")
+{
+    // The next view shares what the edit leaves alone. A token left behind in it would go on
+    // admitting a caller whose token was changed; a request that holds the old view keeps it.
+    const auto before = this->table.view();
+    Workspace renewed = before->workspaces.at("w");
+    renewed.token = "renewed";
+    this->table.merge({{{EntryKind::Workspace, "w"}, 5, renewed},
+                       {{EntryKind::Workspace, "x"}, 6, renewed},
+                       {{EntryKind::Workspace, "x"}, 7, std::nullopt}});
+    const auto after = this->table.view();
+    CHECK_FALSE(admit(*after, "secret", "model", Duration{0}, this->reason));
+    const auto admitted = admit(*after, "renewed", "model", Duration{0}, this->reason);
+    REQUIRE(admitted);
+    CHECK(admitted->workspace == "w");
+    CHECK(admitted->catalogueVersion == 7);
+    CHECK(admit(*before, "secret", "model", Duration{0}, this->reason));
+}
