--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -20,6 +20,9 @@
 class SuspectTable;
 class UpstreamTable;
 
+template<typename Key, typename Value>
+class SharedMap;
+
 struct Admission;
 struct CatalogueView;
 struct Claim;
