Ask two more routers before writing a claim oneself

Cause: each router that found a slice's usual writer silent wrote itself and loaded the slice whole.

The next by rendezvous of another place is asked, then the first of the own place; silence is remembered for 2 s; two writers that can't reach the platform end the ask as not run. The store's condition alone still decides who writes.

test-claimfleet passes.

--- a/include/plantainswitch/claims/writerchoice.h
+++ b/include/plantainswitch/claims/writerchoice.h
@@ -14,7 +14,7 @@
 struct WriterLimits
 {
     /// Routers that are asked, one after the other.
-    std::size_t writers = 1;
+    std::size_t writers = 3;
     /// Asks without an acknowledgement after which a writer is passed over.
     int unheardAsks = 2;
     /// Time until an ask that was not acknowledged is repeated.
@@ -22,9 +22,9 @@
     /// Time until an acknowledged ask is repeated.
     Duration askAgainAfter = Milliseconds{250};
     /// Time for which a silent writer is not asked first.
-    Duration rememberSilent{0};
+    Duration rememberSilent = Milliseconds{2000};
     /// Writers that can't reach the store after which the claim is refused; 0: never.
-    int mostRefusals = 0;
+    int mostRefusals = 2;
 };
 
 /// A router that may write a slice's log.
