Slow a claim writer down after a lost race

Cause: two writers of one slice each tried at full pace at the position they held for the next.

After a lost race a writer reads before it tries, for 2 s, and tries at two to eight times the pace with seeded jitter (paceOf). The conditional write alone still decides.

--- a/include/plantainswitch/claims/log.h
+++ b/include/plantainswitch/claims/log.h
@@ -24,6 +24,10 @@
     std::size_t batch = 44;
     /// Shortest time between the writes of two positions.
     Duration pace = Milliseconds{60};
+    /// Most doublings of the pace after races lost in a row; 0: no backing off.
+    unsigned mostDoublings = 3;
+    /// Time after a lost race for which the writer takes care of others.
+    Duration contention = Milliseconds{2000};
     /// Time between tries while the store fails.
     Duration retryPause = Milliseconds{100};
     /// Age at which the view of the log is brought up to date before it decides.
@@ -120,10 +124,19 @@
     std::optional<InFlight> inFlight;
     bool calling = false;
     TimePoint writeAfter;
+    /// Races for a position lost in a row.
+    unsigned lostRaces = 0;
+    /// Until then another writer is held to be at work.
+    std::optional<TimePoint> contendedUntil;
     std::optional<TimePoint> syncedAt;
     std::optional<TimePoint> failingSince;
 };
 
+/// \returns the time from a try for a position to the next: the pace; the doubled pace with up to
+/// half of it in jitter while others write too; doubled again for each race lost in a row.
+[[nodiscard]] Duration paceOf(const ClaimLogLimits &limits, bool contended, unsigned lostRaces,
+                              std::uint64_t seed) noexcept;
+
 /// Queues an ask; a repeat of the same nonce is taken once.
 /// \returns false when there is no room.
 bool enqueueClaim(ClaimLog &log, const ClaimAsk &ask);
--- a/src/claims/log.cpp
+++ b/src/claims/log.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "entrycodec.h"
+#include "plantainswitch/base/hash.h"
 
 namespace plantainswitch {
 
@@ -208,6 +209,9 @@
     }
     if (record && record->position == log.next) {
         advance(log, record->entries, record->time);
+        if (log.contendedUntil && now < *log.contendedUntil) {
+            log.contendedUntil = now + log.limits.contention;
+        }
         return;
     }
     if (record && record->position > log.next) {
@@ -248,6 +252,29 @@
     keepSegment(log);
 }
 
+bool isContended(const ClaimLog &log, TimePoint now)
+{
+    return log.contendedUntil && now < *log.contendedUntil;
+}
+
+/// Sets when the next position may be tried.
+void awaitPace(ClaimLog &log, TimePoint now)
+{
+    log.writeAfter = now
+                     + paceOf(log.limits, isContended(log, now), log.lostRaces,
+                              mixHash(log.writer, mixHash(log.batches, log.next)));
+}
+
+void loseRace(ClaimLog &log, TimePoint now)
+{
+    if (log.limits.mostDoublings == 0) {
+        return;
+    }
+    ++log.lostRaces;
+    log.contendedUntil = now + log.limits.contention;
+    awaitPace(log, now);
+}
+
 void takeBatchWrite(ClaimLog &log, const StoreAnswer &answer, TimePoint now)
 {
     const auto written = decodeBatch(log.inFlight->call.body);
@@ -256,7 +283,8 @@
         log.inFlight.reset();
         advance(log, written->entries, written->time);
         log.syncedAt = now;
-        log.writeAfter = now + log.limits.pace;
+        log.lostRaces = 0;
+        awaitPace(log, now);
         return;
     }
     const auto present = decodeBatch(answer.body);
@@ -270,7 +298,10 @@
     const bool own = present->nonce == written->nonce;
     log.inFlight.reset();
     if (own) {
-        log.writeAfter = now + log.limits.pace;
+        log.lostRaces = 0;
+        awaitPace(log, now);
+    } else {
+        loseRace(log, now);
     }
     takePosition(log, answer, now);
 }
@@ -297,8 +328,26 @@
     return !log.syncedAt || now - *log.syncedAt > log.limits.freshness;
 }
 
+/// Whether the view was brought up to date since the pace allowed the next try. Two writers that
+/// each try at what they hold for the next position lose every other try; a read is cheaper.
+bool isCheckedForOthers(const ClaimLog &log, TimePoint now)
+{
+    return !isContended(log, now) || *log.syncedAt >= log.writeAfter;
+}
+
 } // namespace
 
+Duration paceOf(const ClaimLogLimits &limits, bool contended, unsigned lostRaces,
+                std::uint64_t seed) noexcept
+{
+    if (!contended || limits.mostDoublings == 0) {
+        return limits.pace;
+    }
+    constexpr std::uint64_t steps = 1000;
+    const Duration base = limits.pace * (1U << std::clamp(lostRaces, 1U, limits.mostDoublings));
+    return base + base / 2 * (seed % steps) / steps;
+}
+
 bool enqueueClaim(ClaimLog &log, const ClaimAsk &ask)
 {
     for (const ClaimLog::Waiting &waiting : log.pending) {
@@ -350,6 +399,10 @@
     }
     if (now >= log.writeAfter) {
         auto entries = entriesToWrite(log);
+        if (!entries.empty() && !isCheckedForOthers(log, now)) {
+            log.phase = ClaimLog::Phase::Positions;
+            return StoreCall{false, positionName(log, log.next), 0, {}};
+        }
         if (!entries.empty()) {
             composeBatch(log, std::move(entries), wall);
             return log.inFlight->call;
