Prove the promises across a cut between real routers

Cause: cuts were shown in the decision code and the members bench only; no checker spoke of "in force within N seconds" or of versions that fall.

Added: checkVersionsNeverFall, checkInForceWithin and their broken-history test; two cuts (a place from the others, a place's watchers from its other routers) under chats, repeated orders and edits.

Not proved: a half cut off from the platform too.

--- a/lab/history.cpp
+++ b/lab/history.cpp
@@ -1,5 +1,6 @@
 #include "history.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -62,4 +63,43 @@
     return checkCount(history, HistoryKind::Crashed, bound, "crashed upstreams");
 }
 
+std::optional<RecordedTime> timeToForce(const std::vector<VersionSeen> &seen,
+                                        const AcceptedEdit &edit, std::size_t router)
+{
+    for (const VersionSeen &each : seen) {
+        if (each.router == router && each.version >= edit.version) {
+            return std::max(each.asked - edit.accepted, RecordedTime{0});
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> checkVersionsNeverFall(const std::vector<VersionSeen> &seen)
+{
+    std::map<std::size_t, std::uint64_t> highest;
+    for (const VersionSeen &each : seen) {
+        std::uint64_t &before = highest[each.router];
+        if (each.version < before) {
+            return fmt::format("router {} fell from version {} to {}", each.router, before,
+                               each.version);
+        }
+        before = each.version;
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> checkInForceWithin(const std::vector<VersionSeen> &seen,
+                                              const AcceptedEdit &edit, std::size_t routers,
+                                              RecordedTime bound)
+{
+    for (std::size_t router = 0; router < routers; ++router) {
+        const auto lag = timeToForce(seen, edit, router);
+        if (!lag || *lag > bound) {
+            return fmt::format("router {} showed edit {} {}", router, edit.version,
+                               lag ? fmt::format("after {} ms", lag->count()) : "never");
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace plantainswitch::lab
--- a/lab/history.h
+++ b/lab/history.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -41,4 +42,35 @@
 [[nodiscard]] std::optional<std::string> checkCrashBound(const History &history,
                                                          std::uint64_t bound);
 
+/// Time since the start of a recording.
+using RecordedTime = std::chrono::milliseconds;
+
+/// A catalogue version that a router showed as in force when it was asked.
+struct VersionSeen
+{
+    std::size_t router = 0;
+    std::uint64_t version = 0;
+    /// When the question was sent, so that a late answer is never counted as an early one.
+    RecordedTime asked{0};
+};
+
+/// An accepted edit and the time from which it has to come into force everywhere.
+struct AcceptedEdit
+{
+    std::uint64_t version = 0;
+    RecordedTime accepted{0};
+};
+
+/// \returns how long after \a edit was accepted \a router first showed it, or nothing.
+[[nodiscard]] std::optional<RecordedTime> timeToForce(const std::vector<VersionSeen> &seen,
+                                                      const AcceptedEdit &edit, std::size_t router);
+/// No router may show a lower version than it showed before.
+[[nodiscard]] std::optional<std::string>
+checkVersionsNeverFall(const std::vector<VersionSeen> &seen);
+/// Each of \a routers must show \a edit within \a bound.
+[[nodiscard]] std::optional<std::string> checkInForceWithin(const std::vector<VersionSeen> &seen,
+                                                            const AcceptedEdit &edit,
+                                                            std::size_t routers,
+                                                            RecordedTime bound);
+
 } // namespace plantainswitch::lab
--- /dev/null
+++ b/tests/fleetcut.cpp
@@ -0,0 +1,281 @@
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <random>
+
+#include <catch2/catch.hpp>
+
+#include "fleet.h"
+#include "load.h"
+#include "orderrecord.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::lab;
+
+namespace {
+
+constexpr std::uint16_t ownPorts = 30'400;
+constexpr int statusOk = 200;
+constexpr std::uint32_t callers = 3;
+constexpr std::uint32_t ordersOfCaller = 10'000;
+/// Orders from here on are sent by the test itself.
+constexpr std::uint32_t firstProbe = callers * ordersOfCaller;
+constexpr std::uint32_t sendingsOfOrder = 4;
+constexpr std::chrono::seconds chatsLast{6};
+constexpr std::chrono::milliseconds askPeriod{20};
+/// Far above what is measured, so that a busy machine gives the same verdict, and below the
+/// 20 s after which a router that heard of no watcher asks the platform itself.
+constexpr RecordedTime inForceBound{15'000};
+
+using Half = std::vector<std::size_t>;
+
+void expectNone(const std::optional<std::string> &violation)
+{
+    INFO(violation.value_or(""));
+    CHECK_FALSE(violation.has_value());
+}
+
+Deployment deploymentIn(const std::vector<std::string> &places, std::uint32_t routers)
+{
+    Deployment deployment = *deploymentOf("lowther");
+    deployment.basePort = ownPorts;
+    deployment.places = places;
+    deployment.routers = routers;
+    return deployment;
+}
+
+/// Asks all routers again and again which version they have in force.
+class VersionWatch
+{
+public:
+    explicit VersionWatch(Fleet &fleet)
+        : fleet(fleet)
+        , began(std::chrono::steady_clock::now())
+        , thread([this] { this->run(); })
+    {}
+    ~VersionWatch() { this->end(); }
+    VersionWatch(const VersionWatch &) = delete;
+    VersionWatch &operator=(const VersionWatch &) = delete;
+
+    [[nodiscard]] RecordedTime now() const
+    {
+        return std::chrono::duration_cast<RecordedTime>(std::chrono::steady_clock::now()
+                                                        - this->began);
+    }
+
+    /// Waits until each router showed \a edit, or for as long as Fleet::eventually() does.
+    [[nodiscard]] bool eventuallyInForce(const AcceptedEdit &edit)
+    {
+        return Fleet::eventually([&] {
+            const std::lock_guard lock(this->mutex);
+            for (std::size_t router = 0; router < this->fleet.layout.size(); ++router) {
+                if (!timeToForce(this->seen, edit, router)) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+
+    /// Ends the recording. \returns it.
+    const std::vector<VersionSeen> &end()
+    {
+        this->ended = true;
+        if (this->thread.joinable()) {
+            this->thread.join();
+        }
+        return this->seen;
+    }
+
+private:
+    void run()
+    {
+        while (!this->ended) {
+            for (std::size_t router = 0; router < this->fleet.layout.size(); ++router) {
+                const RecordedTime asked = this->now();
+                const nlohmann::json page = this->fleet.status(router);
+                if (page.is_object()) {
+                    const std::uint64_t version = page.at("catalogueVersion");
+                    const std::lock_guard lock(this->mutex);
+                    this->seen.push_back({router, version, asked});
+                }
+            }
+            std::this_thread::sleep_for(askPeriod);
+        }
+    }
+
+    Fleet &fleet;
+    std::chrono::steady_clock::time_point began;
+    std::mutex mutex;
+    std::vector<VersionSeen> seen;
+    std::atomic<bool> ended = false;
+    std::thread thread;
+};
+
+/// Two halves of a fleet under chats and orders.
+class HalvedFleet
+{
+public:
+    explicit HalvedFleet(const Deployment &deployment)
+        : fleet(deployment)
+    {
+        REQUIRE(this->fleet.startAndMeet());
+        this->versions = std::make_unique<VersionWatch>(this->fleet);
+        for (std::uint32_t caller = 0; caller < callers; ++caller) {
+            this->threads.emplace_back([this, caller] { this->runCaller(caller); });
+        }
+        LoadOptions options;
+        options.duration = chatsLast;
+        options.orderShare = 0;
+        this->load = std::make_unique<Load>(this->context, deployment, options);
+        this->load->start([this] { this->guard.reset(); });
+        this->threads.emplace_back([this] { this->context.run(); });
+    }
+    ~HalvedFleet() { this->endCallers(); }
+    HalvedFleet(const HalvedFleet &) = delete;
+    HalvedFleet &operator=(const HalvedFleet &) = delete;
+
+    AcceptedEdit edit(std::uint32_t weight)
+    {
+        const std::string name = "workspace-1";
+        const auto found = std::find_if(this->fleet.deployment.entries.begin(),
+                                        this->fleet.deployment.entries.end(),
+                                        [&](const Entry &entry) { return entry.key.name == name; });
+        auto body = std::get<Workspace>(*found->body);
+        body.weight = weight;
+        const RecordedTime now = this->versions->now();
+        return {this->fleet.standIns.platform.set("workspace", name, toJson(EntryBody{body})), now};
+    }
+
+    /// Waits until each router of \a half counts no other router than those of its half.
+    [[nodiscard]] bool eventuallyAlone(const Half &half)
+    {
+        return Fleet::eventually([&] {
+            return std::all_of(half.begin(), half.end(), [&](std::size_t router) {
+                return this->fleet.memberCount(router) == half.size();
+            });
+        });
+    }
+
+    [[nodiscard]] bool eachServes(const Half &half)
+    {
+        return std::all_of(half.begin(), half.end(), [&](std::size_t router) {
+            const std::uint32_t order = firstProbe + ++this->probes;
+            const nlohmann::json chat{{"model", this->fleet.deployment.modelService},
+                                      {"messages", {{{"role", "user"}, {"content", "text"}}}},
+                                      {"max_tokens", 1}};
+            return Fleet::eventually([&] { return this->orders.send(order, router).answered; })
+                   && Fleet::eventually([&] {
+                          return this->fleet.chat(router, "token-lowther-0", "c", chat).status
+                                 == statusOk;
+                      });
+        });
+    }
+
+    void expectPromisesKept(const std::vector<AcceptedEdit> &edits)
+    {
+        this->endCallers();
+        const std::vector<VersionSeen> &seen = this->versions->end();
+        expectNone(checkVersionsNeverFall(seen));
+        for (const AcceptedEdit &edit : edits) {
+            expectNone(checkInForceWithin(seen, edit, this->fleet.layout.size(), inForceBound));
+            RecordedTime longest{0};
+            for (std::size_t router = 0; router < this->fleet.layout.size(); ++router) {
+                longest = std::max(longest, timeToForce(seen, edit, router).value_or(inForceBound));
+            }
+            UNSCOPED_INFO("edit in force everywhere after " << longest.count() << " ms");
+        }
+        expectNone(checkOrders(this->orders.history()));
+        INFO(this->load->report().dump());
+        CHECK(this->load->broken() == 0);
+        CHECK(this->load->whole() > 0);
+    }
+
+    Fleet fleet;
+    std::unique_ptr<VersionWatch> versions;
+
+private:
+    /// Sends each order several times, also after an answer, as if that had been lost.
+    void runCaller(std::uint32_t caller)
+    {
+        std::mt19937 random(caller);
+        for (std::uint32_t index = 0; !this->ended && index < ordersOfCaller; ++index) {
+            const std::uint32_t order = caller * ordersOfCaller + index;
+            for (std::uint32_t turn = 0; turn < sendingsOfOrder; ++turn) {
+                this->orders.send(order, random() % this->fleet.layout.size());
+            }
+        }
+    }
+
+    void endCallers()
+    {
+        this->ended = true;
+        for (std::thread &thread : this->threads) {
+            thread.join();
+        }
+        this->threads.clear();
+    }
+
+    OrderRecord orders{fleet};
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> guard{context.get_executor()};
+    std::unique_ptr<Load> load;
+    std::vector<std::thread> threads;
+    std::atomic<bool> ended = false;
+    std::uint32_t probes = 0;
+};
+
+/// Cuts \a one and \a other from each other while callers go on and an operator edits, heals, and
+/// checks what was recorded.
+void cutAndHeal(HalvedFleet &halved, const Half &one, const Half &other)
+{
+    halved.fleet.cut(one, other);
+    std::vector<AcceptedEdit> edits{halved.edit(2)};
+    CHECK(halved.eventuallyAlone(one));
+    CHECK(halved.eventuallyAlone(other));
+    edits.push_back(halved.edit(3));
+    CHECK(halved.eachServes(one));
+    CHECK(halved.eachServes(other));
+    CHECK(halved.versions->eventuallyInForce(edits.back()));
+    halved.fleet.heal();
+    edits.push_back(halved.edit(4));
+    CHECK(Fleet::eventually([&] { return halved.fleet.allKnowEachOther(); }));
+    CHECK(halved.versions->eventuallyInForce(edits.back()));
+    CHECK(halved.eachServes(one));
+    halved.expectPromisesKept(edits);
+}
+
+} // namespace
+
+TEST_CASE("fleet_placesCutFromEachOther_eachServesAndEditsHold", "[fleetcut]")
+{
+    // One data centre is cut off from the two others while couriers and chats call all of them
+    // and an operator edits. Each half counts the other as gone, goes on serving by its own view,
+    // and reads the edits itself. After the healing all know each other; a stale half must
+    // neither run a receipt again nor bring back what was edited.
+    HalvedFleet halved(deploymentIn({"hall-a", "hall-b", "hall-c"}, 6));
+    cutAndHeal(halved, {0, 3}, {1, 2, 4, 5});
+}
+
+TEST_CASE("fleet_watchersCutFromTheirPlace_othersWatchThemselves", "[fleetcut]")
+{
+    // The three watchers of a place are cut off from its two other routers, which know the
+    // catalogue only through them. An edit reaches the watchers at once; the two must notice and
+    // read the platform themselves, else they serve by the old catalogue without a word.
+    const Deployment deployment = deploymentIn({"hall-a"}, 5);
+    std::vector<Heartbeat> routers;
+    for (const RouterLayout &router : routersOf(deployment)) {
+        routers.emplace_back();
+        routers.back().id = router.id;
+        routers.back().place = router.place;
+    }
+    Half watchers;
+    Half others;
+    for (std::size_t index = 0; index < routers.size(); ++index) {
+        const Heartbeat &router = routers[index];
+        (isWatcher(router.id, router.place, routers) ? watchers : others).push_back(index);
+    }
+    REQUIRE(watchers.size() == watchersInPlace);
+    HalvedFleet halved(deployment);
+    cutAndHeal(halved, watchers, others);
+}
