Prove that operators who race by the tool lose no edit

Cause: the race was tested at the platform client, not through the tool's commands, and never up to the version in force at real routers.

Not done: a slow caller whose router is killed or stopped.

--- /dev/null
+++ b/tests/operatorapply.cpp
@@ -0,0 +1,208 @@
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+
+#include "commands.h"
+#include "fleet.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::lab;
+using namespace plantainswitch::ctl;
+
+namespace {
+
+constexpr std::uint16_t ownPorts = 29'900;
+constexpr std::uint32_t routers = 3;
+constexpr std::uint32_t operators = 4;
+constexpr std::uint32_t editsOfOperator = 5;
+constexpr const char *field = "maxStaleSeconds";
+const EntryKey edited{EntryKind::DataClass, "regulated"};
+
+Deployment smallDeployment()
+{
+    Deployment deployment = *deploymentOf("lowther");
+    deployment.basePort = ownPorts;
+    deployment.routers = routers;
+    return deployment;
+}
+
+/// Takes what is written to standard output.
+class Printed
+{
+public:
+    Printed()
+        : before(std::cout.rdbuf(this->stream.rdbuf()))
+    {}
+    ~Printed() { std::cout.rdbuf(this->before); }
+    Printed(const Printed &) = delete;
+    Printed &operator=(const Printed &) = delete;
+
+    [[nodiscard]] nlohmann::json json() const
+    {
+        return nlohmann::json::parse(this->stream.str(), nullptr, false);
+    }
+
+private:
+    std::ostringstream stream;
+    std::streambuf *before;
+};
+
+/// An operator with an entry file of their own.
+class Operator
+{
+public:
+    Operator(const Fleet &fleet, std::uint32_t number)
+        : platform("http://" + toText(platformOf(fleet.deployment)))
+        , path(std::filesystem::temp_directory_path()
+               / ("plantain-" + std::to_string(::getpid()) + "-" + std::to_string(number)))
+    {}
+    ~Operator() { std::filesystem::remove(this->path); }
+    Operator(const Operator &) = delete;
+    Operator &operator=(const Operator &) = delete;
+
+    /// Reads the entry into the file.
+    void read() { this->write(toJson(*this->platform.get(edited).object)); }
+    [[nodiscard]] nlohmann::json file() const
+    {
+        std::ifstream stream(this->path);
+        return nlohmann::json::parse(stream);
+    }
+    void change(const std::string &name, const nlohmann::json &value)
+    {
+        nlohmann::json text = this->file();
+        text["body"][name] = value;
+        this->write(text);
+    }
+    int apply() { return applyFile(this->platform, this->path, Output::Json); }
+    [[nodiscard]] nlohmann::json there() { return toJson(*this->platform.get(edited).object); }
+
+private:
+    void write(const nlohmann::json &text) const { std::ofstream(this->path) << text.dump(); }
+
+    PlatformCalls platform;
+    std::string path;
+};
+
+class ApplyFixture
+{
+protected:
+    ApplyFixture()
+        : fleet(smallDeployment())
+    {
+        REQUIRE(this->fleet.startAndMeet());
+    }
+
+    [[nodiscard]] bool eventuallyInForce(std::uint64_t version)
+    {
+        return Fleet::eventually([&] {
+            for (std::size_t router = 0; router < routers; ++router) {
+                if (this->fleet.status(router).value("catalogueVersion", std::uint64_t{0})
+                    < version) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+
+    Fleet fleet;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(ApplyFixture, "apply_afterAnothersEdit_isToldAndLosesNothing", "[operatorapply]")
+{
+    // Two operators read the same version of an entry. The first shortens the staleness, the
+    // second takes a place away, unaware of it. Written over, the first edit would be gone
+    // without a word; the second operator must be told what is there, keep the file, and be able
+    // to apply it again on top of the other's.
+    Operator first(this->fleet, 1);
+    Operator second(this->fleet, 2);
+    first.read();
+    second.read();
+    first.change(field, 60);
+    second.change("places", {"hall-a"});
+    REQUIRE(first.apply() == exitOk);
+    const nlohmann::json winner = first.there();
+    const nlohmann::json kept = second.file();
+    {
+        const Printed printed;
+        CHECK(second.apply() == exitConflict);
+        const nlohmann::json told = printed.json();
+        CHECK(told.at("version") == winner.at("version"));
+        CHECK(told.at("difference").size() >= 2);
+    }
+    CHECK(second.file() == kept);
+    CHECK(second.there() == winner);
+    second.read();
+    second.change("places", {"hall-a"});
+    REQUIRE(second.apply() == exitOk);
+    const nlohmann::json both = second.there();
+    CHECK(both.at("body").at(field) == 60);
+    CHECK(both.at("body").at("places") == nlohmann::json{"hall-a"});
+    CHECK(this->eventuallyInForce(both.at("version")));
+}
+
+TEST_CASE_METHOD(ApplyFixture, "apply_manyOperatorsAtOnce_noEditIsLost", "[operatorapply]")
+{
+    // Several operators each add one to the same field, and read and apply again whenever they
+    // hear that they lost the race. An edit written over unseen would be missing from the sum.
+    std::atomic<std::uint32_t> unexpected = 0;
+    const auto run = [&](std::uint32_t number) {
+        Operator self(this->fleet, number);
+        for (std::uint32_t done = 0; done < editsOfOperator && unexpected == 0;) {
+            self.read();
+            const auto value = self.file().at("body").at(field).get<std::uint32_t>();
+            self.change(field, value + 1);
+            const int exit = self.apply();
+            done += exit == exitOk ? 1 : 0;
+            unexpected += exit == exitOk || exit == exitConflict ? 0 : 1;
+        }
+    };
+    std::vector<std::thread> threads;
+    for (std::uint32_t number = 1; number <= operators; ++number) {
+        threads.emplace_back(run, number);
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    CHECK(unexpected == 0);
+    Operator reader(this->fleet, 0);
+    const nlohmann::json last = reader.there();
+    CHECK(last.at("body").at(field) == operators * editsOfOperator);
+    CHECK(this->eventuallyInForce(last.at("version")));
+}
+
+TEST_CASE_METHOD(ApplyFixture, "apply_answerLost_isUnknownAndSecondApplyWritesNothing",
+                 "[operatorapply]")
+{
+    // The platform takes an edit and its answer is lost. The operator must not hear "not
+    // written"; applying the same file again is told of its own edit and writes nothing.
+    Operator self(this->fleet, 1);
+    self.read();
+    self.change(field, 60);
+    this->fleet.setFaults({{"loseAnswers", 1}});
+    int exit = exitOk;
+    // Another write, such as a router's status, may have been the one whose answer was lost.
+    REQUIRE(Fleet::eventually([&] {
+        exit = self.apply();
+        if (exit == exitOk) {
+            self.read();
+            this->fleet.setFaults({{"loseAnswers", 1}});
+        }
+        return exit != exitOk;
+    }));
+    CHECK(exit == exitUnknown);
+    const nlohmann::json there = self.there();
+    CHECK(there.at("body").at(field) == 60);
+    CHECK(self.apply() == exitConflict);
+    CHECK(self.there() == there);
+    CHECK(this->eventuallyInForce(there.at("version")));
+}
