--- a/tests/controlmetrics.cpp
+++ b/tests/controlmetrics.cpp
@@ -21,7 +21,7 @@
     metrics.countSent(ControlKind::SlotAsk, 62);
     metrics.countSent(ControlKind::Pull, 1000);
     CHECK(metrics.value(Counter::ControlBytesSent) == 1152);
-    const std::string page = metrics.render();
+    const std::string page = metrics.render(TimePoint{});
     CHECK(page.find("control_sent_kind_messages_total{kind=\"slot_ask\"} 2\n") != page.npos);
     CHECK(page.find("control_sent_kind_bytes_total{kind=\"slot_ask\"} 152\n") != page.npos);
     CHECK(page.find("control_sent_kind_bytes_total{kind=\"pull\"} 1000\n") != page.npos);
