Count a watcher's calls apart from those of claims in the test of cuts

The check counted claims' calls too and passed with watchers chosen by members that are gone; with them left out that broken variant is caught (eventuallyEachWatches is false), and the test passes as it should be.

--- a/tests/fleetcut.cpp
+++ b/tests/fleetcut.cpp
@@ -174,11 +174,11 @@
     {
         std::vector<std::uint64_t> before;
         for (std::size_t router = 0; router < this->fleet.layout.size(); ++router) {
-            before.push_back(this->platformCalls(router));
+            before.push_back(this->watchCalls(router));
         }
         return Fleet::eventually([&] {
             for (std::size_t router = 0; router < before.size(); ++router) {
-                if (this->platformCalls(router) < before[router] + callsOfWatcher) {
+                if (this->watchCalls(router) < before[router] + callsOfWatcher) {
                     return false;
                 }
             }
@@ -222,12 +222,16 @@
         }
     }
 
-    std::uint64_t platformCalls(std::size_t router)
+    /// \returns the calls by which \a router looked for news, those of claims left out.
+    std::uint64_t watchCalls(std::size_t router)
     {
-        const std::string name = "\nplantainswitch_platform_calls_total ";
         const std::string page = this->fleet.operatorPage(router, "/metrics").body;
-        const std::size_t at = page.find(name);
-        return at == std::string::npos ? 0 : std::stoull(page.substr(at + name.size()));
+        const auto valueOf = [&page](const std::string &counter) {
+            const std::string name = "\nplantainswitch_" + counter + "_total ";
+            const std::size_t at = page.find(name);
+            return at == std::string::npos ? 0 : std::stoull(page.substr(at + name.size()));
+        };
+        return valueOf("platform_calls") - valueOf("claim_writes") - valueOf("claim_reads");
     }
 
     void endCallers()
