--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -191,6 +191,19 @@
     return this->fetch(std::move(call));
 }
 
+bool Fleet::eventuallyInForce(std::uint64_t version)
+{
+    return eventually([&] {
+        for (std::size_t router = 0; router < this->layout.size(); ++router) {
+            const nlohmann::json page = this->status(router);
+            if (!page.is_object() || page.value("catalogueVersion", std::uint64_t{0}) < version) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
+
 nlohmann::json Fleet::status(std::size_t router)
 {
     auto page = nlohmann::json::parse(this->operatorPage(router, "/status").body, nullptr, false);
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -59,6 +59,8 @@
     net::HttpAnswer operatorPage(std::size_t router, const std::string &path);
     /// \returns a router's /status page, or null when it has none to show.
     nlohmann::json status(std::size_t router);
+    /// Waits until each router of the layout has at least catalogue \a version in force.
+    [[nodiscard]] bool eventuallyInForce(std::uint64_t version);
     /// Fetches a page of the platform.
     net::HttpAnswer platformPage(const std::string &path);
     /// Puts the platform's faults.
--- a/tests/fleetnarrow.cpp
+++ b/tests/fleetnarrow.cpp
@@ -83,15 +83,7 @@
         const DataClass narrowed{this->fleet.deployment.name, {allowedPlace}, 0};
         const std::uint64_t version =
             this->fleet.standIns.platform.set("dataclass", dataClass, toJson(EntryBody{narrowed}));
-        return Fleet::eventually([&] {
-            for (std::size_t router = 0; router < routers; ++router) {
-                if (this->fleet.status(router).value("catalogueVersion", std::uint64_t{0})
-                    < version) {
-                    return false;
-                }
-            }
-            return true;
-        });
+        return this->fleet.eventuallyInForce(version);
     }
 
     Fleet fleet;
--- a/tests/operatorapply.cpp
+++ b/tests/operatorapply.cpp
@@ -99,19 +99,6 @@
         REQUIRE(this->fleet.startAndMeet());
     }
 
-    [[nodiscard]] bool eventuallyInForce(std::uint64_t version)
-    {
-        return Fleet::eventually([&] {
-            for (std::size_t router = 0; router < routers; ++router) {
-                if (this->fleet.status(router).value("catalogueVersion", std::uint64_t{0})
-                    < version) {
-                    return false;
-                }
-            }
-            return true;
-        });
-    }
-
     Fleet fleet;
 };
 
@@ -147,7 +134,7 @@
     const nlohmann::json both = second.there();
     CHECK(both.at("body").at(field) == 60);
     CHECK(both.at("body").at("places") == nlohmann::json{"hall-a"});
-    CHECK(this->eventuallyInForce(both.at("version")));
+    CHECK(this->fleet.eventuallyInForce(both.at("version")));
 }
 
 TEST_CASE_METHOD(ApplyFixture, "apply_manyOperatorsAtOnce_noEditIsLost", "[operatorapply]")
@@ -177,7 +164,7 @@
     Operator reader(this->fleet, 0);
     const nlohmann::json last = reader.there();
     CHECK(last.at("body").at(field) == operators * editsOfOperator);
-    CHECK(this->eventuallyInForce(last.at("version")));
+    CHECK(this->fleet.eventuallyInForce(last.at("version")));
 }
 
 TEST_CASE_METHOD(ApplyFixture, "apply_answerLost_isUnknownAndSecondApplyWritesNothing",
@@ -204,5 +191,5 @@
     CHECK(there.at("body").at(field) == 60);
     CHECK(self.apply() == exitConflict);
     CHECK(self.there() == there);
-    CHECK(this->eventuallyInForce(there.at("version")));
+    CHECK(this->fleet.eventuallyInForce(there.at("version")));
 }
