--- a/tests/concurrency.cpp
+++ b/tests/concurrency.cpp
@@ -193,3 +193,33 @@
     }
     CHECK(ends == 50);
 }
+
+TEST_CASE("catalogueViews_readDuringEdits_areEachOfOneMerge", "[concurrency]")
+{
+    // Edits share with older views what they leave alone. A reader that keeps a view while
+    // others are made from it must see that view as it was: both entries of one merge.
+    CatalogueTable table;
+    const auto edit = [&table](std::uint64_t version) {
+        const auto weight = static_cast<std::uint32_t>(version);
+        Workspace body;
+        body.token = "token";
+        body.weight = weight;
+        table.merge({{{EntryKind::Workspace, "a"}, 2 * version, body},
+                     {{EntryKind::Workspace, "b"}, 2 * version + 1, body}});
+    };
+    edit(1);
+    std::atomic<int> torn = 0;
+    runTogether([&](std::uint32_t thread) {
+        for (std::uint32_t round = 2; round < rounds; ++round) {
+            if (thread == 0) {
+                edit(round);
+                continue;
+            }
+            const auto view = table.view();
+            const bool whole = view->workspaces.at("a").weight == view->workspaces.at("b").weight;
+            torn += whole ? 0 : 1;
+        }
+    });
+    CHECK(torn == 0);
+    CHECK(table.view()->workspaces.at("a").weight == rounds - 1);
+}
