Take the fleets' ports from one grid of blocks

Cause: a fleet guards its block of ports by the block's last one. Blocks at 29,900 and 30,000 overlapped, each guard was free, and test-fleetnarrow ended with "bind: Address already in use" (1 of 40 suites in a run of all under AddressSanitizer, six at a time, beside another whole run).

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -20,6 +20,9 @@
 asio::ip::tcp::acceptor takeBlock(asio::io_context &context, std::uint16_t &basePort)
 {
     using asio::ip::tcp;
+    // All fleets take blocks of one grid. Of blocks that overlap each would have its own last port
+    // free, and a router or stand-in of one would find its port taken by the other.
+    basePort = static_cast<std::uint16_t>(basePort - (basePort - firstPort) % portsOfFleet);
     for (int tries = 0; tries < (lastPort - firstPort) / portsOfFleet; ++tries) {
         tcp::acceptor guard(context);
         guard.open(tcp::v4());
