--- a/tests/fleethistory.cpp
+++ b/tests/fleethistory.cpp
@@ -3,7 +3,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "fleet.h"
+#include "fleettools.h"
 #include "history.h"
 #include "load.h"
 #include "orderrecord.h"
@@ -31,19 +31,11 @@
 {
 protected:
     FleetHistoryFixture()
-        : fleet(smallDeployment())
+        : fleet(lowtherWith(ownPorts, routerCount))
     {
         REQUIRE(this->fleet.start());
     }
 
-    static Deployment smallDeployment()
-    {
-        Deployment deployment = *deploymentOf("lowther");
-        deployment.basePort = ownPorts;
-        deployment.routers = routerCount;
-        return deployment;
-    }
-
     void runCaller(std::uint32_t caller)
     {
         std::mt19937 random(caller);
--- a/tests/fleetmembers.cpp
+++ b/tests/fleetmembers.cpp
@@ -3,7 +3,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "fleet.h"
+#include "fleettools.h"
 
 using namespace plantainswitch;
 using namespace plantainswitch::lab;
@@ -18,9 +18,7 @@
 
 Deployment eightRouters()
 {
-    Deployment deployment = *deploymentOf("lowther");
-    deployment.basePort = ownPorts;
-    deployment.routers = routerCount;
+    Deployment deployment = lowtherWith(ownPorts, routerCount);
     deployment.places = {"hall-a", "hall-b"};
     return deployment;
 }
--- a/tests/fleetnarrow.cpp
+++ b/tests/fleetnarrow.cpp
@@ -3,7 +3,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "fleet.h"
+#include "fleettools.h"
 
 using namespace plantainswitch;
 using namespace plantainswitch::lab;
@@ -22,9 +22,7 @@
 /// One replica a place, each of which takes one request at a time.
 Deployment narrowDeployment()
 {
-    Deployment deployment = *deploymentOf("lowther");
-    deployment.basePort = ownPorts;
-    deployment.routers = routers;
+    Deployment deployment = lowtherWith(ownPorts, routers);
     deployment.plainReplicas = replicas;
     for (Entry &entry : deployment.entries) {
         if (entry.key.name == deployment.plainService) {
--- a/tests/operatorapply.cpp
+++ b/tests/operatorapply.cpp
@@ -10,7 +10,7 @@
 #include <catch2/catch.hpp>
 
 #include "commands.h"
-#include "fleet.h"
+#include "fleettools.h"
 
 using namespace plantainswitch;
 using namespace plantainswitch::lab;
@@ -25,14 +25,6 @@
 constexpr const char *field = "maxStaleSeconds";
 const EntryKey edited{EntryKind::DataClass, "regulated"};
 
-Deployment smallDeployment()
-{
-    Deployment deployment = *deploymentOf("lowther");
-    deployment.basePort = ownPorts;
-    deployment.routers = routers;
-    return deployment;
-}
-
 /// Takes what is written to standard output.
 class Printed
 {
@@ -94,7 +86,7 @@
 {
 protected:
     ApplyFixture()
-        : fleet(smallDeployment())
+        : fleet(lowtherWith(ownPorts, routers))
     {
         REQUIRE(this->fleet.startAndMeet());
     }
--- a/tests/operators.cpp
+++ b/tests/operators.cpp
@@ -7,7 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include "commands.h"
-#include "fleet.h"
+#include "fleettools.h"
 
 using namespace plantainswitch;
 using namespace plantainswitch::lab;
@@ -17,19 +17,11 @@
 
 constexpr std::uint16_t ownPorts = 29000;
 
-Deployment oneRouter()
-{
-    Deployment deployment = *deploymentOf("lowther");
-    deployment.basePort = ownPorts;
-    deployment.routers = 1;
-    return deployment;
-}
-
 class OperatorsFixture
 {
 protected:
     OperatorsFixture()
-        : fleet(oneRouter())
+        : fleet(lowtherWith(ownPorts, 1))
         , platform("http://" + toText(platformOf(this->fleet.deployment)))
     {}
 
