--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,9 +1,13 @@
+#include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
 #include <boost/program_options.hpp>
 
+#include "gateway.h"
+#include "platformdialect.h"
 #include "router.h"
 
 namespace {
@@ -15,7 +19,7 @@
 constexpr int exitFailed = 1;
 constexpr int exitBadInput = 2;
 
-std::optional<Settings> loadSettings(const std::string &path)
+std::optional<std::string> readFile(const std::string &path)
 {
     std::ifstream file(path);
     if (!file) {
@@ -24,20 +28,87 @@
     }
     std::ostringstream text;
     text << file.rdbuf();
+    return text.str();
+}
+
+/// Reads settings by \a parse and prints their faults.
+template<typename Parse>
+auto loadSettings(const std::string &path, Parse parse)
+{
     std::vector<Fault> faults;
-    auto settings = parseSettings(text.str(), faults);
+    const std::optional<std::string> text = readFile(path);
+    auto settings = parse(text.value_or(""), faults);
     for (const Fault &fault : faults) {
         std::cerr << path << ": " << toText(fault) << "\n";
     }
     return settings;
 }
 
+int runRouter(const std::string &path, bool onlyCheck)
+{
+    auto settings = loadSettings(path, parseSettings);
+    if (!settings) {
+        return exitBadInput;
+    }
+    if (onlyCheck) {
+        std::cout << "the settings are good\n";
+        return exitOk;
+    }
+    startLogging(settings->logFormat, settings->logLevel, settings->id);
+    const SystemClock clock;
+    Router router(std::move(*settings), clock);
+    router.run();
+    return exitOk;
+}
+
+int runGateway(const std::string &path, bool onlyCheck)
+{
+    const auto load = [path] { return loadSettings(path, gateway::parseGatewaySettings); };
+    auto settings = load();
+    if (!settings) {
+        return exitBadInput;
+    }
+    if (onlyCheck) {
+        std::cout << "the settings are good\n";
+        return exitOk;
+    }
+    // A write to a connection that the other side closed is an error, not the end.
+    std::signal(SIGPIPE, SIG_IGN);
+    const SystemClock clock;
+    const platform::PlatformDialect dialect;
+    gateway::Gateway router(clock, dialect, std::move(*settings), load);
+    router.run();
+    return exitOk;
+}
+
+/// \returns the path of the settings file, by option or by the variable that an option names.
+std::optional<std::string> settingsPath(const options::variables_map &given)
+{
+    if (given.count("config") > 0) {
+        return given["config"].as<std::string>();
+    }
+    if (given.count("config-env") == 0) {
+        std::cerr << "--config FILE or --config-env NAME is needed\n";
+        return std::nullopt;
+    }
+    const std::string &name = given["config-env"].as<std::string>();
+    const char *const path = std::getenv(name.c_str());
+    if (path == nullptr) {
+        std::cerr << "the environment has no " << name << "\n";
+        return std::nullopt;
+    }
+    return std::string(path);
+}
+
 int runDaemon(int argc, char **argv)
 {
     options::options_description described("plantaind, the router daemon");
     described.add_options()("help", "show this text")("version", "show the version")(
-        "config", options::value<std::string>(),
-        "the settings file")("check-config", "check the settings and leave");
+        "config", options::value<std::string>(), "the settings file")(
+        "config-env", options::value<std::string>(),
+        "the environment variable that holds the settings file's path")(
+        "dialect", options::value<std::string>()->default_value("own"),
+        "whom it serves: own (plantainswitch's callers and engines) or platform")("check-config", "check the settings and leave");
     options::variables_map given;
     try {
         options::store(options::parse_command_line(argc, argv, described), given);
@@ -53,23 +124,17 @@
         std::cout << "plantaind " << PLANTAINSWITCH_VERSION << "\n";
         return exitOk;
     }
-    if (given.count("config") == 0) {
-        std::cerr << "--config FILE is needed\n";
+    const std::string &dialect = given["dialect"].as<std::string>();
+    if (dialect != "own" && dialect != "platform") {
+        std::cerr << "--dialect is own or platform, not " << dialect << "\n";
         return exitBadInput;
     }
-    auto settings = loadSettings(given["config"].as<std::string>());
-    if (!settings) {
+    const auto path = settingsPath(given);
+    if (!path) {
         return exitBadInput;
     }
-    if (given.count("check-config") > 0) {
-        std::cout << "the settings are good\n";
-        return exitOk;
-    }
-    startLogging(settings->logFormat, settings->logLevel, settings->id);
-    const SystemClock clock;
-    Router router(std::move(*settings), clock);
-    router.run();
-    return exitOk;
+    const bool onlyCheck = given.count("check-config") > 0;
+    return dialect == "own" ? runRouter(*path, onlyCheck) : runGateway(*path, onlyCheck);
 }
 
 } // namespace
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -2,8 +2,6 @@
 
 #include "plantainswitch/base/fields.h"
 
-#include <charconv>
-
 #include <asio/ip/address.hpp>
 
 namespace plantainswitch {
@@ -25,24 +23,6 @@
     }
 }
 
-std::optional<Endpoint> endpointOf(const std::string &text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    std::uint16_t port = 0;
-    const char *const end = text.data() + text.size();
-    const auto [rest, fault] = std::from_chars(text.data() + colon + 1, end, port);
-    asio::error_code error;
-    const std::string host = text.substr(0, colon);
-    static_cast<void>(asio::ip::make_address(host, error));
-    if (error || fault != std::errc{} || rest != end || port == 0) {
-        return std::nullopt;
-    }
-    return Endpoint{host, port};
-}
-
 Endpoint readEndpoint(FieldReader &parent, std::string_view name, std::vector<Fault> &faults)
 {
     Endpoint endpoint;
--- /dev/null
+++ b/gateway/bytestream.cpp
@@ -0,0 +1,207 @@
+#include "bytestream.h"
+
+#include <array>
+
+#include <netinet/tcp.h>
+
+#include <asio/post.hpp>
+
+namespace plantainswitch::gateway {
+
+namespace {
+
+/// Bytes read at once. Shared by all connections, which are all read on the loop's one thread: a
+/// buffer of its own for each would cost megabytes with hundreds of open streams.
+constexpr std::size_t readSize = 64 * 1024;
+
+std::array<char, readSize> &readBuffer()
+{
+    static std::array<char, readSize> buffer;
+    return buffer;
+}
+
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using KeepIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using KeepInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using KeepCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+} // namespace
+
+void prepareSocket(asio::ip::tcp::socket &socket)
+{
+    // A connection that has just been reset refuses options; its first read tells.
+    asio::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(UserTimeout(static_cast<int>(unacknowledgedLimit.count())), ignored);
+    socket.set_option(KeepIdle(keepAliveSeconds), ignored);
+    socket.set_option(KeepInterval(keepAliveSeconds), ignored);
+    socket.set_option(KeepCount(keepAliveProbes), ignored);
+}
+
+ByteStream::ByteStream(asio::ip::tcp::socket socket)
+    : socket(std::move(socket))
+{}
+
+void ByteStream::start(Events newEvents)
+{
+    this->events = std::move(newEvents);
+    this->waitToRead();
+}
+
+void ByteStream::waitToRead()
+{
+    if (this->waitingToRead || !this->reading || !this->socket.is_open()) {
+        return;
+    }
+    this->waitingToRead = true;
+    this->socket.async_wait(asio::socket_base::wait_read,
+                            [self = this->shared_from_this()](const asio::error_code &error) {
+                                self->waitingToRead = false;
+                                if (error) {
+                                    if (error != asio::error::operation_aborted) {
+                                        self->fail(false);
+                                    }
+                                    return;
+                                }
+                                self->readNow();
+                            });
+}
+
+void ByteStream::readNow()
+{
+    if (!this->reading || !this->socket.is_open()) {
+        return;
+    }
+    asio::error_code error;
+    const std::size_t size = this->socket.read_some(asio::buffer(readBuffer()), error);
+    if (error == asio::error::would_block || error == asio::error::try_again) {
+        this->waitToRead();
+        return;
+    }
+    if (error) {
+        this->fail(error == asio::error::eof);
+        return;
+    }
+    if (this->events.onBytes) {
+        // The owner may replace its events while it hears of bytes.
+        const auto onBytes = this->events.onBytes;
+        onBytes(std::string_view(readBuffer().data(), size));
+    }
+    this->waitToRead();
+}
+
+void ByteStream::resumeReading()
+{
+    this->reading = true;
+    this->waitToRead();
+}
+
+void ByteStream::write(std::string_view bytes)
+{
+    if (!this->socket.is_open() || this->closing) {
+        return;
+    }
+    this->queued.append(bytes);
+    this->scheduleWrite();
+}
+
+void ByteStream::scheduleWrite()
+{
+    if (this->writeScheduled || this->waitingToWrite) {
+        return;
+    }
+    this->writeScheduled = true;
+    asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+        self->writeScheduled = false;
+        self->writeNow();
+    });
+}
+
+void ByteStream::writeNow()
+{
+    while (this->socket.is_open()) {
+        if (this->written == this->writing.size()) {
+            this->writing.clear();
+            this->written = 0;
+            std::swap(this->writing, this->queued);
+        }
+        if (this->writing.empty()) {
+            break;
+        }
+        asio::error_code error;
+        this->written += this->socket.write_some(
+            asio::buffer(this->writing.data() + this->written,
+                         this->writing.size() - this->written),
+            error);
+        if (error == asio::error::would_block || error == asio::error::try_again) {
+            this->waitToWrite();
+            return;
+        }
+        if (error) {
+            this->fail(false);
+            return;
+        }
+    }
+    if (this->closing) {
+        this->close();
+    } else if (this->events.onWritten) {
+        const auto onWritten = this->events.onWritten;
+        onWritten();
+    }
+}
+
+void ByteStream::waitToWrite()
+{
+    this->waitingToWrite = true;
+    this->socket.async_wait(asio::socket_base::wait_write,
+                            [self = this->shared_from_this()](const asio::error_code &error) {
+                                self->waitingToWrite = false;
+                                if (!error) {
+                                    self->writeNow();
+                                } else if (error != asio::error::operation_aborted) {
+                                    self->fail(false);
+                                }
+                            });
+}
+
+void ByteStream::defer(std::function<void()> work)
+{
+    asio::post(this->socket.get_executor(), std::move(work));
+}
+
+void ByteStream::closeAfterWriting()
+{
+    this->closing = true;
+    this->scheduleWrite();
+}
+
+void ByteStream::close()
+{
+    this->events = {};
+    // Errors of closing say nothing that its end has not said.
+    asio::error_code ignored;
+    this->socket.close(ignored);
+    this->queued.clear();
+    this->writing.clear();
+    this->written = 0;
+}
+
+void ByteStream::reset()
+{
+    asio::error_code ignored;
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->close();
+}
+
+void ByteStream::fail(bool inOrder)
+{
+    const auto onClosed = std::move(this->events.onClosed);
+    this->close();
+    if (onClosed) {
+        onClosed(inOrder);
+    }
+}
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/callerconnection.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "plantainswitch/base/clock.h"
+#include "plantainswitch/routing/route.h"
+
+#include "bytestream.h"
+#include "http1.h"
+
+namespace plantainswitch::gateway {
+
+class CallerConnection;
+
+/// A whole request as it came.
+struct IncomingRequest
+{
+    MessageHead head;
+    std::string body;
+    /// When its first byte was read.
+    TimePoint arrived;
+};
+
+/// What the owner of caller connections provides.
+struct CallerEvents
+{
+    std::function<void(const std::shared_ptr<CallerConnection> &, IncomingRequest)> onRequest;
+    /// The connection ended while its request ran.
+    std::function<void(CallerConnection &)> onGone;
+    /// The connection is closed and can be forgotten.
+    std::function<void(CallerConnection &)> onClosed;
+    /// Answered bytes have left; a paused upstream may go on.
+    std::function<void(CallerConnection &)> onWritten;
+};
+
+/// One caller's connection: one request at a time, answered in whole or in chunks.
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>
+{
+public:
+    CallerConnection(std::uint64_t id, std::shared_ptr<ByteStream> stream, CallerLimits limits,
+                     const CallerEvents &owner, const Clock &clock);
+
+    void start();
+    /// Answers in whole.
+    void respond(int status, const std::vector<HeaderField> &fields, std::string_view body,
+                 bool closes);
+    /// Begins an answer in chunks.
+    void beginChunks(int status, const std::vector<HeaderField> &fields, bool closes);
+    void writeChunk(std::string_view bytes);
+    void endChunks();
+    /// Breaks the answer off so that the caller sees that it isn't whole.
+    void abort();
+    /// Closes if no request is under way.
+    void closeIdle();
+    /// Closes when it has been idle, or sending its request, for longer than the limits allow.
+    void enforceLimits(const CallerLimits &limits, TimePoint now);
+
+    [[nodiscard]] std::uint64_t id() const noexcept { return this->number; }
+    [[nodiscard]] bool isBusy() const noexcept { return this->busy; }
+    [[nodiscard]] std::size_t queuedBytes() const { return this->stream->queuedBytes(); }
+
+private:
+    void onBytes(std::string_view bytes);
+    void onParsed(ParseState reached);
+    void readAhead();
+    void onStreamClosed();
+    void writeHead(int status, const std::vector<HeaderField> &fields);
+    void endAnswer();
+    void closeNow();
+
+    std::uint64_t number;
+    std::shared_ptr<ByteStream> stream;
+    CallerLimits limits;
+    const CallerEvents &owner;
+    const Clock &clock;
+    MessageParser parser;
+    IncomingRequest incoming;
+    bool receiving = false;
+    bool tooLarge = false;
+    bool busy = false;
+    bool keepsAlive = true;
+    bool closed = false;
+    /// Bytes that came while a request ran; bounded by pausing the connection.
+    std::string ahead;
+    TimePoint quietSince;
+};
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/dialect.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "plantainswitch/base/error.h"
+#include "plantainswitch/routing/prompt.h"
+#include "plantainswitch/routing/replica.h"
+#include "plantainswitch/routing/route.h"
+
+#include "http1.h"
+
+namespace plantainswitch::gateway {
+
+/// A caller's request, decoded once.
+struct CallerRequest
+{
+    std::string method;
+    /// Path and query, byte for byte.
+    std::string target;
+    /// Path without the query.
+    std::string path;
+    std::string host;
+    /// The caller's id of this attempt; no two attempts share one.
+    std::string attempt;
+    /// The key that proves the workspace; empty: none was sent.
+    std::string key;
+    /// How long the caller will wait, from when it sent the request.
+    std::optional<Milliseconds> budget;
+    std::optional<Prompt> prompt;
+    /// The last event that the caller already has.
+    std::optional<std::uint64_t> resumeAfter;
+    /// Fields that go to the upstream unchanged.
+    std::vector<HeaderField> passedOn;
+    std::string body;
+};
+
+/// What the router adds to a request when it hands it to an upstream.
+struct Handover
+{
+    const Replica *replica = nullptr;
+    Milliseconds left{0};
+    /// Empty for a request that needed no key.
+    std::string_view workspace;
+    std::uint32_t rank = 0;
+    std::optional<std::uint64_t> resumeAfter;
+};
+
+/// What an upstream says of its load.
+struct ReportedLoad
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+/// The head of an upstream's answer, decoded once.
+struct UpstreamAnswer
+{
+    int status = 0;
+    /// The attempt that it answers; empty: it doesn't say.
+    std::string attempt;
+    /// The upstream states that it has not run the request and won't.
+    bool notRun = false;
+    /// Another upstream has the address now.
+    bool misdirected = false;
+    /// It bears the upstream's signature.
+    bool isSigned = false;
+    /// The body is encoded, which nobody asked for.
+    bool isEncoded = false;
+    bool isEventStream = false;
+    std::optional<ReportedLoad> load;
+    /// Fields that go to the caller unchanged.
+    std::vector<HeaderField> passedOn;
+};
+
+/// Objects that the store of the platform keeps for the fleet.
+enum class StoreKind : std::uint8_t { Routing, Replicas, Routers };
+
+/// One object of the store, still undecoded.
+struct StoreItem
+{
+    std::string name;
+    bool deleted = false;
+    /// JSON text of what it holds.
+    std::string document;
+};
+
+/// An answer of the store to a list or a watch.
+struct StoreAnswer
+{
+    std::vector<StoreItem> items;
+    /// Up to which all changes are included.
+    std::uint64_t revision = 0;
+    /// Further items follow after the last one.
+    bool more = false;
+};
+
+/// A router's address as the store keeps it.
+struct RouterEntry
+{
+    std::string id;
+    Endpoint datagrams;
+};
+
+/// Translates between the router and those it talks with. One implementation for each family of
+/// callers, upstreams and stores.
+class Dialect
+{
+public:
+    virtual ~Dialect() = default;
+
+    /// Decodes a caller's request; nothing, with a reason, when it can't be served as it is.
+    [[nodiscard]] virtual std::optional<CallerRequest> readRequest(const MessageHead &head,
+                                                                   Reason &reason) const
+        = 0;
+    /// \returns the head of \a request as the upstream gets it.
+    [[nodiscard]] virtual std::string writeRequest(const CallerRequest &request,
+                                                   const Handover &handover) const
+        = 0;
+    [[nodiscard]] virtual UpstreamAnswer readAnswer(const MessageHead &head) const = 0;
+    /// \returns the fields that a refusal of the router's own carries.
+    [[nodiscard]] virtual std::vector<HeaderField>
+    refusalFields(const CallerRequest *request, std::optional<Milliseconds> retryAfter) const = 0;
+    /// \returns the status that a refusal of that kind has.
+    [[nodiscard]] virtual int refusalStatus(ErrorKind kind) const = 0;
+
+    /// \returns path and query of a call that lists objects, from the first one after \a after.
+    [[nodiscard]] virtual std::string listTarget(StoreKind kind, std::string_view after) const = 0;
+    /// \returns path and query of a call that waits for changes after \a revision.
+    [[nodiscard]] virtual std::string watchTarget(StoreKind kind, std::uint64_t revision,
+                                                  Milliseconds wait) const
+        = 0;
+    /// \returns path and query of one object.
+    [[nodiscard]] virtual std::string objectTarget(StoreKind kind, std::string_view name) const = 0;
+    [[nodiscard]] virtual std::optional<StoreAnswer> readList(std::string_view body) const = 0;
+    [[nodiscard]] virtual std::optional<StoreAnswer> readChanges(std::string_view body) const = 0;
+    [[nodiscard]] virtual std::optional<RoutingConfig>
+    readRouting(const std::string &document, std::string &fault) const = 0;
+    [[nodiscard]] virtual std::optional<Replica> readReplica(const StoreItem &item,
+                                                             std::string &fault) const
+        = 0;
+    [[nodiscard]] virtual std::optional<RouterEntry> readRouter(const StoreItem &item) const = 0;
+    /// \returns the body of a call that writes this router's own entry.
+    [[nodiscard]] virtual std::string writeRouter(const RouterEntry &entry) const = 0;
+};
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/exchange.cpp
@@ -0,0 +1,630 @@
+#include "exchange.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "plantainswitch/base/hash.h"
+#include "plantainswitch/observe/event.h"
+
+namespace plantainswitch::gateway {
+
+namespace {
+
+/// Time for a connection to an upstream to come about. Some fifty round trips between data
+/// centres; longer ones would cost a caller's whole objective before another upstream is tried.
+constexpr Milliseconds connectLimit{250};
+/// Connections that may fail for one request before it is refused as not run.
+constexpr std::uint32_t mostConnectFailures = 4;
+/// Upstreams that may turn one request away before it is refused.
+constexpr std::uint32_t mostRejections = 3;
+/// Less time than this isn't enough for any answer.
+constexpr Milliseconds leastTime{10};
+/// Share of the objective after which silence counts against an upstream. Later, a second
+/// upstream could not answer within the objective any more.
+constexpr double silentPartOfObjective = 0.5;
+/// Silence that is never held against an upstream: some steps of an engine and two crossings.
+constexpr Milliseconds leastSilence{60};
+/// Pauses within a stream, in multiples of the longest one that callers accept, after which the
+/// stream goes on elsewhere.
+constexpr double stalledPauses = 1.5;
+/// Largest answer that is held whole before it is passed on.
+constexpr std::size_t largestAnswer = 16 << 20;
+/// Bytes queued for a slow caller at which its upstream is paused, and at which it goes on.
+constexpr std::size_t pauseAbove = 256 * 1024;
+constexpr std::size_t resumeBelow = 64 * 1024;
+/// When a caller should come back if no upstream could take its request: about the time in which
+/// an avoided upstream is tried again.
+constexpr Milliseconds comeBackAfter{400};
+
+std::string millisecondsText(Duration span)
+{
+    return fmt::format("{:.1f}", std::chrono::duration<double, std::milli>(span).count());
+}
+
+} // namespace
+
+Exchange::Exchange(GatewayState &gateway, std::shared_ptr<CallerConnection> caller,
+                   IncomingRequest incoming)
+    : gateway(gateway)
+    , caller(std::move(caller))
+    , incoming(std::move(incoming))
+    , timer(gateway.context)
+{}
+
+void Exchange::start()
+{
+    this->gateway.metrics.count(Counter::Requests);
+    if (!this->admit()) {
+        return;
+    }
+    this->place();
+}
+
+bool Exchange::admit()
+{
+    Reason reason;
+    this->request = this->gateway.dialect.readRequest(this->incoming.head, reason);
+    this->table = this->gateway.table;
+    if (!this->table) {
+        this->refuse(ErrorKind::NoCatalogue, "no routing configuration yet", comeBackAfter);
+        return false;
+    }
+    if (!this->request) {
+        this->refuse(reason.kind, reason.detail);
+        return false;
+    }
+    this->request->body = std::move(this->incoming.body);
+    this->route = this->table->findRoute(this->request->host, this->request->path);
+    if (this->route == nullptr) {
+        this->refuse(ErrorKind::NotFound, "no route");
+        return false;
+    }
+    const RoutedWorkspace *holder = nullptr;
+    if (!this->route->anonymous && this->table->config().asksKeys) {
+        holder = this->table->findWorkspace(this->request->key);
+        if (holder == nullptr) {
+            this->refuse(ErrorKind::Unauthorized, "unknown key");
+            return false;
+        }
+        this->workspace = holder->name;
+    }
+    this->rank = rankOf(*this->route, holder);
+    this->service = serviceOf(*this->route, hashOf(this->request->attempt));
+    this->deadline = this->incoming.arrived + this->request->budget.value_or(this->route->timeout);
+    if (this->route->timeout.count() > 0) {
+        this->deadline = std::min(this->deadline, this->incoming.arrived + this->route->timeout);
+    }
+    if (this->request->prompt) {
+        this->chain = chainOf(*this->request->prompt);
+    }
+    this->gateway.retries.earn(this->service, this->gateway.routers(), this->now());
+    return true;
+}
+
+Milliseconds Exchange::left() const
+{
+    return std::chrono::duration_cast<Milliseconds>(this->deadline - this->now());
+}
+
+void Exchange::place()
+{
+    this->phase = Phase::Placing;
+    if (this->left() < leastTime) {
+        this->giveUp();
+        return;
+    }
+    this->gateway.refreshPeerLoads();
+    const auto candidates = this->gateway.upstreams.ofService(this->service);
+    const ChoiceRequest wish{this->gateway.settings.place,
+                             this->request->prompt ? &*this->request->prompt : nullptr, this->chain,
+                             this->tried};
+    const auto choice = chooseUpstream(candidates, wish, this->gateway.upstreams.memory,
+                                       this->gateway.settings.choice, this->now());
+    if (!choice) {
+        this->giveUp();
+        return;
+    }
+    this->handTo(*choice);
+}
+
+void Exchange::handTo(const Choice &choice)
+{
+    const auto candidates = this->gateway.upstreams.ofService(this->service);
+    this->upstream = this->gateway.upstreams.share(candidates[choice.index]->replica.id);
+    UpstreamState &state = *this->upstream;
+    this->tried.push_back(state.replica.id);
+    state.ownRunning += 1;
+    this->unread = choice.uncachedTokens;
+    this->holdsUnread = true;
+    state.ownUnread += this->unread;
+    this->expectedDelay = choice.expectedDelay;
+    logEvent(Event::RequestPlaced,
+             {{"request", this->request->attempt},
+              {"route", this->route->name},
+              {"config", std::to_string(this->table->config().version)},
+              {"upstream", state.replica.id},
+              {"place", state.replica.place},
+              {"expected_ms", fmt::format("{:.1f}", choice.expectedDelay)},
+              {"uncached", fmt::format("{:.0f}", choice.uncachedTokens)},
+              {"own", std::to_string(state.ownRunning)},
+              {"peers", std::to_string(state.peersRunning)},
+              {"avoided", std::to_string(choice.avoided)},
+              {"over_bound", std::to_string(choice.overBound)},
+              {"left_ms", std::to_string(this->left().count())}});
+    this->send(choice, this->upstream);
+}
+
+void Exchange::send(const Choice &choice, std::shared_ptr<UpstreamState> target)
+{
+    static_cast<void>(choice);
+    this->phase = Phase::Waiting;
+    this->sawHead = false;
+    this->sawFirstByte = false;
+    this->body.clear();
+    this->sentAt = this->now();
+    if (!this->chain.empty()) {
+        const std::uint64_t life = lifeOf(target->replica);
+        this->gateway.upstreams.memory.note(this->chain, life, this->sentAt);
+        for (const std::uint64_t part : this->chain) {
+            this->gateway.newChains.push_back({part, life});
+        }
+    }
+    Handover handover;
+    handover.replica = &target->replica;
+    handover.left = this->left();
+    handover.workspace = this->workspace;
+    handover.rank = this->rank;
+    handover.resumeAfter
+        = this->events.lastId() ? this->events.lastId() : this->request->resumeAfter;
+    std::string bytes = this->gateway.dialect.writeRequest(*this->request, handover);
+    bytes.append(this->request->body);
+    const bool isHead = this->request->method == "HEAD";
+    this->armTimer();
+    this->connection = this->gateway.upstreams.takeIdle(*target, mayRepeat(*this->route));
+    if (this->connection) {
+        this->path = "reused";
+        this->connection->send(std::move(bytes), this->answerEvents(), isHead);
+        return;
+    }
+    this->path = "new";
+    this->connection
+        = std::make_shared<UpstreamConnection>(this->gateway.context, this->gateway.clock);
+    this->connection->open(target->replica.endpoint, std::min(connectLimit, this->left()),
+                           std::move(bytes), this->answerEvents(), isHead);
+}
+
+AnswerEvents Exchange::answerEvents()
+{
+    const std::weak_ptr<Exchange> weak = this->weak_from_this();
+    return {[weak](const MessageHead &head) {
+                const auto self = weak.lock();
+                return !self || self->onAnswerHead(head);
+            },
+            [weak](std::string_view bytes) {
+                if (const auto self = weak.lock()) {
+                    self->onAnswerBody(bytes);
+                }
+            },
+            [weak](AnswerEnd end) {
+                if (const auto self = weak.lock()) {
+                    self->onAnswerEnd(end);
+                }
+            }};
+}
+
+void Exchange::armTimer()
+{
+    TimePoint due = this->deadline;
+    if (this->phase == Phase::Waiting) {
+        const auto objective = std::chrono::duration<double, std::milli>(this->route->objective);
+        const double allowed = std::max<double>(static_cast<double>(leastSilence.count()),
+                                                silentPartOfObjective * objective.count())
+                               + this->expectedDelay;
+        due = std::min(due, this->sentAt
+                                + std::chrono::duration_cast<Duration>(
+                                    std::chrono::duration<double, std::milli>(allowed)));
+    } else if (this->phase == Phase::Relaying && this->route->longestPause.count() > 0) {
+        due = std::min(due, this->now()
+                                + std::chrono::duration_cast<Duration>(
+                                    stalledPauses * this->route->longestPause));
+    }
+    const std::weak_ptr<Exchange> weak = this->weak_from_this();
+    this->timer.expires_at(due);
+    this->timer.async_wait([weak](const asio::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self && self->phase != Phase::Done) {
+            self->onTimer();
+        }
+    });
+}
+
+void Exchange::onTimer()
+{
+    if (this->now() >= this->deadline) {
+        this->giveUp();
+        return;
+    }
+    if (this->upstream) {
+        recordFault(this->upstream->health, UpstreamFault::Silent, this->now());
+        logEvent(Event::UpstreamAvoided,
+                 {{"upstream", this->upstream->replica.id},
+                  {"request", this->request->attempt},
+                  {"why", "silent"},
+                  {"silent_ms", millisecondsText(this->now() - this->sentAt)}});
+    }
+    if (this->mayRunAgain() && this->tryAgain("silent")) {
+        return;
+    }
+    // Nothing better is allowed: the answer may still come.
+    this->timer.expires_at(this->deadline);
+    const std::weak_ptr<Exchange> weak = this->weak_from_this();
+    this->timer.async_wait([weak](const asio::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self && self->phase != Phase::Done) {
+            self->giveUp();
+        }
+    });
+}
+
+bool Exchange::onAnswerHead(const MessageHead &head)
+{
+    UpstreamAnswer decoded = this->gateway.dialect.readAnswer(head);
+    if (!decoded.attempt.empty() && decoded.attempt != this->request->attempt) {
+        logEvent(Event::UpstreamGarbage,
+                 {{"request", this->request->attempt},
+                  {"upstream", this->upstream->replica.id},
+                  {"why", "an answer to another request was skipped"}});
+        return false;
+    }
+    this->sawHead = true;
+    this->answer = std::move(decoded);
+    return true;
+}
+
+void Exchange::onFirstByte()
+{
+    this->sawFirstByte = true;
+    const Duration took = this->now() - this->sentAt;
+    if (this->firstByteAfter == Duration{0}) {
+        this->firstByteAfter = this->now() - this->incoming.arrived;
+    }
+    const bool wasAvoided = isAvoided(this->upstream->health, this->now());
+    const auto expected = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(this->expectedDelay));
+    recordSuccess(this->upstream->health, took - expected, this->now());
+    if (wasAvoided) {
+        logEvent(Event::UpstreamUsedAgain, {{"upstream", this->upstream->replica.id},
+                                            {"request", this->request->attempt}});
+    }
+    if (this->holdsUnread) {
+        this->upstream->ownUnread -= this->unread;
+        this->holdsUnread = false;
+    }
+}
+
+void Exchange::onAnswerBody(std::string_view bytes)
+{
+    const auto self = this->shared_from_this();
+    if (this->phase == Phase::Done) {
+        return;
+    }
+    const bool relays = this->answer.status == 200 && this->answer.isSigned
+                        && !this->answer.isEncoded && this->answer.isEventStream
+                        && !this->answer.attempt.empty();
+    if (!relays) {
+        this->body.append(bytes);
+        if (this->body.size() > largestAnswer) {
+            this->connection->drop();
+            this->onFault(UpstreamFault::Garbage);
+        }
+        return;
+    }
+    if (!this->sawFirstByte) {
+        this->onFirstByte();
+    }
+    this->relay(bytes);
+}
+
+void Exchange::relay(std::string_view bytes)
+{
+    std::string whole;
+    if (!this->events.feed(bytes, whole)) {
+        this->connection->drop();
+        this->onFault(UpstreamFault::Garbage);
+        return;
+    }
+    this->phase = Phase::Relaying;
+    if (whole.empty()) {
+        return;
+    }
+    if (!this->chunksBegun) {
+        this->chunksBegun = true;
+        this->caller->beginChunks(this->answer.status, this->answer.passedOn,
+                                  this->gateway.stopping);
+    }
+    this->caller->writeChunk(whole);
+    this->armTimer();
+    if (this->caller->queuedBytes() > pauseAbove) {
+        this->connection->pauseReading();
+    }
+}
+
+void Exchange::onCallerDrained()
+{
+    if (this->phase == Phase::Relaying && this->connection
+        && this->caller->queuedBytes() < resumeBelow) {
+        this->connection->resumeReading();
+    }
+}
+
+void Exchange::onAnswerEnd(AnswerEnd end)
+{
+    const auto self = this->shared_from_this();
+    if (this->phase == Phase::Done) {
+        return;
+    }
+    if (end == AnswerEnd::NotConnected) {
+        this->onNotConnected();
+        return;
+    }
+    if (end != AnswerEnd::Whole) {
+        this->onFault(end == AnswerEnd::Garbage ? UpstreamFault::Garbage : UpstreamFault::Broken);
+        return;
+    }
+    this->gateway.upstreams.giveBack(*this->upstream, this->connection);
+    this->connection.reset();
+    if (this->answer.notRun) {
+        this->onNotRun();
+        return;
+    }
+    this->onWholeAnswer();
+}
+
+void Exchange::onNotConnected()
+{
+    recordFault(this->upstream->health, UpstreamFault::Unreachable, this->now());
+    logEvent(Event::UpstreamUnreachable, {{"upstream", this->upstream->replica.id},
+                                          {"address", toText(this->upstream->replica.endpoint)},
+                                          {"request", this->request->attempt}});
+    this->leaveUpstream();
+    this->connectFailures += 1;
+    if (this->connectFailures >= mostConnectFailures) {
+        this->giveUp();
+        return;
+    }
+    // Nothing was sent, so that this is no repeat.
+    this->logRetry("unreachable");
+    this->place();
+}
+
+void Exchange::onNotRun()
+{
+    recordFault(this->upstream->health, UpstreamFault::Full, this->now());
+    if (this->answer.misdirected) {
+        // The address is another upstream's now; the list will say so.
+        recordFault(this->upstream->health, UpstreamFault::Unreachable, this->now());
+    }
+    this->leaveUpstream();
+    this->rejections += 1;
+    if (this->rejections > mostRejections || !this->tryAgain("turned away")) {
+        this->giveUp();
+    }
+}
+
+void Exchange::onWholeAnswer()
+{
+    const bool isSuccess = this->answer.status >= 200 && this->answer.status < 300;
+    const bool isUsable = !this->answer.isEncoded && !this->answer.attempt.empty()
+                          && this->answer.isSigned;
+    if (!isUsable) {
+        this->onFault(UpstreamFault::Garbage);
+        return;
+    }
+    if (!isSuccess && this->answer.status >= 500) {
+        recordFault(this->upstream->health, UpstreamFault::Failed, this->now());
+        if (this->mayRunAgain() && this->tryAgain("failed")) {
+            return;
+        }
+        this->passAnswerOn();
+        return;
+    }
+    if (isSuccess && this->answer.isEventStream) {
+        this->onWholeStream();
+        return;
+    }
+    this->onFirstByte();
+    this->passAnswerOn();
+}
+
+void Exchange::onWholeStream()
+{
+    if (this->events.hasPartial()) {
+        this->onFault(UpstreamFault::Broken);
+        return;
+    }
+    if (!this->chunksBegun) {
+        this->chunksBegun = true;
+        this->caller->beginChunks(this->answer.status, this->answer.passedOn,
+                                  this->gateway.stopping);
+    }
+    this->leaveUpstream();
+    this->caller->endChunks();
+    this->finish("whole");
+}
+
+void Exchange::passAnswerOn()
+{
+    this->leaveUpstream();
+    if (this->chunksBegun) {
+        // The stream's continuation was refused by its upstream: what the caller has is not whole.
+        this->caller->abort();
+        this->finish("cut");
+        return;
+    }
+    const int status = this->answer.status;
+    this->caller->respond(status, this->answer.passedOn, this->body, this->gateway.stopping);
+    this->finish(status < 300 ? "whole" : "failed-upstream");
+}
+
+void Exchange::onFault(UpstreamFault fault)
+{
+    if (this->upstream) {
+        recordFault(this->upstream->health, fault, this->now());
+        logEvent(fault == UpstreamFault::Garbage ? Event::UpstreamGarbage : Event::UpstreamCrashed,
+                 {{"upstream", this->upstream->replica.id},
+                  {"request", this->request->attempt},
+                  {"why", std::string(nameOf(fault))},
+                  {"path", this->path}});
+    }
+    if (this->mayRunAgain() && this->tryAgain(nameOf(fault))) {
+        return;
+    }
+    this->giveUp();
+}
+
+bool Exchange::mayRunAgain() const
+{
+    return mayRepeat(*this->route) && this->runs + 1 < this->route->maxAttempts;
+}
+
+bool Exchange::tryAgain(std::string_view why)
+{
+    if (this->left() < leastTime
+        || !this->gateway.retries.spend(this->service, this->gateway.routers(), this->now())) {
+        logEvent(Event::RetryBudgetSpent, {{"request", this->request->attempt},
+                                           {"service", this->service},
+                                           {"left_ms", std::to_string(this->left().count())}});
+        return false;
+    }
+    if (!this->answer.notRun || !this->sawHead) {
+        this->runs += 1;
+    }
+    this->leaveUpstream();
+    this->events.dropPartial();
+    this->logRetry(why);
+    this->gateway.metrics.count(Counter::Retries);
+    this->place();
+    return true;
+}
+
+void Exchange::logRetry(std::string_view why) const
+{
+    logEvent(Event::RequestRetried,
+             {{"request", this->request->attempt},
+              {"why", std::string(why)},
+              {"last", this->tried.empty() ? std::string() : this->tried.back()},
+              {"budget_left", fmt::format("{:.1f}", this->gateway.retries.left(this->service))},
+              {"left_ms", std::to_string(this->left().count())}});
+}
+
+void Exchange::leaveUpstream()
+{
+    if (this->connection) {
+        this->connection->drop();
+        this->connection.reset();
+    }
+    if (!this->upstream) {
+        return;
+    }
+    this->upstream->ownRunning -= 1;
+    if (this->holdsUnread) {
+        this->upstream->ownUnread -= this->unread;
+        this->holdsUnread = false;
+    }
+    this->upstream.reset();
+}
+
+void Exchange::giveUp()
+{
+    const bool isOver = this->now() + leastTime >= this->deadline;
+    const bool mayHaveRun = this->runs > 0 || (this->upstream && this->phase != Phase::Placing
+                                               && !(this->sawHead && this->answer.notRun));
+    if (mayHaveRun) {
+        this->refuse(isOver ? ErrorKind::DeadlineExceeded : ErrorKind::UpstreamFailed,
+                     isOver ? "no answer in time" : "the upstream failed");
+    } else if (isOver) {
+        this->refuse(ErrorKind::QueueExpired, "no upstream took it in time");
+    } else if (this->rejections > 0) {
+        this->refuse(ErrorKind::Overloaded, "upstreams turned it away", comeBackAfter);
+    } else {
+        this->refuse(ErrorKind::UpstreamUnreachable, "no upstream could be reached",
+                     comeBackAfter);
+    }
+}
+
+void Exchange::refuse(ErrorKind kind, std::string_view why, std::optional<Milliseconds> retryAfter)
+{
+    this->leaveUpstream();
+    this->gateway.metrics.countRefusal(kind);
+    if (this->chunksBegun) {
+        this->caller->abort();
+        this->finish("cut");
+        return;
+    }
+    const CallerRequest *const known = this->request ? &*this->request : nullptr;
+    logEvent(Event::RequestRefused,
+             {{"request", known != nullptr ? known->attempt : std::string()},
+              {"kind", std::string(errorRow(kind).name)},
+              {"why", std::string(why)},
+              {"host", known != nullptr ? known->host : std::string()},
+              {"path", known != nullptr ? known->path.substr(0, 60) : std::string()},
+              {"config",
+               this->table ? std::to_string(this->table->config().version) : std::string("none")},
+              {"runs", std::to_string(this->runs)}});
+    this->caller->respond(this->gateway.dialect.refusalStatus(kind),
+                          this->gateway.dialect.refusalFields(known, retryAfter), {},
+                          this->gateway.stopping);
+    this->finish(errorRow(kind).name);
+}
+
+void Exchange::finish(std::string_view outcome)
+{
+    this->phase = Phase::Done;
+    this->timer.cancel();
+    const Duration whole = this->now() - this->incoming.arrived;
+    if (this->request && this->route != nullptr) {
+        const std::string kind(nameOf(this->route->kind));
+        this->gateway.metrics.record(Timing::Whole, this->workspace, kind, whole, this->now());
+        if (this->firstByteAfter > Duration{0}) {
+            this->gateway.metrics.record(Timing::FirstByte, this->workspace, kind,
+                                         this->firstByteAfter, this->now());
+        }
+        logEvent(Event::RequestEnded,
+                 {{"request", this->request->attempt},
+                  {"route", this->route->name},
+                  {"workspace", this->workspace},
+                  {"outcome", std::string(outcome)},
+                  {"upstream", this->tried.empty() ? std::string() : this->tried.back()},
+                  {"attempts", std::to_string(this->tried.size())},
+                  {"status", std::to_string(this->answer.status)},
+                  {"events", std::to_string(this->events.events())},
+                  {"first_ms", millisecondsText(this->firstByteAfter)},
+                  {"whole_ms", millisecondsText(whole)},
+                  {"path", this->path}});
+    }
+    this->gateway.metrics.count(outcome == "whole" ? Counter::AnswersWhole : Counter::AnswersCut);
+    this->gateway.onExchangeDone(*this->caller);
+}
+
+void Exchange::onCallerGone()
+{
+    if (this->phase == Phase::Done) {
+        return;
+    }
+    this->gateway.metrics.count(Counter::CallersGone);
+    this->leaveUpstream();
+    this->finish("caller-gone");
+}
+
+void Exchange::cutShort()
+{
+    if (this->phase == Phase::Done) {
+        return;
+    }
+    this->leaveUpstream();
+    this->caller->abort();
+    this->finish("cut-by-stop");
+}
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/exchange.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <asio/steady_timer.hpp>
+
+#include "plantainswitch/routing/eventstream.h"
+
+#include "callerconnection.h"
+#include "gatewaystate.h"
+
+namespace plantainswitch::gateway {
+
+/// One caller's request on its way: admitted, placed, handed to upstreams, answered.
+class Exchange : public std::enable_shared_from_this<Exchange>
+{
+public:
+    Exchange(GatewayState &gateway, std::shared_ptr<CallerConnection> caller,
+             IncomingRequest incoming);
+
+    void start();
+    /// The caller has left: whatever runs for it is given up at once.
+    void onCallerGone();
+    /// Bytes for the caller have left; a paused upstream may go on.
+    void onCallerDrained();
+    /// Ends the request because the process must go.
+    void cutShort();
+
+private:
+    enum class Phase : std::uint8_t { Placing, Waiting, Relaying, Done };
+
+    bool admit();
+    void place();
+    void handTo(const Choice &choice);
+    void send(const Choice &choice, std::shared_ptr<UpstreamState> target);
+    AnswerEvents answerEvents();
+    void armTimer();
+    void onTimer();
+
+    bool onAnswerHead(const MessageHead &head);
+    void onAnswerBody(std::string_view bytes);
+    void onAnswerEnd(AnswerEnd end);
+    void onNotConnected();
+    void onNotRun();
+    void onWholeAnswer();
+    void onWholeStream();
+    void onFault(UpstreamFault fault);
+    void onFirstByte();
+
+    /// Tries once more where that is allowed. \returns false when it isn't.
+    bool tryAgain(std::string_view why);
+    [[nodiscard]] bool mayRunAgain() const;
+    void leaveUpstream();
+    void relay(std::string_view bytes);
+    void passAnswerOn();
+    void giveUp();
+    void refuse(ErrorKind kind, std::string_view why,
+                std::optional<Milliseconds> retryAfter = std::nullopt);
+    void finish(std::string_view outcome);
+    [[nodiscard]] TimePoint now() const { return this->gateway.clock.now(); }
+    [[nodiscard]] Milliseconds left() const;
+    void logRetry(std::string_view why) const;
+
+    GatewayState &gateway;
+    std::shared_ptr<CallerConnection> caller;
+    IncomingRequest incoming;
+    std::optional<CallerRequest> request;
+    /// Holds the route and the workspace.
+    std::shared_ptr<const RoutingTable> table;
+    const Route *route = nullptr;
+    std::string workspace;
+    std::uint32_t rank = 0;
+    std::string service;
+    std::vector<std::uint64_t> chain;
+    TimePoint deadline;
+    asio::steady_timer timer;
+    Phase phase = Phase::Placing;
+
+    std::shared_ptr<UpstreamState> upstream;
+    std::shared_ptr<UpstreamConnection> connection;
+    std::vector<std::string> tried;
+    /// Upstreams that may have run it.
+    std::uint32_t runs = 0;
+    std::uint32_t connectFailures = 0;
+    std::uint32_t rejections = 0;
+    bool holdsUnread = false;
+    double unread = 0.0;
+    double expectedDelay = 0.0;
+    TimePoint sentAt;
+    bool sawHead = false;
+    bool sawFirstByte = false;
+    UpstreamAnswer answer;
+    std::string body;
+    EventRelay events;
+    bool chunksBegun = false;
+    Duration firstByteAfter{0};
+    std::string path;
+};
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/fleetlink.cpp
@@ -0,0 +1,255 @@
+#include "fleetlink.h"
+
+#include <algorithm>
+
+#include "peer.pb.h"
+
+#include "plantainswitch/observe/event.h"
+
+namespace plantainswitch::gateway {
+
+namespace {
+
+/// Pause between news at up to smallFleet routers. A request lasts some hundred milliseconds, so
+/// that older figures would say little of what runs now.
+constexpr Milliseconds newsPause{250};
+/// Above this many routers the pause grows with their number, so that what a router receives in a
+/// second stays the same.
+constexpr std::size_t smallFleet = 12;
+constexpr Milliseconds longestNewsPause{1500};
+/// Pause between news to an address that doesn't answer: it may be another router's tomorrow.
+constexpr Milliseconds silentPause{2000};
+/// Chains told at once; those beyond it are left for the next news. Keeps a datagram under one
+/// Ethernet frame at usual loads.
+constexpr std::size_t mostChains = 32;
+/// Addresses of others are told with each such news.
+constexpr std::uint64_t othersEvery = 8;
+constexpr std::size_t mostOthers = 24;
+
+} // namespace
+
+FleetLink::FleetLink(GatewayState &gateway, std::uint64_t incarnation)
+    : gateway(gateway)
+    , incarnation(incarnation)
+    , socket(gateway.context)
+    , timer(gateway.context)
+{}
+
+void FleetLink::start()
+{
+    const Endpoint &own = this->gateway.settings.peerDatagrams;
+    const asio::ip::udp::endpoint local(asio::ip::make_address(own.host), own.port);
+    this->socket.open(local.protocol());
+    this->socket.set_option(asio::socket_base::reuse_address(true));
+    this->socket.bind(local);
+    this->socket.non_blocking(true);
+    for (const Endpoint &seed : this->gateway.settings.seeds) {
+        // The ports of a fleet are the same on all of its machines.
+        this->addRouter({seed.host, own.port});
+    }
+    this->receive();
+    this->tick();
+}
+
+void FleetLink::stop()
+{
+    this->stopped = true;
+    this->tellAll();
+    this->timer.cancel();
+    asio::error_code ignored;
+    this->socket.close(ignored);
+}
+
+void FleetLink::addRouter(const Endpoint &datagrams)
+{
+    if (datagrams == this->gateway.settings.peerDatagrams) {
+        return;
+    }
+    this->contacts.try_emplace(datagrams, Contact{datagrams, {}, {}, false, 0});
+}
+
+std::optional<Endpoint> FleetLink::newerRouter() const
+{
+    const std::uint64_t own = this->gateway.table ? this->gateway.table->config().version : 0;
+    const TimePoint now = this->gateway.clock.now();
+    for (const auto &[address, contact] : this->contacts) {
+        if (contact.everHeard && contact.configVersion > own && now - contact.heard < peerSilence) {
+            return Endpoint{address.host, this->gateway.settings.peerCalls.port};
+        }
+    }
+    return std::nullopt;
+}
+
+void FleetLink::receive()
+{
+    this->socket.async_receive_from(
+        asio::buffer(this->buffer), this->sender,
+        [this](const asio::error_code &error, std::size_t size) {
+            if (this->stopped || error == asio::error::operation_aborted) {
+                return;
+            }
+            if (!error) {
+                this->onDatagram(size);
+            }
+            this->receive();
+        });
+}
+
+void FleetLink::onDatagram(std::size_t size)
+{
+    wire::RouterNews message;
+    if (!message.ParseFromArray(this->buffer.data(), static_cast<int>(size))
+        || message.id().empty()) {
+        logEvent(Event::DatagramInvalid, {{"from", this->sender.address().to_string()}});
+        return;
+    }
+    const TimePoint now = this->gateway.clock.now();
+    const Endpoint from{this->sender.address().to_string(), this->sender.port()};
+    Contact &contact
+        = this->contacts.try_emplace(from, Contact{from, {}, {}, false, 0}).first->second;
+    contact.heard = now;
+    contact.everHeard = true;
+    contact.configVersion = std::max(contact.configVersion, message.config_version());
+    RouterNews heard;
+    heard.id = message.id();
+    heard.incarnation = message.incarnation();
+    heard.sequence = message.sequence();
+    heard.stopping = message.stopping();
+    for (const wire::ReplicaLoad &load : message.loads()) {
+        heard.loads.push_back(
+            {load.life(), load.running(), load.unread_tokens(), Milliseconds{load.avoided_ms()}});
+    }
+    if (!this->gateway.peers.knows(heard.id)) {
+        logEvent(Event::MemberJoined, {{"member", heard.id}, {"address", toText(from)}});
+    }
+    if (!this->gateway.peers.take(heard, now)) {
+        return;
+    }
+    this->gateway.peersChanged = true;
+    for (const PeerLoad &load : heard.loads) {
+        UpstreamState *const state = this->gateway.upstreams.findLife(load.life);
+        if (state != nullptr && load.avoided.count() > 0) {
+            recordPeerAvoidance(state->health, now + load.avoided, now);
+        }
+    }
+    for (const wire::ChainRead &read : message.chains()) {
+        const std::uint64_t chain = read.chain();
+        this->gateway.upstreams.memory.note({&chain, 1}, read.life(), now);
+    }
+    for (const wire::Endpoint &other : message.others()) {
+        const auto endpoint
+            = endpointOf(other.host() + ":" + std::to_string(other.port()));
+        if (endpoint) {
+            this->addRouter(*endpoint);
+        }
+    }
+}
+
+RouterNews FleetLink::news()
+{
+    RouterNews told;
+    told.id = this->gateway.settings.id;
+    told.incarnation = this->incarnation;
+    told.sequence = ++this->sequence;
+    told.configVersion = this->gateway.table ? this->gateway.table->config().version : 0;
+    told.stopping = this->stopped || this->gateway.stopping;
+    const TimePoint now = this->gateway.clock.now();
+    for (const auto &[id, state] : this->gateway.upstreams.all()) {
+        const bool avoided = state->health.ownAvoidUntil > now;
+        if (state->ownRunning == 0 && !avoided) {
+            continue;
+        }
+        told.loads.push_back(
+            {lifeOf(state->replica), state->ownRunning,
+             static_cast<std::uint32_t>(std::max(0.0, state->ownUnread)),
+             avoided ? std::chrono::duration_cast<Milliseconds>(state->health.ownAvoidUntil - now)
+                     : Milliseconds{0}});
+    }
+    auto &chains = this->gateway.newChains;
+    const std::size_t count = std::min(chains.size(), mostChains);
+    told.chains.assign(chains.begin(), chains.begin() + static_cast<std::ptrdiff_t>(count));
+    chains.erase(chains.begin(), chains.begin() + static_cast<std::ptrdiff_t>(count));
+    // Older ones are learnt by others from their own requests soon enough.
+    if (chains.size() > 8 * mostChains) {
+        chains.clear();
+    }
+    return told;
+}
+
+std::string FleetLink::encode(const RouterNews &told) const
+{
+    wire::RouterNews message;
+    message.set_id(told.id);
+    message.set_incarnation(told.incarnation);
+    message.set_sequence(told.sequence);
+    message.set_config_version(told.configVersion);
+    message.set_stopping(told.stopping);
+    for (const PeerLoad &load : told.loads) {
+        wire::ReplicaLoad *const entry = message.add_loads();
+        entry->set_life(load.life);
+        entry->set_running(load.running);
+        entry->set_unread_tokens(load.unreadTokens);
+        entry->set_avoided_ms(static_cast<std::uint32_t>(load.avoided.count()));
+    }
+    for (const ChainNews &chain : told.chains) {
+        wire::ChainRead *const entry = message.add_chains();
+        entry->set_chain(chain.chain);
+        entry->set_life(chain.life);
+    }
+    if (told.sequence % othersEvery == 1) {
+        for (const auto &[address, contact] : this->contacts) {
+            if (static_cast<std::size_t>(message.others_size()) >= mostOthers) {
+                break;
+            }
+            if (contact.everHeard) {
+                wire::Endpoint *const entry = message.add_others();
+                entry->set_host(address.host);
+                entry->set_port(address.port);
+            }
+        }
+    }
+    return message.SerializeAsString();
+}
+
+void FleetLink::tellAll()
+{
+    const std::string bytes = this->encode(this->news());
+    const TimePoint now = this->gateway.clock.now();
+    for (auto &[address, contact] : this->contacts) {
+        const bool isSilent = !contact.everHeard || now - contact.heard > peerSilence;
+        if (isSilent && now - contact.told < silentPause) {
+            continue;
+        }
+        contact.told = now;
+        // A datagram that can't be sent now is as good as a lost one: the next news replace it.
+        asio::error_code ignored;
+        this->socket.send_to(
+            asio::buffer(bytes),
+            asio::ip::udp::endpoint(asio::ip::make_address(address.host), address.port), 0, ignored);
+    }
+}
+
+void FleetLink::tick()
+{
+    if (this->stopped) {
+        return;
+    }
+    for (const std::string &gone : this->gateway.peers.expire(this->gateway.clock.now())) {
+        logEvent(Event::MemberGone, {{"member", gone}});
+        this->gateway.peersChanged = true;
+    }
+    this->tellAll();
+    const std::size_t routers = this->gateway.peers.routers() + 1;
+    const Milliseconds pause = routers <= smallFleet
+                                   ? newsPause
+                                   : std::min<Milliseconds>(newsPause * routers / smallFleet,
+                                                            longestNewsPause);
+    this->timer.expires_after(pause);
+    this->timer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            this->tick();
+        }
+    });
+}
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/gateway.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "callerconnection.h"
+#include "exchange.h"
+#include "fleetlink.h"
+#include "gatewaystate.h"
+#include "logwriter.h"
+#include "storefollower.h"
+
+namespace plantainswitch::gateway {
+
+/// Reads the settings file again; nothing when it can't be used.
+using SettingsLoader = std::function<std::optional<GatewaySettings>()>;
+
+/// The router process on one thread: callers, upstreams, store and other routers around one loop.
+class Gateway
+{
+public:
+    Gateway(const Clock &clock, const Dialect &dialect, GatewaySettings settings,
+            SettingsLoader loader = {});
+    ~Gateway();
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    /// Serves until a stop has ended.
+    void run();
+    /// Begins a planned stop: not ready at once, what runs is finished, what comes is served
+    /// until callers know.
+    void stop();
+
+    [[nodiscard]] GatewayState &shared() noexcept { return this->state; }
+
+private:
+    using Acceptor = asio::ip::tcp::acceptor;
+
+    void listen(Acceptor &acceptor, const Endpoint &endpoint);
+    void acceptCallers();
+    void acceptPages(Acceptor &acceptor);
+    void onPage(const std::shared_ptr<CallerConnection> &caller, const IncomingRequest &incoming);
+    void onRequest(const std::shared_ptr<CallerConnection> &caller, IncomingRequest incoming);
+    void onSignal();
+    void tick();
+    void watchReadiness();
+    void followStore();
+    void takeRouting(const std::vector<StoreItem> &items);
+    void takeReplicas(const std::vector<StoreItem> &items, bool isList, bool afterOutage);
+    void logReplicas(const std::vector<ReplicaEvent> &events);
+    void announce();
+    void endStopIfIdle();
+    void reload();
+    [[nodiscard]] bool isReady() const noexcept;
+
+    asio::io_context context;
+    GatewayState state;
+    SettingsLoader loader;
+    LogWriter log;
+    Acceptor callerAcceptor;
+    Acceptor readinessAcceptor;
+    Acceptor controlAcceptor;
+    asio::signal_set signals;
+    asio::steady_timer timer;
+    FleetLink fleet;
+    StoreFollower routing;
+    StoreFollower replicas;
+    StoreClient announcer;
+    CallerEvents callerEvents;
+    CallerEvents pageEvents;
+    std::uint64_t nextCaller = 1;
+    std::unordered_map<std::uint64_t, std::shared_ptr<CallerConnection>> callers;
+    std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges;
+    bool wasReady = false;
+    TimePoint stopBegan;
+};
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/gatewaysettings.cpp
@@ -0,0 +1,95 @@
+#include "gatewaysettings.h"
+
+#include "plantainswitch/base/fields.h"
+
+namespace plantainswitch::gateway {
+
+namespace {
+
+constexpr std::uint32_t highestPort = 65535;
+constexpr double mostGraceSeconds = 600.0;
+constexpr double mostWindowSeconds = 3600.0;
+
+void readPeer(FieldReader &parent, GatewaySettings &settings, std::vector<Fault> &faults)
+{
+    FieldReader fields(parent.child("peer"), parent.pathOf("peer"), faults);
+    std::string host;
+    std::uint32_t datagramPort = 0;
+    std::uint32_t callPort = 0;
+    std::vector<std::string> seeds;
+    fields.read("address", host, true);
+    fields.read("datagramPort", datagramPort, 1, highestPort, true);
+    fields.read("callPort", callPort, 1, highestPort, true);
+    fields.read("seeds", seeds);
+    settings.peerDatagrams = {host, static_cast<std::uint16_t>(datagramPort)};
+    settings.peerCalls = {host, static_cast<std::uint16_t>(callPort)};
+    if (!host.empty() && !endpointOf(toText(settings.peerDatagrams))) {
+        faults.push_back({fields.pathOf("address"), "\"" + host + "\"", "an IP number"});
+    }
+    for (const std::string &seed : seeds) {
+        if (const auto endpoint = endpointOf(seed)) {
+            settings.seeds.push_back(*endpoint);
+        } else {
+            faults.push_back({fields.pathOf("seeds"), "\"" + seed + "\"",
+                              "an IP number, a colon and a port"});
+        }
+    }
+    fields.finish();
+}
+
+void readRetries(FieldReader &parent, FleetRetryLimit &limit, std::vector<Fault> &faults)
+{
+    FieldReader fields(parent.child("retries"), parent.pathOf("retries"), faults);
+    double window = static_cast<double>(limit.window.count());
+    constexpr double mostMargin = 1'000'000.0;
+    fields.read("ratio", limit.ratio, 0.0, 1.0);
+    fields.read("margin", limit.margin, 0.0, mostMargin);
+    fields.read("windowSeconds", window, 1.0, mostWindowSeconds);
+    fields.finish();
+    limit.window = Seconds{static_cast<std::int64_t>(window)};
+}
+
+void readLog(FieldReader &parent, GatewaySettings &settings, std::vector<Fault> &faults)
+{
+    FieldReader fields(parent.child("log"), parent.pathOf("log"), faults);
+    std::size_t format = 0;
+    auto level = static_cast<std::size_t>(settings.logLevel);
+    fields.readName("format", format, {"keyvalue", "json"});
+    fields.readName("level", level, {"debug", "info", "warning", "error"});
+    fields.finish();
+    settings.logFormat = static_cast<LogFormat>(format);
+    settings.logLevel = static_cast<Severity>(level);
+}
+
+} // namespace
+
+std::optional<GatewaySettings> parseGatewaySettings(std::string_view text,
+                                                    std::vector<Fault> &faults)
+{
+    const std::optional<nlohmann::json> json = parseJson(text, faults);
+    if (!json) {
+        return std::nullopt;
+    }
+    GatewaySettings settings;
+    FieldReader fields(*json, "", faults);
+    fields.read("id", settings.id, true);
+    fields.read("place", settings.place, true);
+    fields.read("callers", settings.callers, true);
+    fields.read("readiness", settings.readiness, true);
+    fields.read("control", settings.control, false);
+    fields.read("store", settings.store, true);
+    readPeer(fields, settings, faults);
+    readRetries(fields, settings.retries, faults);
+    double grace = std::chrono::duration<double>(settings.grace).count();
+    fields.read("graceSeconds", grace, 1.0, mostGraceSeconds);
+    settings.grace
+        = std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(grace));
+    readLog(fields, settings, faults);
+    fields.finish();
+    if (!faults.empty()) {
+        return std::nullopt;
+    }
+    return settings;
+}
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/logwriter.cpp
@@ -0,0 +1,70 @@
+#include "logwriter.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace plantainswitch::gateway {
+
+namespace {
+
+/// Lines of this span are written together: each write is a system call.
+constexpr std::chrono::milliseconds gatherSpan{100};
+/// Bytes at which lines are written at once.
+constexpr std::size_t gatherBytes = 32 * 1024;
+
+} // namespace
+
+LogWriter::LogWriter(asio::io_context &context)
+    : timer(context)
+{
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+        // Where this is refused, as for some files, writes don't wait for a reader either.
+        static_cast<void>(fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK));
+    }
+}
+
+void LogWriter::take(Severity severity, std::string_view line)
+{
+    this->lines.push(severity, line);
+    if (this->lines.pending().size() >= gatherBytes) {
+        this->flush();
+        return;
+    }
+    this->schedule();
+}
+
+void LogWriter::schedule()
+{
+    if (this->scheduled) {
+        return;
+    }
+    this->scheduled = true;
+    this->timer.expires_after(gatherSpan);
+    this->timer.async_wait([this](const asio::error_code &error) {
+        this->scheduled = false;
+        if (!error) {
+            this->flush();
+        }
+    });
+}
+
+void LogWriter::flush()
+{
+    const std::string_view pending = this->lines.pending();
+    if (!pending.empty()) {
+        const ssize_t count = write(STDOUT_FILENO, pending.data(), pending.size());
+        if (count > 0) {
+            this->lines.written(static_cast<std::size_t>(count));
+        }
+    }
+    const std::uint64_t dropped = this->lines.takeDropped();
+    if (dropped > 0) {
+        logEvent(Event::LogDropped, {{"count", std::to_string(dropped)}});
+    }
+    if (!this->lines.pending().empty()) {
+        this->schedule();
+    }
+}
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/logwriter.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "plantainswitch/observe/linebuffer.h"
+
+namespace plantainswitch::gateway {
+
+/// Writes log lines to standard output, several at a time, and never waits for its reader.
+class LogWriter
+{
+public:
+    explicit LogWriter(asio::io_context &context);
+
+    void take(Severity severity, std::string_view line);
+    /// Writes what can be written now.
+    void flush();
+
+private:
+    void schedule();
+
+    asio::steady_timer timer;
+    LineBuffer lines;
+    bool scheduled = false;
+};
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/storeclient.cpp
@@ -0,0 +1,65 @@
+#include "storeclient.h"
+
+#include <fmt/format.h>
+
+namespace plantainswitch::gateway {
+
+namespace {
+
+/// Time for a connection to the store to come about.
+constexpr Milliseconds connectLimit{1000};
+
+} // namespace
+
+void StoreClient::call(std::string_view method, const std::string &target, const std::string &body,
+                       Milliseconds timeout, std::function<void(StoreReply)> newDone)
+{
+    this->done = std::move(newDone);
+    this->reply = {};
+    this->calls += 1;
+    this->gateway.metrics.count(Counter::PlatformCalls);
+    const Endpoint &store = this->gateway.settings.store;
+    std::string request = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", method, target,
+                                      toText(store));
+    if (!body.empty()) {
+        request += fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n",
+                               body.size());
+    }
+    request.append("\r\n").append(body);
+    AnswerEvents events{[this](const MessageHead &head) {
+                            this->reply.status = head.status;
+                            return true;
+                        },
+                        [this](std::string_view bytes) { this->reply.body.append(bytes); },
+                        [this](AnswerEnd end) {
+                            this->end(end == AnswerEnd::Whole ? std::move(this->reply)
+                                                              : StoreReply{});
+                        }};
+    this->timer.expires_after(timeout);
+    this->timer.async_wait([this, number = this->calls](const asio::error_code &error) {
+        if (!error && number == this->calls && this->done) {
+            this->connection->drop();
+            this->end({});
+        }
+    });
+    if (this->connection && this->connection->isReusable()) {
+        this->connection->send(request, std::move(events));
+        return;
+    }
+    this->connection
+        = std::make_shared<UpstreamConnection>(this->gateway.context, this->gateway.clock);
+    this->connection->open(store, std::min(connectLimit, timeout), std::move(request),
+                           std::move(events));
+}
+
+void StoreClient::end(StoreReply ended)
+{
+    this->timer.cancel();
+    const auto finished = std::move(this->done);
+    this->done = nullptr;
+    if (finished) {
+        finished(std::move(ended));
+    }
+}
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/storefollower.cpp
@@ -0,0 +1,163 @@
+#include "storefollower.h"
+
+#include <algorithm>
+
+#include "plantainswitch/base/hash.h"
+#include "plantainswitch/observe/event.h"
+
+namespace plantainswitch::gateway {
+
+namespace {
+
+/// How long the store is asked to hold a watch. Each renewed watch is a priced call; a connection
+/// that went silent is found sooner, by its keep-alive probes.
+constexpr Milliseconds watchWait{20'000};
+/// How much later than asked a watch may end.
+constexpr Milliseconds watchSlack{3000};
+/// Time for a plain call, some hundred times the store's usual answer.
+constexpr Milliseconds listLimit{2500};
+/// First pause after a failure, doubled up to longestPause: routers that all lost the store must
+/// not ask in step, and an edit must be in force within two seconds of the store's return.
+constexpr Milliseconds shortestPause{250};
+constexpr Milliseconds longestPause{1000};
+constexpr std::uint32_t mostDoublings = 2;
+constexpr int statusOk = 200;
+constexpr int statusGone = 410;
+
+} // namespace
+
+StoreFollower::StoreFollower(GatewayState &gateway, StoreKind kind, FollowerEvents events)
+    : gateway(gateway)
+    , kind(kind)
+    , events(std::move(events))
+    , client(gateway)
+    , timer(gateway.context)
+{}
+
+void StoreFollower::start()
+{
+    this->list();
+}
+
+void StoreFollower::stop()
+{
+    this->stopped = true;
+    this->timer.cancel();
+}
+
+void StoreFollower::later(Milliseconds delay, void (StoreFollower::*step)())
+{
+    this->timer.expires_after(delay);
+    this->timer.async_wait([this, step](const asio::error_code &error) {
+        if (!error && !this->stopped) {
+            (this->*step)();
+        }
+    });
+}
+
+void StoreFollower::list()
+{
+    const std::string after = this->listing.empty() ? std::string() : this->listing.back().name;
+    this->client.call("GET", this->gateway.dialect.listTarget(this->kind, after), {}, listLimit,
+                      [this](const StoreReply &reply) { this->onListed(reply); });
+}
+
+void StoreFollower::onListed(const StoreReply &reply)
+{
+    auto answer = reply.status == statusOk ? this->gateway.dialect.readList(reply.body)
+                                           : std::nullopt;
+    if (!answer) {
+        this->listing.clear();
+        this->onFailure(reply.status);
+        return;
+    }
+    this->onAnswered();
+    std::move(answer->items.begin(), answer->items.end(), std::back_inserter(this->listing));
+    // Changes made while the pages came are found by watching from the first page's revision.
+    if (this->revision == 0 || this->mustList) {
+        this->revision = answer->revision;
+        this->mustList = false;
+    }
+    if (answer->more && !answer->items.empty()) {
+        this->list();
+        return;
+    }
+    std::vector<StoreItem> items = std::move(this->listing);
+    this->listing.clear();
+    this->events.onList(std::move(items), this->wasOut);
+    this->wasOut = false;
+    this->watch();
+}
+
+void StoreFollower::watch()
+{
+    this->client.call("GET",
+                      this->gateway.dialect.watchTarget(this->kind, this->revision, watchWait), {},
+                      watchWait + watchSlack,
+                      [this](const StoreReply &reply) { this->onWatched(reply); });
+}
+
+void StoreFollower::onWatched(const StoreReply &reply)
+{
+    if (this->stopped) {
+        return;
+    }
+    if (reply.status == statusGone) {
+        this->onAnswered();
+        this->mustList = true;
+        this->list();
+        return;
+    }
+    auto answer = reply.status == statusOk ? this->gateway.dialect.readChanges(reply.body)
+                                           : std::nullopt;
+    if (!answer) {
+        this->onFailure(reply.status);
+        return;
+    }
+    this->onAnswered();
+    this->revision = std::max(this->revision, answer->revision);
+    if (!answer->items.empty()) {
+        const bool afterOutage = this->gateway.clock.now() - this->answeredAgain < missingGrace;
+        this->events.onChanges(std::move(answer->items), afterOutage);
+    }
+    this->watch();
+}
+
+void StoreFollower::onAnswered()
+{
+    if (this->failures > 1) {
+        logEvent(Event::PlatformBack, {{"kind", std::to_string(static_cast<int>(this->kind))},
+                                       {"failures", std::to_string(this->failures)}});
+        this->answeredAgain = this->gateway.clock.now();
+    }
+    this->failures = 0;
+}
+
+void StoreFollower::onFailure(int status)
+{
+    this->failures += 1;
+    if (this->stopped) {
+        return;
+    }
+    if (this->failures == 1 && this->revision != 0 && status == 0) {
+        // A waiting watch may be cut off at any time: this alone is no outage.
+        this->watch();
+        return;
+    }
+    if (this->failures <= 2) {
+        logEvent(Event::PlatformUnreachable,
+                 {{"kind", std::to_string(static_cast<int>(this->kind))},
+                  {"status", std::to_string(status)},
+                  {"revision", std::to_string(this->revision)}});
+    }
+    this->wasOut = this->revision != 0;
+    this->mustList = true;
+    const std::uint32_t doublings = std::min(this->failures - 1, mostDoublings);
+    const Milliseconds pause
+        = std::min<Milliseconds>(shortestPause * (1 << doublings), longestPause);
+    const auto spread = static_cast<std::int64_t>(
+        hashOf(this->gateway.settings.id, this->failures) % 100);
+    this->later(pause + Milliseconds{spread}, &StoreFollower::list);
+}
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/storefollower.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "storeclient.h"
+
+namespace plantainswitch::gateway {
+
+/// Who hears of the objects of one kind.
+struct FollowerEvents
+{
+    /// The whole list; \a afterOutage: the store was out of reach before.
+    std::function<void(std::vector<StoreItem>, bool afterOutage)> onList;
+    /// Objects that changed; \a afterOutage: the store was out of reach a moment ago.
+    std::function<void(std::vector<StoreItem>, bool afterOutage)> onChanges;
+};
+
+/// Follows all objects of one kind: lists them once, then waits for changes. When the store has
+/// dropped the history it lists again; through an outage it keeps what it knows and asks on.
+class StoreFollower
+{
+public:
+    StoreFollower(GatewayState &gateway, StoreKind kind, FollowerEvents events);
+
+    void start();
+    void stop();
+    /// \returns whether the last call was answered.
+    [[nodiscard]] bool isConnected() const noexcept { return this->failures == 0; }
+
+private:
+    void list();
+    void onListed(const StoreReply &reply);
+    void watch();
+    void onWatched(const StoreReply &reply);
+    void onFailure(int status);
+    void onAnswered();
+    void later(Milliseconds delay, void (StoreFollower::*step)());
+
+    GatewayState &gateway;
+    StoreKind kind;
+    FollowerEvents events;
+    StoreClient client;
+    asio::steady_timer timer;
+    std::vector<StoreItem> listing;
+    std::uint64_t revision = 0;
+    std::uint32_t failures = 0;
+    bool mustList = true;
+    bool stopped = false;
+    bool wasOut = false;
+    TimePoint answeredAgain;
+};
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/upstreams.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "plantainswitch/routing/choice.h"
+#include "plantainswitch/routing/peerloads.h"
+#include "plantainswitch/routing/replica.h"
+
+#include "upstreamconnection.h"
+
+namespace plantainswitch::gateway {
+
+/// Idle time after which a connection is not used again. A silent or forgotten connection shows
+/// only by a time-out, which costs its request more than a new connection costs the upstream.
+inline constexpr Milliseconds longestIdle{1000};
+/// The same for requests that may run at most once: if the connection is found dead, nobody can
+/// tell whether the request ran, and it must be given up.
+inline constexpr Milliseconds longestIdleOnce{150};
+
+/// The upstreams that this router knows, what it has learnt of them, and its connections.
+class Upstreams
+{
+public:
+    Upstreams(asio::io_context &context, const Clock &clock)
+        : context(context)
+        , clock(clock)
+    {}
+
+    /// Takes what changed in the list of upstreams.
+    void take(const std::vector<ReplicaEvent> &events);
+    /// \returns the state of all upstreams of \a service.
+    [[nodiscard]] std::span<UpstreamState *const> ofService(const std::string &service) const;
+    /// \returns the state of an upstream, or nullptr when it is gone. Requests hold it beyond that.
+    [[nodiscard]] std::shared_ptr<UpstreamState> share(const std::string &id) const;
+    /// \returns the state of an upstream's life, or nullptr when it is gone.
+    [[nodiscard]] UpstreamState *findLife(std::uint64_t life);
+    [[nodiscard]] const std::map<std::string, std::shared_ptr<UpstreamState>> &all() const noexcept
+    {
+        return this->byId;
+    }
+
+    /// \returns an idle connection to the upstream, or nullptr.
+    std::shared_ptr<UpstreamConnection> takeIdle(const UpstreamState &state, bool mayRepeat);
+    /// Takes a connection back that may carry a further request.
+    void giveBack(const UpstreamState &state, std::shared_ptr<UpstreamConnection> connection);
+    /// Closes connections that were idle for too long.
+    void closeStale();
+
+    ChainMemory memory;
+
+private:
+    void rebuild();
+
+    asio::io_context &context;
+    const Clock &clock;
+    std::map<std::string, std::shared_ptr<UpstreamState>> byId;
+    std::unordered_map<std::string, std::vector<UpstreamState *>> byService;
+    std::unordered_map<std::uint64_t, UpstreamState *> byLife;
+    std::unordered_map<std::uint64_t, std::vector<std::shared_ptr<UpstreamConnection>>> idle;
+};
+
+} // namespace plantainswitch::gateway
--- a/include/plantainswitch/base/error.h
+++ b/include/plantainswitch/base/error.h
@@ -30,6 +30,7 @@
     UpstreamFailed,
     UpstreamGarbage,
     AnswerCut,
+    DeadlineExceeded,
     Stopping,
     Internal,
 };
--- a/include/plantainswitch/base/fields.h
+++ b/include/plantainswitch/base/fields.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "plantainswitch/catalogue/parse.h"
+#include "plantainswitch/membership/vm.h"
 
 namespace plantainswitch {
 
@@ -27,6 +28,10 @@
     /// A whole number from \a least to \a most.
     void read(std::string_view name, std::uint32_t &value, std::uint32_t least, std::uint32_t most,
               bool required = false);
+    /// A number from \a least to \a most, with or without a fraction.
+    void read(std::string_view name, double &value, double least, double most);
+    /// An IP number, a colon and a port.
+    void read(std::string_view name, Endpoint &value, bool required);
     /// true or false.
     void read(std::string_view name, bool &value);
     /// A list of non-empty strings; at least one when \a required.
--- a/include/plantainswitch/membership/vm.h
+++ b/include/plantainswitch/membership/vm.h
@@ -22,6 +22,8 @@
 
 /// \returns "host:port".
 [[nodiscard]] std::string toText(const Endpoint &endpoint);
+/// \returns the endpoint that "host:port" names, or nothing unless host is an IP number.
+[[nodiscard]] std::optional<Endpoint> endpointOf(std::string_view text);
 
 /// One line of the platform's lagging list of VMs.
 struct Vm
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -21,6 +21,9 @@
     Stopped = 102,
     StopRepeated = 103,
     StopDraining = 104,
+    SettingsReloaded = 105,
+    ReadinessChanged = 106,
+    LogDropped = 107,
     CatalogueTaken = 200,
     PlatformUnreachable = 201,
     PlatformBack = 202,
@@ -29,6 +32,8 @@
     WatchBegun = 205,
     WatchEnded = 206,
     VmListShort = 207,
+    RoutingTaken = 208,
+    ReplicaChanged = 209,
     MemberJoined = 300,
     MemberGone = 301,
     DatagramInvalid = 302,
@@ -38,6 +43,9 @@
     RequestRefused = 401,
     AnswerCut = 402,
     CallerGone = 403,
+    RequestPlaced = 404,
+    RequestRetried = 405,
+    RequestEnded = 406,
     ClaimUnavailable = 410,
     ClaimTaken = 411,
     ClaimReleased = 412,
@@ -51,6 +59,8 @@
     UpstreamGarbage = 501,
     UpstreamLeaving = 502,
     KeeperSilent = 503,
+    UpstreamAvoided = 504,
+    UpstreamUsedAgain = 505,
     KeeperReplaced = 510,
     SlotsDiffer = 511,
     ShardsHandedOver = 512,
@@ -84,6 +94,12 @@
 
 /// Sets up Boost.Log on standard error; without it, events are dropped.
 void startLogging(LogFormat format, Severity least, std::string node);
+/// Hands each line to \a writer instead, which must not block; for processes that serve on the
+/// thread that logs, where a write to a full pipe would hold up every request.
+using LineWriter = std::function<void(Severity severity, std::string line)>;
+void startLogging(LogFormat format, Severity least, std::string node, LineWriter writer);
+/// Stops handing lines out; later events are dropped.
+void stopLogging();
 /// Writes one event as one line.
 void logEvent(Event event, std::initializer_list<LogField> fields);
 
--- /dev/null
+++ b/include/plantainswitch/routing/health.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include "plantainswitch/base/clock.h"
+
+namespace plantainswitch {
+
+/// How an upstream failed a request.
+enum class UpstreamFault : std::uint8_t {
+    /// No connection came about.
+    Unreachable,
+    /// The connection ended before the whole answer.
+    Broken,
+    /// No answer within the time that this upstream usually takes.
+    Silent,
+    /// The answer could not be read, or belonged to nobody.
+    Garbage,
+    /// It answered that it failed.
+    Failed,
+    /// It turned the request away unrun.
+    Full,
+};
+[[nodiscard]] std::string_view nameOf(UpstreamFault fault) noexcept;
+
+/// First time for which an upstream that can't be reached is avoided. Shorter than callers' time
+/// limits, so that one lost packet costs little; doubled with each failure up to longestAvoidance.
+inline constexpr Milliseconds shortestAvoidance{500};
+/// A crashed upstream is back after some seconds; it should not stay idle much longer.
+inline constexpr Milliseconds longestAvoidance{3000};
+/// Weight of one more outcome in the share of failures: some ten requests decide.
+inline constexpr double outcomeWeight = 0.1;
+/// Weight of one more delay in the mean.
+inline constexpr double delayWeight = 0.2;
+/// Time in which what is held against an upstream halves, so that it is tried again.
+inline constexpr Seconds blameHalfLife{2};
+
+/// What a router has learnt from the answers of one upstream.
+struct UpstreamHealth
+{
+    /// Faults in a row that say the upstream is down rather than that a request failed.
+    std::uint32_t downInRow = 0;
+    TimePoint avoidUntil;
+    /// The part of it that this router has learnt itself, which is what it tells others: news
+    /// that were handed on would keep each other alive.
+    TimePoint ownAvoidUntil;
+    /// Share of requests failed, by recent outcomes; 0 to 1.
+    double failureShare = 0.0;
+    /// Mean delay beyond what was expected, in milliseconds.
+    double extraDelay = 0.0;
+    TimePoint changedAt;
+};
+
+/// Takes a fault into account.
+void recordFault(UpstreamHealth &health, UpstreamFault fault, TimePoint now);
+/// Takes a good answer into account.
+/// \param extraDelay time to its first byte beyond what was expected
+void recordSuccess(UpstreamHealth &health, Duration extraDelay, TimePoint now);
+/// Takes a peer's word that the upstream is down until \a until.
+void recordPeerAvoidance(UpstreamHealth &health, TimePoint until, TimePoint now);
+
+/// \returns whether new requests keep away from the upstream.
+[[nodiscard]] bool isAvoided(const UpstreamHealth &health, TimePoint now) noexcept;
+/// \returns the share of requests that fail there, faded by the time since the last outcome.
+[[nodiscard]] double failureShareOf(const UpstreamHealth &health, TimePoint now) noexcept;
+/// \returns the extra delay in milliseconds, faded likewise.
+[[nodiscard]] double extraDelayOf(const UpstreamHealth &health, TimePoint now) noexcept;
+
+} // namespace plantainswitch
--- /dev/null
+++ b/include/plantainswitch/routing/peerloads.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "plantainswitch/base/clock.h"
+
+namespace plantainswitch {
+
+/// What one router has at one upstream.
+struct PeerLoad
+{
+    /// The upstream's life.
+    std::uint64_t life = 0;
+    std::uint32_t running = 0;
+    std::uint32_t unreadTokens = 0;
+    /// How long the sender still keeps away from it; 0: it doesn't.
+    Milliseconds avoided{0};
+};
+
+/// A chain that a router had an upstream read.
+struct ChainNews
+{
+    std::uint64_t chain = 0;
+    std::uint64_t life = 0;
+};
+
+/// What a router tells the others several times a second.
+struct RouterNews
+{
+    std::string id;
+    /// Start of the process; a higher one replaces what a lower one told.
+    std::uint64_t incarnation = 0;
+    /// Counts the news of one process; older ones that overtake are dropped.
+    std::uint64_t sequence = 0;
+    std::uint64_t configVersion = 0;
+    bool stopping = false;
+    std::vector<PeerLoad> loads;
+    std::vector<ChainNews> chains;
+};
+
+/// Silence after which a router counts as gone and what it had as ended: several missed news.
+inline constexpr Milliseconds peerSilence{1500};
+
+/// The loads that other routers told of, summed for each upstream.
+class PeerLoads
+{
+public:
+    struct Sum
+    {
+        std::uint32_t running = 0;
+        double unread = 0.0;
+    };
+
+    /// Takes news. \returns false when they are older than what is known.
+    bool take(const RouterNews &news, TimePoint now);
+    /// Drops routers that were silent. \returns their ids.
+    std::vector<std::string> expire(TimePoint now);
+    /// \returns what all other routers have at the upstream.
+    [[nodiscard]] Sum at(std::uint64_t life) const;
+    /// \returns the number of other routers heard lately.
+    [[nodiscard]] std::size_t routers() const noexcept { return this->peers.size(); }
+    [[nodiscard]] bool knows(const std::string &id) const { return this->peers.contains(id); }
+
+private:
+    struct Peer
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        TimePoint heard;
+        std::vector<PeerLoad> loads;
+    };
+
+    void add(const std::vector<PeerLoad> &loads, int sign);
+
+    std::map<std::string, Peer> peers;
+    std::map<std::uint64_t, Sum> sums;
+};
+
+} // namespace plantainswitch
--- /dev/null
+++ b/include/plantainswitch/routing/replica.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "plantainswitch/base/clock.h"
+#include "plantainswitch/membership/vm.h"
+
+namespace plantainswitch {
+
+/// One upstream process of a service, as the platform's list describes it.
+struct Replica
+{
+    std::string id;
+    /// Unix milliseconds of its start; the same id with another start is another life, which
+    /// holds nothing of what the earlier one cached.
+    std::uint64_t born = 0;
+    std::string service;
+    Endpoint endpoint;
+    /// Data centre.
+    std::string place;
+    /// Requests that it works on at once; 0: not stated.
+    std::uint32_t slots = 0;
+    /// It finishes what it has and takes nothing new.
+    bool leaving = false;
+};
+
+/// What changed for one upstream.
+enum class ReplicaChange : std::uint8_t { Appeared, Reborn, Moved, Leaving, Gone };
+[[nodiscard]] std::string_view nameOf(ReplicaChange change) noexcept;
+
+/// A change of the list, for the log and for who keeps state of an upstream.
+struct ReplicaEvent
+{
+    ReplicaChange change = ReplicaChange::Appeared;
+    Replica replica;
+};
+
+/// How long upstreams that the platform's list lacks after an outage are still used. The list
+/// drops entries that could not be renewed during the outage, and has them back some two seconds
+/// after it; until then a missing entry says nothing.
+inline constexpr Milliseconds missingGrace{2000};
+
+/// The upstreams that the platform's list names.
+class ReplicaDirectory
+{
+public:
+    /// Takes a whole list.
+    /// \param afterOutage the platform was out of reach before it: who is missing is kept for
+    /// missingGrace, then dropped by expire()
+    std::vector<ReplicaEvent> takeList(std::vector<Replica> list, bool afterOutage, TimePoint now);
+    /// Takes one upstream's new entry.
+    std::vector<ReplicaEvent> takeEntry(Replica replica);
+    /// Takes the removal of one entry.
+    std::vector<ReplicaEvent> takeRemoval(const std::string &id);
+    /// Takes the removal of one entry shortly after an outage: it is kept for missingGrace.
+    std::vector<ReplicaEvent> missRemoval(const std::string &id, TimePoint now);
+    /// Drops those that are still missing after their grace.
+    std::vector<ReplicaEvent> expire(TimePoint now);
+
+    /// \returns all upstreams by id.
+    [[nodiscard]] const std::map<std::string, Replica> &all() const noexcept
+    {
+        return this->replicas;
+    }
+    /// \returns whether an upstream waits for expire().
+    [[nodiscard]] bool hasMissing() const noexcept { return !this->missing.empty(); }
+
+private:
+    std::map<std::string, Replica> replicas;
+    std::map<std::string, TimePoint> missing;
+};
+
+} // namespace plantainswitch
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -50,6 +50,8 @@
              "The upstream's answer is not understood; the request may have run."},
     ErrorRow{ErrorKind::AnswerCut, "answer-cut", 502, Ran::Yes, 1,
              "The answer is incomplete: the upstream stopped in the middle of it."},
+    ErrorRow{ErrorKind::DeadlineExceeded, "deadline-exceeded", 504, Ran::Unknown, std::nullopt,
+             "The time for the answer is over; the request may have run."},
     ErrorRow{ErrorKind::Stopping, "stopping", 503, Ran::No, 1, "This router is stopping."},
     ErrorRow{ErrorKind::Internal, "internal", 500, Ran::Unknown, 1,
              "An internal error; the request may have run."},
--- a/src/base/fields.cpp
+++ b/src/base/fields.cpp
@@ -100,6 +100,36 @@
     value = static_cast<std::uint32_t>(number);
 }
 
+void FieldReader::read(std::string_view name, double &value, double least, double most)
+{
+    const nlohmann::json *json = this->find(name, false, "a number");
+    if (json == nullptr) {
+        return;
+    }
+    if (!json->is_number() || json->get<double>() < least || json->get<double>() > most) {
+        this->fault(name, *json,
+                    "a number from " + std::to_string(least) + " to " + std::to_string(most));
+        return;
+    }
+    value = json->get<double>();
+}
+
+void FieldReader::read(std::string_view name, Endpoint &value, bool required)
+{
+    const std::string allowed = "an IP number, a colon and a port";
+    const nlohmann::json *json = this->find(name, required, allowed);
+    if (json == nullptr) {
+        return;
+    }
+    const auto *text = json->get_ptr<const std::string *>();
+    const std::optional<Endpoint> endpoint = text == nullptr ? std::nullopt : endpointOf(*text);
+    if (!endpoint) {
+        this->fault(name, *json, allowed);
+        return;
+    }
+    value = *endpoint;
+}
+
 void FieldReader::read(std::string_view name, bool &value)
 {
     const nlohmann::json *json = this->find(name, false, "true or false");
--- a/src/membership/vm.cpp
+++ b/src/membership/vm.cpp
@@ -1,6 +1,9 @@
 #include "plantainswitch/membership/vm.h"
 
 #include <array>
+#include <charconv>
+
+#include <arpa/inet.h>
 
 namespace plantainswitch {
 
@@ -31,4 +34,22 @@
     return endpoint.host + ":" + std::to_string(endpoint.port);
 }
 
+std::optional<Endpoint> endpointOf(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    Endpoint endpoint{std::string(text.substr(0, colon)), 0};
+    const char *const end = text.data() + text.size();
+    const auto [rest, fault] = std::from_chars(text.data() + colon + 1, end, endpoint.port);
+    in6_addr parsed{};
+    const bool isAddress = inet_pton(AF_INET, endpoint.host.c_str(), &parsed) == 1
+                           || inet_pton(AF_INET6, endpoint.host.c_str(), &parsed) == 1;
+    if (!isAddress || fault != std::errc{} || rest != end || endpoint.port == 0) {
+        return std::nullopt;
+    }
+    return endpoint;
+}
+
 } // namespace plantainswitch
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <chrono>
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -24,6 +25,7 @@
     LogFormat format = LogFormat::KeyValue;
     Severity least = Severity::Info;
     std::string node;
+    LineWriter writer;
 };
 
 LogState &state()
@@ -61,6 +63,23 @@
     log.started = true;
 }
 
+void startLogging(LogFormat format, Severity least, std::string node, LineWriter writer)
+{
+    LogState &log = state();
+    log.format = format;
+    log.least = least;
+    log.node = std::move(node);
+    log.writer = std::move(writer);
+    log.started = true;
+}
+
+void stopLogging()
+{
+    LogState &log = state();
+    log.started = false;
+    log.writer = nullptr;
+}
+
 void logEvent(Event event, std::initializer_list<LogField> fields)
 {
     const LogState &log = state();
@@ -68,6 +87,15 @@
     if (!log.started || row.severity < log.least) {
         return;
     }
+    if (log.writer) {
+        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch);
+        std::string line = "time=" + std::to_string(micros.count()) + " ";
+        line += formatEvent(log.format, log.node, row, {fields.begin(), fields.size()});
+        line += '\n';
+        log.writer(row.severity, std::move(line));
+        return;
+    }
     static boost::log::sources::logger_mt logger;
     BOOST_LOG(logger) << formatEvent(log.format, log.node, row, {fields.begin(), fields.size()});
 }
--- /dev/null
+++ b/src/routing/choice.cpp
@@ -0,0 +1,219 @@
+#include "plantainswitch/routing/choice.h"
+
+#include <algorithm>
+
+#include "plantainswitch/base/hash.h"
+#include "plantainswitch/placement/rendezvous.h"
+
+namespace plantainswitch {
+
+namespace {
+
+bool wasTried(const Replica &replica, const ChoiceRequest &request)
+{
+    return std::find(request.tried.begin(), request.tried.end(), replica.id)
+           != request.tried.end();
+}
+
+/// \returns the hash by which the request's chain finds its engine: that of all shared parts.
+std::uint64_t homeKey(const ChoiceRequest &request) noexcept
+{
+    if (request.chain.empty()) {
+        return 0;
+    }
+    return request.chain.size() > 1 ? request.chain[request.chain.size() - 2]
+                                    : request.chain.front();
+}
+
+std::optional<std::size_t> homeOf(std::span<UpstreamState *const> candidates,
+                                  const ChoiceRequest &request, TimePoint now)
+{
+    std::optional<std::size_t> best;
+    double highest = 0.0;
+    bool bestIsNear = false;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const UpstreamState &state = *candidates[i];
+        if (state.replica.leaving || isAvoided(state.health, now)) {
+            continue;
+        }
+        const bool near = state.replica.place == request.place;
+        const double score
+            = rendezvousScore(homeKey(request), {hashOf(state.replica.id), 1.0});
+        if (!best || (near && !bestIsNear) || (near == bestIsNear && score > highest)) {
+            best = i;
+            highest = score;
+            bestIsNear = near;
+        }
+    }
+    return best;
+}
+
+double cachedTokens(const UpstreamState &state, bool isHome, const ChoiceRequest &request,
+                    const ChainMemory &memory, const ChoicePolicy &policy)
+{
+    const std::size_t known = memory.knownParts(request.chain, lifeOf(state.replica));
+    double cached = 0.0;
+    for (std::size_t i = 0; i < known; ++i) {
+        cached += request.prompt->parts[i].tokens;
+    }
+    if (isHome) {
+        cached = std::max(cached, policy.homeTrust * sharedTokensOf(*request.prompt));
+    }
+    return cached;
+}
+
+double queueDelay(const UpstreamState &state, const ChoicePolicy &policy)
+{
+    const double running = runningAt(state);
+    double delay = running * policy.delayPerRunning;
+    const double slots = state.replica.slots;
+    if (slots > 0 && running >= slots) {
+        // Whoever waits for a slot waits for a share of the work before it.
+        constexpr double workOfOne = 20.0;
+        delay += workOfOne * (running - slots + 1.0) / slots;
+    }
+    return delay;
+}
+
+struct Bound
+{
+    double most = 0.0;
+    bool avoidanceHolds = true;
+};
+
+Bound boundOf(std::span<UpstreamState *const> candidates, const ChoicePolicy &policy,
+              TimePoint now)
+{
+    double running = 0.0;
+    std::size_t usable = 0;
+    std::size_t avoided = 0;
+    for (const UpstreamState *state : candidates) {
+        if (state->replica.leaving) {
+            continue;
+        }
+        ++usable;
+        running += runningAt(*state);
+        avoided += isAvoided(state->health, now) ? 1 : 0;
+    }
+    const auto count = static_cast<double>(std::max<std::size_t>(usable, 1));
+    return {policy.boundFactor * running / count + policy.boundExtra,
+            static_cast<double>(avoided) <= policy.mostAvoided * count};
+}
+
+/// Lower classes are only used when no higher one is left.
+enum class Fitness : std::uint8_t { Good, OverBound, Avoided, Unusable };
+
+Fitness fitnessOf(const UpstreamState &state, const ChoiceRequest &request, const Bound &bound,
+                  TimePoint now)
+{
+    if (state.replica.leaving || wasTried(state.replica, request)) {
+        return Fitness::Unusable;
+    }
+    if (bound.avoidanceHolds && isAvoided(state.health, now)) {
+        return Fitness::Avoided;
+    }
+    return runningAt(state) + 1.0 > bound.most ? Fitness::OverBound : Fitness::Good;
+}
+
+} // namespace
+
+std::uint32_t runningAt(const UpstreamState &state) noexcept
+{
+    return state.ownRunning + state.peersRunning;
+}
+
+std::uint64_t lifeOf(const Replica &replica) noexcept
+{
+    return mixHash(hashOf(replica.id), replica.born);
+}
+
+void ChainMemory::note(std::span<const std::uint64_t> chain, std::uint64_t life, TimePoint now)
+{
+    for (const std::uint64_t part : chain) {
+        this->lives[part][life] = now;
+    }
+    if (this->lives.size() > this->most) {
+        this->trim();
+    }
+}
+
+std::size_t ChainMemory::knownParts(std::span<const std::uint64_t> chain,
+                                    std::uint64_t life) const
+{
+    std::size_t known = 0;
+    for (const std::uint64_t part : chain) {
+        const auto found = this->lives.find(part);
+        if (found == this->lives.end() || !found->second.contains(life)) {
+            break;
+        }
+        ++known;
+    }
+    return known;
+}
+
+void ChainMemory::trim()
+{
+    std::vector<std::pair<TimePoint, std::uint64_t>> ages;
+    ages.reserve(this->lives.size());
+    for (const auto &[part, readers] : this->lives) {
+        TimePoint newest;
+        for (const auto &[life, when] : readers) {
+            newest = std::max(newest, when);
+        }
+        ages.emplace_back(newest, part);
+    }
+    // A quarter at once, so that the scan is rare.
+    const auto cut = ages.begin() + static_cast<std::ptrdiff_t>(ages.size() / 4);
+    std::nth_element(ages.begin(), cut, ages.end());
+    for (auto old = ages.begin(); old != cut; ++old) {
+        this->lives.erase(old->second);
+    }
+}
+
+std::optional<Choice> chooseUpstream(std::span<UpstreamState *const> candidates,
+                                     const ChoiceRequest &request, const ChainMemory &memory,
+                                     const ChoicePolicy &policy, TimePoint now)
+{
+    const Bound bound = boundOf(candidates, policy, now);
+    const bool hasPrompt = request.prompt != nullptr && !request.chain.empty();
+    const std::optional<std::size_t> home
+        = hasPrompt ? homeOf(candidates, request, now) : std::nullopt;
+    std::optional<Choice> best;
+    Fitness bestFitness = Fitness::Unusable;
+    std::uint32_t avoided = 0;
+    std::uint32_t overBound = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const UpstreamState &state = *candidates[i];
+        const Fitness fitness = fitnessOf(state, request, bound, now);
+        avoided += fitness == Fitness::Avoided ? 1 : 0;
+        overBound += fitness == Fitness::OverBound ? 1 : 0;
+        if (fitness == Fitness::Unusable) {
+            continue;
+        }
+        Choice choice;
+        choice.index = i;
+        if (hasPrompt) {
+            choice.uncachedTokens
+                = std::max(0.0, tokensOf(*request.prompt)
+                                    - cachedTokens(state, home == i, request, memory, policy));
+        }
+        choice.expectedDelay
+            = (choice.uncachedTokens + state.ownUnread + state.peersUnread)
+                  / policy.tokensPerMillisecond
+              + queueDelay(state, policy) + extraDelayOf(state.health, now)
+              + policy.failureDelay * failureShareOf(state.health, now)
+              + (state.replica.place == request.place ? 0.0 : policy.otherPlaceDelay);
+        if (!best || fitness < bestFitness
+            || (fitness == bestFitness && choice.expectedDelay < best->expectedDelay)) {
+            best = choice;
+            bestFitness = fitness;
+        }
+    }
+    if (best) {
+        best->avoided = avoided;
+        best->overBound = overBound;
+    }
+    return best;
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/src/routing/fleetretries.cpp
@@ -0,0 +1,48 @@
+#include "plantainswitch/routing/fleetretries.h"
+
+#include <algorithm>
+
+namespace plantainswitch {
+
+FleetRetries::Account &FleetRetries::refill(const std::string &service, std::uint32_t routers,
+                                            TimePoint now)
+{
+    const double share
+        = this->limit.usedPart * this->limit.margin / std::max<std::uint32_t>(routers, 1);
+    const auto [found, isNew] = this->accounts.try_emplace(service);
+    Account &account = found->second;
+    if (isNew) {
+        // Half at once: a window may hold what was saved before it and what it earns.
+        account = {share / 2.0, now};
+        return account;
+    }
+    const double windows = std::chrono::duration<double>(now - account.refilled)
+                           / std::chrono::duration<double>(this->limit.window);
+    account.tokens = std::min(share / 2.0 + 1.0, account.tokens + windows * share / 2.0);
+    account.refilled = now;
+    return account;
+}
+
+void FleetRetries::earn(const std::string &service, std::uint32_t routers, TimePoint now)
+{
+    Account &account = this->refill(service, routers, now);
+    account.tokens += this->limit.usedPart * this->limit.ratio;
+}
+
+bool FleetRetries::spend(const std::string &service, std::uint32_t routers, TimePoint now)
+{
+    Account &account = this->refill(service, routers, now);
+    if (account.tokens < 1.0) {
+        return false;
+    }
+    account.tokens -= 1.0;
+    return true;
+}
+
+double FleetRetries::left(const std::string &service) const
+{
+    const auto found = this->accounts.find(service);
+    return found == this->accounts.end() ? 0.0 : found->second.tokens;
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/src/routing/peerloads.cpp
@@ -0,0 +1,55 @@
+#include "plantainswitch/routing/peerloads.h"
+
+namespace plantainswitch {
+
+void PeerLoads::add(const std::vector<PeerLoad> &loads, int sign)
+{
+    for (const PeerLoad &load : loads) {
+        Sum &sum = this->sums[load.life];
+        sum.running = sign > 0 ? sum.running + load.running : sum.running - load.running;
+        sum.unread += sign * static_cast<double>(load.unreadTokens);
+        if (sum.running == 0 && sum.unread < 1.0) {
+            this->sums.erase(load.life);
+        }
+    }
+}
+
+bool PeerLoads::take(const RouterNews &news, TimePoint now)
+{
+    Peer &peer = this->peers[news.id];
+    const bool older = news.incarnation < peer.incarnation
+                       || (news.incarnation == peer.incarnation && news.sequence <= peer.sequence);
+    if (older && peer.sequence != 0) {
+        return false;
+    }
+    this->add(peer.loads, -1);
+    peer.incarnation = news.incarnation;
+    peer.sequence = news.sequence;
+    peer.heard = now;
+    peer.loads = news.loads;
+    this->add(peer.loads, 1);
+    return true;
+}
+
+std::vector<std::string> PeerLoads::expire(TimePoint now)
+{
+    std::vector<std::string> gone;
+    for (auto peer = this->peers.begin(); peer != this->peers.end();) {
+        if (now - peer->second.heard <= peerSilence) {
+            ++peer;
+            continue;
+        }
+        this->add(peer->second.loads, -1);
+        gone.push_back(peer->first);
+        peer = this->peers.erase(peer);
+    }
+    return gone;
+}
+
+PeerLoads::Sum PeerLoads::at(std::uint64_t life) const
+{
+    const auto found = this->sums.find(life);
+    return found == this->sums.end() ? Sum{} : found->second;
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/src/routing/prompt.cpp
@@ -0,0 +1,33 @@
+#include "plantainswitch/routing/prompt.h"
+
+#include "plantainswitch/base/hash.h"
+
+namespace plantainswitch {
+
+std::uint32_t tokensOf(const Prompt &prompt) noexcept
+{
+    std::uint32_t sum = 0;
+    for (const PromptPart &part : prompt.parts) {
+        sum += part.tokens;
+    }
+    return sum;
+}
+
+std::uint32_t sharedTokensOf(const Prompt &prompt) noexcept
+{
+    return prompt.parts.empty() ? 0 : tokensOf(prompt) - prompt.parts.back().tokens;
+}
+
+std::vector<std::uint64_t> chainOf(const Prompt &prompt)
+{
+    std::vector<std::uint64_t> chain;
+    chain.reserve(prompt.parts.size());
+    std::uint64_t hash = hashOf(prompt.model);
+    for (const PromptPart &part : prompt.parts) {
+        hash = mixHash(hash, part.id);
+        chain.push_back(hash);
+    }
+    return chain;
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/src/routing/replica.cpp
@@ -0,0 +1,119 @@
+#include "plantainswitch/routing/replica.h"
+
+#include <array>
+#include <set>
+
+namespace plantainswitch {
+
+namespace {
+
+constexpr std::array changeNames{std::string_view{"appeared"}, std::string_view{"reborn"},
+                                 std::string_view{"moved"}, std::string_view{"leaving"},
+                                 std::string_view{"gone"}};
+
+} // namespace
+
+std::string_view nameOf(ReplicaChange change) noexcept
+{
+    return changeNames.at(static_cast<std::size_t>(change));
+}
+
+std::vector<ReplicaEvent> ReplicaDirectory::takeEntry(Replica replica)
+{
+    this->missing.erase(replica.id);
+    const auto known = this->replicas.find(replica.id);
+    if (known == this->replicas.end()) {
+        const ReplicaChange change
+            = replica.leaving ? ReplicaChange::Leaving : ReplicaChange::Appeared;
+        this->replicas.emplace(replica.id, replica);
+        return {{change, std::move(replica)}};
+    }
+    Replica &old = known->second;
+    const bool reborn = old.born != replica.born;
+    const bool moved = old.endpoint != replica.endpoint || old.service != replica.service;
+    // Within one life leaving is never taken back: a list that lags may still say ready.
+    replica.leaving = replica.leaving || (old.leaving && !reborn);
+    const bool startsLeaving = replica.leaving && !old.leaving;
+    old = replica;
+    std::vector<ReplicaEvent> events;
+    if (reborn) {
+        events.push_back({ReplicaChange::Reborn, replica});
+    } else if (moved) {
+        events.push_back({ReplicaChange::Moved, replica});
+    }
+    if (startsLeaving) {
+        events.push_back({ReplicaChange::Leaving, std::move(replica)});
+    }
+    return events;
+}
+
+std::vector<ReplicaEvent> ReplicaDirectory::takeRemoval(const std::string &id)
+{
+    this->missing.erase(id);
+    const auto known = this->replicas.find(id);
+    if (known == this->replicas.end()) {
+        return {};
+    }
+    std::vector<ReplicaEvent> events{{ReplicaChange::Gone, std::move(known->second)}};
+    this->replicas.erase(known);
+    return events;
+}
+
+std::vector<ReplicaEvent> ReplicaDirectory::missRemoval(const std::string &id, TimePoint now)
+{
+    const auto known = this->replicas.find(id);
+    // Who was leaving did not lapse: it is gone.
+    if (known == this->replicas.end() || known->second.leaving) {
+        return this->takeRemoval(id);
+    }
+    this->missing.emplace(id, now + missingGrace);
+    return {};
+}
+
+std::vector<ReplicaEvent> ReplicaDirectory::takeList(std::vector<Replica> list, bool afterOutage,
+                                                     TimePoint now)
+{
+    std::vector<ReplicaEvent> events;
+    std::set<std::string> listed;
+    for (Replica &replica : list) {
+        listed.insert(replica.id);
+        for (ReplicaEvent &event : this->takeEntry(std::move(replica))) {
+            events.push_back(std::move(event));
+        }
+    }
+    std::vector<std::string> absent;
+    for (const auto &[id, replica] : this->replicas) {
+        if (!listed.contains(id)) {
+            absent.push_back(id);
+        }
+    }
+    for (const std::string &id : absent) {
+        if (!afterOutage && this->missing.contains(id)) {
+            continue;
+        }
+        auto dropped = afterOutage ? this->missRemoval(id, now) : this->takeRemoval(id);
+        for (ReplicaEvent &event : dropped) {
+            events.push_back(std::move(event));
+        }
+    }
+    return events;
+}
+
+std::vector<ReplicaEvent> ReplicaDirectory::expire(TimePoint now)
+{
+    std::vector<std::string> due;
+    for (const auto &[id, until] : this->missing) {
+        if (now >= until) {
+            due.push_back(id);
+        }
+    }
+    std::vector<ReplicaEvent> events;
+    for (const std::string &id : due) {
+        for (ReplicaEvent &event : this->takeRemoval(id)) {
+            events.push_back(std::move(event));
+        }
+    }
+    return events;
+}
+
+} // namespace plantainswitch
