List again when a waiting watch is cut

Ruled out: stale lists (the list after the 410 was fresh). Conclusion: a list is one call and can't miss the change.

--- /dev/null
+++ b/gateway/dialect.cpp
@@ -0,0 +1,19 @@
+#include "dialect.h"
+
+#include <array>
+
+namespace plantainswitch::gateway {
+
+namespace {
+
+constexpr std::array kindNames{std::string_view{"routing"}, std::string_view{"replicas"},
+                               std::string_view{"routers"}};
+
+} // namespace
+
+std::string_view nameOf(StoreKind kind) noexcept
+{
+    return kindNames.at(static_cast<std::size_t>(kind));
+}
+
+} // namespace plantainswitch::gateway
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -80,6 +80,7 @@
 
 /// Objects that the store of the platform keeps for the fleet.
 enum class StoreKind : std::uint8_t { Routing, Replicas, Routers };
+[[nodiscard]] std::string_view nameOf(StoreKind kind) noexcept;
 
 /// One object of the store, still undecoded.
 struct StoreItem
--- a/gateway/storefollower.cpp
+++ b/gateway/storefollower.cpp
@@ -82,6 +82,10 @@
         this->list();
         return;
     }
+    logEvent(Event::ObjectsListed, {{"kind", std::string(nameOf(this->kind))},
+                                    {"revision", std::to_string(this->revision)},
+                                    {"objects", std::to_string(this->listing.size())},
+                                    {"after_outage", this->wasOut ? "yes" : "no"}});
     std::vector<StoreItem> items = std::move(this->listing);
     this->listing.clear();
     this->events.onList(std::move(items), this->wasOut);
@@ -105,6 +109,8 @@
     if (reply.status == statusGone) {
         this->onAnswered();
         this->mustList = true;
+        logEvent(Event::HistoryLost, {{"kind", std::string(nameOf(this->kind))},
+                                      {"revision", std::to_string(this->revision)}});
         this->list();
         return;
     }
@@ -126,7 +132,7 @@
 void StoreFollower::onAnswered()
 {
     if (this->failures > 1) {
-        logEvent(Event::PlatformBack, {{"kind", std::to_string(static_cast<int>(this->kind))},
+        logEvent(Event::PlatformBack, {{"kind", std::string(nameOf(this->kind))},
                                        {"failures", std::to_string(this->failures)}});
         this->answeredAgain = this->gateway.clock.now();
     }
@@ -139,19 +145,23 @@
     if (this->stopped) {
         return;
     }
+    this->mustList = true;
     if (this->failures == 1 && this->revision != 0 && status == 0) {
-        // A waiting watch may be cut off at any time: this alone is no outage.
-        this->watch();
+        // A waiting watch may be cut off at any time: this alone is no outage. But the store cuts
+        // watches also when it drops its history, and a new watch from the old revision may then
+        // hear nothing for seconds, seen as a revoked key that still opens. A list can't miss it.
+        logEvent(Event::WatchCut, {{"kind", std::string(nameOf(this->kind))},
+                                   {"revision", std::to_string(this->revision)}});
+        this->list();
         return;
     }
     if (this->failures <= 2) {
         logEvent(Event::PlatformUnreachable,
-                 {{"kind", std::to_string(static_cast<int>(this->kind))},
+                 {{"kind", std::string(nameOf(this->kind))},
                   {"status", std::to_string(status)},
                   {"revision", std::to_string(this->revision)}});
     }
     this->wasOut = this->revision != 0;
-    this->mustList = true;
     const std::uint32_t doublings = std::min(this->failures - 1, mostDoublings);
     const Milliseconds pause
         = std::min<Milliseconds>(shortestPause * (1 << doublings), longestPause);
