--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -30,19 +30,16 @@
 {
     std::optional<std::size_t> best;
     double highest = 0.0;
-    bool bestIsNear = false;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const UpstreamState &state = *candidates[i];
         if (state.replica.leaving || isAvoided(state.health, now)) {
             continue;
         }
-        const bool near = state.replica.place == request.place;
         const double score
             = rendezvousScore(homeKey(request), {hashOf(state.replica.id), 1.0});
-        if (!best || (near && !bestIsNear) || (near == bestIsNear && score > highest)) {
+        if (!best || score > highest) {
             best = i;
             highest = score;
-            bestIsNear = near;
         }
     }
     return best;
