--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -25,6 +25,9 @@
 constexpr double silentPartOfObjective = 0.5;
 /// Silence that is never held against an upstream: some steps of an engine and two crossings.
 constexpr Milliseconds leastSilence{60};
+/// Objectives after which a request is tried elsewhere though its upstream works for others: it is
+/// late by then, and it may have been forgotten.
+constexpr int busyPatience = 2;
 /// Pauses within a stream, in multiples of the longest one that callers accept, after which the
 /// stream goes on elsewhere.
 constexpr double stalledPauses = 1.5;
@@ -180,7 +183,7 @@
     std::string bytes = this->gateway.dialect.writeRequest(*this->request, handover);
     bytes.append(this->request->body);
     const bool isHead = this->request->method == "HEAD";
-    this->armTimer();
+    this->armTimer(this->nextLook());
     this->connection = this->gateway.upstreams.takeIdle(*target, mayRepeat(*this->route));
     if (this->connection) {
         this->path = "reused";
@@ -213,24 +216,27 @@
             }};
 }
 
-void Exchange::armTimer()
+TimePoint Exchange::nextLook() const
 {
-    TimePoint due = this->deadline;
+    using FloatMilliseconds = std::chrono::duration<double, std::milli>;
     if (this->phase == Phase::Waiting) {
-        const auto objective = std::chrono::duration<double, std::milli>(this->route->objective);
-        const double allowed = std::max<double>(static_cast<double>(leastSilence.count()),
-                                                silentPartOfObjective * objective.count())
-                               + this->expectedDelay;
-        due = std::min(due, this->sentAt
-                                + std::chrono::duration_cast<Duration>(
-                                    std::chrono::duration<double, std::milli>(allowed)));
-    } else if (this->phase == Phase::Relaying && this->route->longestPause.count() > 0) {
-        due = std::min(due, this->now()
-                                + std::chrono::duration_cast<Duration>(
-                                    stalledPauses * this->route->longestPause));
+        const double allowed
+            = std::max(static_cast<double>(leastSilence.count()),
+                       silentPartOfObjective * FloatMilliseconds(this->route->objective).count())
+              + this->expectedDelay;
+        return this->sentAt + std::chrono::duration_cast<Duration>(FloatMilliseconds(allowed));
     }
+    if (this->phase == Phase::Relaying && this->route->longestPause.count() > 0) {
+        return this->now()
+               + std::chrono::duration_cast<Duration>(stalledPauses * this->route->longestPause);
+    }
+    return this->deadline;
+}
+
+void Exchange::armTimer(TimePoint due)
+{
     const std::weak_ptr<Exchange> weak = this->weak_from_this();
-    this->timer.expires_at(due);
+    this->timer.expires_at(std::min(due, this->deadline));
     this->timer.async_wait([weak](const asio::error_code &error) {
         const auto self = weak.lock();
         if (!error && self && self->phase != Phase::Done) {
@@ -245,26 +251,36 @@
         this->giveUp();
         return;
     }
-    if (this->upstream) {
-        recordFault(this->upstream->health, UpstreamFault::Silent, this->now());
-        logEvent(Event::UpstreamAvoided,
-                 {{"upstream", this->upstream->replica.id},
-                  {"request", this->request->attempt},
-                  {"why", "silent"},
-                  {"silent_ms", millisecondsText(this->now() - this->sentAt)}});
+    const Duration silent = this->now() - this->sentAt;
+    const bool isBusy = this->phase == Phase::Waiting
+                        && judgeSilence(this->sentAt, this->upstream->lastHeard) == Silence::Busy;
+    if (isBusy && silent < busyPatience * this->route->objective) {
+        this->armTimer(this->sentAt + busyPatience * this->route->objective);
+        return;
     }
-    if (this->mayRunAgain() && this->tryAgain("silent")) {
+    if (!isBusy) {
+        this->recordUpstreamFault(UpstreamFault::Silent);
+    }
+    if (this->mayRunAgain() && this->tryAgain(isBusy ? "busy" : "silent")) {
         return;
     }
     // Nothing better is allowed: the answer may still come.
-    this->timer.expires_at(this->deadline);
-    const std::weak_ptr<Exchange> weak = this->weak_from_this();
-    this->timer.async_wait([weak](const asio::error_code &error) {
-        const auto self = weak.lock();
-        if (!error && self && self->phase != Phase::Done) {
-            self->giveUp();
-        }
-    });
+    this->armTimer(this->deadline);
+}
+
+void Exchange::recordUpstreamFault(UpstreamFault fault)
+{
+    const TimePoint now = this->now();
+    const bool wasAvoided = isAvoided(this->upstream->health, now);
+    recordFault(this->upstream->health, fault, now);
+    const bool isNews = !wasAvoided && isAvoided(this->upstream->health, now);
+    logEvent(isNews ? Event::UpstreamAvoided : Event::UpstreamFaulty,
+             {{"upstream", this->upstream->replica.id},
+              {"request", this->request->attempt},
+              {"why", std::string(nameOf(fault))},
+              {"path", this->path},
+              {"after_ms", millisecondsText(now - this->sentAt)},
+              {"failure_share", fmt::format("{:.2f}", this->upstream->health.failureShare)}});
 }
 
 bool Exchange::onAnswerHead(const MessageHead &head)
@@ -278,6 +294,7 @@
         return false;
     }
     this->sawHead = true;
+    this->upstream->lastHeard = this->now();
     this->answer = std::move(decoded);
     return true;
 }
@@ -309,6 +326,7 @@
     if (this->phase == Phase::Done) {
         return;
     }
+    this->upstream->lastHeard = this->now();
     const bool relays = this->answer.status == 200 && this->answer.isSigned
                         && !this->answer.isEncoded && this->answer.isEventStream
                         && !this->answer.attempt.empty();
@@ -344,7 +362,7 @@
                                   this->gateway.stopping);
     }
     this->caller->writeChunk(whole);
-    this->armTimer();
+    this->armTimer(this->nextLook());
     if (this->caller->queuedBytes() > pauseAbove) {
         this->connection->pauseReading();
     }
@@ -383,10 +401,7 @@
 
 void Exchange::onNotConnected()
 {
-    recordFault(this->upstream->health, UpstreamFault::Unreachable, this->now());
-    logEvent(Event::UpstreamUnreachable, {{"upstream", this->upstream->replica.id},
-                                          {"address", toText(this->upstream->replica.endpoint)},
-                                          {"request", this->request->attempt}});
+    this->recordUpstreamFault(UpstreamFault::Unreachable);
     this->leaveUpstream();
     this->connectFailures += 1;
     if (this->connectFailures >= mostConnectFailures) {
@@ -400,11 +415,9 @@
 
 void Exchange::onNotRun()
 {
-    recordFault(this->upstream->health, UpstreamFault::Full, this->now());
-    if (this->answer.misdirected) {
-        // The address is another upstream's now; the list will say so.
-        recordFault(this->upstream->health, UpstreamFault::Unreachable, this->now());
-    }
+    // After "misdirected" the address is another upstream's; the list will say so.
+    this->recordUpstreamFault(this->answer.misdirected ? UpstreamFault::Unreachable
+                                                       : UpstreamFault::Full);
     this->leaveUpstream();
     this->rejections += 1;
     if (this->rejections > mostRejections || !this->tryAgain("turned away")) {
@@ -422,7 +435,7 @@
         return;
     }
     if (!isSuccess && this->answer.status >= 500) {
-        recordFault(this->upstream->health, UpstreamFault::Failed, this->now());
+        this->recordUpstreamFault(UpstreamFault::Failed);
         if (this->mayRunAgain() && this->tryAgain("failed")) {
             return;
         }
@@ -469,14 +482,7 @@
 
 void Exchange::onFault(UpstreamFault fault)
 {
-    if (this->upstream) {
-        recordFault(this->upstream->health, fault, this->now());
-        logEvent(fault == UpstreamFault::Garbage ? Event::UpstreamGarbage : Event::UpstreamCrashed,
-                 {{"upstream", this->upstream->replica.id},
-                  {"request", this->request->attempt},
-                  {"why", std::string(nameOf(fault))},
-                  {"path", this->path}});
-    }
+    this->recordUpstreamFault(fault);
     if (this->mayRunAgain() && this->tryAgain(nameOf(fault))) {
         return;
     }
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -36,7 +36,10 @@
     void handTo(const Choice &choice);
     void send(const Choice &choice, std::shared_ptr<UpstreamState> target);
     AnswerEvents answerEvents();
-    void armTimer();
+    /// Sets when the request is looked at next, the deadline at the latest.
+    void armTimer(TimePoint due);
+    /// \returns when silence says something of the upstream.
+    [[nodiscard]] TimePoint nextLook() const;
     void onTimer();
 
     bool onAnswerHead(const MessageHead &head);
@@ -47,6 +50,7 @@
     void onWholeAnswer();
     void onWholeStream();
     void onFault(UpstreamFault fault);
+    void recordUpstreamFault(UpstreamFault fault);
     void onFirstByte();
 
     /// Tries once more where that is allowed. \returns false when it isn't.
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -64,6 +64,7 @@
     KeeperSilent = 503,
     UpstreamAvoided = 504,
     UpstreamUsedAgain = 505,
+    UpstreamFaulty = 506,
     KeeperReplaced = 510,
     SlotsDiffer = 511,
     ShardsHandedOver = 512,
--- a/include/plantainswitch/routing/choice.h
+++ b/include/plantainswitch/routing/choice.h
@@ -52,6 +52,8 @@
     /// The same of all other routers, as they last told.
     std::uint32_t peersRunning = 0;
     double peersUnread = 0.0;
+    /// When this router last got a byte of any answer from there.
+    TimePoint lastHeard;
 };
 
 /// \returns requests of all routers at \a state.
--- a/include/plantainswitch/routing/health.h
+++ b/include/plantainswitch/routing/health.h
@@ -52,6 +52,19 @@
     TimePoint changedAt;
 };
 
+/// What a request's silence says of its upstream.
+enum class Silence : std::uint8_t {
+    /// It is down or cut off: nothing at all has come since the request was sent.
+    Dark,
+    /// It works for others, so that this request is queued or forgotten.
+    Busy,
+};
+
+/// \returns what it says that a request sent at \a sentAt has no answer yet. An engine that reads
+/// long prompts is silent to new requests for a while; were it avoided for that, its load would
+/// fall on the others at once, and they would be silent next.
+[[nodiscard]] Silence judgeSilence(TimePoint sentAt, TimePoint lastHeard) noexcept;
+
 /// Takes a fault into account.
 void recordFault(UpstreamHealth &health, UpstreamFault fault, TimePoint now);
 /// Takes a good answer into account.
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -61,6 +61,7 @@
     EventRow{Event::KeeperSilent, "keeper-silent", Severity::Warning},
     EventRow{Event::UpstreamAvoided, "upstream-avoided", Severity::Warning},
     EventRow{Event::UpstreamUsedAgain, "upstream-used-again", Severity::Info},
+    EventRow{Event::UpstreamFaulty, "upstream-faulty", Severity::Info},
     EventRow{Event::KeeperReplaced, "keeper-replaced", Severity::Warning},
     EventRow{Event::SlotsDiffer, "slots-differ", Severity::Info},
     EventRow{Event::ShardsHandedOver, "shards-handed-over", Severity::Info},
--- a/src/routing/health.cpp
+++ b/src/routing/health.cpp
@@ -46,6 +46,11 @@
     return faultNames.at(static_cast<std::size_t>(fault));
 }
 
+Silence judgeSilence(TimePoint sentAt, TimePoint lastHeard) noexcept
+{
+    return lastHeard > sentAt ? Silence::Busy : Silence::Dark;
+}
+
 void recordFault(UpstreamHealth &health, UpstreamFault fault, TimePoint now)
 {
     fade(health, now);
