--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -119,7 +119,7 @@
     }
     this->gateway.refreshPeerLoads();
     const auto candidates = this->gateway.upstreams.ofService(this->service);
-    const ChoiceRequest wish{this->gateway.settings.place,
+    const ChoiceRequest wish{this->gateway.settings.place, hashOf(this->request->attempt),
                              this->request->prompt ? &*this->request->prompt : nullptr, this->chain,
                              this->tried};
     const auto choice = chooseUpstream(candidates, wish, this->gateway.upstreams.memory,
--- a/gateway/fleetlink.cpp
+++ b/gateway/fleetlink.cpp
@@ -12,7 +12,7 @@
 
 /// Pause between news at up to smallFleet routers. A request lasts some hundred milliseconds, so
 /// that older figures would say little of what runs now.
-constexpr Milliseconds newsPause{250};
+constexpr Milliseconds newsPause{100};
 /// Above this many routers the pause grows with their number, so that what a router receives in a
 /// second stays the same.
 constexpr std::size_t smallFleet = 12;
--- a/include/plantainswitch/routing/choice.h
+++ b/include/plantainswitch/routing/choice.h
@@ -29,6 +29,11 @@
     /// Held against an upstream whose recent requests all failed; a failed request costs its
     /// caller about one objective.
     double failureDelay = 400.0;
+    /// Largest delay by which a chain prefers some upstreams to others when its home is full. All
+    /// routers see much the same loads: without it they send what spills over to the same engine,
+    /// which then holds far more than its share before any of them has heard. About the work of
+    /// one request.
+    double spillSpread = 15.0;
     /// Share of the shared tokens that the chain's own engine is taken to have cached unheard.
     double homeTrust = 0.6;
     /// An upstream is left out from boundFactor times the mean of running requests, plus
@@ -89,6 +94,8 @@
 {
     /// Data centre of this router.
     std::string_view place;
+    /// Hash of the request, by which one without a prompt spreads.
+    std::uint64_t hash = 0;
     /// nullptr for a request without a prompt.
     const Prompt *prompt = nullptr;
     std::span<const std::uint64_t> chain;
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -59,6 +59,16 @@
     return cached;
 }
 
+/// \returns a delay from 0 to policy.spillSpread that the chain, or the request, has there.
+double spillDelay(const UpstreamState &state, const ChoiceRequest &request,
+                  const ChoicePolicy &policy)
+{
+    const std::uint64_t key = request.chain.empty() ? request.hash : homeKey(request);
+    constexpr std::uint64_t steps = 1024;
+    return policy.spillSpread * static_cast<double>(mixHash(key, hashOf(state.replica.id)) % steps)
+           / steps;
+}
+
 double queueDelay(const UpstreamState &state, const ChoicePolicy &policy)
 {
     const double running = runningAt(state);
@@ -199,6 +209,7 @@
                   / policy.tokensPerMillisecond
               + queueDelay(state, policy) + extraDelayOf(state.health, now)
               + policy.failureDelay * failureShareOf(state.health, now)
+              + (home == i ? 0.0 : spillDelay(state, request, policy))
               + (state.replica.place == request.place ? 0.0 : policy.otherPlaceDelay);
         if (!best || fitness < bestFitness
             || (fitness == bestFitness && choice.expectedDelay < best->expectedDelay)) {
