--- a/gateway/callerconnection.cpp
+++ b/gateway/callerconnection.cpp
@@ -209,9 +209,11 @@
     this->owner.onClosed(*this);
 }
 
-void CallerConnection::closeIdle()
+void CallerConnection::closeWhenIdle()
 {
-    if (!this->busy && !this->receiving) {
+    if (this->busy) {
+        this->keepsAlive = false;
+    } else if (!this->receiving) {
         this->closeNow();
     }
 }
--- a/gateway/callerconnection.h
+++ b/gateway/callerconnection.h
@@ -53,8 +53,9 @@
     void endChunks();
     /// Breaks the answer off so that the caller sees that it isn't whole.
     void abort();
-    /// Closes if no request is under way.
-    void closeIdle();
+    /// Closes now if no request is under way, else once its answer has ended: a caller whose answer
+    /// began before a stop was not told to close, and would send its next request into it.
+    void closeWhenIdle();
     /// Closes when it has been idle, or sending its request, for longer than the limits allow.
     void enforceLimits(const CallerLimits &limits, TimePoint now);
 
--- a/gateway/fleetlink.cpp
+++ b/gateway/fleetlink.cpp
@@ -65,15 +65,18 @@
     if (datagrams == this->gateway.settings.peerDatagrams) {
         return;
     }
-    this->contacts.try_emplace(datagrams, Contact{datagrams, {}, {}, false, 0});
+    this->contacts.try_emplace(datagrams, Contact{datagrams});
 }
 
-std::optional<Endpoint> FleetLink::newerRouter() const
+std::optional<Endpoint> FleetLink::betterInformed() const
 {
     const std::uint64_t own = this->gateway.table ? this->gateway.table->config().version : 0;
     const TimePoint now = this->gateway.clock.now();
     for (const auto &[address, contact] : this->contacts) {
-        if (contact.everHeard && contact.configVersion > own && now - contact.heard < peerSilence) {
+        const bool knowsMore = contact.configVersion > own
+                               || contact.storeRevision > this->gateway.view.revision;
+        if (contact.everHeard && contact.storeConnected && knowsMore
+            && now - contact.heard < peerSilence) {
             return Endpoint{address.host, this->gateway.settings.peerCalls.port};
         }
     }
@@ -106,10 +109,12 @@
     const TimePoint now = this->gateway.clock.now();
     const Endpoint from{this->sender.address().to_string(), this->sender.port()};
     Contact &contact
-        = this->contacts.try_emplace(from, Contact{from, {}, {}, false, 0}).first->second;
+        = this->contacts.try_emplace(from, Contact{from}).first->second;
     contact.heard = now;
     contact.everHeard = true;
-    contact.configVersion = std::max(contact.configVersion, message.config_version());
+    contact.configVersion = message.config_version();
+    contact.storeRevision = message.store_revision();
+    contact.storeConnected = message.store_connected();
     RouterNews heard;
     heard.id = message.id();
     heard.incarnation = message.incarnation();
@@ -184,6 +189,8 @@
     message.set_sequence(told.sequence);
     message.set_config_version(told.configVersion);
     message.set_stopping(told.stopping);
+    message.set_store_connected(this->gateway.view.connected);
+    message.set_store_revision(this->gateway.view.revision);
     for (const PeerLoad &load : told.loads) {
         wire::ReplicaLoad *const entry = message.add_loads();
         entry->set_life(load.life);
--- a/gateway/fleetlink.h
+++ b/gateway/fleetlink.h
@@ -21,8 +21,9 @@
     void stop();
     /// Adds a router's address, learnt from the store or the settings.
     void addRouter(const Endpoint &datagrams);
-    /// \returns the address for calls of a router heard lately that has a newer configuration.
-    [[nodiscard]] std::optional<Endpoint> newerRouter() const;
+    /// \returns the address for calls of a router that the store still answers and that knows more
+    /// than this one.
+    [[nodiscard]] std::optional<Endpoint> betterInformed() const;
 
 private:
     struct Contact
@@ -32,6 +33,8 @@
         TimePoint told;
         bool everHeard = false;
         std::uint64_t configVersion = 0;
+        std::uint64_t storeRevision = 0;
+        bool storeConnected = false;
     };
 
     void receive();
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -1,7 +1,12 @@
 #include "gateway.h"
 
+#include "storeview.h"
+
 #include <algorithm>
 #include <csignal>
+#include <utility>
+
+#include <asio/post.hpp>
 
 #include "plantainswitch/observe/event.h"
 
@@ -17,6 +22,8 @@
 /// Before the forced end of a stop, what still runs is cut by this process, so that its callers
 /// hear of it.
 constexpr Milliseconds stopReserve{400};
+/// Time for another router to answer, some hundred round trips.
+constexpr Milliseconds catchUpLimit{1000};
 constexpr int listenQueue = 1024;
 constexpr std::size_t pageHeadBytes = 8192;
 
@@ -59,6 +66,8 @@
                     this->takeReplicas(items, false, afterOutage);
                 }})
     , announcer(this->state)
+    , catchUpClient(this->state)
+    , peerAcceptor(this->context)
 {
     startLogging(this->state.settings.logFormat, this->state.settings.logLevel,
                  this->state.settings.id,
@@ -109,18 +118,45 @@
     acceptor.listen(listenQueue);
 }
 
-void Gateway::run()
+void Gateway::open()
 {
     const GatewaySettings &settings = this->state.settings;
-    logEvent(Event::Started, {{"place", settings.place},
-                              {"callers", toText(settings.callers)},
-                              {"store", toText(settings.store)}});
     this->listen(this->callerAcceptor, settings.callers);
     this->listen(this->readinessAcceptor, settings.readiness);
+    this->listen(this->peerAcceptor, settings.peerCalls);
     if (settings.control.port != 0) {
         this->listen(this->controlAcceptor, settings.control);
+    }
+}
+
+void Gateway::post(std::function<void()> work)
+{
+    asio::post(this->context, std::move(work));
+}
+
+Endpoint Gateway::callersAt() const
+{
+    return {this->state.settings.callers.host, this->callerAcceptor.local_endpoint().port()};
+}
+
+Endpoint Gateway::readinessAt() const
+{
+    return {this->state.settings.readiness.host, this->readinessAcceptor.local_endpoint().port()};
+}
+
+void Gateway::run()
+{
+    const GatewaySettings &settings = this->state.settings;
+    logEvent(Event::Started, {{"place", settings.place},
+                              {"callers", toText(settings.callers)},
+                              {"store", toText(settings.store)}});
+    if (!this->callerAcceptor.is_open()) {
+        this->open();
+    }
+    if (this->controlAcceptor.is_open()) {
         this->acceptPages(this->controlAcceptor);
     }
+    this->acceptPages(this->peerAcceptor);
     this->acceptCallers();
     this->acceptPages(this->readinessAcceptor);
     this->signals.add(SIGTERM);
@@ -224,6 +260,11 @@
                         this->state.metrics.render(this->state.clock.now()), false);
         return;
     }
+    if (incoming.head.target == storeViewPath) {
+        caller->respond(ok, {{"Content-Type", "application/json"}},
+                        writeStoreView(this->state.view), false);
+        return;
+    }
     caller->respond(notFound, {}, {}, true);
 }
 
@@ -270,6 +311,8 @@
         this->state.upstreams.take(events);
         this->logReplicas(events);
     }
+    this->trackStore();
+    this->catchUp();
     this->watchReadiness();
     if (this->state.stopping) {
         this->endStopIfIdle();
@@ -311,11 +354,18 @@
         open.push_back(caller);
     }
     for (const auto &caller : open) {
-        caller->closeIdle();
+        caller->closeWhenIdle();
     }
-    if (!this->exchanges.empty() && !forced) {
+    // One more turn after the last answer, in which its bytes leave.
+    const bool wasIdle = std::exchange(this->stopIdle, this->exchanges.empty());
+    if (!(this->exchanges.empty() && wasIdle) && !forced) {
         return;
     }
+    this->end();
+}
+
+void Gateway::end()
+{
     std::vector<std::shared_ptr<Exchange>> running;
     for (const auto &[id, exchange] : this->exchanges) {
         running.push_back(exchange);
@@ -351,6 +401,7 @@
                                        {"routes", std::to_string(config->routes.size())},
                                        {"workspaces", std::to_string(config->workspaces.size())}});
         this->state.table = std::make_shared<const RoutingTable>(std::move(*config));
+        this->state.view.routing = item.document;
     }
     this->watchReadiness();
 }
@@ -363,12 +414,17 @@
     const auto keep = [&events](std::vector<ReplicaEvent> more) {
         std::move(more.begin(), more.end(), std::back_inserter(events));
     };
+    if (isList) {
+        this->state.view.replicas.clear();
+    }
     for (const StoreItem &item : items) {
         if (item.deleted) {
+            this->state.view.replicas.erase(item.name);
             keep(afterOutage ? this->state.directory.missRemoval(item.name, now)
                              : this->state.directory.takeRemoval(item.name));
             continue;
         }
+        this->state.view.replicas[item.name] = item.document;
         std::string fault;
         auto replica = this->state.dialect.readReplica(item, fault);
         if (!replica) {
@@ -413,11 +469,13 @@
     // Once at the start: a router that can't be announced is found by the seeds, or by hearing it.
     const RouterEntry own{this->state.settings.id, this->state.settings.peerDatagrams};
     constexpr Milliseconds limit{2500};
-    this->announcer.call("POST", this->state.dialect.listTarget(StoreKind::Routers, {}),
-                         this->state.dialect.writeRouter(own), limit, [this](const StoreReply &) {
+    this->state.metrics.count(Counter::PlatformCalls, 2);
+    const Endpoint &store = this->state.settings.store;
+    this->announcer.call(store, "POST", this->state.dialect.listTarget(StoreKind::Routers, {}),
+                         this->state.dialect.writeRouter(own), limit, [this](const PlainReply &) {
                              this->announcer.call(
-                                 "GET", this->state.dialect.listTarget(StoreKind::Routers, {}), {},
-                                 limit, [this](const StoreReply &listed) {
+                                 this->state.settings.store, "GET", this->state.dialect.listTarget(StoreKind::Routers, {}), {},
+                                 limit, [this](const PlainReply &listed) {
                                      const auto answer
                                          = this->state.dialect.readList(listed.body);
                                      if (!answer) {
@@ -433,4 +491,50 @@
                          });
 }
 
+void Gateway::trackStore()
+{
+    StoreView &view = this->state.view;
+    view.connected = this->routing.isConnected() && this->replicas.isConnected()
+                     && this->state.directoryKnown;
+    if (view.connected) {
+        view.revision = std::max(this->routing.heardRevision(), this->replicas.heardRevision());
+    }
+}
+
+void Gateway::catchUp()
+{
+    if (this->state.view.connected || this->catchUpClient.isBusy()) {
+        return;
+    }
+    const auto router = this->fleet.betterInformed();
+    if (!router) {
+        return;
+    }
+    this->catchUpClient.call(
+        *router, "GET", std::string(storeViewPath), {}, catchUpLimit,
+        [this, from = *router](const PlainReply &reply) { this->takeCatchUp(from, reply); });
+}
+
+void Gateway::takeCatchUp(const Endpoint &from, const PlainReply &reply)
+{
+    constexpr int ok = 200;
+    const auto view = reply.status == ok ? readStoreView(reply.body) : std::nullopt;
+    logEvent(Event::CaughtUp, {{"from", toText(from)},
+                               {"outcome", view ? "taken" : "failed"},
+                               {"before", std::to_string(this->state.view.revision)},
+                               {"revision", std::to_string(view ? view->revision : 0)}});
+    if (!view || this->state.view.connected) {
+        return;
+    }
+    if (!view->routing.empty()) {
+        this->takeRouting({{"", false, view->routing}});
+    }
+    std::vector<StoreItem> items;
+    for (const auto &[name, document] : view->replicas) {
+        items.push_back({name, false, document});
+    }
+    this->takeReplicas(items, true, true);
+    this->state.view.revision = view->revision;
+}
+
 } // namespace plantainswitch::gateway
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -31,8 +31,18 @@
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
 
-    /// Serves until a stop has ended.
+    /// Opens all listening sockets; throws when an address can't be had.
+    void open();
+    /// Serves until a stop has ended. Opens first unless that was done.
     void run();
+    /// Runs \a work on the loop's thread; the only call that other threads may make.
+    void post(std::function<void()> work);
+    /// Ends at once: what runs is cut.
+    void end();
+    /// \returns the address at which callers are served, once open.
+    [[nodiscard]] Endpoint callersAt() const;
+    /// \returns the address at which the balancer asks, once open.
+    [[nodiscard]] Endpoint readinessAt() const;
     /// Begins a planned stop: not ready at once, what runs is finished, what comes is served
     /// until callers know.
     void stop();
@@ -55,6 +65,9 @@
     void takeReplicas(const std::vector<StoreItem> &items, bool isList, bool afterOutage);
     void logReplicas(const std::vector<ReplicaEvent> &events);
     void announce();
+    void trackStore();
+    void catchUp();
+    void takeCatchUp(const Endpoint &from, const PlainReply &reply);
     void endStopIfIdle();
     void reload();
     [[nodiscard]] bool isReady() const noexcept;
@@ -71,7 +84,9 @@
     FleetLink fleet;
     StoreFollower routing;
     StoreFollower replicas;
-    StoreClient announcer;
+    PlainClient announcer;
+    PlainClient catchUpClient;
+    Acceptor peerAcceptor;
     CallerEvents callerEvents;
     CallerEvents pageEvents;
     std::uint64_t nextCaller = 1;
@@ -79,6 +94,7 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges;
     bool wasReady = false;
     TimePoint stopBegan;
+    bool stopIdle = false;
 };
 
 } // namespace plantainswitch::gateway
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <string>
 
 #include <asio/io_context.hpp>
 
@@ -17,6 +19,16 @@
 
 class CallerConnection;
 
+/// The store's objects as this router last heard of them, undecoded.
+struct StoreView
+{
+    std::string routing;
+    std::map<std::string, std::string> replicas;
+    /// Up to which changes were heard, from the store or from another router.
+    std::uint64_t revision = 0;
+    bool connected = false;
+};
+
 /// What the parts of a gateway share. All of it lives on the loop's one thread.
 struct GatewayState
 {
@@ -43,6 +55,8 @@
     std::shared_ptr<const RoutingTable> table;
     ReplicaDirectory directory;
     bool directoryKnown = false;
+    /// What the store said last, for routers that it turns away.
+    StoreView view;
     Upstreams upstreams;
     PeerLoads peers;
     FleetRetries retries;
--- a/gateway/storeclient.cpp
+++ b/gateway/plainclient.cpp
@@ -1,4 +1,4 @@
-#include "storeclient.h"
+#include "plainclient.h"
 
 #include <fmt/format.h>
 
@@ -6,21 +6,20 @@
 
 namespace {
 
-/// Time for a connection to the store to come about.
+/// Time for a connection to come about.
 constexpr Milliseconds connectLimit{1000};
 
 } // namespace
 
-void StoreClient::call(std::string_view method, const std::string &target, const std::string &body,
-                       Milliseconds timeout, std::function<void(StoreReply)> newDone)
+void PlainClient::call(const Endpoint &server, std::string_view method, const std::string &target,
+                       const std::string &body, Milliseconds timeout,
+                       std::function<void(PlainReply)> newDone)
 {
     this->done = std::move(newDone);
     this->reply = {};
     this->calls += 1;
-    this->gateway.metrics.count(Counter::PlatformCalls);
-    const Endpoint &store = this->gateway.settings.store;
     std::string request = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", method, target,
-                                      toText(store));
+                                      toText(server));
     if (!body.empty()) {
         request += fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n",
                                body.size());
@@ -33,7 +32,7 @@
                         [this](std::string_view bytes) { this->reply.body.append(bytes); },
                         [this](AnswerEnd end) {
                             this->end(end == AnswerEnd::Whole ? std::move(this->reply)
-                                                              : StoreReply{});
+                                                              : PlainReply{});
                         }};
     this->timer.expires_after(timeout);
     this->timer.async_wait([this, number = this->calls](const asio::error_code &error) {
@@ -42,17 +41,18 @@
             this->end({});
         }
     });
-    if (this->connection && this->connection->isReusable()) {
+    if (this->connection && this->connection->isReusable() && this->connectedTo == server) {
         this->connection->send(request, std::move(events));
         return;
     }
     this->connection
         = std::make_shared<UpstreamConnection>(this->gateway.context, this->gateway.clock);
-    this->connection->open(store, std::min(connectLimit, timeout), std::move(request),
+    this->connectedTo = server;
+    this->connection->open(server, std::min(connectLimit, timeout), std::move(request),
                            std::move(events));
 }
 
-void StoreClient::end(StoreReply ended)
+void PlainClient::end(PlainReply ended)
 {
     this->timer.cancel();
     const auto finished = std::move(this->done);
--- /dev/null
+++ b/gateway/plainclient.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "gatewaystate.h"
+
+namespace plantainswitch::gateway {
+
+/// The answer to a call; status 0: none came, so that a write may have been done.
+struct PlainReply
+{
+    int status = 0;
+    std::string body;
+};
+
+/// Calls the store or another router, one call at a time, over one kept connection.
+class PlainClient
+{
+public:
+    explicit PlainClient(GatewayState &gateway)
+        : gateway(gateway)
+        , timer(gateway.context)
+    {}
+
+    /// Calls; \a done comes once, later.
+    void call(const Endpoint &server, std::string_view method, const std::string &target,
+              const std::string &body, Milliseconds timeout,
+              std::function<void(PlainReply)> done);
+    /// \returns whether a call is under way.
+    [[nodiscard]] bool isBusy() const noexcept { return static_cast<bool>(this->done); }
+
+private:
+    void end(PlainReply reply);
+
+    GatewayState &gateway;
+    asio::steady_timer timer;
+    std::shared_ptr<UpstreamConnection> connection;
+    std::function<void(PlainReply)> done;
+    PlainReply reply;
+    Endpoint connectedTo;
+    std::uint64_t calls = 0;
+};
+
+} // namespace plantainswitch::gateway
--- a/gateway/storefollower.cpp
+++ b/gateway/storefollower.cpp
@@ -58,11 +58,13 @@
 void StoreFollower::list()
 {
     const std::string after = this->listing.empty() ? std::string() : this->listing.back().name;
-    this->client.call("GET", this->gateway.dialect.listTarget(this->kind, after), {}, listLimit,
-                      [this](const StoreReply &reply) { this->onListed(reply); });
+    this->gateway.metrics.count(Counter::PlatformCalls);
+    this->client.call(this->gateway.settings.store, "GET",
+                      this->gateway.dialect.listTarget(this->kind, after), {}, listLimit,
+                      [this](const PlainReply &reply) { this->onListed(reply); });
 }
 
-void StoreFollower::onListed(const StoreReply &reply)
+void StoreFollower::onListed(const PlainReply &reply)
 {
     auto answer = reply.status == statusOk ? this->gateway.dialect.readList(reply.body)
                                            : std::nullopt;
@@ -95,13 +97,14 @@
 
 void StoreFollower::watch()
 {
-    this->client.call("GET",
+    this->gateway.metrics.count(Counter::PlatformCalls);
+    this->client.call(this->gateway.settings.store, "GET",
                       this->gateway.dialect.watchTarget(this->kind, this->revision, watchWait), {},
                       watchWait + watchSlack,
-                      [this](const StoreReply &reply) { this->onWatched(reply); });
+                      [this](const PlainReply &reply) { this->onWatched(reply); });
 }
 
-void StoreFollower::onWatched(const StoreReply &reply)
+void StoreFollower::onWatched(const PlainReply &reply)
 {
     if (this->stopped) {
         return;
--- a/gateway/storefollower.h
+++ b/gateway/storefollower.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "storeclient.h"
+#include "plainclient.h"
 
 namespace plantainswitch::gateway {
 
@@ -28,12 +28,14 @@
     void stop();
     /// \returns whether the last call was answered.
     [[nodiscard]] bool isConnected() const noexcept { return this->failures == 0; }
+    /// \returns the store's revision up to which all changes were heard.
+    [[nodiscard]] std::uint64_t heardRevision() const noexcept { return this->revision; }
 
 private:
     void list();
-    void onListed(const StoreReply &reply);
+    void onListed(const PlainReply &reply);
     void watch();
-    void onWatched(const StoreReply &reply);
+    void onWatched(const PlainReply &reply);
     void onFailure(int status);
     void onAnswered();
     void later(Milliseconds delay, void (StoreFollower::*step)());
@@ -41,7 +43,7 @@
     GatewayState &gateway;
     StoreKind kind;
     FollowerEvents events;
-    StoreClient client;
+    PlainClient client;
     asio::steady_timer timer;
     std::vector<StoreItem> listing;
     std::uint64_t revision = 0;
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -37,6 +37,7 @@
     HistoryLost = 210,
     ObjectsListed = 211,
     WatchCut = 212,
+    CaughtUp = 213,
     MemberJoined = 300,
     MemberGone = 301,
     DatagramInvalid = 302,
--- a/include/plantainswitch/routing/choice.h
+++ b/include/plantainswitch/routing/choice.h
@@ -26,14 +26,17 @@
     /// Held against an upstream of another data centre: two crossings, and the price of bytes
     /// between data centres, which a request of 20 kB makes worth some 10 ms of an engine.
     double otherPlaceDelay = 12.0;
-    /// Held against an upstream whose recent requests all failed; a failed request costs its
-    /// caller about one objective.
+    /// Held against an upstream whose recent requests all failed while none did elsewhere; a failed
+    /// request costs its caller about one objective.
     double failureDelay = 400.0;
     /// Largest delay by which a chain prefers some upstreams to others when its home is full. All
     /// routers see much the same loads: without it they send what spills over to the same engine,
     /// which then holds far more than its share before any of them has heard. About the work of
     /// one request.
     double spillSpread = 15.0;
+    /// The same for requests without prompts, which have no home: enough to spread those of one
+    /// moment, too little to leave the data centre for.
+    double plainSpread = 4.0;
     /// Share of the shared tokens that the chain's own engine is taken to have cached unheard.
     double homeTrust = 0.6;
     /// An upstream is left out from boundFactor times the mean of running requests, plus
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -25,26 +25,6 @@
                                     : request.chain.front();
 }
 
-std::optional<std::size_t> homeOf(std::span<UpstreamState *const> candidates,
-                                  const ChoiceRequest &request, TimePoint now)
-{
-    std::optional<std::size_t> best;
-    double highest = 0.0;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const UpstreamState &state = *candidates[i];
-        if (state.replica.leaving || isAvoided(state.health, now)) {
-            continue;
-        }
-        const double score
-            = rendezvousScore(homeKey(request), {hashOf(state.replica.id), 1.0});
-        if (!best || score > highest) {
-            best = i;
-            highest = score;
-        }
-    }
-    return best;
-}
-
 double cachedTokens(const UpstreamState &state, bool isHome, const ChoiceRequest &request,
                     const ChainMemory &memory, const ChoicePolicy &policy)
 {
@@ -64,8 +44,9 @@
                   const ChoicePolicy &policy)
 {
     const std::uint64_t key = request.chain.empty() ? request.hash : homeKey(request);
+    const double spread = request.chain.empty() ? policy.plainSpread : policy.spillSpread;
     constexpr std::uint64_t steps = 1024;
-    return policy.spillSpread * static_cast<double>(mixHash(key, hashOf(state.replica.id)) % steps)
+    return spread * static_cast<double>(mixHash(key, hashOf(state.replica.id)) % steps)
            / steps;
 }
 
@@ -82,16 +63,21 @@
     return delay;
 }
 
-struct Bound
+/// What the candidates are like together.
+struct Survey
 {
-    double most = 0.0;
+    /// Requests above which an upstream holds more than its share.
+    double bound = 0.0;
+    /// Few enough are avoided that the others can carry their work.
     bool avoidanceHolds = true;
+    double meanFailureShare = 0.0;
 };
 
-Bound boundOf(std::span<UpstreamState *const> candidates, const ChoicePolicy &policy,
+Survey survey(std::span<UpstreamState *const> candidates, const ChoicePolicy &policy,
               TimePoint now)
 {
     double running = 0.0;
+    double failureShares = 0.0;
     std::size_t usable = 0;
     std::size_t avoided = 0;
     for (const UpstreamState *state : candidates) {
@@ -100,26 +86,48 @@
         }
         ++usable;
         running += runningAt(*state);
+        failureShares += failureShareOf(state->health, now);
         avoided += isAvoided(state->health, now) ? 1 : 0;
     }
     const auto count = static_cast<double>(std::max<std::size_t>(usable, 1));
     return {policy.boundFactor * running / count + policy.boundExtra,
-            static_cast<double>(avoided) <= policy.mostAvoided * count};
+            static_cast<double>(avoided) <= policy.mostAvoided * count, failureShares / count};
+}
+
+std::optional<std::size_t> homeOf(std::span<UpstreamState *const> candidates,
+                                  const ChoiceRequest &request, const Survey &seen,
+                                  TimePoint now)
+{
+    std::optional<std::size_t> best;
+    double highest = 0.0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const UpstreamState &state = *candidates[i];
+        if (state.replica.leaving || (seen.avoidanceHolds && isAvoided(state.health, now))) {
+            continue;
+        }
+        const double score
+            = rendezvousScore(homeKey(request), {hashOf(state.replica.id), 1.0});
+        if (!best || score > highest) {
+            best = i;
+            highest = score;
+        }
+    }
+    return best;
 }
 
 /// Lower classes are only used when no higher one is left.
 enum class Fitness : std::uint8_t { Good, OverBound, Avoided, Unusable };
 
-Fitness fitnessOf(const UpstreamState &state, const ChoiceRequest &request, const Bound &bound,
+Fitness fitnessOf(const UpstreamState &state, const ChoiceRequest &request, const Survey &seen,
                   TimePoint now)
 {
     if (state.replica.leaving || wasTried(state.replica, request)) {
         return Fitness::Unusable;
     }
-    if (bound.avoidanceHolds && isAvoided(state.health, now)) {
+    if (seen.avoidanceHolds && isAvoided(state.health, now)) {
         return Fitness::Avoided;
     }
-    return runningAt(state) + 1.0 > bound.most ? Fitness::OverBound : Fitness::Good;
+    return runningAt(state) + 1.0 > seen.bound ? Fitness::OverBound : Fitness::Good;
 }
 
 } // namespace
@@ -181,17 +189,17 @@
                                      const ChoiceRequest &request, const ChainMemory &memory,
                                      const ChoicePolicy &policy, TimePoint now)
 {
-    const Bound bound = boundOf(candidates, policy, now);
+    const Survey seen = survey(candidates, policy, now);
     const bool hasPrompt = request.prompt != nullptr && !request.chain.empty();
     const std::optional<std::size_t> home
-        = hasPrompt ? homeOf(candidates, request, now) : std::nullopt;
+        = hasPrompt ? homeOf(candidates, request, seen, now) : std::nullopt;
     std::optional<Choice> best;
     Fitness bestFitness = Fitness::Unusable;
     std::uint32_t avoided = 0;
     std::uint32_t overBound = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const UpstreamState &state = *candidates[i];
-        const Fitness fitness = fitnessOf(state, request, bound, now);
+        const Fitness fitness = fitnessOf(state, request, seen, now);
         avoided += fitness == Fitness::Avoided ? 1 : 0;
         overBound += fitness == Fitness::OverBound ? 1 : 0;
         if (fitness == Fitness::Unusable) {
@@ -208,7 +216,8 @@
             = (choice.uncachedTokens + state.ownUnread + state.peersUnread)
                   / policy.tokensPerMillisecond
               + queueDelay(state, policy) + extraDelayOf(state.health, now)
-              + policy.failureDelay * failureShareOf(state.health, now)
+              + policy.failureDelay
+                    * std::max(0.0, failureShareOf(state.health, now) - seen.meanFailureShare)
               + (home == i ? 0.0 : spillDelay(state, request, policy))
               + (state.replica.place == request.place ? 0.0 : policy.otherPlaceDelay);
         if (!best || fitness < bestFitness
--- /dev/null
+++ b/tests/fleetretries.cpp
@@ -0,0 +1,74 @@
+#include <catch2/catch.hpp>
+
+#include "plantainswitch/routing/fleetretries.h"
+
+using namespace plantainswitch;
+
+namespace {
+
+class FleetRetriesFixture
+{
+protected:
+    static std::uint32_t spendAll(FleetRetries &retries, std::uint32_t routers, TimePoint now)
+    {
+        std::uint32_t spent = 0;
+        while (retries.spend("model", routers, now)) {
+            ++spent;
+        }
+        return spent;
+    }
+
+    FleetRetryLimit limit;
+    ManualClock clock;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(FleetRetriesFixture, "fleetRetries_allRoutersSpendEverything_sumStaysWithinLimit",
+                 "[routing]")
+{
+    // All upstreams fail, and every router repeats whatever it may, for a minute. In any window
+    // the repeats of all routers together stay within the promised share of the requests and the
+    // margin; no router asks another.
+    constexpr std::uint32_t routers = 8;
+    constexpr std::uint32_t requestsEach = 20;
+    std::vector<FleetRetries> fleet(routers, FleetRetries(this->limit));
+    std::vector<std::uint32_t> bySecond;
+    for (int second = 0; second < 60; ++second) {
+        std::uint32_t spent = 0;
+        for (FleetRetries &router : fleet) {
+            for (std::uint32_t i = 0; i < requestsEach; ++i) {
+                router.earn("model", routers, this->clock.now());
+            }
+            spent += spendAll(router, routers, this->clock.now());
+        }
+        bySecond.push_back(spent);
+        this->clock.advance(Seconds{1});
+    }
+    const auto window = static_cast<std::size_t>(this->limit.window.count());
+    for (std::size_t end = window; end <= bySecond.size(); ++end) {
+        std::uint32_t sum = 0;
+        for (std::size_t second = end - window; second < end; ++second) {
+            sum += bySecond[second];
+        }
+        const double requests = static_cast<double>(routers * requestsEach * window);
+        CHECK(sum <= this->limit.ratio * requests + this->limit.margin);
+        CHECK(sum > 0);
+    }
+}
+
+TEST_CASE_METHOD(FleetRetriesFixture, "fleetRetries_quietService_savesNoMoreThanItsShare",
+                 "[routing]")
+{
+    FleetRetries retries(this->limit);
+    retries.earn("model", 1, this->clock.now());
+    this->clock.advance(Seconds{3600});
+    CHECK(spendAll(retries, 1, this->clock.now()) <= this->limit.margin);
+}
+
+TEST_CASE_METHOD(FleetRetriesFixture, "fleetRetries_otherService_hasItsOwnAccount", "[routing]")
+{
+    FleetRetries retries(this->limit);
+    static_cast<void>(spendAll(retries, 1, this->clock.now()));
+    CHECK(retries.spend("other", 1, this->clock.now()));
+}
--- /dev/null
+++ b/tests/gatewaycallers.cpp
@@ -0,0 +1,247 @@
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "gatewayfixture.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::gateway;
+
+namespace {
+
+class GatewayCallersFixture : public GatewayFixture
+{
+protected:
+    /// Adds a plain upstream that answers every request with its body and keeps what it saw.
+    void addEcho(const std::string &id = "echo-1")
+    {
+        this->addUpstream(id, "plain", [this](ServerConnection &connection) {
+            while (const auto request = connection.read()) {
+                {
+                    const std::lock_guard lock(this->mutex);
+                    this->seen.push_back(*request);
+                }
+                connection.send(answerTo(*request, "echo " + request->body));
+            }
+        });
+    }
+
+    std::size_t seenCount()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->seen.size();
+    }
+
+    std::mutex mutex;
+    std::vector<SeenRequest> seen;
+};
+
+std::string valueOf(const std::vector<HeaderField> &fields, std::string_view name)
+{
+    for (const HeaderField &field : fields) {
+        if (sameName(field.name, name)) {
+            return field.value;
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_CASE_METHOD(GatewayCallersFixture, "gateway_plainRequest_getsTheUpstreamsWholeAnswer",
+                 "[gateway]")
+{
+    this->addEcho();
+    this->start();
+    const SeenAnswer answer = this->call(requestOf("/once/x?a=1", "a1", "hello"));
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "echo hello");
+    CHECK(answer.whole);
+    CHECK(valueOf(answer.fields, "X-Server-Stamp") == "stamp");
+    REQUIRE(this->seenCount() == 1);
+    const MessageHead &head = this->seen.front().head;
+    CHECK(head.target == "/once/x?a=1");
+    CHECK(*head.find("X-Expect-Instance") == "echo-1");
+    CHECK(*head.find("X-Tenant") == "alpha");
+    CHECK(head.find("Authorization") == nullptr);
+    CHECK(std::stoi(*head.find("X-Time-Budget")) <= 4000);
+}
+
+TEST_CASE_METHOD(GatewayCallersFixture, "gateway_fieldsThatOnlyTheRouterSets_areDropped",
+                 "[gateway]")
+{
+    // A caller claims another workspace and an engine's reserved memory. The upstream must see
+    // what the router knows, never what the caller claims.
+    this->addEcho();
+    this->start();
+    this->call(requestOf("/once/x", "a1", "", "X-Tenant: beta\r\nX-Hold: h\r\nKv-From: 1:2/h\r\n"
+                                              "X-Expect-Instance: other\r\nX-Own: kept\r\n"));
+    REQUIRE(this->seenCount() == 1);
+    const MessageHead &head = this->seen.front().head;
+    CHECK(head.count("X-Tenant") == 1);
+    CHECK(*head.find("X-Tenant") == "alpha");
+    CHECK(head.count("X-Expect-Instance") == 1);
+    CHECK(head.find("X-Hold") == nullptr);
+    CHECK(head.find("Kv-From") == nullptr);
+    CHECK(*head.find("X-Own") == "kept");
+}
+
+TEST_CASE_METHOD(GatewayCallersFixture, "gateway_unknownKeyOrRoute_isRefusedUnrun", "[gateway]")
+{
+    this->addEcho();
+    this->start();
+    std::string stranger = requestOf("/once/x", "a1");
+    stranger.replace(stranger.find("key-a"), 5, "key-z");
+    CHECK(this->call(stranger).status == 401);
+    CHECK(this->call(requestOf("/nothing/x", "a2")).status == 404);
+    CHECK(this->seenCount() == 0);
+}
+
+TEST_CASE_METHOD(GatewayCallersFixture, "gateway_noUpstream_refusesAtOnceWithTimeToComeBack",
+                 "[gateway]")
+{
+    this->start();
+    const SeenAnswer answer = this->call(requestOf("/once/x", "a1"));
+    CHECK(answer.status == 503);
+    CHECK_FALSE(valueOf(answer.fields, "Retry-After").empty());
+    CHECK(valueOf(answer.fields, "X-Server-Stamp").empty());
+}
+
+TEST_CASE_METHOD(GatewayCallersFixture, "gateway_requestWithTwoReadings_reachesNoUpstream",
+                 "[gateway]")
+{
+    // A caller hides a second request in the first. The router reads one request, the upstream
+    // would read two, and the second runs under somebody else's name. Whatever two parsers may
+    // read in two ways ends the connection and is not passed on.
+    this->addEcho();
+    this->start();
+    const std::string head = "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n"
+                             "Authorization: Bearer key-a\r\n";
+    const std::string hidden = "GET /safe/y HTTP/1.1\r\nHost: h.example\r\n\r\n";
+    const std::vector<std::string> heads{
+        "Content-Length: 5\r\nContent-Length: 6\r\n\r\n",
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "Content-Length : 5\r\n\r\n",
+        "Content-Length: 5\n\r\n",
+        "X-Folded: a\r\n b\r\nContent-Length: 5\r\n\r\n",
+        "Content-Length: +5\r\n\r\n",
+        "X-Bare: a\rb\r\nContent-Length: 5\r\n\r\n",
+        "Transfer-Encoding: chunked, identity\r\nContent-Length: 5\r\n\r\n",
+    };
+    for (const std::string &rest : heads) {
+        INFO(rest);
+        const SeenAnswer answer = this->call(head + rest + hidden);
+        CHECK((answer.status == 0 || answer.status == 400));
+    }
+    CHECK(this->seenCount() == 0);
+}
+
+TEST_CASE_METHOD(GatewayCallersFixture, "gateway_severalRequestsAhead_areAnsweredInOrder",
+                 "[gateway]")
+{
+    this->addEcho();
+    this->start();
+    asio::ip::tcp::socket socket = this->connectCaller();
+    std::string all;
+    for (int i = 0; i < 5; ++i) {
+        all += requestOf("/safe/x", "a" + std::to_string(i), std::to_string(i));
+    }
+    asio::write(socket, asio::buffer(all));
+    // One answer at a time: the fixture's parser keeps no bytes between calls.
+    std::string bytes;
+    std::array<char, 4096> buffer{};
+    while (bytes.find("echo 4") == std::string::npos) {
+        asio::error_code error;
+        const std::size_t size = socket.read_some(asio::buffer(buffer), error);
+        REQUIRE_FALSE(error);
+        bytes.append(buffer.data(), size);
+    }
+    std::size_t at = 0;
+    for (int i = 0; i < 5; ++i) {
+        at = bytes.find("echo " + std::to_string(i), at);
+        CHECK(at != std::string::npos);
+    }
+}
+
+TEST_CASE_METHOD(GatewayCallersFixture, "gateway_bodyInChunks_reachesTheUpstreamWhole",
+                 "[gateway]")
+{
+    this->addEcho();
+    this->start();
+    const SeenAnswer answer = this->call(
+        "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n"
+        "Authorization: Bearer key-a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n");
+    CHECK(answer.body == "echo abcdefg");
+}
+
+TEST_CASE_METHOD(GatewayCallersFixture, "gateway_bodyAboveTheLimit_isRefused", "[gateway]")
+{
+    this->addEcho();
+    this->start();
+    CHECK(this->call("POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n"
+                     "Content-Length: 100001\r\n\r\n")
+              .status
+          == 413);
+}
+
+TEST_CASE_METHOD(GatewayCallersFixture, "gateway_callerLeaves_upstreamSeesItsConnectionEnd",
+                 "[gateway]")
+{
+    // The caller gives up before the first byte of its answer. The upstream would work on for
+    // nobody, so that its connection must end as soon as the caller's does.
+    std::atomic<bool> begun = false;
+    std::atomic<bool> ended = false;
+    this->addUpstream("slow-1", "plain", [&begun, &ended](ServerConnection &connection) {
+        if (connection.read()) {
+            begun = true;
+            connection.waitForEnd();
+            ended = true;
+        }
+    });
+    this->start();
+    {
+        asio::ip::tcp::socket socket = this->connectCaller();
+        asio::write(socket, asio::buffer(requestOf("/once/x", "a1")));
+        CHECK(eventually([&begun] { return begun.load(); }));
+    }
+    CHECK(eventually([&ended] { return ended.load(); }));
+}
+
+TEST_CASE_METHOD(GatewayCallersFixture, "gateway_stop_isNotReadyAndEndsRunningStreamWhole",
+                 "[gateway]")
+{
+    // An operator stops a router while a stream runs. The balancer must hear at once that it is
+    // not ready; the stream ends whole, and its connection closes after it.
+    std::atomic<bool> goOn = false;
+    this->addUpstream("engine-1", "model", [&goOn](ServerConnection &connection) {
+        const auto request = connection.read();
+        if (!request) {
+            return;
+        }
+        connection.send(streamHead(*request) + chunkOf(eventOf(1)));
+        eventually([&goOn] { return goOn.load(); });
+        connection.send(chunkOf(eventOf(2)) + "0\r\n\r\n");
+        connection.waitForEnd();
+    });
+    this->start();
+    asio::ip::tcp::socket socket = this->connectCaller();
+    asio::write(socket, asio::buffer(requestOf("/stream/x", "a1")));
+    std::array<char, 1> first{};
+    asio::read(socket, asio::buffer(first));
+    this->gateway->post([this] { this->gateway->stop(); });
+    CHECK(eventually([this] { return !this->isReady(); }));
+    goOn = true;
+    std::string bytes(first.data(), 1);
+    std::array<char, 4096> buffer{};
+    while (bytes.find("0\r\n\r\n") == std::string::npos) {
+        asio::error_code error;
+        const std::size_t size = socket.read_some(asio::buffer(buffer), error);
+        REQUIRE_FALSE(error);
+        bytes.append(buffer.data(), size);
+    }
+    CHECK(bytes.find(eventOf(2)) != std::string::npos);
+    asio::error_code error;
+    socket.read_some(asio::buffer(buffer), error);
+    CHECK(error == asio::error::eof);
+}
--- /dev/null
+++ b/tests/gatewayupstreams.cpp
@@ -0,0 +1,234 @@
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "gatewayfixture.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::gateway;
+
+namespace {
+
+class GatewayUpstreamsFixture : public GatewayFixture
+{
+protected:
+    /// Adds upstreams of \a service whose \a script counts the requests that reach them.
+    void addCounting(const std::string &service, int count,
+                     const std::function<void(ServerConnection &, const SeenRequest &, int)> &script)
+    {
+        for (int i = 0; i < count; ++i) {
+            this->addUpstream(service + "-" + std::to_string(i), service,
+                              [this, script](ServerConnection &connection) {
+                                  while (const auto request = connection.read()) {
+                                      script(connection, *request, ++this->requests);
+                                  }
+                              });
+        }
+    }
+
+    std::atomic<int> requests = 0;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(GatewayUpstreamsFixture, "upstream_resetsAfterOnceRequest_isNotAskedAgain",
+                 "[gateway]")
+{
+    // An upstream has taken an order and its connection is reset. Nobody can tell whether the
+    // order ran; sent again it may run twice, and "not run" would be a lie.
+    this->addCounting("plain", 3, [](ServerConnection &connection, const SeenRequest &, int) {
+        connection.reset();
+    });
+    this->start();
+    CHECK(this->call(requestOf("/once/x", "a1")).status == 502);
+    CHECK(this->requests == 1);
+}
+
+TEST_CASE_METHOD(GatewayUpstreamsFixture, "upstream_resetsIdempotentRequest_isServedElsewhere",
+                 "[gateway]")
+{
+    this->addCounting("plain", 3,
+                      [](ServerConnection &connection, const SeenRequest &request, int number) {
+                          if (number == 1) {
+                              connection.reset();
+                          } else {
+                              connection.send(answerTo(request, "second"));
+                          }
+                      });
+    this->start();
+    const SeenAnswer answer = this->call(requestOf("/safe/x", "a1"));
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "second");
+    CHECK(this->requests == 2);
+}
+
+TEST_CASE_METHOD(GatewayUpstreamsFixture, "upstream_turnsOnceRequestAway_isServedElsewhere",
+                 "[gateway]")
+{
+    this->addCounting("plain", 2,
+                      [](ServerConnection &connection, const SeenRequest &request, int number) {
+                          connection.send(number == 1
+                                              ? "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
+                                                "Content-Length: 0\r\n\r\n"
+                                              : answerTo(request, "taken"));
+                      });
+    this->start();
+    CHECK(this->call(requestOf("/once/x", "a1")).body == "taken");
+}
+
+TEST_CASE_METHOD(GatewayUpstreamsFixture, "upstream_allTurnAway_refusalSaysNotRun", "[gateway]")
+{
+    this->addCounting("plain", 2, [](ServerConnection &connection, const SeenRequest &, int) {
+        connection.send("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    });
+    this->start();
+    CHECK(this->call(requestOf("/once/x", "a1")).status == 503);
+}
+
+TEST_CASE_METHOD(GatewayUpstreamsFixture, "upstream_says503WithoutNotRun_isNoRefusal", "[gateway]")
+{
+    this->addCounting("plain", 1,
+                      [](ServerConnection &connection, const SeenRequest &, int) {
+                          connection.send("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+                      });
+    this->start();
+    CHECK(this->call(requestOf("/once/x", "a1")).status == 502);
+}
+
+TEST_CASE_METHOD(GatewayUpstreamsFixture, "upstream_unsignedOrForeignSuccess_neverReachesCaller",
+                 "[gateway]")
+{
+    // Something else listens at the upstream's address, or it answers another request. Its bytes
+    // must not pass for the answer.
+    this->addCounting("plain", 1, [](ServerConnection &connection, const SeenRequest &, int number) {
+        if (number == 1) {
+            connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nContent-Length: 3\r\n\r\nbad");
+        } else {
+            connection.send("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 3\r\n\r\nbad");
+        }
+        connection.close();
+    });
+    this->start();
+    CHECK(this->call(requestOf("/once/x", "a1")).status == 502);
+    CHECK(this->call(requestOf("/once/x", "a2")).status == 502);
+}
+
+TEST_CASE_METHOD(GatewayUpstreamsFixture, "upstream_lateAnswerOfAnotherAttempt_isSkipped",
+                 "[gateway]")
+{
+    // A late second answer to an earlier request arrives where the next one is due. It belongs to
+    // nobody; the right answer still follows on the same connection.
+    this->addCounting("plain", 1,
+                      [](ServerConnection &connection, const SeenRequest &request, int) {
+                          connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n"
+                                          "X-Server-Stamp: s\r\nContent-Length: 3\r\n\r\nold"
+                                          + answerTo(request, "new"));
+                      });
+    this->start();
+    CHECK(this->call(requestOf("/once/x", "a1")).body == "new");
+}
+
+TEST_CASE_METHOD(GatewayUpstreamsFixture, "upstream_bytesBehindWholeAnswer_endItsConnection",
+                 "[gateway]")
+{
+    ScriptedServer &server
+        = this->addUpstream("plain-x", "plain", [this](ServerConnection &connection) {
+              while (const auto request = connection.read()) {
+                  ++this->requests;
+                  connection.send(answerTo(*request, "mine") + answerTo(*request, "surplus"));
+              }
+          });
+    this->start();
+    for (int i = 0; i < 3; ++i) {
+        CHECK(this->call(requestOf("/safe/x", "a" + std::to_string(i))).body == "mine");
+    }
+    CHECK(server.connections() == 3);
+}
+
+TEST_CASE_METHOD(GatewayUpstreamsFixture, "upstream_answerWithoutLengthEndedByReset_isNotWhole",
+                 "[gateway]")
+{
+    this->addCounting("plain", 1,
+                      [](ServerConnection &connection, const SeenRequest &, int number) {
+                          connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: a"
+                                          + std::to_string(number)
+                                          + "\r\nX-Server-Stamp: s\r\n\r\nhalf");
+                          if (number == 1) {
+                              connection.reset();
+                          } else {
+                              connection.close();
+                          }
+                      });
+    this->start();
+    CHECK(this->call(requestOf("/once/x", "a1")).status == 502);
+    const SeenAnswer ended = this->call(requestOf("/once/x", "a2"));
+    CHECK(ended.status == 200);
+    CHECK(ended.body == "half");
+}
+
+TEST_CASE_METHOD(GatewayUpstreamsFixture, "upstream_brokenChunk_isNotAnEnd", "[gateway]")
+{
+    this->addCounting("plain", 1,
+                      [](ServerConnection &connection, const SeenRequest &, int) {
+                          connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+                                          "X-Server-Stamp: s\r\n"
+                                          "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nzz\r\n");
+                          connection.close();
+                      });
+    this->start();
+    CHECK(this->call(requestOf("/once/x", "a1")).status == 502);
+}
+
+TEST_CASE_METHOD(GatewayUpstreamsFixture, "stream_breaksWithinEvent_goesOnElsewhereWithoutGap",
+                 "[gateway]")
+{
+    // An engine dies in the middle of the third event. The caller's stream goes on within the
+    // same answer: the next engine is asked for what follows the second event, and no event is
+    // missing, doubled or torn.
+    std::atomic<bool> asked = false;
+    this->addCounting(
+        "model", 2, [&asked](ServerConnection &connection, const SeenRequest &request, int number) {
+            if (number == 1) {
+                connection.send(streamHead(request) + chunkOf(eventOf(1) + eventOf(2))
+                                + chunkOf("id: 3\ndata: pie"));
+                connection.reset();
+                return;
+            }
+            const std::string *const resume = request.head.find("Last-Event-Id");
+            asked = resume != nullptr && *resume == "2";
+            connection.send(streamHead(request) + chunkOf(eventOf(3)) + chunkOf(eventOf(4))
+                            + "0\r\n\r\n");
+        });
+    this->start();
+    const SeenAnswer answer = this->call(requestOf("/stream/x", "a1"));
+    CHECK(asked);
+    CHECK(answer.whole);
+    CHECK(answer.body == eventOf(1) + eventOf(2) + eventOf(3) + eventOf(4));
+}
+
+TEST_CASE_METHOD(GatewayUpstreamsFixture, "stream_everyEngineDies_neverLooksWhole", "[gateway]")
+{
+    this->addCounting("model", 2,
+                      [](ServerConnection &connection, const SeenRequest &request, int number) {
+                          connection.send(streamHead(request) + chunkOf(eventOf(number)));
+                          connection.reset();
+                      });
+    this->start();
+    const SeenAnswer answer = this->call(requestOf("/stream/x", "a1"));
+    CHECK(answer.status == 200);
+    CHECK_FALSE(answer.whole);
+}
+
+TEST_CASE_METHOD(GatewayUpstreamsFixture, "upstream_cannotBeReached_anotherServesAtOnce",
+                 "[gateway]")
+{
+    // An upstream's process is gone and its address refuses connections. Nothing was sent, so
+    // that even a request that may run only once goes to another one.
+    this->addCounting("plain", 1, [](ServerConnection &connection, const SeenRequest &request,
+                                     int) { connection.send(answerTo(request, "served")); });
+    this->addDeadUpstream("plain-dead", "plain");
+    this->start();
+    for (int i = 0; i < 10; ++i) {
+        CHECK(this->call(requestOf("/once/x", "a" + std::to_string(i))).body == "served");
+    }
+}
--- /dev/null
+++ b/tests/peerloads.cpp
@@ -0,0 +1,65 @@
+#include <catch2/catch.hpp>
+
+#include "plantainswitch/routing/peerloads.h"
+
+using namespace plantainswitch;
+
+namespace {
+
+class PeerLoadsFixture
+{
+protected:
+    static RouterNews newsOf(const std::string &id, std::uint64_t sequence, std::uint32_t running)
+    {
+        RouterNews news;
+        news.id = id;
+        news.incarnation = 1;
+        news.sequence = sequence;
+        news.loads = {{7, running, running * 100, Milliseconds{0}}};
+        return news;
+    }
+
+    PeerLoads loads;
+    ManualClock clock;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(PeerLoadsFixture, "peerLoads_severalRouters_areSummed", "[routing]")
+{
+    this->loads.take(newsOf("a", 1, 2), this->clock.now());
+    this->loads.take(newsOf("b", 1, 3), this->clock.now());
+    this->loads.take(newsOf("a", 2, 1), this->clock.now());
+    CHECK(this->loads.at(7).running == 4);
+    CHECK(this->loads.at(7).unread == Approx(400));
+    CHECK(this->loads.at(8).running == 0);
+}
+
+TEST_CASE_METHOD(PeerLoadsFixture, "peerLoads_newsThatOvertake_areDropped", "[routing]")
+{
+    CHECK(this->loads.take(newsOf("a", 5, 2), this->clock.now()));
+    CHECK_FALSE(this->loads.take(newsOf("a", 4, 9), this->clock.now()));
+    CHECK(this->loads.at(7).running == 2);
+}
+
+TEST_CASE_METHOD(PeerLoadsFixture, "peerLoads_routerStartsAgain_itsOldLoadsAreGone", "[routing]")
+{
+    this->loads.take(newsOf("a", 500, 2), this->clock.now());
+    RouterNews fresh = newsOf("a", 1, 1);
+    fresh.incarnation = 2;
+    CHECK(this->loads.take(fresh, this->clock.now()));
+    CHECK(this->loads.at(7).running == 1);
+}
+
+TEST_CASE_METHOD(PeerLoadsFixture, "peerLoads_silentRouter_isGoneWithItsLoads", "[routing]")
+{
+    // A router dies with requests on an engine. Its connections end with it; counted for ever,
+    // its share would keep work away from an idle engine.
+    this->loads.take(newsOf("a", 1, 2), this->clock.now());
+    this->clock.advance(peerSilence);
+    CHECK(this->loads.expire(this->clock.now()).empty());
+    this->clock.advance(Milliseconds{1});
+    CHECK(this->loads.expire(this->clock.now()) == std::vector<std::string>{"a"});
+    CHECK(this->loads.at(7).running == 0);
+    CHECK(this->loads.routers() == 0);
+}
--- /dev/null
+++ b/tests/replicadirectory.cpp
@@ -0,0 +1,111 @@
+#include <catch2/catch.hpp>
+
+#include "plantainswitch/routing/replica.h"
+
+using namespace plantainswitch;
+
+namespace {
+
+class ReplicaDirectoryFixture
+{
+protected:
+    static Replica replicaOf(const std::string &id, bool leaving = false, std::uint64_t born = 1)
+    {
+        Replica replica;
+        replica.id = id;
+        replica.service = "model";
+        replica.place = "hall-a";
+        replica.endpoint = {"10.0.0.1", 8080};
+        replica.born = born;
+        replica.leaving = leaving;
+        return replica;
+    }
+
+    [[nodiscard]] bool knows(const std::string &id) const
+    {
+        return this->directory.all().contains(id);
+    }
+
+    ReplicaDirectory directory;
+    ManualClock clock;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(ReplicaDirectoryFixture, "replicas_listWithoutOne_dropsItAtOnce", "[routing]")
+{
+    this->directory.takeList({replicaOf("a"), replicaOf("b")}, false, this->clock.now());
+    const auto events
+        = this->directory.takeList({replicaOf("a")}, false, this->clock.now());
+    REQUIRE(events.size() == 1);
+    CHECK(events.front().change == ReplicaChange::Gone);
+    CHECK_FALSE(this->knows("b"));
+}
+
+TEST_CASE_METHOD(ReplicaDirectoryFixture, "replicas_lapsedDuringOutage_areKeptUntilTheyAreBack",
+                 "[routing]")
+{
+    // The store is away for seconds, and entries that could not be renewed lapse. Its first list
+    // lacks live upstreams, which are back within two seconds. A router that dropped them would
+    // refuse requests though their upstreams work.
+    this->directory.takeList({replicaOf("a"), replicaOf("b")}, false, this->clock.now());
+    CHECK(this->directory.takeList({}, true, this->clock.now()).empty());
+    CHECK(this->knows("a"));
+    this->clock.advance(missingGrace / 2);
+    this->directory.takeEntry(replicaOf("a"));
+    this->clock.advance(missingGrace);
+    const auto events = this->directory.expire(this->clock.now());
+    REQUIRE(events.size() == 1);
+    CHECK(events.front().replica.id == "b");
+    CHECK(this->knows("a"));
+    CHECK_FALSE(this->knows("b"));
+    CHECK_FALSE(this->directory.hasMissing());
+}
+
+TEST_CASE_METHOD(ReplicaDirectoryFixture, "replicas_leavingOneMissingAfterOutage_isGone",
+                 "[routing]")
+{
+    this->directory.takeList({replicaOf("a", true)}, false, this->clock.now());
+    const auto events = this->directory.takeList({}, true, this->clock.now());
+    REQUIRE(events.size() == 1);
+    CHECK(events.front().change == ReplicaChange::Gone);
+}
+
+TEST_CASE_METHOD(ReplicaDirectoryFixture, "replicas_secondListWhileMissing_keepsTheGrace",
+                 "[routing]")
+{
+    this->directory.takeList({replicaOf("a")}, false, this->clock.now());
+    this->directory.takeList({}, true, this->clock.now());
+    this->clock.advance(missingGrace / 2);
+    CHECK(this->directory.takeList({}, false, this->clock.now()).empty());
+    CHECK(this->knows("a"));
+}
+
+TEST_CASE_METHOD(ReplicaDirectoryFixture, "replicas_leavingThenReadyInOneLife_staysLeaving",
+                 "[routing]")
+{
+    // A list that lags says ready again after the upstream said that it leaves. New work sent
+    // there would be cut when it exits.
+    this->directory.takeEntry(replicaOf("a", true));
+    this->directory.takeEntry(replicaOf("a", false));
+    CHECK(this->directory.all().at("a").leaving);
+}
+
+TEST_CASE_METHOD(ReplicaDirectoryFixture, "replicas_sameIdBornAnew_isAnotherLife", "[routing]")
+{
+    this->directory.takeEntry(replicaOf("a", true, 1));
+    const auto events = this->directory.takeEntry(replicaOf("a", false, 2));
+    REQUIRE(events.size() == 1);
+    CHECK(events.front().change == ReplicaChange::Reborn);
+    CHECK_FALSE(this->directory.all().at("a").leaving);
+}
+
+TEST_CASE_METHOD(ReplicaDirectoryFixture, "replicas_removalRightAfterOutage_hasTheSameGrace",
+                 "[routing]")
+{
+    this->directory.takeEntry(replicaOf("a"));
+    CHECK(this->directory.missRemoval("a", this->clock.now()).empty());
+    CHECK(this->knows("a"));
+    this->clock.advance(missingGrace);
+    CHECK(this->directory.expire(this->clock.now()).size() == 1);
+}
--- /dev/null
+++ b/tests/support/gatewayfixture.cpp
@@ -0,0 +1,346 @@
+#include "gatewayfixture.h"
+
+#include <array>
+#include <chrono>
+
+#include <unistd.h>
+
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace plantainswitch::gateway {
+
+namespace {
+
+constexpr std::size_t readSize = 4096;
+/// Longest wait for something that must come; only a failing test waits so long.
+constexpr std::chrono::seconds patience{20};
+constexpr std::chrono::milliseconds lookPause{5};
+
+std::string routingDocument()
+{
+    const auto route = [](const std::string &name, const std::string &kind,
+                          const std::string &service, bool resumable) {
+        return nlohmann::json{{"name", name},          {"host", "h.example"},
+                              {"pathPrefix", "/" + name + "/"},
+                              {"kind", kind},          {"timeoutMs", 5000},
+                              {"goalMs", 1000},        {"priority", 0},
+                              {"service", service},    {"maxAttempts", 2},
+                              {"anonymous", false},    {"sticky", resumable},
+                              {"resumable", resumable}, {"gapGoalMs", 1000}};
+    };
+    return nlohmann::json{
+        {"version", 7},
+        {"routes",
+         {route("safe", "idempotent", "plain", false),
+          route("once", "non_idempotent", "plain", false),
+          route("stream", "streaming", "model", true)}},
+        {"services", {{{"name", "plain"}}, {{"name", "model"}}}},
+        {"limits",
+         {{"maxHeaderBytes", 16384},
+          {"maxBodyBytes", 100000},
+          {"headerTimeoutMs", 5000},
+          {"idleTimeoutMs", 15000}}},
+        {"tenants", {{{"name", "alpha"}, {"apiKeys", {"key-a"}}}}}}
+        .dump();
+}
+
+std::string objectOf(const std::string &name, const std::string &document)
+{
+    return fmt::format(R"({{"metadata":{{"name":"{}","rev":1}},"spec":{}}})", name, document);
+}
+
+std::string plainAnswer(const std::string &body)
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+}
+
+} // namespace
+
+std::optional<SeenRequest> ServerConnection::read()
+{
+    SeenRequest seen;
+    MessageParser parser(MessageKind::Request, 1 << 20,
+                         {[&seen](MessageHead head) { seen.head = std::move(head); },
+                          [&seen](std::string_view bytes) { seen.body.append(bytes); }});
+    ParseState reached = parser.feed(this->surplus);
+    this->surplus.clear();
+    std::array<char, readSize> buffer{};
+    while (reached == ParseState::More) {
+        asio::error_code error;
+        const std::size_t size = this->socket.read_some(asio::buffer(buffer), error);
+        if (error) {
+            return std::nullopt;
+        }
+        reached = parser.feed({buffer.data(), size});
+    }
+    return reached == ParseState::Whole ? std::optional(seen) : std::nullopt;
+}
+
+void ServerConnection::send(std::string_view bytes)
+{
+    asio::error_code error;
+    asio::write(this->socket, asio::buffer(bytes.data(), bytes.size()), error);
+}
+
+void ServerConnection::close()
+{
+    asio::error_code error;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_both, error);
+    this->socket.close(error);
+}
+
+void ServerConnection::reset()
+{
+    asio::error_code error;
+    this->socket.set_option(asio::socket_base::linger(true, 0), error);
+    this->socket.close(error);
+}
+
+void ServerConnection::waitForEnd()
+{
+    std::array<char, readSize> buffer{};
+    asio::error_code error;
+    while (!error) {
+        this->socket.read_some(asio::buffer(buffer), error);
+    }
+}
+
+ScriptedServer::ScriptedServer(Script script)
+    : acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0})
+    , script(std::move(script))
+    , thread([this] { this->serve(); })
+{}
+
+ScriptedServer::~ScriptedServer()
+{
+    this->ending = true;
+    asio::error_code error;
+    // Wakes the accepting thread.
+    asio::ip::tcp::socket last(this->context);
+    last.connect(this->acceptor.local_endpoint(), error);
+    this->thread.join();
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const auto &socket : this->open) {
+            socket->shutdown(asio::ip::tcp::socket::shutdown_both, error);
+        }
+    }
+    for (std::thread &player : this->players) {
+        player.join();
+    }
+}
+
+Endpoint ScriptedServer::endpoint() const
+{
+    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+}
+
+void ScriptedServer::serve()
+{
+    while (true) {
+        asio::error_code error;
+        asio::ip::tcp::socket socket(this->context);
+        this->acceptor.accept(socket, error);
+        if (this->ending) {
+            return;
+        }
+        if (error) {
+            continue;
+        }
+        ++this->accepted;
+        // A second handle on the same connection, by which the end of the server wakes its player.
+        const int handle = dup(socket.native_handle());
+        auto waker = std::make_shared<asio::ip::tcp::socket>(this->context);
+        waker->assign(asio::ip::tcp::v4(), handle);
+        {
+            const std::lock_guard lock(this->mutex);
+            this->open.push_back(waker);
+        }
+        this->players.emplace_back([this, waker, taken = std::move(socket)]() mutable {
+            ServerConnection connection(std::move(taken));
+            this->script(connection);
+            const std::lock_guard lock(this->mutex);
+            asio::error_code ignored;
+            std::erase(this->open, waker);
+            waker->close(ignored);
+        });
+    }
+}
+
+GatewayFixture::GatewayFixture() = default;
+
+GatewayFixture::~GatewayFixture()
+{
+    this->stopped = true;
+    if (this->gateway) {
+        this->gateway->post([this] { this->gateway->end(); });
+        this->thread.join();
+    }
+}
+
+ScriptedServer &GatewayFixture::addUpstream(const std::string &id, const std::string &service,
+                                            ScriptedServer::Script script)
+{
+    this->upstreams.push_back(std::make_unique<ScriptedServer>(std::move(script)));
+    this->addEntry(id, service, this->upstreams.back()->endpoint());
+    return *this->upstreams.back();
+}
+
+void GatewayFixture::addDeadUpstream(const std::string &id, const std::string &service)
+{
+    asio::ip::tcp::acceptor unused(this->callerContext, {asio::ip::make_address("127.0.0.1"), 0});
+    const std::uint16_t port = unused.local_endpoint().port();
+    unused.close();
+    this->addEntry(id, service, {"127.0.0.1", port});
+}
+
+void GatewayFixture::addEntry(const std::string &id, const std::string &service,
+                              const Endpoint &endpoint)
+{
+    const nlohmann::json entry{{"service", service},
+                               {"address", toText(endpoint)},
+                               {"zone", "hall-a"},
+                               {"version", "v1"},
+                               {"slots", 4},
+                               {"state", "ready"},
+                               {"coldLeftMs", 0},
+                               {"sequence", 1}};
+    this->replicaItems += (this->replicaItems.empty() ? "" : ",") + objectOf(id, entry.dump());
+}
+
+void GatewayFixture::playStore(ServerConnection &connection)
+{
+    while (const auto request = connection.read()) {
+        const std::string &target = request->head.target;
+        if (target.find("watch=") != std::string::npos) {
+            connection.waitForEnd();
+            return;
+        }
+        const bool isRouting = target.starts_with("/objects/config");
+        const bool isReplicas = target.starts_with("/objects/servers");
+        const std::string items = isRouting    ? objectOf("main", routingDocument())
+                                  : isReplicas ? this->replicaItems
+                                               : std::string();
+        connection.send(
+            plainAnswer(R"({"items":[)" + items + R"(],"hasMore":false,"asOf":5})"));
+    }
+}
+
+void GatewayFixture::start()
+{
+    this->store = std::make_unique<ScriptedServer>(
+        [this](ServerConnection &connection) { this->playStore(connection); });
+    GatewaySettings settings;
+    settings.id = "router-1";
+    settings.place = "hall-a";
+    settings.callers = {"127.0.0.1", 0};
+    settings.readiness = {"127.0.0.1", 0};
+    settings.peerDatagrams = {"127.0.0.1", 0};
+    settings.peerCalls = {"127.0.0.1", 0};
+    settings.store = this->store->endpoint();
+    settings.logLevel = Severity::Error;
+    this->gateway = std::make_unique<Gateway>(this->clock, this->dialect, std::move(settings));
+    this->gateway->open();
+    this->thread = std::thread([this] { this->gateway->run(); });
+    eventually([this] { return this->isReady(); });
+}
+
+std::string GatewayFixture::requestOf(const std::string &path, const std::string &attempt,
+                                      const std::string &body, const std::string &more)
+{
+    return fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {}\r\n"
+                       "X-Time-Budget: 4000\r\nAuthorization: Bearer key-a\r\n{}"
+                       "Content-Length: {}\r\n\r\n{}",
+                       path, attempt, more, body.size(), body);
+}
+
+asio::ip::tcp::socket GatewayFixture::connectCaller()
+{
+    asio::ip::tcp::socket socket(this->callerContext);
+    const Endpoint at = this->gateway->callersAt();
+    socket.connect({asio::ip::make_address(at.host), at.port});
+    return socket;
+}
+
+SeenAnswer GatewayFixture::readAnswer(asio::ip::tcp::socket &socket)
+{
+    SeenAnswer seen;
+    MessageParser parser(MessageKind::Answer, 1 << 20,
+                         {[&seen](MessageHead head) {
+                              seen.status = head.status;
+                              seen.fields = std::move(head.fields);
+                          },
+                          [&seen](std::string_view bytes) { seen.body.append(bytes); }});
+    std::array<char, readSize> buffer{};
+    ParseState reached = ParseState::More;
+    while (reached == ParseState::More) {
+        asio::error_code error;
+        const std::size_t size = socket.read_some(asio::buffer(buffer), error);
+        if (error) {
+            return seen;
+        }
+        reached = parser.feed({buffer.data(), size});
+    }
+    seen.whole = reached == ParseState::Whole;
+    return seen;
+}
+
+SeenAnswer GatewayFixture::call(const std::string &bytes)
+{
+    asio::ip::tcp::socket socket = this->connectCaller();
+    asio::error_code error;
+    asio::write(socket, asio::buffer(bytes), error);
+    return readAnswer(socket);
+}
+
+bool GatewayFixture::isReady()
+{
+    asio::ip::tcp::socket socket(this->callerContext);
+    const Endpoint at = this->gateway->readinessAt();
+    asio::error_code error;
+    socket.connect({asio::ip::make_address(at.host), at.port}, error);
+    asio::write(socket, asio::buffer(std::string_view("GET /readiness HTTP/1.1\r\n\r\n")), error);
+    return readAnswer(socket).status == 200;
+}
+
+bool GatewayFixture::eventually(const std::function<bool()> &condition)
+{
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (std::chrono::steady_clock::now() < end) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(lookPause);
+    }
+    return condition();
+}
+
+std::string GatewayFixture::answerTo(const SeenRequest &request, const std::string &body,
+                                     int status, const std::string &more)
+{
+    return fmt::format("HTTP/1.1 {} X\r\nX-Attempt-Id: {}\r\nX-Server-Stamp: stamp\r\n{}"
+                       "Content-Length: {}\r\n\r\n{}",
+                       status, *request.head.find("X-Attempt-Id"), more, body.size(), body);
+}
+
+std::string GatewayFixture::streamHead(const SeenRequest &request)
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Stamp: stamp\r\n"
+                       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+                       *request.head.find("X-Attempt-Id"));
+}
+
+std::string GatewayFixture::chunkOf(const std::string &bytes)
+{
+    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+std::string GatewayFixture::eventOf(int id)
+{
+    return fmt::format("id: {}\ndata: piece {}\n\n", id, id);
+}
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/tests/support/gatewayfixture.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include "gateway.h"
+#include "platformdialect.h"
+
+namespace plantainswitch::gateway {
+
+/// A request as a scripted server got it.
+struct SeenRequest
+{
+    MessageHead head;
+    std::string body;
+};
+
+/// The server's side of one connection. All calls block.
+class ServerConnection
+{
+public:
+    explicit ServerConnection(asio::ip::tcp::socket socket)
+        : socket(std::move(socket))
+    {}
+
+    /// \returns the next whole request, or nothing when the connection has ended.
+    std::optional<SeenRequest> read();
+    void send(std::string_view bytes);
+    /// Ends the connection in order.
+    void close();
+    /// Ends it by a reset.
+    void reset();
+    /// Waits until the other side has ended the connection.
+    void waitForEnd();
+
+private:
+    asio::ip::tcp::socket socket;
+    std::string surplus;
+};
+
+/// A server on loopback, each connection of which is played by a function on its own thread.
+class ScriptedServer
+{
+public:
+    using Script = std::function<void(ServerConnection &)>;
+
+    explicit ScriptedServer(Script script);
+    ~ScriptedServer();
+    ScriptedServer(const ScriptedServer &) = delete;
+    ScriptedServer &operator=(const ScriptedServer &) = delete;
+
+    [[nodiscard]] Endpoint endpoint() const;
+    [[nodiscard]] int connections() const noexcept { return this->accepted; }
+
+private:
+    void serve();
+
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor;
+    Script script;
+    std::atomic<int> accepted = 0;
+    std::atomic<bool> ending = false;
+    std::mutex mutex;
+    std::vector<std::shared_ptr<asio::ip::tcp::socket>> open;
+    std::vector<std::thread> players;
+    std::thread thread;
+};
+
+/// An answer as a caller got it.
+struct SeenAnswer
+{
+    int status = 0;
+    std::vector<HeaderField> fields;
+    std::string body;
+    /// The answer came to its end.
+    bool whole = false;
+};
+
+/// A gateway between scripted upstreams and a caller, with a stand-in of the platform's store that
+/// holds one configuration: a host with a route of each kind.
+class GatewayFixture
+{
+protected:
+    GatewayFixture();
+    ~GatewayFixture();
+
+    /// Adds an upstream of \a service, in force once the gateway is started.
+    ScriptedServer &addUpstream(const std::string &id, const std::string &service,
+                                ScriptedServer::Script script);
+    /// Adds an upstream whose address refuses connections.
+    void addDeadUpstream(const std::string &id, const std::string &service);
+    /// Starts the gateway and waits until it is ready.
+    void start();
+    /// \returns a request as callers send it.
+    [[nodiscard]] static std::string requestOf(const std::string &path, const std::string &attempt,
+                                               const std::string &body = {},
+                                               const std::string &more = {});
+    /// Sends \a bytes on a new connection and reads one answer.
+    SeenAnswer call(const std::string &bytes);
+    asio::ip::tcp::socket connectCaller();
+    static SeenAnswer readAnswer(asio::ip::tcp::socket &socket);
+    /// \returns whether the gateway says that it is ready.
+    bool isReady();
+    /// Waits until \a condition holds. \returns whether it did within some seconds.
+    static bool eventually(const std::function<bool()> &condition);
+
+    /// \returns a whole signed answer to \a request.
+    static std::string answerTo(const SeenRequest &request, const std::string &body,
+                                int status = 200, const std::string &more = {});
+    /// \returns the head of a signed event stream in chunks.
+    static std::string streamHead(const SeenRequest &request);
+    static std::string chunkOf(const std::string &bytes);
+    static std::string eventOf(int id);
+
+    asio::io_context callerContext;
+    SystemClock clock;
+    platform::PlatformDialect dialect;
+    std::unique_ptr<Gateway> gateway;
+
+private:
+    void addEntry(const std::string &id, const std::string &service, const Endpoint &endpoint);
+    void playStore(ServerConnection &connection);
+
+    std::vector<std::unique_ptr<ScriptedServer>> upstreams;
+    std::string replicaItems;
+    std::unique_ptr<ScriptedServer> store;
+    std::thread thread;
+    std::atomic<bool> stopped = false;
+};
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/tests/upstreamchoice.cpp
@@ -0,0 +1,220 @@
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+
+#include <catch2/catch.hpp>
+
+#include "plantainswitch/base/hash.h"
+#include "plantainswitch/routing/choice.h"
+
+using namespace plantainswitch;
+
+namespace {
+
+class UpstreamChoiceFixture
+{
+protected:
+    void addEngines(std::size_t count, const std::string &place = "hall-a")
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            auto state = std::make_unique<UpstreamState>();
+            state->replica.id = place + "-engine-" + std::to_string(i);
+            state->replica.place = place;
+            state->replica.slots = 48;
+            state->replica.born = 1;
+            this->pointers.push_back(state.get());
+            this->engines.push_back(std::move(state));
+        }
+    }
+
+    /// A prompt of one large shared part and a small one of its own.
+    static Prompt promptAbout(std::uint64_t subject)
+    {
+        return {"m", {{1000, 2500}, {subject, 6000}, {subject << 20U, 500}}, 50};
+    }
+
+    std::optional<Choice> choose(const Prompt &prompt, const std::vector<std::string> &tried = {})
+    {
+        const std::vector<std::uint64_t> chain = chainOf(prompt);
+        return chooseUpstream(this->pointers, {"hall-a", 0, &prompt, chain, tried}, this->memory,
+                              this->policy, this->clock.now());
+    }
+
+    void hand(const Choice &choice, const Prompt &prompt)
+    {
+        UpstreamState &state = *this->pointers[choice.index];
+        state.ownRunning += 1;
+        this->memory.note(chainOf(prompt), lifeOf(state.replica), this->clock.now());
+    }
+
+    std::vector<std::unique_ptr<UpstreamState>> engines;
+    std::vector<UpstreamState *> pointers;
+    ChainMemory memory;
+    ChoicePolicy policy;
+    ManualClock clock;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_returningChain_findsTheEngineThatReadIt",
+                 "[routing]")
+{
+    this->addEngines(9);
+    const Prompt prompt = promptAbout(7);
+    const auto first = this->choose(prompt);
+    REQUIRE(first);
+    this->hand(*first, prompt);
+    const auto second = this->choose(prompt);
+    REQUIRE(second);
+    CHECK(second->index == first->index);
+    CHECK(second->uncachedTokens < first->uncachedTokens);
+}
+
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_routersThatNeverTalked_agreeOnAChainsEngine",
+                 "[routing]")
+{
+    this->addEngines(9);
+    const Prompt prompt = promptAbout(7);
+    const auto here = this->choose(prompt);
+    ChainMemory empty;
+    const std::vector<std::uint64_t> chain = chainOf(prompt);
+    const auto there = chooseUpstream(this->pointers, {"hall-b", 0, &prompt, chain, {}}, empty,
+                                      this->policy, this->clock.now());
+    REQUIRE(here);
+    REQUIRE(there);
+    CHECK(here->index == there->index);
+}
+
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_oneSubjectGetsAThirdOfTheTraffic_boundHolds",
+                 "[routing]")
+{
+    // One tool's history is asked for by everybody: a third of all requests share one chain,
+    // whose engine would hold far more than twice the mean. The rest goes round some 130 subjects
+    // as in the users' sheets. Requests end in the order they came, 60 at a time.
+    this->addEngines(9);
+    std::mt19937_64 random(20'261'202);
+    std::vector<std::size_t> running;
+    constexpr std::size_t most = 60;
+    for (int i = 0; i < 4000; ++i) {
+        const std::uint64_t subject = random() % 3 == 0 ? 1 : 2 + random() % 130;
+        const Prompt prompt = promptAbout(subject);
+        const auto choice = this->choose(prompt);
+        REQUIRE(choice);
+        this->hand(*choice, prompt);
+        running.push_back(choice->index);
+        if (running.size() > most) {
+            this->pointers[running.front()]->ownRunning -= 1;
+            running.erase(running.begin());
+        }
+        std::uint32_t highest = 0;
+        for (const UpstreamState *state : this->pointers) {
+            highest = std::max(highest, state->ownRunning);
+        }
+        const double mean = static_cast<double>(running.size()) / 9.0;
+        REQUIRE(highest <= 2.0 * mean + 3.0);
+    }
+}
+
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_routersWithOldFigures_doNotAllPickTheSameEngine",
+                 "[routing]")
+{
+    // Eight routers see the same loads, up to a tenth of a second old. Chains whose own engine is
+    // full spill over; if all took the least loaded engine, it would hold more than twice the mean
+    // before any router heard of it.
+    this->addEngines(9);
+    for (UpstreamState *state : this->pointers) {
+        state->peersRunning = 6;
+    }
+    this->pointers[3]->peersRunning = 5;
+    std::map<std::size_t, int> picks;
+    for (std::uint64_t subject = 1; subject <= 90; ++subject) {
+        const auto choice = this->choose(promptAbout(subject));
+        REQUIRE(choice);
+        ++picks[choice->index];
+    }
+    CHECK(picks[3] < 30);
+}
+
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_leavingOrTried_isNeverUsed", "[routing]")
+{
+    this->addEngines(2);
+    this->pointers[0]->replica.leaving = true;
+    const auto choice = this->choose(promptAbout(1));
+    REQUIRE(choice);
+    CHECK(choice->index == 1);
+    CHECK_FALSE(this->choose(promptAbout(1), {this->pointers[1]->replica.id}));
+}
+
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_avoidedEngine_isUsedOnlyWhenNothingElseIsLeft",
+                 "[routing]")
+{
+    this->addEngines(2);
+    recordFault(this->pointers[0]->health, UpstreamFault::Unreachable, this->clock.now());
+    for (std::uint64_t subject = 1; subject <= 20; ++subject) {
+        const auto choice = this->choose(promptAbout(subject));
+        REQUIRE(choice);
+        CHECK(choice->index == 1);
+    }
+    const auto last = this->choose(promptAbout(1), {this->pointers[1]->replica.id});
+    REQUIRE(last);
+    CHECK(last->index == 0);
+}
+
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_mostEnginesFailAlike_avoidanceIsIgnored",
+                 "[routing]")
+{
+    // When nearly all engines fail at once the cause is not theirs. Avoiding them would put all
+    // load on the one that is left, which would hold nine times its share.
+    this->addEngines(9);
+    for (std::size_t i = 0; i < 8; ++i) {
+        recordFault(this->pointers[i]->health, UpstreamFault::Unreachable, this->clock.now());
+    }
+    std::map<std::size_t, int> picks;
+    for (std::uint64_t subject = 1; subject <= 90; ++subject) {
+        const auto choice = this->choose(promptAbout(subject));
+        REQUIRE(choice);
+        ++picks[choice->index];
+    }
+    CHECK(picks[8] < 30);
+    CHECK(picks.size() > 5);
+}
+
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_newLife_holdsNothingOfTheOld", "[routing]")
+{
+    this->addEngines(1);
+    const Prompt prompt = promptAbout(1);
+    const auto before = this->choose(prompt);
+    this->hand(*before, prompt);
+    CHECK(this->choose(prompt)->uncachedTokens == 0.0);
+    this->pointers[0]->replica.born = 2;
+    CHECK(this->choose(prompt)->uncachedTokens > 0.0);
+}
+
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_plainRequest_staysInItsDataCentre", "[routing]")
+{
+    this->addEngines(1, "hall-b");
+    this->addEngines(1, "hall-a");
+    this->addEngines(1, "hall-c");
+    for (std::uint64_t hash = 0; hash < 50; ++hash) {
+        const auto choice
+            = chooseUpstream(this->pointers, {"hall-a", hashOf("r", hash), nullptr, {}, {}},
+                             this->memory, this->policy, this->clock.now());
+        REQUIRE(choice);
+        CHECK(choice->index == 1);
+    }
+}
+
+TEST_CASE("chainMemory_moreThanItsMost_forgetsTheOldest", "[routing]")
+{
+    ChainMemory memory(100);
+    ManualClock clock;
+    for (std::uint64_t chain = 1; chain <= 101; ++chain) {
+        memory.note({&chain, 1}, 5, clock.now());
+        clock.advance(Milliseconds{1});
+    }
+    const std::uint64_t oldest = 1;
+    const std::uint64_t newest = 101;
+    CHECK(memory.knownParts({&oldest, 1}, 5) == 0);
+    CHECK(memory.knownParts({&newest, 1}, 5) == 1);
+}
--- /dev/null
+++ b/tests/upstreamhealth.cpp
@@ -0,0 +1,96 @@
+#include <catch2/catch.hpp>
+
+#include "plantainswitch/routing/health.h"
+
+using namespace plantainswitch;
+
+namespace {
+
+class UpstreamHealthFixture
+{
+protected:
+    [[nodiscard]] bool avoided() const { return isAvoided(this->health, this->clock.now()); }
+
+    UpstreamHealth health;
+    ManualClock clock;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(UpstreamHealthFixture, "health_unreachable_isAvoidedForLongerEachTime",
+                 "[routing]")
+{
+    recordFault(this->health, UpstreamFault::Unreachable, this->clock.now());
+    CHECK(this->avoided());
+    this->clock.advance(shortestAvoidance);
+    CHECK_FALSE(this->avoided());
+    recordFault(this->health, UpstreamFault::Unreachable, this->clock.now());
+    this->clock.advance(shortestAvoidance);
+    CHECK(this->avoided());
+    for (int i = 0; i < 100; ++i) {
+        recordFault(this->health, UpstreamFault::Unreachable, this->clock.now());
+    }
+    this->clock.advance(longestAvoidance);
+    CHECK_FALSE(this->avoided());
+}
+
+TEST_CASE_METHOD(UpstreamHealthFixture, "health_oneBrokenAnswer_isTheRequestsOwn", "[routing]")
+{
+    recordFault(this->health, UpstreamFault::Broken, this->clock.now());
+    CHECK_FALSE(this->avoided());
+    recordFault(this->health, UpstreamFault::Broken, this->clock.now());
+    CHECK(this->avoided());
+}
+
+TEST_CASE_METHOD(UpstreamHealthFixture, "health_answerAgain_endsTheAvoidance", "[routing]")
+{
+    recordFault(this->health, UpstreamFault::Silent, this->clock.now());
+    recordSuccess(this->health, Duration{0}, this->clock.now());
+    CHECK_FALSE(this->avoided());
+    CHECK(this->health.downInRow == 0);
+}
+
+TEST_CASE_METHOD(UpstreamHealthFixture, "health_halfOfRequestsFail_showsInTheShareAndFades",
+                 "[routing]")
+{
+    // An upstream fails nearly half of its requests while its health probe is good. It is not
+    // down, so that only the share tells it from its peers.
+    for (int i = 0; i < 100; ++i) {
+        recordFault(this->health, UpstreamFault::Failed, this->clock.now());
+        recordSuccess(this->health, Duration{0}, this->clock.now());
+    }
+    const double share = failureShareOf(this->health, this->clock.now());
+    CHECK(share > 0.4);
+    CHECK(share < 0.6);
+    CHECK_FALSE(this->avoided());
+    this->clock.advance(blameHalfLife);
+    CHECK(failureShareOf(this->health, this->clock.now()) == Approx(share / 2));
+}
+
+TEST_CASE_METHOD(UpstreamHealthFixture, "health_fullUpstream_isNotBlamed", "[routing]")
+{
+    recordFault(this->health, UpstreamFault::Full, this->clock.now());
+    CHECK_FALSE(this->avoided());
+    CHECK(failureShareOf(this->health, this->clock.now()) == 0.0);
+}
+
+TEST_CASE_METHOD(UpstreamHealthFixture, "health_peersWord_isNotPassedOn", "[routing]")
+{
+    // Routers tell each other which upstreams they avoid. If a router passed on what it only
+    // heard, two of them would keep an upstream avoided for ever.
+    const TimePoint now = this->clock.now();
+    recordPeerAvoidance(this->health, now + Seconds{100}, now);
+    CHECK(this->avoided());
+    CHECK(this->health.ownAvoidUntil <= now);
+    this->clock.advance(longestAvoidance);
+    CHECK_FALSE(this->avoided());
+}
+
+TEST_CASE("silence_engineThatAnswersOthers_isBusyNotDark", "[routing]")
+{
+    // Caches are cold and long prompts queue up. Requests wait for their first token while the
+    // engine streams to others. If each were taken for a dead engine, all would be avoided in turn.
+    const TimePoint sent{Seconds{10}};
+    CHECK(judgeSilence(sent, TimePoint{Seconds{9}}) == Silence::Dark);
+    CHECK(judgeSilence(sent, TimePoint{Seconds{11}}) == Silence::Busy);
+}
