--- a/gateway/fleetlink.cpp
+++ b/gateway/fleetlink.cpp
@@ -4,6 +4,7 @@
 
 #include "peer.pb.h"
 
+#include "plantainswitch/membership/watchers.h"
 #include "plantainswitch/observe/event.h"
 
 namespace plantainswitch::gateway {
@@ -17,6 +18,8 @@
 /// second stays the same.
 constexpr std::size_t smallFleet = 12;
 constexpr Milliseconds longestNewsPause{1500};
+/// Pause before news that others wait for; changes of one moment are told together.
+constexpr Milliseconds soonPause{20};
 /// Pause between news to an address that doesn't answer: it may be another router's tomorrow.
 constexpr Milliseconds silentPause{2000};
 /// Chains told at once; those beyond it are left for the next news. Keeps a datagram under one
@@ -28,9 +31,11 @@
 
 } // namespace
 
-FleetLink::FleetLink(GatewayState &gateway, std::uint64_t incarnation)
+FleetLink::FleetLink(GatewayState &gateway, std::uint64_t incarnation,
+                     std::function<void()> onNews)
     : gateway(gateway)
     , incarnation(incarnation)
+    , onNews(std::move(onNews))
     , socket(gateway.context)
     , timer(gateway.context)
 {}
@@ -65,22 +70,68 @@
     if (datagrams == this->gateway.settings.peerDatagrams) {
         return;
     }
-    this->contacts.try_emplace(datagrams, Contact{datagrams});
+    this->contacts.try_emplace(datagrams, Contact{{}, {}, datagrams});
 }
 
 std::optional<Endpoint> FleetLink::betterInformed() const
 {
     const std::uint64_t own = this->gateway.table ? this->gateway.table->config().version : 0;
-    const TimePoint now = this->gateway.clock.now();
+    const Contact *best = nullptr;
     for (const auto &[address, contact] : this->contacts) {
         const bool knowsMore = contact.configVersion > own
                                || contact.storeRevision > this->gateway.view.revision;
-        if (contact.everHeard && contact.storeConnected && knowsMore
-            && now - contact.heard < peerSilence) {
-            return Endpoint{address.host, this->gateway.settings.peerCalls.port};
+        const bool isNear = contact.place == this->gateway.settings.place;
+        if (contact.storeConnected && knowsMore && this->isHeard(contact)
+            && (best == nullptr || isNear)) {
+            best = &contact;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return Endpoint{best->address.host, this->gateway.settings.peerCalls.port};
+}
+
+bool FleetLink::isHeard(const Contact &contact) const
+{
+    return contact.everHeard && this->gateway.clock.now() - contact.heard < peerSilence;
+}
+
+bool FleetLink::hearsWatcher() const
+{
+    return std::any_of(this->contacts.begin(), this->contacts.end(), [this](const auto &entry) {
+        return entry.second.storeConnected && this->isHeard(entry.second);
+    });
+}
+
+bool FleetLink::isChosenToWatch() const
+{
+    std::vector<Heartbeat> active(1);
+    active.front().id = this->gateway.settings.id;
+    active.front().place = this->gateway.settings.place;
+    for (const auto &[address, contact] : this->contacts) {
+        if (this->isHeard(contact)) {
+            Heartbeat heard;
+            heard.id = contact.id;
+            heard.place = contact.place;
+            heard.leaving = contact.stopping;
+            active.push_back(std::move(heard));
         }
     }
-    return std::nullopt;
+    return isWatcher(this->gateway.settings.id, this->gateway.settings.place, active);
+}
+
+void FleetLink::tellSoon()
+{
+    if (this->stopped) {
+        return;
+    }
+    this->timer.expires_after(soonPause);
+    this->timer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            this->tick();
+        }
+    });
 }
 
 void FleetLink::receive()
@@ -109,12 +160,15 @@
     const TimePoint now = this->gateway.clock.now();
     const Endpoint from{this->sender.address().to_string(), this->sender.port()};
     Contact &contact
-        = this->contacts.try_emplace(from, Contact{from}).first->second;
+        = this->contacts.try_emplace(from, Contact{{}, {}, from}).first->second;
     contact.heard = now;
     contact.everHeard = true;
+    contact.id = message.id();
+    contact.place = message.place();
     contact.configVersion = message.config_version();
     contact.storeRevision = message.store_revision();
     contact.storeConnected = message.store_connected();
+    contact.stopping = message.stopping();
     RouterNews heard;
     heard.id = message.id();
     heard.incarnation = message.incarnation();
@@ -148,6 +202,7 @@
             this->addRouter(*endpoint);
         }
     }
+    this->onNews();
 }
 
 RouterNews FleetLink::news()
@@ -189,6 +244,7 @@
     message.set_sequence(told.sequence);
     message.set_config_version(told.configVersion);
     message.set_stopping(told.stopping);
+    message.set_place(this->gateway.settings.place);
     message.set_store_connected(this->gateway.view.connected);
     message.set_store_revision(this->gateway.view.revision);
     for (const PeerLoad &load : told.loads) {
@@ -236,6 +292,14 @@
     }
 }
 
+Milliseconds FleetLink::pause() const
+{
+    const std::size_t routers = this->gateway.peers.routers() + 1;
+    return routers <= smallFleet
+               ? newsPause
+               : std::min<Milliseconds>(newsPause * routers / smallFleet, longestNewsPause);
+}
+
 void FleetLink::tick()
 {
     if (this->stopped) {
@@ -246,12 +310,7 @@
         this->gateway.peersChanged = true;
     }
     this->tellAll();
-    const std::size_t routers = this->gateway.peers.routers() + 1;
-    const Milliseconds pause = routers <= smallFleet
-                                   ? newsPause
-                                   : std::min<Milliseconds>(newsPause * routers / smallFleet,
-                                                            longestNewsPause);
-    this->timer.expires_after(pause);
+    this->timer.expires_after(this->pause());
     this->timer.async_wait([this](const asio::error_code &error) {
         if (!error) {
             this->tick();
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -22,6 +22,9 @@
 /// Before the forced end of a stop, what still runs is cut by this process, so that its callers
 /// hear of it.
 constexpr Milliseconds stopReserve{400};
+/// How long a router that the store answers must have been heard before this one leaves the watch
+/// to others: at a start all of them hear each other within it.
+constexpr Milliseconds watcherTrial{1500};
 /// Time for another router to answer, some hundred round trips.
 constexpr Milliseconds catchUpLimit{1000};
 constexpr int listenQueue = 1024;
@@ -54,7 +57,8 @@
     , signals(this->context)
     , timer(this->context)
     , fleet(this->state, static_cast<std::uint64_t>(
-                             std::chrono::system_clock::now().time_since_epoch().count()))
+                             std::chrono::system_clock::now().time_since_epoch().count()),
+            [this] { this->catchUp(); })
     , routing(this->state, StoreKind::Routing,
               {[this](const std::vector<StoreItem> &items, bool) { this->takeRouting(items); },
                [this](const std::vector<StoreItem> &items, bool) { this->takeRouting(items); }})
@@ -260,9 +264,11 @@
                         this->state.metrics.render(this->state.clock.now()), false);
         return;
     }
-    if (incoming.head.target == storeViewPath) {
+    if (const auto question = questionOf(incoming.head.target)) {
+        const std::uint64_t version
+            = this->state.table ? this->state.table->config().version : 0;
         caller->respond(ok, {{"Content-Type", "application/json"}},
-                        writeStoreView(this->state.view), false);
+                        writeStoreView(this->state.view, version, *question), false);
         return;
     }
     caller->respond(notFound, {}, {}, true);
@@ -307,10 +313,9 @@
     }
     this->state.upstreams.closeStale();
     if (this->state.directory.hasMissing()) {
-        const auto events = this->state.directory.expire(now);
-        this->state.upstreams.take(events);
-        this->logReplicas(events);
+        this->applyReplicas(this->state.directory.expire(now));
     }
+    this->decideWatching();
     this->trackStore();
     this->catchUp();
     this->watchReadiness();
@@ -402,6 +407,7 @@
                                        {"workspaces", std::to_string(config->workspaces.size())}});
         this->state.table = std::make_shared<const RoutingTable>(std::move(*config));
         this->state.view.routing = item.document;
+        this->fleet.tellSoon();
     }
     this->watchReadiness();
 }
@@ -414,17 +420,15 @@
     const auto keep = [&events](std::vector<ReplicaEvent> more) {
         std::move(more.begin(), more.end(), std::back_inserter(events));
     };
-    if (isList) {
-        this->state.view.replicas.clear();
-    }
+    const std::uint64_t revision
+        = std::max(this->state.view.revision, this->replicas.heardRevision());
     for (const StoreItem &item : items) {
         if (item.deleted) {
-            this->state.view.replicas.erase(item.name);
             keep(afterOutage ? this->state.directory.missRemoval(item.name, now)
                              : this->state.directory.takeRemoval(item.name));
             continue;
         }
-        this->state.view.replicas[item.name] = item.document;
+        noteReplica(this->state.view, item.name, item.document, revision);
         std::string fault;
         auto replica = this->state.dialect.readReplica(item, fault);
         if (!replica) {
@@ -445,14 +449,24 @@
         keep(this->state.directory.takeList(std::move(listed), afterOutage, now));
         this->state.directoryKnown = true;
     }
-    this->state.upstreams.take(events);
-    this->state.peersChanged = true;
-    this->logReplicas(events);
+    this->state.view.revision = revision;
+    this->applyReplicas(events);
     this->watchReadiness();
+    if (!this->replicas.isPaused()) {
+        this->trackStore();
+        this->fleet.tellSoon();
+    }
 }
 
-void Gateway::logReplicas(const std::vector<ReplicaEvent> &events)
+void Gateway::applyReplicas(const std::vector<ReplicaEvent> &events)
 {
+    this->state.upstreams.take(events);
+    this->state.peersChanged = true;
+    for (const ReplicaEvent &event : events) {
+        if (event.change == ReplicaChange::Gone) {
+            noteGone(this->state.view, event.replica.id);
+        }
+    }
     for (const ReplicaEvent &event : events) {
         logEvent(Event::ReplicaChanged, {{"upstream", event.replica.id},
                                          {"change", std::string(nameOf(event.change))},
@@ -494,10 +508,38 @@
 void Gateway::trackStore()
 {
     StoreView &view = this->state.view;
-    view.connected = this->routing.isConnected() && this->replicas.isConnected()
-                     && this->state.directoryKnown;
+    view.connected = !this->replicas.isPaused() && this->routing.isConnected()
+                     && this->replicas.isConnected() && this->state.directoryKnown;
     if (view.connected) {
-        view.revision = std::max(this->routing.heardRevision(), this->replicas.heardRevision());
+        view.revision = std::max(view.revision, this->replicas.heardRevision());
+    }
+}
+
+void Gateway::decideWatching()
+{
+    const TimePoint now = this->state.clock.now();
+    if (!this->fleet.hearsWatcher()) {
+        this->watcherHeardSince.reset();
+    } else if (!this->watcherHeardSince) {
+        this->watcherHeardSince = now;
+    }
+    const bool isServed
+        = this->watcherHeardSince && now - *this->watcherHeardSince > watcherTrial;
+    const bool watches
+        = this->fleet.isChosenToWatch() || !this->watcherHeardSince
+          || (!this->replicas.isPaused() && (!isServed || !this->state.directoryKnown));
+    if (watches == !this->replicas.isPaused()) {
+        return;
+    }
+    logEvent(watches ? Event::WatchBegun : Event::WatchEnded,
+             {{"revision", std::to_string(this->state.view.revision)},
+              {"chosen", this->fleet.isChosenToWatch() ? "yes" : "no"}});
+    if (watches) {
+        this->routing.resume();
+        this->replicas.resume();
+    } else {
+        this->routing.pause();
+        this->replicas.pause();
     }
 }
 
@@ -510,8 +552,10 @@
     if (!router) {
         return;
     }
+    const ViewQuestion question{this->state.view.revision,
+                                this->state.table ? this->state.table->config().version : 0};
     this->catchUpClient.call(
-        *router, "GET", std::string(storeViewPath), {}, catchUpLimit,
+        *router, "GET", targetOf(question), {}, catchUpLimit,
         [this, from = *router](const PlainReply &reply) { this->takeCatchUp(from, reply); });
 }
 
@@ -522,7 +566,8 @@
     logEvent(Event::CaughtUp, {{"from", toText(from)},
                                {"outcome", view ? "taken" : "failed"},
                                {"before", std::to_string(this->state.view.revision)},
-                               {"revision", std::to_string(view ? view->revision : 0)}});
+                               {"revision", std::to_string(view ? view->revision : 0)},
+                               {"replicas", std::to_string(view ? view->replicas.size() : 0)}});
     if (!view || this->state.view.connected) {
         return;
     }
@@ -530,11 +575,13 @@
         this->takeRouting({{"", false, view->routing}});
     }
     std::vector<StoreItem> items;
-    for (const auto &[name, document] : view->replicas) {
-        items.push_back({name, false, document});
+    for (const auto &[name, replica] : view->replicas) {
+        items.push_back({name, replica.gone, replica.document});
     }
-    this->takeReplicas(items, true, true);
-    this->state.view.revision = view->revision;
+    this->state.view.revision = std::max(this->state.view.revision, view->revision);
+    this->takeReplicas(items, false, false);
+    this->state.directoryKnown = true;
+    this->watchReadiness();
 }
 
 } // namespace plantainswitch::gateway
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -63,7 +63,8 @@
     void followStore();
     void takeRouting(const std::vector<StoreItem> &items);
     void takeReplicas(const std::vector<StoreItem> &items, bool isList, bool afterOutage);
-    void logReplicas(const std::vector<ReplicaEvent> &events);
+    void applyReplicas(const std::vector<ReplicaEvent> &events);
+    void decideWatching();
     void announce();
     void trackStore();
     void catchUp();
@@ -93,6 +94,8 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<CallerConnection>> callers;
     std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges;
     bool wasReady = false;
+    /// Since when a router that the store answers has been heard.
+    std::optional<TimePoint> watcherHeardSince;
     TimePoint stopBegan;
     bool stopIdle = false;
 };
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -19,13 +19,24 @@
 
 class CallerConnection;
 
-/// The store's objects as this router last heard of them, undecoded.
+/// One upstream's entry in a StoreView.
+struct ViewedReplica
+{
+    std::string document;
+    bool gone = false;
+    /// The store's revision by which this router had heard of it.
+    std::uint64_t revision = 0;
+};
+
+/// The store's objects as this router last heard of them, undecoded, for routers that don't watch
+/// the store themselves.
 struct StoreView
 {
     std::string routing;
-    std::map<std::string, std::string> replicas;
-    /// Up to which changes were heard, from the store or from another router.
+    std::map<std::string, ViewedReplica> replicas;
+    /// Up to which changes of upstreams were heard, from the store or from another router.
     std::uint64_t revision = 0;
+    /// Heard from the store itself, which still answers.
     bool connected = false;
 };
 
--- a/gateway/plainclient.cpp
+++ b/gateway/plainclient.cpp
@@ -52,6 +52,15 @@
                            std::move(events));
 }
 
+void PlainClient::abandon()
+{
+    this->timer.cancel();
+    this->done = nullptr;
+    if (this->connection) {
+        this->connection->drop();
+    }
+}
+
 void PlainClient::end(PlainReply ended)
 {
     this->timer.cancel();
--- a/gateway/plainclient.h
+++ b/gateway/plainclient.h
@@ -28,6 +28,8 @@
     void call(const Endpoint &server, std::string_view method, const std::string &target,
               const std::string &body, Milliseconds timeout,
               std::function<void(PlainReply)> done);
+    /// Gives the call under way up; its \a done never comes.
+    void abandon();
     /// \returns whether a call is under way.
     [[nodiscard]] bool isBusy() const noexcept { return static_cast<bool>(this->done); }
 
--- a/gateway/storefollower.cpp
+++ b/gateway/storefollower.cpp
@@ -12,6 +12,9 @@
 /// How long the store is asked to hold a watch. Each renewed watch is a priced call; a connection
 /// that went silent is found sooner, by its keep-alive probes.
 constexpr Milliseconds watchWait{20'000};
+/// Pause before the next watch after changes came: each watch is a priced call, and changes often
+/// come in rows, such as when all upstreams register at a start.
+constexpr Milliseconds gatherPause{100};
 /// How much later than asked a watch may end.
 constexpr Milliseconds watchSlack{3000};
 /// Time for a plain call, some hundred times the store's usual answer.
@@ -45,6 +48,27 @@
     this->timer.cancel();
 }
 
+void StoreFollower::pause()
+{
+    if (this->paused) {
+        return;
+    }
+    this->paused = true;
+    this->timer.cancel();
+    this->client.abandon();
+}
+
+void StoreFollower::resume()
+{
+    if (!this->paused) {
+        return;
+    }
+    this->paused = false;
+    this->failures = 0;
+    this->mustList = true;
+    this->list();
+}
+
 void StoreFollower::later(Milliseconds delay, void (StoreFollower::*step)())
 {
     this->timer.expires_after(delay);
@@ -128,6 +152,8 @@
     if (!answer->items.empty()) {
         const bool afterOutage = this->gateway.clock.now() - this->answeredAgain < missingGrace;
         this->events.onChanges(std::move(answer->items), afterOutage);
+        this->later(gatherPause, &StoreFollower::watch);
+        return;
     }
     this->watch();
 }
--- a/gateway/storefollower.h
+++ b/gateway/storefollower.h
@@ -26,6 +26,11 @@
 
     void start();
     void stop();
+    /// Ends the watch until resume(); another router's word serves meanwhile.
+    void pause();
+    /// Lists again and watches.
+    void resume();
+    [[nodiscard]] bool isPaused() const noexcept { return this->paused; }
     /// \returns whether the last call was answered.
     [[nodiscard]] bool isConnected() const noexcept { return this->failures == 0; }
     /// \returns the store's revision up to which all changes were heard.
@@ -50,6 +55,7 @@
     std::uint32_t failures = 0;
     bool mustList = true;
     bool stopped = false;
+    bool paused = false;
     bool wasOut = false;
     TimePoint answeredAgain;
 };
--- a/gateway/storeview.cpp
+++ b/gateway/storeview.cpp
@@ -1,33 +1,102 @@
 #include "storeview.h"
 
+#include <charconv>
+
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace plantainswitch::gateway {
 
-std::string writeStoreView(const StoreView &view)
+namespace {
+
+std::optional<std::uint64_t> parameterOf(std::string_view target, std::string_view name)
+{
+    const std::size_t at = target.find(name);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view text = target.substr(at + name.size());
+    std::uint64_t number = 0;
+    const auto [rest, fault] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return fault == std::errc{} ? std::optional(number) : std::nullopt;
+}
+
+bool isUnsigned(const nlohmann::json &json, const char *name)
+{
+    return json.contains(name) && json[name].is_number_unsigned();
+}
+
+} // namespace
+
+std::string targetOf(const ViewQuestion &question)
+{
+    return fmt::format("{}?since={}&config={}", storeViewPath, question.revision,
+                       question.configVersion);
+}
+
+std::optional<ViewQuestion> questionOf(std::string_view target)
+{
+    if (!target.starts_with(storeViewPath)) {
+        return std::nullopt;
+    }
+    const auto revision = parameterOf(target, "since=");
+    const auto version = parameterOf(target, "config=");
+    if (!revision || !version) {
+        return std::nullopt;
+    }
+    return ViewQuestion{*revision, *version};
+}
+
+std::string writeStoreView(const StoreView &view, std::uint64_t configVersion,
+                           const ViewQuestion &question)
 {
-    return nlohmann::json{
-        {"routing", view.routing}, {"replicas", view.replicas}, {"revision", view.revision}}
-        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    nlohmann::json json{{"revision", view.revision}, {"replicas", nlohmann::json::object()}};
+    if (configVersion > question.configVersion) {
+        json["routing"] = view.routing;
+    }
+    for (const auto &[name, replica] : view.replicas) {
+        if (replica.revision > question.revision) {
+            json["replicas"][name] = replica.gone ? nlohmann::json() : nlohmann::json(replica.document);
+        }
+    }
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 std::optional<StoreView> readStoreView(std::string_view text)
 {
     const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
-    if (!json.is_object() || !json.contains("routing") || !json["routing"].is_string()
-        || !json.contains("replicas") || !json["replicas"].is_object()
-        || !json.contains("revision") || !json["revision"].is_number_unsigned()) {
+    if (!json.is_object() || !isUnsigned(json, "revision") || !json.contains("replicas")
+        || !json["replicas"].is_object()) {
         return std::nullopt;
     }
     StoreView view;
-    view.routing = json["routing"].get<std::string>();
     view.revision = json["revision"].get<std::uint64_t>();
+    if (json.contains("routing") && json["routing"].is_string()) {
+        view.routing = json["routing"].get<std::string>();
+    }
     for (const auto &[name, document] : json["replicas"].items()) {
         if (document.is_string()) {
-            view.replicas[name] = document.get<std::string>();
+            view.replicas[name] = {document.get<std::string>(), false, view.revision};
+        } else if (document.is_null()) {
+            view.replicas[name] = {{}, true, view.revision};
         }
     }
     return view;
 }
 
+void noteReplica(StoreView &view, const std::string &name, const std::string &document,
+                 std::uint64_t revision)
+{
+    ViewedReplica &known = view.replicas[name];
+    if (known.gone || known.document != document || known.revision == 0) {
+        known = {document, false, revision};
+    }
+}
+
+void noteGone(StoreView &view, const std::string &name)
+{
+    // Above all that was told: whoever asks next hears of it.
+    view.replicas[name] = {{}, true, view.revision + 1};
+}
+
 } // namespace plantainswitch::gateway
--- a/gateway/storeview.h
+++ b/gateway/storeview.h
@@ -11,9 +11,31 @@
 /// Where routers hand out what they know of the store.
 inline constexpr std::string_view storeViewPath = "/fleet/store";
 
-/// \returns \a view as JSON, which readStoreView() reads back.
-[[nodiscard]] std::string writeStoreView(const StoreView &view);
+/// What a router that asks for a view knows already.
+struct ViewQuestion
+{
+    /// Up to which it has heard of changes of upstreams.
+    std::uint64_t revision = 0;
+    /// The version of its routing configuration.
+    std::uint64_t configVersion = 0;
+};
+
+/// \returns path and query that ask \a question.
+[[nodiscard]] std::string targetOf(const ViewQuestion &question);
+/// \returns the question that \a target asks, or nothing when it is not of a view.
+[[nodiscard]] std::optional<ViewQuestion> questionOf(std::string_view target);
+
+/// \returns the part of \a view that is newer than \a question, as JSON.
+/// \param configVersion of the view's routing configuration
+[[nodiscard]] std::string writeStoreView(const StoreView &view, std::uint64_t configVersion,
+                                         const ViewQuestion &question);
 /// \returns the view that \a text holds, or nothing.
 [[nodiscard]] std::optional<StoreView> readStoreView(std::string_view text);
 
+/// Notes an upstream's entry in \a view as of \a revision; an unchanged one keeps its older revision.
+void noteReplica(StoreView &view, const std::string &name, const std::string &document,
+                 std::uint64_t revision);
+/// Notes that an upstream is gone.
+void noteGone(StoreView &view, const std::string &name);
+
 } // namespace plantainswitch::gateway
