Tell newcomers of all routers at once; announce only who watches

Cause: at a start a router knew only the seeds for over a second and so took itself for the only one of its data centre: 117 of 120 starts began a watch.

--- a/gateway/fleetlink.cpp
+++ b/gateway/fleetlink.cpp
@@ -27,7 +27,11 @@
 constexpr std::size_t mostChains = 32;
 /// Addresses of others are told with each such news.
 constexpr std::uint64_t othersEvery = 8;
-constexpr std::size_t mostOthers = 24;
+/// For so long after a router was first heard they are told with all news: whoever has just
+/// started knows only the seeds.
+constexpr Milliseconds newcomerSpan{600};
+/// Addresses told at once, beginning further on each time; about one Ethernet frame.
+constexpr std::size_t mostOthers = 48;
 
 } // namespace
 
@@ -123,10 +127,11 @@
 
 void FleetLink::tellSoon()
 {
-    if (this->stopped) {
+    const auto soon = std::chrono::steady_clock::now() + soonPause;
+    if (this->stopped || this->timer.expiry() <= soon) {
         return;
     }
-    this->timer.expires_after(soonPause);
+    this->timer.expires_at(soon);
     this->timer.async_wait([this](const asio::error_code &error) {
         if (!error) {
             this->tick();
@@ -179,6 +184,8 @@
             {load.life(), load.running(), load.unread_tokens(), Milliseconds{load.avoided_ms()}});
     }
     if (!this->gateway.peers.knows(heard.id)) {
+        this->lastJoin = now;
+        this->tellSoon();
         logEvent(Event::MemberJoined, {{"member", heard.id}, {"address", toText(from)}});
     }
     if (!this->gateway.peers.take(heard, now)) {
@@ -236,6 +243,22 @@
     return told;
 }
 
+std::vector<Endpoint> FleetLink::someOthers(std::uint64_t turn) const
+{
+    std::vector<Endpoint> heard;
+    for (const auto &[address, contact] : this->contacts) {
+        if (this->isHeard(contact)) {
+            heard.push_back(address);
+        }
+    }
+    if (heard.size() > mostOthers) {
+        const auto first = static_cast<std::ptrdiff_t>(turn * mostOthers % heard.size());
+        std::rotate(heard.begin(), heard.begin() + first, heard.end());
+        heard.resize(mostOthers);
+    }
+    return heard;
+}
+
 std::string FleetLink::encode(const RouterNews &told) const
 {
     wire::RouterNews message;
@@ -259,16 +282,12 @@
         entry->set_chain(chain.chain);
         entry->set_life(chain.life);
     }
-    if (told.sequence % othersEvery == 1) {
-        for (const auto &[address, contact] : this->contacts) {
-            if (static_cast<std::size_t>(message.others_size()) >= mostOthers) {
-                break;
-            }
-            if (contact.everHeard) {
-                wire::Endpoint *const entry = message.add_others();
-                entry->set_host(address.host);
-                entry->set_port(address.port);
-            }
+    const bool hasNewcomer = this->gateway.clock.now() - this->lastJoin < newcomerSpan;
+    if (hasNewcomer || told.sequence % othersEvery == 1) {
+        for (const Endpoint &address : this->someOthers(told.sequence)) {
+            wire::Endpoint *const entry = message.add_others();
+            entry->set_host(address.host);
+            entry->set_port(address.port);
         }
     }
     return message.SerializeAsString();
--- a/gateway/fleetlink.h
+++ b/gateway/fleetlink.h
@@ -54,6 +54,7 @@
     void tick();
     void tellAll();
     [[nodiscard]] RouterNews news();
+    [[nodiscard]] std::vector<Endpoint> someOthers(std::uint64_t turn) const;
     [[nodiscard]] std::string encode(const RouterNews &news) const;
 
     GatewayState &gateway;
@@ -65,6 +66,7 @@
     std::array<char, 65536> buffer{};
     asio::ip::udp::endpoint sender;
     std::map<Endpoint, Contact> contacts;
+    TimePoint lastJoin;
     bool stopped = false;
 };
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -22,11 +22,16 @@
 /// Before the forced end of a stop, what still runs is cut by this process, so that its callers
 /// hear of it.
 constexpr Milliseconds stopReserve{400};
-/// How long a router that the store answers must have been heard before this one leaves the watch
-/// to others: at a start all of them hear each other within it.
-constexpr Milliseconds watcherTrial{1500};
+/// After its start a router lists once, and hears the others for so long before it chooses whether
+/// to watch: some of their first news, well below the bound on an edit's delay.
+constexpr Milliseconds hearingSpan{800};
+/// How long no router that the store answers may have been heard before this one watches itself.
+/// With it an edit is in force within the promised two seconds also when all watchers die at once.
+constexpr Milliseconds watcherPatience{1200};
 /// Time for another router to answer, some hundred round trips.
 constexpr Milliseconds catchUpLimit{1000};
+/// Time for the store to take this router's entry.
+constexpr Milliseconds announceLimit{2500};
 constexpr int listenQueue = 1024;
 constexpr std::size_t pageHeadBytes = 8192;
 
@@ -167,10 +172,10 @@
     this->signals.add(SIGINT);
     this->signals.add(SIGHUP);
     this->onSignal();
+    this->startedAt = this->state.clock.now();
     this->fleet.start();
     this->routing.start();
     this->replicas.start();
-    this->announce();
     this->tick();
     this->context.run();
     logEvent(Event::Stopped, {});
@@ -452,7 +457,7 @@
     this->state.view.revision = revision;
     this->applyReplicas(events);
     this->watchReadiness();
-    if (!this->replicas.isPaused()) {
+    if (this->replicas.isWatching()) {
         this->trackStore();
         this->fleet.tellSoon();
     }
@@ -480,35 +485,51 @@
 
 void Gateway::announce()
 {
-    // Once at the start: a router that can't be announced is found by the seeds, or by hearing it.
+    if (this->announced) {
+        return;
+    }
+    this->announced = true;
+    // A fleet is found by its seeds. Where all of them are gone, a newcomer finds those that watch
+    // the store by their entries there; a failed write is made up for by the other watchers.
     const RouterEntry own{this->state.settings.id, this->state.settings.peerDatagrams};
-    constexpr Milliseconds limit{2500};
-    this->state.metrics.count(Counter::PlatformCalls, 2);
-    const Endpoint &store = this->state.settings.store;
-    this->announcer.call(store, "POST", this->state.dialect.listTarget(StoreKind::Routers, {}),
-                         this->state.dialect.writeRouter(own), limit, [this](const PlainReply &) {
-                             this->announcer.call(
-                                 this->state.settings.store, "GET", this->state.dialect.listTarget(StoreKind::Routers, {}), {},
-                                 limit, [this](const PlainReply &listed) {
-                                     const auto answer
-                                         = this->state.dialect.readList(listed.body);
-                                     if (!answer) {
-                                         return;
-                                     }
-                                     for (const StoreItem &item : answer->items) {
-                                         if (const auto entry
-                                             = this->state.dialect.readRouter(item)) {
-                                             this->fleet.addRouter(entry->datagrams);
-                                         }
-                                     }
-                                 });
+    this->state.metrics.count(Counter::PlatformCalls);
+    this->announcer.call(this->state.settings.store, "POST",
+                         this->state.dialect.listTarget(StoreKind::Routers, {}),
+                         this->state.dialect.writeRouter(own), announceLimit,
+                         [this](const PlainReply &reply) {
+                             logEvent(Event::Announced, {{"status", std::to_string(reply.status)}});
+                             if (this->state.peers.routers() == 0) {
+                                 this->findRouters();
+                             }
                          });
 }
 
+void Gateway::findRouters()
+{
+    this->state.metrics.count(Counter::PlatformCalls);
+    this->announcer.call(
+        this->state.settings.store, "GET", this->state.dialect.listTarget(StoreKind::Routers, {}),
+        {}, announceLimit, [this](const PlainReply &listed) {
+            const auto answer = this->state.dialect.readList(listed.body);
+            logEvent(Event::ObjectsListed,
+                     {{"kind", "routers"},
+                      {"objects", std::to_string(answer ? answer->items.size() : 0)},
+                      {"status", std::to_string(listed.status)}});
+            if (!answer) {
+                return;
+            }
+            for (const StoreItem &item : answer->items) {
+                if (const auto entry = this->state.dialect.readRouter(item)) {
+                    this->fleet.addRouter(entry->datagrams);
+                }
+            }
+        });
+}
+
 void Gateway::trackStore()
 {
     StoreView &view = this->state.view;
-    view.connected = !this->replicas.isPaused() && this->routing.isConnected()
+    view.connected = this->replicas.isWatching() && this->routing.isConnected()
                      && this->replicas.isConnected() && this->state.directoryKnown;
     if (view.connected) {
         view.revision = std::max(view.revision, this->replicas.heardRevision());
@@ -518,17 +539,18 @@
 void Gateway::decideWatching()
 {
     const TimePoint now = this->state.clock.now();
-    if (!this->fleet.hearsWatcher()) {
-        this->watcherHeardSince.reset();
-    } else if (!this->watcherHeardSince) {
-        this->watcherHeardSince = now;
-    }
-    const bool isServed
-        = this->watcherHeardSince && now - *this->watcherHeardSince > watcherTrial;
-    const bool watches
-        = this->fleet.isChosenToWatch() || !this->watcherHeardSince
-          || (!this->replicas.isPaused() && (!isServed || !this->state.directoryKnown));
-    if (watches == !this->replicas.isPaused()) {
+    if (now - this->startedAt < hearingSpan) {
+        return;
+    }
+    if (this->state.peers.routers() == 0 || this->fleet.isChosenToWatch()) {
+        this->announce();
+    }
+    if (this->fleet.hearsWatcher()) {
+        this->watcherHeard = now;
+    }
+    const bool isServed = now - std::max(this->watcherHeard, this->startedAt) < watcherPatience;
+    const bool watches = this->fleet.isChosenToWatch() || !isServed;
+    if (watches ? this->replicas.isWatching() : this->replicas.isPaused()) {
         return;
     }
     logEvent(watches ? Event::WatchBegun : Event::WatchEnded,
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -66,6 +66,7 @@
     void applyReplicas(const std::vector<ReplicaEvent> &events);
     void decideWatching();
     void announce();
+    void findRouters();
     void trackStore();
     void catchUp();
     void takeCatchUp(const Endpoint &from, const PlainReply &reply);
@@ -94,8 +95,10 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<CallerConnection>> callers;
     std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges;
     bool wasReady = false;
-    /// Since when a router that the store answers has been heard.
-    std::optional<TimePoint> watcherHeardSince;
+    /// When a router that the store answers was last heard.
+    TimePoint watcherHeard;
+    TimePoint startedAt;
+    bool announced = false;
     TimePoint stopBegan;
     bool stopIdle = false;
 };
--- a/gateway/storefollower.cpp
+++ b/gateway/storefollower.cpp
@@ -1,6 +1,7 @@
 #include "storefollower.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "plantainswitch/base/hash.h"
 #include "plantainswitch/observe/event.h"
@@ -54,16 +55,24 @@
         return;
     }
     this->paused = true;
+    this->watching = false;
     this->timer.cancel();
     this->client.abandon();
 }
 
 void StoreFollower::resume()
 {
-    if (!this->paused) {
+    if (this->watching) {
+        return;
+    }
+    if (!this->paused && this->revision != 0 && !this->client.isBusy()) {
+        // Listed a moment ago: what changed since then is told to the watch.
+        this->watching = true;
+        this->watch();
         return;
     }
     this->paused = false;
+    this->watching = true;
     this->failures = 0;
     this->mustList = true;
     this->list();
@@ -114,9 +123,11 @@
                                     {"after_outage", this->wasOut ? "yes" : "no"}});
     std::vector<StoreItem> items = std::move(this->listing);
     this->listing.clear();
-    this->events.onList(std::move(items), this->wasOut);
-    this->wasOut = false;
-    this->watch();
+    const bool afterOutage = std::exchange(this->wasOut, false);
+    this->events.onList(std::move(items), afterOutage);
+    if (this->watching) {
+        this->watch();
+    }
 }
 
 void StoreFollower::watch()
--- a/gateway/storefollower.h
+++ b/gateway/storefollower.h
@@ -24,6 +24,7 @@
 public:
     StoreFollower(GatewayState &gateway, StoreKind kind, FollowerEvents events);
 
+    /// Lists once; resume() begins the watch.
     void start();
     void stop();
     /// Ends the watch until resume(); another router's word serves meanwhile.
@@ -31,6 +32,7 @@
     /// Lists again and watches.
     void resume();
     [[nodiscard]] bool isPaused() const noexcept { return this->paused; }
+    [[nodiscard]] bool isWatching() const noexcept { return this->watching; }
     /// \returns whether the last call was answered.
     [[nodiscard]] bool isConnected() const noexcept { return this->failures == 0; }
     /// \returns the store's revision up to which all changes were heard.
@@ -56,6 +58,7 @@
     bool mustList = true;
     bool stopped = false;
     bool paused = false;
+    bool watching = false;
     bool wasOut = false;
     TimePoint answeredAgain;
 };
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -38,6 +38,7 @@
     ObjectsListed = 211,
     WatchCut = 212,
     CaughtUp = 213,
+    Announced = 214,
     MemberJoined = 300,
     MemberGone = 301,
     DatagramInvalid = 302,
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -35,6 +35,7 @@
     EventRow{Event::ObjectsListed, "objects-listed", Severity::Info},
     EventRow{Event::WatchCut, "watch-cut", Severity::Info},
     EventRow{Event::CaughtUp, "caught-up", Severity::Info},
+    EventRow{Event::Announced, "announced", Severity::Info},
     EventRow{Event::MemberJoined, "member-joined", Severity::Info},
     EventRow{Event::MemberGone, "member-gone", Severity::Warning},
     EventRow{Event::DatagramInvalid, "datagram-invalid", Severity::Warning},
