Count what runs on an engine at one keeper among the routers

Each engine has one keeper by rendezvous, near it; routers ask it by a datagram before they hand over a prompt, and choose by themselves after 25 ms.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t mostConnectFailures = 4;
 /// Upstreams that may turn one request away before it is refused.
 constexpr std::uint32_t mostRejections = 3;
+/// Keepers that are asked for one placement before the router chooses by what they told it.
+constexpr std::uint32_t mostFullKeepers = 2;
 /// Less time than this isn't enough for any answer.
 constexpr Milliseconds leastTime{10};
 /// Share of the objective after which silence counts against an upstream. Later, a second
@@ -128,13 +130,79 @@
         this->giveUp();
         return;
     }
-    this->handTo(*choice);
+    const std::string id = candidates[choice->index]->replica.id;
+    if (this->chain.empty() || this->keepersFull >= mostFullKeepers) {
+        this->handTo(*choice, id);
+        return;
+    }
+    this->askKeeper(*choice, id);
 }
 
-void Exchange::handTo(const Choice &choice)
+void Exchange::askKeeper(const Choice &choice, const std::string &id)
 {
-    const auto candidates = this->gateway.upstreams.ofService(this->service);
-    this->upstream = this->gateway.upstreams.share(candidates[choice.index]->replica.id);
+    const auto target = this->gateway.upstreams.share(id);
+    EngineQuestion question;
+    question.number = this->gateway.fleet->nextNumber();
+    question.life = lifeOf(target->replica);
+    question.chain = this->chain;
+    question.tokens = tokensOf(*this->request->prompt);
+    question.bound = choice.bound;
+    this->grant = question.number;
+    this->grantedLife = question.life;
+    const std::weak_ptr<Exchange> weak = this->weak_from_this();
+    this->gateway.fleet->askKeeper(
+        std::move(question),
+        [weak, choice, id](const std::optional<EngineAnswer> &keeperAnswer) {
+            const auto self = weak.lock();
+            if (self && self->phase == Phase::Placing) {
+                self->onKeeperAnswer(choice, id, keeperAnswer);
+            }
+        });
+}
+
+void Exchange::onKeeperAnswer(const Choice &choice, const std::string &id,
+                              const std::optional<EngineAnswer> &keeperAnswer)
+{
+    const auto target = this->gateway.upstreams.share(id);
+    if (!target || target->replica.leaving) {
+        this->endGrant();
+        this->place();
+        return;
+    }
+    if (!keeperAnswer) {
+        this->handTo(choice, id);
+        return;
+    }
+    const std::uint32_t others
+        = keeperAnswer->running - std::min(keeperAnswer->running, target->ownRunning);
+    target->peersRunning = others;
+    if (!keeperAnswer->granted) {
+        this->grant = 0;
+        this->keepersFull += 1;
+        this->place();
+        return;
+    }
+    Choice informed = choice;
+    const double tokens = tokensOf(*this->request->prompt);
+    double cached = 0.0;
+    for (std::size_t i = 0; i < keeperAnswer->knownParts && i < this->chain.size(); ++i) {
+        cached += this->request->prompt->parts[i].tokens;
+    }
+    informed.uncachedTokens = std::min(choice.uncachedTokens, tokens - cached);
+    this->handTo(informed, id);
+}
+
+void Exchange::endGrant()
+{
+    if (this->grant != 0) {
+        this->gateway.fleet->endGrant(this->grantedLife, this->grant);
+        this->grant = 0;
+    }
+}
+
+void Exchange::handTo(const Choice &choice, const std::string &id)
+{
+    this->upstream = this->gateway.upstreams.share(id);
     UpstreamState &state = *this->upstream;
     this->tried.push_back(state.replica.id);
     state.ownRunning += 1;
@@ -155,12 +223,11 @@
               {"avoided", std::to_string(choice.avoided)},
               {"over_bound", std::to_string(choice.overBound)},
               {"left_ms", std::to_string(this->left().count())}});
-    this->send(choice, this->upstream);
+    this->send(this->upstream);
 }
 
-void Exchange::send(const Choice &choice, std::shared_ptr<UpstreamState> target)
+void Exchange::send(const std::shared_ptr<UpstreamState> &target)
 {
-    static_cast<void>(choice);
     this->phase = Phase::Waiting;
     this->sawHead = false;
     this->sawFirstByte = false;
@@ -507,6 +574,7 @@
         this->runs += 1;
     }
     this->leaveUpstream();
+    this->keepersFull = 0;
     this->events.dropPartial();
     this->logRetry(why);
     this->gateway.metrics.count(Counter::Retries);
@@ -530,6 +598,7 @@
         this->connection->drop();
         this->connection.reset();
     }
+    this->endGrant();
     if (!this->upstream) {
         return;
     }
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -9,6 +9,7 @@
 #include "plantainswitch/routing/eventstream.h"
 
 #include "callerconnection.h"
+#include "fleetlink.h"
 #include "gatewaystate.h"
 
 namespace plantainswitch::gateway {
@@ -33,8 +34,13 @@
 
     bool admit();
     void place();
-    void handTo(const Choice &choice);
-    void send(const Choice &choice, std::shared_ptr<UpstreamState> target);
+    /// Asks the engine's keeper whether the request fits there.
+    void askKeeper(const Choice &choice, const std::string &id);
+    void onKeeperAnswer(const Choice &choice, const std::string &id,
+                        const std::optional<EngineAnswer> &keeperAnswer);
+    void endGrant();
+    void handTo(const Choice &choice, const std::string &id);
+    void send(const std::shared_ptr<UpstreamState> &target);
     AnswerEvents answerEvents();
     /// Sets when the request is looked at next, the deadline at the latest.
     void armTimer(TimePoint due);
@@ -89,6 +95,11 @@
     std::uint32_t runs = 0;
     std::uint32_t connectFailures = 0;
     std::uint32_t rejections = 0;
+    /// Keepers that had no room for it in this placement.
+    std::uint32_t keepersFull = 0;
+    /// Question by which the keeper granted the request; 0: none did.
+    std::uint64_t grant = 0;
+    std::uint64_t grantedLife = 0;
     bool holdsUnread = false;
     double unread = 0.0;
     double expectedDelay = 0.0;
--- a/gateway/fleetlink.cpp
+++ b/gateway/fleetlink.cpp
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 
-#include "peer.pb.h"
-
+#include "plantainswitch/base/hash.h"
 #include "plantainswitch/membership/watchers.h"
 #include "plantainswitch/observe/event.h"
+#include "plantainswitch/placement/rendezvous.h"
 
 namespace plantainswitch::gateway {
 
@@ -20,6 +20,9 @@
 constexpr Milliseconds longestNewsPause{1500};
 /// Pause before news that others wait for; changes of one moment are told together.
 constexpr Milliseconds soonPause{20};
+/// How long a keeper may take to answer: a few round trips between data centres and a turn of its
+/// loop. Then the router chooses by its own knowledge, which is better than waiting.
+constexpr Milliseconds keeperLimit{25};
 /// Pause between news to an address that doesn't answer: it may be another router's tomorrow.
 constexpr Milliseconds silentPause{2000};
 /// Chains told at once; those beyond it are left for the next news. Keeps a datagram under one
@@ -42,6 +45,7 @@
     , onNews(std::move(onNews))
     , socket(gateway.context)
     , timer(gateway.context)
+    , keeper(gateway.settings.choice.tokensPerMillisecond)
 {}
 
 void FleetLink::start()
@@ -156,14 +160,192 @@
 
 void FleetLink::onDatagram(std::size_t size)
 {
-    wire::RouterNews message;
-    if (!message.ParseFromArray(this->buffer.data(), static_cast<int>(size))
-        || message.id().empty()) {
-        logEvent(Event::DatagramInvalid, {{"from", this->sender.address().to_string()}});
+    wire::GatewayDatagram datagram;
+    const Endpoint from{this->sender.address().to_string(), this->sender.port()};
+    const bool isRead = datagram.ParseFromArray(this->buffer.data(), static_cast<int>(size));
+    switch (isRead ? datagram.body_case() : wire::GatewayDatagram::BODY_NOT_SET) {
+    case wire::GatewayDatagram::kNews:
+        this->onNewsMessage(datagram.news(), from);
+        break;
+    case wire::GatewayDatagram::kAsk:
+        this->onAsk(datagram.ask(), from);
+        break;
+    case wire::GatewayDatagram::kReply:
+        this->onReply(datagram.reply());
+        break;
+    case wire::GatewayDatagram::kEnd:
+        this->keeper.end(toText(from), datagram.end().number(), datagram.end().life());
+        break;
+    case wire::GatewayDatagram::BODY_NOT_SET:
+        logEvent(Event::DatagramInvalid, {{"from", toText(from)}});
+        break;
+    }
+}
+
+void FleetLink::sendTo(const Endpoint &address, const wire::GatewayDatagram &datagram)
+{
+    // A datagram that can't be sent now is as good as a lost one: each has its time-out, or is
+    // replaced by the next news.
+    asio::error_code ignored;
+    this->socket.send_to(
+        asio::buffer(datagram.SerializeAsString()),
+        asio::ip::udp::endpoint(asio::ip::make_address(address.host), address.port), 0, ignored);
+}
+
+std::optional<Endpoint> FleetLink::keeperOf(std::uint64_t life) const
+{
+    const UpstreamState *const engine = this->gateway.upstreams.findLife(life);
+    const std::string place = engine == nullptr ? std::string() : engine->replica.place;
+    // Near its engine, so that a data centre that is cut off keeps its own engines' counts.
+    const bool ownNear = place == this->gateway.settings.place && !this->gateway.stopping;
+    double highest = rendezvousScore(life, {hashOf(this->gateway.settings.id), 1.0});
+    bool bestNear = ownNear;
+    std::optional<Endpoint> best;
+    for (const auto &[address, contact] : this->contacts) {
+        if (!this->isHeard(contact) || contact.stopping) {
+            continue;
+        }
+        const bool isNear = contact.place == place;
+        const double score = rendezvousScore(life, {hashOf(contact.id), 1.0});
+        if ((isNear && !bestNear) || (isNear == bestNear && score > highest)) {
+            best = address;
+            highest = score;
+            bestNear = isNear;
+        }
+    }
+    return best;
+}
+
+void FleetLink::askKeeper(EngineQuestion question,
+                          std::function<void(std::optional<EngineAnswer>)> done)
+{
+    const std::optional<Endpoint> address = this->keeperOf(question.life);
+    if (!address) {
+        question.router = toText(this->gateway.settings.peerDatagrams);
+        const std::uint32_t told = this->gateway.peers.at(question.life).running;
+        const EngineAnswer answer
+            = this->keeper.ask(question, told, this->gateway.clock.now());
+        if (answer.granted) {
+            this->grantedBy[question.number] = this->gateway.settings.peerDatagrams;
+        }
+        done(answer);
+        return;
+    }
+    wire::GatewayDatagram datagram;
+    wire::EngineAsk &ask = *datagram.mutable_ask();
+    ask.set_number(question.number);
+    ask.set_life(question.life);
+    ask.set_tokens(question.tokens);
+    ask.set_bound(static_cast<float>(question.bound));
+    for (const std::uint64_t part : question.chain) {
+        ask.add_chain(part);
+    }
+    PendingAsk pending{std::move(done),
+                       std::make_unique<asio::steady_timer>(this->gateway.context, keeperLimit)};
+    pending.timer->async_wait([this, number = question.number](const asio::error_code &error) {
+        const auto found = this->asks.find(number);
+        if (error || found == this->asks.end()) {
+            return;
+        }
+        const auto waiting = std::move(found->second.done);
+        this->asks.erase(found);
+        this->gateway.metrics.count(Counter::SlotAskTimeouts);
+        waiting(std::nullopt);
+    });
+    this->asks.emplace(question.number, std::move(pending));
+    this->grantedBy[question.number] = *address;
+    this->gateway.metrics.count(Counter::SlotAsks);
+    this->sendTo(*address, datagram);
+}
+
+void FleetLink::onAsk(const wire::EngineAsk &message, const Endpoint &from)
+{
+    EngineQuestion question;
+    question.router = toText(from);
+    question.number = message.number();
+    question.life = message.life();
+    question.tokens = message.tokens();
+    question.bound = message.bound();
+    question.chain.assign(message.chain().begin(), message.chain().end());
+    const UpstreamState *const engine = this->gateway.upstreams.findLife(question.life);
+    const std::uint32_t own = engine == nullptr ? 0 : engine->ownRunning;
+    const std::uint32_t told = own + this->gateway.peers.at(question.life).running;
+    const EngineAnswer answer = this->keeper.ask(question, told, this->gateway.clock.now());
+    wire::GatewayDatagram datagram;
+    wire::EngineReply &reply = *datagram.mutable_reply();
+    reply.set_number(question.number);
+    reply.set_life(question.life);
+    reply.set_granted(answer.granted);
+    reply.set_running(answer.running);
+    reply.set_unread_tokens(static_cast<std::uint32_t>(answer.unreadTokens));
+    reply.set_known_parts(answer.knownParts);
+    this->sendTo(from, datagram);
+}
+
+void FleetLink::onReply(const wire::EngineReply &message)
+{
+    const auto found = this->asks.find(message.number());
+    if (found == this->asks.end()) {
+        // Too late: the request was placed without it, or has ended.
+        this->endGrant(message.life(), message.number());
+        return;
+    }
+    const auto waiting = std::move(found->second.done);
+    this->asks.erase(found);
+    if (!message.granted()) {
+        this->grantedBy.erase(message.number());
+    }
+    waiting(EngineAnswer{message.granted(), message.running(),
+                         static_cast<double>(message.unread_tokens()), message.known_parts()});
+}
+
+void FleetLink::endGrant(std::uint64_t life, std::uint64_t number)
+{
+    const auto found = this->grantedBy.find(number);
+    if (found == this->grantedBy.end()) {
+        return;
+    }
+    const Endpoint address = found->second;
+    this->grantedBy.erase(found);
+    if (address == this->gateway.settings.peerDatagrams) {
+        this->keeper.end(toText(address), number, life);
+        return;
+    }
+    wire::GatewayDatagram datagram;
+    datagram.mutable_end()->set_number(number);
+    datagram.mutable_end()->set_life(life);
+    this->sendTo(address, datagram);
+}
+
+void FleetLink::forgetGrants(const std::string &id)
+{
+    for (const auto &[address, contact] : this->contacts) {
+        if (contact.id == id) {
+            this->keeper.forgetRouter(toText(address));
+        }
+    }
+}
+
+void FleetLink::reconcileGrants(const RouterNews &heard)
+{
+    const std::string router = toText(Endpoint{this->sender.address().to_string(),
+                                               this->sender.port()});
+    for (const std::uint64_t life : this->keeper.livesOf(router)) {
+        std::uint32_t told = 0;
+        for (const PeerLoad &load : heard.loads) {
+            told += load.life == life ? load.running : 0;
+        }
+        this->keeper.reconcile(router, life, told, this->gateway.clock.now());
+    }
+}
+
+void FleetLink::onNewsMessage(const wire::RouterNews &message, const Endpoint &from)
+{
+    if (message.id().empty()) {
+        logEvent(Event::DatagramInvalid, {{"from", toText(from)}});
         return;
     }
     const TimePoint now = this->gateway.clock.now();
-    const Endpoint from{this->sender.address().to_string(), this->sender.port()};
     Contact &contact
         = this->contacts.try_emplace(from, Contact{{}, {}, from}).first->second;
     contact.heard = now;
@@ -192,6 +374,7 @@
         return;
     }
     this->gateway.peersChanged = true;
+    this->reconcileGrants(heard);
     for (const PeerLoad &load : heard.loads) {
         UpstreamState *const state = this->gateway.upstreams.findLife(load.life);
         if (state != nullptr && load.avoided.count() > 0) {
@@ -259,9 +442,10 @@
     return heard;
 }
 
-std::string FleetLink::encode(const RouterNews &told) const
+wire::GatewayDatagram FleetLink::encode(const RouterNews &told) const
 {
-    wire::RouterNews message;
+    wire::GatewayDatagram datagram;
+    wire::RouterNews &message = *datagram.mutable_news();
     message.set_id(told.id);
     message.set_incarnation(told.incarnation);
     message.set_sequence(told.sequence);
@@ -290,24 +474,19 @@
             entry->set_port(address.port);
         }
     }
-    return message.SerializeAsString();
+    return datagram;
 }
 
 void FleetLink::tellAll()
 {
-    const std::string bytes = this->encode(this->news());
+    const wire::GatewayDatagram datagram = this->encode(this->news());
     const TimePoint now = this->gateway.clock.now();
     for (auto &[address, contact] : this->contacts) {
-        const bool isSilent = !contact.everHeard || now - contact.heard > peerSilence;
-        if (isSilent && now - contact.told < silentPause) {
+        if (!this->isHeard(contact) && now - contact.told < silentPause) {
             continue;
         }
         contact.told = now;
-        // A datagram that can't be sent now is as good as a lost one: the next news replace it.
-        asio::error_code ignored;
-        this->socket.send_to(
-            asio::buffer(bytes),
-            asio::ip::udp::endpoint(asio::ip::make_address(address.host), address.port), 0, ignored);
+        this->sendTo(address, datagram);
     }
 }
 
@@ -326,6 +505,7 @@
     }
     for (const std::string &gone : this->gateway.peers.expire(this->gateway.clock.now())) {
         logEvent(Event::MemberGone, {{"member", gone}});
+        this->forgetGrants(gone);
         this->gateway.peersChanged = true;
     }
     this->tellAll();
--- a/gateway/fleetlink.h
+++ b/gateway/fleetlink.h
@@ -3,10 +3,17 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
 
 #include <asio/ip/udp.hpp>
 #include <asio/steady_timer.hpp>
 
+#include "peer.pb.h"
+
+#include "plantainswitch/routing/enginekeeper.h"
+
 #include "gatewaystate.h"
 
 namespace plantainswitch::gateway {
@@ -20,6 +27,13 @@
 
     void start();
     void stop();
+    /// Asks the keeper of \a question's engine. \a done comes once: with its answer, or with nothing
+    /// when it is silent for longer than a few round trips.
+    void askKeeper(EngineQuestion question, std::function<void(std::optional<EngineAnswer>)> done);
+    /// Tells the keeper that a granted request has ended.
+    void endGrant(std::uint64_t life, std::uint64_t number);
+    /// \returns a number for the next question.
+    [[nodiscard]] std::uint64_t nextNumber() noexcept { return ++this->lastNumber; }
     /// Adds a router's address, learnt from the store or the settings.
     void addRouter(const Endpoint &datagrams);
     /// \returns whether a router that the store answers was heard lately.
@@ -47,15 +61,29 @@
         bool stopping = false;
     };
 
+    struct PendingAsk
+    {
+        std::function<void(std::optional<EngineAnswer>)> done;
+        std::unique_ptr<asio::steady_timer> timer;
+    };
+
     void receive();
     void onDatagram(std::size_t size);
+    void onNewsMessage(const wire::RouterNews &message, const Endpoint &from);
+    void onAsk(const wire::EngineAsk &message, const Endpoint &from);
+    void onReply(const wire::EngineReply &message);
+    void forgetGrants(const std::string &id);
+    void reconcileGrants(const RouterNews &heard);
+    void sendTo(const Endpoint &address, const wire::GatewayDatagram &datagram);
+    /// \returns the address of the engine's keeper; nothing when it is this router.
+    [[nodiscard]] std::optional<Endpoint> keeperOf(std::uint64_t life) const;
     [[nodiscard]] bool isHeard(const Contact &contact) const;
     [[nodiscard]] Milliseconds pause() const;
     void tick();
     void tellAll();
     [[nodiscard]] RouterNews news();
     [[nodiscard]] std::vector<Endpoint> someOthers(std::uint64_t turn) const;
-    [[nodiscard]] std::string encode(const RouterNews &news) const;
+    [[nodiscard]] wire::GatewayDatagram encode(const RouterNews &news) const;
 
     GatewayState &gateway;
     std::uint64_t incarnation;
@@ -66,6 +94,11 @@
     std::array<char, 65536> buffer{};
     asio::ip::udp::endpoint sender;
     std::map<Endpoint, Contact> contacts;
+    EngineKeeper keeper;
+    std::uint64_t lastNumber = 0;
+    std::unordered_map<std::uint64_t, PendingAsk> asks;
+    /// Who answered each granted question: the keeper may be another one by the time it ends.
+    std::unordered_map<std::uint64_t, Endpoint> grantedBy;
     TimePoint lastJoin;
     bool stopped = false;
 };
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -78,6 +78,7 @@
     , catchUpClient(this->state)
     , peerAcceptor(this->context)
 {
+    this->state.fleet = &this->fleet;
     startLogging(this->state.settings.logFormat, this->state.settings.logLevel,
                  this->state.settings.id,
                  [this](Severity severity, const std::string &line) { this->log.take(severity, line); });
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -18,6 +18,7 @@
 namespace plantainswitch::gateway {
 
 class CallerConnection;
+class FleetLink;
 
 /// One upstream's entry in a StoreView.
 struct ViewedReplica
@@ -75,6 +76,8 @@
     /// Chains read since the last news to other routers.
     std::vector<ChainNews> newChains;
     bool stopping = false;
+    /// Other routers; set before the first request comes.
+    FleetLink *fleet = nullptr;
     /// Forgets an exchange that has ended.
     std::function<void(const CallerConnection &)> onExchangeDone;
     /// Takes the loads of other routers into the upstreams' states.
--- a/gateway/upstreams.cpp
+++ b/gateway/upstreams.cpp
@@ -58,7 +58,7 @@
     return found == this->byId.end() ? nullptr : found->second;
 }
 
-UpstreamState *Upstreams::findLife(std::uint64_t life)
+UpstreamState *Upstreams::findLife(std::uint64_t life) const
 {
     const auto found = this->byLife.find(life);
     return found == this->byLife.end() ? nullptr : found->second;
--- a/gateway/upstreams.h
+++ b/gateway/upstreams.h
@@ -37,7 +37,7 @@
     /// \returns the state of an upstream, or nullptr when it is gone. Requests hold it beyond that.
     [[nodiscard]] std::shared_ptr<UpstreamState> share(const std::string &id) const;
     /// \returns the state of an upstream's life, or nullptr when it is gone.
-    [[nodiscard]] UpstreamState *findLife(std::uint64_t life);
+    [[nodiscard]] UpstreamState *findLife(std::uint64_t life) const;
     [[nodiscard]] const std::map<std::string, std::shared_ptr<UpstreamState>> &all() const noexcept
     {
         return this->byId;
--- a/include/plantainswitch/routing/choice.h
+++ b/include/plantainswitch/routing/choice.h
@@ -117,6 +117,8 @@
     /// Upstreams left out as avoided, and as above the bound.
     std::uint32_t avoided = 0;
     std::uint32_t overBound = 0;
+    /// Requests above which an upstream of the service holds more than its share.
+    double bound = 0.0;
 };
 
 /// \returns the upstream with the least expected delay, or nothing when none may be used. Those
--- /dev/null
+++ b/include/plantainswitch/routing/enginekeeper.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "plantainswitch/base/clock.h"
+#include "plantainswitch/routing/choice.h"
+
+namespace plantainswitch {
+
+/// A router's question whether one more request fits on an engine.
+struct EngineQuestion
+{
+    /// The router that asks.
+    std::string router;
+    /// The router's own number of the question.
+    std::uint64_t number = 0;
+    std::uint64_t life = 0;
+    std::vector<std::uint64_t> chain;
+    std::uint32_t tokens = 0;
+    /// Requests above which the engine would hold more than its share.
+    double bound = 0.0;
+};
+
+/// What the keeper answers.
+struct EngineAnswer
+{
+    bool granted = false;
+    /// Requests there, with this one if granted.
+    std::uint32_t running = 0;
+    double unreadTokens = 0.0;
+    /// Parts of the chain that the engine has been given to read.
+    std::uint32_t knownParts = 0;
+};
+
+/// Time after which a grant that its router no longer tells of is taken back: its end was lost. A
+/// few of the routers' news.
+inline constexpr Milliseconds lostEndAge{2000};
+/// Time for which a new keeper also believes what routers told of an engine: grants that an earlier
+/// keeper made are unknown to it.
+inline constexpr Milliseconds inheritSpan{2000};
+
+/// Counts exactly what runs on the engines that one router keeps. Each engine has one keeper among
+/// the routers, so that many routers which each see a sliver of the traffic still share one count.
+class EngineKeeper
+{
+public:
+    explicit EngineKeeper(double tokensPerMillisecond)
+        : tokensPerMillisecond(tokensPerMillisecond)
+    {}
+
+    /// Grants or refuses.
+    /// \param told what routers told lately of the engine's requests, for a new keeper
+    EngineAnswer ask(const EngineQuestion &question, std::uint32_t told, TimePoint now);
+    /// Takes a grant back; one that is unknown is ignored.
+    void end(const std::string &router, std::uint64_t number, std::uint64_t life);
+    /// Takes back grants of \a router on the engine beyond the \a told ones, if they are old.
+    void reconcile(const std::string &router, std::uint64_t life, std::uint32_t told,
+                   TimePoint now);
+    /// Takes back all grants of a router that is gone.
+    void forgetRouter(const std::string &router);
+    /// \returns the lives on which \a router has grants.
+    [[nodiscard]] std::vector<std::uint64_t> livesOf(const std::string &router) const;
+
+private:
+    struct Engine
+    {
+        /// Grants by router and number, with their time.
+        std::map<std::pair<std::string, std::uint64_t>, TimePoint> grants;
+        double unread = 0.0;
+        TimePoint unreadAt;
+        TimePoint keptSince;
+    };
+
+    double tokensPerMillisecond;
+    std::unordered_map<std::uint64_t, Engine> engines;
+    ChainMemory memory;
+};
+
+} // namespace plantainswitch
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -229,6 +229,7 @@
     if (best) {
         best->avoided = avoided;
         best->overBound = overBound;
+        best->bound = seen.bound;
     }
     return best;
 }
--- /dev/null
+++ b/tests/enginekeeper.cpp
@@ -0,0 +1,85 @@
+#include <catch2/catch.hpp>
+
+#include "plantainswitch/routing/enginekeeper.h"
+
+using namespace plantainswitch;
+
+namespace {
+
+class EngineKeeperFixture
+{
+protected:
+    EngineAnswer ask(const std::string &router, std::uint64_t number, double bound = 3.0,
+                     std::uint32_t told = 0)
+    {
+        return this->keeper.ask({router, number, 7, {1, 2}, 1000, bound}, told, this->clock.now());
+    }
+
+    EngineKeeper keeper{100.0};
+    ManualClock clock;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(EngineKeeperFixture, "engineKeeper_manyRouters_shareOneBound", "[routing]")
+{
+    // Sixty routers each have at most one request on an engine. None of them sees that it is full;
+    // the engine's keeper does.
+    int granted = 0;
+    for (std::uint64_t number = 1; number <= 60; ++number) {
+        granted += this->ask("router-" + std::to_string(number), number).granted ? 1 : 0;
+    }
+    CHECK(granted == 3);
+    this->keeper.end("router-1", 1, 7);
+    CHECK(this->ask("router-9", 100).granted);
+    CHECK_FALSE(this->ask("router-9", 101).granted);
+}
+
+TEST_CASE_METHOD(EngineKeeperFixture, "engineKeeper_chainGrantedBefore_isKnownToTheNext",
+                 "[routing]")
+{
+    CHECK(this->ask("a", 1).knownParts == 0);
+    CHECK(this->ask("b", 1).knownParts == 2);
+}
+
+TEST_CASE_METHOD(EngineKeeperFixture, "engineKeeper_unreadTokens_areReadAsTimePasses", "[routing]")
+{
+    CHECK(this->ask("a", 1).unreadTokens == 0.0);
+    CHECK(this->ask("a", 2).unreadTokens == Approx(1000.0));
+    this->clock.advance(Milliseconds{5});
+    CHECK(this->ask("a", 3).unreadTokens == Approx(500.0));
+}
+
+TEST_CASE_METHOD(EngineKeeperFixture, "engineKeeper_endIsLost_grantIsTakenBackByItsRoutersNews",
+                 "[routing]")
+{
+    // The datagram that ends a grant is lost. Counted for ever, a few of them would close the
+    // engine; its router's news show that it has fewer requests there.
+    this->ask("a", 1);
+    this->ask("a", 2);
+    this->keeper.reconcile("a", 7, 0, this->clock.now());
+    CHECK(this->ask("b", 1).running == 3);
+    this->clock.advance(lostEndAge);
+    this->keeper.reconcile("a", 7, 1, this->clock.now());
+    CHECK(this->ask("b", 2).running == 3);
+}
+
+TEST_CASE_METHOD(EngineKeeperFixture, "engineKeeper_routerIsGone_itsGrantsAreToo", "[routing]")
+{
+    this->ask("a", 1);
+    this->ask("a", 2);
+    CHECK(this->keeper.livesOf("a") == std::vector<std::uint64_t>{7});
+    this->keeper.forgetRouter("a");
+    CHECK(this->ask("b", 1).running == 1);
+    CHECK(this->keeper.livesOf("a").empty());
+}
+
+TEST_CASE_METHOD(EngineKeeperFixture, "engineKeeper_newKeeper_believesTheRoutersForAWhile",
+                 "[routing]")
+{
+    // An engine's keeper has died, and the next one knows none of its grants. Without the routers'
+    // word it would fill the engine a second time.
+    CHECK_FALSE(this->ask("a", 1, 3.0, 3).granted);
+    this->clock.advance(inheritSpan);
+    CHECK(this->ask("a", 2, 3.0, 3).granted);
+}
