Send chains to engines known to have them; mend a crash between attempts

Choice: routers trusted a copy that they had heard of more than the chain's home, or the home more than a known copy. Now the home counts only where no engine is known to have the chain, and a token read anew weighs double.

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -119,6 +119,8 @@
         this->giveUp();
         return;
     }
+    // The look at an earlier attempt must not strike while a keeper is asked for the next one.
+    this->armTimer(this->deadline);
     this->gateway.refreshPeerLoads();
     const auto candidates = this->gateway.upstreams.ofService(this->service);
     const ChoiceRequest wish{this->gateway.settings.place, hashOf(this->request->attempt),
@@ -217,6 +219,10 @@
               {"upstream", state.replica.id},
               {"place", state.replica.place},
               {"expected_ms", fmt::format("{:.1f}", choice.expectedDelay)},
+              {"home", choice.isHome ? "yes" : "no"},
+              {"home_ms", fmt::format("{:.1f}", choice.homeDelay)},
+              {"extra_ms", fmt::format("{:.1f}", extraDelayOf(state.health, this->now()))},
+              {"bound", fmt::format("{:.1f}", choice.bound)},
               {"uncached", fmt::format("{:.0f}", choice.uncachedTokens)},
               {"own", std::to_string(state.ownRunning)},
               {"peers", std::to_string(state.peersRunning)},
@@ -318,6 +324,10 @@
         this->giveUp();
         return;
     }
+    if (!this->upstream) {
+        this->armTimer(this->deadline);
+        return;
+    }
     const Duration silent = this->now() - this->sentAt;
     const bool isBusy = this->phase == Phase::Waiting
                         && judgeSilence(this->sentAt, this->upstream->lastHeard) == Silence::Busy;
--- a/gateway/fleetlink.cpp
+++ b/gateway/fleetlink.cpp
@@ -73,6 +73,11 @@
     this->socket.close(ignored);
 }
 
+Endpoint FleetLink::localEndpoint() const
+{
+    return {this->gateway.settings.peerDatagrams.host, this->socket.local_endpoint().port()};
+}
+
 void FleetLink::addRouter(const Endpoint &datagrams)
 {
     if (datagrams == this->gateway.settings.peerDatagrams) {
--- a/gateway/fleetlink.h
+++ b/gateway/fleetlink.h
@@ -34,6 +34,8 @@
     void endGrant(std::uint64_t life, std::uint64_t number);
     /// \returns a number for the next question.
     [[nodiscard]] std::uint64_t nextNumber() noexcept { return ++this->lastNumber; }
+    /// \returns the address at which this router hears others, once started.
+    [[nodiscard]] Endpoint localEndpoint() const;
     /// Adds a router's address, learnt from the store or the settings.
     void addRouter(const Endpoint &datagrams);
     /// \returns whether a router that the store answers was heard lately.
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -41,6 +41,8 @@
     void end();
     /// \returns the address at which callers are served, once open.
     [[nodiscard]] Endpoint callersAt() const;
+    /// \returns the address at which other routers are heard, once run.
+    [[nodiscard]] Endpoint datagramsAt() const { return this->fleet.localEndpoint(); }
     /// \returns the address at which the balancer asks, once open.
     [[nodiscard]] Endpoint readinessAt() const;
     /// Begins a planned stop: not ready at once, what runs is finished, what comes is served
--- a/include/plantainswitch/routing/choice.h
+++ b/include/plantainswitch/routing/choice.h
@@ -37,8 +37,9 @@
     /// The same for requests without prompts, which have no home: enough to spread those of one
     /// moment, too little to leave the data centre for.
     double plainSpread = 4.0;
-    /// Share of the shared tokens that the chain's own engine is taken to have cached unheard.
-    double homeTrust = 0.6;
+    /// How much dearer a token read anew is than its time for this request alone: it also delays
+    /// all others on that engine, and takes memory that other chains have there.
+    double readWeight = 2.0;
     /// An upstream is left out from boundFactor times the mean of running requests, plus
     /// boundExtra. Below the promised multiple of two by what routers don't yet know of each other.
     double boundFactor = 1.5;
@@ -119,6 +120,10 @@
     std::uint32_t overBound = 0;
     /// Requests above which an upstream of the service holds more than its share.
     double bound = 0.0;
+    /// It is the chain's own engine.
+    bool isHome = false;
+    /// What the chain's own engine would have cost, if another was chosen.
+    double homeDelay = 0.0;
 };
 
 /// \returns the upstream with the least expected delay, or nothing when none may be used. Those
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -25,17 +25,17 @@
                                     : request.chain.front();
 }
 
-double cachedTokens(const UpstreamState &state, bool isHome, const ChoiceRequest &request,
-                    const ChainMemory &memory, const ChoicePolicy &policy)
+double cachedTokens(const UpstreamState &state, bool isTrusted, const ChoiceRequest &request,
+                    const ChainMemory &memory)
 {
+    if (isTrusted) {
+        return sharedTokensOf(*request.prompt);
+    }
     const std::size_t known = memory.knownParts(request.chain, lifeOf(state.replica));
     double cached = 0.0;
     for (std::size_t i = 0; i < known; ++i) {
         cached += request.prompt->parts[i].tokens;
     }
-    if (isHome) {
-        cached = std::max(cached, policy.homeTrust * sharedTokensOf(*request.prompt));
-    }
     return cached;
 }
 
@@ -115,6 +115,18 @@
     return best;
 }
 
+/// \returns whether an engine that may be used is known to have all shared parts.
+bool isKnownAnywhere(std::span<UpstreamState *const> candidates, const ChoiceRequest &request,
+                     const ChainMemory &memory, const Survey &seen, TimePoint now)
+{
+    const std::size_t shared = request.chain.size() - 1;
+    return std::any_of(candidates.begin(), candidates.end(), [&](const UpstreamState *state) {
+        return !state->replica.leaving
+               && !(seen.avoidanceHolds && isAvoided(state->health, now))
+               && memory.knownParts(request.chain, lifeOf(state->replica)) >= shared;
+    });
+}
+
 /// Lower classes are only used when no higher one is left.
 enum class Fitness : std::uint8_t { Good, OverBound, Avoided, Unusable };
 
@@ -193,10 +205,16 @@
     const bool hasPrompt = request.prompt != nullptr && !request.chain.empty();
     const std::optional<std::size_t> home
         = hasPrompt ? homeOf(candidates, request, seen, now) : std::nullopt;
+    // Where nobody is known to have read the chain, its home is the one that all routers pick, so
+    // that it is read once. Once it is known, engines that have it go first: a home changes when
+    // engines come and go, and what is cached stays where it was.
+    const bool trustsHome
+        = hasPrompt && !isKnownAnywhere(candidates, request, memory, seen, now);
     std::optional<Choice> best;
     Fitness bestFitness = Fitness::Unusable;
     std::uint32_t avoided = 0;
     std::uint32_t overBound = 0;
+    double homeDelay = 0.0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const UpstreamState &state = *candidates[i];
         const Fitness fitness = fitnessOf(state, request, seen, now);
@@ -210,16 +228,18 @@
         if (hasPrompt) {
             choice.uncachedTokens
                 = std::max(0.0, tokensOf(*request.prompt)
-                                    - cachedTokens(state, home == i, request, memory, policy));
+                                    - cachedTokens(state, trustsHome && home == i, request, memory));
         }
         choice.expectedDelay
-            = (choice.uncachedTokens + state.ownUnread + state.peersUnread)
+            = (policy.readWeight * choice.uncachedTokens + state.ownUnread + state.peersUnread)
                   / policy.tokensPerMillisecond
               + queueDelay(state, policy) + extraDelayOf(state.health, now)
               + policy.failureDelay
                     * std::max(0.0, failureShareOf(state.health, now) - seen.meanFailureShare)
               + (home == i ? 0.0 : spillDelay(state, request, policy))
               + (state.replica.place == request.place ? 0.0 : policy.otherPlaceDelay);
+        choice.isHome = home == i;
+        homeDelay = choice.isHome ? choice.expectedDelay : homeDelay;
         if (!best || fitness < bestFitness
             || (fitness == bestFitness && choice.expectedDelay < best->expectedDelay)) {
             best = choice;
@@ -230,6 +250,7 @@
         best->avoided = avoided;
         best->overBound = overBound;
         best->bound = seen.bound;
+        best->homeDelay = homeDelay;
     }
     return best;
 }
--- a/tests/gatewayupstreams.cpp
+++ b/tests/gatewayupstreams.cpp
@@ -232,3 +232,32 @@
         CHECK(this->call(requestOf("/once/x", "a" + std::to_string(i))).body == "served");
     }
 }
+
+TEST_CASE_METHOD(GatewayUpstreamsFixture, "stream_keeperSilentAfterFailedAttempt_isServedElsewhere",
+                 "[gateway]")
+{
+    // An engine breaks a stream off just before its silence would count against it. The router
+    // asks the next engine's keeper, which has died unnoticed. The look at the first attempt comes
+    // due while nobody has the request: it once ended the whole process.
+    this->addCounting(
+        "model", 4, [](ServerConnection &connection, const SeenRequest &request, int number) {
+            if (number % 2 == 1) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(50));
+                connection.reset();
+                return;
+            }
+            connection.send(streamHead(request) + chunkOf(eventOf(1)) + "0\r\n\r\n");
+        });
+    this->start();
+    this->hearSilentRouter("router-2", "hall-a");
+    this->hearSilentRouter("router-3", "hall-a");
+    this->hearSilentRouter("router-4", "hall-a");
+    // As many as the retry budget of one of four routers allows.
+    for (int i = 0; i < 3; ++i) {
+        const SeenAnswer answer
+            = this->call(requestOf("/hasty/x", "a" + std::to_string(i), {},
+                                   "X-Model: m\r\nX-Token-Count: 30,5\r\nX-Prompt-Prefix: a"
+                                       + std::to_string(i) + ":10,b:20\r\n"));
+        CHECK(answer.status == 200);
+    }
+}
--- a/tests/support/gatewayfixture.cpp
+++ b/tests/support/gatewayfixture.cpp
@@ -2,9 +2,11 @@
 
 #include <array>
 #include <chrono>
+#include <future>
 
 #include <unistd.h>
 
+#include <asio/ip/udp.hpp>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
@@ -23,10 +25,11 @@
 {
     const auto route = [](const std::string &name, const std::string &kind,
                           const std::string &service, bool resumable) {
+        const int objective = name == "hasty" ? 20 : 1000;
         return nlohmann::json{{"name", name},          {"host", "h.example"},
                               {"pathPrefix", "/" + name + "/"},
                               {"kind", kind},          {"timeoutMs", 5000},
-                              {"goalMs", 1000},        {"priority", 0},
+                              {"goalMs", objective},        {"priority", 0},
                               {"service", service},    {"maxAttempts", 2},
                               {"anonymous", false},    {"sticky", resumable},
                               {"resumable", resumable}, {"gapGoalMs", 1000}};
@@ -36,7 +39,8 @@
         {"routes",
          {route("safe", "idempotent", "plain", false),
           route("once", "non_idempotent", "plain", false),
-          route("stream", "streaming", "model", true)}},
+          route("stream", "streaming", "model", true),
+          route("hasty", "streaming", "model", true)}},
         {"services", {{{"name", "plain"}}, {{"name", "model"}}}},
         {"limits",
          {{"maxHeaderBytes", 16384},
@@ -175,6 +179,9 @@
 GatewayFixture::~GatewayFixture()
 {
     this->stopped = true;
+    for (std::thread &router : this->routers) {
+        router.join();
+    }
     if (this->gateway) {
         this->gateway->post([this] { this->gateway->end(); });
         this->thread.join();
@@ -248,6 +255,33 @@
     eventually([this] { return this->isReady(); });
 }
 
+void GatewayFixture::hearSilentRouter(const std::string &id, const std::string &place)
+{
+    const Endpoint to = this->gateway->datagramsAt();
+    this->routers.emplace_back([this, id, place, to] {
+        asio::io_context context;
+        asio::ip::udp::socket socket(context, {asio::ip::make_address("127.0.0.1"), 0});
+        wire::GatewayDatagram datagram;
+        datagram.mutable_news()->set_id(id);
+        datagram.mutable_news()->set_place(place);
+        datagram.mutable_news()->set_incarnation(1);
+        for (std::uint64_t sequence = 1; !this->stopped; ++sequence) {
+            datagram.mutable_news()->set_sequence(sequence);
+            asio::error_code error;
+            socket.send_to(asio::buffer(datagram.SerializeAsString()),
+                           {asio::ip::make_address(to.host), to.port}, 0, error);
+            std::this_thread::sleep_for(lookPause);
+        }
+    });
+    eventually([this, id] {
+        std::promise<bool> known;
+        this->gateway->post([this, id, &known] {
+            known.set_value(this->gateway->shared().peers.knows(id));
+        });
+        return known.get_future().get();
+    });
+}
+
 std::string GatewayFixture::requestOf(const std::string &path, const std::string &attempt,
                                       const std::string &body, const std::string &more)
 {
--- a/tests/support/gatewayfixture.h
+++ b/tests/support/gatewayfixture.h
@@ -99,6 +99,8 @@
                                 ScriptedServer::Script script);
     /// Adds an upstream whose address refuses connections.
     void addDeadUpstream(const std::string &id, const std::string &service);
+    /// Makes the gateway hear another router, which never answers it, until the fixture ends.
+    void hearSilentRouter(const std::string &id, const std::string &place);
     /// Starts the gateway and waits until it is ready.
     void start();
     /// \returns a request as callers send it.
@@ -135,6 +137,7 @@
     std::string replicaItems;
     std::unique_ptr<ScriptedServer> store;
     std::thread thread;
+    std::vector<std::thread> routers;
     std::atomic<bool> stopped = false;
 };
 
