Avoid an engine after two silences, wherever they are seen

Cause: at 60 routers each sees an engine's answers twice a second, so that one late first token looked like a dark engine: up to 21 of 89 were avoided at once. Tests: health_silenceSeenByTwo_isADarkEngine, health_silencesFarApart_areChance; health_answerAgain_endsTheAvoidance now begins with an unreachable upstream, since one silence no longer avoids.

--- a/gateway/fleetlink.cpp
+++ b/gateway/fleetlink.cpp
@@ -1,6 +1,7 @@
 #include "fleetlink.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "plantainswitch/base/hash.h"
 #include "plantainswitch/membership/watchers.h"
@@ -368,7 +369,8 @@
     heard.stopping = message.stopping();
     for (const wire::ReplicaLoad &load : message.loads()) {
         heard.loads.push_back(
-            {load.life(), load.running(), load.unread_tokens(), Milliseconds{load.avoided_ms()}});
+            {load.life(), load.running(), load.unread_tokens(), Milliseconds{load.avoided_ms()},
+             load.silent()});
     }
     if (!this->gateway.peers.knows(heard.id)) {
         this->lastJoin = now;
@@ -385,6 +387,9 @@
         if (state != nullptr && load.avoided.count() > 0) {
             recordPeerAvoidance(state->health, now + load.avoided, now);
         }
+        if (state != nullptr && load.silent) {
+            recordPeerSilence(state->health, now);
+        }
     }
     for (const wire::ChainRead &read : message.chains()) {
         const std::uint64_t chain = read.chain();
@@ -411,14 +416,16 @@
     const TimePoint now = this->gateway.clock.now();
     for (const auto &[id, state] : this->gateway.upstreams.all()) {
         const bool avoided = state->health.ownAvoidUntil > now;
-        if (state->ownRunning == 0 && !avoided) {
+        const bool silent = std::exchange(state->health.hasUntoldSilence, false);
+        if (state->ownRunning == 0 && !avoided && !silent) {
             continue;
         }
         told.loads.push_back(
             {lifeOf(state->replica), state->ownRunning,
              static_cast<std::uint32_t>(std::max(0.0, state->ownUnread)),
              avoided ? std::chrono::duration_cast<Milliseconds>(state->health.ownAvoidUntil - now)
-                     : Milliseconds{0}});
+                     : Milliseconds{0},
+             silent});
     }
     auto &chains = this->gateway.newChains;
     const std::size_t count = std::min(chains.size(), mostChains);
@@ -465,6 +472,7 @@
         entry->set_running(load.running);
         entry->set_unread_tokens(load.unreadTokens);
         entry->set_avoided_ms(static_cast<std::uint32_t>(load.avoided.count()));
+        entry->set_silent(load.silent);
     }
     for (const ChainNews &chain : told.chains) {
         wire::ChainRead *const entry = message.add_chains();
--- a/include/plantainswitch/routing/health.h
+++ b/include/plantainswitch/routing/health.h
@@ -29,6 +29,11 @@
 inline constexpr Milliseconds shortestAvoidance{500};
 /// A crashed upstream is back after some seconds; it should not stay idle much longer.
 inline constexpr Milliseconds longestAvoidance{3000};
+/// Silences within suspicionHalfLife after which an upstream counts as down, heard here or from other
+/// routers. One alone may be a request's own bad luck: were an engine avoided for it, sixty routers
+/// which each see a sliver of its answers would keep a fifth of all engines idle.
+inline constexpr double silencesForDown = 1.8;
+inline constexpr Milliseconds suspicionHalfLife{700};
 /// Weight of one more outcome in the share of failures: some ten requests decide.
 inline constexpr double outcomeWeight = 0.1;
 /// Weight of one more delay in the mean.
@@ -45,6 +50,11 @@
     /// The part of it that this router has learnt itself, which is what it tells others: news
     /// that were handed on would keep each other alive.
     TimePoint ownAvoidUntil;
+    /// Silences heard of lately, halved each suspicionHalfLife.
+    double suspicion = 0.0;
+    TimePoint suspectedAt;
+    /// An own silence that other routers haven't been told of.
+    bool hasUntoldSilence = false;
     /// Share of requests failed, by recent outcomes; 0 to 1.
     double failureShare = 0.0;
     /// Mean delay beyond what was expected, in milliseconds.
@@ -70,6 +80,8 @@
 /// Takes a good answer into account.
 /// \param extraDelay time to its first byte beyond what was expected
 void recordSuccess(UpstreamHealth &health, Duration extraDelay, TimePoint now);
+/// Takes a peer's word that a request was silent there.
+void recordPeerSilence(UpstreamHealth &health, TimePoint now);
 /// Takes a peer's word that the upstream is down until \a until.
 void recordPeerAvoidance(UpstreamHealth &health, TimePoint until, TimePoint now);
 
--- a/include/plantainswitch/routing/peerloads.h
+++ b/include/plantainswitch/routing/peerloads.h
@@ -19,6 +19,8 @@
     std::uint32_t unreadTokens = 0;
     /// How long the sender still keeps away from it; 0: it doesn't.
     Milliseconds avoided{0};
+    /// A request of the sender's was silent there since its last news.
+    bool silent = false;
 };
 
 /// A chain that a router had an upstream read.
--- a/src/routing/health.cpp
+++ b/src/routing/health.cpp
@@ -33,6 +33,16 @@
     health.changedAt = now;
 }
 
+/// Takes one more silence into account. \returns whether they are enough.
+bool raiseSuspicion(UpstreamHealth &health, TimePoint now)
+{
+    const double halfLives = std::chrono::duration<double>(now - health.suspectedAt)
+                             / std::chrono::duration<double>(suspicionHalfLife);
+    health.suspicion = health.suspicion * std::exp2(-std::max(0.0, halfLives)) + 1.0;
+    health.suspectedAt = now;
+    return health.suspicion >= silencesForDown;
+}
+
 bool saysDown(UpstreamFault fault) noexcept
 {
     return fault == UpstreamFault::Unreachable || fault == UpstreamFault::Broken
@@ -60,7 +70,13 @@
     if (!saysDown(fault)) {
         return;
     }
-    // A single broken answer may be that request's own; being out of reach or silent is not.
+    if (fault == UpstreamFault::Silent) {
+        health.hasUntoldSilence = true;
+        if (!raiseSuspicion(health, now)) {
+            return;
+        }
+    }
+    // A single broken answer may be that request's own; being out of reach is not.
     health.downInRow += 1;
     if (fault == UpstreamFault::Broken && health.downInRow < 2) {
         return;
@@ -76,6 +92,7 @@
 {
     fade(health, now);
     health.downInRow = 0;
+    health.suspicion = 0.0;
     health.avoidUntil = std::min(health.avoidUntil, now);
     health.ownAvoidUntil = std::min(health.ownAvoidUntil, now);
     health.failureShare -= outcomeWeight * health.failureShare;
@@ -84,6 +101,13 @@
     health.extraDelay += delayWeight * (extra - health.extraDelay);
 }
 
+void recordPeerSilence(UpstreamHealth &health, TimePoint now)
+{
+    if (raiseSuspicion(health, now)) {
+        health.avoidUntil = std::max(health.avoidUntil, now + shortestAvoidance);
+    }
+}
+
 void recordPeerAvoidance(UpstreamHealth &health, TimePoint until, TimePoint now)
 {
     health.avoidUntil = std::max(health.avoidUntil, std::min(until, now + longestAvoidance));
--- a/tests/upstreamhealth.cpp
+++ b/tests/upstreamhealth.cpp
@@ -44,12 +44,33 @@
 
 TEST_CASE_METHOD(UpstreamHealthFixture, "health_answerAgain_endsTheAvoidance", "[routing]")
 {
-    recordFault(this->health, UpstreamFault::Silent, this->clock.now());
+    recordFault(this->health, UpstreamFault::Unreachable, this->clock.now());
+    REQUIRE(this->avoided());
     recordSuccess(this->health, Duration{0}, this->clock.now());
     CHECK_FALSE(this->avoided());
     CHECK(this->health.downInRow == 0);
 }
 
+TEST_CASE_METHOD(UpstreamHealthFixture, "health_silenceSeenByTwo_isADarkEngine", "[routing]")
+{
+    // An engine loses power. Each caller who waits for it loses its objective, so that the first
+    // two silences, wherever they are seen, must keep all others away. One alone may be chance.
+    recordFault(this->health, UpstreamFault::Silent, this->clock.now());
+    CHECK_FALSE(this->avoided());
+    CHECK(this->health.hasUntoldSilence);
+    recordPeerSilence(this->health, this->clock.now());
+    CHECK(this->avoided());
+}
+
+TEST_CASE_METHOD(UpstreamHealthFixture, "health_silencesFarApart_areChance", "[routing]")
+{
+    for (int i = 0; i < 20; ++i) {
+        recordFault(this->health, UpstreamFault::Silent, this->clock.now());
+        CHECK_FALSE(this->avoided());
+        this->clock.advance(2 * suspicionHalfLife);
+    }
+}
+
 TEST_CASE_METHOD(UpstreamHealthFixture, "health_halfOfRequestsFail_showsInTheShareAndFades",
                  "[routing]")
 {
