--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -63,8 +63,7 @@
 
 int runGateway(const std::string &path, bool onlyCheck)
 {
-    const auto load = [path] { return loadSettings(path, gateway::parseGatewaySettings); };
-    auto settings = load();
+    auto settings = loadSettings(path, gateway::parseGatewaySettings);
     if (!settings) {
         return exitBadInput;
     }
@@ -76,7 +75,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     const SystemClock clock;
     const platform::PlatformDialect dialect;
-    gateway::Gateway router(clock, dialect, std::move(*settings), load);
+    gateway::Gateway router(clock, dialect, std::move(*settings),
+                            [path] { return readFile(path); });
     router.run();
     return exitOk;
 }
@@ -104,11 +104,12 @@
 {
     options::options_description described("plantaind, the router daemon");
     described.add_options()("help", "show this text")("version", "show the version")(
-        "config", options::value<std::string>(), "the settings file")(
-        "config-env", options::value<std::string>(),
-        "the environment variable that holds the settings file's path")(
+        "config", options::value<std::string>(),
+        "the settings file")("config-env", options::value<std::string>(),
+                             "the environment variable that holds the settings file's path")(
         "dialect", options::value<std::string>()->default_value("own"),
-        "whom it serves: own (plantainswitch's callers and engines) or platform")("check-config", "check the settings and leave");
+        "whom it serves: own (plantainswitch's callers and engines) or platform")(
+        "check-config", "check the settings and leave");
     options::variables_map given;
     try {
         options::store(options::parse_command_line(argc, argv, described), given);
--- a/gateway/bytestream.cpp
+++ b/gateway/bytestream.cpp
@@ -12,7 +12,7 @@
 
 /// Bytes read at once. Shared by all connections, which are all read on the loop's one thread: a
 /// buffer of its own for each would cost megabytes with hundreds of open streams.
-constexpr std::size_t readSize = 64 * 1024;
+constexpr std::size_t readSize = 64 << 10;
 
 std::array<char, readSize> &readBuffer()
 {
@@ -131,10 +131,9 @@
             break;
         }
         asio::error_code error;
-        this->written += this->socket.write_some(
-            asio::buffer(this->writing.data() + this->written,
-                         this->writing.size() - this->written),
-            error);
+        this->written += this->socket.write_some(asio::buffer(this->writing.data() + this->written,
+                                                              this->writing.size() - this->written),
+                                                 error);
         if (error == asio::error::would_block || error == asio::error::try_again) {
             this->waitToWrite();
             return;
--- a/gateway/callerconnection.cpp
+++ b/gateway/callerconnection.cpp
@@ -8,7 +8,7 @@
 
 /// Bytes of further requests that are kept while one runs. More says that the caller doesn't wait
 /// for answers; reading is then paused, and with it the notice of its leaving.
-constexpr std::size_t mostAhead = 64 * 1024;
+constexpr std::size_t mostAhead = 64 << 10;
 
 } // namespace
 
@@ -29,9 +29,9 @@
                   this->incoming.head = std::move(head);
               },
               [this](std::string_view bytes) {
-                  this->tooLarge = this->tooLarge
-                                   || this->incoming.body.size() + bytes.size()
-                                          > this->limits.bodyBytes;
+                  this->tooLarge =
+                      this->tooLarge
+                      || this->incoming.body.size() + bytes.size() > this->limits.bodyBytes;
                   if (!this->tooLarge) {
                       this->incoming.body.append(bytes);
                   }
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -117,12 +117,10 @@
 
     /// Decodes a caller's request; nothing, with a reason, when it can't be served as it is.
     [[nodiscard]] virtual std::optional<CallerRequest> readRequest(const MessageHead &head,
-                                                                   Reason &reason) const
-        = 0;
+                                                                   Reason &reason) const = 0;
     /// \returns the head of \a request as the upstream gets it.
     [[nodiscard]] virtual std::string writeRequest(const CallerRequest &request,
-                                                   const Handover &handover) const
-        = 0;
+                                                   const Handover &handover) const = 0;
     [[nodiscard]] virtual UpstreamAnswer readAnswer(const MessageHead &head) const = 0;
     /// \returns the fields that a refusal of the router's own carries.
     [[nodiscard]] virtual std::vector<HeaderField>
@@ -134,17 +132,15 @@
     [[nodiscard]] virtual std::string listTarget(StoreKind kind, std::string_view after) const = 0;
     /// \returns path and query of a call that waits for changes after \a revision.
     [[nodiscard]] virtual std::string watchTarget(StoreKind kind, std::uint64_t revision,
-                                                  Milliseconds wait) const
-        = 0;
+                                                  Milliseconds wait) const = 0;
     /// \returns path and query of one object.
     [[nodiscard]] virtual std::string objectTarget(StoreKind kind, std::string_view name) const = 0;
     [[nodiscard]] virtual std::optional<StoreAnswer> readList(std::string_view body) const = 0;
     [[nodiscard]] virtual std::optional<StoreAnswer> readChanges(std::string_view body) const = 0;
-    [[nodiscard]] virtual std::optional<RoutingConfig>
-    readRouting(const std::string &document, std::string &fault) const = 0;
+    [[nodiscard]] virtual std::optional<RoutingConfig> readRouting(const std::string &document,
+                                                                   std::string &fault) const = 0;
     [[nodiscard]] virtual std::optional<Replica> readReplica(const StoreItem &item,
-                                                             std::string &fault) const
-        = 0;
+                                                             std::string &fault) const = 0;
     [[nodiscard]] virtual std::optional<RouterEntry> readRouter(const StoreItem &item) const = 0;
     /// \returns the body of a call that writes this router's own entry.
     [[nodiscard]] virtual std::string writeRouter(const RouterEntry &entry) const = 0;
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -14,10 +14,6 @@
 /// Time for a connection to an upstream to come about. Some fifty round trips between data
 /// centres; longer ones would cost a caller's whole objective before another upstream is tried.
 constexpr Milliseconds connectLimit{250};
-/// Connections that may fail for one request before it is refused as not run.
-constexpr std::uint32_t mostConnectFailures = 4;
-/// Upstreams that may turn one request away before it is refused.
-constexpr std::uint32_t mostRejections = 3;
 /// Keepers that are asked for one placement before the router chooses by what they told it.
 constexpr std::uint32_t mostFullKeepers = 2;
 /// Less time than this isn't enough for any answer.
@@ -33,11 +29,6 @@
 /// Pauses within a stream, in multiples of the longest one that callers accept, after which the
 /// stream goes on elsewhere.
 constexpr double stalledPauses = 1.5;
-/// Largest answer that is held whole before it is passed on.
-constexpr std::size_t largestAnswer = 16 << 20;
-/// Bytes queued for a slow caller at which its upstream is paused, and at which it goes on.
-constexpr std::size_t pauseAbove = 256 * 1024;
-constexpr std::size_t resumeBelow = 64 * 1024;
 /// When a caller should come back if no upstream could take its request: about the time in which
 /// an avoided upstream is tried again.
 constexpr Milliseconds comeBackAfter{400};
@@ -153,8 +144,7 @@
     this->grantedLife = question.life;
     const std::weak_ptr<Exchange> weak = this->weak_from_this();
     this->gateway.fleet->askKeeper(
-        std::move(question),
-        [weak, choice, id](const std::optional<EngineAnswer> &keeperAnswer) {
+        std::move(question), [weak, choice, id](const std::optional<EngineAnswer> &keeperAnswer) {
             const auto self = weak.lock();
             if (self && self->phase == Phase::Placing) {
                 self->onKeeperAnswer(choice, id, keeperAnswer);
@@ -175,8 +165,8 @@
         this->handTo(choice, id);
         return;
     }
-    const std::uint32_t others
-        = keeperAnswer->running - std::min(keeperAnswer->running, target->ownRunning);
+    const std::uint32_t others =
+        keeperAnswer->running - std::min(keeperAnswer->running, target->ownRunning);
     target->peersRunning = others;
     if (!keeperAnswer->granted) {
         this->grant = 0;
@@ -251,8 +241,8 @@
     handover.left = this->left();
     handover.workspace = this->workspace;
     handover.rank = this->rank;
-    handover.resumeAfter
-        = this->events.lastId() ? this->events.lastId() : this->request->resumeAfter;
+    handover.resumeAfter =
+        this->events.lastId() ? this->events.lastId() : this->request->resumeAfter;
     std::string bytes = this->gateway.dialect.writeRequest(*this->request, handover);
     bytes.append(this->request->body);
     const bool isHead = this->request->method == "HEAD";
@@ -260,12 +250,12 @@
     this->connection = this->gateway.upstreams.takeIdle(*target, mayRepeat(*this->route));
     if (this->connection) {
         this->path = "reused";
-        this->connection->send(std::move(bytes), this->answerEvents(), isHead);
+        this->connection->send(bytes, this->answerEvents(), isHead);
         return;
     }
     this->path = "new";
-    this->connection
-        = std::make_shared<UpstreamConnection>(this->gateway.context, this->gateway.clock);
+    this->connection =
+        std::make_shared<UpstreamConnection>(this->gateway.context, this->gateway.clock);
     this->connection->open(target->replica.endpoint, std::min(connectLimit, this->left()),
                            std::move(bytes), this->answerEvents(), isHead);
 }
@@ -293,10 +283,10 @@
 {
     using FloatMilliseconds = std::chrono::duration<double, std::milli>;
     if (this->phase == Phase::Waiting) {
-        const double allowed
-            = std::max(static_cast<double>(leastSilence.count()),
-                       silentPartOfObjective * FloatMilliseconds(this->route->objective).count())
-              + this->expectedDelay;
+        const double allowed =
+            std::max(static_cast<double>(leastSilence.count()),
+                     silentPartOfObjective * FloatMilliseconds(this->route->objective).count())
+            + this->expectedDelay;
         return this->sentAt + std::chrono::duration_cast<Duration>(FloatMilliseconds(allowed));
     }
     if (this->phase == Phase::Relaying && this->route->longestPause.count() > 0) {
@@ -360,212 +350,6 @@
               {"failure_share", fmt::format("{:.2f}", this->upstream->health.failureShare)}});
 }
 
-bool Exchange::onAnswerHead(const MessageHead &head)
-{
-    UpstreamAnswer decoded = this->gateway.dialect.readAnswer(head);
-    if (!decoded.attempt.empty() && decoded.attempt != this->request->attempt) {
-        logEvent(Event::UpstreamGarbage,
-                 {{"request", this->request->attempt},
-                  {"upstream", this->upstream->replica.id},
-                  {"why", "an answer to another request was skipped"}});
-        return false;
-    }
-    this->sawHead = true;
-    this->upstream->lastHeard = this->now();
-    this->answer = std::move(decoded);
-    return true;
-}
-
-void Exchange::onFirstByte()
-{
-    this->sawFirstByte = true;
-    const Duration took = this->now() - this->sentAt;
-    if (this->firstByteAfter == Duration{0}) {
-        this->firstByteAfter = this->now() - this->incoming.arrived;
-    }
-    const bool wasAvoided = isAvoided(this->upstream->health, this->now());
-    const auto expected = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(this->expectedDelay));
-    recordSuccess(this->upstream->health, took - expected, this->now());
-    if (wasAvoided) {
-        logEvent(Event::UpstreamUsedAgain, {{"upstream", this->upstream->replica.id},
-                                            {"request", this->request->attempt}});
-    }
-    if (this->holdsUnread) {
-        this->upstream->ownUnread -= this->unread;
-        this->holdsUnread = false;
-    }
-}
-
-void Exchange::onAnswerBody(std::string_view bytes)
-{
-    const auto self = this->shared_from_this();
-    if (this->phase == Phase::Done) {
-        return;
-    }
-    this->upstream->lastHeard = this->now();
-    const bool relays = this->answer.status == 200 && this->answer.isSigned
-                        && !this->answer.isEncoded && this->answer.isEventStream
-                        && !this->answer.attempt.empty();
-    if (!relays) {
-        this->body.append(bytes);
-        if (this->body.size() > largestAnswer) {
-            this->connection->drop();
-            this->onFault(UpstreamFault::Garbage);
-        }
-        return;
-    }
-    if (!this->sawFirstByte) {
-        this->onFirstByte();
-    }
-    this->relay(bytes);
-}
-
-void Exchange::relay(std::string_view bytes)
-{
-    std::string whole;
-    if (!this->events.feed(bytes, whole)) {
-        this->connection->drop();
-        this->onFault(UpstreamFault::Garbage);
-        return;
-    }
-    this->phase = Phase::Relaying;
-    if (whole.empty()) {
-        return;
-    }
-    if (!this->chunksBegun) {
-        this->chunksBegun = true;
-        this->caller->beginChunks(this->answer.status, this->answer.passedOn,
-                                  this->gateway.stopping);
-    }
-    this->caller->writeChunk(whole);
-    this->armTimer(this->nextLook());
-    if (this->caller->queuedBytes() > pauseAbove) {
-        this->connection->pauseReading();
-    }
-}
-
-void Exchange::onCallerDrained()
-{
-    if (this->phase == Phase::Relaying && this->connection
-        && this->caller->queuedBytes() < resumeBelow) {
-        this->connection->resumeReading();
-    }
-}
-
-void Exchange::onAnswerEnd(AnswerEnd end)
-{
-    const auto self = this->shared_from_this();
-    if (this->phase == Phase::Done) {
-        return;
-    }
-    if (end == AnswerEnd::NotConnected) {
-        this->onNotConnected();
-        return;
-    }
-    if (end != AnswerEnd::Whole) {
-        this->onFault(end == AnswerEnd::Garbage ? UpstreamFault::Garbage : UpstreamFault::Broken);
-        return;
-    }
-    this->gateway.upstreams.giveBack(*this->upstream, this->connection);
-    this->connection.reset();
-    if (this->answer.notRun) {
-        this->onNotRun();
-        return;
-    }
-    this->onWholeAnswer();
-}
-
-void Exchange::onNotConnected()
-{
-    this->recordUpstreamFault(UpstreamFault::Unreachable);
-    this->leaveUpstream();
-    this->connectFailures += 1;
-    if (this->connectFailures >= mostConnectFailures) {
-        this->giveUp();
-        return;
-    }
-    // Nothing was sent, so that this is no repeat.
-    this->logRetry("unreachable");
-    this->place();
-}
-
-void Exchange::onNotRun()
-{
-    // After "misdirected" the address is another upstream's; the list will say so.
-    this->recordUpstreamFault(this->answer.misdirected ? UpstreamFault::Unreachable
-                                                       : UpstreamFault::Full);
-    this->leaveUpstream();
-    this->rejections += 1;
-    if (this->rejections > mostRejections || !this->tryAgain("turned away")) {
-        this->giveUp();
-    }
-}
-
-void Exchange::onWholeAnswer()
-{
-    const bool isSuccess = this->answer.status >= 200 && this->answer.status < 300;
-    const bool isUsable = !this->answer.isEncoded && !this->answer.attempt.empty()
-                          && this->answer.isSigned;
-    if (!isUsable) {
-        this->onFault(UpstreamFault::Garbage);
-        return;
-    }
-    if (!isSuccess && this->answer.status >= 500) {
-        this->recordUpstreamFault(UpstreamFault::Failed);
-        if (this->mayRunAgain() && this->tryAgain("failed")) {
-            return;
-        }
-        this->passAnswerOn();
-        return;
-    }
-    if (isSuccess && this->answer.isEventStream) {
-        this->onWholeStream();
-        return;
-    }
-    this->onFirstByte();
-    this->passAnswerOn();
-}
-
-void Exchange::onWholeStream()
-{
-    if (this->events.hasPartial()) {
-        this->onFault(UpstreamFault::Broken);
-        return;
-    }
-    if (!this->chunksBegun) {
-        this->chunksBegun = true;
-        this->caller->beginChunks(this->answer.status, this->answer.passedOn,
-                                  this->gateway.stopping);
-    }
-    this->leaveUpstream();
-    this->caller->endChunks();
-    this->finish("whole");
-}
-
-void Exchange::passAnswerOn()
-{
-    this->leaveUpstream();
-    if (this->chunksBegun) {
-        // The stream's continuation was refused by its upstream: what the caller has is not whole.
-        this->caller->abort();
-        this->finish("cut");
-        return;
-    }
-    const int status = this->answer.status;
-    this->caller->respond(status, this->answer.passedOn, this->body, this->gateway.stopping);
-    this->finish(status < 300 ? "whole" : "failed-upstream");
-}
-
-void Exchange::onFault(UpstreamFault fault)
-{
-    this->recordUpstreamFault(fault);
-    if (this->mayRunAgain() && this->tryAgain(nameOf(fault))) {
-        return;
-    }
-    this->giveUp();
-}
-
 bool Exchange::mayRunAgain() const
 {
     return mayRepeat(*this->route) && this->runs + 1 < this->route->maxAttempts;
@@ -623,8 +407,9 @@
 void Exchange::giveUp()
 {
     const bool isOver = this->now() + leastTime >= this->deadline;
-    const bool mayHaveRun = this->runs > 0 || (this->upstream && this->phase != Phase::Placing
-                                               && !(this->sawHead && this->answer.notRun));
+    const bool mayHaveRun = this->runs > 0
+                            || (this->upstream && this->phase != Phase::Placing
+                                && !(this->sawHead && this->answer.notRun));
     if (mayHaveRun) {
         this->refuse(isOver ? ErrorKind::DeadlineExceeded : ErrorKind::UpstreamFailed,
                      isOver ? "no answer in time" : "the upstream failed");
@@ -633,8 +418,7 @@
     } else if (this->rejections > 0) {
         this->refuse(ErrorKind::Overloaded, "upstreams turned it away", comeBackAfter);
     } else {
-        this->refuse(ErrorKind::UpstreamUnreachable, "no upstream could be reached",
-                     comeBackAfter);
+        this->refuse(ErrorKind::UpstreamUnreachable, "no upstream could be reached", comeBackAfter);
     }
 }
 
--- a/gateway/fleetlink.cpp
+++ b/gateway/fleetlink.cpp
@@ -3,10 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "plantainswitch/base/hash.h"
 #include "plantainswitch/membership/watchers.h"
 #include "plantainswitch/observe/event.h"
-#include "plantainswitch/placement/rendezvous.h"
 
 namespace plantainswitch::gateway {
 
@@ -21,9 +19,6 @@
 constexpr Milliseconds longestNewsPause{1500};
 /// Pause before news that others wait for; changes of one moment are told together.
 constexpr Milliseconds soonPause{20};
-/// How long a keeper may take to answer: a few round trips between data centres and a turn of its
-/// loop. Then the router chooses by its own knowledge, which is better than waiting.
-constexpr Milliseconds keeperLimit{25};
 /// Pause between news to an address that doesn't answer: it may be another router's tomorrow.
 constexpr Milliseconds silentPause{2000};
 /// Chains told at once; those beyond it are left for the next news. Keeps a datagram under one
@@ -39,8 +34,7 @@
 
 } // namespace
 
-FleetLink::FleetLink(GatewayState &gateway, std::uint64_t incarnation,
-                     std::function<void()> onNews)
+FleetLink::FleetLink(GatewayState &gateway, std::uint64_t incarnation, std::function<void()> onNews)
     : gateway(gateway)
     , incarnation(incarnation)
     , onNews(std::move(onNews))
@@ -92,8 +86,8 @@
     const std::uint64_t own = this->gateway.table ? this->gateway.table->config().version : 0;
     const Contact *best = nullptr;
     for (const auto &[address, contact] : this->contacts) {
-        const bool knowsMore = contact.configVersion > own
-                               || contact.storeRevision > this->gateway.view.revision;
+        const bool knowsMore =
+            contact.configVersion > own || contact.storeRevision > this->gateway.view.revision;
         const bool isNear = contact.place == this->gateway.settings.place;
         if (contact.storeConnected && knowsMore && this->isHeard(contact)
             && (best == nullptr || isNear)) {
@@ -151,17 +145,17 @@
 
 void FleetLink::receive()
 {
-    this->socket.async_receive_from(
-        asio::buffer(this->buffer), this->sender,
-        [this](const asio::error_code &error, std::size_t size) {
-            if (this->stopped || error == asio::error::operation_aborted) {
-                return;
-            }
-            if (!error) {
-                this->onDatagram(size);
-            }
-            this->receive();
-        });
+    this->socket.async_receive_from(asio::buffer(this->buffer), this->sender,
+                                    [this](const asio::error_code &error, std::size_t size) {
+                                        if (this->stopped
+                                            || error == asio::error::operation_aborted) {
+                                            return;
+                                        }
+                                        if (!error) {
+                                            this->onDatagram(size);
+                                        }
+                                        this->receive();
+                                    });
 }
 
 void FleetLink::onDatagram(std::size_t size)
@@ -198,153 +192,6 @@
         asio::ip::udp::endpoint(asio::ip::make_address(address.host), address.port), 0, ignored);
 }
 
-std::optional<Endpoint> FleetLink::keeperOf(std::uint64_t life) const
-{
-    const UpstreamState *const engine = this->gateway.upstreams.findLife(life);
-    const std::string place = engine == nullptr ? std::string() : engine->replica.place;
-    // Near its engine, so that a data centre that is cut off keeps its own engines' counts.
-    const bool ownNear = place == this->gateway.settings.place && !this->gateway.stopping;
-    double highest = rendezvousScore(life, {hashOf(this->gateway.settings.id), 1.0});
-    bool bestNear = ownNear;
-    std::optional<Endpoint> best;
-    for (const auto &[address, contact] : this->contacts) {
-        if (!this->isHeard(contact) || contact.stopping) {
-            continue;
-        }
-        const bool isNear = contact.place == place;
-        const double score = rendezvousScore(life, {hashOf(contact.id), 1.0});
-        if ((isNear && !bestNear) || (isNear == bestNear && score > highest)) {
-            best = address;
-            highest = score;
-            bestNear = isNear;
-        }
-    }
-    return best;
-}
-
-void FleetLink::askKeeper(EngineQuestion question,
-                          std::function<void(std::optional<EngineAnswer>)> done)
-{
-    const std::optional<Endpoint> address = this->keeperOf(question.life);
-    if (!address) {
-        question.router = toText(this->gateway.settings.peerDatagrams);
-        const std::uint32_t told = this->gateway.peers.at(question.life).running;
-        const EngineAnswer answer
-            = this->keeper.ask(question, told, this->gateway.clock.now());
-        if (answer.granted) {
-            this->grantedBy[question.number] = this->gateway.settings.peerDatagrams;
-        }
-        done(answer);
-        return;
-    }
-    wire::GatewayDatagram datagram;
-    wire::EngineAsk &ask = *datagram.mutable_ask();
-    ask.set_number(question.number);
-    ask.set_life(question.life);
-    ask.set_tokens(question.tokens);
-    ask.set_bound(static_cast<float>(question.bound));
-    for (const std::uint64_t part : question.chain) {
-        ask.add_chain(part);
-    }
-    PendingAsk pending{std::move(done),
-                       std::make_unique<asio::steady_timer>(this->gateway.context, keeperLimit)};
-    pending.timer->async_wait([this, number = question.number](const asio::error_code &error) {
-        const auto found = this->asks.find(number);
-        if (error || found == this->asks.end()) {
-            return;
-        }
-        const auto waiting = std::move(found->second.done);
-        this->asks.erase(found);
-        this->gateway.metrics.count(Counter::SlotAskTimeouts);
-        waiting(std::nullopt);
-    });
-    this->asks.emplace(question.number, std::move(pending));
-    this->grantedBy[question.number] = *address;
-    this->gateway.metrics.count(Counter::SlotAsks);
-    this->sendTo(*address, datagram);
-}
-
-void FleetLink::onAsk(const wire::EngineAsk &message, const Endpoint &from)
-{
-    EngineQuestion question;
-    question.router = toText(from);
-    question.number = message.number();
-    question.life = message.life();
-    question.tokens = message.tokens();
-    question.bound = message.bound();
-    question.chain.assign(message.chain().begin(), message.chain().end());
-    const UpstreamState *const engine = this->gateway.upstreams.findLife(question.life);
-    const std::uint32_t own = engine == nullptr ? 0 : engine->ownRunning;
-    const std::uint32_t told = own + this->gateway.peers.at(question.life).running;
-    const EngineAnswer answer = this->keeper.ask(question, told, this->gateway.clock.now());
-    wire::GatewayDatagram datagram;
-    wire::EngineReply &reply = *datagram.mutable_reply();
-    reply.set_number(question.number);
-    reply.set_life(question.life);
-    reply.set_granted(answer.granted);
-    reply.set_running(answer.running);
-    reply.set_unread_tokens(static_cast<std::uint32_t>(answer.unreadTokens));
-    reply.set_known_parts(answer.knownParts);
-    this->sendTo(from, datagram);
-}
-
-void FleetLink::onReply(const wire::EngineReply &message)
-{
-    const auto found = this->asks.find(message.number());
-    if (found == this->asks.end()) {
-        // Too late: the request was placed without it, or has ended.
-        this->endGrant(message.life(), message.number());
-        return;
-    }
-    const auto waiting = std::move(found->second.done);
-    this->asks.erase(found);
-    if (!message.granted()) {
-        this->grantedBy.erase(message.number());
-    }
-    waiting(EngineAnswer{message.granted(), message.running(),
-                         static_cast<double>(message.unread_tokens()), message.known_parts()});
-}
-
-void FleetLink::endGrant(std::uint64_t life, std::uint64_t number)
-{
-    const auto found = this->grantedBy.find(number);
-    if (found == this->grantedBy.end()) {
-        return;
-    }
-    const Endpoint address = found->second;
-    this->grantedBy.erase(found);
-    if (address == this->gateway.settings.peerDatagrams) {
-        this->keeper.end(toText(address), number, life);
-        return;
-    }
-    wire::GatewayDatagram datagram;
-    datagram.mutable_end()->set_number(number);
-    datagram.mutable_end()->set_life(life);
-    this->sendTo(address, datagram);
-}
-
-void FleetLink::forgetGrants(const std::string &id)
-{
-    for (const auto &[address, contact] : this->contacts) {
-        if (contact.id == id) {
-            this->keeper.forgetRouter(toText(address));
-        }
-    }
-}
-
-void FleetLink::reconcileGrants(const RouterNews &heard)
-{
-    const std::string router = toText(Endpoint{this->sender.address().to_string(),
-                                               this->sender.port()});
-    for (const std::uint64_t life : this->keeper.livesOf(router)) {
-        std::uint32_t told = 0;
-        for (const PeerLoad &load : heard.loads) {
-            told += load.life == life ? load.running : 0;
-        }
-        this->keeper.reconcile(router, life, told, this->gateway.clock.now());
-    }
-}
-
 void FleetLink::onNewsMessage(const wire::RouterNews &message, const Endpoint &from)
 {
     if (message.id().empty()) {
@@ -352,8 +199,7 @@
         return;
     }
     const TimePoint now = this->gateway.clock.now();
-    Contact &contact
-        = this->contacts.try_emplace(from, Contact{{}, {}, from}).first->second;
+    Contact &contact = this->contacts.try_emplace(from, Contact{{}, {}, from}).first->second;
     contact.heard = now;
     contact.everHeard = true;
     contact.id = message.id();
@@ -368,9 +214,8 @@
     heard.sequence = message.sequence();
     heard.stopping = message.stopping();
     for (const wire::ReplicaLoad &load : message.loads()) {
-        heard.loads.push_back(
-            {load.life(), load.running(), load.unread_tokens(), Milliseconds{load.avoided_ms()},
-             load.silent()});
+        heard.loads.push_back({load.life(), load.running(), load.unread_tokens(),
+                               Milliseconds{load.avoided_ms()}, load.silent()});
     }
     if (!this->gateway.peers.knows(heard.id)) {
         this->lastJoin = now;
@@ -396,8 +241,7 @@
         this->gateway.upstreams.memory.note({&chain, 1}, read.life(), now);
     }
     for (const wire::Endpoint &other : message.others()) {
-        const auto endpoint
-            = endpointOf(other.host() + ":" + std::to_string(other.port()));
+        const auto endpoint = endpointOf(other.host() + ":" + std::to_string(other.port()));
         if (endpoint) {
             this->addRouter(*endpoint);
         }
--- a/gateway/fleetlink.h
+++ b/gateway/fleetlink.h
@@ -27,8 +27,8 @@
 
     void start();
     void stop();
-    /// Asks the keeper of \a question's engine. \a done comes once: with its answer, or with nothing
-    /// when it is silent for longer than a few round trips.
+    /// Asks the keeper of \a question's engine. \a done comes once: with its answer, or with
+    /// nothing when it is silent for longer than a few round trips.
     void askKeeper(EngineQuestion question, std::function<void(std::optional<EngineAnswer>)> done);
     /// Tells the keeper that a granted request has ended.
     void endGrant(std::uint64_t life, std::uint64_t number);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -18,15 +18,15 @@
 
 namespace plantainswitch::gateway {
 
-/// Reads the settings file again; nothing when it can't be used.
-using SettingsLoader = std::function<std::optional<GatewaySettings>()>;
+/// \returns the text of the settings file, or nothing when it can't be read.
+using SettingsSource = std::function<std::optional<std::string>()>;
 
 /// The router process on one thread: callers, upstreams, store and other routers around one loop.
 class Gateway
 {
 public:
     Gateway(const Clock &clock, const Dialect &dialect, GatewaySettings settings,
-            SettingsLoader loader = {});
+            SettingsSource source = {});
     ~Gateway();
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
@@ -73,12 +73,16 @@
     void catchUp();
     void takeCatchUp(const Endpoint &from, const PlainReply &reply);
     void endStopIfIdle();
-    void reload();
+    /// Takes the settings file again if its text has changed.
+    void reload(bool wasAsked);
     [[nodiscard]] bool isReady() const noexcept;
 
     asio::io_context context;
     GatewayState state;
-    SettingsLoader loader;
+    SettingsSource source;
+    /// The settings file as it was read last.
+    std::string settingsText;
+    TimePoint settingsReadAt;
     LogWriter log;
     Acceptor callerAcceptor;
     Acceptor readinessAcceptor;
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -30,8 +30,8 @@
         if (const auto endpoint = endpointOf(seed)) {
             settings.seeds.push_back(*endpoint);
         } else {
-            faults.push_back({fields.pathOf("seeds"), "\"" + seed + "\"",
-                              "an IP number, a colon and a port"});
+            faults.push_back(
+                {fields.pathOf("seeds"), "\"" + seed + "\"", "an IP number, a colon and a port"});
         }
     }
     fields.finish();
@@ -82,8 +82,7 @@
     readRetries(fields, settings.retries, faults);
     double grace = std::chrono::duration<double>(settings.grace).count();
     fields.read("graceSeconds", grace, 1.0, mostGraceSeconds);
-    settings.grace
-        = std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(grace));
+    settings.grace = std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(grace));
     readLog(fields, settings, faults);
     fields.finish();
     if (!faults.empty()) {
--- /dev/null
+++ b/gateway/gatewaystore.cpp
@@ -0,0 +1,241 @@
+#include "gateway.h"
+
+#include <algorithm>
+
+#include "plantainswitch/observe/event.h"
+
+#include "storeview.h"
+
+namespace plantainswitch::gateway {
+
+namespace {
+
+/// After its start a router lists once, and hears the others for so long before it chooses whether
+/// to watch: some of their first news, well below the bound on an edit's delay.
+constexpr Milliseconds hearingSpan{800};
+/// How long no router that the store answers may have been heard before this one watches itself.
+/// With it an edit is in force within the promised two seconds also when all watchers die at once.
+constexpr Milliseconds watcherPatience{1200};
+/// Time for another router to answer, some hundred round trips.
+constexpr Milliseconds catchUpLimit{1000};
+/// Time for the store to take this router's entry.
+constexpr Milliseconds announceLimit{2500};
+
+} // namespace
+
+void Gateway::takeRouting(const std::vector<StoreItem> &items)
+{
+    for (const StoreItem &item : items) {
+        std::string fault;
+        auto config =
+            item.deleted ? std::nullopt : this->state.dialect.readRouting(item.document, fault);
+        if (!config) {
+            logEvent(Event::EntryInvalid, {{"kind", "routing"},
+                                           {"name", item.name},
+                                           {"why", item.deleted ? "deleted" : fault}});
+            continue;
+        }
+        const std::uint64_t known = this->state.table ? this->state.table->config().version : 0;
+        if (this->state.table && config->version <= known) {
+            continue;
+        }
+        logEvent(Event::RoutingTaken, {{"version", std::to_string(config->version)},
+                                       {"before", std::to_string(known)},
+                                       {"routes", std::to_string(config->routes.size())},
+                                       {"workspaces", std::to_string(config->workspaces.size())}});
+        this->state.table = std::make_shared<const RoutingTable>(std::move(*config));
+        this->state.view.routing = item.document;
+        this->fleet.tellSoon();
+    }
+    this->watchReadiness();
+}
+
+void Gateway::takeReplicas(const std::vector<StoreItem> &items, bool isList, bool afterOutage)
+{
+    const TimePoint now = this->state.clock.now();
+    std::vector<Replica> listed;
+    std::vector<ReplicaEvent> events;
+    const auto keep = [&events](std::vector<ReplicaEvent> more) {
+        std::move(more.begin(), more.end(), std::back_inserter(events));
+    };
+    const std::uint64_t revision =
+        std::max(this->state.view.revision, this->replicas.heardRevision());
+    for (const StoreItem &item : items) {
+        if (item.deleted) {
+            keep(afterOutage ? this->state.directory.missRemoval(item.name, now)
+                             : this->state.directory.takeRemoval(item.name));
+            continue;
+        }
+        noteReplica(this->state.view, item.name, item.document, revision);
+        std::string fault;
+        auto replica = this->state.dialect.readReplica(item, fault);
+        if (!replica) {
+            logEvent(Event::EntryInvalid,
+                     {{"kind", "upstream"}, {"name", item.name}, {"why", fault}});
+            if (!isList) {
+                keep(this->state.directory.takeRemoval(item.name));
+            }
+            continue;
+        }
+        if (isList) {
+            listed.push_back(std::move(*replica));
+        } else {
+            keep(this->state.directory.takeEntry(std::move(*replica)));
+        }
+    }
+    if (isList) {
+        keep(this->state.directory.takeList(std::move(listed), afterOutage, now));
+        this->state.directoryKnown = true;
+    }
+    this->state.view.revision = revision;
+    this->applyReplicas(events);
+    this->watchReadiness();
+    if (this->replicas.isWatching()) {
+        this->trackStore();
+        this->fleet.tellSoon();
+    }
+}
+
+void Gateway::applyReplicas(const std::vector<ReplicaEvent> &events)
+{
+    this->state.upstreams.take(events);
+    this->state.peersChanged = true;
+    for (const ReplicaEvent &event : events) {
+        if (event.change == ReplicaChange::Gone) {
+            noteGone(this->state.view, event.replica.id);
+        }
+    }
+    for (const ReplicaEvent &event : events) {
+        logEvent(Event::ReplicaChanged, {{"upstream", event.replica.id},
+                                         {"change", std::string(nameOf(event.change))},
+                                         {"service", event.replica.service},
+                                         {"address", toText(event.replica.endpoint)},
+                                         {"place", event.replica.place},
+                                         {"born", std::to_string(event.replica.born)},
+                                         {"slots", std::to_string(event.replica.slots)}});
+    }
+}
+
+void Gateway::announce()
+{
+    if (this->announced) {
+        return;
+    }
+    this->announced = true;
+    // A fleet is found by its seeds. Where all of them are gone, a newcomer finds those that watch
+    // the store by their entries there; a failed write is made up for by the other watchers.
+    const RouterEntry own{this->state.settings.id, this->state.settings.peerDatagrams};
+    this->state.metrics.count(Counter::PlatformCalls);
+    this->announcer.call(
+        this->state.settings.store, "POST", this->state.dialect.listTarget(StoreKind::Routers, {}),
+        this->state.dialect.writeRouter(own), announceLimit, [this](const PlainReply &reply) {
+            logEvent(Event::Announced, {{"status", std::to_string(reply.status)}});
+            if (this->state.peers.routers() == 0) {
+                this->findRouters();
+            }
+        });
+}
+
+void Gateway::findRouters()
+{
+    this->state.metrics.count(Counter::PlatformCalls);
+    this->announcer.call(
+        this->state.settings.store, "GET", this->state.dialect.listTarget(StoreKind::Routers, {}),
+        {}, announceLimit, [this](const PlainReply &listed) {
+            const auto answer = this->state.dialect.readList(listed.body);
+            logEvent(Event::ObjectsListed,
+                     {{"kind", "routers"},
+                      {"objects", std::to_string(answer ? answer->items.size() : 0)},
+                      {"status", std::to_string(listed.status)}});
+            if (!answer) {
+                return;
+            }
+            for (const StoreItem &item : answer->items) {
+                if (const auto entry = this->state.dialect.readRouter(item)) {
+                    this->fleet.addRouter(entry->datagrams);
+                }
+            }
+        });
+}
+
+void Gateway::trackStore()
+{
+    StoreView &view = this->state.view;
+    view.connected = this->replicas.isWatching() && this->routing.isConnected()
+                     && this->replicas.isConnected() && this->state.directoryKnown;
+    if (view.connected) {
+        view.revision = std::max(view.revision, this->replicas.heardRevision());
+    }
+}
+
+void Gateway::decideWatching()
+{
+    const TimePoint now = this->state.clock.now();
+    if (now - this->startedAt < hearingSpan) {
+        return;
+    }
+    if (this->state.peers.routers() == 0 || this->fleet.isChosenToWatch()) {
+        this->announce();
+    }
+    if (this->fleet.hearsWatcher()) {
+        this->watcherHeard = now;
+    }
+    const bool isServed = now - std::max(this->watcherHeard, this->startedAt) < watcherPatience;
+    const bool watches = this->fleet.isChosenToWatch() || !isServed;
+    if (watches ? this->replicas.isWatching() : this->replicas.isPaused()) {
+        return;
+    }
+    logEvent(watches ? Event::WatchBegun : Event::WatchEnded,
+             {{"revision", std::to_string(this->state.view.revision)},
+              {"chosen", this->fleet.isChosenToWatch() ? "yes" : "no"}});
+    if (watches) {
+        this->routing.resume();
+        this->replicas.resume();
+    } else {
+        this->routing.pause();
+        this->replicas.pause();
+    }
+}
+
+void Gateway::catchUp()
+{
+    if (this->state.view.connected || this->catchUpClient.isBusy()) {
+        return;
+    }
+    const auto router = this->fleet.betterInformed();
+    if (!router) {
+        return;
+    }
+    const ViewQuestion question{this->state.view.revision,
+                                this->state.table ? this->state.table->config().version : 0};
+    this->catchUpClient.call(
+        *router, "GET", targetOf(question), {}, catchUpLimit,
+        [this, from = *router](const PlainReply &reply) { this->takeCatchUp(from, reply); });
+}
+
+void Gateway::takeCatchUp(const Endpoint &from, const PlainReply &reply)
+{
+    constexpr int ok = 200;
+    const auto view = reply.status == ok ? readStoreView(reply.body) : std::nullopt;
+    logEvent(Event::CaughtUp, {{"from", toText(from)},
+                               {"outcome", view ? "taken" : "failed"},
+                               {"before", std::to_string(this->state.view.revision)},
+                               {"revision", std::to_string(view ? view->revision : 0)},
+                               {"replicas", std::to_string(view ? view->replicas.size() : 0)}});
+    if (!view || this->state.view.connected) {
+        return;
+    }
+    if (!view->routing.empty()) {
+        this->takeRouting({{"", false, view->routing}});
+    }
+    std::vector<StoreItem> items;
+    for (const auto &[name, replica] : view->replicas) {
+        items.push_back({name, replica.gone, replica.document});
+    }
+    this->state.view.revision = std::max(this->state.view.revision, view->revision);
+    this->takeReplicas(items, false, false);
+    this->state.directoryKnown = true;
+    this->watchReadiness();
+}
+
+} // namespace plantainswitch::gateway
--- a/gateway/http1.cpp
+++ b/gateway/http1.cpp
@@ -23,9 +23,8 @@
     }
     const std::string_view name = line.substr(0, colon);
     return std::all_of(name.begin(), name.end(), isTokenCharacter)
-           && std::none_of(line.begin(), line.end(), [](unsigned char c) {
-                  return (c < ' ' && c != '\t') || c == 0x7f;
-              });
+           && std::none_of(line.begin(), line.end(),
+                           [](unsigned char c) { return (c < ' ' && c != '\t') || c == 0x7f; });
 }
 
 } // namespace
@@ -85,8 +84,7 @@
             this->head.bodyLength = this->parser.content_length;
         }
         if (this->kind == MessageKind::Request) {
-            this->head.method
-                = http_method_str(static_cast<http_method>(this->parser.method));
+            this->head.method = http_method_str(static_cast<http_method>(this->parser.method));
         } else {
             this->head.status = static_cast<int>(this->parser.status_code);
         }
@@ -102,17 +100,16 @@
 bool sameName(std::string_view left, std::string_view right) noexcept
 {
     return left.size() == right.size()
-           && std::equal(left.begin(), left.end(), right.begin(),
-                         [](unsigned char a, unsigned char b) {
-                             return std::tolower(a) == std::tolower(b);
-                         });
+           && std::equal(
+               left.begin(), left.end(), right.begin(),
+               [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
 }
 
 const std::string *MessageHead::find(std::string_view name) const noexcept
 {
-    const auto found
-        = std::find_if(this->fields.begin(), this->fields.end(),
-                       [name](const HeaderField &field) { return sameName(field.name, name); });
+    const auto found =
+        std::find_if(this->fields.begin(), this->fields.end(),
+                     [name](const HeaderField &field) { return sameName(field.name, name); });
     return found == this->fields.end() ? nullptr : &found->value;
 }
 
@@ -286,8 +283,8 @@
 std::string_view phraseOf(int status) noexcept
 {
     switch (status) {
-#define PLANTAINSWITCH_PHRASE(number, name, text) \
-    case number: \
+#define PLANTAINSWITCH_PHRASE(number, name, text)                                                  \
+    case number:                                                                                   \
         return #text;
         HTTP_STATUS_MAP(PLANTAINSWITCH_PHRASE)
 #undef PLANTAINSWITCH_PHRASE
--- a/gateway/logwriter.cpp
+++ b/gateway/logwriter.cpp
@@ -10,7 +10,7 @@
 /// Lines of this span are written together: each write is a system call.
 constexpr std::chrono::milliseconds gatherSpan{100};
 /// Bytes at which lines are written at once.
-constexpr std::size_t gatherBytes = 32 * 1024;
+constexpr std::size_t gatherBytes = 32 << 10;
 
 } // namespace
 
--- a/gateway/plainclient.cpp
+++ b/gateway/plainclient.cpp
@@ -18,11 +18,11 @@
     this->done = std::move(newDone);
     this->reply = {};
     this->calls += 1;
-    std::string request = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", method, target,
-                                      toText(server));
+    std::string request =
+        fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", method, target, toText(server));
     if (!body.empty()) {
-        request += fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n",
-                               body.size());
+        request +=
+            fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n", body.size());
     }
     request.append("\r\n").append(body);
     AnswerEvents events{[this](const MessageHead &head) {
@@ -45,8 +45,8 @@
         this->connection->send(request, std::move(events));
         return;
     }
-    this->connection
-        = std::make_shared<UpstreamConnection>(this->gateway.context, this->gateway.clock);
+    this->connection =
+        std::make_shared<UpstreamConnection>(this->gateway.context, this->gateway.clock);
     this->connectedTo = server;
     this->connection->open(server, std::min(connectLimit, timeout), std::move(request),
                            std::move(events));
--- a/gateway/plainclient.h
+++ b/gateway/plainclient.h
@@ -26,8 +26,7 @@
 
     /// Calls; \a done comes once, later.
     void call(const Endpoint &server, std::string_view method, const std::string &target,
-              const std::string &body, Milliseconds timeout,
-              std::function<void(PlainReply)> done);
+              const std::string &body, Milliseconds timeout, std::function<void(PlainReply)> done);
     /// Gives the call under way up; its \a done never comes.
     void abandon();
     /// \returns whether a call is under way.
--- a/gateway/storefollower.cpp
+++ b/gateway/storefollower.cpp
@@ -99,8 +99,8 @@
 
 void StoreFollower::onListed(const PlainReply &reply)
 {
-    auto answer = reply.status == statusOk ? this->gateway.dialect.readList(reply.body)
-                                           : std::nullopt;
+    auto answer =
+        reply.status == statusOk ? this->gateway.dialect.readList(reply.body) : std::nullopt;
     if (!answer) {
         this->listing.clear();
         this->onFailure(reply.status);
@@ -152,8 +152,8 @@
         this->list();
         return;
     }
-    auto answer = reply.status == statusOk ? this->gateway.dialect.readChanges(reply.body)
-                                           : std::nullopt;
+    auto answer =
+        reply.status == statusOk ? this->gateway.dialect.readChanges(reply.body) : std::nullopt;
     if (!answer) {
         this->onFailure(reply.status);
         return;
@@ -196,17 +196,16 @@
         return;
     }
     if (this->failures <= 2) {
-        logEvent(Event::PlatformUnreachable,
-                 {{"kind", std::string(nameOf(this->kind))},
-                  {"status", std::to_string(status)},
-                  {"revision", std::to_string(this->revision)}});
+        logEvent(Event::PlatformUnreachable, {{"kind", std::string(nameOf(this->kind))},
+                                              {"status", std::to_string(status)},
+                                              {"revision", std::to_string(this->revision)}});
     }
     this->wasOut = this->revision != 0;
     const std::uint32_t doublings = std::min(this->failures - 1, mostDoublings);
-    const Milliseconds pause
-        = std::min<Milliseconds>(shortestPause * (1 << doublings), longestPause);
-    const auto spread = static_cast<std::int64_t>(
-        hashOf(this->gateway.settings.id, this->failures) % 100);
+    const Milliseconds pause =
+        std::min<Milliseconds>(shortestPause * (1 << doublings), longestPause);
+    const auto spread =
+        static_cast<std::int64_t>(hashOf(this->gateway.settings.id, this->failures) % 100);
     this->later(pause + Milliseconds{spread}, &StoreFollower::list);
 }
 
--- a/gateway/storeview.cpp
+++ b/gateway/storeview.cpp
@@ -56,7 +56,8 @@
     }
     for (const auto &[name, replica] : view.replicas) {
         if (replica.revision > question.revision) {
-            json["replicas"][name] = replica.gone ? nlohmann::json() : nlohmann::json(replica.document);
+            json["replicas"][name] =
+                replica.gone ? nlohmann::json() : nlohmann::json(replica.document);
         }
     }
     return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/gateway/storeview.h
+++ b/gateway/storeview.h
@@ -32,7 +32,8 @@
 /// \returns the view that \a text holds, or nothing.
 [[nodiscard]] std::optional<StoreView> readStoreView(std::string_view text);
 
-/// Notes an upstream's entry in \a view as of \a revision; an unchanged one keeps its older revision.
+/// Notes an upstream's entry in \a view as of \a revision; an unchanged one keeps its older
+/// revision.
 void noteReplica(StoreView &view, const std::string &name, const std::string &document,
                  std::uint64_t revision);
 /// Notes that an upstream is gone.
--- a/gateway/upstreamconnection.cpp
+++ b/gateway/upstreamconnection.cpp
@@ -38,33 +38,32 @@
             self->connecting.close(ignored);
         }
     });
-    this->connecting.async_connect(
-        target,
-        [self, request = std::move(request), isHead](const asio::error_code &error) mutable {
-            self->timer.cancel();
-            if (!self->busy) {
-                return;
-            }
-            if (error) {
-                self->finish(AnswerEnd::NotConnected);
-                return;
-            }
-            prepareSocket(self->connecting);
-            self->stream = std::make_shared<ByteStream>(std::move(self->connecting));
-            const std::weak_ptr<UpstreamConnection> weak = self;
-            self->stream->start({[weak](std::string_view bytes) {
-                                     if (const auto held = weak.lock()) {
-                                         held->onBytes(bytes);
-                                     }
-                                 },
-                                 [weak](bool inOrder) {
-                                     if (const auto held = weak.lock()) {
-                                         held->onClosed(inOrder);
-                                     }
-                                 },
-                                 {}});
-            self->begin(request, isHead);
-        });
+    this->connecting.async_connect(target, [self, request = std::move(request),
+                                            isHead](const asio::error_code &error) mutable {
+        self->timer.cancel();
+        if (!self->busy) {
+            return;
+        }
+        if (error) {
+            self->finish(AnswerEnd::NotConnected);
+            return;
+        }
+        prepareSocket(self->connecting);
+        self->stream = std::make_shared<ByteStream>(std::move(self->connecting));
+        const std::weak_ptr<UpstreamConnection> weak = self;
+        self->stream->start({[weak](std::string_view bytes) {
+                                 if (const auto held = weak.lock()) {
+                                     held->onBytes(bytes);
+                                 }
+                             },
+                             [weak](bool inOrder) {
+                                 if (const auto held = weak.lock()) {
+                                     held->onClosed(inOrder);
+                                 }
+                             },
+                             {}});
+        self->begin(request, isHead);
+    });
 }
 
 void UpstreamConnection::send(const std::string &request, AnswerEvents newEvents, bool isHead)
@@ -143,9 +142,8 @@
     this->idleFrom = this->clock.now();
     const auto listener = std::move(this->events);
     this->events.reset();
-    const bool reusable = end == AnswerEnd::Whole && this->keepsAlive
-                          && !this->parser.hasSurplus() && this->stream
-                          && this->stream->queuedBytes() == 0;
+    const bool reusable = end == AnswerEnd::Whole && this->keepsAlive && !this->parser.hasSurplus()
+                          && this->stream && this->stream->queuedBytes() == 0;
     if (!reusable) {
         this->keepsAlive = false;
         if (this->stream) {
--- a/gateway/upstreamconnection.h
+++ b/gateway/upstreamconnection.h
@@ -16,7 +16,7 @@
 namespace plantainswitch::gateway {
 
 /// Largest head of an answer.
-inline constexpr std::size_t largestAnswerHead = 64 * 1024;
+inline constexpr std::size_t largestAnswerHead = 64 << 10;
 
 /// How the use of a connection for one request ended.
 enum class AnswerEnd : std::uint8_t {
--- a/gateway/upstreams.cpp
+++ b/gateway/upstreams.cpp
@@ -87,8 +87,7 @@
     return nullptr;
 }
 
-void Upstreams::giveBack(const UpstreamState &state,
-                         std::shared_ptr<UpstreamConnection> connection)
+void Upstreams::giveBack(const UpstreamState &state, std::shared_ptr<UpstreamConnection> connection)
 {
     if (connection->isReusable()) {
         this->idle[lifeOf(state.replica)].push_back(std::move(connection));
@@ -100,8 +99,8 @@
     const TimePoint now = this->clock.now();
     for (auto &[life, connections] : this->idle) {
         std::erase_if(connections, [now](const std::shared_ptr<UpstreamConnection> &connection) {
-            const bool stale
-                = !connection->isReusable() || now - connection->idleSince() > longestIdle;
+            const bool stale =
+                !connection->isReusable() || now - connection->idleSince() > longestIdle;
             if (stale) {
                 connection->drop();
             }
--- a/include/plantainswitch/observe/linebuffer.h
+++ b/include/plantainswitch/observe/linebuffer.h
@@ -13,10 +13,10 @@
 struct LineBufferLimits
 {
     /// Bytes above which lines below warnings are dropped.
-    std::size_t ordinaryBytes = 192 * 1024;
+    std::size_t ordinaryBytes = 192 << 10;
     /// Bytes above which all lines are dropped. A reader of standard output that stands still
     /// must cost neither memory nor a request.
-    std::size_t allBytes = 256 * 1024;
+    std::size_t allBytes = 256 << 10;
 };
 
 /// Log lines on their way to standard output, bounded: ordinary ones are dropped first.
--- a/include/plantainswitch/routing/health.h
+++ b/include/plantainswitch/routing/health.h
@@ -29,9 +29,9 @@
 inline constexpr Milliseconds shortestAvoidance{500};
 /// A crashed upstream is back after some seconds; it should not stay idle much longer.
 inline constexpr Milliseconds longestAvoidance{3000};
-/// Silences within suspicionHalfLife after which an upstream counts as down, heard here or from other
-/// routers. One alone may be a request's own bad luck: were an engine avoided for it, sixty routers
-/// which each see a sliver of its answers would keep a fifth of all engines idle.
+/// Silences within suspicionHalfLife after which an upstream counts as down, heard here or from
+/// other routers. One alone may be a request's own bad luck: were an engine avoided for it, sixty
+/// routers which each see a sliver of its answers would keep a fifth of all engines idle.
 inline constexpr double silencesForDown = 1.8;
 inline constexpr Milliseconds suspicionHalfLife{700};
 /// Weight of one more outcome in the share of failures: some ten requests decide.
--- a/src/observe/linebuffer.cpp
+++ b/src/observe/linebuffer.cpp
@@ -7,8 +7,8 @@
 bool LineBuffer::push(Severity severity, std::string_view line)
 {
     const std::size_t waiting = this->bytes.size() - this->begin + line.size();
-    const std::size_t most
-        = severity < Severity::Warning ? this->limits.ordinaryBytes : this->limits.allBytes;
+    const std::size_t most =
+        severity < Severity::Warning ? this->limits.ordinaryBytes : this->limits.allBytes;
     if (waiting > most) {
         ++this->dropped;
         return false;
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -11,8 +11,7 @@
 
 bool wasTried(const Replica &replica, const ChoiceRequest &request)
 {
-    return std::find(request.tried.begin(), request.tried.end(), replica.id)
-           != request.tried.end();
+    return std::find(request.tried.begin(), request.tried.end(), replica.id) != request.tried.end();
 }
 
 /// \returns the hash by which the request's chain finds its engine: that of all shared parts.
@@ -46,8 +45,7 @@
     const std::uint64_t key = request.chain.empty() ? request.hash : homeKey(request);
     const double spread = request.chain.empty() ? policy.plainSpread : policy.spillSpread;
     constexpr std::uint64_t steps = 1024;
-    return spread * static_cast<double>(mixHash(key, hashOf(state.replica.id)) % steps)
-           / steps;
+    return spread * static_cast<double>(mixHash(key, hashOf(state.replica.id)) % steps) / steps;
 }
 
 double queueDelay(const UpstreamState &state, const ChoicePolicy &policy)
@@ -73,8 +71,7 @@
     double meanFailureShare = 0.0;
 };
 
-Survey survey(std::span<UpstreamState *const> candidates, const ChoicePolicy &policy,
-              TimePoint now)
+Survey survey(std::span<UpstreamState *const> candidates, const ChoicePolicy &policy, TimePoint now)
 {
     double running = 0.0;
     double failureShares = 0.0;
@@ -95,8 +92,7 @@
 }
 
 std::optional<std::size_t> homeOf(std::span<UpstreamState *const> candidates,
-                                  const ChoiceRequest &request, const Survey &seen,
-                                  TimePoint now)
+                                  const ChoiceRequest &request, const Survey &seen, TimePoint now)
 {
     std::optional<std::size_t> best;
     double highest = 0.0;
@@ -105,8 +101,7 @@
         if (state.replica.leaving || (seen.avoidanceHolds && isAvoided(state.health, now))) {
             continue;
         }
-        const double score
-            = rendezvousScore(homeKey(request), {hashOf(state.replica.id), 1.0});
+        const double score = rendezvousScore(homeKey(request), {hashOf(state.replica.id), 1.0});
         if (!best || score > highest) {
             best = i;
             highest = score;
@@ -121,8 +116,7 @@
 {
     const std::size_t shared = request.chain.size() - 1;
     return std::any_of(candidates.begin(), candidates.end(), [&](const UpstreamState *state) {
-        return !state->replica.leaving
-               && !(seen.avoidanceHolds && isAvoided(state->health, now))
+        return !state->replica.leaving && !(seen.avoidanceHolds && isAvoided(state->health, now))
                && memory.knownParts(request.chain, lifeOf(state->replica)) >= shared;
     });
 }
@@ -164,8 +158,7 @@
     }
 }
 
-std::size_t ChainMemory::knownParts(std::span<const std::uint64_t> chain,
-                                    std::uint64_t life) const
+std::size_t ChainMemory::knownParts(std::span<const std::uint64_t> chain, std::uint64_t life) const
 {
     std::size_t known = 0;
     for (const std::uint64_t part : chain) {
@@ -203,13 +196,12 @@
 {
     const Survey seen = survey(candidates, policy, now);
     const bool hasPrompt = request.prompt != nullptr && !request.chain.empty();
-    const std::optional<std::size_t> home
-        = hasPrompt ? homeOf(candidates, request, seen, now) : std::nullopt;
+    const std::optional<std::size_t> home =
+        hasPrompt ? homeOf(candidates, request, seen, now) : std::nullopt;
     // Where nobody is known to have read the chain, its home is the one that all routers pick, so
     // that it is read once. Once it is known, engines that have it go first: a home changes when
     // engines come and go, and what is cached stays where it was.
-    const bool trustsHome
-        = hasPrompt && !isKnownAnywhere(candidates, request, memory, seen, now);
+    const bool trustsHome = hasPrompt && !isKnownAnywhere(candidates, request, memory, seen, now);
     std::optional<Choice> best;
     Fitness bestFitness = Fitness::Unusable;
     std::uint32_t avoided = 0;
@@ -226,18 +218,18 @@
         Choice choice;
         choice.index = i;
         if (hasPrompt) {
-            choice.uncachedTokens
-                = std::max(0.0, tokensOf(*request.prompt)
-                                    - cachedTokens(state, trustsHome && home == i, request, memory));
+            choice.uncachedTokens =
+                std::max(0.0, tokensOf(*request.prompt)
+                                  - cachedTokens(state, trustsHome && home == i, request, memory));
         }
-        choice.expectedDelay
-            = (policy.readWeight * choice.uncachedTokens + state.ownUnread + state.peersUnread)
-                  / policy.tokensPerMillisecond
-              + queueDelay(state, policy) + extraDelayOf(state.health, now)
-              + policy.failureDelay
-                    * std::max(0.0, failureShareOf(state.health, now) - seen.meanFailureShare)
-              + (home == i ? 0.0 : spillDelay(state, request, policy))
-              + (state.replica.place == request.place ? 0.0 : policy.otherPlaceDelay);
+        choice.expectedDelay =
+            (policy.readWeight * choice.uncachedTokens + state.ownUnread + state.peersUnread)
+                / policy.tokensPerMillisecond
+            + queueDelay(state, policy) + extraDelayOf(state.health, now)
+            + policy.failureDelay
+                  * std::max(0.0, failureShareOf(state.health, now) - seen.meanFailureShare)
+            + (home == i ? 0.0 : spillDelay(state, request, policy))
+            + (state.replica.place == request.place ? 0.0 : policy.otherPlaceDelay);
         choice.isHome = home == i;
         homeDelay = choice.isHome ? choice.expectedDelay : homeDelay;
         if (!best || fitness < bestFitness
--- a/src/routing/enginekeeper.cpp
+++ b/src/routing/enginekeeper.cpp
@@ -13,8 +13,8 @@
     if (question.chain.empty()) {
         return question.tokens;
     }
-    const double share
-        = static_cast<double>(question.chain.size() - known) / static_cast<double>(question.chain.size());
+    const double share = static_cast<double>(question.chain.size() - known)
+                         / static_cast<double>(question.chain.size());
     return share * question.tokens;
 }
 
--- a/src/routing/fleetretries.cpp
+++ b/src/routing/fleetretries.cpp
@@ -7,8 +7,8 @@
 FleetRetries::Account &FleetRetries::refill(const std::string &service, std::uint32_t routers,
                                             TimePoint now)
 {
-    const double share
-        = this->limit.usedPart * this->limit.margin / std::max<std::uint32_t>(routers, 1);
+    const double share =
+        this->limit.usedPart * this->limit.margin / std::max<std::uint32_t>(routers, 1);
     const auto [found, isNew] = this->accounts.try_emplace(service);
     Account &account = found->second;
     if (isNew) {
--- a/src/routing/health.cpp
+++ b/src/routing/health.cpp
@@ -20,8 +20,8 @@
     if (now <= then) {
         return 1.0;
     }
-    const double halfLives = std::chrono::duration<double>(now - then)
-                             / std::chrono::duration<double>(blameHalfLife);
+    const double halfLives =
+        std::chrono::duration<double>(now - then) / std::chrono::duration<double>(blameHalfLife);
     return std::exp2(-halfLives);
 }
 
@@ -82,8 +82,8 @@
         return;
     }
     const std::uint32_t doublings = std::min(health.downInRow - 1, mostDoublings);
-    const Milliseconds span
-        = std::min<Milliseconds>(shortestAvoidance * (1 << doublings), longestAvoidance);
+    const Milliseconds span =
+        std::min<Milliseconds>(shortestAvoidance * (1 << doublings), longestAvoidance);
     health.avoidUntil = std::max(health.avoidUntil, now + span);
     health.ownAvoidUntil = health.avoidUntil;
 }
@@ -96,8 +96,8 @@
     health.avoidUntil = std::min(health.avoidUntil, now);
     health.ownAvoidUntil = std::min(health.ownAvoidUntil, now);
     health.failureShare -= outcomeWeight * health.failureShare;
-    const double extra
-        = std::max(0.0, std::chrono::duration<double, std::milli>(extraDelay).count());
+    const double extra =
+        std::max(0.0, std::chrono::duration<double, std::milli>(extraDelay).count());
     health.extraDelay += delayWeight * (extra - health.extraDelay);
 }
 
--- a/src/routing/replica.cpp
+++ b/src/routing/replica.cpp
@@ -23,8 +23,8 @@
     this->missing.erase(replica.id);
     const auto known = this->replicas.find(replica.id);
     if (known == this->replicas.end()) {
-        const ReplicaChange change
-            = replica.leaving ? ReplicaChange::Leaving : ReplicaChange::Appeared;
+        const ReplicaChange change =
+            replica.leaving ? ReplicaChange::Leaving : ReplicaChange::Appeared;
         this->replicas.emplace(replica.id, replica);
         return {{change, std::move(replica)}};
     }
--- a/tests/fleetretries.cpp
+++ b/tests/fleetretries.cpp
@@ -51,7 +51,7 @@
         for (std::size_t second = end - window; second < end; ++second) {
             sum += bySecond[second];
         }
-        const double requests = static_cast<double>(routers * requestsEach * window);
+        const double requests = 1.0 * routers * requestsEach * static_cast<double>(window);
         CHECK(sum <= this->limit.ratio * requests + this->limit.margin);
         CHECK(sum > 0);
     }
--- a/tests/gatewaycallers.cpp
+++ b/tests/gatewaycallers.cpp
@@ -74,8 +74,9 @@
     // what the router knows, never what the caller claims.
     this->addEcho();
     this->start();
-    this->call(requestOf("/once/x", "a1", "", "X-Tenant: beta\r\nX-Hold: h\r\nKv-From: 1:2/h\r\n"
-                                              "X-Expect-Instance: other\r\nX-Own: kept\r\n"));
+    this->call(requestOf("/once/x", "a1", "",
+                         "X-Tenant: beta\r\nX-Hold: h\r\nKv-From: 1:2/h\r\n"
+                         "X-Expect-Instance: other\r\nX-Own: kept\r\n"));
     REQUIRE(this->seenCount() == 1);
     const MessageHead &head = this->seen.front().head;
     CHECK(head.count("X-Tenant") == 1);
@@ -130,7 +131,9 @@
     };
     for (const std::string &rest : heads) {
         INFO(rest);
-        const SeenAnswer answer = this->call(head + rest + hidden);
+        std::string bytes = head;
+        bytes.append(rest).append(hidden);
+        const SeenAnswer answer = this->call(bytes);
         CHECK((answer.status == 0 || answer.status == 400));
     }
     CHECK(this->seenCount() == 0);
@@ -144,7 +147,7 @@
     asio::ip::tcp::socket socket = this->connectCaller();
     std::string all;
     for (int i = 0; i < 5; ++i) {
-        all += requestOf("/safe/x", "a" + std::to_string(i), std::to_string(i));
+        all.append(requestOf("/safe/x", "a" + std::to_string(i), std::to_string(i)));
     }
     asio::write(socket, asio::buffer(all));
     // One answer at a time: the fixture's parser keeps no bytes between calls.
@@ -163,15 +166,14 @@
     }
 }
 
-TEST_CASE_METHOD(GatewayCallersFixture, "gateway_bodyInChunks_reachesTheUpstreamWhole",
-                 "[gateway]")
+TEST_CASE_METHOD(GatewayCallersFixture, "gateway_bodyInChunks_reachesTheUpstreamWhole", "[gateway]")
 {
     this->addEcho();
     this->start();
-    const SeenAnswer answer = this->call(
-        "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n"
-        "Authorization: Bearer key-a\r\nTransfer-Encoding: chunked\r\n\r\n"
-        "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n");
+    const SeenAnswer answer =
+        this->call("POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n"
+                   "Authorization: Bearer key-a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n");
     CHECK(answer.body == "echo abcdefg");
 }
 
--- a/tests/gatewayupstreams.cpp
+++ b/tests/gatewayupstreams.cpp
@@ -13,8 +13,9 @@
 {
 protected:
     /// Adds upstreams of \a service whose \a script counts the requests that reach them.
-    void addCounting(const std::string &service, int count,
-                     const std::function<void(ServerConnection &, const SeenRequest &, int)> &script)
+    void
+    addCounting(const std::string &service, int count,
+                const std::function<void(ServerConnection &, const SeenRequest &, int)> &script)
     {
         for (int i = 0; i < count; ++i) {
             this->addUpstream(service + "-" + std::to_string(i), service,
@@ -67,10 +68,9 @@
 {
     this->addCounting("plain", 2,
                       [](ServerConnection &connection, const SeenRequest &request, int number) {
-                          connection.send(number == 1
-                                              ? "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
-                                                "Content-Length: 0\r\n\r\n"
-                                              : answerTo(request, "taken"));
+                          connection.send(number == 1 ? "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
+                                                        "Content-Length: 0\r\n\r\n"
+                                                      : answerTo(request, "taken"));
                       });
     this->start();
     CHECK(this->call(requestOf("/once/x", "a1")).body == "taken");
@@ -87,10 +87,9 @@
 
 TEST_CASE_METHOD(GatewayUpstreamsFixture, "upstream_says503WithoutNotRun_isNoRefusal", "[gateway]")
 {
-    this->addCounting("plain", 1,
-                      [](ServerConnection &connection, const SeenRequest &, int) {
-                          connection.send("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
-                      });
+    this->addCounting("plain", 1, [](ServerConnection &connection, const SeenRequest &, int) {
+        connection.send("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+    });
     this->start();
     CHECK(this->call(requestOf("/once/x", "a1")).status == 502);
 }
@@ -100,14 +99,17 @@
 {
     // Something else listens at the upstream's address, or it answers another request. Its bytes
     // must not pass for the answer.
-    this->addCounting("plain", 1, [](ServerConnection &connection, const SeenRequest &, int number) {
-        if (number == 1) {
-            connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nContent-Length: 3\r\n\r\nbad");
-        } else {
-            connection.send("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 3\r\n\r\nbad");
-        }
-        connection.close();
-    });
+    this->addCounting(
+        "plain", 1, [](ServerConnection &connection, const SeenRequest &, int number) {
+            if (number == 1) {
+                connection.send(
+                    "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nContent-Length: 3\r\n\r\nbad");
+            } else {
+                connection.send(
+                    "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 3\r\n\r\nbad");
+            }
+            connection.close();
+        });
     this->start();
     CHECK(this->call(requestOf("/once/x", "a1")).status == 502);
     CHECK(this->call(requestOf("/once/x", "a2")).status == 502);
@@ -131,13 +133,13 @@
 TEST_CASE_METHOD(GatewayUpstreamsFixture, "upstream_bytesBehindWholeAnswer_endItsConnection",
                  "[gateway]")
 {
-    ScriptedServer &server
-        = this->addUpstream("plain-x", "plain", [this](ServerConnection &connection) {
-              while (const auto request = connection.read()) {
-                  ++this->requests;
-                  connection.send(answerTo(*request, "mine") + answerTo(*request, "surplus"));
-              }
-          });
+    ScriptedServer &server =
+        this->addUpstream("plain-x", "plain", [this](ServerConnection &connection) {
+            while (const auto request = connection.read()) {
+                ++this->requests;
+                connection.send(answerTo(*request, "mine") + answerTo(*request, "surplus"));
+            }
+        });
     this->start();
     for (int i = 0; i < 3; ++i) {
         CHECK(this->call(requestOf("/safe/x", "a" + std::to_string(i))).body == "mine");
@@ -148,17 +150,16 @@
 TEST_CASE_METHOD(GatewayUpstreamsFixture, "upstream_answerWithoutLengthEndedByReset_isNotWhole",
                  "[gateway]")
 {
-    this->addCounting("plain", 1,
-                      [](ServerConnection &connection, const SeenRequest &, int number) {
-                          connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: a"
-                                          + std::to_string(number)
-                                          + "\r\nX-Server-Stamp: s\r\n\r\nhalf");
-                          if (number == 1) {
-                              connection.reset();
-                          } else {
-                              connection.close();
-                          }
-                      });
+    this->addCounting(
+        "plain", 1, [](ServerConnection &connection, const SeenRequest &, int number) {
+            connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: a" + std::to_string(number)
+                            + "\r\nX-Server-Stamp: s\r\n\r\nhalf");
+            if (number == 1) {
+                connection.reset();
+            } else {
+                connection.close();
+            }
+        });
     this->start();
     CHECK(this->call(requestOf("/once/x", "a1")).status == 502);
     const SeenAnswer ended = this->call(requestOf("/once/x", "a2"));
@@ -168,13 +169,12 @@
 
 TEST_CASE_METHOD(GatewayUpstreamsFixture, "upstream_brokenChunk_isNotAnEnd", "[gateway]")
 {
-    this->addCounting("plain", 1,
-                      [](ServerConnection &connection, const SeenRequest &, int) {
-                          connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
-                                          "X-Server-Stamp: s\r\n"
-                                          "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nzz\r\n");
-                          connection.close();
-                      });
+    this->addCounting("plain", 1, [](ServerConnection &connection, const SeenRequest &, int) {
+        connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+                        "X-Server-Stamp: s\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nzz\r\n");
+        connection.close();
+    });
     this->start();
     CHECK(this->call(requestOf("/once/x", "a1")).status == 502);
 }
@@ -224,8 +224,10 @@
 {
     // An upstream's process is gone and its address refuses connections. Nothing was sent, so
     // that even a request that may run only once goes to another one.
-    this->addCounting("plain", 1, [](ServerConnection &connection, const SeenRequest &request,
-                                     int) { connection.send(answerTo(request, "served")); });
+    this->addCounting("plain", 1,
+                      [](ServerConnection &connection, const SeenRequest &request, int) {
+                          connection.send(answerTo(request, "served"));
+                      });
     this->addDeadUpstream("plain-dead", "plain");
     this->start();
     for (int i = 0; i < 10; ++i) {
@@ -239,25 +241,25 @@
     // An engine breaks a stream off just before its silence would count against it. The router
     // asks the next engine's keeper, which has died unnoticed. The look at the first attempt comes
     // due while nobody has the request: it once ended the whole process.
-    this->addCounting(
-        "model", 4, [](ServerConnection &connection, const SeenRequest &request, int number) {
-            if (number % 2 == 1) {
-                std::this_thread::sleep_for(std::chrono::milliseconds(50));
-                connection.reset();
-                return;
-            }
-            connection.send(streamHead(request) + chunkOf(eventOf(1)) + "0\r\n\r\n");
-        });
+    this->addCounting("model", 4,
+                      [](ServerConnection &connection, const SeenRequest &request, int number) {
+                          if (number % 2 == 1) {
+                              std::this_thread::sleep_for(std::chrono::milliseconds(50));
+                              connection.reset();
+                              return;
+                          }
+                          connection.send(streamHead(request) + chunkOf(eventOf(1)) + "0\r\n\r\n");
+                      });
     this->start();
     this->hearSilentRouter("router-2", "hall-a");
     this->hearSilentRouter("router-3", "hall-a");
     this->hearSilentRouter("router-4", "hall-a");
     // As many as the retry budget of one of four routers allows.
     for (int i = 0; i < 3; ++i) {
-        const SeenAnswer answer
-            = this->call(requestOf("/hasty/x", "a" + std::to_string(i), {},
-                                   "X-Model: m\r\nX-Token-Count: 30,5\r\nX-Prompt-Prefix: a"
-                                       + std::to_string(i) + ":10,b:20\r\n"));
+        const SeenAnswer answer =
+            this->call(requestOf("/hasty/x", "a" + std::to_string(i), {},
+                                 "X-Model: m\r\nX-Token-Count: 30,5\r\nX-Prompt-Prefix: a"
+                                     + std::to_string(i) + ":10,b:20\r\n"));
         CHECK(answer.status == 200);
     }
 }
--- a/tests/pages.cpp
+++ b/tests/pages.cpp
@@ -140,7 +140,7 @@
 
 TEST_CASE("operatingPage_everySetting_isListed", "[pages]")
 {
-    const std::string page = textOf(root() / "docs/OPERATING.md");
+    const std::string page = textOf(root() / "docs/OPERATIONS.md");
     const auto rows = codeRows(page);
     const auto all = nlohmann::json::parse(textOf(root() / "settings/cooperative.json")).flatten();
     for (const auto &[path, value] : all.items()) {
--- a/tests/replicadirectory.cpp
+++ b/tests/replicadirectory.cpp
@@ -35,8 +35,7 @@
 TEST_CASE_METHOD(ReplicaDirectoryFixture, "replicas_listWithoutOne_dropsItAtOnce", "[routing]")
 {
     this->directory.takeList({replicaOf("a"), replicaOf("b")}, false, this->clock.now());
-    const auto events
-        = this->directory.takeList({replicaOf("a")}, false, this->clock.now());
+    const auto events = this->directory.takeList({replicaOf("a")}, false, this->clock.now());
     REQUIRE(events.size() == 1);
     CHECK(events.front().change == ReplicaChange::Gone);
     CHECK_FALSE(this->knows("b"));
--- a/tests/routes.cpp
+++ b/tests/routes.cpp
@@ -42,10 +42,9 @@
 
 TEST_CASE_METHOD(RoutesFixture, "routes_severalPrefixesFit_longestWins", "[routing]")
 {
-    const RoutingTable table = tableOf({routeTo("whole", "h.example", "/"),
-                                        routeTo("short", "h.example", "/a/"),
-                                        routeTo("long", "h.example", "/a/b/"),
-                                        routeTo("other", "g.example", "/a/b/c/")});
+    const RoutingTable table =
+        tableOf({routeTo("whole", "h.example", "/"), routeTo("short", "h.example", "/a/"),
+                 routeTo("long", "h.example", "/a/b/"), routeTo("other", "g.example", "/a/b/c/")});
     CHECK(found(table, "h.example", "/a/b/c/d") == "long");
     CHECK(found(table, "h.example", "/a/bc") == "short");
     CHECK(found(table, "h.example", "/ab/") == "whole");
--- a/tests/support/gatewayfixture.cpp
+++ b/tests/support/gatewayfixture.cpp
@@ -26,21 +26,19 @@
     const auto route = [](const std::string &name, const std::string &kind,
                           const std::string &service, bool resumable) {
         const int objective = name == "hasty" ? 20 : 1000;
-        return nlohmann::json{{"name", name},          {"host", "h.example"},
-                              {"pathPrefix", "/" + name + "/"},
-                              {"kind", kind},          {"timeoutMs", 5000},
-                              {"goalMs", objective},        {"priority", 0},
-                              {"service", service},    {"maxAttempts", 2},
-                              {"anonymous", false},    {"sticky", resumable},
-                              {"resumable", resumable}, {"gapGoalMs", 1000}};
+        return nlohmann::json{
+            {"name", name},       {"host", "h.example"}, {"pathPrefix", "/" + name + "/"},
+            {"kind", kind},       {"timeoutMs", 5000},   {"goalMs", objective},
+            {"priority", 0},      {"service", service},  {"maxAttempts", 2},
+            {"anonymous", false}, {"sticky", resumable}, {"resumable", resumable},
+            {"gapGoalMs", 1000}};
     };
     return nlohmann::json{
         {"version", 7},
         {"routes",
          {route("safe", "idempotent", "plain", false),
           route("once", "non_idempotent", "plain", false),
-          route("stream", "streaming", "model", true),
-          route("hasty", "streaming", "model", true)}},
+          route("stream", "streaming", "model", true), route("hasty", "streaming", "model", true)}},
         {"services", {{{"name", "plain"}}, {{"name", "model"}}}},
         {"limits",
          {{"maxHeaderBytes", 16384},
@@ -207,14 +205,10 @@
 void GatewayFixture::addEntry(const std::string &id, const std::string &service,
                               const Endpoint &endpoint)
 {
-    const nlohmann::json entry{{"service", service},
-                               {"address", toText(endpoint)},
-                               {"zone", "hall-a"},
-                               {"version", "v1"},
-                               {"slots", 4},
-                               {"state", "ready"},
-                               {"coldLeftMs", 0},
-                               {"sequence", 1}};
+    const nlohmann::json entry{{"service", service}, {"address", toText(endpoint)},
+                               {"zone", "hall-a"},   {"version", "v1"},
+                               {"slots", 4},         {"state", "ready"},
+                               {"coldLeftMs", 0},    {"sequence", 1}};
     this->replicaItems += (this->replicaItems.empty() ? "" : ",") + objectOf(id, entry.dump());
 }
 
@@ -231,8 +225,7 @@
         const std::string items = isRouting    ? objectOf("main", routingDocument())
                                   : isReplicas ? this->replicaItems
                                                : std::string();
-        connection.send(
-            plainAnswer(R"({"items":[)" + items + R"(],"hasMore":false,"asOf":5})"));
+        connection.send(plainAnswer(R"({"items":[)" + items + R"(],"hasMore":false,"asOf":5})"));
     }
 }
 
@@ -275,9 +268,8 @@
     });
     eventually([this, id] {
         std::promise<bool> known;
-        this->gateway->post([this, id, &known] {
-            known.set_value(this->gateway->shared().peers.knows(id));
-        });
+        this->gateway->post(
+            [this, id, &known] { known.set_value(this->gateway->shared().peers.knows(id)); });
         return known.get_future().get();
     });
 }
--- a/tests/upstreamchoice.cpp
+++ b/tests/upstreamchoice.cpp
@@ -197,9 +197,9 @@
     this->addEngines(1, "hall-a");
     this->addEngines(1, "hall-c");
     for (std::uint64_t hash = 0; hash < 50; ++hash) {
-        const auto choice
-            = chooseUpstream(this->pointers, {"hall-a", hashOf("r", hash), nullptr, {}, {}},
-                             this->memory, this->policy, this->clock.now());
+        const auto choice =
+            chooseUpstream(this->pointers, {"hall-a", hashOf("r", hash), nullptr, {}, {}},
+                           this->memory, this->policy, this->clock.now());
         REQUIRE(choice);
         CHECK(choice->index == 1);
     }
