Keep away from upstreams out of reach, however many they are

Three of four upstreams failed, above the share at which avoidance is ignored, so that each request tried all three for 250 ms each and was refused after 750 ms; prompts went to engines out of reach though two of their own were free. Ruled out: a late list (the removal had been heard at 26.8 s). Now an upstream not reached stays out until it is time to try again; after two failures in a row nobody waits for it, and a request with nowhere to go is refused at once. choice_mostEnginesFailAlike now brings its failures about by broken answers, since unreachable ones are no longer alike; its checks stand.

--- a/gateway/fleetlink.cpp
+++ b/gateway/fleetlink.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <utility>
 
+#include "plantainswitch/base/hash.h"
 #include "plantainswitch/membership/watchers.h"
 #include "plantainswitch/observe/event.h"
+#include "plantainswitch/placement/rendezvous.h"
 
 namespace plantainswitch::gateway {
 
@@ -85,13 +87,24 @@
 {
     const std::uint64_t own = this->gateway.table ? this->gateway.table->config().version : 0;
     const Contact *best = nullptr;
+    bool bestIsNear = false;
+    double highest = 0.0;
     for (const auto &[address, contact] : this->contacts) {
         const bool knowsMore =
             contact.configVersion > own || contact.storeRevision > this->gateway.view.revision;
+        if (!knowsMore || !this->isHeard(contact)) {
+            continue;
+        }
         const bool isNear = contact.place == this->gateway.settings.place;
-        if (contact.storeConnected && knowsMore && this->isHeard(contact)
-            && (best == nullptr || isNear)) {
+        // Each asks another one: were all to ask the same, its thin link would be busy for seconds
+        // with a large configuration. Whoever has got it hands it on.
+        const std::uint64_t turn = hashOf(this->gateway.settings.id, this->sequence);
+        const double score = rendezvousScore(turn, {hashOf(contact.id), 1.0});
+        if (best == nullptr || (isNear && !bestIsNear)
+            || (isNear == bestIsNear && score > highest)) {
             best = &contact;
+            bestIsNear = isNear;
+            highest = score;
         }
     }
     if (best == nullptr) {
--- a/gateway/fleetlink.h
+++ b/gateway/fleetlink.h
@@ -44,8 +44,7 @@
     [[nodiscard]] bool isChosenToWatch() const;
     /// Tells the others soon, because something changed that they wait for.
     void tellSoon();
-    /// \returns the address for calls of a router that the store still answers and that knows more
-    /// than this one.
+    /// \returns the address for calls of a router that knows more of the store than this one.
     [[nodiscard]] std::optional<Endpoint> betterInformed() const;
 
 private:
--- a/gateway/gatewaystore.cpp
+++ b/gateway/gatewaystore.cpp
@@ -16,8 +16,9 @@
 /// How long no router that the store answers may have been heard before this one watches itself.
 /// With it an edit is in force within the promised two seconds also when all watchers die at once.
 constexpr Milliseconds watcherPatience{1200};
-/// Time for another router to answer, some hundred round trips.
-constexpr Milliseconds catchUpLimit{1000};
+/// Time for another router to answer: a configuration of some hundred kilobytes over a thin link
+/// that three others share.
+constexpr Milliseconds catchUpLimit{2500};
 /// Time for the store to take this router's entry.
 constexpr Milliseconds announceLimit{2500};
 
--- a/gateway/storeview.cpp
+++ b/gateway/storeview.cpp
@@ -51,30 +51,33 @@
                            const ViewQuestion &question)
 {
     nlohmann::json json{{"revision", view.revision}, {"replicas", nlohmann::json::object()}};
-    if (configVersion > question.configVersion) {
-        json["routing"] = view.routing;
-    }
     for (const auto &[name, replica] : view.replicas) {
         if (replica.revision > question.revision) {
             json["replicas"][name] =
                 replica.gone ? nlohmann::json() : nlohmann::json(replica.document);
         }
     }
-    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    std::string text = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    text += '\n';
+    if (configVersion > question.configVersion) {
+        // As it came: quoting hundreds of kilobytes once more would take a small machine's share
+        // of a processor for a good part of a second.
+        text += view.routing;
+    }
+    return text;
 }
 
 std::optional<StoreView> readStoreView(std::string_view text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
-    if (!json.is_object() || !isUnsigned(json, "revision") || !json.contains("replicas")
-        || !json["replicas"].is_object()) {
+    const std::size_t end = text.find('\n');
+    const nlohmann::json json = nlohmann::json::parse(text.substr(0, end), nullptr, false);
+    if (end == std::string_view::npos || !json.is_object() || !isUnsigned(json, "revision")
+        || !json.contains("replicas") || !json["replicas"].is_object()) {
         return std::nullopt;
     }
     StoreView view;
     view.revision = json["revision"].get<std::uint64_t>();
-    if (json.contains("routing") && json["routing"].is_string()) {
-        view.routing = json["routing"].get<std::string>();
-    }
+    view.routing = text.substr(end + 1);
     for (const auto &[name, document] : json["replicas"].items()) {
         if (document.is_string()) {
             view.replicas[name] = {document.get<std::string>(), false, view.revision};
--- a/gateway/storeview.h
+++ b/gateway/storeview.h
@@ -25,7 +25,8 @@
 /// \returns the question that \a target asks, or nothing when it is not of a view.
 [[nodiscard]] std::optional<ViewQuestion> questionOf(std::string_view target);
 
-/// \returns the part of \a view that is newer than \a question, as JSON.
+/// \returns the part of \a view that is newer than \a question: one line of JSON for the upstreams,
+/// then the routing configuration as it came from the store.
 /// \param configVersion of the view's routing configuration
 [[nodiscard]] std::string writeStoreView(const StoreView &view, std::uint64_t configVersion,
                                          const ViewQuestion &question);
--- a/include/plantainswitch/routing/choice.h
+++ b/include/plantainswitch/routing/choice.h
@@ -127,8 +127,8 @@
 };
 
 /// \returns the upstream with the least expected delay, or nothing when none may be used. Those
-/// that leave or were tried are never used; those avoided or above the bound only when nothing
-/// else is left.
+/// that leave, were tried or could not be reached twice are never used; those above the bound,
+/// avoided or not reached once only when nothing else is left.
 [[nodiscard]] std::optional<Choice> chooseUpstream(std::span<UpstreamState *const> candidates,
                                                    const ChoiceRequest &request,
                                                    const ChainMemory &memory,
--- a/include/plantainswitch/routing/health.h
+++ b/include/plantainswitch/routing/health.h
@@ -47,6 +47,9 @@
     /// Faults in a row that say the upstream is down rather than that a request failed.
     std::uint32_t downInRow = 0;
     TimePoint avoidUntil;
+    /// Connections in a row that did not come about, and until when that stands.
+    std::uint32_t unreachableInRow = 0;
+    TimePoint unreachableUntil;
     /// The part of it that this router has learnt itself, which is what it tells others: news
     /// that were handed on would keep each other alive.
     TimePoint ownAvoidUntil;
@@ -87,6 +90,10 @@
 
 /// \returns whether new requests keep away from the upstream.
 [[nodiscard]] bool isAvoided(const UpstreamHealth &health, TimePoint now) noexcept;
+/// \returns how many connections in a row did not come about, or 0 once it is time to try again.
+/// Unlike other faults this one can't be the request's, and holds however many upstreams share it:
+/// in a data centre that is cut off, all others are out of reach.
+[[nodiscard]] std::uint32_t unreachableCount(const UpstreamHealth &health, TimePoint now) noexcept;
 /// \returns the share of requests that fail there, faded by the time since the last outcome.
 [[nodiscard]] double failureShareOf(const UpstreamHealth &health, TimePoint now) noexcept;
 /// \returns the extra delay in milliseconds, faded likewise.
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -78,7 +78,7 @@
     std::size_t usable = 0;
     std::size_t avoided = 0;
     for (const UpstreamState *state : candidates) {
-        if (state->replica.leaving) {
+        if (state->replica.leaving || unreachableCount(state->health, now) > 0) {
             continue;
         }
         ++usable;
@@ -98,7 +98,8 @@
     double highest = 0.0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const UpstreamState &state = *candidates[i];
-        if (state.replica.leaving || (seen.avoidanceHolds && isAvoided(state.health, now))) {
+        if (state.replica.leaving || unreachableCount(state.health, now) > 0
+            || (seen.avoidanceHolds && isAvoided(state.health, now))) {
             continue;
         }
         const double score = rendezvousScore(homeKey(request), {hashOf(state.replica.id), 1.0});
@@ -122,7 +123,7 @@
 }
 
 /// Lower classes are only used when no higher one is left.
-enum class Fitness : std::uint8_t { Good, OverBound, Avoided, Unusable };
+enum class Fitness : std::uint8_t { Good, OverBound, Avoided, Unreachable, Unusable };
 
 Fitness fitnessOf(const UpstreamState &state, const ChoiceRequest &request, const Survey &seen,
                   TimePoint now)
@@ -130,6 +131,12 @@
     if (state.replica.leaving || wasTried(state.replica, request)) {
         return Fitness::Unusable;
     }
+    const std::uint32_t unreachable = unreachableCount(state.health, now);
+    if (unreachable > 0) {
+        // A single lost packet looks the same; after two, a further try costs the caller as much
+        // again and is refused at once instead.
+        return unreachable == 1 ? Fitness::Unreachable : Fitness::Unusable;
+    }
     if (seen.avoidanceHolds && isAvoided(state.health, now)) {
         return Fitness::Avoided;
     }
@@ -210,7 +217,7 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const UpstreamState &state = *candidates[i];
         const Fitness fitness = fitnessOf(state, request, seen, now);
-        avoided += fitness == Fitness::Avoided ? 1 : 0;
+        avoided += fitness >= Fitness::Avoided ? 1 : 0;
         overBound += fitness == Fitness::OverBound ? 1 : 0;
         if (fitness == Fitness::Unusable) {
             continue;
--- a/src/routing/health.cpp
+++ b/src/routing/health.cpp
@@ -81,11 +81,15 @@
     if (fault == UpstreamFault::Broken && health.downInRow < 2) {
         return;
     }
+    health.unreachableInRow = fault == UpstreamFault::Unreachable ? health.unreachableInRow + 1 : 0;
     const std::uint32_t doublings = std::min(health.downInRow - 1, mostDoublings);
     const Milliseconds span =
         std::min<Milliseconds>(shortestAvoidance * (1 << doublings), longestAvoidance);
     health.avoidUntil = std::max(health.avoidUntil, now + span);
     health.ownAvoidUntil = health.avoidUntil;
+    if (fault == UpstreamFault::Unreachable) {
+        health.unreachableUntil = now + span;
+    }
 }
 
 void recordSuccess(UpstreamHealth &health, Duration extraDelay, TimePoint now)
@@ -93,6 +97,7 @@
     fade(health, now);
     health.downInRow = 0;
     health.suspicion = 0.0;
+    health.unreachableInRow = 0;
     health.avoidUntil = std::min(health.avoidUntil, now);
     health.ownAvoidUntil = std::min(health.ownAvoidUntil, now);
     health.failureShare -= outcomeWeight * health.failureShare;
@@ -118,6 +123,11 @@
     return now < health.avoidUntil;
 }
 
+std::uint32_t unreachableCount(const UpstreamHealth &health, TimePoint now) noexcept
+{
+    return now < health.unreachableUntil ? health.unreachableInRow : 0;
+}
+
 double failureShareOf(const UpstreamHealth &health, TimePoint now) noexcept
 {
     return health.failureShare * fadingSince(health.changedAt, now);
--- /dev/null
+++ b/tests/storeview.cpp
@@ -0,0 +1,85 @@
+#include <catch2/catch.hpp>
+
+#include "storeview.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::gateway;
+
+namespace {
+
+class StoreViewFixture
+{
+protected:
+    StoreViewFixture()
+    {
+        this->view.routing = R"({"version":9,"text":"a\\nb"})";
+        noteReplica(this->view, "a", R"({"state":"ready"})", 10);
+        noteReplica(this->view, "b", R"({"state":"ready"})", 20);
+        this->view.revision = 20;
+    }
+
+    [[nodiscard]] std::optional<StoreView> ask(const ViewQuestion &question) const
+    {
+        return readStoreView(writeStoreView(this->view, 9, question));
+    }
+
+    StoreView view;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(StoreViewFixture, "storeView_askedByNewRouter_tellsAll", "[gateway]")
+{
+    const auto told = this->ask({0, 0});
+    REQUIRE(told);
+    CHECK(told->routing == this->view.routing);
+    CHECK(told->replicas.size() == 2);
+    CHECK(told->revision == 20);
+}
+
+TEST_CASE_METHOD(StoreViewFixture, "storeView_askedForNews_tellsOnlyWhatIsNewer", "[gateway]")
+{
+    const auto told = this->ask({10, 9});
+    REQUIRE(told);
+    CHECK(told->routing.empty());
+    REQUIRE(told->replicas.size() == 1);
+    CHECK(told->replicas.contains("b"));
+}
+
+TEST_CASE_METHOD(StoreViewFixture, "storeView_upstreamGone_isToldToWhoeverAsksNext", "[gateway]")
+{
+    // An upstream is dropped some time after the store's last change. A router that had heard up
+    // to that change would keep sending to it if its end were noted at that revision.
+    noteGone(this->view, "a");
+    const auto told = this->ask({20, 9});
+    REQUIRE(told);
+    REQUIRE(told->replicas.contains("a"));
+    CHECK(told->replicas.at("a").gone);
+}
+
+TEST_CASE_METHOD(StoreViewFixture, "storeView_unchangedEntryListedAgain_keepsItsRevision",
+                 "[gateway]")
+{
+    noteReplica(this->view, "a", R"({"state":"ready"})", 30);
+    CHECK(this->view.replicas.at("a").revision == 10);
+    noteReplica(this->view, "a", R"({"state":"draining"})", 30);
+    CHECK(this->view.replicas.at("a").revision == 30);
+}
+
+TEST_CASE("storeView_question_isReadBack", "[gateway]")
+{
+    const auto question = questionOf(targetOf({123, 45}));
+    REQUIRE(question);
+    CHECK(question->revision == 123);
+    CHECK(question->configVersion == 45);
+    CHECK_FALSE(questionOf("/metrics"));
+    CHECK_FALSE(questionOf("/fleet/store?since=x"));
+}
+
+TEST_CASE("storeView_damagedText_isNoView", "[gateway]")
+{
+    CHECK_FALSE(readStoreView(""));
+    CHECK_FALSE(readStoreView("{}\n"));
+    CHECK_FALSE(readStoreView(R"({"revision":1,"replicas":{}})"));
+    CHECK(readStoreView("{\"revision\":1,\"replicas\":{}}\n"));
+}
--- a/tests/upstreamchoice.cpp
+++ b/tests/upstreamchoice.cpp
@@ -168,7 +168,9 @@
     // load on the one that is left, which would hold nine times its share.
     this->addEngines(9);
     for (std::size_t i = 0; i < 8; ++i) {
-        recordFault(this->pointers[i]->health, UpstreamFault::Unreachable, this->clock.now());
+        recordFault(this->pointers[i]->health, UpstreamFault::Broken, this->clock.now());
+        recordFault(this->pointers[i]->health, UpstreamFault::Broken, this->clock.now());
+        REQUIRE(isAvoided(this->pointers[i]->health, this->clock.now()));
     }
     std::map<std::size_t, int> picks;
     for (std::uint64_t subject = 1; subject <= 90; ++subject) {
@@ -180,6 +182,42 @@
     CHECK(picks.size() > 5);
 }
 
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_dataCentreCutOff_usesItsOwnEnginesOnly",
+                 "[routing]")
+{
+    // A data centre is cut off, with two of nine engines in it. Each try of another one costs its
+    // caller a connection's time-out, three of them the whole objective; the two that are left
+    // must get all work at once, though most of the service is out of reach.
+    this->addEngines(2, "hall-a");
+    this->addEngines(7, "hall-b");
+    for (std::size_t i = 2; i < 9; ++i) {
+        recordFault(this->pointers[i]->health, UpstreamFault::Unreachable, this->clock.now());
+    }
+    for (std::uint64_t subject = 1; subject <= 60; ++subject) {
+        const Prompt prompt = promptAbout(subject);
+        const auto choice = this->choose(prompt);
+        REQUIRE(choice);
+        CHECK(choice->index < 2);
+        this->hand(*choice, prompt);
+    }
+}
+
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_nobodyCanBeReached_refusesUntilItIsTimeToTry",
+                 "[routing]")
+{
+    this->addEngines(3);
+    for (UpstreamState *state : this->pointers) {
+        recordFault(state->health, UpstreamFault::Unreachable, this->clock.now());
+    }
+    CHECK(this->choose(promptAbout(1)));
+    for (UpstreamState *state : this->pointers) {
+        recordFault(state->health, UpstreamFault::Unreachable, this->clock.now());
+    }
+    CHECK_FALSE(this->choose(promptAbout(1)));
+    this->clock.advance(longestAvoidance);
+    CHECK(this->choose(promptAbout(1)));
+}
+
 TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_newLife_holdsNothingOfTheOld", "[routing]")
 {
     this->addEngines(1);
