Include a standard header before Asio in the log writer

Cause: Asio picks aligned_alloc or operator new by a macro that only a header of the standard library defines. logwriter.h included Asio first, so that memory allocated elsewhere by the one was freed there by the other. Tests now begin with standard headers too.

--- a/gateway/logwriter.h
+++ b/gateway/logwriter.h
@@ -1,5 +1,9 @@
 #pragma once
 
+// Before Asio: it sees what the standard library has only behind one of its headers, and would free
+// memory in another way here than files do that saw it.
+#include <cstddef>
+
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
--- a/tests/gatewaycallers.cpp
+++ b/tests/gatewaycallers.cpp
@@ -1,3 +1,7 @@
+#include <array>
+#include <atomic>
+#include <mutex>
+
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
--- a/tests/gatewayupstreams.cpp
+++ b/tests/gatewayupstreams.cpp
@@ -1,3 +1,6 @@
+#include <atomic>
+#include <functional>
+
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
