--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -103,7 +103,8 @@
 bool Exchange::isHeldBack()
 {
     CrashSuspects &suspects = this->gateway.suspects;
-    if (!suspects.isHeld(this->fingerprint, this->now())) {
+    if (!this->gateway.settings.mechanisms.quarantine
+        || !suspects.isHeld(this->fingerprint, this->now())) {
         return false;
     }
     const bool isFirst = this->gateway.fleet->isFirstFor(this->fingerprint);
@@ -122,7 +123,7 @@
         const double allowed =
             std::max(static_cast<double>(leastSilence.count()),
                      silentPartOfObjective * FloatMilliseconds(this->route->objective).count())
-            + this->expectedDelay;
+            + this->expectedDelay + this->extraDelay;
         return this->sentAt + std::chrono::duration_cast<Duration>(FloatMilliseconds(allowed));
     }
     if (this->phase == Phase::Relaying && this->route->longestPause.count() > 0) {
@@ -190,7 +191,8 @@
 {
     // What is held back has taken down enough upstreams: the attempt that it was let through for
     // was its only one.
-    return mayRepeat(*this->route) && this->runs + 1 < this->route->maxAttempts
+    return this->gateway.settings.mechanisms.retries && mayRepeat(*this->route)
+           && this->runs + 1 < this->route->maxAttempts
            && !this->gateway.suspects.isHeld(this->fingerprint, this->now());
 }
 
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -57,10 +57,13 @@
     /// \returns whether upstreams have crashed on the request, and it isn't its turn to be tried.
     bool isHeldBack();
     void place();
+    /// Rejects the request if the service is too busy for it. \returns whether it was admitted.
+    bool admitTo(const Choice &choice);
     /// Asks the engine's keeper whether the request fits there.
     void askKeeper(Placement placement);
     void onKeeperAnswer(Placement placement, const std::optional<EngineAnswer> &keeperAnswer);
     void endGrant();
+    [[nodiscard]] double promptTokens() const;
     void handTo(const Placement &placement);
     void send(const std::shared_ptr<UpstreamState> &target,
               const std::optional<Endpoint> &copyFrom);
@@ -83,6 +86,8 @@
     void onFault(UpstreamFault fault);
     void recordUpstreamFault(UpstreamFault fault);
     void onFirstByte();
+    /// Notes how long the request held its slot.
+    void recordHold();
 
     /// Tries once more where that is allowed. \returns false when it isn't.
     bool tryAgain(std::string_view why);
@@ -129,8 +134,15 @@
     std::uint64_t grantedLife = 0;
     bool holdsUnread = false;
     double unread = 0.0;
+    /// Time to the first byte that was expected of the upstream, without what it was slower lately.
     double expectedDelay = 0.0;
+    double extraDelay = 0.0;
+    /// What the upstream has to do before its first byte; its delay isn't known yet.
+    FirstByteSample sample;
+    /// The upstream may have more of the prompt than this router knows.
+    bool isFirstRead = false;
     TimePoint sentAt;
+    TimePoint firstByteAt;
     bool sawHead = false;
     bool sawFirstByte = false;
     UpstreamAnswer answer;
--- a/gateway/exchangeanswer.cpp
+++ b/gateway/exchangeanswer.cpp
@@ -36,7 +36,12 @@
 void Exchange::onFirstByte()
 {
     this->sawFirstByte = true;
-    const Duration took = this->now() - this->sentAt;
+    this->firstByteAt = this->now();
+    const Duration took = this->firstByteAt - this->sentAt;
+    if (!this->chain.empty() && !this->isFirstRead) {
+        this->sample.delay = took;
+        this->gateway.estimators[this->service].recordFirstByte(this->sample);
+    }
     if (this->firstByteAfter == Duration{0}) {
         this->firstByteAfter = this->now() - this->incoming.arrived;
     }
@@ -54,6 +59,19 @@
     }
 }
 
+void Exchange::recordHold()
+{
+    const UpstreamState &state = *this->upstream;
+    if (this->answer.isEventStream) {
+        this->gateway.estimators[this->service].recordHold(this->now() - this->firstByteAt);
+        return;
+    }
+    // A plain answer comes whole, so that its time in the upstream's queue can't be told apart.
+    if (state.replica.slots == 0 || runningAt(state) <= state.replica.slots) {
+        this->gateway.estimators[this->service].recordHold(this->now() - this->sentAt);
+    }
+}
+
 void Exchange::onAnswerBody(std::string_view bytes)
 {
     const auto self = this->shared_from_this();
@@ -186,6 +204,7 @@
         return;
     }
     this->onFirstByte();
+    this->recordHold();
     this->passAnswerOn();
 }
 
@@ -200,6 +219,7 @@
         this->caller->beginChunks(this->answer.status, this->answer.passedOn,
                                   this->gateway.stopping);
     }
+    this->recordHold();
     this->leaveUpstream();
     this->caller->endChunks();
     this->finish("whole");
--- a/gateway/exchangeplace.cpp
+++ b/gateway/exchangeplace.cpp
@@ -33,25 +33,68 @@
     const ChoiceRequest wish{this->gateway.settings.place, hashOf(this->request->attempt),
                              this->request->prompt ? &*this->request->prompt : nullptr, this->chain,
                              this->tried};
-    const auto choice = chooseUpstream(candidates, wish, this->gateway.upstreams.memory,
-                                       this->gateway.settings.choice, this->now());
+    ChoicePolicy policy = this->gateway.settings.choice;
+    if (this->gateway.settings.mechanisms.estimates) {
+        policy.figures = this->gateway.estimators[this->service].figures(this->now());
+    }
+    const auto choice =
+        chooseUpstream(candidates, wish, this->gateway.upstreams.memory, policy, this->now());
     if (!choice) {
         this->giveUp();
         return;
     }
+    if (!this->admitTo(*choice)) {
+        return;
+    }
     Placement placement{*choice, candidates[choice->index]->replica.id, {}, {}};
     if (choice->copyFrom) {
         const Replica &donor = candidates[*choice->copyFrom]->replica;
         placement.donor = donor.id;
         placement.copyFrom = donor.endpoint;
     }
-    if (this->chain.empty() || this->keepersFull >= mostFullKeepers) {
+    if (!this->gateway.settings.mechanisms.exactCounts || this->chain.empty()
+        || this->keepersFull >= mostFullKeepers) {
         this->handTo(placement);
         return;
     }
     this->askKeeper(std::move(placement));
 }
 
+bool Exchange::admitTo(const Choice &choice)
+{
+    // A request that may have run can't be rejected as not run.
+    if (this->chain.empty() || this->runs > 0 || this->chunksBegun) {
+        return true;
+    }
+    AdmissionRequest asked;
+    asked.expectedDelay = Milliseconds{static_cast<std::int64_t>(choice.expectedDelay)};
+    asked.patience = this->left();
+    if (this->route->firstEventTimeout.count() > 0) {
+        const Duration waited = this->now() - this->incoming.arrived;
+        asked.patience = std::min(asked.patience, std::chrono::duration_cast<Milliseconds>(
+                                                      this->route->firstEventTimeout - waited));
+    }
+    asked.objective = this->route->objective;
+    asked.rank = this->rank;
+    asked.occupancy = choice.occupancy;
+    asked.hash = hashOf(this->request->attempt);
+    const Admittance admittance = plantainswitch::admit(asked, this->gateway.settings.admission);
+    if (admittance.verdict == AdmissionVerdict::Admitted) {
+        return true;
+    }
+    logEvent(Event::RequestNotAdmitted,
+             {{"request", this->request->attempt},
+              {"verdict", std::string(nameOf(admittance.verdict))},
+              {"expected_ms", fmt::format("{:.1f}", choice.expectedDelay)},
+              {"patience_ms", std::to_string(asked.patience.count())},
+              {"objective_ms", std::to_string(asked.objective.count())},
+              {"rank", std::to_string(asked.rank)},
+              {"occupancy", fmt::format("{:.2f}", asked.occupancy)},
+              {"retry_after_ms", std::to_string(admittance.retryAfter.count())}});
+    this->refuse(ErrorKind::Overloaded, "the service is overloaded", admittance.retryAfter);
+    return false;
+}
+
 void Exchange::askKeeper(Placement placement)
 {
     const auto target = this->gateway.upstreams.share(placement.upstream);
@@ -95,7 +138,7 @@
         this->place();
         return;
     }
-    const double tokens = tokensOf(*this->request->prompt);
+    const double tokens = this->promptTokens();
     double cached = 0.0;
     for (std::size_t i = 0; i < keeperAnswer->knownParts && i < this->chain.size(); ++i) {
         cached += this->request->prompt->parts[i].tokens;
@@ -112,17 +155,26 @@
     }
 }
 
+double Exchange::promptTokens() const
+{
+    return this->request->prompt ? tokensOf(*this->request->prompt) : 0.0;
+}
+
 void Exchange::handTo(const Placement &placement)
 {
     const Choice &choice = placement.choice;
     this->upstream = this->gateway.upstreams.share(placement.upstream);
     UpstreamState &state = *this->upstream;
     this->tried.push_back(state.replica.id);
+    this->sample = {choice.uncachedTokens, choice.copiedTokens,
+                    static_cast<double>(runningAt(state)), Duration{0}};
+    this->isFirstRead = choice.isFirstRead;
     state.ownRunning += 1;
     this->unread = choice.uncachedTokens;
     this->holdsUnread = true;
     state.ownUnread += this->unread;
-    this->expectedDelay = choice.expectedDelay;
+    this->expectedDelay = choice.expectedDelay - choice.extraDelay;
+    this->extraDelay = choice.extraDelay;
     logEvent(Event::RequestPlaced,
              {{"request", this->request->attempt},
               {"route", this->route->name},
@@ -131,9 +183,12 @@
               {"place", state.replica.place},
               {"expected_ms", fmt::format("{:.1f}", choice.expectedDelay)},
               {"home", choice.isHome ? "yes" : "no"},
-              {"home_ms", fmt::format("{:.1f}", choice.homeDelay)},
+              {"home_ms", fmt::format("{:.1f}", choice.homeCost)},
               {"extra_ms", fmt::format("{:.1f}", extraDelayOf(state.health, this->now()))},
               {"bound", fmt::format("{:.1f}", choice.bound)},
+              {"prefix", fmt::format("{:016x}", sharedChainOf(this->chain).value_or(0))},
+              {"tokens", fmt::format("{:.0f}", this->promptTokens())},
+              {"first_read", choice.isFirstRead ? "yes" : "no"},
               {"uncached", fmt::format("{:.0f}", choice.uncachedTokens)},
               {"copied", fmt::format("{:.0f}", choice.copiedTokens)},
               {"donor", placement.donor},
@@ -190,6 +245,9 @@
         this->gateway.news.noteChain({*shared, life}, this->sentAt);
     }
     memory.note(this->chain, life, this->sentAt);
+    if (shared) {
+        memory.noteShared(*shared, life, this->sentAt);
+    }
 }
 
 AnswerEvents Exchange::answerEvents()
--- /dev/null
+++ b/gateway/figurelog.cpp
@@ -0,0 +1,67 @@
+#include "figurelog.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <fmt/format.h>
+
+#include "plantainswitch/observe/event.h"
+
+namespace plantainswitch::gateway {
+
+namespace {
+
+constexpr Seconds minLogInterval{5};
+constexpr double loggedChange = 0.2;
+
+bool differs(double last, double current)
+{
+    return std::abs(current - last) >= loggedChange * std::abs(last);
+}
+
+bool hasChanged(const ServiceFigures &last, const ServiceFigures &current)
+{
+    return differs(last.prefillRate, current.prefillRate)
+           || differs(last.baseDelay, current.baseDelay)
+           || differs(last.delayPerRunning, current.delayPerRunning)
+           || differs(last.transferRate, current.transferRate)
+           || differs(last.holdTime, current.holdTime)
+           || differs(last.tokensPerRequest, current.tokensPerRequest);
+}
+
+void log(const std::string &service, const ServiceEstimator &estimator,
+         const ServiceFigures &figures)
+{
+    const FigureReport own = estimator.ownReport();
+    logEvent(Event::FiguresEstimated,
+             {{"service", service},
+              {"prefill_rate", fmt::format("{:.1f}", figures.prefillRate)},
+              {"base_ms", fmt::format("{:.1f}", figures.baseDelay)},
+              {"per_running_ms", fmt::format("{:.3f}", figures.delayPerRunning)},
+              {"transfer_rate", fmt::format("{:.1f}", figures.transferRate)},
+              {"transfer_setup_ms", fmt::format("{:.1f}", figures.transferSetup)},
+              {"hold_ms", fmt::format("{:.0f}", figures.holdTime)},
+              {"tokens_per_request", fmt::format("{:.0f}", figures.tokensPerRequest)},
+              {"own_prefills", fmt::format("{:.0f}", own.prefillSamples)},
+              {"own_transfers", fmt::format("{:.0f}", own.transferSamples)},
+              {"own_holds", fmt::format("{:.0f}", own.holdSamples)},
+              {"error_ms", fmt::format("{:.1f}", estimator.meanError())}});
+}
+
+} // namespace
+
+void FigureLog::update(const GatewayState &state)
+{
+    const TimePoint now = state.clock.now();
+    for (const auto &[service, estimator] : state.estimators) {
+        const ServiceFigures figures = estimator.figures(now);
+        Logged &last = this->services[service];
+        const bool isDue = last.when == TimePoint{} || now - last.when >= minLogInterval;
+        if (isDue && hasChanged(last.figures, figures)) {
+            log(service, estimator, figures);
+            last = {figures, now};
+        }
+    }
+}
+
+} // namespace plantainswitch::gateway
--- a/gateway/fleetlink.cpp
+++ b/gateway/fleetlink.cpp
@@ -19,6 +19,13 @@
 constexpr std::uint64_t othersEvery = 8;
 /// Addresses told at once, beginning further on each time; about one Ethernet frame.
 constexpr std::size_t mostOthers = 48;
+/// Estimated figures are shared with each such update. Has no divisor in common with othersEvery,
+/// so that updates stay small.
+constexpr std::uint64_t figuresEvery = 7;
+/// Locations of prefixes that a joining router is sent, by one of the others; some 20 kB.
+constexpr std::size_t maxSnapshot = 1024;
+/// Services whose figures are shared at once.
+constexpr int maxReportedServices = 16;
 
 ControlKind kindOf(const wire::GatewayDatagram &datagram)
 {
@@ -43,7 +50,7 @@
     , socket(gateway.context)
     , timer(gateway.context)
     , contacts(gateway.settings.id, gateway.settings.place)
-    , keeper(gateway.settings.choice.tokensPerMillisecond)
+    , keeper(ServiceFigures{}.prefillRate)
 {}
 
 void FleetLink::start()
@@ -202,7 +209,7 @@
                                Milliseconds{load.avoided_ms()}, load.silent()});
     }
     if (!this->gateway.peers.knows(heard.id, heard.incarnation)) {
-        this->welcome(from, message.known_routers());
+        this->welcome(from, heard.id, message.known_routers());
         logEvent(Event::MemberJoined, {{"member", heard.id}, {"address", toText(from)}});
     }
     if (!this->gateway.peers.take(heard)) {
@@ -220,8 +227,8 @@
         }
     }
     for (const wire::ChainRead &read : message.chains()) {
-        const std::uint64_t chain = read.chain();
-        this->gateway.upstreams.memory.note({&chain, 1}, read.life(), now);
+        this->gateway.upstreams.memory.noteShared(read.chain(), read.life(),
+                                                  now - Milliseconds{read.age_ms()});
     }
     for (const wire::Endpoint &other : message.others()) {
         const auto endpoint = endpointOf(other.host() + ":" + std::to_string(other.port()));
@@ -229,10 +236,54 @@
             this->addRouter(*endpoint);
         }
     }
+    this->takeFigures(message, now);
     this->takeSuspects(message, now);
     this->onNews();
 }
 
+void FleetLink::takeFigures(const wire::RouterNews &message, TimePoint now)
+{
+    for (const wire::FigureReport &entry : message.figures()) {
+        const bool isRouted =
+            this->gateway.table && this->gateway.table->findService(entry.service()) != nullptr;
+        if (!isRouted) {
+            continue;
+        }
+        FigureReport report;
+        report.figures = {entry.prefill_rate(),      entry.base_delay(),
+                          entry.delay_per_running(), entry.transfer_rate(),
+                          entry.transfer_setup(),    entry.hold_time(),
+                          entry.tokens_per_request()};
+        report.prefillSamples = entry.prefill_samples();
+        report.transferSamples = entry.transfer_samples();
+        report.holdSamples = entry.hold_samples();
+        this->gateway.estimators[entry.service()].takeReport(message.id(), report, now);
+    }
+}
+
+void FleetLink::addFigures(wire::RouterNews &message) const
+{
+    for (const auto &[service, estimator] : this->gateway.estimators) {
+        const FigureReport report = estimator.ownReport();
+        const double samples = report.prefillSamples + report.transferSamples + report.holdSamples;
+        if (samples <= 0.0 || message.figures_size() >= maxReportedServices) {
+            continue;
+        }
+        wire::FigureReport *const entry = message.add_figures();
+        entry->set_service(service);
+        entry->set_prefill_rate(static_cast<float>(report.figures.prefillRate));
+        entry->set_base_delay(static_cast<float>(report.figures.baseDelay));
+        entry->set_delay_per_running(static_cast<float>(report.figures.delayPerRunning));
+        entry->set_transfer_rate(static_cast<float>(report.figures.transferRate));
+        entry->set_transfer_setup(static_cast<float>(report.figures.transferSetup));
+        entry->set_hold_time(static_cast<float>(report.figures.holdTime));
+        entry->set_tokens_per_request(static_cast<float>(report.figures.tokensPerRequest));
+        entry->set_prefill_samples(static_cast<float>(report.prefillSamples));
+        entry->set_transfer_samples(static_cast<float>(report.transferSamples));
+        entry->set_hold_samples(static_cast<float>(report.holdSamples));
+    }
+}
+
 void FleetLink::takeSuspects(const wire::RouterNews &message, TimePoint now)
 {
     for (const wire::CrashSeen &crash : message.crashes()) {
@@ -245,16 +296,31 @@
     }
 }
 
-void FleetLink::welcome(const Endpoint &newcomer, std::size_t knownThere)
+std::vector<ChainNews> FleetLink::sharedPrefixes(TimePoint now) const
+{
+    std::vector<ChainNews> prefixes;
+    for (const PrefixUse &use : this->gateway.upstreams.memory.sharedUses(maxSnapshot, now)) {
+        prefixes.push_back(
+            {use.prefix, use.life, std::chrono::duration_cast<Milliseconds>(now - use.when)});
+    }
+    return prefixes;
+}
+
+void FleetLink::welcome(const Endpoint &newcomer, const std::string &id, std::size_t knownThere)
 {
     const TimePoint now = this->gateway.clock.now();
     RouterNews told = this->news({});
     told.suspects.crashes = this->gateway.suspects.heldCrashes(now);
+    if (this->gateway.settings.mechanisms.prefixSnapshots
+        && this->contacts.isFirstFor(hashOf(id), now, id)) {
+        told.chains = this->sharedPrefixes(now);
+    }
     wire::GatewayDatagram datagram = this->encode(told);
     // Who knows nearly all needs no list: in a fleet that starts at once each hears from each.
     if (knownThere < this->contacts.size() / 2) {
         this->addOthers(*datagram.mutable_news());
     }
+    this->addFigures(*datagram.mutable_news());
     this->contacts.noteTold(newcomer, now);
     this->sendTo(newcomer, datagram);
 }
@@ -312,6 +378,7 @@
         wire::ChainRead *const entry = message.add_chains();
         entry->set_chain(chain.chain);
         entry->set_life(chain.life);
+        entry->set_age_ms(static_cast<std::uint32_t>(chain.age.count()));
     }
     const TimePoint now = this->gateway.clock.now();
     for (const CrashReport &report : told.suspects.crashes) {
@@ -347,6 +414,9 @@
         if (this->sequence % othersEvery == 1) {
             this->addOthers(*datagram.mutable_news());
         }
+        if (this->sequence % figuresEvery == 1) {
+            this->addFigures(*datagram.mutable_news());
+        }
         for (const Endpoint &address : group.routers) {
             this->sendTo(address, datagram);
         }
--- a/gateway/fleetlink.h
+++ b/gateway/fleetlink.h
@@ -65,11 +65,16 @@
     void onReply(const wire::EngineReply &message);
     void forgetGrants(const std::string &id);
     void reconcileGrants(const RouterNews &heard);
+    /// Takes another router's estimates of what upstreams are like.
+    void takeFigures(const wire::RouterNews &message, TimePoint now);
+    void addFigures(wire::RouterNews &message) const;
     /// Takes what another router saw of requests that crash upstreams.
     void takeSuspects(const wire::RouterNews &message, TimePoint now);
     /// Answers the first news of a router that has just started: without others' addresses if it
     /// knows most of them, \a knownThere.
-    void welcome(const Endpoint &newcomer, std::size_t knownThere);
+    void welcome(const Endpoint &newcomer, const std::string &id, std::size_t knownThere);
+    /// \returns where shared prefixes are cached, as far as this router knows.
+    [[nodiscard]] std::vector<ChainNews> sharedPrefixes(TimePoint now) const;
     void addOthers(wire::RouterNews &message) const;
     void sendTo(const Endpoint &address, const wire::GatewayDatagram &datagram);
     /// \returns the address of the engine's keeper; nothing when it is this router.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -399,6 +399,7 @@
         caller->enforceLimits(limits, now);
     }
     this->state.upstreams.closeStale();
+    this->figureLog.update(this->state);
     if (this->state.directory.hasMissing()) {
         this->applyReplicas(this->state.directory.expire(now));
     }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -11,6 +11,7 @@
 
 #include "callerconnection.h"
 #include "exchange.h"
+#include "figurelog.h"
 #include "fleetlink.h"
 #include "gatewaystate.h"
 #include "logwriter.h"
@@ -95,6 +96,7 @@
     Acceptor controlAcceptor;
     asio::signal_set signals;
     asio::steady_timer timer;
+    FigureLog figureLog;
     FleetLink fleet;
     StoreFollower routing;
     StoreFollower replicas;
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -11,6 +11,8 @@
 constexpr double mostGraceSeconds = 600.0;
 constexpr std::uint32_t mostDrainMilliseconds = 60'000;
 constexpr double mostWindowSeconds = 3600.0;
+constexpr double maxDelayMilliseconds = 60'000.0;
+constexpr double maxWeight = 1000.0;
 
 void readPeer(FieldReader &parent, GatewaySettings &settings, std::vector<Fault> &faults)
 {
@@ -42,6 +44,42 @@
     limit.window = Seconds{static_cast<std::int64_t>(window)};
 }
 
+void readChoice(FieldReader &parent, ChoicePolicy &policy, std::vector<Fault> &faults)
+{
+    FieldReader fields(parent.child("choice"), parent.pathOf("choice"), faults);
+    fields.read("remoteDelayMilliseconds", policy.otherPlaceDelay, 0.0, maxDelayMilliseconds);
+    fields.read("failureDelayMilliseconds", policy.failureDelay, 0.0, maxDelayMilliseconds);
+    fields.read("preferenceStepRequests", policy.orderRequests, 0.0, maxWeight);
+    fields.read("cacheWeight", policy.cacheWeight, 0.0, maxWeight);
+    fields.read("interference", policy.interference, 0.0, maxWeight);
+    fields.read("maxEjectedShare", policy.mostAvoided, 0.0, 1.0);
+    fields.read("transfers", policy.transfers);
+    fields.read("preferredUpstreams", policy.preferredUpstreams);
+    fields.finish();
+}
+
+void readAdmission(FieldReader &parent, AdmissionPolicy &policy, std::vector<Fault> &faults)
+{
+    FieldReader fields(parent.child("admission"), parent.pathOf("admission"), faults);
+    fields.read("enabled", policy.enabled);
+    fields.read("minOccupancy", policy.minOccupancy, 0.0, maxWeight);
+    fields.read("maxObjectives", policy.maxObjectives, 0.0, maxWeight);
+    fields.read("minObjectives", policy.minObjectives, 0.0, maxWeight);
+    fields.read("rankShare", policy.rankShare, 0.0, 1.0);
+    fields.finish();
+}
+
+void readMechanisms(FieldReader &parent, Mechanisms &mechanisms, std::vector<Fault> &faults)
+{
+    FieldReader fields(parent.child("mechanisms"), parent.pathOf("mechanisms"), faults);
+    fields.read("estimates", mechanisms.estimates);
+    fields.read("exactCounts", mechanisms.exactCounts);
+    fields.read("retries", mechanisms.retries);
+    fields.read("quarantine", mechanisms.quarantine);
+    fields.read("prefixSnapshots", mechanisms.prefixSnapshots);
+    fields.finish();
+}
+
 } // namespace
 
 std::optional<GatewaySettings> parseGatewaySettings(std::string_view text,
@@ -61,6 +99,9 @@
     fields.read("store", settings.store, true);
     readPeer(fields, settings, faults);
     readRetries(fields, settings.retries, faults);
+    readChoice(fields, settings.choice, faults);
+    readAdmission(fields, settings.admission, faults);
+    readMechanisms(fields, settings.mechanisms, faults);
     auto drain = static_cast<std::uint32_t>(settings.drainBound.count());
     fields.read("drainMilliseconds", drain, 1, mostDrainMilliseconds);
     settings.drainBound = Milliseconds{drain};
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -9,11 +9,27 @@
 #include "plantainswitch/catalogue/parse.h"
 #include "plantainswitch/membership/vm.h"
 #include "plantainswitch/observe/event.h"
+#include "plantainswitch/routing/admission.h"
 #include "plantainswitch/routing/choice.h"
 #include "plantainswitch/routing/fleetretries.h"
 
 namespace plantainswitch::gateway {
 
+/// Mechanisms that can be switched off to measure what each is worth.
+struct Mechanisms
+{
+    /// What upstreams are like is estimated; otherwise the prior holds.
+    bool estimates = true;
+    /// Dispatch asks the router that counts exactly what runs on an upstream.
+    bool exactCounts = true;
+    /// A request that may be repeated is tried on a further upstream.
+    bool retries = true;
+    /// Requests that crash upstreams are held back.
+    bool quarantine = true;
+    /// Joining routers are sent where prefixes are cached.
+    bool prefixSnapshots = true;
+};
+
 /// The settings of a gateway, read from one JSON file.
 struct GatewaySettings
 {
@@ -31,6 +47,8 @@
     Endpoint store;
     FleetRetryLimit retries;
     ChoicePolicy choice;
+    AdmissionPolicy admission;
+    Mechanisms mechanisms;
     /// Time after which an upstream that has said, or whose entry's removal says, that it leaves
     /// must get no new request.
     Milliseconds drainBound{2000};
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -11,6 +11,7 @@
 #include "plantainswitch/routing/fleetretries.h"
 #include "plantainswitch/routing/newslog.h"
 #include "plantainswitch/routing/peerloads.h"
+#include "plantainswitch/routing/serviceestimator.h"
 
 #include "dialect.h"
 #include "gatewaysettings.h"
@@ -76,6 +77,8 @@
     StoreView view;
     Upstreams upstreams;
     PeerLoads peers;
+    /// What the upstreams of each service are like.
+    std::map<std::string, ServiceEstimator> estimators;
     FleetRetries retries;
     Metrics metrics;
     /// What other routers are still to be told.
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -1,5 +1,6 @@
 #include "gauges.h"
 
+#include <array>
 #include <map>
 
 #include <fmt/format.h>
@@ -56,6 +57,38 @@
     return services;
 }
 
+/// What the upstreams of each service are estimated to be like.
+void appendFigures(std::string &page, const GatewayState &state)
+{
+    struct Column
+    {
+        std::string_view name;
+        double ServiceFigures::*value;
+    };
+    constexpr std::array columns{
+        Column{"prefill_tokens_per_millisecond", &ServiceFigures::prefillRate},
+        Column{"first_token_base_milliseconds", &ServiceFigures::baseDelay},
+        Column{"first_token_milliseconds_per_running", &ServiceFigures::delayPerRunning},
+        Column{"transfer_tokens_per_millisecond", &ServiceFigures::transferRate},
+        Column{"transfer_setup_milliseconds", &ServiceFigures::transferSetup},
+        Column{"slot_hold_milliseconds", &ServiceFigures::holdTime},
+        Column{"tokens_per_request", &ServiceFigures::tokensPerRequest},
+    };
+    const TimePoint now = state.clock.now();
+    for (const Column &column : columns) {
+        begin(page, column.name);
+        for (const auto &[service, estimator] : state.estimators) {
+            append(page, column.name, fmt::format("service=\"{}\"", service),
+                   estimator.figures(now).*column.value);
+        }
+    }
+    begin(page, "estimate_error_milliseconds");
+    for (const auto &[service, estimator] : state.estimators) {
+        append(page, "estimate_error_milliseconds", fmt::format("service=\"{}\"", service),
+               estimator.meanError());
+    }
+}
+
 } // namespace
 
 std::string renderGauges(const GatewayState &state)
@@ -85,6 +118,7 @@
     for (const auto &[name, service] : services) {
         append(page, "running", fmt::format("service=\"{}\"", name), service.running);
     }
+    appendFigures(page, state);
     begin(page, "retries_left");
     for (const auto &[name, service] : services) {
         append(page, "retries_left", fmt::format("service=\"{}\"", name), state.retries.left(name));
--- a/include/plantainswitch/routing/chainmemory.h
+++ b/include/plantainswitch/routing/chainmemory.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <span>
 #include <unordered_map>
+#include <vector>
 
 #include "plantainswitch/base/clock.h"
 
@@ -14,6 +15,14 @@
 /// because copies of other engines' parts come in besides.
 inline constexpr Seconds cacheResidency{12};
 
+/// An upstream that has used a prefix.
+struct PrefixUse
+{
+    std::uint64_t prefix = 0;
+    std::uint64_t life = 0;
+    TimePoint when;
+};
+
 /// Where chains of prompts were read lately.
 class ChainMemory
 {
@@ -25,6 +34,10 @@
 
     /// Notes that the upstream life \a life has read \a chain.
     void note(std::span<const std::uint64_t> chain, std::uint64_t life, TimePoint now);
+    /// Notes that the upstream life \a life has used the shared prefix that ends with \a part.
+    void noteShared(std::uint64_t part, std::uint64_t life, TimePoint when);
+    /// \returns the shared prefixes used within cacheResidency, the \a most last used ones.
+    [[nodiscard]] std::vector<PrefixUse> sharedUses(std::size_t most, TimePoint now) const;
     /// \returns how many parts at the start of \a chain that life has used within cacheResidency.
     /// Each part names the chain up to it, so that the last one used stands for those before it.
     [[nodiscard]] std::size_t knownParts(std::span<const std::uint64_t> chain, std::uint64_t life,
@@ -40,7 +53,13 @@
     /// share one chain at any moment, so that the look is rare.
     static constexpr std::size_t manyLives = 64;
 
-    using Readers = std::unordered_map<std::uint64_t, TimePoint>;
+    struct Readers
+    {
+        std::unordered_map<std::uint64_t, TimePoint> uses;
+        bool isShared = false;
+    };
+
+    void noteUse(Readers &readers, std::uint64_t life, TimePoint when);
 
     void trim();
 
--- a/include/plantainswitch/routing/choice.h
+++ b/include/plantainswitch/routing/choice.h
@@ -9,43 +9,40 @@
 #include "plantainswitch/base/clock.h"
 #include "plantainswitch/routing/chainmemory.h"
 #include "plantainswitch/routing/prompt.h"
+#include "plantainswitch/routing/servicefigures.h"
 #include "plantainswitch/routing/upstreamstate.h"
 
 namespace plantainswitch {
 
-/// Figures by which upstreams are compared; all delays in milliseconds.
+/// How upstreams are compared; all delays in milliseconds.
 struct ChoicePolicy
 {
-    /// Prompt tokens that an engine reads in a millisecond; from the users' sheet of engines.
-    double tokensPerMillisecond = 110.0;
-    /// What one more running request delays a token; from the same sheet, with its share of the
-    /// queue for memory rounded up.
-    double delayPerRunning = 0.4;
-    /// Held against an upstream of another data centre: two crossings, and the price of bytes
-    /// between data centres, which a request of 20 kB makes worth some 10 ms of an engine.
+    /// Estimated figures of the service's upstreams.
+    ServiceFigures figures;
+    /// Held against an upstream of another data centre, for the crossings and the bytes.
     double otherPlaceDelay = 12.0;
     /// Held against an upstream whose recent requests all failed while none did elsewhere; a failed
     /// request costs its caller about one objective.
     double failureDelay = 400.0;
-    /// What each place further down in a chain's own order of engines costs. All routers have the
-    /// same order: a chain is read by as few engines as its load needs, and what spills over from
-    /// full engines doesn't all go to the one that happens to be idle. About the reading of one
-    /// request's own part three times over.
-    double orderStep = 15.0;
-    /// Places after which the order costs no more.
+    /// What each step down in a prefix's preference list costs, in prefills of one average request.
+    /// All routers have the same list: a prefix is read by as few engines as its load needs, and
+    /// what spills over from full engines doesn't all go to the one that happens to be idle.
+    double orderRequests = 3.0;
+    /// Steps after which the preference list costs no more.
     double mostOrderSteps = 6.0;
     /// Largest delay by which a request without a prompt, which has no home, prefers some upstreams
     /// to others: enough to spread those of one moment, too little to leave the data centre for.
     double plainSpread = 4.0;
-    /// How much dearer a token read anew is than its time for this request alone: it also delays
-    /// all others on that engine, and takes memory that other chains have there.
-    double readWeight = 2.0;
-    /// Prompt tokens that an engine copies from another one's memory in a millisecond, and the time
-    /// that a copy takes besides: half the time of reading, by the users' sheet of engines.
-    double copiedTokensPerMillisecond = 220.0;
-    double copySetup = 4.0;
-    /// Fewer tokens than this are read anew: setting a copy up would take as long.
-    double leastCopy = 512.0;
+    /// What a token costs that is added to an engine's cache, in prefills of one token: others may
+    /// have to be read again for it.
+    double cacheWeight = 2.5;
+    /// Prefixes that an upstream lacks may be transferred from the cache of another one.
+    bool transfers = true;
+    /// A prefix that no upstream is known to have goes to the first of its preference list.
+    bool preferredUpstreams = true;
+    /// Weight of the delay that a prefill causes to each request that runs beside it, against that
+    /// of its own request.
+    double interference = 0.6;
     /// An upstream is left out from boundFactor times the mean of running requests, plus
     /// boundExtra. Below the promised multiple of two by what routers don't yet know of each other.
     double boundFactor = 1.5;
@@ -55,6 +52,9 @@
     double mostAvoided = 0.6;
 };
 
+/// \returns the fewest tokens that are transferred sooner than prefilled; infinite if none are.
+[[nodiscard]] double breakEvenTransfer(const ServiceFigures &figures) noexcept;
+
 /// A request that looks for an upstream.
 struct ChoiceRequest
 {
@@ -73,8 +73,12 @@
 struct Choice
 {
     std::size_t index = 0;
-    /// Time to the first token or answer beyond the upstream's own work, in milliseconds.
+    /// Time to the first token, or that a plain request waits before its upstream's own work.
     double expectedDelay = 0.0;
+    /// Part of it by which the upstream was slower than expected lately.
+    double extraDelay = 0.0;
+    /// expectedDelay with the preferences that decide between upstreams.
+    double cost = 0.0;
     /// Prompt tokens that it will have to read.
     double uncachedTokens = 0.0;
     /// Prompt tokens that it can copy from the engine \a copyFrom instead of reading them.
@@ -87,11 +91,17 @@
     double bound = 0.0;
     /// It is the chain's own engine.
     bool isHome = false;
+    /// No engine is known to have the shared parts, so that the chain's own one is to read them,
+    /// unless it did before this router came to know of it.
+    bool isFirstRead = false;
     /// What the chain's own engine would have cost, if another was chosen.
-    double homeDelay = 0.0;
+    double homeCost = 0.0;
+    /// Requests running on the usable upstreams of the service, as a share of their slots; 0 where
+    /// no slots are stated.
+    double occupancy = 0.0;
 };
 
-/// \returns the upstream with the least expected delay, or nothing when none may be used. Those
+/// \returns the upstream with the least cost, or nothing when none may be used. Those
 /// that leave, were tried or could not be reached twice are never used; those above the bound,
 /// avoided or not reached once only when nothing else is left.
 [[nodiscard]] std::optional<Choice> chooseUpstream(std::span<UpstreamState *const> candidates,
--- a/include/plantainswitch/routing/peerloads.h
+++ b/include/plantainswitch/routing/peerloads.h
@@ -29,6 +29,8 @@
 {
     std::uint64_t chain = 0;
     std::uint64_t life = 0;
+    /// How long ago.
+    Milliseconds age{0};
 };
 
 /// What a router tells of requests that upstreams crashed on.
--- a/include/plantainswitch/routing/route.h
+++ b/include/plantainswitch/routing/route.h
@@ -48,6 +48,8 @@
     bool resumable = false;
     /// Longest pause between events that callers count as prompt; 0: not stated.
     Milliseconds longestPause{0};
+    /// Time to the first event after which callers leave a stream; 0: not stated.
+    Milliseconds firstEventTimeout{0};
 };
 
 /// \returns whether a request of \a route may run more than once.
--- a/include/plantainswitch/routing/routercontacts.h
+++ b/include/plantainswitch/routing/routercontacts.h
@@ -107,8 +107,9 @@
     /// \returns whether this router is one of those that watch the store for its data centre.
     [[nodiscard]] bool isChosenToWatch(TimePoint now) const;
     /// \returns whether this router is the one of the fleet that does what only one may do, for \a
-    /// key.
-    [[nodiscard]] bool isFirstFor(std::uint64_t key, TimePoint now) const;
+    /// key. The router with the id \a except is not considered.
+    [[nodiscard]] bool isFirstFor(std::uint64_t key, TimePoint now,
+                                  std::string_view except = {}) const;
     /// \returns the keeper of the engine life \a life in \a enginePlace; nothing when it is this
     /// router, which takes no part if it \a isStopping.
     [[nodiscard]] std::optional<Endpoint> keeperOf(std::uint64_t life,
--- /dev/null
+++ b/src/routing/admission.cpp
@@ -0,0 +1,58 @@
+#include "plantainswitch/routing/admission.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace plantainswitch {
+
+namespace {
+
+constexpr std::array verdictNames{std::string_view{"admitted"}, std::string_view{"too-late"},
+                                  std::string_view{"overloaded"}};
+
+/// Bounds of the time after which a rejected caller may return.
+constexpr double minRetryAfter = 200.0;
+constexpr double maxRetryAfter = 5000.0;
+/// Each further rank returns later by this share, so that the most urgent callers find room first.
+constexpr double rankDelay = 0.5;
+
+double admittedDelay(const AdmissionRequest &request, const AdmissionPolicy &policy)
+{
+    const double objectives = std::max(
+        policy.minObjectives, policy.maxObjectives * std::pow(policy.rankShare, request.rank));
+    return objectives * static_cast<double>(request.objective.count());
+}
+
+/// \returns the time in which the queue shortens to the objective, spread over as much again.
+Milliseconds retryAfter(const AdmissionRequest &request)
+{
+    constexpr std::uint64_t steps = 1024;
+    const double spread = 1.0 + static_cast<double>(request.hash % steps) / steps;
+    const double excess = static_cast<double>((request.expectedDelay - request.objective).count());
+    const double delay = spread * excess * (1.0 + rankDelay * request.rank);
+    return Milliseconds{static_cast<std::int64_t>(std::clamp(delay, minRetryAfter, maxRetryAfter))};
+}
+
+} // namespace
+
+std::string_view nameOf(AdmissionVerdict verdict) noexcept
+{
+    return verdictNames.at(static_cast<std::size_t>(verdict));
+}
+
+Admittance admit(const AdmissionRequest &request, const AdmissionPolicy &policy)
+{
+    if (!policy.enabled || request.occupancy < policy.minOccupancy) {
+        return {};
+    }
+    if (request.expectedDelay > request.patience) {
+        return {AdmissionVerdict::TooLate, retryAfter(request)};
+    }
+    if (static_cast<double>(request.expectedDelay.count()) > admittedDelay(request, policy)) {
+        return {AdmissionVerdict::Overloaded, retryAfter(request)};
+    }
+    return {};
+}
+
+} // namespace plantainswitch
--- a/src/routing/chainmemory.cpp
+++ b/src/routing/chainmemory.cpp
@@ -9,19 +9,52 @@
 void ChainMemory::note(std::span<const std::uint64_t> chain, std::uint64_t life, TimePoint now)
 {
     for (const std::uint64_t part : chain) {
-        Readers &readers = this->lives[part];
-        if (readers.size() >= manyLives) {
-            // A prefix that all prompts share outlives engine after engine.
-            std::erase_if(readers,
-                          [now](const auto &entry) { return now - entry.second > cacheResidency; });
-        }
-        readers[life] = now;
+        this->noteUse(this->lives[part], life, now);
     }
     if (this->lives.size() > this->most) {
         this->trim();
     }
 }
 
+void ChainMemory::noteShared(std::uint64_t part, std::uint64_t life, TimePoint when)
+{
+    Readers &readers = this->lives[part];
+    readers.isShared = true;
+    this->noteUse(readers, life, when);
+    if (this->lives.size() > this->most) {
+        this->trim();
+    }
+}
+
+void ChainMemory::noteUse(Readers &readers, std::uint64_t life, TimePoint when)
+{
+    if (readers.uses.size() >= manyLives) {
+        // A prefix that all prompts share outlives engine after engine.
+        std::erase_if(readers.uses,
+                      [when](const auto &use) { return when - use.second > cacheResidency; });
+    }
+    TimePoint &last = readers.uses[life];
+    last = std::max(last, when);
+}
+
+std::vector<PrefixUse> ChainMemory::sharedUses(std::size_t most, TimePoint now) const
+{
+    std::vector<PrefixUse> result;
+    for (const auto &[part, readers] : this->lives) {
+        for (const auto &[life, when] : readers.uses) {
+            if (readers.isShared && now - when <= cacheResidency) {
+                result.push_back({part, life, when});
+            }
+        }
+    }
+    const auto isNewer = [](const PrefixUse &left, const PrefixUse &right) {
+        return left.when > right.when;
+    };
+    std::sort(result.begin(), result.end(), isNewer);
+    result.resize(std::min(result.size(), most));
+    return result;
+}
+
 std::size_t ChainMemory::knownParts(std::span<const std::uint64_t> chain, std::uint64_t life,
                                     TimePoint now) const
 {
@@ -35,7 +68,7 @@
 std::size_t ChainMemory::livesOf(std::uint64_t part) const
 {
     const auto found = this->lives.find(part);
-    return found == this->lives.end() ? 0 : found->second.size();
+    return found == this->lives.end() ? 0 : found->second.uses.size();
 }
 
 bool ChainMemory::wasUsed(std::uint64_t part, std::uint64_t life, Duration span,
@@ -45,8 +78,8 @@
     if (found == this->lives.end()) {
         return false;
     }
-    const auto used = found->second.find(life);
-    return used != found->second.end() && now - used->second <= span;
+    const auto used = found->second.uses.find(life);
+    return used != found->second.uses.end() && now - used->second <= span;
 }
 
 void ChainMemory::trim()
@@ -55,7 +88,7 @@
     ages.reserve(this->lives.size());
     for (const auto &[part, readers] : this->lives) {
         TimePoint newest;
-        for (const auto &[life, when] : readers) {
+        for (const auto &[life, when] : readers.uses) {
             newest = std::max(newest, when);
         }
         ages.emplace_back(newest, part);
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -1,6 +1,7 @@
 #include "plantainswitch/routing/choice.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "plantainswitch/base/hash.h"
@@ -48,12 +49,11 @@
 double queueDelay(const UpstreamState &state, const ChoicePolicy &policy)
 {
     const double running = runningAt(state);
-    double delay = running * policy.delayPerRunning;
+    double delay = running * policy.figures.delayPerRunning;
     const double slots = state.replica.slots;
     if (slots > 0 && running >= slots) {
-        // Whoever waits for a slot waits for a share of the work before it.
-        constexpr double workOfOne = 20.0;
-        delay += workOfOne * (running - slots + 1.0) / slots;
+        // With all slots busy, one is freed each holdTime / slots.
+        delay += policy.figures.holdTime * (running - slots + 1.0) / slots;
     }
     return delay;
 }
@@ -66,12 +66,14 @@
     /// Few enough are avoided that the others can carry their work.
     bool avoidanceHolds = true;
     double meanFailureShare = 0.0;
+    double occupancy = 0.0;
 };
 
 Survey survey(std::span<UpstreamState *const> candidates, const ChoicePolicy &policy, TimePoint now)
 {
     double running = 0.0;
     double failureShares = 0.0;
+    double slots = 0.0;
     std::size_t usable = 0;
     std::size_t avoided = 0;
     for (const UpstreamState *state : candidates) {
@@ -80,17 +82,21 @@
         }
         ++usable;
         running += runningAt(*state);
+        slots += state->replica.slots;
         failureShares += failureShareOf(state->health, now);
         avoided += isAvoided(state->health, now) ? 1 : 0;
     }
     const auto count = static_cast<double>(std::max<std::size_t>(usable, 1));
     return {policy.boundFactor * running / count + policy.boundExtra,
-            static_cast<double>(avoided) <= policy.mostAvoided * count, failureShares / count};
+            static_cast<double>(avoided) <= policy.mostAvoided * count, failureShares / count,
+            slots > 0.0 ? running / slots : 0.0};
 }
 
 double orderDelay(std::size_t place, const ChoicePolicy &policy)
 {
-    return policy.orderStep * std::min(static_cast<double>(place), policy.mostOrderSteps);
+    const double step =
+        policy.orderRequests * policy.figures.tokensPerRequest / policy.figures.prefillRate;
+    return step * std::min(static_cast<double>(place), policy.mostOrderSteps);
 }
 
 /// \returns whether an engine that may be used is known to have all shared parts.
@@ -141,9 +147,10 @@
         return !right || cached[left] > cached[*right]
                || (cached[left] == cached[*right] && order.places[left] < order.places[*right]);
     };
+    const double least = breakEvenTransfer(policy.figures);
     Donors donors;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (cached[i] < policy.leastCopy || !mayBeCopiedFrom(*candidates[i], request, now)) {
+        if (cached[i] < least || !mayBeCopiedFrom(*candidates[i], request, now)) {
             continue;
         }
         if (isBetter(i, donors.best)) {
@@ -172,14 +179,46 @@
     choice.uncachedTokens -= choice.copiedTokens;
 }
 
-/// What copying costs: its time, and like reading the memory that other chains lose there.
-double copyDelay(const Choice &choice, const ChoicePolicy &policy)
+double transferDelay(const Choice &choice, const ChoicePolicy &policy)
 {
     if (choice.copiedTokens <= 0.0) {
         return 0.0;
     }
-    return policy.copySetup + choice.copiedTokens / policy.copiedTokensPerMillisecond
-           + (policy.readWeight - 1.0) * choice.copiedTokens / policy.tokensPerMillisecond;
+    return policy.figures.transferSetup + choice.copiedTokens / policy.figures.transferRate;
+}
+
+/// A prefill delays the next tokens of all that run beside it, and like a transfer it takes memory
+/// that other prefixes have there.
+double loadOnOthers(const Choice &choice, const UpstreamState &state, const ChoicePolicy &policy)
+{
+    const double cachedTokens = choice.uncachedTokens + choice.copiedTokens;
+    const double delayedTokens = runningAt(state) * choice.uncachedTokens;
+    return (policy.cacheWeight * cachedTokens + policy.interference * delayedTokens)
+           / policy.figures.prefillRate;
+}
+
+void estimateDelay(Choice &choice, const UpstreamState &state, bool hasPrompt,
+                   const ChoicePolicy &policy, TimePoint now)
+{
+    const double prefill =
+        (choice.uncachedTokens + state.ownUnread + state.peersUnread) / policy.figures.prefillRate;
+    choice.extraDelay = extraDelayOf(state.health, now);
+    choice.expectedDelay = (hasPrompt ? policy.figures.baseDelay : 0.0) + prefill
+                           + transferDelay(choice, policy) + queueDelay(state, policy)
+                           + choice.extraDelay;
+}
+
+/// The home is compared with the others as if it had the shared parts, so that all routers agree
+/// on it; what it is to do is all of the prompt.
+void addFirstRead(Choice &choice, const std::vector<double> &cached, const ChoiceRequest &request,
+                  const ChoicePolicy &policy)
+{
+    const double shared = sharedTokensOf(*request.prompt);
+    const double before = transferDelay(choice, policy);
+    choice.copiedTokens = choice.copyFrom ? std::min(shared, cached[*choice.copyFrom]) : 0.0;
+    choice.uncachedTokens += shared - choice.copiedTokens;
+    choice.expectedDelay += (shared - choice.copiedTokens) / policy.figures.prefillRate
+                            + transferDelay(choice, policy) - before;
 }
 
 /// Lower classes are only used when no higher one is left.
@@ -210,6 +249,13 @@
     return state.ownRunning + state.peersRunning;
 }
 
+double breakEvenTransfer(const ServiceFigures &figures) noexcept
+{
+    const double savedPerToken = 1.0 / figures.prefillRate - 1.0 / figures.transferRate;
+    return savedPerToken > 0.0 ? figures.transferSetup / savedPerToken
+                               : std::numeric_limits<double>::infinity();
+}
+
 std::uint64_t lifeOf(const Replica &replica) noexcept
 {
     return mixHash(hashOf(replica.id), replica.born);
@@ -227,18 +273,21 @@
     // Where nobody is known to have read the chain, its home is the one that all routers pick, so
     // that it is read once. Once it is known, engines that have it go first: a home changes when
     // engines come and go, and what is cached stays where it was.
-    const bool trustsHome = hasPrompt && !isKnownAnywhere(candidates, request, memory, seen, now);
+    const bool trustsHome = hasPrompt && policy.preferredUpstreams
+                            && !isKnownAnywhere(candidates, request, memory, seen, now);
     std::vector<double> cached;
     Donors donors;
     if (hasPrompt) {
         cached = cachedAtEach(candidates, trustsHome ? home : std::nullopt, request, memory, now);
-        donors = donorsOf(candidates, cached, order, request, policy, now);
+        if (policy.transfers) {
+            donors = donorsOf(candidates, cached, order, request, policy, now);
+        }
     }
     std::optional<Choice> best;
     Fitness bestFitness = Fitness::Unusable;
     std::uint32_t avoided = 0;
     std::uint32_t overBound = 0;
-    double homeDelay = 0.0;
+    double homeCost = 0.0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const UpstreamState &state = *candidates[i];
         const Fitness fitness = fitnessOf(state, request, seen, now);
@@ -252,29 +301,32 @@
         if (hasPrompt) {
             weighPrompt(choice, cached, donors, request);
         }
-        choice.expectedDelay =
-            (policy.readWeight * choice.uncachedTokens + state.ownUnread + state.peersUnread)
-                / policy.tokensPerMillisecond
-            + copyDelay(choice, policy) + queueDelay(state, policy)
-            + extraDelayOf(state.health, now)
+        estimateDelay(choice, state, hasPrompt, policy, now);
+        choice.cost =
+            choice.expectedDelay + loadOnOthers(choice, state, policy)
             + policy.failureDelay
                   * std::max(0.0, failureShareOf(state.health, now) - seen.meanFailureShare)
             + (hasPrompt ? orderDelay(order.places[i], policy)
                          : spreadDelay(state, request, policy))
             + (state.replica.place == request.place ? 0.0 : policy.otherPlaceDelay);
         choice.isHome = home == i;
-        homeDelay = choice.isHome ? choice.expectedDelay : homeDelay;
+        choice.isFirstRead = trustsHome && choice.isHome;
+        homeCost = choice.isHome ? choice.cost : homeCost;
         if (!best || fitness < bestFitness
-            || (fitness == bestFitness && choice.expectedDelay < best->expectedDelay)) {
+            || (fitness == bestFitness && choice.cost < best->cost)) {
             best = choice;
             bestFitness = fitness;
         }
     }
     if (best) {
+        if (best->isFirstRead) {
+            addFirstRead(*best, cached, request, policy);
+        }
         best->avoided = avoided;
         best->overBound = overBound;
         best->bound = seen.bound;
-        best->homeDelay = homeDelay;
+        best->homeCost = homeCost;
+        best->occupancy = seen.occupancy;
     }
     return best;
 }
--- a/src/routing/routercontacts.cpp
+++ b/src/routing/routercontacts.cpp
@@ -172,13 +172,13 @@
     return isWatcher(this->id, this->place, active);
 }
 
-bool RouterContacts::isFirstFor(std::uint64_t key, TimePoint now) const
+bool RouterContacts::isFirstFor(std::uint64_t key, TimePoint now, std::string_view except) const
 {
     const Rhythm rhythm = this->rhythm();
     const double own = scoreOf(key, this->id);
     return std::none_of(this->contacts.begin(), this->contacts.end(), [&](const auto &entry) {
         const RouterContact &contact = entry.second;
-        return this->isHeard(contact, rhythm, now) && !contact.stopping
+        return contact.id != except && this->isHeard(contact, rhythm, now) && !contact.stopping
                && scoreOf(key, contact.id) > own;
     });
 }
--- /dev/null
+++ b/src/routing/serviceestimator.cpp
@@ -0,0 +1,243 @@
+#include "plantainswitch/routing/serviceestimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace plantainswitch {
+
+namespace {
+
+constexpr double tokenUnit = 1000.0;
+/// Share of older samples that remains after a new one of full weight; some 400 answers count.
+constexpr double forgetting = 0.995;
+/// Samples beyond which a router's estimate gets no more weight among the others.
+constexpr double maxSamples = 200.0;
+/// Weight of the prior among the routers' estimates, in samples.
+constexpr double priorSamples = 4.0;
+/// Standard deviation of one time to first token, in milliseconds.
+constexpr double sampleNoise = 15.0;
+/// Weights of samples above and below the line; their ratio is that of an expectile of 0.2.
+constexpr double weightAbove = 0.2;
+constexpr double weightBelow = 0.8;
+/// Distance from the line, as a share of the expected delay, beyond which a sample's pull no longer
+/// grows (Huber's loss).
+constexpr double outlierShare = 0.5;
+/// The same for transfers, whose waiting for a link is part of the estimate.
+constexpr double transferOutlierShare = 3.0;
+/// Transfers of fewer tokens say nothing of the rate.
+constexpr double minTransferSample = 256.0;
+/// Estimates stay within this factor of the prior: the slowest engines and links in use are some
+/// 30 times slower than the fastest.
+constexpr double maxDeviation = 30.0;
+/// Weight of one more value in a running mean.
+constexpr double meanWeight = 0.05;
+/// Routers whose reports are kept at once.
+constexpr std::size_t maxReports = 64;
+
+double millisecondsOf(Duration span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
+/// \returns \a observed, brought as close to \a expected as the pull of an outlier is limited to.
+double limitOutlier(double expected, double observed, double share)
+{
+    const double limit = std::max(sampleNoise, share * expected);
+    return std::clamp(observed, expected - limit, expected + limit);
+}
+
+template<std::size_t N>
+void clampAround(RecursiveLeastSquares<N> &fit, std::size_t index, double prior)
+{
+    fit.clamp(index, prior / maxDeviation, prior * maxDeviation);
+}
+
+RecursiveLeastSquares<3> priorPrefill()
+{
+    const ServiceFigures prior;
+    return {{prior.baseDelay, tokenUnit / prior.prefillRate, prior.delayPerRunning},
+            {30.0, 20.0, 0.15},
+            sampleNoise,
+            forgetting};
+}
+
+RecursiveLeastSquares<2> priorTransfer()
+{
+    const ServiceFigures prior;
+    return {{prior.transferSetup, tokenUnit / prior.transferRate},
+            {5.0, 20.0},
+            2.0 * sampleNoise,
+            forgetting};
+}
+
+/// Mean of logarithms, so that a rate and its reciprocal give the same.
+class LogarithmicMean
+{
+public:
+    void add(double value, double weight)
+    {
+        if (weight <= 0.0) {
+            return;
+        }
+        this->sum += weight * std::log(value);
+        this->weights += weight;
+    }
+    [[nodiscard]] double value() const { return std::exp(this->sum / this->weights); }
+
+private:
+    double sum = 0.0;
+    double weights = 0.0;
+};
+
+struct FigureMeans
+{
+    void add(const FigureReport &report)
+    {
+        const ServiceFigures &figures = report.figures;
+        this->prefillRate.add(figures.prefillRate, report.prefillSamples);
+        this->baseDelay.add(figures.baseDelay, report.prefillSamples);
+        this->delayPerRunning.add(figures.delayPerRunning, report.prefillSamples);
+        this->transferRate.add(figures.transferRate, report.transferSamples);
+        this->transferSetup.add(figures.transferSetup, report.transferSamples);
+        this->holdTime.add(figures.holdTime, report.holdSamples);
+        this->tokensPerRequest.add(figures.tokensPerRequest, report.prefillSamples);
+    }
+
+    [[nodiscard]] ServiceFigures value() const
+    {
+        return {this->prefillRate.value(),     this->baseDelay.value(),
+                this->delayPerRunning.value(), this->transferRate.value(),
+                this->transferSetup.value(),   this->holdTime.value(),
+                this->tokensPerRequest.value()};
+    }
+
+    LogarithmicMean prefillRate;
+    LogarithmicMean baseDelay;
+    LogarithmicMean delayPerRunning;
+    LogarithmicMean transferRate;
+    LogarithmicMean transferSetup;
+    LogarithmicMean holdTime;
+    LogarithmicMean tokensPerRequest;
+};
+
+bool isValid(const FigureReport &report)
+{
+    const ServiceFigures &figures = report.figures;
+    const auto isPositive = [](double value) { return std::isfinite(value) && value > 0.0; };
+    return isPositive(figures.prefillRate) && isPositive(figures.baseDelay)
+           && isPositive(figures.delayPerRunning) && isPositive(figures.transferRate)
+           && isPositive(figures.transferSetup) && isPositive(figures.holdTime)
+           && isPositive(figures.tokensPerRequest);
+}
+
+} // namespace
+
+ServiceEstimator::ServiceEstimator()
+    : prefill(priorPrefill())
+    , transfer(priorTransfer())
+    , holdTime(ServiceFigures{}.holdTime)
+    , tokensPerRequest(ServiceFigures{}.tokensPerRequest)
+{}
+
+void ServiceEstimator::recordFirstByte(const FirstByteSample &sample)
+{
+    const double delay = millisecondsOf(sample.delay);
+    this->tokensPerRequest +=
+        meanWeight * (sample.prefilledTokens + sample.transferredTokens - this->tokensPerRequest);
+    this->tokensPerRequest = std::max(1.0, this->tokensPerRequest);
+    if (sample.transferredTokens > 0.0) {
+        this->recordTransfer(sample, delay);
+    } else {
+        this->recordPrefill(sample, delay);
+    }
+}
+
+void ServiceEstimator::recordPrefill(const FirstByteSample &sample, double delay)
+{
+    this->prefillSamples = std::min(maxSamples, this->prefillSamples + 1.0);
+    const std::array features{1.0, sample.prefilledTokens / tokenUnit, sample.running};
+    const double expected = this->prefill.predict(features);
+    const double error = delay - expected;
+    this->error += meanWeight * (std::abs(error) - this->error);
+    const double weight = error > 0.0 ? weightAbove : weightBelow;
+    this->prefill.update(features, limitOutlier(expected, delay, outlierShare), weight);
+    const ServiceFigures prior;
+    clampAround(this->prefill, 0, prior.baseDelay);
+    clampAround(this->prefill, 1, tokenUnit / prior.prefillRate);
+    clampAround(this->prefill, 2, prior.delayPerRunning);
+}
+
+void ServiceEstimator::recordTransfer(const FirstByteSample &sample, double delay)
+{
+    if (sample.transferredTokens < minTransferSample) {
+        return;
+    }
+    this->transferSamples = std::min(maxSamples, this->transferSamples + 1.0);
+    const double rest =
+        this->prefill.predict({1.0, sample.prefilledTokens / tokenUnit, sample.running});
+    const std::array features{1.0, sample.transferredTokens / tokenUnit};
+    const double expected = this->transfer.predict(features);
+    const double observed = std::max(0.0, delay - rest);
+    this->transfer.update(features, limitOutlier(expected, observed, transferOutlierShare), 1.0);
+    const ServiceFigures prior;
+    clampAround(this->transfer, 0, prior.transferSetup);
+    clampAround(this->transfer, 1, tokenUnit / prior.transferRate);
+}
+
+void ServiceEstimator::recordHold(Duration held)
+{
+    const double value = std::max(1.0, millisecondsOf(held));
+    this->holdSamples = std::min(maxSamples, this->holdSamples + 1.0);
+    this->holdTime += std::max(meanWeight, 1.0 / this->holdSamples) * (value - this->holdTime);
+}
+
+void ServiceEstimator::takeReport(const std::string &router, const FigureReport &report,
+                                  TimePoint now)
+{
+    if (!isValid(report)) {
+        return;
+    }
+    std::erase_if(this->received, [now](const auto &entry) {
+        return now - entry.second.when > figureReportLifetime;
+    });
+    if (this->received.size() >= maxReports && !this->received.contains(router)) {
+        return;
+    }
+    FigureReport bounded = report;
+    for (double *samples :
+         {&bounded.prefillSamples, &bounded.transferSamples, &bounded.holdSamples}) {
+        *samples = std::clamp(*samples, 0.0, maxSamples);
+    }
+    this->received[router] = {bounded, now};
+}
+
+FigureReport ServiceEstimator::ownReport() const
+{
+    FigureReport report;
+    report.prefillSamples = this->prefillSamples;
+    report.transferSamples = this->transferSamples;
+    report.holdSamples = this->holdSamples;
+    report.figures.baseDelay = this->prefill.coefficient(0);
+    report.figures.prefillRate = tokenUnit / this->prefill.coefficient(1);
+    report.figures.delayPerRunning = this->prefill.coefficient(2);
+    report.figures.transferSetup = this->transfer.coefficient(0);
+    report.figures.transferRate = tokenUnit / this->transfer.coefficient(1);
+    report.figures.holdTime = this->holdTime;
+    report.figures.tokensPerRequest = this->tokensPerRequest;
+    return report;
+}
+
+ServiceFigures ServiceEstimator::figures(TimePoint now) const
+{
+    FigureMeans means;
+    means.add({ServiceFigures{}, priorSamples, priorSamples, priorSamples});
+    means.add(this->ownReport());
+    for (const auto &[router, entry] : this->received) {
+        if (now - entry.when <= figureReportLifetime) {
+            means.add(entry.report);
+        }
+    }
+    return means.value();
+}
+
+} // namespace plantainswitch
--- /dev/null
+++ b/tests/gatewaysettings.cpp
@@ -0,0 +1,57 @@
+#include <catch2/catch.hpp>
+
+#include "gatewaysettings.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::gateway;
+
+namespace {
+
+class GatewaySettingsFixture
+{
+protected:
+    std::optional<GatewaySettings> parse(const std::string &sections)
+    {
+        this->faults.clear();
+        return parseGatewaySettings(R"({"id": "r1", "place": "hall-a", "callers": "127.0.0.1:1",
+            "readiness": "127.0.0.1:2", "store": "127.0.0.1:3",
+            "peer": {"address": "127.0.0.1", "datagramPort": 4, "callPort": 5})"
+                                        + sections + "}",
+                                    this->faults);
+    }
+
+    std::vector<Fault> faults;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(GatewaySettingsFixture, "gatewaySettings_noSections_allMechanismsAreOn",
+                 "[settings]")
+{
+    const auto settings = this->parse("");
+    REQUIRE(settings);
+    CHECK(settings->mechanisms.estimates);
+    CHECK(settings->mechanisms.exactCounts);
+    CHECK(settings->admission.enabled);
+    CHECK(settings->choice.transfers);
+}
+
+TEST_CASE_METHOD(GatewaySettingsFixture, "gatewaySettings_mechanismSwitchedOff_isTaken",
+                 "[settings]")
+{
+    const auto settings = this->parse(R"(, "mechanisms": {"estimates": false},
+        "choice": {"transfers": false, "interference": 0.25}, "admission": {"enabled": false})");
+    REQUIRE(settings);
+    CHECK_FALSE(settings->mechanisms.estimates);
+    CHECK_FALSE(settings->choice.transfers);
+    CHECK(settings->choice.interference == Approx(0.25));
+    CHECK_FALSE(settings->admission.enabled);
+}
+
+TEST_CASE_METHOD(GatewaySettingsFixture, "gatewaySettings_severalFaults_reportsEachWithItsPath",
+                 "[settings]")
+{
+    CHECK_FALSE(this->parse(R"(, "choice": {"interference": -1, "unknown": 1},
+        "admission": {"enabled": 3})"));
+    CHECK(this->faults.size() == 3);
+}
--- a/tests/upstreamchoice.cpp
+++ b/tests/upstreamchoice.cpp
@@ -403,3 +403,93 @@
     CHECK(memory.wasUsed(2, 5, Seconds{3}, clock.now()));
     CHECK_FALSE(memory.wasUsed(2, 5, Seconds{2}, clock.now()));
 }
+
+// Guards against long prompts that look free to the engine that is to read them.
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_prefixNobodyHas_countsAllOfThePrompt", "[routing]")
+{
+    this->addEngines(9);
+    const Prompt prompt = promptAbout(7);
+    const auto choice = this->choose(prompt);
+    REQUIRE(choice);
+    CHECK(choice->isFirstRead);
+    CHECK(choice->uncachedTokens == 9000.0);
+    CHECK(choice->expectedDelay >= 9000.0 / this->policy.figures.prefillRate);
+}
+
+// Guards against prefills that stall the streams of the busiest engine.
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_longPrefill_goesWhereFewRequestsRun", "[routing]")
+{
+    this->addEngines(2);
+    this->policy.preferredUpstreams = false;
+    this->policy.orderRequests = 0.0;
+    this->policy.boundFactor = 10.0;
+    this->policy.figures.delayPerRunning = 0.0;
+    for (const std::size_t busy : {0U, 1U}) {
+        this->pointers[busy]->ownRunning = 20;
+        this->pointers[1 - busy]->ownRunning = 2;
+        const auto choice = this->choose(promptAbout(7));
+        REQUIRE(choice);
+        CHECK(choice->index == 1 - busy);
+    }
+}
+
+// Guards against transfers over links on which they take longer than prefill.
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_transferSlowerThanPrefill_prefills", "[routing]")
+{
+    this->policy.figures.prefillRate = 45.0;
+    this->policy.figures.transferRate = 15.0;
+    const Prompt prompt = promptAbout(7);
+    const std::size_t home = this->handToHome(prompt);
+    this->pointers[home]->ownRunning = 40;
+    const auto next = this->choose(prompt);
+    REQUIRE(next);
+    CHECK(next->index != home);
+    CHECK_FALSE(next->copyFrom);
+    CHECK(next->uncachedTokens == 9000.0);
+}
+
+// Guards against a queue for slots that is taken to move as fast as steps of an engine.
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_allSlotsBusy_expectsAShareOfTheHoldTime",
+                 "[routing]")
+{
+    this->addEngines(1);
+    this->policy.figures.holdTime = 2400.0;
+    this->pointers[0]->ownRunning = 48;
+    const auto atLimit = this->choose(promptAbout(7));
+    REQUIRE(atLimit);
+    this->pointers[0]->ownRunning = 47 + 48;
+    const auto queued = this->choose(promptAbout(7));
+    REQUIRE(queued);
+    CHECK(queued->expectedDelay - atLimit->expectedDelay
+          == Approx(2400.0 * 47.0 / 48.0 + 47.0 * this->policy.figures.delayPerRunning));
+    CHECK(queued->occupancy == Approx(95.0 / 48.0));
+}
+
+TEST_CASE("chainMemory_sharedUses_givesTheNewestOfSharedPrefixesOnly", "[routing]")
+{
+    ChainMemory memory;
+    ManualClock clock;
+    clock.advance(Seconds{60});
+    const std::vector<std::uint64_t> chain{1, 2, 3};
+    memory.note(chain, 5, clock.now());
+    memory.noteShared(2, 5, clock.now());
+    memory.noteShared(4, 6, clock.now() - Seconds{1});
+    memory.noteShared(7, 6, clock.now() - cacheResidency - Seconds{1});
+    const auto uses = memory.sharedUses(10, clock.now());
+    REQUIRE(uses.size() == 2);
+    CHECK(uses[0].prefix == 2);
+    CHECK(uses[0].life == 5);
+    CHECK(uses[1].prefix == 4);
+    CHECK(memory.sharedUses(1, clock.now()).size() == 1);
+}
+
+// Guards against an old report that makes a prefix look older than its last use.
+TEST_CASE("chainMemory_olderUseReported_keepsTheNewerOne", "[routing]")
+{
+    ChainMemory memory;
+    ManualClock clock;
+    clock.advance(Seconds{60});
+    memory.noteShared(2, 5, clock.now());
+    memory.noteShared(2, 5, clock.now() - Seconds{5});
+    CHECK(memory.wasUsed(2, 5, Seconds{1}, clock.now()));
+}
