--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -242,6 +242,62 @@
     return runningAt(state) + 1.0 > seen.bound ? Fitness::OverBound : Fitness::Good;
 }
 
+/// What all candidates are compared by.
+struct Comparison
+{
+    Survey seen;
+    bool hasPrompt = false;
+    ChainOrder order;
+    /// The home is taken to have the shared parts.
+    bool trustsHome = false;
+    std::vector<double> cached;
+    Donors donors;
+};
+
+Comparison prepare(std::span<UpstreamState *const> candidates, const ChoiceRequest &request,
+                   const ChainMemory &memory, const ChoicePolicy &policy, TimePoint now)
+{
+    Comparison result;
+    result.seen = survey(candidates, policy, now);
+    result.hasPrompt = request.prompt != nullptr && !request.chain.empty();
+    if (!result.hasPrompt) {
+        return result;
+    }
+    result.order = orderOf(candidates, homeKey(request), result.seen.avoidanceHolds, now);
+    // Where nobody is known to have read the chain, its home is the one that all routers pick, so
+    // that it is read once. Once it is known, engines that have it go first: a home changes when
+    // engines come and go, and what is cached stays where it was.
+    result.trustsHome = policy.preferredUpstreams
+                        && !isKnownAnywhere(candidates, request, memory, result.seen, now);
+    result.cached = cachedAtEach(candidates, result.trustsHome ? result.order.home : std::nullopt,
+                                 request, memory, now);
+    if (policy.transfers) {
+        result.donors = donorsOf(candidates, result.cached, result.order, request, policy, now);
+    }
+    return result;
+}
+
+Choice weigh(std::size_t index, const UpstreamState &state, const Comparison &comparison,
+             const ChoiceRequest &request, const ChoicePolicy &policy, TimePoint now)
+{
+    Choice choice;
+    choice.index = index;
+    if (comparison.hasPrompt) {
+        weighPrompt(choice, comparison.cached, comparison.donors, request);
+    }
+    estimateDelay(choice, state, comparison.hasPrompt, policy, now);
+    const double excessFailures =
+        std::max(0.0, failureShareOf(state.health, now) - comparison.seen.meanFailureShare);
+    choice.cost = choice.expectedDelay + loadOnOthers(choice, state, policy)
+                  + policy.failureDelay * excessFailures
+                  + (comparison.hasPrompt ? orderDelay(comparison.order.places[index], policy)
+                                          : spreadDelay(state, request, policy))
+                  + (state.replica.place == request.place ? 0.0 : policy.otherPlaceDelay);
+    choice.isHome = comparison.order.home == index;
+    choice.isFirstRead = comparison.trustsHome && choice.isHome;
+    return choice;
+}
+
 } // namespace
 
 std::uint32_t runningAt(const UpstreamState &state) noexcept
@@ -265,52 +321,20 @@
                                      const ChoiceRequest &request, const ChainMemory &memory,
                                      const ChoicePolicy &policy, TimePoint now)
 {
-    const Survey seen = survey(candidates, policy, now);
-    const bool hasPrompt = request.prompt != nullptr && !request.chain.empty();
-    const ChainOrder order =
-        hasPrompt ? orderOf(candidates, homeKey(request), seen.avoidanceHolds, now) : ChainOrder{};
-    const std::optional<std::size_t> home = order.home;
-    // Where nobody is known to have read the chain, its home is the one that all routers pick, so
-    // that it is read once. Once it is known, engines that have it go first: a home changes when
-    // engines come and go, and what is cached stays where it was.
-    const bool trustsHome = hasPrompt && policy.preferredUpstreams
-                            && !isKnownAnywhere(candidates, request, memory, seen, now);
-    std::vector<double> cached;
-    Donors donors;
-    if (hasPrompt) {
-        cached = cachedAtEach(candidates, trustsHome ? home : std::nullopt, request, memory, now);
-        if (policy.transfers) {
-            donors = donorsOf(candidates, cached, order, request, policy, now);
-        }
-    }
+    const Comparison comparison = prepare(candidates, request, memory, policy, now);
     std::optional<Choice> best;
     Fitness bestFitness = Fitness::Unusable;
     std::uint32_t avoided = 0;
     std::uint32_t overBound = 0;
     double homeCost = 0.0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const UpstreamState &state = *candidates[i];
-        const Fitness fitness = fitnessOf(state, request, seen, now);
+        const Fitness fitness = fitnessOf(*candidates[i], request, comparison.seen, now);
         avoided += fitness >= Fitness::Avoided ? 1 : 0;
         overBound += fitness == Fitness::OverBound ? 1 : 0;
         if (fitness == Fitness::Unusable) {
             continue;
         }
-        Choice choice;
-        choice.index = i;
-        if (hasPrompt) {
-            weighPrompt(choice, cached, donors, request);
-        }
-        estimateDelay(choice, state, hasPrompt, policy, now);
-        choice.cost =
-            choice.expectedDelay + loadOnOthers(choice, state, policy)
-            + policy.failureDelay
-                  * std::max(0.0, failureShareOf(state.health, now) - seen.meanFailureShare)
-            + (hasPrompt ? orderDelay(order.places[i], policy)
-                         : spreadDelay(state, request, policy))
-            + (state.replica.place == request.place ? 0.0 : policy.otherPlaceDelay);
-        choice.isHome = home == i;
-        choice.isFirstRead = trustsHome && choice.isHome;
+        const Choice choice = weigh(i, *candidates[i], comparison, request, policy, now);
         homeCost = choice.isHome ? choice.cost : homeCost;
         if (!best || fitness < bestFitness
             || (fitness == bestFitness && choice.cost < best->cost)) {
@@ -320,13 +344,13 @@
     }
     if (best) {
         if (best->isFirstRead) {
-            addFirstRead(*best, cached, request, policy);
+            addFirstRead(*best, comparison.cached, request, policy);
         }
         best->avoided = avoided;
         best->overBound = overBound;
-        best->bound = seen.bound;
+        best->bound = comparison.seen.bound;
         best->homeCost = homeCost;
-        best->occupancy = seen.occupancy;
+        best->occupancy = comparison.seen.occupancy;
     }
     return best;
 }
