Admit requests without an objective; ignore reports whose weight is no number

Found by reading the change. A route that states no objective had an admitted delay of 0, so that all of its requests would have been rejected once half of the slots were taken. A report with a sample count that is no number would have turned the mean of all routers into none. Each has a test that failed before.

--- a/include/plantainswitch/routing/admission.h
+++ b/include/plantainswitch/routing/admission.h
@@ -14,7 +14,7 @@
     Milliseconds expectedDelay{0};
     /// Time that is left until the caller leaves if no first token has come.
     Milliseconds patience{0};
-    /// Time to the first token that the caller counts as prompt.
+    /// Time to the first token that the caller counts as prompt; 0: not stated.
     Milliseconds objective{0};
     /// 0 is the most urgent.
     std::uint32_t rank = 0;
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -49,7 +49,9 @@
     if (request.expectedDelay > request.patience) {
         return {AdmissionVerdict::TooLate, retryAfter(request)};
     }
-    if (static_cast<double>(request.expectedDelay.count()) > admittedDelay(request, policy)) {
+    const bool hasObjective = request.objective.count() > 0;
+    if (hasObjective
+        && static_cast<double>(request.expectedDelay.count()) > admittedDelay(request, policy)) {
         return {AdmissionVerdict::Overloaded, retryAfter(request)};
     }
     return {};
--- a/src/routing/serviceestimator.cpp
+++ b/src/routing/serviceestimator.cpp
@@ -124,6 +124,9 @@
 {
     const ServiceFigures &figures = report.figures;
     const auto isPositive = [](double value) { return std::isfinite(value) && value > 0.0; };
+    if (!std::isfinite(report.prefillSamples + report.transferSamples + report.holdSamples)) {
+        return false;
+    }
     return isPositive(figures.prefillRate) && isPositive(figures.baseDelay)
            && isPositive(figures.delayPerRunning) && isPositive(figures.transferRate)
            && isPositive(figures.transferSetup) && isPositive(figures.holdTime)
--- a/tests/admission.cpp
+++ b/tests/admission.cpp
@@ -46,6 +46,17 @@
     CHECK(admit(this->request, this->policy).verdict == AdmissionVerdict::Admitted);
 }
 
+// Guards against a route without an objective, all of whose requests would count as late.
+TEST_CASE_METHOD(AdmissionFixture, "admission_noObjectiveStated_rejectsOnlyWhatIsTooLate",
+                 "[routing]")
+{
+    this->request.objective = Milliseconds{0};
+    this->request.expectedDelay = Milliseconds{1500};
+    CHECK(admit(this->request, this->policy).verdict == AdmissionVerdict::Admitted);
+    this->request.expectedDelay = Milliseconds{2500};
+    CHECK(admit(this->request, this->policy).verdict == AdmissionVerdict::TooLate);
+}
+
 // Guards against rejections while slots are free.
 TEST_CASE_METHOD(AdmissionFixture, "admission_mostSlotsFree_admitsWhateverIsExpected", "[routing]")
 {
--- a/tests/serviceestimator.cpp
+++ b/tests/serviceestimator.cpp
@@ -143,6 +143,16 @@
     CHECK(estimator.figures(this->clock.now()).prefillRate == Approx(ServiceFigures{}.prefillRate));
 }
 
+// Guards against a weight that is no number.
+TEST_CASE_METHOD(ServiceEstimatorFixture, "estimator_invalidSampleCount_isIgnored", "[routing]")
+{
+    ServiceEstimator estimator;
+    FigureReport report;
+    report.holdSamples = NAN;
+    estimator.takeReport("router-2", report, this->clock.now());
+    CHECK(estimator.figures(this->clock.now()).holdTime == Approx(ServiceFigures{}.holdTime));
+}
+
 TEST_CASE_METHOD(ServiceEstimatorFixture, "breakEven_transferSlowerThanPrefill_isInfinite",
                  "[routing]")
 {
