Block signals before the soak forks a router

soak-reload-at-start failed once under address,undefined beside load: router 3 ended with signal 1. Its log has no start between its kill (15428 ms, down for 396) and the end that was noted; the plan sends a reload at 15831, 7 ms after the fork. The child blocked signals only once it ran, so that a reload that came before its first turn ended it. Not the router's fault: no code of its had run. Ruled out: the test of the same name that was still running from another folder's suite had ended two minutes before.

--- a/tests/soak/process.cpp
+++ b/tests/soak/process.cpp
@@ -29,7 +29,14 @@
 
 void RouterProcess::start()
 {
+    // Until its first instruction a process has the system's dispositions, by which a reload or a
+    // stop ends it: a supervisor that may send them at any time starts it so. They stay pending.
+    // Blocked before the fork, as the process may be signalled before it runs at all.
+    gateway::blockHandledSignals();
     const pid_t started = fork();
+    if (started != 0) {
+        gateway::unblockHandledSignals();
+    }
     if (started < 0) {
         throw std::system_error(errno, std::generic_category(), "fork");
     }
@@ -40,9 +47,6 @@
     const int output = open(this->log.c_str(), O_WRONLY | O_CREAT | O_APPEND, logMode);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
-    // Until its first instruction a process has the system's dispositions, by which a reload or a
-    // stop ends it: a supervisor that may send them at any time starts it so. They stay pending.
-    gateway::blockHandledSignals();
     // The soak's own sockets would stay open in the router, and their addresses taken.
     close_range(STDERR_FILENO + 1, ~0U, 0);
     execl(this->program.c_str(), this->program.c_str(), "--dialect", "platform", "--config",
