--- a/gateway/exchangeanswer.cpp
+++ b/gateway/exchangeanswer.cpp
@@ -66,7 +66,7 @@
         this->gateway.estimators[this->service].recordHold(this->now() - this->firstByteAt);
         return;
     }
-    // A plain answer comes whole, so that its time in the upstream's queue can't be told apart.
+    // A plain answer comes whole, so that its time in the upstream's queue can't be separated.
     if (state.replica.slots == 0 || runningAt(state) <= state.replica.slots) {
         this->gateway.estimators[this->service].recordHold(this->now() - this->sentAt);
     }
--- a/gateway/fleetlink.cpp
+++ b/gateway/fleetlink.cpp
@@ -306,7 +306,7 @@
     return prefixes;
 }
 
-void FleetLink::welcome(const Endpoint &newcomer, const std::string &id, std::size_t knownThere)
+void FleetLink::welcome(const Endpoint &joining, const std::string &id, std::size_t knownThere)
 {
     const TimePoint now = this->gateway.clock.now();
     RouterNews told = this->news({});
@@ -321,8 +321,8 @@
         this->addOthers(*datagram.mutable_news());
     }
     this->addFigures(*datagram.mutable_news());
-    this->contacts.noteTold(newcomer, now);
-    this->sendTo(newcomer, datagram);
+    this->contacts.noteTold(joining, now);
+    this->sendTo(joining, datagram);
 }
 
 RouterNews FleetLink::news(TimePoint since)
--- a/gateway/fleetlink.h
+++ b/gateway/fleetlink.h
@@ -72,7 +72,7 @@
     void takeSuspects(const wire::RouterNews &message, TimePoint now);
     /// Answers the first news of a router that has just started: without others' addresses if it
     /// knows most of them, \a knownThere.
-    void welcome(const Endpoint &newcomer, const std::string &id, std::size_t knownThere);
+    void welcome(const Endpoint &joining, const std::string &id, std::size_t knownThere);
     /// \returns where shared prefixes are cached, as far as this router knows.
     [[nodiscard]] std::vector<ChainNews> sharedPrefixes(TimePoint now) const;
     void addOthers(wire::RouterNews &message) const;
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -22,7 +22,7 @@
     bool estimates = true;
     /// Dispatch asks the router that counts exactly what runs on an upstream.
     bool exactCounts = true;
-    /// A request that may be repeated is tried on a further upstream.
+    /// A request that may be repeated runs on a further upstream after a failure.
     bool retries = true;
     /// Requests that crash upstreams are held back.
     bool quarantine = true;
--- a/tests/serviceestimator.cpp
+++ b/tests/serviceestimator.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// Engines that are told by their figures, behind queues that now and then hold a request up.
+/// Engines with given figures, behind queues that now and then hold a request up.
 class ServiceEstimatorFixture
 {
 protected:
