--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <asio/io_context.hpp>
@@ -43,6 +44,15 @@
     bool connected = false;
 };
 
+/// How recent this router's knowledge of one kind of the store's objects is.
+struct FollowedKind
+{
+    /// When the store last confirmed it, by its answer to a list or a watch.
+    TimePoint confirmedAt;
+    /// Since when the call under way has waited for its answer.
+    std::optional<TimePoint> waitingSince;
+};
+
 /// What the parts of a gateway share. All of it lives on the loop's one thread.
 struct GatewayState
 {
@@ -68,9 +78,9 @@
     const Dialect &dialect;
     GatewaySettings settings;
     std::shared_ptr<const RoutingTable> table;
-    /// When the table was taken, and when the store or another router last told of its changes.
+    /// When the table was taken.
     TimePoint routingTakenAt;
-    TimePoint storeHeardAt;
+    std::map<StoreKind, FollowedKind> followed;
     ReplicaDirectory directory;
     bool directoryKnown = false;
     /// What the store said last, for routers that it turns away.
--- a/gateway/gatewaystore.cpp
+++ b/gateway/gatewaystore.cpp
@@ -103,7 +103,6 @@
         keep(this->state.directory.takeRemovals({removed.begin(), removed.end()}, keepUntil, now));
     }
     this->applyReplicas(events);
-    this->state.storeHeardAt = now;
     noteHeard(this->state.view, revision, this->state.directory);
     this->watchReadiness();
     if (this->replicas.isWatching()) {
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -89,6 +89,23 @@
     }
 }
 
+/// How recent the knowledge of each kind of the store's objects is.
+void appendFollowed(std::string &page, const GatewayState &state)
+{
+    const TimePoint now = state.clock.now();
+    const auto labelsOf = [](StoreKind kind) { return fmt::format("kind=\"{}\"", nameOf(kind)); };
+    begin(page, "store_confirmed_age_seconds");
+    for (const auto &[kind, followed] : state.followed) {
+        append(page, "store_confirmed_age_seconds", labelsOf(kind),
+               secondsOf(now - followed.confirmedAt));
+    }
+    begin(page, "store_call_wait_seconds");
+    for (const auto &[kind, followed] : state.followed) {
+        append(page, "store_call_wait_seconds", labelsOf(kind),
+               secondsOf(now - followed.waitingSince.value_or(now)));
+    }
+}
+
 } // namespace
 
 std::string renderGauges(const GatewayState &state)
@@ -101,7 +118,7 @@
     }
     gauge(page, "store_connected", state.view.connected ? 1.0 : 0.0);
     gauge(page, "store_revision", static_cast<double>(state.view.revision));
-    gauge(page, "store_heard_seconds", secondsOf(now - state.storeHeardAt));
+    appendFollowed(page, state);
     gauge(page, "members", state.routers());
     gauge(page, "stopping", state.stopping ? 1.0 : 0.0);
     const auto services = conditionsOf(state);
--- a/gateway/storefollower.cpp
+++ b/gateway/storefollower.cpp
@@ -105,16 +105,37 @@
     });
 }
 
+void StoreFollower::call(const std::string &target, CallLimits limits,
+                         void (StoreFollower::*done)(const PlainReply &))
+{
+    this->gateway.metrics.count(Counter::PlatformCalls);
+    this->gateway.followed[this->kind].waitingSince = this->gateway.clock.now();
+    this->client.call(this->gateway.settings.store, "GET", target, {}, limits,
+                      [this, done](const PlainReply &reply) { (this->*done)(reply); });
+}
+
+Milliseconds StoreFollower::waited() const
+{
+    const auto &since = this->gateway.followed[this->kind].waitingSince;
+    const Duration span = since ? this->gateway.clock.now() - *since : Duration{0};
+    return std::chrono::duration_cast<Milliseconds>(span);
+}
+
+Milliseconds StoreFollower::confirmedAge() const
+{
+    const Duration span =
+        this->gateway.clock.now() - this->gateway.followed[this->kind].confirmedAt;
+    return std::chrono::duration_cast<Milliseconds>(span);
+}
+
 void StoreFollower::list()
 {
     if (this->gateway.clock.now() - this->listingBegan > longestListing) {
         this->listing.clear();
     }
     const std::string after = this->listing.empty() ? std::string() : this->listing.back().name;
-    this->gateway.metrics.count(Counter::PlatformCalls);
-    this->client.call(this->gateway.settings.store, "GET",
-                      this->gateway.dialect.listTarget(this->kind, after), {}, {listLimit},
-                      [this](const PlainReply &reply) { this->onListed(reply); });
+    this->call(this->gateway.dialect.listTarget(this->kind, after), {listLimit},
+               &StoreFollower::onListed);
 }
 
 void StoreFollower::onListed(const PlainReply &reply)
@@ -157,11 +178,8 @@
 
 void StoreFollower::watch()
 {
-    this->gateway.metrics.count(Counter::PlatformCalls);
-    this->client.call(this->gateway.settings.store, "GET",
-                      this->gateway.dialect.watchTarget(this->kind, this->revision, watchWait), {},
-                      {watchWait + watchSlack},
-                      [this](const PlainReply &reply) { this->onWatched(reply); });
+    this->call(this->gateway.dialect.watchTarget(this->kind, this->revision, watchWait),
+               {watchWait + watchSlack}, &StoreFollower::onWatched);
 }
 
 void StoreFollower::onWatched(const PlainReply &reply)
@@ -195,6 +213,7 @@
 void StoreFollower::onAnswered()
 {
     this->refusedAsBusy = false;
+    this->gateway.followed[this->kind] = {this->gateway.clock.now(), std::nullopt};
     if (this->failures > 1) {
         logEvent(Event::PlatformBack, {{"kind", std::string(nameOf(this->kind))},
                                        {"failures", std::to_string(this->failures)}});
@@ -214,14 +233,19 @@
         // watches also when it drops its history, and a new watch from the old revision may then
         // hear nothing for seconds, seen as a revoked key that still opens. A list can't miss it.
         logEvent(Event::WatchCut, {{"kind", std::string(nameOf(this->kind))},
-                                   {"revision", std::to_string(this->revision)}});
+                                   {"revision", std::to_string(this->revision)},
+                                   {"waited_ms", std::to_string(this->waited().count())},
+                                   {"age_ms", std::to_string(this->confirmedAge().count())}});
         this->list();
         return;
     }
     if (this->failures <= 2) {
-        logEvent(Event::PlatformUnreachable, {{"kind", std::string(nameOf(this->kind))},
-                                              {"status", std::to_string(status)},
-                                              {"revision", std::to_string(this->revision)}});
+        logEvent(Event::PlatformUnreachable,
+                 {{"kind", std::string(nameOf(this->kind))},
+                  {"status", std::to_string(status)},
+                  {"waited_ms", std::to_string(this->waited().count())},
+                  {"age_ms", std::to_string(this->confirmedAge().count())},
+                  {"revision", std::to_string(this->revision)}});
     }
     // Also before the first list: another router may have told of upstreams meanwhile, whose
     // entries lapsed in the outage.
--- a/gateway/storefollower.h
+++ b/gateway/storefollower.h
@@ -51,6 +51,13 @@
     void onWatched(const PlainReply &reply);
     void onFailure(int status);
     void onAnswered();
+    /// Starts a call to the store, which ends with \a done.
+    void call(const std::string &target, CallLimits limits,
+              void (StoreFollower::*done)(const PlainReply &));
+    /// \returns how long the call under way has waited; 0: none is.
+    [[nodiscard]] Milliseconds waited() const;
+    /// \returns the time since the store last confirmed what is known.
+    [[nodiscard]] Milliseconds confirmedAge() const;
     void later(Milliseconds delay, void (StoreFollower::*step)());
 
     GatewayState &gateway;
