Add a test of a store that never answers a watch; it fails

gateway_storeNeverAnswersWatch_editIsInForceAllTheSame: the store accepts the watches and answers none, lists go on as before. The edit is not in force after 20 s (the call ends after 23). The fixture's store now answers a watch that had no change, as the platform's does.

--- a/tests/support/gatewayfixture.cpp
+++ b/tests/support/gatewayfixture.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <future>
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,7 +23,7 @@
 constexpr std::chrono::seconds patience{20};
 constexpr std::chrono::milliseconds lookPause{5};
 
-std::string routingDocument()
+std::string routingDocument(std::uint64_t version)
 {
     const auto route = [](const std::string &name, const std::string &kind,
                           const std::string &service, bool resumable) {
@@ -35,7 +36,7 @@
             {"gapGoalMs", 1000}};
     };
     return nlohmann::json{
-        {"version", 7},
+        {"version", version},
         {"routes",
          {route("safe", "idempotent", "plain", false),
           route("once", "non_idempotent", "plain", false),
@@ -55,6 +56,13 @@
     return fmt::format(R"({{"metadata":{{"name":"{}","rev":1}},"spec":{}}})", name, document);
 }
 
+/// \returns how long a watch may be held, as its \a target says.
+std::chrono::milliseconds waitOf(const std::string &target)
+{
+    constexpr std::string_view field = "waitMs=";
+    return std::chrono::milliseconds{std::stoi(target.substr(target.find(field) + field.size()))};
+}
+
 std::string plainAnswer(const std::string &body)
 {
     return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
@@ -111,6 +119,12 @@
     }
 }
 
+bool ServerConnection::waitForEnd(std::chrono::milliseconds longest)
+{
+    pollfd waited{this->socket.native_handle(), POLLIN, 0};
+    return ::poll(&waited, 1, static_cast<int>(longest.count())) != 0;
+}
+
 ScriptedServer::ScriptedServer(Script script)
     : acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0})
     , address{"127.0.0.1", this->acceptor.local_endpoint().port()}
@@ -232,13 +246,21 @@
     while (const auto request = connection.read()) {
         const std::string &target = request->head.target;
         if (target.find("watch=") != std::string::npos) {
-            connection.waitForEnd();
-            return;
+            if (connection.waitForEnd(waitOf(target))) {
+                return;
+            }
+            if (this->swallows) {
+                connection.waitForEnd();
+                return;
+            }
+            connection.send(plainAnswer(R"({"events":[],"asOf":5})"));
+            continue;
         }
         const bool isRouting = target.starts_with("/objects/config");
         const bool isReplicas = target.starts_with("/objects/servers");
         this->lists += isReplicas ? 1 : 0;
-        const std::string items = isRouting    ? objectOf("main", routingDocument())
+        const std::string items = isRouting
+                                      ? objectOf("main", routingDocument(this->routingVersion))
                                   : isReplicas ? this->replicaItems
                                                : std::string();
         connection.send(plainAnswer(R"({"items":[)" + items + R"(],"hasMore":false,"asOf":5})"));
@@ -335,6 +357,16 @@
     return seen;
 }
 
+std::uint64_t GatewayFixture::versionInForce()
+{
+    std::promise<std::uint64_t> version;
+    this->gateway->post([this, &version] {
+        const auto &table = this->gateway->shared().table;
+        version.set_value(table ? table->config().version : 0);
+    });
+    return version.get_future().get();
+}
+
 SeenAnswer GatewayFixture::call(const std::string &bytes)
 {
     asio::ip::tcp::socket socket = this->connectCaller();
--- a/tests/support/gatewayfixture.h
+++ b/tests/support/gatewayfixture.h
@@ -43,6 +43,8 @@
     void reset();
     /// Waits until the other side has ended the connection.
     void waitForEnd();
+    /// Waits so for \a longest at most. \returns whether it has ended.
+    bool waitForEnd(std::chrono::milliseconds longest);
 
 private:
     asio::ip::tcp::socket socket;
@@ -112,6 +114,12 @@
                           std::uint64_t storeRevision = 0);
     /// Starts the gateway and waits until it is ready.
     void start();
+    /// Replaces the store's configuration; lists show it, watches that wait are not answered.
+    void editUnnoticed(std::uint64_t version) { this->routingVersion = version; }
+    /// The store answers no watch any more, and lists as before.
+    void swallowWatches() { this->swallows = true; }
+    /// \returns the version of the configuration in force; 0: none.
+    std::uint64_t versionInForce();
     /// \returns a request as callers send it.
     [[nodiscard]] static std::string requestOf(const std::string &path, const std::string &attempt,
                                                const std::string &body = {},
@@ -151,6 +159,8 @@
     std::vector<std::unique_ptr<ScriptedServer>> upstreams;
     std::string replicaItems;
     std::atomic<int> lists = 0;
+    std::atomic<std::uint64_t> routingVersion = 7;
+    std::atomic<bool> swallows = false;
     std::unique_ptr<ScriptedServer> store;
     std::thread thread;
     /// What the gateway's thread blocks once it has run.
