Bound the age of what routers know of the store

Cause: a watch sent to, or waiting at, a silent store is never answered, though its connection lives. The router took that for 'nothing has changed' until the call's limit of 23 s. All routers are alike, as the same edit makes all of them send their next watch at the same moment, so that no router knew better and the existing comparison between routers found nothing. Ruled out: refused or invalid versions (no event 203), stale state from other routers (no event 213), dropped history (no 210).

Fix: one router, the confirmer, has its watches held for half the bound only; the age of its answers goes with the routers' updates. Who finds the newest answer overdue, or another router ahead, gives its own watch up and lists. Time-outs follow what answers take. Routers compare the newest change instead of the watched revision, which moves with each answer. After standing still a router lists. One answer confirms all kinds without a later change; changes are gathered for a twelfth of the bound (250 ms configuration, 416 ms upstreams), which pays for the confirmer's calls.

--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -91,6 +91,8 @@
     bool deleted = false;
     /// JSON text of what it holds.
     std::string document;
+    /// The store's revision of its last change; 0: not stated.
+    std::uint64_t revision = 0;
 };
 
 /// An answer of the store to a list or a watch.
--- a/gateway/fleetlink.cpp
+++ b/gateway/fleetlink.cpp
@@ -41,6 +41,19 @@
     }
 }
 
+/// \returns the moment that was \a age - 1 milliseconds before \a now; the clock's beginning for 0.
+TimePoint timeOf(std::uint32_t age, TimePoint now)
+{
+    return age == 0 ? TimePoint{} : now - Milliseconds{age - 1};
+}
+
+/// \returns the age by which timeOf() gives \a moment back.
+std::uint32_t ageOf(TimePoint moment, TimePoint now)
+{
+    const auto age = std::chrono::duration_cast<Milliseconds>(now - moment);
+    return moment == TimePoint{} ? 0 : static_cast<std::uint32_t>(age.count()) + 1;
+}
+
 } // namespace
 
 FleetLink::FleetLink(GatewayState &gateway, std::uint64_t incarnation, std::function<void()> onNews)
@@ -95,8 +108,7 @@
 
 std::optional<Endpoint> FleetLink::betterInformed() const
 {
-    const std::uint64_t own = this->gateway.table ? this->gateway.table->config().version : 0;
-    const auto best = this->contacts.betterInformed(own, this->gateway.view.revision,
+    const auto best = this->contacts.betterInformed(this->knownVersion(), this->knownRevision(),
                                                     this->sequence, this->gateway.clock.now());
     if (!best) {
         return std::nullopt;
@@ -104,6 +116,30 @@
     return Endpoint{best->host, this->gateway.settings.peerCalls.port};
 }
 
+std::uint64_t FleetLink::knownVersion() const
+{
+    return this->gateway.table ? this->gateway.table->config().version : 0;
+}
+
+std::uint64_t FleetLink::knownRevision() const
+{
+    const std::uint64_t own = this->gateway.followed.at(StoreKind::Replicas).position;
+    return std::max(own, this->gateway.view.revision);
+}
+
+std::size_t FleetLink::confirmRank() const
+{
+    return this->contacts.confirmRank(this->gateway.clock.now());
+}
+
+TimePoint FleetLink::confirmedAt(StoreKind kind) const
+{
+    const TimePoint now = this->gateway.clock.now();
+    return kind == StoreKind::Routing
+               ? this->contacts.configConfirmedAt(this->knownVersion(), now)
+               : this->contacts.upstreamsConfirmedAt(this->knownRevision(), now);
+}
+
 bool FleetLink::hearsWatcher() const
 {
     return this->contacts.hearsWatcher(this->gateway.clock.now());
@@ -198,6 +234,8 @@
     contact.configVersion = message.config_version();
     contact.storeRevision = message.store_revision();
     contact.storeConnected = message.store_connected();
+    contact.configConfirmed = timeOf(message.config_confirmed_ms(), now);
+    contact.upstreamsConfirmed = timeOf(message.upstreams_confirmed_ms(), now);
     contact.stopping = message.stopping();
     RouterNews heard;
     heard.id = message.id();
@@ -331,7 +369,7 @@
     told.id = this->gateway.settings.id;
     told.incarnation = this->incarnation;
     told.sequence = ++this->sequence;
-    told.configVersion = this->gateway.table ? this->gateway.table->config().version : 0;
+    told.configVersion = this->knownVersion();
     told.stopping = this->stopped || this->gateway.stopping;
     const TimePoint now = this->gateway.clock.now();
     for (const auto &[id, state] : this->gateway.upstreams.all()) {
@@ -357,6 +395,7 @@
 {
     wire::GatewayDatagram datagram;
     wire::RouterNews &message = *datagram.mutable_news();
+    const TimePoint now = this->gateway.clock.now();
     message.set_id(told.id);
     message.set_incarnation(told.incarnation);
     message.set_sequence(told.sequence);
@@ -365,6 +404,10 @@
     message.set_place(this->gateway.settings.place);
     message.set_store_connected(this->gateway.view.connected);
     message.set_store_revision(this->gateway.view.revision);
+    message.set_config_confirmed_ms(
+        ageOf(this->gateway.followed.at(StoreKind::Routing).confirmedAt, now));
+    message.set_upstreams_confirmed_ms(
+        ageOf(this->gateway.followed.at(StoreKind::Replicas).confirmedAt, now));
     message.set_known_routers(static_cast<std::uint32_t>(this->contacts.size()));
     for (const PeerLoad &load : told.loads) {
         wire::ReplicaLoad *const entry = message.add_loads();
@@ -380,7 +423,6 @@
         entry->set_life(chain.life);
         entry->set_age_ms(static_cast<std::uint32_t>(chain.age.count()));
     }
-    const TimePoint now = this->gateway.clock.now();
     for (const CrashReport &report : told.suspects.crashes) {
         wire::CrashSeen *const entry = message.add_crashes();
         entry->set_request(report.request);
--- a/gateway/fleetlink.h
+++ b/gateway/fleetlink.h
@@ -48,6 +48,11 @@
     /// Tells the routers of this data centre soon, because something changed that they wait for;
     /// the others hear of it when it is their turn.
     void tellSoon();
+    /// \returns how many routers come before this one in having the store confirm what
+    /// the fleet knows.
+    [[nodiscard]] std::size_t confirmRank() const;
+    /// \returns when the store last confirmed to another router what this one knows of \a kind.
+    [[nodiscard]] TimePoint confirmedAt(StoreKind kind) const;
     /// \returns the address for calls of a router that knows more of the store than this one.
     [[nodiscard]] std::optional<Endpoint> betterInformed() const;
 
@@ -68,6 +73,10 @@
     /// Takes another router's estimates of what upstreams are like.
     void takeFigures(const wire::RouterNews &message, TimePoint now);
     void addFigures(wire::RouterNews &message) const;
+    /// \returns the newest change of upstreams that this router knows, from the store or from
+    /// others.
+    [[nodiscard]] std::uint64_t knownRevision() const;
+    [[nodiscard]] std::uint64_t knownVersion() const;
     /// Takes what another router saw of requests that crash upstreams.
     void takeSuspects(const wire::RouterNews &message, TimePoint now);
     /// Answers the first news of a router that has just started: without others' addresses if it
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -44,6 +44,24 @@
     }
 }
 
+void GatewayState::noteConfirmed(std::uint64_t revision, TimePoint now)
+{
+    for (auto &[kind, known] : this->followed) {
+        if (known.position >= revision) {
+            known.confirmedAt = std::max(known.confirmedAt, now);
+        }
+    }
+}
+
+std::uint64_t GatewayState::newestPosition() const
+{
+    std::uint64_t newest = 0;
+    for (const auto &[kind, known] : this->followed) {
+        newest = std::max(newest, known.position);
+    }
+    return newest;
+}
+
 void GatewayState::checkUpstream(const std::shared_ptr<UpstreamState> &upstream)
 {
     if (upstream->isChecked) {
@@ -102,17 +120,21 @@
     , fleet(this->state,
             static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count()),
             [this] { this->catchUp(); })
-    , routing(
-          this->state, StoreKind::Routing,
-          {[this](const std::vector<StoreItem> &items, TimePoint) { this->takeRouting(items); },
-           [this](const std::vector<StoreItem> &items, TimePoint) { this->takeRouting(items); }})
+    , routing(this->state, StoreKind::Routing, freshnessWithin(this->state.settings.catchUpBound),
+              {[this](const std::vector<StoreItem> &items, TimePoint) { this->takeRouting(items); },
+               [this](const std::vector<StoreItem> &items, TimePoint) { this->takeRouting(items); },
+               [this] { return this->fleet.confirmRank(); }})
     , replicas(this->state, StoreKind::Replicas,
+               // A leaving upstream is due after both spans: the store has to be back for the first
+               // before the second begins.
+               freshnessWithin(this->state.settings.catchUpBound + this->state.settings.drainBound),
                {[this](const std::vector<StoreItem> &items, TimePoint keepUntil) {
                     this->takeReplicas(items, true, keepUntil);
                 },
                 [this](const std::vector<StoreItem> &items, TimePoint keepUntil) {
                     this->takeReplicas(items, false, keepUntil);
-                }})
+                },
+                [this] { return this->fleet.confirmRank(); }})
     , announcer(this->state)
     , catchUpClient(this->state)
     , peerAcceptor(this->context)
@@ -378,6 +400,11 @@
 void Gateway::notePause(TimePoint now)
 {
     const auto pause = this->pauses.turn(now, this->state.clock.uptime(), now + tickPause);
+    if (pause && pause->frozen > tickPause) {
+        // The clock did not count that time: what was confirmed is older than it seems.
+        this->routing.listAnew();
+        this->replicas.listAnew();
+    }
     if (pause) {
         logEvent(Event::Paused, {{"frozen_ms", std::to_string(pause->frozen.count())},
                                  {"late_ms", std::to_string(pause->late.count())}});
@@ -405,7 +432,7 @@
     }
     this->decideWatching();
     this->trackStore();
-    this->watchWatches();
+    this->checkFreshness(now);
     this->catchUp();
     this->watchReadiness();
     if (now - this->settingsReadAt > settingsPause) {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -76,8 +76,10 @@
     void findRouters();
     void trackStore();
     void catchUp();
-    /// Ends watches that hear nothing though others do.
-    void watchWatches();
+    /// Lists again what other routers know a newer state of, or what nobody has confirmed lately.
+    void checkFreshness(TimePoint now);
+    /// Lists again if other routers have known more than this one for a while.
+    void checkBehind(TimePoint now);
     void takeCatchUp(const Endpoint &from, const PlainReply &reply);
     void endStopIfIdle();
     /// Takes the settings file again if its text has changed.
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -10,6 +10,8 @@
 constexpr std::uint32_t highestPort = 65535;
 constexpr double mostGraceSeconds = 600.0;
 constexpr std::uint32_t mostDrainMilliseconds = 60'000;
+constexpr std::uint32_t minCatchUpMilliseconds = 500;
+constexpr std::uint32_t maxCatchUpMilliseconds = 60'000;
 constexpr double mostWindowSeconds = 3600.0;
 constexpr double maxDelayMilliseconds = 60'000.0;
 constexpr double maxWeight = 1000.0;
@@ -105,6 +107,9 @@
     auto drain = static_cast<std::uint32_t>(settings.drainBound.count());
     fields.read("drainMilliseconds", drain, 1, mostDrainMilliseconds);
     settings.drainBound = Milliseconds{drain};
+    auto catchUp = static_cast<std::uint32_t>(settings.catchUpBound.count());
+    fields.read("catchUpMilliseconds", catchUp, minCatchUpMilliseconds, maxCatchUpMilliseconds);
+    settings.catchUpBound = Milliseconds{catchUp};
     double grace = std::chrono::duration<double>(settings.grace).count();
     fields.read("graceSeconds", grace, 1.0, mostGraceSeconds);
     settings.grace = std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(grace));
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -52,6 +52,8 @@
     /// Time after which an upstream that has said, or whose entry's removal says, that it leaves
     /// must get no new request.
     Milliseconds drainBound{2000};
+    /// Time after an outage of the store within which its newest configuration must be in force.
+    Milliseconds catchUpBound{3000};
     /// Time from a stop's signal to its forced end.
     Milliseconds grace{8000};
     LogSettings log;
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -49,6 +49,10 @@
 {
     /// When the store last confirmed it, by its answer to a list or a watch.
     TimePoint confirmedAt;
+    /// When it was last confirmed to this router or to another one that knows nothing newer.
+    TimePoint fleetConfirmedAt;
+    /// The store's revision up to which this router's own calls have shown all changes.
+    std::uint64_t position = 0;
     /// Since when the call under way has waited for its answer.
     std::optional<TimePoint> waitingSince;
 };
@@ -107,6 +111,11 @@
     void noteDown(const Replica &replica);
     /// A request was answered: it crashes nobody.
     void noteAnswered(RequestFingerprint request);
+    /// Notes that the store answered at \a now as of \a revision, which confirms each kind that has
+    /// no later change.
+    void noteConfirmed(std::uint64_t revision, TimePoint now);
+    /// \returns the newest revision of the store that an answer has shown.
+    [[nodiscard]] std::uint64_t newestPosition() const;
     /// Takes the loads of other routers into the upstreams' states.
     void refreshPeerLoads();
     bool peersChanged = false;
--- a/gateway/gatewaystore.cpp
+++ b/gateway/gatewaystore.cpp
@@ -22,11 +22,9 @@
 /// for a member. Some ten times the longest turn of a loop on a small machine; several such routers
 /// in a row still leave an upstream's leaving in force within its two seconds.
 constexpr Milliseconds catchUpSilence{400};
-/// How long others may know more than this router's own watches have told. A store that fell silent
-/// for a moment may have swallowed a watch, whose connection lives on and tells nothing: the router
-/// would serve by old knowledge until the watch is over. Longer than changes take to spread, and
-/// short enough for an edit to be in force within two seconds.
-constexpr Milliseconds deafSpan{700};
+/// How long others may know more than this router's own watches have shown: longer than changes
+/// take to spread, and short enough for an edit to be in force within two seconds.
+constexpr Milliseconds behindSpan{700};
 /// Time for the store to take this router's entry.
 constexpr Milliseconds announceLimit{2500};
 
@@ -62,7 +60,7 @@
 
 void Gateway::takeReplicas(const std::vector<StoreItem> &items, bool isList, TimePoint keepUntil)
 {
-    if (isList && isOutdated(this->state.view, this->replicas.heardRevision())) {
+    if (isList && isOutdated(this->state.view, this->replicas.position())) {
         // Other routers have told more meanwhile; what follows the list is watched, or told too.
         return;
     }
@@ -72,8 +70,7 @@
     const auto keep = [&events](std::vector<ReplicaEvent> more) {
         std::move(more.begin(), more.end(), std::back_inserter(events));
     };
-    const std::uint64_t revision =
-        std::max(this->state.view.revision, this->replicas.heardRevision());
+    const std::uint64_t revision = std::max(this->state.view.revision, this->replicas.position());
     std::set<std::string> removed;
     for (const StoreItem &item : items) {
         if (item.deleted) {
@@ -103,7 +100,7 @@
         keep(this->state.directory.takeRemovals({removed.begin(), removed.end()}, keepUntil, now));
     }
     this->applyReplicas(events);
-    noteHeard(this->state.view, revision, this->state.directory);
+    noteHeard(this->state.view, this->replicas.newestChange(), this->state.directory);
     this->watchReadiness();
     if (this->replicas.isWatching()) {
         this->trackStore();
@@ -124,7 +121,8 @@
     this->state.peersChanged = true;
     for (const ReplicaEvent &event : events) {
         if (event.change == ReplicaChange::Gone) {
-            noteGone(this->state.view, event.replica.id, this->replicas.heardRevision());
+            noteGone(this->state.view, event.replica.id, this->replicas.position());
+            this->replicas.noteRemoval();
         }
     }
     for (const ReplicaEvent &event : events) {
@@ -186,7 +184,7 @@
     view.connected = this->replicas.isWatching() && this->routing.isConnected()
                      && this->replicas.isConnected() && this->state.directoryKnown;
     if (view.connected) {
-        noteHeard(view, this->replicas.heardRevision(), this->state.directory);
+        noteHeard(view, this->replicas.newestChange(), this->state.directory);
     }
 }
 
@@ -225,7 +223,14 @@
     }
 }
 
-void Gateway::watchWatches()
+void Gateway::checkFreshness(TimePoint now)
+{
+    this->checkBehind(now);
+    this->routing.checkConfirmed(this->fleet.confirmedAt(StoreKind::Routing));
+    this->replicas.checkConfirmed(this->fleet.confirmedAt(StoreKind::Replicas));
+}
+
+void Gateway::checkBehind(TimePoint now)
 {
     const bool isBehind = this->state.view.connected && !this->state.directory.hasMissing()
                           && this->fleet.betterInformed();
@@ -233,8 +238,7 @@
         this->behindSince.reset();
         return;
     }
-    const TimePoint now = this->state.clock.now();
-    if (now - this->behindSince.value_or(now) < deafSpan) {
+    if (now - this->behindSince.value_or(now) < behindSpan) {
         this->behindSince = this->behindSince.value_or(now);
         return;
     }
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -99,6 +99,11 @@
         append(page, "store_confirmed_age_seconds", labelsOf(kind),
                secondsOf(now - followed.confirmedAt));
     }
+    begin(page, "store_fleet_confirmed_age_seconds");
+    for (const auto &[kind, followed] : state.followed) {
+        append(page, "store_fleet_confirmed_age_seconds", labelsOf(kind),
+               secondsOf(now - followed.fleetConfirmedAt));
+    }
     begin(page, "store_call_wait_seconds");
     for (const auto &[kind, followed] : state.followed) {
         append(page, "store_call_wait_seconds", labelsOf(kind),
--- a/gateway/storefollower.cpp
+++ b/gateway/storefollower.cpp
@@ -10,23 +10,12 @@
 
 namespace {
 
-/// How long the store is asked to hold a watch. Each renewed watch is a priced call; a connection
-/// that went silent is found sooner, by its keep-alive probes.
-constexpr Milliseconds watchWait{20'000};
-/// Pause before the next watch after changes came: each watch is a priced call, and changes often
-/// come in rows, such as when upstreams are replaced one after the other. An eighth of the time
-/// within which an edit or a leaving must be in force; at 100 ms a day of many changes took a third
-/// more calls.
-constexpr Milliseconds gatherPause{250};
 /// How much later than asked a watch may end.
 constexpr Milliseconds watchSlack{3000};
 /// Time for a plain call, some hundred times the store's usual answer.
 constexpr Milliseconds listLimit{2500};
-/// First pause after a failure, doubled up to longestPause: routers that all lost the store must
-/// not ask in step, and an edit must be in force within two seconds of the store's return.
-constexpr Milliseconds shortestPause{250};
-constexpr Milliseconds longestPause{1000};
-constexpr std::uint32_t mostDoublings = 2;
+/// Least time for the first byte of a list, for which a small machine may have to connect first.
+constexpr Milliseconds minListTimeout{1000};
 /// How long the pages of one list may take. Below the history that a store keeps, by which what
 /// changed since the first page is found.
 constexpr Milliseconds longestListing{5000};
@@ -36,9 +25,12 @@
 
 } // namespace
 
-StoreFollower::StoreFollower(GatewayState &gateway, StoreKind kind, FollowerEvents events)
+StoreFollower::StoreFollower(GatewayState &gateway, StoreKind kind, FreshnessPolicy policy,
+                             FollowerEvents events)
     : gateway(gateway)
     , kind(kind)
+    , known(gateway.followed[kind])
+    , policy(policy)
     , events(std::move(events))
     , client(gateway)
     , timer(gateway.context)
@@ -71,7 +63,7 @@
     if (this->watching) {
         return;
     }
-    if (!this->paused && this->revision != 0 && !this->client.isBusy()) {
+    if (!this->paused && this->position() != 0 && !this->client.isBusy()) {
         // Listed a moment ago: what changed since then is told to the watch.
         this->watching = true;
         this->watch();
@@ -95,6 +87,50 @@
     this->list();
 }
 
+void StoreFollower::checkConfirmed(TimePoint fleetConfirmedAt)
+{
+    this->known.fleetConfirmedAt = std::max(fleetConfirmedAt, this->known.confirmedAt);
+    const bool isWaiting = this->watching && this->client.isBusy() && this->held.count() > 0;
+    if (!isWaiting) {
+        return;
+    }
+    FreshnessSituation situation;
+    situation.sinceConfirmed = this->gateway.clock.now() - this->known.fleetConfirmedAt;
+    situation.rank = this->confirmRank();
+    situation.answerTimeout = this->answerTimeout.value();
+    situation.held = this->held;
+    if (isConfirmationDue(this->policy, situation)) {
+        this->client.abandon();
+        this->watch();
+        return;
+    }
+    if (!isUnconfirmed(this->policy, situation)) {
+        return;
+    }
+    const auto age = std::chrono::duration_cast<Milliseconds>(situation.sinceConfirmed);
+    logEvent(Event::StoreUnconfirmed, {{"kind", std::string(nameOf(this->kind))},
+                                       {"revision", std::to_string(this->position())},
+                                       {"age_ms", std::to_string(age.count())},
+                                       {"waited_ms", std::to_string(this->waited().count())},
+                                       {"rank", std::to_string(situation.rank)}});
+    this->listAnew();
+}
+
+std::size_t StoreFollower::confirmRank() const
+{
+    return this->events.confirmRank ? this->events.confirmRank() : 0;
+}
+
+bool StoreFollower::isConfirmer() const
+{
+    if (this->confirmRank() > 0) {
+        return false;
+    }
+    // An answer of the configuration confirms every kind of which the store has no newer change.
+    const bool isNewest = this->position() == this->gateway.newestPosition();
+    return this->kind == StoreKind::Routing || !isNewest;
+}
+
 void StoreFollower::later(Milliseconds delay, void (StoreFollower::*step)())
 {
     this->timer.expires_after(delay);
@@ -109,22 +145,21 @@
                          void (StoreFollower::*done)(const PlainReply &))
 {
     this->gateway.metrics.count(Counter::PlatformCalls);
-    this->gateway.followed[this->kind].waitingSince = this->gateway.clock.now();
+    this->known.waitingSince = this->gateway.clock.now();
     this->client.call(this->gateway.settings.store, "GET", target, {}, limits,
                       [this, done](const PlainReply &reply) { (this->*done)(reply); });
 }
 
 Milliseconds StoreFollower::waited() const
 {
-    const auto &since = this->gateway.followed[this->kind].waitingSince;
+    const auto &since = this->known.waitingSince;
     const Duration span = since ? this->gateway.clock.now() - *since : Duration{0};
     return std::chrono::duration_cast<Milliseconds>(span);
 }
 
 Milliseconds StoreFollower::confirmedAge() const
 {
-    const Duration span =
-        this->gateway.clock.now() - this->gateway.followed[this->kind].confirmedAt;
+    const Duration span = this->gateway.clock.now() - this->known.confirmedAt;
     return std::chrono::duration_cast<Milliseconds>(span);
 }
 
@@ -134,7 +169,9 @@
         this->listing.clear();
     }
     const std::string after = this->listing.empty() ? std::string() : this->listing.back().name;
-    this->call(this->gateway.dialect.listTarget(this->kind, after), {listLimit},
+    this->held = Milliseconds{0};
+    this->call(this->gateway.dialect.listTarget(this->kind, after),
+               {listLimit, std::max(minListTimeout, this->answerTimeout.value())},
                &StoreFollower::onListed);
 }
 
@@ -148,6 +185,7 @@
         this->onFailure(reply.status);
         return;
     }
+    this->answerTimeout.recordAnswer(this->waited());
     this->onAnswered();
     if (this->listing.empty()) {
         this->listingBegan = this->gateway.clock.now();
@@ -158,11 +196,13 @@
         this->list();
         return;
     }
-    // Changes made while the pages came are found by watching from the first page's revision. Until
-    // now nothing was heard: other routers would take this one for informed, and ask it in vain.
-    this->revision = this->listingRevision;
+    // Changes made while the pages came are found by watching from the first page's revision.
+    // Before the last page other routers would take this one for informed, and ask it in vain.
+    this->known.position = this->listingRevision;
+    this->gateway.noteConfirmed(this->listingRevision, this->listingBegan);
+    this->noteChanges(this->listing, this->listingRevision);
     logEvent(Event::ObjectsListed, {{"kind", std::string(nameOf(this->kind))},
-                                    {"revision", std::to_string(this->revision)},
+                                    {"revision", std::to_string(this->position())},
                                     {"objects", std::to_string(this->listing.size())},
                                     {"after_outage", this->wasOut ? "yes" : "no"}});
     std::vector<StoreItem> items = std::move(this->listing);
@@ -178,8 +218,10 @@
 
 void StoreFollower::watch()
 {
-    this->call(this->gateway.dialect.watchTarget(this->kind, this->revision, watchWait),
-               {watchWait + watchSlack}, &StoreFollower::onWatched);
+    this->held = watchWait(this->policy, this->isConfirmer());
+    this->call(this->gateway.dialect.watchTarget(this->kind, this->position(), this->held),
+               {this->held + watchSlack, this->held + this->answerTimeout.value()},
+               &StoreFollower::onWatched);
 }
 
 void StoreFollower::onWatched(const PlainReply &reply)
@@ -190,7 +232,7 @@
     if (reply.status == statusGone) {
         this->onAnswered();
         logEvent(Event::HistoryLost, {{"kind", std::string(nameOf(this->kind))},
-                                      {"revision", std::to_string(this->revision)}});
+                                      {"revision", std::to_string(this->position())}});
         this->list();
         return;
     }
@@ -200,20 +242,35 @@
         this->onFailure(reply.status);
         return;
     }
+    if (answer->items.empty()) {
+        this->answerTimeout.recordAnswer(std::max(this->waited() - this->held, Milliseconds{0}));
+    }
     this->onAnswered();
-    this->revision = std::max(this->revision, answer->revision);
+    this->known.position = std::max(this->position(), answer->revision);
+    this->gateway.noteConfirmed(answer->revision, this->gateway.clock.now());
+    this->noteChanges(answer->items, answer->revision);
     if (!answer->items.empty()) {
         this->events.onChanges(std::move(answer->items), this->keepUntil);
-        this->later(gatherPause, &StoreFollower::watch);
+        this->later(this->policy.gatherPause, &StoreFollower::watch);
         return;
     }
     this->watch();
 }
 
+void StoreFollower::noteChanges(const std::vector<StoreItem> &items, std::uint64_t revision)
+{
+    // A removed object no longer says when it was changed.
+    constexpr std::uint64_t first = 1;
+    this->lastChange = std::max(this->lastChange, first);
+    for (const StoreItem &item : items) {
+        this->lastChange = std::max(this->lastChange, item.deleted ? revision : item.revision);
+    }
+}
+
 void StoreFollower::onAnswered()
 {
     this->refusedAsBusy = false;
-    this->gateway.followed[this->kind] = {this->gateway.clock.now(), std::nullopt};
+    this->known.waitingSince.reset();
     if (this->failures > 1) {
         logEvent(Event::PlatformBack, {{"kind", std::string(nameOf(this->kind))},
                                        {"failures", std::to_string(this->failures)}});
@@ -224,16 +281,19 @@
 void StoreFollower::onFailure(int status)
 {
     this->failures += 1;
+    if (status == 0) {
+        this->answerTimeout.recordTimeout();
+    }
     this->refusedAsBusy = status == statusTooMany;
     if (this->stopped) {
         return;
     }
-    if (this->failures == 1 && this->revision != 0 && status == 0) {
+    if (this->failures == 1 && this->position() != 0 && status == 0) {
         // A waiting watch may be cut off at any time: this alone is no outage. But the store cuts
         // watches also when it drops its history, and a new watch from the old revision may then
         // hear nothing for seconds, seen as a revoked key that still opens. A list can't miss it.
         logEvent(Event::WatchCut, {{"kind", std::string(nameOf(this->kind))},
-                                   {"revision", std::to_string(this->revision)},
+                                   {"revision", std::to_string(this->position())},
                                    {"waited_ms", std::to_string(this->waited().count())},
                                    {"age_ms", std::to_string(this->confirmedAge().count())}});
         this->list();
@@ -245,18 +305,13 @@
                   {"status", std::to_string(status)},
                   {"waited_ms", std::to_string(this->waited().count())},
                   {"age_ms", std::to_string(this->confirmedAge().count())},
-                  {"revision", std::to_string(this->revision)}});
+                  {"revision", std::to_string(this->position())}});
     }
     // Also before the first list: another router may have told of upstreams meanwhile, whose
     // entries lapsed in the outage.
     this->wasOut = true;
-    const std::uint32_t doublings = std::min(this->failures - 1, mostDoublings);
-    const Milliseconds pause =
-        std::min<Milliseconds>(shortestPause * (1 << doublings), longestPause);
-    // Between a half and the whole of it: routers that were refused together ask apart.
-    const std::uint64_t step = hashOf(this->gateway.settings.id, this->failures);
-    const auto spread = static_cast<std::int64_t>(step % static_cast<std::uint64_t>(pause.count()));
-    this->later((pause + Milliseconds{spread}) / 2, &StoreFollower::list);
+    const std::uint64_t seed = hashOf(this->gateway.settings.id, this->failures);
+    this->later(retryPause(this->failures, seed), &StoreFollower::list);
 }
 
 } // namespace plantainswitch::gateway
--- a/gateway/storefollower.h
+++ b/gateway/storefollower.h
@@ -4,11 +4,13 @@
 #include <string>
 #include <vector>
 
+#include "plantainswitch/membership/freshness.h"
+
 #include "plainclient.h"
 
 namespace plantainswitch::gateway {
 
-/// Who hears of the objects of one kind.
+/// Who is notified of the objects of one kind.
 struct FollowerEvents
 {
     /// The whole list. Until \a keepUntil an entry that is missing may still come back: the store
@@ -16,6 +18,9 @@
     std::function<void(std::vector<StoreItem>, TimePoint keepUntil)> onList;
     /// Objects that changed; \a keepUntil as above.
     std::function<void(std::vector<StoreItem>, TimePoint keepUntil)> onChanges;
+    /// \returns how many routers come before this one in having the store confirm this kind; unset:
+    /// none.
+    std::function<std::size_t()> confirmRank;
 };
 
 /// Follows all objects of one kind: lists them once, then waits for changes. When the store has
@@ -23,7 +28,8 @@
 class StoreFollower
 {
 public:
-    StoreFollower(GatewayState &gateway, StoreKind kind, FollowerEvents events);
+    StoreFollower(GatewayState &gateway, StoreKind kind, FreshnessPolicy policy,
+                  FollowerEvents events);
 
     /// Lists once; resume() begins the watch.
     void start();
@@ -32,17 +38,26 @@
     void pause();
     /// Lists again and watches.
     void resume();
-    /// Gives a watch up that hears nothing, and lists again. Until the list is answered the store
+    /// Gives a watch up that is not answered, and lists again. Until the list is answered the store
     /// counts as out of reach.
     void listAnew();
+    /// As the confirmer, replaces a long watch by a short one when it is due; lists again if the
+    /// confirmer's answer is overdue.
+    /// \param fleetConfirmedAt when the store last confirmed to another router what this one knows
+    void checkConfirmed(TimePoint fleetConfirmedAt);
+    /// Notes that an upstream counts as gone without a change of the store.
+    void noteRemoval() noexcept { this->lastChange = this->known.position; }
     [[nodiscard]] bool isPaused() const noexcept { return this->paused; }
     [[nodiscard]] bool isWatching() const noexcept { return this->watching; }
     /// \returns whether the last call was answered.
     [[nodiscard]] bool isConnected() const noexcept { return this->failures == 0; }
     /// \returns whether the store's last answer was that too many calls are made.
     [[nodiscard]] bool isRefusedAsBusy() const noexcept { return this->refusedAsBusy; }
-    /// \returns the store's revision up to which all changes were heard.
-    [[nodiscard]] std::uint64_t heardRevision() const noexcept { return this->revision; }
+    /// \returns the store's revision up to which all changes are known.
+    [[nodiscard]] std::uint64_t position() const noexcept { return this->known.position; }
+    /// \returns the revision of the newest change of this kind. Routers with the same objects have
+    /// the same one, while their positions move with each answer.
+    [[nodiscard]] std::uint64_t newestChange() const noexcept { return this->lastChange; }
 
 private:
     void list();
@@ -54,6 +69,11 @@
     /// Starts a call to the store, which ends with \a done.
     void call(const std::string &target, CallLimits limits,
               void (StoreFollower::*done)(const PlainReply &));
+    /// \returns whether this router's next answer of this kind has to confirm what the fleet knows.
+    [[nodiscard]] bool isConfirmer() const;
+    [[nodiscard]] std::size_t confirmRank() const;
+    /// Takes the revisions of an answer's objects.
+    void noteChanges(const std::vector<StoreItem> &items, std::uint64_t revision);
     /// \returns how long the call under way has waited; 0: none is.
     [[nodiscard]] Milliseconds waited() const;
     /// \returns the time since the store last confirmed what is known.
@@ -62,15 +82,20 @@
 
     GatewayState &gateway;
     StoreKind kind;
+    FollowedKind &known;
+    FreshnessPolicy policy;
     FollowerEvents events;
     PlainClient client;
+    AnswerTimeout answerTimeout;
+    /// How long the store may hold the call under way; 0: it is no watch.
+    Milliseconds held{0};
     asio::steady_timer timer;
     /// Pages that have come of a list that is still under way.
     std::vector<StoreItem> listing;
     /// When the first of them came, and the store's revision then.
     TimePoint listingBegan;
     std::uint64_t listingRevision = 0;
-    std::uint64_t revision = 0;
+    std::uint64_t lastChange = 0;
     std::uint32_t failures = 0;
     bool stopped = false;
     bool paused = false;
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -41,6 +41,7 @@
     CaughtUp = 213,
     Announced = 214,
     WatchDeaf = 215,
+    StoreUnconfirmed = 216,
     MemberJoined = 300,
     MemberGone = 301,
     DatagramInvalid = 302,
--- a/include/plantainswitch/routing/routercontacts.h
+++ b/include/plantainswitch/routing/routercontacts.h
@@ -29,6 +29,8 @@
 inline constexpr int missedNews = 3;
 /// Pause between news to an address that doesn't answer: it may be another router's tomorrow.
 inline constexpr Milliseconds silentPause{2000};
+/// A router whose updates come at least so often can confirm for others what the store holds.
+inline constexpr Milliseconds maxConfirmerPause{200};
 /// Silence after which an address is forgotten unless the settings name it: longer than data
 /// centres are cut off from each other. Each restart of a VM may bring a new address; kept for
 /// ever, the dead ones would be told news all day.
@@ -65,7 +67,12 @@
     /// The settings name it.
     bool isSeed = false;
     std::uint64_t configVersion = 0;
+    /// The newest change of upstreams that it knows.
     std::uint64_t storeRevision = 0;
+    /// When the store last confirmed to it that its configuration, or its list of upstreams, is the
+    /// newest.
+    TimePoint configConfirmed;
+    TimePoint upstreamsConfirmed;
     /// The store answers it.
     bool storeConnected = false;
     bool stopping = false;
@@ -110,6 +117,14 @@
     /// key. The router with the id \a except is not considered.
     [[nodiscard]] bool isFirstFor(std::uint64_t key, TimePoint now,
                                   std::string_view except = {}) const;
+    /// \returns how many routers come before this one in having the store confirm what the fleet
+    /// knows: of those that the store answers and whose updates arrive within moments.
+    [[nodiscard]] std::size_t confirmRank(TimePoint now) const;
+    /// \returns when the store last confirmed to another router that no configuration is newer than
+    /// \a version; the clock's beginning: never.
+    [[nodiscard]] TimePoint configConfirmedAt(std::uint64_t version, TimePoint now) const;
+    /// \returns the same for changes of upstreams after \a revision.
+    [[nodiscard]] TimePoint upstreamsConfirmedAt(std::uint64_t revision, TimePoint now) const;
     /// \returns the keeper of the engine life \a life in \a enginePlace; nothing when it is this
     /// router, which takes no part if it \a isStopping.
     [[nodiscard]] std::optional<Endpoint> keeperOf(std::uint64_t life,
@@ -141,6 +156,11 @@
     }
     [[nodiscard]] bool isHeard(const RouterContact &contact, const Rhythm &rhythm,
                                TimePoint now) const;
+    /// \returns the newest of \a confirmed at routers that know nothing newer of \a content than
+    /// \a known.
+    [[nodiscard]] TimePoint latestConfirmation(std::uint64_t RouterContact::*content,
+                                               TimePoint RouterContact::*confirmed,
+                                               std::uint64_t known, TimePoint now) const;
 
     std::string id;
     std::string place;
--- /dev/null
+++ b/src/membership/freshness.cpp
@@ -0,0 +1,77 @@
+#include "plantainswitch/membership/freshness.h"
+
+#include <algorithm>
+
+namespace plantainswitch {
+
+namespace {
+
+/// Confirmations within the bound. One of them is for a time-out, the update to the other routers
+/// and their lists.
+constexpr std::int64_t confirmationsInBound = 2;
+constexpr std::int64_t gatherPausesInBound = 12;
+/// An answer takes a few milliseconds; a small machine may be late by some hundred.
+constexpr Milliseconds minTimeout{400};
+constexpr Milliseconds maxTimeout{2500};
+constexpr std::uint32_t maxDoublings = 2;
+constexpr Milliseconds minRetryPause{250};
+constexpr Milliseconds maxRetryPause{1000};
+/// Time for the confirmer's answer to reach the other routers.
+constexpr Milliseconds updateDelay{300};
+constexpr Milliseconds rankStep{100};
+constexpr std::size_t maxRank = 10;
+
+} // namespace
+
+FreshnessPolicy freshnessWithin(Milliseconds bound) noexcept
+{
+    FreshnessPolicy policy;
+    policy.confirmInterval = bound / confirmationsInBound;
+    policy.gatherPause = bound / gatherPausesInBound;
+    policy.maxWait = std::max(policy.maxWait, policy.confirmInterval);
+    return policy;
+}
+
+void AnswerTimeout::recordAnswer(Duration took) noexcept
+{
+    // Follows a slower platform at once and a faster one gradually.
+    this->smoothed = std::max(took, (this->smoothed + took) / 2);
+    this->timeouts = 0;
+}
+
+Milliseconds AnswerTimeout::value() const noexcept
+{
+    const auto estimated = std::chrono::duration_cast<Milliseconds>(this->smoothed * 2);
+    const Milliseconds base = std::max(minTimeout, minTimeout / 2 + estimated);
+    const std::uint32_t doublings = this->timeouts % (maxDoublings + 1);
+    return std::min(maxTimeout, base * (1 << doublings));
+}
+
+Milliseconds retryPause(std::uint32_t failures, std::uint64_t seed) noexcept
+{
+    const std::uint32_t doublings = std::min(std::max(failures, 1U) - 1, maxDoublings);
+    const Milliseconds pause = std::min(minRetryPause * (1 << doublings), maxRetryPause);
+    const auto spread = static_cast<std::int64_t>(seed % static_cast<std::uint64_t>(pause.count()));
+    // Between a half and the whole of it.
+    return (pause + Milliseconds{spread}) / 2;
+}
+
+Milliseconds watchWait(const FreshnessPolicy &policy, bool isConfirmer) noexcept
+{
+    return isConfirmer ? policy.confirmInterval : policy.maxWait;
+}
+
+bool isConfirmationDue(const FreshnessPolicy &policy, const FreshnessSituation &situation) noexcept
+{
+    return situation.rank == 0 && situation.held > policy.confirmInterval
+           && situation.sinceConfirmed > policy.confirmInterval;
+}
+
+bool isUnconfirmed(const FreshnessPolicy &policy, const FreshnessSituation &situation) noexcept
+{
+    const auto turn = static_cast<std::int64_t>(std::min(situation.rank, maxRank));
+    return situation.sinceConfirmed
+           > policy.confirmInterval + situation.answerTimeout + updateDelay + turn * rankStep;
+}
+
+} // namespace plantainswitch
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -38,6 +38,7 @@
     EventRow{Event::CaughtUp, "caught-up", Severity::Info},
     EventRow{Event::Announced, "announced", Severity::Info},
     EventRow{Event::WatchDeaf, "watch-deaf", Severity::Warning},
+    EventRow{Event::StoreUnconfirmed, "store-unconfirmed", Severity::Warning},
     EventRow{Event::MemberJoined, "member-joined", Severity::Info},
     EventRow{Event::MemberGone, "member-gone", Severity::Warning},
     EventRow{Event::DatagramInvalid, "datagram-invalid", Severity::Warning},
--- a/src/observe/story.cpp
+++ b/src/observe/story.cpp
@@ -104,9 +104,9 @@
     if (isEvent(line, {Event::RoutingTaken})) {
         return "configuration";
     }
-    if (isEvent(line,
-                {Event::PlatformUnreachable, Event::PlatformBack, Event::WatchCut,
-                 Event::HistoryLost, Event::ObjectsListed, Event::CaughtUp, Event::WatchDeaf})) {
+    if (isEvent(line, {Event::PlatformUnreachable, Event::PlatformBack, Event::WatchCut,
+                       Event::HistoryLost, Event::ObjectsListed, Event::CaughtUp, Event::WatchDeaf,
+                       Event::StoreUnconfirmed})) {
         return "store";
     }
     if (isEvent(line, {Event::ReplicaChanged})) {
--- a/src/routing/routercontacts.cpp
+++ b/src/routing/routercontacts.cpp
@@ -20,6 +20,9 @@
     return std::clamp(std::chrono::duration_cast<Milliseconds>(grown), newsPause, longest);
 }
 
+/// Keeps the choice of the confirmer independent of other choices.
+constexpr std::uint64_t confirmerKey = 0x636f6e6669726d73;
+
 double scoreOf(std::uint64_t key, const std::string &id)
 {
     return rendezvousScore(key, {hashOf(id), 1.0});
@@ -183,6 +186,47 @@
     });
 }
 
+std::size_t RouterContacts::confirmRank(TimePoint now) const
+{
+    const Rhythm rhythm = this->rhythm();
+    const double own = scoreOf(confirmerKey, this->id);
+    const auto before =
+        std::count_if(this->contacts.begin(), this->contacts.end(), [&](const auto &entry) {
+            const RouterContact &contact = entry.second;
+            const bool isPrompt = this->isNear(contact) || rhythm.farPause <= maxConfirmerPause;
+            return isPrompt && this->isHeard(contact, rhythm, now) && contact.storeConnected
+                   && !contact.stopping && scoreOf(confirmerKey, contact.id) > own;
+        });
+    return static_cast<std::size_t>(before);
+}
+
+TimePoint RouterContacts::latestConfirmation(std::uint64_t RouterContact::*content,
+                                             TimePoint RouterContact::*confirmed,
+                                             std::uint64_t known, TimePoint now) const
+{
+    const Rhythm rhythm = this->rhythm();
+    TimePoint latest;
+    for (const auto &[address, contact] : this->contacts) {
+        // Whoever knows something newer confirms nothing to a router that doesn't.
+        if (this->isHeard(contact, rhythm, now) && contact.*content <= known) {
+            latest = std::max(latest, contact.*confirmed);
+        }
+    }
+    return latest;
+}
+
+TimePoint RouterContacts::configConfirmedAt(std::uint64_t version, TimePoint now) const
+{
+    return this->latestConfirmation(&RouterContact::configVersion, &RouterContact::configConfirmed,
+                                    version, now);
+}
+
+TimePoint RouterContacts::upstreamsConfirmedAt(std::uint64_t revision, TimePoint now) const
+{
+    return this->latestConfirmation(&RouterContact::storeRevision,
+                                    &RouterContact::upstreamsConfirmed, revision, now);
+}
+
 std::optional<Endpoint> RouterContacts::keeperOf(std::uint64_t life, const std::string &enginePlace,
                                                  bool isStopping, TimePoint now) const
 {
--- a/tests/storefollower.cpp
+++ b/tests/storefollower.cpp
@@ -39,12 +39,13 @@
     GatewayState state(this->context, this->clock, this->dialect, settings);
     std::optional<TimePoint> keptUntil;
     StoreFollower follower(
-        state, StoreKind::Replicas,
+        state, StoreKind::Replicas, {},
         {[this, &keptUntil](const std::vector<StoreItem> &, TimePoint keepUntil) {
              keptUntil = keepUntil;
              this->context.stop();
          },
-         [](const std::vector<StoreItem> &, TimePoint) {}});
+         [](const std::vector<StoreItem> &, TimePoint) {},
+         {}});
     const TimePoint begun = this->clock.now();
     follower.start();
     this->context.run_for(std::chrono::seconds{20});
@@ -67,7 +68,7 @@
         while (const auto request = connection.read()) {
             targets.push_back(request->head.target);
             if (targets.size() == 2) {
-                heardAmid = asked->heardRevision();
+                heardAmid = asked->position();
                 connection.send("HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n");
                 continue;
             }
@@ -83,14 +84,15 @@
     settings.store = store.endpoint();
     GatewayState state(this->context, this->clock, this->dialect, settings);
     std::vector<std::string> listed;
-    StoreFollower follower(state, StoreKind::Replicas,
+    StoreFollower follower(state, StoreKind::Replicas, {},
                            {[this, &listed](const std::vector<StoreItem> &items, TimePoint) {
                                 for (const StoreItem &item : items) {
                                     listed.push_back(item.name);
                                 }
                                 this->context.stop();
                             },
-                            [](const std::vector<StoreItem> &, TimePoint) {}});
+                            [](const std::vector<StoreItem> &, TimePoint) {},
+                            {}});
     asked = &follower;
     follower.start();
     this->context.run_for(std::chrono::seconds{20});
@@ -99,6 +101,6 @@
     CHECK(targets[1] == targets[2]);
     CHECK(heardAmid == 0);
     // What changed since the first page came is heard by watching from there.
-    CHECK(follower.heardRevision() == 12);
+    CHECK(follower.position() == 12);
     follower.stop();
 }
