Let the soak's store lose waiting watches, and edit right after its return

The soak's store told waiting watches of all changes once it was well again; the users' store never answers a watch that waited while it was silent. And the check of versions in force excused a call for ever if the store was harmed just before the edit. A silent store now forgets its watches and is followed by an edit; a harm excuses a call for the time of recovery only (soakHistory_staleLongAfterASilentStore_isFound failed before).

--- a/tests/soak/history.cpp
+++ b/tests/soak/history.cpp
@@ -208,9 +208,11 @@
         if (version == acknowledged.end() || call.sentAt <= version->second + bounds.config) {
             continue;
         }
+        // A harm before or at the edit excuses no longer than the store or the router takes to
+        // recover from it.
         const bool isExcused =
-            isHarmed(history.storeHarms, version->second, call.sentAt, bounds.recovery)
-            || isRouterHarmed(history, call.router, version->second, call.sentAt, bounds.recovery);
+            isHarmed(history.storeHarms, call.sentAt, call.sentAt, bounds.recovery)
+            || isRouterHarmed(history, call.router, call.sentAt, call.sentAt, bounds.recovery);
         if (!isExcused) {
             found.push_back(
                 {"in-force", fmt::format("{} was decided without version {} of {} ms",
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -40,6 +40,8 @@
 /// How long an upstream is down that a request has crashed.
 constexpr Milliseconds crashedSpan{1500};
 constexpr std::size_t crasherTimes = 20;
+/// From the return of a silent store to the edit that follows it.
+constexpr Milliseconds editDelay{50};
 
 } // namespace
 
@@ -395,6 +397,7 @@
         break;
     case HarmKind::StoreSilent:
         this->store->setMood(StoreMood::Silent);
+        this->after(step.span + editDelay, [this, step] { this->edit(step.target, true); });
         break;
     case HarmKind::StoreBusy:
         this->store->setMood(StoreMood::Busy);
@@ -438,8 +441,13 @@
                                     crasherTimes);
         return;
     }
-    this->version += 1 + step.target % 3;
-    if (step.kind == HarmKind::NewRoute) {
+    this->edit(step.target, step.kind == HarmKind::NewRoute);
+}
+
+void Soak::edit(std::size_t choice, bool addsRoute)
+{
+    this->version += 1 + choice % 3;
+    if (addsRoute) {
         this->world.routeVersions.push_back(this->version);
     } else {
         const std::size_t key = 1 + this->history.revokedKeys.size();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -58,6 +58,8 @@
     void harmLink(const HarmStep &step, std::size_t slot);
     void harmStore(const HarmStep &step, std::size_t router);
     void changeConfig(const HarmStep &step);
+    /// Writes the configuration anew, with one more route or one key less.
+    void edit(std::size_t choice, bool addsRoute);
     void killRouter(std::size_t number, Milliseconds down);
     void stopRouter(std::size_t number);
     void restartRouter(std::size_t number);
--- a/tests/soak/store.cpp
+++ b/tests/soak/store.cpp
@@ -80,6 +80,10 @@
 void SoakStore::setMood(StoreMood newMood)
 {
     this->mood = newMood;
+    if (newMood == StoreMood::Silent) {
+        // Watches that wait are lost: their connections live, and nobody will answer them.
+        this->watchers.clear();
+    }
     std::vector<std::uint64_t> waiting;
     for (const auto &[id, watcher] : this->watchers) {
         const bool isTold =
--- a/tests/soakhistory.cpp
+++ b/tests/soakhistory.cpp
@@ -164,6 +164,14 @@
     CHECK(this->broken().empty());
 }
 
+TEST_CASE_METHOD(SoakHistoryFixture, "soakHistory_staleLongAfterASilentStore_isFound", "[soak]")
+{
+    // Guards against excusing a router for ever by a harm that came just before an edit.
+    this->history.calls[1].key = "key-5";
+    this->history.storeHarms.push_back({SoakTime{500}, SoakTime{900}});
+    CHECK(this->broken() == Checks{"in-force"});
+}
+
 TEST_CASE_METHOD(SoakHistoryFixture, "soakHistory_goodKeyRefused_isFound", "[soak]")
 {
     this->history.calls[1].status = 401;
