--- a/lab/platformstandin.cpp
+++ b/lab/platformstandin.cpp
@@ -60,6 +60,8 @@
 struct Faults
 {
     bool outage = false;
+    /// Takes calls and answers none; those that wait when it begins are never answered.
+    bool silent = false;
     std::uint64_t slowMilliseconds = 0;
     /// This many writes take effect but their answer is lost.
     std::uint64_t loseAnswers = 0;
@@ -102,6 +104,8 @@
     [[nodiscard]] json changesFor(const std::string &kinds, std::uint64_t after,
                                   std::uint64_t until) const;
     void wakeWatches();
+    /// Loses the calls that wait.
+    void swallowWatches();
     void serveVmList(const net::HttpRequest &request, net::HttpReply &reply);
     [[nodiscard]] json visibleVms(TimePoint now) const;
 
@@ -112,6 +116,8 @@
     std::map<std::pair<std::string, std::string>, net::PlatformObject> objects;
     std::deque<VmChange> vmChanges;
     std::list<Watch> watches;
+    /// Calls that are never answered; their connections live on.
+    std::vector<ReplyPointer> swallowed;
     Faults faults;
     std::atomic<std::uint64_t> reads = 0;
     std::atomic<std::uint64_t> writes = 0;
@@ -134,6 +140,10 @@
         return;
     }
     ++(request.method == "GET" ? this->reads : this->writes);
+    if (this->faults.silent) {
+        this->swallowed.push_back(reply);
+        return;
+    }
     if (this->faults.outage) {
         respond(*reply, statusUnavailable, {{"error", "outage"}});
         return;
@@ -319,6 +329,15 @@
     respond(*reply, statusOk, json::object());
 }
 
+void PlatformStandIn::State::swallowWatches()
+{
+    for (Watch &watch : this->watches) {
+        watch.timer->cancel();
+        this->swallowed.push_back(std::move(watch.reply));
+    }
+    this->watches.clear();
+}
+
 void PlatformStandIn::State::serveFaults(const net::HttpRequest &request, const ReplyPointer &reply)
 {
     if (request.method == "PUT") {
@@ -328,6 +347,10 @@
             return;
         }
         this->faults.outage = wanted.value("outage", this->faults.outage);
+        this->faults.silent = wanted.value("silent", this->faults.silent);
+        if (this->faults.silent) {
+            this->swallowWatches();
+        }
         this->faults.slowMilliseconds =
             wanted.value("slowMilliseconds", this->faults.slowMilliseconds);
         this->faults.loseAnswers = wanted.value("loseAnswers", this->faults.loseAnswers);
@@ -349,6 +372,7 @@
     }
     respond(*reply, statusOk,
             {{"outage", this->faults.outage},
+             {"silent", this->faults.silent},
              {"slowMilliseconds", this->faults.slowMilliseconds},
              {"loseAnswers", this->faults.loseAnswers},
              {"vmLagMilliseconds", this->faults.vmLagMilliseconds},
@@ -368,6 +392,7 @@
 {
     const std::lock_guard lock(this->state->mutex);
     this->state->watches.clear();
+    this->state->swallowed.clear();
 }
 
 void PlatformStandIn::open()
--- a/tests/fleetmembers.cpp
+++ b/tests/fleetmembers.cpp
@@ -133,6 +133,18 @@
     }
 }
 
+TEST_CASE_METHOD(FleetMembersFixture, "fleet_platformLosesWatches_editIsInForceAllTheSame",
+                 "[fleet]")
+{
+    // Guards against serving by an old catalogue while a watch waits that nobody will answer.
+    this->fleet.setFaults({{"silent", true}});
+    this->fleet.setFaults({{"silent", false}});
+    const std::uint64_t version = this->narrowClass("hall-a");
+    for (std::size_t router = 0; router < routerCount; ++router) {
+        CHECK(Fleet::eventually([&] { return this->inForce(router, version); }));
+    }
+}
+
 TEST_CASE_METHOD(FleetMembersFixture, "fleet_oldListAfterEdit_turnsNothingBack", "[fleet]")
 {
     // The platform goes on handing out the list as it was before an edit that the routers know.
