--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -67,7 +67,7 @@
     void handTo(const Placement &placement);
     void send(const std::shared_ptr<UpstreamState> &target,
               const std::optional<Endpoint> &copyFrom);
-    /// Remembers that the engine has the prompt's chain, and tells other routers if that is news.
+    /// Remembers that the engine has the prompt's chain, and notifies other routers if that is new.
     void noteChain(std::uint64_t life);
     AnswerEvents answerEvents();
     /// Sets when the request is looked at next, the deadline at the latest.
--- a/gateway/exchangeplace.cpp
+++ b/gateway/exchangeplace.cpp
@@ -242,7 +242,7 @@
     // Whoever has this chat next finds its engine by the shared parts.
     const auto shared = sharedChainOf(this->chain);
     if (shared && !memory.wasUsed(*shared, life, chainNewsSpan, this->sentAt)) {
-        this->gateway.news.noteChain({*shared, life}, this->sentAt);
+        this->gateway.updates.noteChain({*shared, life}, this->sentAt);
     }
     memory.note(this->chain, life, this->sentAt);
     if (shared) {
--- a/gateway/fleetkeeping.cpp
+++ b/gateway/fleetkeeping.cpp
@@ -25,8 +25,8 @@
     const std::optional<Endpoint> address = this->keeperOf(question.life);
     if (!address) {
         question.router = toText(this->gateway.settings.peerDatagrams);
-        const std::uint32_t told = this->gateway.peers.at(question.life).running;
-        const EngineAnswer answer = this->keeper.ask(question, told, this->gateway.clock.now());
+        const std::uint32_t running = this->gateway.peers.at(question.life).running;
+        const EngineAnswer answer = this->keeper.ask(question, running, this->gateway.clock.now());
         if (answer.granted) {
             this->grantedBy[question.number] = this->gateway.settings.peerDatagrams;
         }
@@ -71,8 +71,8 @@
     question.chain.assign(message.chain().begin(), message.chain().end());
     const UpstreamState *const engine = this->gateway.upstreams.findLife(question.life);
     const std::uint32_t own = engine == nullptr ? 0 : engine->ownRunning;
-    const std::uint32_t told = own + this->gateway.peers.at(question.life).running;
-    const EngineAnswer answer = this->keeper.ask(question, told, this->gateway.clock.now());
+    const std::uint32_t running = own + this->gateway.peers.at(question.life).running;
+    const EngineAnswer answer = this->keeper.ask(question, running, this->gateway.clock.now());
     wire::GatewayDatagram datagram;
     wire::EngineReply &reply = *datagram.mutable_reply();
     reply.set_number(question.number);
@@ -126,16 +126,16 @@
     }
 }
 
-void FleetLink::reconcileGrants(const RouterNews &heard)
+void FleetLink::reconcileGrants(const RouterUpdate &update)
 {
     const std::string router =
         toText(Endpoint{this->sender.address().to_string(), this->sender.port()});
     for (const std::uint64_t life : this->keeper.livesOf(router)) {
-        std::uint32_t told = 0;
-        for (const PeerLoad &load : heard.loads) {
-            told += load.life == life ? load.running : 0;
+        std::uint32_t running = 0;
+        for (const PeerLoad &load : update.loads) {
+            running += load.life == life ? load.running : 0;
         }
-        this->keeper.reconcile(router, life, told, this->gateway.clock.now());
+        this->keeper.reconcile(router, life, running, this->gateway.clock.now());
     }
 }
 
--- a/gateway/fleetlink.cpp
+++ b/gateway/fleetlink.cpp
@@ -10,15 +10,15 @@
 
 namespace {
 
-/// Pause before news that others wait for; changes of one moment are told together.
-constexpr Milliseconds soonPause{20};
-/// Chains told at once; those beyond it are left for the next news. Keeps a datagram under one
+/// Pause before an update that others wait for; changes of one moment go together.
+constexpr Milliseconds broadcastDelay{20};
+/// Prefixes in one update; those beyond it are left for the next. Keeps a datagram under one
 /// Ethernet frame at usual loads.
-constexpr std::size_t mostChains = 32;
-/// Addresses of others are told with each such news.
+constexpr std::size_t maxPrefixes = 32;
+/// Each such update has addresses of other routers.
 constexpr std::uint64_t othersEvery = 8;
-/// Addresses told at once, beginning further on each time; about one Ethernet frame.
-constexpr std::size_t mostOthers = 48;
+/// Addresses in one update, beginning further on each time; about one Ethernet frame.
+constexpr std::size_t maxOthers = 48;
 /// Estimated figures are shared with each such update. Has no divisor in common with othersEvery,
 /// so that updates stay small.
 constexpr std::uint64_t figuresEvery = 7;
@@ -56,10 +56,11 @@
 
 } // namespace
 
-FleetLink::FleetLink(GatewayState &gateway, std::uint64_t incarnation, std::function<void()> onNews)
+FleetLink::FleetLink(GatewayState &gateway, std::uint64_t incarnation,
+                     std::function<void()> onUpdate)
     : gateway(gateway)
     , incarnation(incarnation)
-    , onNews(std::move(onNews))
+    , onUpdate(std::move(onUpdate))
     , socket(gateway.context)
     , timer(gateway.context)
     , contacts(gateway.settings.id, gateway.settings.place)
@@ -88,7 +89,7 @@
 void FleetLink::stop()
 {
     this->stopped = true;
-    this->tell(NewsWave::All);
+    this->broadcast(BroadcastScope::All);
     this->timer.cancel();
     asio::error_code ignored;
     this->socket.close(ignored);
@@ -106,10 +107,10 @@
     }
 }
 
-std::optional<Endpoint> FleetLink::betterInformed() const
+std::optional<Endpoint> FleetLink::newerRouter() const
 {
-    const auto best = this->contacts.betterInformed(this->knownVersion(), this->knownRevision(),
-                                                    this->sequence, this->gateway.clock.now());
+    const auto best = this->contacts.newerRouter(this->knownVersion(), this->knownRevision(),
+                                                 this->sequence, this->gateway.clock.now());
     if (!best) {
         return std::nullopt;
     }
@@ -140,9 +141,9 @@
                : this->contacts.upstreamsConfirmedAt(this->knownRevision(), now);
 }
 
-bool FleetLink::hearsWatcher() const
+bool FleetLink::isWatcherAlive() const
 {
-    return this->contacts.hearsWatcher(this->gateway.clock.now());
+    return this->contacts.isWatcherAlive(this->gateway.clock.now());
 }
 
 bool FleetLink::isChosenToWatch() const
@@ -155,10 +156,10 @@
     return this->contacts.isFirstFor(key, this->gateway.clock.now());
 }
 
-void FleetLink::tellSoon()
+void FleetLink::scheduleBroadcast()
 {
-    this->nextWave = NewsWave::Near;
-    const auto soon = std::chrono::steady_clock::now() + soonPause;
+    this->nextScope = BroadcastScope::Near;
+    const auto soon = std::chrono::steady_clock::now() + broadcastDelay;
     if (this->stopped || this->timer.expiry() <= soon) {
         return;
     }
@@ -192,7 +193,7 @@
     const bool isRead = datagram.ParseFromArray(this->buffer.data(), static_cast<int>(size));
     switch (isRead ? datagram.body_case() : wire::GatewayDatagram::BODY_NOT_SET) {
     case wire::GatewayDatagram::kNews:
-        this->onNewsMessage(datagram.news(), from);
+        this->onUpdateMessage(datagram.news(), from);
         break;
     case wire::GatewayDatagram::kAsk:
         this->onAsk(datagram.ask(), from);
@@ -214,21 +215,21 @@
     const std::string bytes = datagram.SerializeAsString();
     this->gateway.metrics.countSent(kindOf(datagram), bytes.size());
     // A datagram that can't be sent now is as good as a lost one: each has its time-out, or is
-    // replaced by the next news.
+    // replaced by the next update.
     asio::error_code ignored;
     this->socket.send_to(
         asio::buffer(bytes),
         asio::ip::udp::endpoint(asio::ip::make_address(address.host), address.port), 0, ignored);
 }
 
-void FleetLink::onNewsMessage(const wire::RouterNews &message, const Endpoint &from)
+void FleetLink::onUpdateMessage(const wire::RouterNews &message, const Endpoint &from)
 {
     if (message.id().empty()) {
         logEvent(Event::DatagramInvalid, {{"from", toText(from)}});
         return;
     }
     const TimePoint now = this->gateway.clock.now();
-    RouterContact &contact = this->contacts.noteHeard(from, now);
+    RouterContact &contact = this->contacts.noteSeen(from, now);
     contact.id = message.id();
     contact.place = message.place();
     contact.configVersion = message.config_version();
@@ -237,25 +238,25 @@
     contact.configConfirmed = timeOf(message.config_confirmed_ms(), now);
     contact.upstreamsConfirmed = timeOf(message.upstreams_confirmed_ms(), now);
     contact.stopping = message.stopping();
-    RouterNews heard;
-    heard.id = message.id();
-    heard.incarnation = message.incarnation();
-    heard.sequence = message.sequence();
-    heard.stopping = message.stopping();
+    RouterUpdate update;
+    update.id = message.id();
+    update.incarnation = message.incarnation();
+    update.sequence = message.sequence();
+    update.stopping = message.stopping();
     for (const wire::ReplicaLoad &load : message.loads()) {
-        heard.loads.push_back({load.life(), load.running(), load.unread_tokens(),
-                               Milliseconds{load.avoided_ms()}, load.silent()});
+        update.loads.push_back({load.life(), load.running(), load.unread_tokens(),
+                                Milliseconds{load.avoided_ms()}, load.silent()});
     }
-    if (!this->gateway.peers.knows(heard.id, heard.incarnation)) {
-        this->welcome(from, heard.id, message.known_routers());
-        logEvent(Event::MemberJoined, {{"member", heard.id}, {"address", toText(from)}});
+    if (!this->gateway.peers.knows(update.id, update.incarnation)) {
+        this->welcome(from, update.id, message.known_routers());
+        logEvent(Event::MemberJoined, {{"member", update.id}, {"address", toText(from)}});
     }
-    if (!this->gateway.peers.take(heard)) {
+    if (!this->gateway.peers.take(update)) {
         return;
     }
     this->gateway.peersChanged = true;
-    this->reconcileGrants(heard);
-    for (const PeerLoad &load : heard.loads) {
+    this->reconcileGrants(update);
+    for (const PeerLoad &load : update.loads) {
         UpstreamState *const state = this->gateway.upstreams.findLife(load.life);
         if (state != nullptr && load.avoided.count() > 0) {
             recordPeerAvoidance(state->health, now + load.avoided, now);
@@ -276,7 +277,7 @@
     }
     this->takeFigures(message, now);
     this->takeSuspects(message, now);
-    this->onNews();
+    this->onUpdate();
 }
 
 void FleetLink::takeFigures(const wire::RouterNews &message, TimePoint now)
@@ -334,9 +335,9 @@
     }
 }
 
-std::vector<ChainNews> FleetLink::sharedPrefixes(TimePoint now) const
+std::vector<PrefixReport> FleetLink::sharedPrefixes(TimePoint now) const
 {
-    std::vector<ChainNews> prefixes;
+    std::vector<PrefixReport> prefixes;
     for (const PrefixUse &use : this->gateway.upstreams.memory.sharedUses(maxSnapshot, now)) {
         prefixes.push_back(
             {use.prefix, use.life, std::chrono::duration_cast<Milliseconds>(now - use.when)});
@@ -347,38 +348,38 @@
 void FleetLink::welcome(const Endpoint &joining, const std::string &id, std::size_t knownThere)
 {
     const TimePoint now = this->gateway.clock.now();
-    RouterNews told = this->news({});
-    told.suspects.crashes = this->gateway.suspects.heldCrashes(now);
+    RouterUpdate update = this->updateSince({});
+    update.suspects.crashes = this->gateway.suspects.heldCrashes(now);
     if (this->gateway.settings.mechanisms.prefixSnapshots
         && this->contacts.isFirstFor(hashOf(id), now, id)) {
-        told.chains = this->sharedPrefixes(now);
+        update.chains = this->sharedPrefixes(now);
     }
-    wire::GatewayDatagram datagram = this->encode(told);
-    // Who knows nearly all needs no list: in a fleet that starts at once each hears from each.
+    wire::GatewayDatagram datagram = this->encode(update);
+    // Who knows nearly all needs no list: in a fleet that starts at once each gets updates of each.
     if (knownThere < this->contacts.size() / 2) {
         this->addOthers(*datagram.mutable_news());
     }
     this->addFigures(*datagram.mutable_news());
-    this->contacts.noteTold(joining, now);
+    this->contacts.noteSent(joining, now);
     this->sendTo(joining, datagram);
 }
 
-RouterNews FleetLink::news(TimePoint since)
+RouterUpdate FleetLink::updateSince(TimePoint since)
 {
-    RouterNews told;
-    told.id = this->gateway.settings.id;
-    told.incarnation = this->incarnation;
-    told.sequence = ++this->sequence;
-    told.configVersion = this->knownVersion();
-    told.stopping = this->stopped || this->gateway.stopping;
+    RouterUpdate update;
+    update.id = this->gateway.settings.id;
+    update.incarnation = this->incarnation;
+    update.sequence = ++this->sequence;
+    update.configVersion = this->knownVersion();
+    update.stopping = this->stopped || this->gateway.stopping;
     const TimePoint now = this->gateway.clock.now();
     for (const auto &[id, state] : this->gateway.upstreams.all()) {
         const bool avoided = state->health.ownAvoidUntil > now;
-        const bool silent = isSilenceNews(state->health, since, now);
+        const bool silent = isNewTimeout(state->health, since, now);
         if (state->ownRunning == 0 && !avoided && !silent) {
             continue;
         }
-        told.loads.push_back(
+        update.loads.push_back(
             {lifeOf(state->replica), state->ownRunning,
              static_cast<std::uint32_t>(std::max(0.0, state->ownUnread)),
              avoided ? std::chrono::duration_cast<Milliseconds>(state->health.ownAvoidUntil - now)
@@ -386,21 +387,21 @@
              silent});
     }
     // Older chains are learnt by others from their own requests soon enough.
-    told.chains = this->gateway.news.chainsSince(since, mostChains);
-    told.suspects = this->gateway.news.suspectsSince(since);
-    return told;
+    update.chains = this->gateway.updates.chainsSince(since, maxPrefixes);
+    update.suspects = this->gateway.updates.suspectsSince(since);
+    return update;
 }
 
-wire::GatewayDatagram FleetLink::encode(const RouterNews &told) const
+wire::GatewayDatagram FleetLink::encode(const RouterUpdate &update) const
 {
     wire::GatewayDatagram datagram;
     wire::RouterNews &message = *datagram.mutable_news();
     const TimePoint now = this->gateway.clock.now();
-    message.set_id(told.id);
-    message.set_incarnation(told.incarnation);
-    message.set_sequence(told.sequence);
-    message.set_config_version(told.configVersion);
-    message.set_stopping(told.stopping);
+    message.set_id(update.id);
+    message.set_incarnation(update.incarnation);
+    message.set_sequence(update.sequence);
+    message.set_config_version(update.configVersion);
+    message.set_stopping(update.stopping);
     message.set_place(this->gateway.settings.place);
     message.set_store_connected(this->gateway.view.connected);
     message.set_store_revision(this->gateway.view.revision);
@@ -409,7 +410,7 @@
     message.set_upstreams_confirmed_ms(
         ageOf(this->gateway.followed.at(StoreKind::Replicas).confirmedAt, now));
     message.set_known_routers(static_cast<std::uint32_t>(this->contacts.size()));
-    for (const PeerLoad &load : told.loads) {
+    for (const PeerLoad &load : update.loads) {
         wire::ReplicaLoad *const entry = message.add_loads();
         entry->set_life(load.life);
         entry->set_running(load.running);
@@ -417,13 +418,13 @@
         entry->set_avoided_ms(static_cast<std::uint32_t>(load.avoided.count()));
         entry->set_silent(load.silent);
     }
-    for (const ChainNews &chain : told.chains) {
+    for (const PrefixReport &chain : update.chains) {
         wire::ChainRead *const entry = message.add_chains();
         entry->set_chain(chain.chain);
         entry->set_life(chain.life);
         entry->set_age_ms(static_cast<std::uint32_t>(chain.age.count()));
     }
-    for (const CrashReport &report : told.suspects.crashes) {
+    for (const CrashReport &report : update.suspects.crashes) {
         wire::CrashSeen *const entry = message.add_crashes();
         entry->set_request(report.request);
         entry->set_life(report.life);
@@ -432,7 +433,7 @@
         const auto ran = std::chrono::duration_cast<Milliseconds>(report.brokenAt - report.begunAt);
         entry->set_ran_ms(static_cast<std::uint32_t>(ran.count()));
     }
-    for (const RequestFingerprint cleared : told.suspects.cleared) {
+    for (const RequestFingerprint cleared : update.suspects.cleared) {
         message.add_cleared(cleared);
     }
     return datagram;
@@ -441,18 +442,18 @@
 void FleetLink::addOthers(wire::RouterNews &message) const
 {
     const TimePoint now = this->gateway.clock.now();
-    for (const Endpoint &address : this->contacts.someHeard(mostOthers, this->sequence, now)) {
+    for (const Endpoint &address : this->contacts.someAlive(maxOthers, this->sequence, now)) {
         wire::Endpoint *const entry = message.add_others();
         entry->set_host(address.host);
         entry->set_port(address.port);
     }
 }
 
-void FleetLink::tell(NewsWave wave)
+void FleetLink::broadcast(BroadcastScope scope)
 {
     const TimePoint now = this->gateway.clock.now();
-    for (const NewsGroup &group : this->contacts.takeDue(wave, now)) {
-        wire::GatewayDatagram datagram = this->encode(this->news(group.since));
+    for (const UpdateGroup &group : this->contacts.takeDue(scope, now)) {
+        wire::GatewayDatagram datagram = this->encode(this->updateSince(group.since));
         if (this->sequence % othersEvery == 1) {
             this->addOthers(*datagram.mutable_news());
         }
@@ -463,7 +464,7 @@
             this->sendTo(address, datagram);
         }
     }
-    this->gateway.news.forgetBefore(now - this->contacts.longestPause() - newsPause);
+    this->gateway.updates.forgetBefore(now - this->contacts.maxInterval() - gossipInterval);
 }
 
 void FleetLink::tick()
@@ -472,16 +473,16 @@
         return;
     }
     const TimePoint now = this->gateway.clock.now();
-    this->contacts.forgetSilent(now);
+    this->contacts.forgetUnresponsive(now);
     this->keeper.forgetIdle(now);
-    for (const std::string &gone : this->contacts.takeSilent(now)) {
+    for (const std::string &gone : this->contacts.takeFailed(now)) {
         this->gateway.peers.forget(gone);
         logEvent(Event::MemberGone, {{"member", gone}});
         this->forgetGrants(gone);
         this->gateway.peersChanged = true;
     }
-    this->tell(std::exchange(this->nextWave, NewsWave::Due));
-    this->timer.expires_after(newsPause);
+    this->broadcast(std::exchange(this->nextScope, BroadcastScope::Due));
+    this->timer.expires_after(gossipInterval);
     this->timer.async_wait([this](const asio::error_code &error) {
         if (!error) {
             this->tick();
--- a/gateway/fleetlink.h
+++ b/gateway/fleetlink.h
@@ -18,12 +18,12 @@
 
 namespace plantainswitch::gateway {
 
-/// Tells the other routers what this one has at the upstreams, and hears the same of them.
+/// Sends updates of what this router has at the upstreams to the other routers, and takes theirs.
 class FleetLink
 {
 public:
-    /// \param onNews runs after each news taken
-    FleetLink(GatewayState &gateway, std::uint64_t incarnation, std::function<void()> onNews);
+    /// \param onUpdate runs after each update taken
+    FleetLink(GatewayState &gateway, std::uint64_t incarnation, std::function<void()> onUpdate);
 
     void start();
     void stop();
@@ -34,12 +34,12 @@
     void endGrant(std::uint64_t life, std::uint64_t number);
     /// \returns a number for the next question.
     [[nodiscard]] std::uint64_t nextNumber() noexcept { return ++this->lastNumber; }
-    /// \returns the address at which this router hears others, once started.
+    /// \returns the address at which updates reach this router, once started.
     [[nodiscard]] Endpoint localEndpoint() const;
     /// Adds a router's address, learnt from the store or the settings.
     void addRouter(const Endpoint &datagrams);
-    /// \returns whether a router that the store answers was heard lately.
-    [[nodiscard]] bool hearsWatcher() const;
+    /// \returns whether a router that the store answers is alive.
+    [[nodiscard]] bool isWatcherAlive() const;
     /// \returns whether this router is one of those that watch the store for its data centre.
     [[nodiscard]] bool isChosenToWatch() const;
     /// \returns whether this router is the one of the fleet that does what only one may do, for \a
@@ -47,14 +47,14 @@
     [[nodiscard]] bool isFirstFor(std::uint64_t key) const;
     /// Tells the routers of this data centre soon, because something changed that they wait for;
     /// the others hear of it when it is their turn.
-    void tellSoon();
+    void scheduleBroadcast();
     /// \returns how many routers come before this one in having the store confirm what
     /// the fleet knows.
     [[nodiscard]] std::size_t confirmRank() const;
     /// \returns when the store last confirmed to another router what this one knows of \a kind.
     [[nodiscard]] TimePoint confirmedAt(StoreKind kind) const;
     /// \returns the address for calls of a router that knows more of the store than this one.
-    [[nodiscard]] std::optional<Endpoint> betterInformed() const;
+    [[nodiscard]] std::optional<Endpoint> newerRouter() const;
 
 private:
     struct PendingAsk
@@ -65,11 +65,11 @@
 
     void receive();
     void onDatagram(std::size_t size);
-    void onNewsMessage(const wire::RouterNews &message, const Endpoint &from);
+    void onUpdateMessage(const wire::RouterNews &message, const Endpoint &from);
     void onAsk(const wire::EngineAsk &message, const Endpoint &from);
     void onReply(const wire::EngineReply &message);
     void forgetGrants(const std::string &id);
-    void reconcileGrants(const RouterNews &heard);
+    void reconcileGrants(const RouterUpdate &update);
     /// Takes another router's estimates of what upstreams are like.
     void takeFigures(const wire::RouterNews &message, TimePoint now);
     void addFigures(wire::RouterNews &message) const;
@@ -79,24 +79,24 @@
     [[nodiscard]] std::uint64_t knownVersion() const;
     /// Takes what another router saw of requests that crash upstreams.
     void takeSuspects(const wire::RouterNews &message, TimePoint now);
-    /// Answers the first news of a router that has just started: without others' addresses if it
+    /// Answers the first update of a router that has just started: without others' addresses if it
     /// knows most of them, \a knownThere.
     void welcome(const Endpoint &joining, const std::string &id, std::size_t knownThere);
     /// \returns where shared prefixes are cached, as far as this router knows.
-    [[nodiscard]] std::vector<ChainNews> sharedPrefixes(TimePoint now) const;
+    [[nodiscard]] std::vector<PrefixReport> sharedPrefixes(TimePoint now) const;
     void addOthers(wire::RouterNews &message) const;
     void sendTo(const Endpoint &address, const wire::GatewayDatagram &datagram);
     /// \returns the address of the engine's keeper; nothing when it is this router.
     [[nodiscard]] std::optional<Endpoint> keeperOf(std::uint64_t life) const;
     void tick();
-    void tell(NewsWave wave);
-    /// \returns what a router is told that was last told at \a since.
-    [[nodiscard]] RouterNews news(TimePoint since);
-    [[nodiscard]] wire::GatewayDatagram encode(const RouterNews &news) const;
+    void broadcast(BroadcastScope scope);
+    /// \returns the update for a router to which the last one was sent at \a since.
+    [[nodiscard]] RouterUpdate updateSince(TimePoint since);
+    [[nodiscard]] wire::GatewayDatagram encode(const RouterUpdate &update) const;
 
     GatewayState &gateway;
     std::uint64_t incarnation;
-    std::function<void()> onNews;
+    std::function<void()> onUpdate;
     std::uint64_t sequence = 0;
     asio::ip::udp::socket socket;
     asio::steady_timer timer;
@@ -109,7 +109,7 @@
     /// Who answered each granted question: the keeper may be another one by the time it ends.
     std::unordered_map<std::uint64_t, Endpoint> grantedBy;
     /// Whom the next turn tells besides those whose time it is.
-    NewsWave nextWave = NewsWave::Due;
+    BroadcastScope nextScope = BroadcastScope::Due;
     bool stopped = false;
 };
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -89,10 +89,10 @@
     const auto reports = this->suspects.confirm(lifeOf(replica), this->clock.now());
     if (!reports.empty()) {
         // The caller may send the request again at once, at any router.
-        this->fleet->tellSoon();
+        this->fleet->scheduleBroadcast();
     }
     for (const CrashReport &report : reports) {
-        this->news.noteCrash(report, this->clock.now());
+        this->updates.noteCrash(report, this->clock.now());
         logEvent(Event::UpstreamCrashed, {{"upstream", replica.id},
                                           {"fingerprint", fmt::format("{:016x}", report.request)}});
     }
@@ -101,7 +101,7 @@
 void GatewayState::noteAnswered(RequestFingerprint request)
 {
     if (this->suspects.clear(request, this->clock.now())) {
-        this->news.noteCleared(request, this->clock.now());
+        this->updates.noteCleared(request, this->clock.now());
     }
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -113,7 +113,7 @@
     bool wasReady = false;
     PauseWatch pauses;
     /// When a router that the store answers was last heard.
-    TimePoint watcherHeard;
+    TimePoint watcherLastSeen;
     TimePoint startedAt;
     bool announced = false;
     ViewHandout viewHandout;
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -10,9 +10,9 @@
 
 #include "plantainswitch/observe/metrics.h"
 #include "plantainswitch/routing/fleetretries.h"
-#include "plantainswitch/routing/newslog.h"
 #include "plantainswitch/routing/peerloads.h"
 #include "plantainswitch/routing/serviceestimator.h"
+#include "plantainswitch/routing/updatelog.h"
 
 #include "dialect.h"
 #include "gatewaysettings.h"
@@ -96,7 +96,7 @@
     FleetRetries retries;
     Metrics metrics;
     /// What other routers are still to be told.
-    NewsLog news;
+    UpdateLog updates;
     CrashSuspects suspects;
     bool stopping = false;
     /// Other routers; set before the first request comes.
--- a/gateway/gatewaystore.cpp
+++ b/gateway/gatewaystore.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-/// After its start a router lists once, and hears the others for so long before it chooses whether
-/// to watch: some of their first news, well below the bound on an edit's delay.
-constexpr Milliseconds hearingSpan{800};
+/// After its start a router lists once, and collects updates for so long before it chooses whether
+/// to watch, well below the bound on an edit's delay.
+constexpr Milliseconds discoverySpan{800};
 /// Time for another router to answer: a configuration of some hundred kilobytes over a thin link
 /// that three others share.
 constexpr Milliseconds catchUpLimit{2500};
@@ -53,7 +53,7 @@
         this->state.table = std::make_shared<const RoutingTable>(std::move(*config));
         this->state.view.routing = item.document;
         this->state.routingTakenAt = this->state.clock.now();
-        this->fleet.tellSoon();
+        this->fleet.scheduleBroadcast();
     }
     this->watchReadiness();
 }
@@ -100,11 +100,11 @@
         keep(this->state.directory.takeRemovals({removed.begin(), removed.end()}, keepUntil, now));
     }
     this->applyReplicas(events);
-    noteHeard(this->state.view, this->replicas.newestChange(), this->state.directory);
+    noteKnown(this->state.view, this->replicas.newestChange(), this->state.directory);
     this->watchReadiness();
     if (this->replicas.isWatching()) {
         this->trackStore();
-        this->fleet.tellSoon();
+        this->fleet.scheduleBroadcast();
     }
 }
 
@@ -184,27 +184,27 @@
     view.connected = this->replicas.isWatching() && this->routing.isConnected()
                      && this->replicas.isConnected() && this->state.directoryKnown;
     if (view.connected) {
-        noteHeard(view, this->replicas.newestChange(), this->state.directory);
+        noteKnown(view, this->replicas.newestChange(), this->state.directory);
     }
 }
 
 void Gateway::decideWatching()
 {
     const TimePoint now = this->state.clock.now();
-    if (now - this->startedAt < hearingSpan) {
+    if (now - this->startedAt < discoverySpan) {
         return;
     }
     if (this->state.peers.routers() == 0 || this->fleet.isChosenToWatch()) {
         this->announce();
     }
-    if (this->fleet.hearsWatcher()) {
-        this->watcherHeard = now;
+    if (this->fleet.isWatcherAlive()) {
+        this->watcherLastSeen = now;
     }
     WatchSituation situation;
     situation.isChosen = this->fleet.isChosenToWatch();
-    situation.unserved = now - std::max(this->watcherHeard, this->startedAt);
+    situation.unserved = now - std::max(this->watcherLastSeen, this->startedAt);
     situation.sinceStart = now - this->startedAt;
-    situation.hearsOthers = this->state.peers.routers() > 0;
+    situation.knowsOthers = this->state.peers.routers() > 0;
     situation.knowsUpstreams = this->state.directoryKnown;
     situation.isPlatformBusy = this->replicas.isRefusedAsBusy();
     const bool watches = shouldWatch(situation);
@@ -233,7 +233,7 @@
 void Gateway::checkBehind(TimePoint now)
 {
     const bool isBehind = this->state.view.connected && !this->state.directory.hasMissing()
-                          && this->fleet.betterInformed();
+                          && this->fleet.newerRouter();
     if (!isBehind) {
         this->behindSince.reset();
         return;
@@ -254,7 +254,7 @@
     if (this->state.view.connected || this->catchUpClient.isBusy()) {
         return;
     }
-    const auto router = this->fleet.betterInformed();
+    const auto router = this->fleet.newerRouter();
     if (!router) {
         return;
     }
--- a/gateway/storeview.cpp
+++ b/gateway/storeview.cpp
@@ -99,7 +99,7 @@
     }
 }
 
-void noteHeard(StoreView &view, std::uint64_t revision, const ReplicaDirectory &directory)
+void noteKnown(StoreView &view, std::uint64_t revision, const ReplicaDirectory &directory)
 {
     if (!directory.hasMissing()) {
         view.revision = std::max(view.revision, revision);
--- a/gateway/storeview.h
+++ b/gateway/storeview.h
@@ -42,10 +42,11 @@
 /// Notes that all changes up to \a revision were heard. While \a directory keeps entries that may
 /// have lapsed, the view stays at what it told before: a router that heard of the newer revision
 /// here would take it that nobody is gone, and never hear of those removals.
-void noteHeard(StoreView &view, std::uint64_t revision, const ReplicaDirectory &directory);
+void noteKnown(StoreView &view, std::uint64_t revision, const ReplicaDirectory &directory);
 /// \returns whether objects as of \a revision are older than what \a view has heard: a list or
 /// another router's answer that was asked for earlier and came late. Taken, they would undo a
-/// leaving that is known, here and, told as news, at others, until the upstream's entry is removed.
+/// leaving that is known, here and, sent as an update, at others, until the upstream's entry is
+/// removed.
 [[nodiscard]] bool isOutdated(const StoreView &view, std::uint64_t revision) noexcept;
 /// Notes that an upstream is gone.
 /// \param heard the store's revision up to which this router has heard of changes
--- a/include/plantainswitch/membership/watchers.h
+++ b/include/plantainswitch/membership/watchers.h
@@ -40,7 +40,7 @@
     /// Since a router that the platform answers was heard, or since the start.
     Duration unserved{0};
     Duration sinceStart{0};
-    bool hearsOthers = false;
+    bool knowsOthers = false;
     bool knowsUpstreams = false;
     /// The platform's last answer was that too many calls are made.
     bool isPlatformBusy = false;
--- a/include/plantainswitch/routing/enginekeeper.h
+++ b/include/plantainswitch/routing/enginekeeper.h
@@ -37,7 +37,7 @@
 };
 
 /// Time after which a grant that its router no longer tells of is taken back: its end was lost. A
-/// few of the routers' news.
+/// few of the routers' updates.
 inline constexpr Milliseconds lostEndAge{2000};
 /// Time for which a new keeper also believes what routers told of an engine: grants that an earlier
 /// keeper made are unknown to it.
--- a/include/plantainswitch/routing/health.h
+++ b/include/plantainswitch/routing/health.h
@@ -87,7 +87,7 @@
 /// that, and not so old that it says nothing any more. A router that was never told is no
 /// exception: silences of hours ago, told by all others, would keep a newcomer away from good
 /// upstreams.
-[[nodiscard]] bool isSilenceNews(const UpstreamHealth &health, TimePoint since, TimePoint now);
+[[nodiscard]] bool isNewTimeout(const UpstreamHealth &health, TimePoint since, TimePoint now);
 /// Takes a peer's word that a request was silent there.
 void recordPeerSilence(UpstreamHealth &health, TimePoint now);
 /// Takes a peer's word that the upstream is down until \a until.
--- a/include/plantainswitch/routing/peerloads.h
+++ b/include/plantainswitch/routing/peerloads.h
@@ -20,12 +20,12 @@
     std::uint32_t unreadTokens = 0;
     /// How long the sender still keeps away from it; 0: it doesn't.
     Milliseconds avoided{0};
-    /// A request of the sender's was silent there since its last news.
+    /// A request of the sender's was silent there since its last update.
     bool silent = false;
 };
 
 /// A chain that a router had an upstream read.
-struct ChainNews
+struct PrefixReport
 {
     std::uint64_t chain = 0;
     std::uint64_t life = 0;
@@ -34,7 +34,7 @@
 };
 
 /// What a router tells of requests that upstreams crashed on.
-struct CrashNews
+struct CrashUpdate
 {
     std::vector<CrashReport> crashes;
     /// Requests under suspicion that were answered.
@@ -42,22 +42,23 @@
 };
 
 /// What a router tells the others several times a second.
-struct RouterNews
+struct RouterUpdate
 {
     std::string id;
     /// Start of the process; a higher one replaces what a lower one told.
     std::uint64_t incarnation = 0;
-    /// Counts the news of one process; older ones that overtake are dropped.
+    /// Counts the updates of one process; older ones that overtake are dropped.
     std::uint64_t sequence = 0;
     std::uint64_t configVersion = 0;
     bool stopping = false;
     std::vector<PeerLoad> loads;
-    std::vector<ChainNews> chains;
-    CrashNews suspects;
+    std::vector<PrefixReport> chains;
+    CrashUpdate suspects;
 };
 
-/// Silence after which a near router counts as gone and what it had as ended: several missed news.
-inline constexpr Milliseconds peerSilence{1500};
+/// Silence after which a near router counts as failed and what it had as ended: several missed
+/// updates.
+inline constexpr Milliseconds peerTimeout{1500};
 
 /// The loads that other routers told of, summed for each upstream.
 class PeerLoads
@@ -69,8 +70,8 @@
         double unread = 0.0;
     };
 
-    /// Takes news. \returns false when they are older than what is known.
-    bool take(const RouterNews &news);
+    /// Takes an update. \returns false when it is older than what is known.
+    bool take(const RouterUpdate &update);
     /// Drops a router that is gone, with all that it had.
     void forget(const std::string &id);
     /// \returns what all other routers have at the upstream.
--- a/include/plantainswitch/routing/routercontacts.h
+++ b/include/plantainswitch/routing/routercontacts.h
@@ -11,45 +11,45 @@
 
 namespace plantainswitch {
 
-/// Shortest pause between news to one router. A request lasts some hundred milliseconds, so that
+/// Shortest pause between updates to one router. A request lasts some hundred milliseconds, so that
 /// older figures would say little of what runs now.
-inline constexpr Milliseconds newsPause{100};
+inline constexpr Milliseconds gossipInterval{100};
 /// Above so many routers of the own data centre, and of all others, the pause grows with their
 /// number, so that what a router sends and receives in a second stays the same: 60 datagrams each,
 /// together a twentieth of a 10 Mbit/s link. Who is near hears sooner: keepers and watchers are
 /// near ones.
-inline constexpr std::size_t fewNearRouters = 6;
-inline constexpr std::size_t fewFarRouters = 6;
-/// Three news of a near router fit into peerSilence, so that one lost datagram means nothing.
-inline constexpr Milliseconds longestNearPause{500};
-inline constexpr Milliseconds longestFarPause{5000};
-/// News that must be missed before a router counts as gone. A window of one pause let a lost
-/// datagram remove members, whose return everybody was told at once: 240 routers sent 1 MB/s each
+inline constexpr std::size_t maxFastNearRouters = 6;
+inline constexpr std::size_t maxFastFarRouters = 6;
+/// Three updates of a near router fit into peerTimeout, so that one lost datagram means nothing.
+inline constexpr Milliseconds maxNearInterval{500};
+inline constexpr Milliseconds maxFarInterval{5000};
+/// Updates that must be missed before a router counts as failed. A window of one pause let a lost
+/// datagram remove members, whose return was broadcast at once: 240 routers sent 1 MB/s each
 /// and lost more and more of it.
-inline constexpr int missedNews = 3;
-/// Pause between news to an address that doesn't answer: it may be another router's tomorrow.
-inline constexpr Milliseconds silentPause{2000};
+inline constexpr int maxMissedUpdates = 3;
+/// Pause between updates to an address that doesn't answer: it may be another router's tomorrow.
+inline constexpr Milliseconds unresponsiveInterval{2000};
 /// A router whose updates come at least so often can confirm for others what the store holds.
-inline constexpr Milliseconds maxConfirmerPause{200};
+inline constexpr Milliseconds maxConfirmerInterval{200};
 /// Silence after which an address is forgotten unless the settings name it: longer than data
 /// centres are cut off from each other. Each restart of a VM may bring a new address; kept for
-/// ever, the dead ones would be told news all day.
-inline constexpr Seconds contactMemory{3600};
+/// ever, the failed ones would be sent updates all day.
+inline constexpr Seconds contactRetention{3600};
 
 /// Whom to tell.
-enum class NewsWave : std::uint8_t {
+enum class BroadcastScope : std::uint8_t {
     /// Those whose time it is.
     Due,
     /// Also all near ones: something changed that they wait for.
     Near,
-    /// All that were heard lately.
+    /// All that are alive.
     All,
 };
 
-/// Routers that were all last told at one moment, and so are told the same.
-struct NewsGroup
+/// Routers to which the last update was sent at one moment, so that the next one is the same.
+struct UpdateGroup
 {
-    /// When they were last told; the clock's beginning: never.
+    /// When that was; the clock's beginning: never.
     TimePoint since;
     std::vector<Endpoint> routers;
 };
@@ -60,10 +60,10 @@
     std::string id;
     /// Data centre.
     std::string place;
-    /// When news last came from there; before that: when the address was learnt.
-    TimePoint heard;
-    TimePoint told;
-    bool everHeard = false;
+    /// When an update last came from there; before that: when the address was added.
+    TimePoint lastSeen;
+    TimePoint lastSent;
+    bool isMember = false;
     /// The settings name it.
     bool isSeed = false;
     std::uint64_t configVersion = 0;
@@ -93,24 +93,24 @@
     void add(const Endpoint &address, TimePoint now);
     /// Adds an address that is never forgotten: by it routers that lost each other for long meet.
     void addSeed(const Endpoint &address, TimePoint now);
-    /// Notes that news came from \a address. \returns its contact, for what the news say.
-    RouterContact &noteHeard(const Endpoint &address, TimePoint now);
-    /// \returns whom to tell news now, and notes that they are told.
-    std::vector<NewsGroup> takeDue(NewsWave wave, TimePoint now);
-    /// Notes that \a address is told news now.
-    void noteTold(const Endpoint &address, TimePoint now);
+    /// Notes that an update came from \a address. \returns its contact, for what the update says.
+    RouterContact &noteSeen(const Endpoint &address, TimePoint now);
+    /// \returns to whom updates are sent now, and notes that they are.
+    std::vector<UpdateGroup> takeDue(BroadcastScope wave, TimePoint now);
+    /// Notes that an update is sent to \a address now.
+    void noteSent(const Endpoint &address, TimePoint now);
     /// Drops routers that were silent for too long. \returns their ids.
-    std::vector<std::string> takeSilent(TimePoint now);
-    /// Forgets addresses that were silent for contactMemory.
-    void forgetSilent(TimePoint now);
+    std::vector<std::string> takeFailed(TimePoint now);
+    /// Forgets addresses that were silent for contactRetention.
+    void forgetUnresponsive(TimePoint now);
 
     [[nodiscard]] std::size_t size() const noexcept { return this->contacts.size(); }
-    /// \returns the longest time between two news to one router.
-    [[nodiscard]] Milliseconds longestPause() const;
-    /// \returns all addresses from which the router \a router was ever heard.
+    /// \returns the longest time between two updates to one router.
+    [[nodiscard]] Milliseconds maxInterval() const;
+    /// \returns all addresses from which updates of \a router ever came.
     [[nodiscard]] std::vector<Endpoint> addressesOf(const std::string &router) const;
-    /// \returns whether a router that the store answers was heard lately.
-    [[nodiscard]] bool hearsWatcher(TimePoint now) const;
+    /// \returns whether a router that the store answers is alive.
+    [[nodiscard]] bool isWatcherAlive(TimePoint now) const;
     /// \returns whether this router is one of those that watch the store for its data centre.
     [[nodiscard]] bool isChosenToWatch(TimePoint now) const;
     /// \returns whether this router is the one of the fleet that does what only one may do, for \a
@@ -132,21 +132,21 @@
                                                    TimePoint now) const;
     /// \returns a router that knows a newer configuration than \a configVersion or more of the
     /// store than \a storeRevision. Another \a turn gives another one.
-    [[nodiscard]] std::optional<Endpoint> betterInformed(std::uint64_t configVersion,
-                                                         std::uint64_t storeRevision,
-                                                         std::uint64_t turn, TimePoint now) const;
-    /// \returns \a most of the routers heard lately, beginning further on with each \a turn.
-    [[nodiscard]] std::vector<Endpoint> someHeard(std::size_t most, std::uint64_t turn,
+    [[nodiscard]] std::optional<Endpoint> newerRouter(std::uint64_t configVersion,
+                                                      std::uint64_t storeRevision,
+                                                      std::uint64_t turn, TimePoint now) const;
+    /// \returns \a most of the live routers, beginning further on with each \a turn.
+    [[nodiscard]] std::vector<Endpoint> someAlive(std::size_t most, std::uint64_t turn,
                                                   TimePoint now) const;
 
 private:
-    /// How often the others are told, by how many they are.
+    /// How often updates are sent to the others, by how many they are.
     struct Rhythm
     {
-        Milliseconds nearPause{0};
-        Milliseconds farPause{0};
+        Milliseconds nearInterval{0};
+        Milliseconds farInterval{0};
         /// Silence after which a router in another data centre counts as gone.
-        Milliseconds farSilence{0};
+        Milliseconds farTimeout{0};
     };
 
     [[nodiscard]] Rhythm rhythm() const;
@@ -154,7 +154,7 @@
     {
         return contact.place == this->place;
     }
-    [[nodiscard]] bool isHeard(const RouterContact &contact, const Rhythm &rhythm,
+    [[nodiscard]] bool isAlive(const RouterContact &contact, const Rhythm &rhythm,
                                TimePoint now) const;
     /// \returns the newest of \a confirmed at routers that know nothing newer of \a content than
     /// \a known.
--- a/include/plantainswitch/routing/newslog.h
+++ b/include/plantainswitch/routing/updatelog.h
@@ -8,13 +8,13 @@
 
 namespace plantainswitch {
 
-/// What happened lately that other routers are told of once. Each of them is told at its own times:
-/// what is kept here goes to each with the first news after it.
-class NewsLog
+/// What happened lately that other routers are notified of once. Each gets its updates at its own
+/// times: what is kept here goes to each with the first update after it.
+class UpdateLog
 {
 public:
     /// Notes a chain that an engine was given to read.
-    void noteChain(const ChainNews &chain, TimePoint now);
+    void noteChain(const PrefixReport &chain, TimePoint now);
     /// Notes a crash that was confirmed here.
     void noteCrash(const CrashReport &crash, TimePoint now);
     /// Notes that a request under suspicion was answered.
@@ -23,9 +23,9 @@
     void forgetBefore(TimePoint then);
 
     /// \returns the newest \a most chains since \a since.
-    [[nodiscard]] std::vector<ChainNews> chainsSince(TimePoint since, std::size_t most) const;
+    [[nodiscard]] std::vector<PrefixReport> chainsSince(TimePoint since, std::size_t most) const;
     /// \returns what was noted of crashes since \a since.
-    [[nodiscard]] CrashNews suspectsSince(TimePoint since) const;
+    [[nodiscard]] CrashUpdate suspectsSince(TimePoint since) const;
 
 private:
     template<typename Item>
@@ -35,7 +35,7 @@
         TimePoint when;
     };
 
-    std::deque<Noted<ChainNews>> chains;
+    std::deque<Noted<PrefixReport>> chains;
     std::deque<Noted<CrashReport>> crashes;
     std::deque<Noted<RequestFingerprint>> cleared;
 };
--- a/src/membership/watchers.cpp
+++ b/src/membership/watchers.cpp
@@ -51,7 +51,7 @@
         return true;
     }
     const bool yields = situation.isPlatformBusy && !situation.knowsUpstreams
-                        && situation.hearsOthers && situation.sinceStart < busyPatience;
+                        && situation.knowsOthers && situation.sinceStart < busyPatience;
     return situation.unserved >= watcherPatience && !yields;
 }
 
--- a/src/routing/health.cpp
+++ b/src/routing/health.cpp
@@ -106,7 +106,7 @@
     health.extraDelay += delayWeight * (extra - health.extraDelay);
 }
 
-bool isSilenceNews(const UpstreamHealth &health, TimePoint since, TimePoint now)
+bool isNewTimeout(const UpstreamHealth &health, TimePoint since, TimePoint now)
 {
     return health.ownSilenceAt != TimePoint{} && health.ownSilenceAt >= since
            && now - health.ownSilenceAt <= 2 * suspicionHalfLife;
--- a/src/routing/peerloads.cpp
+++ b/src/routing/peerloads.cpp
@@ -14,18 +14,19 @@
     }
 }
 
-bool PeerLoads::take(const RouterNews &news)
+bool PeerLoads::take(const RouterUpdate &update)
 {
-    Peer &peer = this->peers[news.id];
-    const bool older = news.incarnation < peer.incarnation
-                       || (news.incarnation == peer.incarnation && news.sequence <= peer.sequence);
+    Peer &peer = this->peers[update.id];
+    const bool older =
+        update.incarnation < peer.incarnation
+        || (update.incarnation == peer.incarnation && update.sequence <= peer.sequence);
     if (older && peer.sequence != 0) {
         return false;
     }
     this->add(peer.loads, -1);
-    peer.incarnation = news.incarnation;
-    peer.sequence = news.sequence;
-    peer.loads = news.loads;
+    peer.incarnation = update.incarnation;
+    peer.sequence = update.sequence;
+    peer.loads = update.loads;
     this->add(peer.loads, 1);
     return true;
 }
--- a/src/routing/routercontacts.cpp
+++ b/src/routing/routercontacts.cpp
@@ -16,8 +16,8 @@
 Milliseconds pauseFor(std::size_t routers, std::size_t few, Milliseconds longest)
 {
     const auto grown =
-        static_cast<std::int64_t>(routers) * newsPause / static_cast<std::int64_t>(few);
-    return std::clamp(std::chrono::duration_cast<Milliseconds>(grown), newsPause, longest);
+        static_cast<std::int64_t>(routers) * gossipInterval / static_cast<std::int64_t>(few);
+    return std::clamp(std::chrono::duration_cast<Milliseconds>(grown), gossipInterval, longest);
 }
 
 /// Keeps the choice of the confirmer independent of other choices.
@@ -33,7 +33,7 @@
 void RouterContacts::add(const Endpoint &address, TimePoint now)
 {
     RouterContact contact;
-    contact.heard = now;
+    contact.lastSeen = now;
     this->contacts.try_emplace(address, std::move(contact));
 }
 
@@ -43,11 +43,11 @@
     this->contacts.at(address).isSeed = true;
 }
 
-RouterContact &RouterContacts::noteHeard(const Endpoint &address, TimePoint now)
+RouterContact &RouterContacts::noteSeen(const Endpoint &address, TimePoint now)
 {
     RouterContact &contact = this->contacts[address];
-    contact.heard = now;
-    contact.everHeard = true;
+    contact.lastSeen = now;
+    contact.isMember = true;
     return contact;
 }
 
@@ -56,49 +56,50 @@
     std::size_t near = 0;
     std::size_t far = 0;
     for (const auto &[address, contact] : this->contacts) {
-        if (contact.everHeard) {
+        if (contact.isMember) {
             ++(this->isNear(contact) ? near : far);
         }
     }
     Rhythm rhythm;
-    rhythm.nearPause = pauseFor(near, fewNearRouters, longestNearPause);
-    rhythm.farPause = pauseFor(far, fewFarRouters, longestFarPause);
-    rhythm.farSilence = std::max(peerSilence, missedNews * rhythm.farPause);
+    rhythm.nearInterval = pauseFor(near, maxFastNearRouters, maxNearInterval);
+    rhythm.farInterval = pauseFor(far, maxFastFarRouters, maxFarInterval);
+    rhythm.farTimeout = std::max(peerTimeout, maxMissedUpdates * rhythm.farInterval);
     return rhythm;
 }
 
-Milliseconds RouterContacts::longestPause() const
+Milliseconds RouterContacts::maxInterval() const
 {
     const Rhythm rhythm = this->rhythm();
-    return std::max({rhythm.nearPause, rhythm.farPause, silentPause});
+    return std::max({rhythm.nearInterval, rhythm.farInterval, unresponsiveInterval});
 }
 
-bool RouterContacts::isHeard(const RouterContact &contact, const Rhythm &rhythm,
+bool RouterContacts::isAlive(const RouterContact &contact, const Rhythm &rhythm,
                              TimePoint now) const
 {
-    return contact.everHeard
-           && now - contact.heard < (this->isNear(contact) ? peerSilence : rhythm.farSilence);
+    return contact.isMember
+           && now - contact.lastSeen < (this->isNear(contact) ? peerTimeout : rhythm.farTimeout);
 }
 
-std::vector<NewsGroup> RouterContacts::takeDue(NewsWave wave, TimePoint now)
+std::vector<UpdateGroup> RouterContacts::takeDue(BroadcastScope wave, TimePoint now)
 {
     const Rhythm rhythm = this->rhythm();
-    // Timers fire a little early or late: news due before half of the next turn go now.
-    constexpr Milliseconds slack = newsPause / 2;
+    // Timers fire a little early or late: updates due before half of the next turn go now.
+    constexpr Milliseconds slack = gossipInterval / 2;
     std::map<TimePoint, std::vector<Endpoint>> groups;
     for (auto &[address, contact] : this->contacts) {
         const bool isNear = this->isNear(contact);
-        const bool isHeard = this->isHeard(contact, rhythm, now);
-        const Milliseconds pause = !isHeard ? silentPause
-                                   : isNear ? rhythm.nearPause
-                                            : rhythm.farPause;
-        const bool isWanted = wave == NewsWave::All || (wave == NewsWave::Near && isNear);
-        if ((isHeard && isWanted) || now - contact.told + slack >= pause) {
-            groups[contact.told].push_back(address);
-            contact.told = now;
+        const bool isAlive = this->isAlive(contact, rhythm, now);
+        const Milliseconds pause = !isAlive ? unresponsiveInterval
+                                   : isNear ? rhythm.nearInterval
+                                            : rhythm.farInterval;
+        const bool isWanted =
+            wave == BroadcastScope::All || (wave == BroadcastScope::Near && isNear);
+        if ((isAlive && isWanted) || now - contact.lastSent + slack >= pause) {
+            groups[contact.lastSent].push_back(address);
+            contact.lastSent = now;
         }
     }
-    std::vector<NewsGroup> due;
+    std::vector<UpdateGroup> due;
     due.reserve(groups.size());
     for (auto &[since, routers] : groups) {
         due.push_back({since, std::move(routers)});
@@ -106,33 +107,33 @@
     return due;
 }
 
-void RouterContacts::noteTold(const Endpoint &address, TimePoint now)
+void RouterContacts::noteSent(const Endpoint &address, TimePoint now)
 {
-    this->contacts[address].told = now;
+    this->contacts[address].lastSent = now;
 }
 
-std::vector<std::string> RouterContacts::takeSilent(TimePoint now)
+std::vector<std::string> RouterContacts::takeFailed(TimePoint now)
 {
     const Rhythm rhythm = this->rhythm();
-    std::set<std::string> silent;
-    std::set<std::string> heard;
+    std::set<std::string> failed;
+    std::set<std::string> alive;
     for (auto &[address, contact] : this->contacts) {
-        if (contact.everHeard) {
-            contact.everHeard = this->isHeard(contact, rhythm, now);
-            (contact.everHeard ? heard : silent).insert(contact.id);
+        if (contact.isMember) {
+            contact.isMember = this->isAlive(contact, rhythm, now);
+            (contact.isMember ? alive : failed).insert(contact.id);
         }
     }
     std::vector<std::string> gone;
     // A router that came back at another address isn't gone with the old one.
-    std::set_difference(silent.begin(), silent.end(), heard.begin(), heard.end(),
+    std::set_difference(failed.begin(), failed.end(), alive.begin(), alive.end(),
                         std::back_inserter(gone));
     return gone;
 }
 
-void RouterContacts::forgetSilent(TimePoint now)
+void RouterContacts::forgetUnresponsive(TimePoint now)
 {
     std::erase_if(this->contacts, [now](const auto &entry) {
-        return !entry.second.isSeed && now - entry.second.heard > contactMemory;
+        return !entry.second.isSeed && now - entry.second.lastSeen > contactRetention;
     });
 }
 
@@ -147,13 +148,13 @@
     return found;
 }
 
-bool RouterContacts::hearsWatcher(TimePoint now) const
+bool RouterContacts::isWatcherAlive(TimePoint now) const
 {
     return std::any_of(this->contacts.begin(), this->contacts.end(), [now](const auto &entry) {
         // A watcher that died must be missed within a few moments, wherever it is: an edit has to
         // be in force within two seconds.
-        return entry.second.storeConnected && entry.second.everHeard
-               && now - entry.second.heard < peerSilence;
+        return entry.second.storeConnected && entry.second.isMember
+               && now - entry.second.lastSeen < peerTimeout;
     });
 }
 
@@ -164,12 +165,12 @@
     active.front().id = this->id;
     active.front().place = this->place;
     for (const auto &[address, contact] : this->contacts) {
-        if (this->isHeard(contact, rhythm, now)) {
-            Heartbeat heard;
-            heard.id = contact.id;
-            heard.place = contact.place;
-            heard.leaving = contact.stopping;
-            active.push_back(std::move(heard));
+        if (this->isAlive(contact, rhythm, now)) {
+            Heartbeat member;
+            member.id = contact.id;
+            member.place = contact.place;
+            member.leaving = contact.stopping;
+            active.push_back(std::move(member));
         }
     }
     return isWatcher(this->id, this->place, active);
@@ -181,7 +182,7 @@
     const double own = scoreOf(key, this->id);
     return std::none_of(this->contacts.begin(), this->contacts.end(), [&](const auto &entry) {
         const RouterContact &contact = entry.second;
-        return contact.id != except && this->isHeard(contact, rhythm, now) && !contact.stopping
+        return contact.id != except && this->isAlive(contact, rhythm, now) && !contact.stopping
                && scoreOf(key, contact.id) > own;
     });
 }
@@ -193,8 +194,9 @@
     const auto before =
         std::count_if(this->contacts.begin(), this->contacts.end(), [&](const auto &entry) {
             const RouterContact &contact = entry.second;
-            const bool isPrompt = this->isNear(contact) || rhythm.farPause <= maxConfirmerPause;
-            return isPrompt && this->isHeard(contact, rhythm, now) && contact.storeConnected
+            const bool isPrompt =
+                this->isNear(contact) || rhythm.farInterval <= maxConfirmerInterval;
+            return isPrompt && this->isAlive(contact, rhythm, now) && contact.storeConnected
                    && !contact.stopping && scoreOf(confirmerKey, contact.id) > own;
         });
     return static_cast<std::size_t>(before);
@@ -208,7 +210,7 @@
     TimePoint latest;
     for (const auto &[address, contact] : this->contacts) {
         // Whoever knows something newer confirms nothing to a router that doesn't.
-        if (this->isHeard(contact, rhythm, now) && contact.*content <= known) {
+        if (this->isAlive(contact, rhythm, now) && contact.*content <= known) {
             latest = std::max(latest, contact.*confirmed);
         }
     }
@@ -236,7 +238,7 @@
     double highest = scoreOf(life, this->id);
     std::optional<Endpoint> best;
     for (const auto &[address, contact] : this->contacts) {
-        if (!this->isHeard(contact, rhythm, now) || contact.stopping) {
+        if (!this->isAlive(contact, rhythm, now) || contact.stopping) {
             continue;
         }
         const bool isNear = contact.place == enginePlace;
@@ -250,9 +252,9 @@
     return best;
 }
 
-std::optional<Endpoint> RouterContacts::betterInformed(std::uint64_t configVersion,
-                                                       std::uint64_t storeRevision,
-                                                       std::uint64_t turn, TimePoint now) const
+std::optional<Endpoint> RouterContacts::newerRouter(std::uint64_t configVersion,
+                                                    std::uint64_t storeRevision, std::uint64_t turn,
+                                                    TimePoint now) const
 {
     // Each asks another one: were all to ask the same, its thin link would be busy for seconds with
     // a large configuration. Whoever has got it hands it on.
@@ -264,7 +266,7 @@
     for (const auto &[address, contact] : this->contacts) {
         const bool knowsMore =
             contact.configVersion > configVersion || contact.storeRevision > storeRevision;
-        if (!knowsMore || !this->isHeard(contact, rhythm, now)) {
+        if (!knowsMore || !this->isAlive(contact, rhythm, now)) {
             continue;
         }
         const bool isNear = this->isNear(contact);
@@ -278,22 +280,22 @@
     return best;
 }
 
-std::vector<Endpoint> RouterContacts::someHeard(std::size_t most, std::uint64_t turn,
+std::vector<Endpoint> RouterContacts::someAlive(std::size_t most, std::uint64_t turn,
                                                 TimePoint now) const
 {
     const Rhythm rhythm = this->rhythm();
-    std::vector<Endpoint> heard;
+    std::vector<Endpoint> alive;
     for (const auto &[address, contact] : this->contacts) {
-        if (this->isHeard(contact, rhythm, now)) {
-            heard.push_back(address);
+        if (this->isAlive(contact, rhythm, now)) {
+            alive.push_back(address);
         }
     }
-    if (heard.size() > most) {
-        const auto first = static_cast<std::ptrdiff_t>(turn * most % heard.size());
-        std::rotate(heard.begin(), heard.begin() + first, heard.end());
-        heard.resize(most);
+    if (alive.size() > most) {
+        const auto first = static_cast<std::ptrdiff_t>(turn * most % alive.size());
+        std::rotate(alive.begin(), alive.begin() + first, alive.end());
+        alive.resize(most);
     }
-    return heard;
+    return alive;
 }
 
 } // namespace plantainswitch
--- a/src/routing/newslog.cpp
+++ b/src/routing/updatelog.cpp
@@ -1,4 +1,4 @@
-#include "plantainswitch/routing/newslog.h"
+#include "plantainswitch/routing/updatelog.h"
 
 namespace plantainswitch {
 
@@ -25,41 +25,41 @@
 
 } // namespace
 
-void NewsLog::noteChain(const ChainNews &chain, TimePoint now)
+void UpdateLog::noteChain(const PrefixReport &chain, TimePoint now)
 {
     this->chains.push_back({chain, now});
 }
 
-void NewsLog::noteCrash(const CrashReport &crash, TimePoint now)
+void UpdateLog::noteCrash(const CrashReport &crash, TimePoint now)
 {
     this->crashes.push_back({crash, now});
 }
 
-void NewsLog::noteCleared(RequestFingerprint request, TimePoint now)
+void UpdateLog::noteCleared(RequestFingerprint request, TimePoint now)
 {
     this->cleared.push_back({request, now});
 }
 
-void NewsLog::forgetBefore(TimePoint then)
+void UpdateLog::forgetBefore(TimePoint then)
 {
     dropBefore(this->chains, then);
     dropBefore(this->crashes, then);
     dropBefore(this->cleared, then);
 }
 
-std::vector<ChainNews> NewsLog::chainsSince(TimePoint since, std::size_t most) const
+std::vector<PrefixReport> UpdateLog::chainsSince(TimePoint since, std::size_t most) const
 {
-    std::vector<ChainNews> found;
-    walkSince(this->chains, since, [&found, most](const ChainNews &chain) {
+    std::vector<PrefixReport> found;
+    walkSince(this->chains, since, [&found, most](const PrefixReport &chain) {
         found.push_back(chain);
         return found.size() < most;
     });
     return found;
 }
 
-CrashNews NewsLog::suspectsSince(TimePoint since) const
+CrashUpdate UpdateLog::suspectsSince(TimePoint since) const
 {
-    CrashNews found;
+    CrashUpdate found;
     walkSince(this->crashes, since, [&found](const CrashReport &crash) {
         found.crashes.push_back(crash);
         return true;
--- a/tests/freshness.cpp
+++ b/tests/freshness.cpp
@@ -91,7 +91,7 @@
     void update(const FollowingRouter &from, TimePoint now)
     {
         RouterContact &contact =
-            this->contacts.noteHeard({from.place, static_cast<std::uint16_t>(from.number)}, now);
+            this->contacts.noteSeen({from.place, static_cast<std::uint16_t>(from.number)}, now);
         contact.id = idOf(from.number);
         contact.place = from.place;
         contact.configVersion = from.version;
@@ -211,7 +211,7 @@
         Outcome outcome;
         const TimePoint begin = start();
         for (TimePoint now = begin; now < begin + span; now += turn) {
-            const bool isUpdate = (now - begin) % newsPause == Duration{0};
+            const bool isUpdate = (now - begin) % gossipInterval == Duration{0};
             for (FollowingRouter &router : fleet) {
                 router.run(platform, now);
                 for (const FollowingRouter &other : fleet) {
--- a/tests/peerloads.cpp
+++ b/tests/peerloads.cpp
@@ -9,9 +9,9 @@
 class PeerLoadsFixture
 {
 protected:
-    static RouterNews newsOf(const std::string &id, std::uint64_t sequence, std::uint32_t running)
+    static RouterUpdate newsOf(const std::string &id, std::uint64_t sequence, std::uint32_t running)
     {
-        RouterNews news;
+        RouterUpdate news;
         news.id = id;
         news.incarnation = 1;
         news.sequence = sequence;
@@ -45,7 +45,7 @@
 TEST_CASE_METHOD(PeerLoadsFixture, "peerLoads_routerStartsAgain_itsOldLoadsAreGone", "[routing]")
 {
     this->loads.take(newsOf("a", 500, 2));
-    RouterNews fresh = newsOf("a", 1, 1);
+    RouterUpdate fresh = newsOf("a", 1, 1);
     fresh.incarnation = 2;
     CHECK(this->loads.take(fresh));
     CHECK(this->loads.at(7).running == 1);
--- a/tests/routercontacts.cpp
+++ b/tests/routercontacts.cpp
@@ -3,9 +3,9 @@
 #include <catch2/catch.hpp>
 
 #include "plantainswitch/membership/watchers.h"
-#include "plantainswitch/routing/newslog.h"
 #include "plantainswitch/routing/peerloads.h"
 #include "plantainswitch/routing/routercontacts.h"
+#include "plantainswitch/routing/updatelog.h"
 
 using namespace plantainswitch;
 
@@ -20,17 +20,17 @@
 
     RouterContact &hear(int number, const std::string &place = "hall-a")
     {
-        RouterContact &contact = this->contacts.noteHeard(addressOf(number), this->clock.now());
+        RouterContact &contact = this->contacts.noteSeen(addressOf(number), this->clock.now());
         contact.id = "router-" + std::to_string(number);
         contact.place = place;
         return contact;
     }
 
     /// \returns how many are told.
-    std::size_t tell(NewsWave wave = NewsWave::Due)
+    std::size_t tell(BroadcastScope wave = BroadcastScope::Due)
     {
         std::size_t told = 0;
-        for (const NewsGroup &group : this->contacts.takeDue(wave, this->clock.now())) {
+        for (const UpdateGroup &group : this->contacts.takeDue(wave, this->clock.now())) {
             told += group.routers.size();
         }
         return told;
@@ -51,10 +51,10 @@
     for (int number = 2; number <= 100; ++number) {
         this->contacts.add(addressOf(number), this->clock.now());
     }
-    this->clock.advance(contactMemory);
+    this->clock.advance(contactRetention);
     this->hear(100);
     this->clock.advance(Seconds{1});
-    this->contacts.forgetSilent(this->clock.now());
+    this->contacts.forgetUnresponsive(this->clock.now());
     CHECK(this->contacts.size() == 2);
 }
 
@@ -63,9 +63,9 @@
     this->contacts.add(addressOf(1), this->clock.now());
     this->hear(2);
     CHECK(this->tell() == 2);
-    this->clock.advance(newsPause);
+    this->clock.advance(gossipInterval);
     CHECK(this->tell() == 1);
-    this->clock.advance(silentPause);
+    this->clock.advance(unresponsiveInterval);
     CHECK(this->tell() == 2);
 }
 
@@ -75,10 +75,10 @@
     this->hear(1);
     const TimePoint first = this->clock.now();
     CHECK(this->tell() == 1);
-    this->clock.advance(newsPause);
+    this->clock.advance(gossipInterval);
     this->hear(1);
     this->hear(2);
-    const auto groups = this->contacts.takeDue(NewsWave::Due, this->clock.now());
+    const auto groups = this->contacts.takeDue(BroadcastScope::Due, this->clock.now());
     REQUIRE(groups.size() == 2);
     CHECK(groups[0].since == TimePoint{});
     CHECK(groups[0].routers == std::vector<Endpoint>{addressOf(2)});
@@ -108,10 +108,10 @@
                 this->hear(number, isNear ? "hall-a" : "hall-b");
             }
         }
-        gone += this->contacts.takeSilent(this->clock.now()).size();
+        gone += this->contacts.takeFailed(this->clock.now()).size();
         const std::size_t told = this->tell();
         datagrams += turn >= 100 ? told : 0;
-        this->clock.advance(newsPause);
+        this->clock.advance(gossipInterval);
     }
     CHECK(gone == 0);
     CHECK(datagrams / (seconds - 10) < 250);
@@ -125,20 +125,20 @@
     CHECK(this->tell() == 2);
     this->clock.advance(Milliseconds{20});
     CHECK(this->tell() == 0);
-    CHECK(this->tell(NewsWave::Near) == 1);
-    CHECK(this->tell(NewsWave::All) == 2);
+    CHECK(this->tell(BroadcastScope::Near) == 1);
+    CHECK(this->tell(BroadcastScope::All) == 2);
 }
 
 TEST_CASE_METHOD(RouterContactsFixture, "routerContacts_silentRouter_isGoneOnce", "[routing]")
 {
     this->hear(1);
     this->hear(2);
-    this->clock.advance(peerSilence - Milliseconds{1});
-    CHECK(this->contacts.takeSilent(this->clock.now()).empty());
+    this->clock.advance(peerTimeout - Milliseconds{1});
+    CHECK(this->contacts.takeFailed(this->clock.now()).empty());
     this->hear(2);
     this->clock.advance(Milliseconds{1});
-    CHECK(this->contacts.takeSilent(this->clock.now()) == std::vector<std::string>{"router-1"});
-    CHECK(this->contacts.takeSilent(this->clock.now()).empty());
+    CHECK(this->contacts.takeFailed(this->clock.now()) == std::vector<std::string>{"router-1"});
+    CHECK(this->contacts.takeFailed(this->clock.now()).empty());
     CHECK(this->contacts.addressesOf("router-1").size() == 1);
 }
 
@@ -147,15 +147,15 @@
 {
     // A router is replaced under its name: its old address falls silent, the router does not.
     this->hear(1);
-    this->clock.advance(peerSilence - Milliseconds{1});
+    this->clock.advance(peerTimeout - Milliseconds{1});
     this->hear(9).id = "router-1";
     this->clock.advance(Milliseconds{1});
-    CHECK(this->contacts.takeSilent(this->clock.now()).empty());
+    CHECK(this->contacts.takeFailed(this->clock.now()).empty());
 }
 
 TEST_CASE("newsLog_routersToldAtOtherTimes_eachHearsOfAllOnce", "[routing]")
 {
-    NewsLog log;
+    UpdateLog log;
     ManualClock clock;
     log.noteChain({1, 5}, clock.now());
     clock.advance(Milliseconds{100});
@@ -181,11 +181,11 @@
         this->hear(number, number < 3 ? "hall-a" : "hall-b");
     }
     RouterContacts other("router-5", "hall-b");
-    RouterContact &first = other.noteHeard(addressOf(9), this->clock.now());
+    RouterContact &first = other.noteSeen(addressOf(9), this->clock.now());
     first.id = "router-0";
     first.place = "hall-a";
     for (int number = 1; number <= 4; ++number) {
-        RouterContact &contact = other.noteHeard(addressOf(number), this->clock.now());
+        RouterContact &contact = other.noteSeen(addressOf(number), this->clock.now());
         contact.id = "router-" + std::to_string(number);
         contact.place = number < 3 ? "hall-a" : "hall-b";
     }
@@ -208,11 +208,11 @@
     this->hear(2, "hall-b");
     const auto keeper = this->contacts.keeperOf(7, "hall-b", false, this->clock.now());
     REQUIRE(keeper);
-    this->contacts.noteHeard(*keeper, this->clock.now()).stopping = true;
+    this->contacts.noteSeen(*keeper, this->clock.now()).stopping = true;
     const auto next = this->contacts.keeperOf(7, "hall-b", false, this->clock.now());
     REQUIRE(next);
     CHECK(*next != *keeper);
-    this->clock.advance(peerSilence);
+    this->clock.advance(peerTimeout);
     CHECK_FALSE(this->contacts.keeperOf(7, "hall-b", false, this->clock.now()));
 }
 
@@ -225,12 +225,12 @@
     }
     std::set<std::string> asked;
     for (std::uint64_t turn = 1; turn <= 50; ++turn) {
-        const auto best = this->contacts.betterInformed(8, 0, turn, this->clock.now());
+        const auto best = this->contacts.newerRouter(8, 0, turn, this->clock.now());
         REQUIRE(best);
         asked.insert(best->host);
     }
     CHECK(asked == std::set<std::string>{"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"});
-    CHECK_FALSE(this->contacts.betterInformed(9, 0, 1, this->clock.now()));
+    CHECK_FALSE(this->contacts.newerRouter(9, 0, 1, this->clock.now()));
 }
 
 TEST_CASE_METHOD(RouterContactsFixture, "routerContacts_someHeard_comeRoundToAll", "[routing]")
@@ -240,7 +240,7 @@
     }
     std::set<std::string> told;
     for (std::uint64_t turn = 1; turn <= 5; ++turn) {
-        const auto some = this->contacts.someHeard(4, turn, this->clock.now());
+        const auto some = this->contacts.someAlive(4, turn, this->clock.now());
         CHECK(some.size() == 4);
         for (const Endpoint &each : some) {
             told.insert(each.host);
@@ -256,14 +256,14 @@
     WatchSituation situation;
     situation.unserved = watcherPatience;
     situation.sinceStart = watcherPatience;
-    situation.hearsOthers = true;
+    situation.knowsOthers = true;
     CHECK(shouldWatch(situation));
     situation.isPlatformBusy = true;
     CHECK_FALSE(shouldWatch(situation));
     situation.sinceStart = busyPatience;
     CHECK(shouldWatch(situation));
     situation.sinceStart = watcherPatience;
-    situation.hearsOthers = false;
+    situation.knowsOthers = false;
     CHECK(shouldWatch(situation));
 }
 
@@ -272,7 +272,7 @@
     // A router that serves by what it knows must not wait: an edit has to be in force in two
     // seconds.
     WatchSituation situation;
-    situation.hearsOthers = true;
+    situation.knowsOthers = true;
     situation.knowsUpstreams = true;
     situation.isPlatformBusy = true;
     situation.sinceStart = Seconds{5};
--- a/tests/storeview.cpp
+++ b/tests/storeview.cpp
@@ -79,12 +79,12 @@
     replica.id = "a";
     directory.takeEntry(replica);
     directory.takeRemovals({"a"}, clock.now() + missingGrace, clock.now());
-    noteHeard(this->view, 21, directory);
+    noteKnown(this->view, 21, directory);
     CHECK(this->view.revision == 20);
     clock.advance(missingGrace);
     directory.expire(clock.now());
     noteGone(this->view, "a", 25);
-    noteHeard(this->view, 25, directory);
+    noteKnown(this->view, 25, directory);
     CHECK(this->view.revision == 25);
     // Others have meanwhile heard elsewhere of changes up to the 25th.
     const auto told = this->ask({25, 9});
--- a/tests/upstreamhealth.cpp
+++ b/tests/upstreamhealth.cpp
@@ -56,14 +56,14 @@
     // Two routers once saw an upstream silent. A router that starts an hour later is told all that
     // it hasn't heard: told of these, it would avoid an upstream that is well.
     this->clock.advance(Seconds{1});
-    CHECK_FALSE(isSilenceNews(this->health, {}, this->clock.now()));
+    CHECK_FALSE(isNewTimeout(this->health, {}, this->clock.now()));
     recordFault(this->health, UpstreamFault::Silent, this->clock.now());
     const TimePoint told = this->clock.now() + Milliseconds{1};
     this->clock.advance(Milliseconds{100});
-    CHECK(isSilenceNews(this->health, {}, this->clock.now()));
-    CHECK_FALSE(isSilenceNews(this->health, told, this->clock.now()));
+    CHECK(isNewTimeout(this->health, {}, this->clock.now()));
+    CHECK_FALSE(isNewTimeout(this->health, told, this->clock.now()));
     this->clock.advance(Seconds{3600});
-    CHECK_FALSE(isSilenceNews(this->health, {}, this->clock.now()));
+    CHECK_FALSE(isNewTimeout(this->health, {}, this->clock.now()));
 }
 
 TEST_CASE_METHOD(UpstreamHealthFixture, "health_silenceSeenByTwo_isADarkEngine", "[routing]")
