Keep the confirmer from replacing its watch at each look

While the store was silent, the confirmer's watch of upstreams was due for a short one at each look of 250 ms, and each new watch was a long one again: four calls a second until the store was back, and it never came to list.

--- a/gateway/storefollower.cpp
+++ b/gateway/storefollower.cpp
@@ -101,7 +101,7 @@
     situation.held = this->held;
     if (isConfirmationDue(this->policy, situation)) {
         this->client.abandon();
-        this->watch();
+        this->watchFor(this->policy.confirmInterval);
         return;
     }
     if (!isUnconfirmed(this->policy, situation)) {
@@ -218,7 +218,12 @@
 
 void StoreFollower::watch()
 {
-    this->held = watchWait(this->policy, this->isConfirmer());
+    this->watchFor(watchWait(this->policy, this->isConfirmer()));
+}
+
+void StoreFollower::watchFor(Milliseconds wait)
+{
+    this->held = wait;
     this->call(this->gateway.dialect.watchTarget(this->kind, this->position(), this->held),
                {this->held + watchSlack, this->held + this->answerTimeout.value()},
                &StoreFollower::onWatched);
--- a/gateway/storefollower.h
+++ b/gateway/storefollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <vector>
@@ -46,7 +47,10 @@
     /// \param fleetConfirmedAt when the store last confirmed to another router what this one knows
     void checkConfirmed(TimePoint fleetConfirmedAt);
     /// Notes that an upstream counts as gone without a change of the store.
-    void noteRemoval() noexcept { this->lastChange = this->known.position; }
+    void noteRemoval() noexcept
+    {
+        this->lastChange = std::max(this->lastChange, this->known.position);
+    }
     [[nodiscard]] bool isPaused() const noexcept { return this->paused; }
     [[nodiscard]] bool isWatching() const noexcept { return this->watching; }
     /// \returns whether the last call was answered.
@@ -63,6 +67,8 @@
     void list();
     void onListed(const PlainReply &reply);
     void watch();
+    /// Asks the store for changes, and to hold the call for \a wait.
+    void watchFor(Milliseconds wait);
     void onWatched(const PlainReply &reply);
     void onFailure(int status);
     void onAnswered();
--- a/tests/storefollower.cpp
+++ b/tests/storefollower.cpp
@@ -104,3 +104,41 @@
     CHECK(follower.position() == 12);
     follower.stop();
 }
+
+TEST_CASE_METHOD(StoreFollowerFixture, "follower_confirmerOfSilentStore_asksAtItsInterval",
+                 "[gateway]")
+{
+    // Guards against a confirmer that replaces its watch at each look while the store is silent.
+    std::atomic<int> watches = 0;
+    ScriptedServer store([&watches](ServerConnection &connection) {
+        while (const auto request = connection.read()) {
+            if (request->head.target.find("watch=") != std::string::npos) {
+                ++watches;
+                connection.waitForEnd();
+                return;
+            }
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: 38\r\n\r\n"
+                            R"({"items":[],"hasMore":false,"asOf":12})");
+        }
+    });
+    GatewaySettings settings;
+    settings.store = store.endpoint();
+    GatewayState state(this->context, this->clock, this->dialect, settings);
+    constexpr Milliseconds interval{500};
+    StoreFollower follower(state, StoreKind::Replicas, {interval, 60 * interval, Milliseconds{0}},
+                           {[](const std::vector<StoreItem> &, TimePoint) {},
+                            [](const std::vector<StoreItem> &, TimePoint) {},
+                            {}});
+    follower.start();
+    this->context.run_for(interval / 2);
+    follower.resume();
+    constexpr int looks = 40;
+    for (int look = 0; look < looks; ++look) {
+        this->context.restart();
+        this->context.run_for(interval / 10);
+        follower.checkConfirmed({});
+    }
+    CHECK(watches >= 2);
+    CHECK(watches <= 8);
+    follower.stop();
+}
