--- a/include/plantainswitch/membership/freshness.h
+++ b/include/plantainswitch/membership/freshness.h
@@ -8,7 +8,7 @@
 namespace plantainswitch {
 
 /// How a fleet bounds the age of what it knows of one kind of the platform's objects. A watch that
-/// the platform lost is never answered, which looks as if nothing had changed. Only an answer tells
+/// the platform lost is never answered, which looks as if nothing had changed. Only an answer separates
 /// the two apart: one router, the confirmer, asks often, and the others know by it that the
 /// platform answers and what the newest change is.
 struct FreshnessPolicy
@@ -44,7 +44,7 @@
 };
 
 /// \returns the pause before the next call after \a failures in a row. Routers that lost the
-/// platform together, told apart by \a seed, do not ask in step.
+/// platform together, separated by \a seed, do not ask in step.
 [[nodiscard]] Milliseconds retryPause(std::uint32_t failures, std::uint64_t seed) noexcept;
 
 /// \returns how long the platform may hold the watch of a router.
--- a/include/plantainswitch/routing/peerloads.h
+++ b/include/plantainswitch/routing/peerloads.h
@@ -56,7 +56,7 @@
     CrashUpdate suspects;
 };
 
-/// Silence after which a near router counts as failed and what it had as ended: several missed
+/// Time without updates after which a near router counts as failed and what it had as ended: several missed
 /// updates.
 inline constexpr Milliseconds peerTimeout{1500};
 
--- a/src/routing/routercontacts.cpp
+++ b/src/routing/routercontacts.cpp
@@ -209,7 +209,7 @@
     const Rhythm rhythm = this->rhythm();
     TimePoint latest;
     for (const auto &[address, contact] : this->contacts) {
-        // Whoever knows something newer confirms nothing to a router that doesn't.
+        // A router that knows something newer confirms nothing to a router that doesn't.
         if (this->isAlive(contact, rhythm, now) && contact.*content <= known) {
             latest = std::max(latest, contact.*confirmed);
         }
