--- a/include/plantainswitch/membership/freshness.h
+++ b/include/plantainswitch/membership/freshness.h
@@ -8,8 +8,8 @@
 namespace plantainswitch {
 
 /// How a fleet bounds the age of what it knows of one kind of the platform's objects. A watch that
-/// the platform lost is never answered, which looks as if nothing had changed. Only an answer separates
-/// the two apart: one router, the confirmer, asks often, and the others know by it that the
+/// the platform lost is never answered, which looks as if nothing had changed. Only an answer
+/// separates the two: one router, the confirmer, asks often, and the others know by it that the
 /// platform answers and what the newest change is.
 struct FreshnessPolicy
 {
--- a/include/plantainswitch/routing/peerloads.h
+++ b/include/plantainswitch/routing/peerloads.h
@@ -56,8 +56,8 @@
     CrashUpdate suspects;
 };
 
-/// Time without updates after which a near router counts as failed and what it had as ended: several missed
-/// updates.
+/// Time without updates after which a near router counts as failed and what it had as ended:
+/// several missed updates.
 inline constexpr Milliseconds peerTimeout{1500};
 
 /// The loads that other routers told of, summed for each upstream.
