Begin with stale lists of the store

Change: the first lists are stale reads, which the store counts as a tenth and not against its rate. A stale list confirms nothing: those that watch list again, the others replace it by the whole view of a router that watches. The soak's store answers such lists two seconds old. Ruled out: watching from the stale revision, which would spare the watchers' second list, but leaves the age of what is known unproved until the first change; keeping what a stale list had beside another router's view, as removals before the list are in neither.

--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -84,6 +84,13 @@
 enum class StoreKind : std::uint8_t { Routing, Replicas, Routers };
 [[nodiscard]] std::string_view nameOf(StoreKind kind) noexcept;
 
+/// What a list of the store's objects may miss.
+enum class ReadConsistency : std::uint8_t {
+    Linearizable,
+    /// May lack the changes of the last seconds; costs the store a fraction.
+    Stale,
+};
+
 /// One object of the store, still undecoded.
 struct StoreItem
 {
@@ -95,6 +102,13 @@
     std::uint64_t revision = 0;
 };
 
+/// Which of a kind's objects some items are.
+enum class EntryScope : std::uint8_t {
+    /// All there are: the others are gone.
+    All,
+    Changes,
+};
+
 /// An answer of the store to a list or a watch.
 struct StoreAnswer
 {
@@ -133,7 +147,8 @@
     [[nodiscard]] virtual int refusalStatus(ErrorKind kind) const = 0;
 
     /// \returns path and query of a call that lists objects, from the first one after \a after.
-    [[nodiscard]] virtual std::string listTarget(StoreKind kind, std::string_view after) const = 0;
+    [[nodiscard]] virtual std::string listTarget(StoreKind kind, std::string_view after,
+                                                 ReadConsistency consistency) const = 0;
     /// \returns path and query of a call that waits for changes after \a revision.
     [[nodiscard]] virtual std::string watchTarget(StoreKind kind, std::uint64_t revision,
                                                   Milliseconds wait) const = 0;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -129,10 +129,10 @@
                // before the second begins.
                freshnessWithin(this->state.settings.catchUpBound + this->state.settings.drainBound),
                {[this](const std::vector<StoreItem> &items, TimePoint keepUntil) {
-                    this->takeReplicas(items, true, keepUntil);
+                    this->takeReplicaList(items, keepUntil);
                 },
                 [this](const std::vector<StoreItem> &items, TimePoint keepUntil) {
-                    this->takeReplicas(items, false, keepUntil);
+                    this->takeReplicas(items, EntryScope::Changes, keepUntil);
                 },
                 [this] { return this->fleet.confirmRank(); }})
     , announcer(this->state)
@@ -238,8 +238,10 @@
     unblockHandledSignals();
     this->startedAt = this->state.clock.now();
     this->fleet.start();
-    this->routing.start();
-    this->replicas.start();
+    // A stale list is enough to begin with: those that watch list again, the others take what they
+    // lack from a router that watches.
+    this->routing.start(ReadConsistency::Stale);
+    this->replicas.start(ReadConsistency::Stale);
     this->tick();
     this->context.run();
     blockHandledSignals();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -69,7 +69,9 @@
     void watchReadiness();
     void followStore();
     void takeRouting(const std::vector<StoreItem> &items);
-    void takeReplicas(const std::vector<StoreItem> &items, bool isList, TimePoint keepUntil);
+    /// Takes the store's list of upstreams, unless other routers already know more.
+    void takeReplicaList(const std::vector<StoreItem> &items, TimePoint keepUntil);
+    void takeReplicas(const std::vector<StoreItem> &items, EntryScope scope, TimePoint keepUntil);
     void applyReplicas(const std::vector<ReplicaEvent> &events);
     void decideWatching();
     void announce();
@@ -80,7 +82,7 @@
     void checkFreshness(TimePoint now);
     /// Lists again if other routers have known more than this one for a while.
     void checkBehind(TimePoint now);
-    void takeCatchUp(const Endpoint &from, const PlainReply &reply);
+    void takeCatchUp(const Endpoint &from, const ViewQuestion &question, const PlainReply &reply);
     void endStopIfIdle();
     /// Takes the settings file again if its text has changed.
     void reload(bool wasAsked);
--- a/gateway/gatewaystore.cpp
+++ b/gateway/gatewaystore.cpp
@@ -25,6 +25,9 @@
 /// How long others may know more than this router's own watches have shown: longer than changes
 /// take to spread, and short enough for an edit to be in force within two seconds.
 constexpr Milliseconds behindSpan{700};
+/// Time in which the routers of this data centre answer one that joins. Until then it serves by a
+/// stale list rather than fetch the view from another data centre.
+constexpr Milliseconds joiningSpan{300};
 /// Time for the store to take this router's entry.
 constexpr Milliseconds announceLimit{2500};
 
@@ -58,12 +61,19 @@
     this->watchReadiness();
 }
 
-void Gateway::takeReplicas(const std::vector<StoreItem> &items, bool isList, TimePoint keepUntil)
+void Gateway::takeReplicaList(const std::vector<StoreItem> &items, TimePoint keepUntil)
 {
-    if (isList && isOutdated(this->state.view, this->replicas.position())) {
-        // Other routers have told more meanwhile; what follows the list is watched, or told too.
+    if (isOutdated(this->state.view, this->replicas.position())) {
+        // Other routers have sent more meanwhile; what follows the list is watched, or sent too.
         return;
     }
+    this->takeReplicas(items, EntryScope::All, keepUntil);
+}
+
+void Gateway::takeReplicas(const std::vector<StoreItem> &items, EntryScope scope,
+                           TimePoint keepUntil)
+{
+    const bool isList = scope == EntryScope::All;
     const TimePoint now = this->state.clock.now();
     std::vector<Replica> listed;
     std::vector<ReplicaEvent> events;
@@ -147,7 +157,7 @@
     const RouterEntry own{this->state.settings.id, this->state.settings.peerDatagrams};
     this->state.metrics.count(Counter::PlatformCalls);
     this->announcer.call(
-        this->state.settings.store, "POST", this->state.dialect.listTarget(StoreKind::Routers, {}),
+        this->state.settings.store, "POST", this->state.dialect.listTarget(StoreKind::Routers, {}, ReadConsistency::Linearizable),
         this->state.dialect.writeRouter(own), {announceLimit}, [this](const PlainReply &reply) {
             logEvent(Event::Announced, {{"status", std::to_string(reply.status)}});
             if (this->state.peers.routers() == 0) {
@@ -160,7 +170,7 @@
 {
     this->state.metrics.count(Counter::PlatformCalls);
     this->announcer.call(
-        this->state.settings.store, "GET", this->state.dialect.listTarget(StoreKind::Routers, {}),
+        this->state.settings.store, "GET", this->state.dialect.listTarget(StoreKind::Routers, {}, ReadConsistency::Linearizable),
         {}, {announceLimit}, [this](const PlainReply &listed) {
             const auto answer = this->state.dialect.readList(listed.body);
             logEvent(Event::ObjectsListed,
@@ -258,14 +268,21 @@
     if (!router) {
         return;
     }
+    const bool isJoining = this->state.view.revision == 0 && this->state.directoryKnown;
+    if (isJoining && this->state.clock.now() - this->startedAt < joiningSpan) {
+        return;
+    }
     const ViewQuestion question{this->state.view.revision,
                                 this->state.table ? this->state.table->config().version : 0};
     this->catchUpClient.call(
         *router, "GET", targetOf(question), {}, {catchUpLimit, catchUpSilence},
-        [this, from = *router](const PlainReply &reply) { this->takeCatchUp(from, reply); });
+        [this, from = *router, question](const PlainReply &reply) {
+            this->takeCatchUp(from, question, reply);
+        });
 }
 
-void Gateway::takeCatchUp(const Endpoint &from, const PlainReply &reply)
+void Gateway::takeCatchUp(const Endpoint &from, const ViewQuestion &question,
+                          const PlainReply &reply)
 {
     constexpr int ok = 200;
     const auto view = reply.status == ok ? readStoreView(reply.body) : std::nullopt;
@@ -280,7 +297,8 @@
     if (!view->routing.empty()) {
         this->takeRouting({{"", false, view->routing}});
     }
-    if (isOutdated(this->state.view, view->revision)) {
+    if (view->revision == 0 || isOutdated(this->state.view, view->revision)) {
+        this->watchReadiness();
         return;
     }
     std::vector<StoreItem> items;
@@ -288,9 +306,10 @@
         items.push_back({name, replica.gone, replica.document});
     }
     this->state.view.revision = std::max(this->state.view.revision, view->revision);
-    this->takeReplicas(items, false, {});
-    // A router that has heard nothing yet has nothing to teach.
-    this->state.directoryKnown = this->state.directoryKnown || view->revision > 0;
+    // What a stale list had may be gone since: the view that replaces it is whole.
+    const EntryScope scope = question.revision == 0 ? EntryScope::All : EntryScope::Changes;
+    this->takeReplicas(items, scope, {});
+    this->state.directoryKnown = true;
     this->watchReadiness();
 }
 
--- a/gateway/storefollower.cpp
+++ b/gateway/storefollower.cpp
@@ -36,8 +36,9 @@
     , timer(gateway.context)
 {}
 
-void StoreFollower::start()
+void StoreFollower::start(ReadConsistency consistency)
 {
+    this->listConsistency = consistency;
     this->list();
 }
 
@@ -72,6 +73,10 @@
     this->paused = false;
     this->watching = true;
     this->failures = 0;
+    if (std::exchange(this->listConsistency, ReadConsistency::Linearizable)
+        == ReadConsistency::Stale) {
+        this->listing.clear();
+    }
     this->list();
 }
 
@@ -170,7 +175,7 @@
     }
     const std::string after = this->listing.empty() ? std::string() : this->listing.back().name;
     this->held = Milliseconds{0};
-    this->call(this->gateway.dialect.listTarget(this->kind, after),
+    this->call(this->gateway.dialect.listTarget(this->kind, after, this->listConsistency),
                {listLimit, std::max(minListTimeout, this->answerTimeout.value())},
                &StoreFollower::onListed);
 }
@@ -196,14 +201,24 @@
         this->list();
         return;
     }
-    // Changes made while the pages came are found by watching from the first page's revision.
-    // Before the last page other routers would take this one for informed, and ask it in vain.
-    this->known.position = this->listingRevision;
-    this->gateway.noteConfirmed(this->listingRevision, this->listingBegan);
-    this->noteChanges(this->listing, this->listingRevision);
+    this->finishListing();
+}
+
+void StoreFollower::finishListing()
+{
+    const bool isStale = this->listConsistency == ReadConsistency::Stale;
+    this->listConsistency = ReadConsistency::Linearizable;
+    if (!isStale) {
+        // Changes made while the pages came are found by watching from the first page's revision.
+        // Before the last page other routers would take this one for informed, and ask it in vain.
+        this->known.position = this->listingRevision;
+        this->gateway.noteConfirmed(this->listingRevision, this->listingBegan);
+        this->noteChanges(this->listing, this->listingRevision);
+    }
     logEvent(Event::ObjectsListed, {{"kind", std::string(nameOf(this->kind))},
-                                    {"revision", std::to_string(this->position())},
+                                    {"revision", std::to_string(this->listingRevision)},
                                     {"objects", std::to_string(this->listing.size())},
+                                    {"stale", isStale ? "yes" : "no"},
                                     {"after_outage", this->wasOut ? "yes" : "no"}});
     std::vector<StoreItem> items = std::move(this->listing);
     this->listing.clear();
--- a/gateway/storefollower.h
+++ b/gateway/storefollower.h
@@ -32,8 +32,9 @@
     StoreFollower(GatewayState &gateway, StoreKind kind, FreshnessPolicy policy,
                   FollowerEvents events);
 
-    /// Lists once; resume() begins the watch.
-    void start();
+    /// Lists once; resume() begins the watch. After a stale list position() stays 0, and resume()
+    /// lists again: nothing would tell of what was removed before the list.
+    void start(ReadConsistency consistency = ReadConsistency::Linearizable);
     void stop();
     /// Ends the watch until resume(); another router's word serves meanwhile.
     void pause();
@@ -66,6 +67,8 @@
 private:
     void list();
     void onListed(const PlainReply &reply);
+    /// Hands all pages of a complete list to the events.
+    void finishListing();
     void watch();
     /// Asks the store for changes, and to hold the call for \a wait.
     void watchFor(Milliseconds wait);
@@ -96,6 +99,8 @@
     /// How long the store may hold the call under way; 0: it is no watch.
     Milliseconds held{0};
     asio::steady_timer timer;
+    /// Of the list that is under way, or comes next.
+    ReadConsistency listConsistency = ReadConsistency::Linearizable;
     /// Pages that have come of a list that is still under way.
     std::vector<StoreItem> listing;
     /// When the first of them came, and the store's revision then.
--- a/tests/soak/store.cpp
+++ b/tests/soak/store.cpp
@@ -18,6 +18,8 @@
 constexpr std::string_view objectsPath = "/objects/";
 /// Longest wait of a watch.
 constexpr Milliseconds watchLimit{20'000};
+/// How old lists are that may be stale.
+constexpr Milliseconds staleness{2000};
 constexpr std::size_t headBytes = 16 << 10;
 
 std::uint64_t numberIn(const std::string &target, std::string_view name)
@@ -143,18 +145,26 @@
         this->watch(connection, kind, numberIn(target, "watch="));
         return;
     }
-    this->list(connection, kind);
+    this->list(connection, kind, target.find("serializable=1") != std::string::npos);
 }
 
-void SoakStore::list(const std::shared_ptr<Connection> &connection, const std::string &kind)
+void SoakStore::list(const std::shared_ptr<Connection> &connection, const std::string &kind,
+                     bool mayBeStale)
 {
+    const TimePoint asOf = this->clock.now() - staleness;
+    while (!this->snapshots.empty() && this->snapshots.front().until <= asOf) {
+        this->snapshots.pop_front();
+    }
+    const bool isStale = mayBeStale && !this->snapshots.empty();
+    Objects &listed = isStale ? this->snapshots.front().objects : this->objects;
     std::string items;
-    for (const auto &[name, object] : this->objects[kind]) {
+    for (const auto &[name, object] : listed[kind]) {
         items += (items.empty() ? "" : ",") + objectText(name, object.spec, object.revision);
     }
-    connection->respond(
-        statusOk, {},
-        fmt::format(R"({{"items":[{}],"hasMore":false,"asOf":{}}})", items, this->revision), false);
+    connection->respond(statusOk, {},
+                        fmt::format(R"({{"items":[{}],"hasMore":false,"asOf":{}}})", items,
+                                    isStale ? this->snapshots.front().revision : this->revision),
+                        false);
 }
 
 void SoakStore::watch(const std::shared_ptr<Connection> &connection, const std::string &kind,
@@ -237,6 +247,7 @@
 
 void SoakStore::change(Change made)
 {
+    this->snapshots.push_back({this->clock.now(), this->revision, this->objects});
     made.revision = ++this->revision;
     if (made.deleted) {
         this->objects[made.kind].erase(made.name);
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -56,6 +57,16 @@
         bool deleted = false;
     };
 
+    using Objects = std::map<std::string, std::map<std::string, Object>>;
+
+    /// What the store held until a change.
+    struct Snapshot
+    {
+        TimePoint until;
+        std::uint64_t revision = 0;
+        Objects objects;
+    };
+
     struct Watcher
     {
         std::weak_ptr<Connection> connection;
@@ -69,7 +80,8 @@
                    const std::string &target, const std::string &body);
     void answer(const std::shared_ptr<Connection> &connection, const std::string &method,
                 const std::string &target, const std::string &body);
-    void list(const std::shared_ptr<Connection> &connection, const std::string &kind);
+    void list(const std::shared_ptr<Connection> &connection, const std::string &kind,
+              bool mayBeStale);
     void watch(const std::shared_ptr<Connection> &connection, const std::string &kind,
                std::uint64_t since);
     void create(const std::shared_ptr<Connection> &connection, const std::string &kind,
@@ -85,7 +97,9 @@
     std::mt19937_64 random;
     std::map<std::uint64_t, std::shared_ptr<Connection>> connections;
     std::uint64_t nextConnection = 1;
-    std::map<std::string, std::map<std::string, Object>> objects;
+    Objects objects;
+    /// Of the last moments, oldest first.
+    std::deque<Snapshot> snapshots;
     std::vector<Change> history;
     std::uint64_t revision = 1;
     /// Changes up to here were dropped.
--- a/tests/storefollower.cpp
+++ b/tests/storefollower.cpp
@@ -142,3 +142,46 @@
     CHECK(watches <= 8);
     follower.stop();
 }
+
+TEST_CASE_METHOD(StoreFollowerFixture, "follower_staleFirstList_isUsedAndConfirmsNothing",
+                 "[gateway]")
+{
+    // Guards against taking a list that lacks the last seconds for proof of what the store holds.
+    std::vector<std::string> targets;
+    ScriptedServer store([&targets](ServerConnection &connection) {
+        while (const auto request = connection.read()) {
+            targets.push_back(request->head.target);
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: 38\r\n\r\n"
+                            R"({"items":[],"hasMore":false,"asOf":12})");
+        }
+    });
+    GatewaySettings settings;
+    settings.store = store.endpoint();
+    GatewayState state(this->context, this->clock, this->dialect, settings);
+    int lists = 0;
+    StoreFollower follower(state, StoreKind::Replicas, {},
+                           {[this, &lists](const std::vector<StoreItem> &, TimePoint) {
+                                ++lists;
+                                this->context.stop();
+                            },
+                            [](const std::vector<StoreItem> &, TimePoint) {},
+                            {}});
+    follower.start(ReadConsistency::Stale);
+    this->context.run_for(std::chrono::seconds{20});
+    CHECK(lists == 1);
+    CHECK(follower.position() == 0);
+    CHECK(follower.newestChange() == 0);
+    CHECK(state.followed.at(StoreKind::Replicas).confirmedAt == TimePoint{});
+    this->context.restart();
+    follower.resume();
+    this->context.run_for(std::chrono::seconds{20});
+    CHECK(lists == 2);
+    CHECK(follower.position() == 12);
+    CHECK(state.followed.at(StoreKind::Replicas).confirmedAt > TimePoint{});
+    REQUIRE(targets.size() >= 2);
+    CHECK(targets[0]
+          == this->dialect.listTarget(StoreKind::Replicas, {}, ReadConsistency::Stale));
+    CHECK(targets[1]
+          == this->dialect.listTarget(StoreKind::Replicas, {}, ReadConsistency::Linearizable));
+    follower.stop();
+}
