Send routers' addresses only to those that lack some

Change: a router says from how many it receives updates, and only one that receives from fewer than the sender is sent addresses. Ruled out: dropping the lists once a fleet has started, as halves that were cut apart would not find each other's new members.

--- a/gateway/fleetlink.cpp
+++ b/gateway/fleetlink.cpp
@@ -15,7 +15,7 @@
 /// Prefixes in one update; those beyond it are left for the next. Keeps a datagram under one
 /// Ethernet frame at usual loads.
 constexpr std::size_t maxPrefixes = 32;
-/// Each such update has addresses of other routers.
+/// Each such update has addresses of other routers, for those that lack some.
 constexpr std::uint64_t othersEvery = 8;
 /// Addresses in one update, beginning further on each time; about one Ethernet frame.
 constexpr std::size_t maxOthers = 48;
@@ -233,6 +233,7 @@
     contact.id = message.id();
     contact.place = message.place();
     contact.configVersion = message.config_version();
+    contact.aliveRouters = message.known_routers();
     contact.storeRevision = message.store_revision();
     contact.storeConnected = message.store_connected();
     contact.configConfirmed = timeOf(message.config_confirmed_ms(), now);
@@ -356,7 +357,7 @@
     }
     wire::GatewayDatagram datagram = this->encode(update);
     // Who knows nearly all needs no list: in a fleet that starts at once each gets updates of each.
-    if (knownThere < this->contacts.size() / 2) {
+    if (knownThere < this->contacts.aliveCount(now) / 2) {
         this->addOthers(*datagram.mutable_news());
     }
     this->addFigures(*datagram.mutable_news());
@@ -409,7 +410,7 @@
         ageOf(this->gateway.followed.at(StoreKind::Routing).confirmedAt, now));
     message.set_upstreams_confirmed_ms(
         ageOf(this->gateway.followed.at(StoreKind::Replicas).confirmedAt, now));
-    message.set_known_routers(static_cast<std::uint32_t>(this->contacts.size()));
+    message.set_known_routers(static_cast<std::uint32_t>(this->contacts.aliveCount(now)));
     for (const PeerLoad &load : update.loads) {
         wire::ReplicaLoad *const entry = message.add_loads();
         entry->set_life(load.life);
@@ -452,16 +453,24 @@
 void FleetLink::broadcast(BroadcastScope scope)
 {
     const TimePoint now = this->gateway.clock.now();
+    const std::size_t alive = this->contacts.aliveCount(now);
     for (const UpdateGroup &group : this->contacts.takeDue(scope, now)) {
         wire::GatewayDatagram datagram = this->encode(this->updateSince(group.since));
-        if (this->sequence % othersEvery == 1) {
-            this->addOthers(*datagram.mutable_news());
-        }
         if (this->sequence % figuresEvery == 1) {
             this->addFigures(*datagram.mutable_news());
         }
+        const bool sharesOthers = this->sequence % othersEvery == 1;
+        std::optional<wire::GatewayDatagram> withOthers;
         for (const Endpoint &address : group.routers) {
-            this->sendTo(address, datagram);
+            if (!sharesOthers || !this->contacts.lacksAddresses(address, alive)) {
+                this->sendTo(address, datagram);
+                continue;
+            }
+            if (!withOthers) {
+                withOthers = datagram;
+                this->addOthers(*withOthers->mutable_news());
+            }
+            this->sendTo(address, *withOthers);
         }
     }
     this->gateway.updates.forgetBefore(now - this->contacts.maxInterval() - gossipInterval);
--- a/gateway/gatewaystore.cpp
+++ b/gateway/gatewaystore.cpp
@@ -157,7 +157,8 @@
     const RouterEntry own{this->state.settings.id, this->state.settings.peerDatagrams};
     this->state.metrics.count(Counter::PlatformCalls);
     this->announcer.call(
-        this->state.settings.store, "POST", this->state.dialect.listTarget(StoreKind::Routers, {}, ReadConsistency::Linearizable),
+        this->state.settings.store, "POST",
+        this->state.dialect.listTarget(StoreKind::Routers, {}, ReadConsistency::Linearizable),
         this->state.dialect.writeRouter(own), {announceLimit}, [this](const PlainReply &reply) {
             logEvent(Event::Announced, {{"status", std::to_string(reply.status)}});
             if (this->state.peers.routers() == 0) {
@@ -170,8 +171,9 @@
 {
     this->state.metrics.count(Counter::PlatformCalls);
     this->announcer.call(
-        this->state.settings.store, "GET", this->state.dialect.listTarget(StoreKind::Routers, {}, ReadConsistency::Linearizable),
-        {}, {announceLimit}, [this](const PlainReply &listed) {
+        this->state.settings.store, "GET",
+        this->state.dialect.listTarget(StoreKind::Routers, {}, ReadConsistency::Linearizable), {},
+        {announceLimit}, [this](const PlainReply &listed) {
             const auto answer = this->state.dialect.readList(listed.body);
             logEvent(Event::ObjectsListed,
                      {{"kind", "routers"},
@@ -274,11 +276,10 @@
     }
     const ViewQuestion question{this->state.view.revision,
                                 this->state.table ? this->state.table->config().version : 0};
-    this->catchUpClient.call(
-        *router, "GET", targetOf(question), {}, {catchUpLimit, catchUpSilence},
-        [this, from = *router, question](const PlainReply &reply) {
-            this->takeCatchUp(from, question, reply);
-        });
+    this->catchUpClient.call(*router, "GET", targetOf(question), {}, {catchUpLimit, catchUpSilence},
+                             [this, from = *router, question](const PlainReply &reply) {
+                                 this->takeCatchUp(from, question, reply);
+                             });
 }
 
 void Gateway::takeCatchUp(const Endpoint &from, const ViewQuestion &question,
--- a/include/plantainswitch/routing/routercontacts.h
+++ b/include/plantainswitch/routing/routercontacts.h
@@ -67,6 +67,8 @@
     /// The settings name it.
     bool isSeed = false;
     std::uint64_t configVersion = 0;
+    /// Other routers that it receives updates from.
+    std::size_t aliveRouters = 0;
     /// The newest change of upstreams that it knows.
     std::uint64_t storeRevision = 0;
     /// When the store last confirmed to it that its configuration, or its list of upstreams, is the
@@ -105,6 +107,11 @@
     void forgetUnresponsive(TimePoint now);
 
     [[nodiscard]] std::size_t size() const noexcept { return this->contacts.size(); }
+    /// \returns how many other routers are alive.
+    [[nodiscard]] std::size_t aliveCount(TimePoint now) const;
+    /// \returns whether the router at \a address receives updates from fewer routers than \a alive,
+    /// so that it may lack their addresses.
+    [[nodiscard]] bool lacksAddresses(const Endpoint &address, std::size_t alive) const;
     /// \returns the longest time between two updates to one router.
     [[nodiscard]] Milliseconds maxInterval() const;
     /// \returns all addresses from which updates of \a router ever came.
--- a/src/routing/routercontacts.cpp
+++ b/src/routing/routercontacts.cpp
@@ -80,6 +80,23 @@
            && now - contact.lastSeen < (this->isNear(contact) ? peerTimeout : rhythm.farTimeout);
 }
 
+std::size_t RouterContacts::aliveCount(TimePoint now) const
+{
+    const Rhythm rhythm = this->rhythm();
+    const auto alive =
+        std::count_if(this->contacts.begin(), this->contacts.end(), [&](const auto &entry) {
+            return this->isAlive(entry.second, rhythm, now);
+        });
+    return static_cast<std::size_t>(alive);
+}
+
+bool RouterContacts::lacksAddresses(const Endpoint &address, std::size_t alive) const
+{
+    const auto found = this->contacts.find(address);
+    return found != this->contacts.end() && found->second.isMember
+           && found->second.aliveRouters < alive;
+}
+
 std::vector<UpdateGroup> RouterContacts::takeDue(BroadcastScope wave, TimePoint now)
 {
     const Rhythm rhythm = this->rhythm();
--- a/tests/routercontacts.cpp
+++ b/tests/routercontacts.cpp
@@ -283,3 +283,38 @@
     situation.isChosen = true;
     CHECK(shouldWatch(situation));
 }
+
+TEST_CASE_METHOD(RouterContactsFixture, "routerContacts_allReceiveAll_nobodyLacksAddresses",
+                 "[routing]")
+{
+    // Guards against a settled fleet that goes on sending lists of addresses that all have.
+    constexpr std::size_t others = 194;
+    for (int number = 1; number <= static_cast<int>(others); ++number) {
+        this->hear(number, number <= 30 ? "hall-a" : "hall-b").aliveRouters = others;
+    }
+    const std::size_t alive = this->contacts.aliveCount(this->clock.now());
+    CHECK(alive == others);
+    for (int number = 1; number <= static_cast<int>(others); ++number) {
+        CHECK_FALSE(this->contacts.lacksAddresses(addressOf(number), alive));
+    }
+}
+
+TEST_CASE_METHOD(RouterContactsFixture, "routerContacts_routerBehindACut_lacksAddresses",
+                 "[routing]")
+{
+    // Guards against a router that knows a part of the fleet and is never sent the rest.
+    this->hear(1).aliveRouters = 3;
+    this->hear(2).aliveRouters = 3;
+    this->hear(3).aliveRouters = 1;
+    this->contacts.add(addressOf(4), this->clock.now());
+    const std::size_t alive = this->contacts.aliveCount(this->clock.now());
+    CHECK(alive == 3);
+    CHECK(this->contacts.lacksAddresses(addressOf(3), alive));
+    CHECK_FALSE(this->contacts.lacksAddresses(addressOf(4), alive));
+    // A failed router counts for nobody.
+    this->clock.advance(peerTimeout);
+    this->hear(1).aliveRouters = 2;
+    this->hear(2).aliveRouters = 2;
+    CHECK_FALSE(
+        this->contacts.lacksAddresses(addressOf(1), this->contacts.aliveCount(this->clock.now())));
+}
