Watch the store by two routers of a data centre, the second with longer pauses

Change: two routers watch. The second, the standby, pauses twice as long after a change before it watches again, and looks each usual pause whether it has become the first. A router in its pause does not take itself for deaf. Its age stays bounded: the pause is a sixth of the bound. Ruled out: one watcher alone, whose loss shows after 1.5 s, too close to the two seconds in which an edit must be in force on the small deployments.

--- a/gateway/fleetlink.cpp
+++ b/gateway/fleetlink.cpp
@@ -146,9 +146,9 @@
     return this->contacts.isWatcherAlive(this->gateway.clock.now());
 }
 
-bool FleetLink::isChosenToWatch() const
+std::optional<std::size_t> FleetLink::watchRank() const
 {
-    return this->contacts.isChosenToWatch(this->gateway.clock.now());
+    return this->contacts.watchRank(this->gateway.clock.now());
 }
 
 bool FleetLink::isFirstFor(std::uint64_t key) const
--- a/gateway/fleetlink.h
+++ b/gateway/fleetlink.h
@@ -40,8 +40,9 @@
     void addRouter(const Endpoint &datagrams);
     /// \returns whether a router that the store answers is alive.
     [[nodiscard]] bool isWatcherAlive() const;
-    /// \returns whether this router is one of those that watch the store for its data centre.
-    [[nodiscard]] bool isChosenToWatch() const;
+    /// \returns the position of this router among those that watch the store for its data centre, 0
+    /// for the first one; nothing if it is none of them.
+    [[nodiscard]] std::optional<std::size_t> watchRank() const;
     /// \returns whether this router is the one of the fleet that does what only one may do, for \a
     /// key.
     [[nodiscard]] bool isFirstFor(std::uint64_t key) const;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -123,7 +123,8 @@
     , routing(this->state, StoreKind::Routing, freshnessWithin(this->state.settings.catchUpBound),
               {[this](const std::vector<StoreItem> &items, TimePoint) { this->takeRouting(items); },
                [this](const std::vector<StoreItem> &items, TimePoint) { this->takeRouting(items); },
-               [this] { return this->fleet.confirmRank(); }})
+               [this] { return this->fleet.confirmRank(); },
+               [this] { return this->fleet.watchRank().value_or(0) > 0; }})
     , replicas(this->state, StoreKind::Replicas,
                // A leaving upstream is due after both spans: the store has to be back for the first
                // before the second begins.
@@ -134,7 +135,8 @@
                 [this](const std::vector<StoreItem> &items, TimePoint keepUntil) {
                     this->takeReplicas(items, EntryScope::Changes, keepUntil);
                 },
-                [this] { return this->fleet.confirmRank(); }})
+                [this] { return this->fleet.confirmRank(); },
+                [this] { return this->fleet.watchRank().value_or(0) > 0; }})
     , announcer(this->state)
     , catchUpClient(this->state)
     , peerAcceptor(this->context)
--- a/gateway/gatewaystore.cpp
+++ b/gateway/gatewaystore.cpp
@@ -206,14 +206,15 @@
     if (now - this->startedAt < discoverySpan) {
         return;
     }
-    if (this->state.peers.routers() == 0 || this->fleet.isChosenToWatch()) {
+    const bool isChosen = this->fleet.watchRank().has_value();
+    if (this->state.peers.routers() == 0 || isChosen) {
         this->announce();
     }
     if (this->fleet.isWatcherAlive()) {
         this->watcherLastSeen = now;
     }
     WatchSituation situation;
-    situation.isChosen = this->fleet.isChosenToWatch();
+    situation.isChosen = isChosen;
     situation.unserved = now - std::max(this->watcherLastSeen, this->startedAt);
     situation.sinceStart = now - this->startedAt;
     situation.knowsOthers = this->state.peers.routers() > 0;
@@ -244,8 +245,9 @@
 
 void Gateway::checkBehind(TimePoint now)
 {
-    const bool isBehind = this->state.view.connected && !this->state.directory.hasMissing()
-                          && this->fleet.newerRouter();
+    const bool isPausing = this->routing.isPausing() || this->replicas.isPausing();
+    const bool isBehind = this->state.view.connected && !isPausing
+                          && !this->state.directory.hasMissing() && this->fleet.newerRouter();
     if (!isBehind) {
         this->behindSince.reset();
         return;
--- a/gateway/storefollower.cpp
+++ b/gateway/storefollower.cpp
@@ -55,6 +55,7 @@
     }
     this->paused = true;
     this->watching = false;
+    this->changedAt.reset();
     this->timer.cancel();
     this->client.abandon();
 }
@@ -175,6 +176,7 @@
     }
     const std::string after = this->listing.empty() ? std::string() : this->listing.back().name;
     this->held = Milliseconds{0};
+    this->changedAt.reset();
     this->call(this->gateway.dialect.listTarget(this->kind, after, this->listConsistency),
                {listLimit, std::max(minListTimeout, this->answerTimeout.value())},
                &StoreFollower::onListed);
@@ -238,6 +240,7 @@
 
 void StoreFollower::watchFor(Milliseconds wait)
 {
+    this->changedAt.reset();
     this->held = wait;
     this->call(this->gateway.dialect.watchTarget(this->kind, this->position(), this->held),
                {this->held + watchSlack, this->held + this->answerTimeout.value()},
@@ -271,7 +274,20 @@
     this->noteChanges(answer->items, answer->revision);
     if (!answer->items.empty()) {
         this->events.onChanges(std::move(answer->items), this->keepUntil);
-        this->later(this->policy.gatherPause, &StoreFollower::watch);
+        this->changedAt = this->gateway.clock.now();
+        this->later(this->policy.gatherPause, &StoreFollower::endPause);
+        return;
+    }
+    this->watch();
+}
+
+void StoreFollower::endPause()
+{
+    const Duration sinceChange = this->gateway.clock.now() - this->changedAt.value_or(TimePoint{});
+    const bool isStandby = this->events.isStandby && this->events.isStandby();
+    if (!isWatchDue(this->policy, sinceChange, isStandby)) {
+        // Looks again soon: the first watcher may be lost meanwhile.
+        this->later(this->policy.gatherPause, &StoreFollower::endPause);
         return;
     }
     this->watch();
--- a/gateway/storefollower.h
+++ b/gateway/storefollower.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
     /// \returns how many routers come before this one in having the store confirm this kind; unset:
     /// none.
     std::function<std::size_t()> confirmRank;
+    /// \returns whether another router watches for the same data centre; unset: no.
+    std::function<bool()> isStandby = {};
 };
 
 /// Follows all objects of one kind: lists them once, then waits for changes. When the store has
@@ -54,6 +57,8 @@
     }
     [[nodiscard]] bool isPaused() const noexcept { return this->paused; }
     [[nodiscard]] bool isWatching() const noexcept { return this->watching; }
+    /// \returns whether it waits after a change before it watches again.
+    [[nodiscard]] bool isPausing() const noexcept { return this->changedAt.has_value(); }
     /// \returns whether the last call was answered.
     [[nodiscard]] bool isConnected() const noexcept { return this->failures == 0; }
     /// \returns whether the store's last answer was that too many calls are made.
@@ -70,6 +75,8 @@
     /// Hands all pages of a complete list to the events.
     void finishListing();
     void watch();
+    /// Watches again, unless the pause goes on because this router is a standby.
+    void endPause();
     /// Asks the store for changes, and to hold the call for \a wait.
     void watchFor(Milliseconds wait);
     void onWatched(const PlainReply &reply);
@@ -113,6 +120,8 @@
     bool watching = false;
     bool wasOut = false;
     bool refusedAsBusy = false;
+    /// When the change came after which it pauses.
+    std::optional<TimePoint> changedAt;
     /// Until when entries that lapsed in an outage may come back.
     TimePoint keepUntil;
 };
--- a/include/plantainswitch/membership/freshness.h
+++ b/include/plantainswitch/membership/freshness.h
@@ -20,6 +20,8 @@
     /// Pause after a change before the next watch: changes often come in rows, such as when
     /// upstreams are replaced one after the other.
     Milliseconds gatherPause{250};
+    /// The same for a standby, whose data centre has another watcher.
+    Milliseconds standbyPause{500};
 };
 
 /// \returns the policy by which every router knows of a change within \a bound after the platform
@@ -47,6 +49,11 @@
 /// platform together, separated by \a seed, do not ask in step.
 [[nodiscard]] Milliseconds retryPause(std::uint32_t failures, std::uint64_t seed) noexcept;
 
+/// \returns whether a router whose watch has shown a change \a sinceChange ago watches again.
+/// \param isStandby whether another router watches for the same data centre
+[[nodiscard]] bool isWatchDue(const FreshnessPolicy &policy, Duration sinceChange,
+                              bool isStandby) noexcept;
+
 /// \returns how long the platform may hold the watch of a router.
 /// \param isConfirmer whether the answer is to confirm what the fleet knows
 [[nodiscard]] Milliseconds watchWait(const FreshnessPolicy &policy, bool isConfirmer) noexcept;
--- a/include/plantainswitch/membership/watchers.h
+++ b/include/plantainswitch/membership/watchers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +25,13 @@
 [[nodiscard]] bool isWatcher(std::string_view id, std::string_view place,
                              const std::vector<Heartbeat> &active);
 
+/// \returns the position of the router \a id among the first \a count watchers of \a place, 0 for
+/// the first one; nothing if it is none of them. One that knows no other router of its place is the
+/// first.
+[[nodiscard]] std::optional<std::size_t> watchRank(std::string_view id, std::string_view place,
+                                                   const std::vector<Heartbeat> &active,
+                                                   std::size_t count = watchersInPlace);
+
 /// How long no router that the platform answers may have been heard before one that isn't chosen
 /// watches too. With it an edit is in force within the promised two seconds also when all watchers
 /// die at once.
--- a/include/plantainswitch/routing/routercontacts.h
+++ b/include/plantainswitch/routing/routercontacts.h
@@ -31,6 +31,9 @@
 inline constexpr Milliseconds unresponsiveInterval{2000};
 /// A router whose updates come at least so often can confirm for others what the store holds.
 inline constexpr Milliseconds maxConfirmerInterval{200};
+/// Routers of a data centre that watch the store: the first one, and one that goes on while the
+/// first is lost and not yet missed.
+inline constexpr std::size_t watchersInDataCentre = 2;
 /// Silence after which an address is forgotten unless the settings name it: longer than data
 /// centres are cut off from each other. Each restart of a VM may bring a new address; kept for
 /// ever, the failed ones would be sent updates all day.
@@ -118,8 +121,9 @@
     [[nodiscard]] std::vector<Endpoint> addressesOf(const std::string &router) const;
     /// \returns whether a router that the store answers is alive.
     [[nodiscard]] bool isWatcherAlive(TimePoint now) const;
-    /// \returns whether this router is one of those that watch the store for its data centre.
-    [[nodiscard]] bool isChosenToWatch(TimePoint now) const;
+    /// \returns the position of this router among those that watch the store for its data centre, 0
+    /// for the first one; nothing if it is none of them.
+    [[nodiscard]] std::optional<std::size_t> watchRank(TimePoint now) const;
     /// \returns whether this router is the one of the fleet that does what only one may do, for \a
     /// key. The router with the id \a except is not considered.
     [[nodiscard]] bool isFirstFor(std::uint64_t key, TimePoint now,
--- a/src/membership/freshness.cpp
+++ b/src/membership/freshness.cpp
@@ -10,6 +10,8 @@
 /// and their lists.
 constexpr std::int64_t confirmationsInBound = 2;
 constexpr std::int64_t gatherPausesInBound = 12;
+/// A standby that the first watcher's loss finds in its pause is informed well within the bound.
+constexpr std::int64_t standbyPauses = 2;
 /// An answer takes a few milliseconds; a small machine may be late by some hundred.
 constexpr Milliseconds minTimeout{400};
 constexpr Milliseconds maxTimeout{2500};
@@ -28,6 +30,7 @@
     FreshnessPolicy policy;
     policy.confirmInterval = bound / confirmationsInBound;
     policy.gatherPause = bound / gatherPausesInBound;
+    policy.standbyPause = policy.gatherPause * standbyPauses;
     policy.maxWait = std::max(policy.maxWait, policy.confirmInterval);
     return policy;
 }
@@ -56,6 +59,11 @@
     return (pause + Milliseconds{spread}) / 2;
 }
 
+bool isWatchDue(const FreshnessPolicy &policy, Duration sinceChange, bool isStandby) noexcept
+{
+    return sinceChange >= (isStandby ? policy.standbyPause : policy.gatherPause);
+}
+
 Milliseconds watchWait(const FreshnessPolicy &policy, bool isConfirmer) noexcept
 {
     return isConfirmer ? policy.confirmInterval : policy.maxWait;
--- a/src/membership/watchers.cpp
+++ b/src/membership/watchers.cpp
@@ -37,12 +37,24 @@
 
 bool isWatcher(std::string_view id, std::string_view place, const std::vector<Heartbeat> &active)
 {
-    const std::vector<Heartbeat> watchers = watchersOf(place, active);
+    return watchRank(id, place, active).has_value();
+}
+
+std::optional<std::size_t> watchRank(std::string_view id, std::string_view place,
+                                     const std::vector<Heartbeat> &active, std::size_t count)
+{
+    const std::vector<Heartbeat> watchers = watchersOf(place, active, count);
     const bool alone = std::none_of(watchers.begin(), watchers.end(),
                                     [id](const Heartbeat &each) { return each.id != id; });
-    return alone || std::any_of(watchers.begin(), watchers.end(), [id](const Heartbeat &each) {
-               return each.id == id;
-           });
+    if (alone) {
+        return 0;
+    }
+    const auto found = std::find_if(watchers.begin(), watchers.end(),
+                                    [id](const Heartbeat &each) { return each.id == id; });
+    if (found == watchers.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - watchers.begin());
 }
 
 bool shouldWatch(const WatchSituation &situation) noexcept
--- a/src/routing/routercontacts.cpp
+++ b/src/routing/routercontacts.cpp
@@ -84,9 +84,8 @@
 {
     const Rhythm rhythm = this->rhythm();
     const auto alive =
-        std::count_if(this->contacts.begin(), this->contacts.end(), [&](const auto &entry) {
-            return this->isAlive(entry.second, rhythm, now);
-        });
+        std::count_if(this->contacts.begin(), this->contacts.end(),
+                      [&](const auto &entry) { return this->isAlive(entry.second, rhythm, now); });
     return static_cast<std::size_t>(alive);
 }
 
@@ -175,7 +174,7 @@
     });
 }
 
-bool RouterContacts::isChosenToWatch(TimePoint now) const
+std::optional<std::size_t> RouterContacts::watchRank(TimePoint now) const
 {
     const Rhythm rhythm = this->rhythm();
     std::vector<Heartbeat> active(1);
@@ -190,7 +189,7 @@
             active.push_back(std::move(member));
         }
     }
-    return isWatcher(this->id, this->place, active);
+    return plantainswitch::watchRank(this->id, this->place, active, watchersInDataCentre);
 }
 
 bool RouterContacts::isFirstFor(std::uint64_t key, TimePoint now, std::string_view except) const
--- a/tests/freshness.cpp
+++ b/tests/freshness.cpp
@@ -138,7 +138,9 @@
         this->failures = 0;
         this->call = Call::None;
         this->nextCall = Call::Watch;
-        this->nextCallAt = now + (isNewer ? this->policy.gatherPause : Milliseconds{0});
+        const bool isStandby = this->contacts.watchRank(now).value_or(1) > 0;
+        const Milliseconds pause = isStandby ? this->policy.standbyPause : this->policy.gatherPause;
+        this->nextCallAt = now + (isNewer ? pause : Milliseconds{0});
     }
 
     void fail(TimePoint now)
@@ -316,3 +318,14 @@
     timeout.recordTimeout();
     CHECK(timeout.value() == usual);
 }
+
+TEST_CASE("watch_standbyAfterChange_pausesLongerUntilItIsFirst", "[members]")
+{
+    // Guards against as many calls for each change as a data centre has watchers, and against a
+    // standby that sleeps on when the first watcher is lost.
+    const FreshnessPolicy policy = freshnessWithin(contactSpan);
+    CHECK(policy.standbyPause > policy.gatherPause);
+    CHECK_FALSE(isWatchDue(policy, policy.gatherPause, true));
+    CHECK(isWatchDue(policy, policy.gatherPause, false));
+    CHECK(isWatchDue(policy, policy.standbyPause, true));
+}
--- a/tests/routercontacts.cpp
+++ b/tests/routercontacts.cpp
@@ -1,3 +1,4 @@
+#include <map>
 #include <set>
 
 #include <catch2/catch.hpp>
@@ -318,3 +319,46 @@
     CHECK_FALSE(
         this->contacts.lacksAddresses(addressOf(1), this->contacts.aliveCount(this->clock.now())));
 }
+
+TEST_CASE_METHOD(RouterContactsFixture, "routerContacts_firstWatcherFails_standbyIsFirst",
+                 "[routing]")
+{
+    // Guards against a data centre whose standby waits for a watcher that is gone.
+    std::map<std::string, RouterContacts> fleet;
+    for (int number = 0; number < 5; ++number) {
+        const std::string id = "router-" + std::to_string(number);
+        fleet.emplace(id, RouterContacts(id, "hall-a"));
+    }
+    const auto exchange = [this, &fleet](const std::string &failed) {
+        for (auto &[id, contacts] : fleet) {
+            for (int number = 0; number < 5; ++number) {
+                const std::string other = "router-" + std::to_string(number);
+                if (other != id && other != failed) {
+                    RouterContact &contact =
+                        contacts.noteSeen(addressOf(number), this->clock.now());
+                    contact.id = other;
+                    contact.place = "hall-a";
+                }
+            }
+        }
+    };
+    const auto atRank = [this, &fleet](std::size_t rank, const std::string &failed) {
+        std::vector<std::string> found;
+        for (const auto &[id, contacts] : fleet) {
+            if (id != failed && contacts.watchRank(this->clock.now()) == rank) {
+                found.push_back(id);
+            }
+        }
+        return found;
+    };
+    exchange({});
+    const auto first = atRank(0, {});
+    const auto standby = atRank(1, {});
+    REQUIRE(first.size() == 1);
+    REQUIRE(standby.size() == 1);
+    CHECK(atRank(2, {}).empty());
+    this->clock.advance(peerTimeout);
+    exchange(first.front());
+    CHECK(atRank(0, first.front()) == standby);
+    CHECK(atRank(1, first.front()).size() == 1);
+}
