Let an engine hold up to 1.75 times the mean and 2.5 requests before others are preferred

Change: the bound is nearer to the promised one, twice the mean plus 3; the keepers' exact counts leave less to reserve.

--- a/include/plantainswitch/routing/choice.h
+++ b/include/plantainswitch/routing/choice.h
@@ -45,8 +45,8 @@
     double interference = 0.6;
     /// An upstream is left out from boundFactor times the mean of running requests, plus
     /// boundExtra. Below the promised multiple of two by what routers don't yet know of each other.
-    double boundFactor = 1.5;
-    double boundExtra = 2.0;
+    double boundFactor = 1.75;
+    double boundExtra = 2.5;
     /// Largest share of a service's upstreams that may be avoided at once: when more fail alike,
     /// the cause is not theirs, and avoiding them would put all load on the rest.
     double mostAvoided = 0.6;
