Find out once that a data centre is cut off, not upstream by upstream

Cause: when a data centre is cut off, each router finds each of its upstreams unreachable by a time-out of 250 ms of its own, and those behind the cut all others; with 195 routers that each send an upstream a few requests a second this takes longer than the cut. What peers say is of no use there: more than 60 % of a service is avoided, so that nobody is. Change: updates of the routers of each data centre come many times a second, which costs nothing more. When six of them are missed, no byte of its upstreams came either and connections fail, or a probe does, its upstreams get work only if no others are left, and do not count for the bound and the share that may be ejected. Updates of the own data centre's routers must have come meanwhile: a router that stood still blames nobody. Ruled out: silence of the updates alone, as all routers of a data centre may be restarted while its upstreams work; a probe settles that. Failed connections alone: one is a lost packet.

--- a/gateway/fleetlink.h
+++ b/gateway/fleetlink.h
@@ -38,6 +38,8 @@
     [[nodiscard]] Endpoint localEndpoint() const;
     /// Adds a router's address, learnt from the store or the settings.
     void addRouter(const Endpoint &datagrams);
+    /// \returns the other routers as they were last seen.
+    [[nodiscard]] const RouterContacts &routers() const noexcept { return this->contacts; }
     /// \returns whether a router that the store answers is alive.
     [[nodiscard]] bool isWatcherAlive() const;
     /// \returns the position of this router among those that watch the store for its data centre, 0
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -119,7 +119,11 @@
     , timer(this->context)
     , fleet(this->state,
             static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count()),
-            [this] { this->catchUp(); })
+            [this] {
+                this->dataCentres.update(this->state.clock.now());
+                this->catchUp();
+            })
+    , dataCentres(this->state, this->fleet)
     , routing(this->state, StoreKind::Routing, freshnessWithin(this->state.settings.catchUpBound),
               {[this](const std::vector<StoreItem> &items, TimePoint) { this->takeRouting(items); },
                [this](const std::vector<StoreItem> &items, TimePoint) { this->takeRouting(items); },
@@ -436,6 +440,7 @@
     }
     this->decideWatching();
     this->trackStore();
+    this->dataCentres.update(now);
     this->checkFreshness(now);
     this->catchUp();
     this->watchReadiness();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include <asio/steady_timer.hpp>
 
 #include "callerconnection.h"
+#include "datacentrelinks.h"
 #include "exchange.h"
 #include "figurelog.h"
 #include "fleetlink.h"
@@ -102,6 +103,7 @@
     asio::steady_timer timer;
     FigureLog figureLog;
     FleetLink fleet;
+    DataCentreLinks dataCentres;
     StoreFollower routing;
     StoreFollower replicas;
     PlainClient announcer;
--- a/gateway/upstreams.cpp
+++ b/gateway/upstreams.cpp
@@ -55,6 +55,17 @@
                                           : std::span<UpstreamState *const>{found->second};
 }
 
+std::vector<UpstreamState *> Upstreams::inDataCentre(const std::string &dataCentre) const
+{
+    std::vector<UpstreamState *> found;
+    for (const auto &[id, state] : this->byId) {
+        if (state->replica.place == dataCentre && !state->replica.leaving) {
+            found.push_back(state.get());
+        }
+    }
+    return found;
+}
+
 std::shared_ptr<UpstreamState> Upstreams::share(const std::string &id) const
 {
     const auto found = this->byId.find(id);
--- a/gateway/upstreams.h
+++ b/gateway/upstreams.h
@@ -38,6 +38,8 @@
     void take(const std::vector<ReplicaEvent> &events);
     /// \returns the state of all upstreams of \a service.
     [[nodiscard]] std::span<UpstreamState *const> ofService(const std::string &service) const;
+    /// \returns the state of all upstreams of a data centre that take new work.
+    [[nodiscard]] std::vector<UpstreamState *> inDataCentre(const std::string &dataCentre) const;
     /// \returns the state of an upstream, or nullptr when it is gone. Requests hold it beyond that.
     [[nodiscard]] std::shared_ptr<UpstreamState> share(const std::string &id) const;
     /// \returns the state of an upstream's life, or nullptr when it is gone.
--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -44,6 +44,8 @@
 struct ClaimLog;
 struct ClaimRelease;
 struct ClaimReply;
+struct DataCentreContact;
+struct DataCentreEvidence;
 struct DataClass;
 struct EngineAnswer;
 struct EngineOrders;
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -47,6 +47,7 @@
     DatagramInvalid = 302,
     MemberSuspected = 303,
     LeavingHeard = 304,
+    DataCentreReached = 305,
     RequestDone = 400,
     RequestRefused = 401,
     AnswerCut = 402,
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -51,6 +51,7 @@
 #include "plantainswitch/routing/leastsquares.h"
 #include "plantainswitch/routing/peerloads.h"
 #include "plantainswitch/routing/prompt.h"
+#include "plantainswitch/routing/reachability.h"
 #include "plantainswitch/routing/replica.h"
 #include "plantainswitch/routing/route.h"
 #include "plantainswitch/routing/routercontacts.h"
--- a/include/plantainswitch/routing/health.h
+++ b/include/plantainswitch/routing/health.h
@@ -93,6 +93,9 @@
 /// Takes a peer's word that the upstream is down until \a until.
 void recordPeerAvoidance(UpstreamHealth &health, TimePoint until, TimePoint now);
 
+/// Takes into account that the upstream's data centre is cut off from here, until \a until.
+void recordCutOff(UpstreamHealth &health, TimePoint until) noexcept;
+
 /// \returns whether new requests keep away from the upstream.
 [[nodiscard]] bool isAvoided(const UpstreamHealth &health, TimePoint now) noexcept;
 /// \returns how many connections in a row did not come about, or 0 once it is time to try again.
--- a/include/plantainswitch/routing/routercontacts.h
+++ b/include/plantainswitch/routing/routercontacts.h
@@ -83,6 +83,15 @@
     bool stopping = false;
 };
 
+/// What comes from the routers of another data centre.
+struct DataCentreContact
+{
+    /// When the last update came.
+    TimePoint lastSeen;
+    /// Expected time between two updates.
+    Duration updateGap{0};
+};
+
 /// The other routers' addresses, and who of them does what only one or a few may do.
 class RouterContacts
 {
@@ -115,6 +124,10 @@
     /// \returns whether the router at \a address receives updates from fewer routers than \a alive,
     /// so that it may lack their addresses.
     [[nodiscard]] bool lacksAddresses(const Endpoint &address, std::size_t alive) const;
+    /// \returns what comes from the live routers of each other data centre.
+    [[nodiscard]] std::map<std::string, DataCentreContact> otherDataCentres(TimePoint now) const;
+    /// \returns how many routers of this data centre have sent an update after \a since.
+    [[nodiscard]] std::size_t localSeenSince(TimePoint since) const;
     /// \returns the longest time between two updates to one router.
     [[nodiscard]] Milliseconds maxInterval() const;
     /// \returns all addresses from which updates of \a router ever came.
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -44,6 +44,7 @@
     EventRow{Event::DatagramInvalid, "datagram-invalid", Severity::Warning},
     EventRow{Event::MemberSuspected, "member-suspected", Severity::Info},
     EventRow{Event::LeavingHeard, "leaving-heard", Severity::Info},
+    EventRow{Event::DataCentreReached, "data-centre-reached", Severity::Warning},
     EventRow{Event::RequestDone, "request-done", Severity::Debug},
     EventRow{Event::RequestRefused, "request-refused", Severity::Info},
     EventRow{Event::AnswerCut, "answer-cut", Severity::Warning},
--- a/src/routing/health.cpp
+++ b/src/routing/health.cpp
@@ -124,6 +124,12 @@
     health.avoidUntil = std::max(health.avoidUntil, std::min(until, now + longestAvoidance));
 }
 
+void recordCutOff(UpstreamHealth &health, TimePoint until) noexcept
+{
+    health.unreachableInRow = std::max(health.unreachableInRow, 1U);
+    health.unreachableUntil = std::max(health.unreachableUntil, until);
+}
+
 bool isAvoided(const UpstreamHealth &health, TimePoint now) noexcept
 {
     return now < health.avoidUntil;
--- a/src/routing/routercontacts.cpp
+++ b/src/routing/routercontacts.cpp
@@ -96,6 +96,32 @@
            && found->second.aliveRouters < alive;
 }
 
+std::map<std::string, DataCentreContact> RouterContacts::otherDataCentres(TimePoint now) const
+{
+    const Rhythm rhythm = this->rhythm();
+    std::map<std::string, std::int64_t> routers;
+    std::map<std::string, DataCentreContact> result;
+    for (const auto &[address, contact] : this->contacts) {
+        if (this->isNear(contact) || !this->isAlive(contact, rhythm, now)) {
+            continue;
+        }
+        DataCentreContact &dataCentre = result[contact.place];
+        dataCentre.lastSeen = std::max(dataCentre.lastSeen, contact.lastSeen);
+        dataCentre.updateGap = Duration{rhythm.farInterval} / ++routers[contact.place];
+    }
+    return result;
+}
+
+std::size_t RouterContacts::localSeenSince(TimePoint since) const
+{
+    const auto seen =
+        std::count_if(this->contacts.begin(), this->contacts.end(), [&](const auto &entry) {
+            return entry.second.isMember && this->isNear(entry.second)
+                   && entry.second.lastSeen > since;
+        });
+    return static_cast<std::size_t>(seen);
+}
+
 std::vector<UpdateGroup> RouterContacts::takeDue(BroadcastScope wave, TimePoint now)
 {
     const Rhythm rhythm = this->rhythm();
--- /dev/null
+++ b/tests/reachability.cpp
@@ -0,0 +1,189 @@
+#include <memory>
+#include <random>
+
+#include <catch2/catch.hpp>
+
+#include "plantainswitch/routing/choice.h"
+#include "plantainswitch/routing/reachability.h"
+
+using namespace plantainswitch;
+
+namespace {
+
+constexpr std::string_view cutPlace = "hall-f";
+
+/// One router of a large fleet: six data centres with 30 routers and 13 engines each. It sends few
+/// requests to each engine.
+class CutDataCentreFixture
+{
+protected:
+    CutDataCentreFixture()
+    {
+        this->clock.advance(Seconds{1000});
+        for (const std::string place :
+             {"hall-a", "hall-b", "hall-c", "hall-d", "hall-e", "hall-f"}) {
+            for (int number = 0; number < enginesInPlace; ++number) {
+                auto state = std::make_unique<UpstreamState>();
+                state->replica.id = place + "-engine-" + std::to_string(number);
+                state->replica.place = place;
+                state->replica.slots = 12;
+                (place == cutPlace ? this->behindCut : this->others).push_back(state.get());
+                this->upstreams.push_back(state.get());
+                this->engines.push_back(std::move(state));
+            }
+        }
+    }
+
+    /// Takes the updates that come within one turn: those of near routers each half second, those
+    /// of far ones each 2.7 s.
+    void receiveUpdates(int turn, bool isCut)
+    {
+        int address = 0;
+        for (const std::string place :
+             {"hall-a", "hall-b", "hall-c", "hall-d", "hall-e", "hall-f"}) {
+            for (int number = 0; number < routersInPlace; ++number, ++address) {
+                const int every = place == "hall-a" ? 5 : 27;
+                const bool isLost = isCut && place == cutPlace;
+                if (!isLost && turn % every == address % every) {
+                    RouterContact &contact = this->contacts.noteSeen(
+                        {"10.0.0." + std::to_string(address), 7000}, this->clock.now());
+                    contact.id = place + std::to_string(number);
+                    contact.place = place;
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] DataCentreReach reach() const
+    {
+        const TimePoint now = this->clock.now();
+        const auto places = this->contacts.otherDataCentres(now);
+        const auto known = places.find(std::string(cutPlace));
+        REQUIRE(known != places.end());
+        return reachOf(evidenceOf(known->second, this->behindCut, {}, this->contacts, now), now);
+    }
+
+    /// Places one request about one of many subjects. \returns whether it went behind the cut.
+    bool place(bool isCut)
+    {
+        const TimePoint now = this->clock.now();
+        const Prompt prompt{"m", {{1, 2500}, {this->random() % 1000 + 10, 6000}, {2, 500}}, 50};
+        const std::vector<std::uint64_t> chain = chainOf(prompt);
+        const auto choice = chooseUpstream(this->upstreams, {"hall-a", 0, &prompt, chain, {}},
+                                           this->memory, this->policy, now);
+        REQUIRE(choice);
+        UpstreamState &chosen = *this->upstreams[choice->index];
+        if (isCut && chosen.replica.place == cutPlace) {
+            recordFault(chosen.health, UpstreamFault::Unreachable, now);
+            return true;
+        }
+        chosen.lastHeard = now;
+        recordSuccess(chosen.health, Duration{0}, now);
+        return false;
+    }
+
+    /// Does what a router does with its judgement; its probes fail.
+    void judge()
+    {
+        const TimePoint until = this->clock.now() + Milliseconds{600};
+        const DataCentreReach reach = this->reach();
+        if (reach == DataCentreReach::Unresponsive) {
+            recordCutOff(this->behindCut.front()->health, until);
+        }
+        if (reach == DataCentreReach::CutOff) {
+            for (UpstreamState *const upstream : this->behindCut) {
+                recordCutOff(upstream->health, until);
+            }
+        }
+    }
+
+    /// Plays a cut of some seconds. \returns the requests that went behind it.
+    int play(bool isJudged)
+    {
+        constexpr int turnsBefore = 100;
+        constexpr int turnsCut = 55;
+        int lost = 0;
+        for (int turn = 0; turn < turnsBefore + turnsCut; ++turn) {
+            const bool isCut = turn >= turnsBefore;
+            this->receiveUpdates(turn, isCut);
+            if (isJudged) {
+                this->judge();
+            }
+            lost += this->place(isCut) ? 1 : 0;
+            this->clock.advance(Milliseconds{100});
+        }
+        return lost;
+    }
+
+    static constexpr int enginesInPlace = 13;
+    static constexpr int routersInPlace = 30;
+    ManualClock clock;
+    RouterContacts contacts{"router-own", "hall-a"};
+    std::vector<std::unique_ptr<UpstreamState>> engines;
+    std::vector<UpstreamState *> upstreams;
+    std::vector<UpstreamState *> behindCut;
+    std::vector<UpstreamState *> others;
+    ChainMemory memory;
+    ChoicePolicy policy;
+    std::mt19937_64 random{20'261'203};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(CutDataCentreFixture, "reachability_dataCentreCutUnderLoad_costsFewRequests",
+                 "[routing]")
+{
+    // Pattern: a data centre is cut off from a fleet whose routers each send it a few requests a
+    // second. Guards against each router's finding out engine by engine, a time-out each.
+    CHECK(this->play(true) <= 3);
+}
+
+TEST_CASE_METHOD(CutDataCentreFixture, "reachability_notJudged_patternCostsManyRequests",
+                 "[routing]")
+{
+    CHECK(this->play(false) > 5);
+}
+
+TEST_CASE_METHOD(CutDataCentreFixture, "reachability_onlyThisRouterStoodStill_nothingIsCutOff",
+                 "[routing]")
+{
+    // Guards against a frozen or overloaded router that takes its own pause for others' silence.
+    for (int turn = 0; turn < 60; ++turn) {
+        this->receiveUpdates(turn, false);
+        this->clock.advance(Milliseconds{100});
+    }
+    recordFault(this->behindCut.front()->health, UpstreamFault::Unreachable, this->clock.now());
+    this->clock.advance(Milliseconds{900});
+    CHECK(this->reach() == DataCentreReach::Reachable);
+}
+
+TEST_CASE("reachability_silentDataCentre_isCutOffOnlyIfConnectionsFail", "[routing]")
+{
+    ManualClock clock;
+    clock.advance(Seconds{100});
+    DataCentreEvidence evidence;
+    evidence.lastReceived = clock.now();
+    evidence.updateGap = Milliseconds{90};
+    evidence.localUpdates = minLocalUpdates;
+    evidence.hasFailed = true;
+    CHECK(reachOf(evidence, clock.now()) == DataCentreReach::Reachable);
+    clock.advance(unresponsiveSpan(evidence.updateGap));
+    CHECK(reachOf(evidence, clock.now()) == DataCentreReach::CutOff);
+    evidence.hasFailed = false;
+    CHECK(reachOf(evidence, clock.now()) == DataCentreReach::Unresponsive);
+    evidence.lastReceived = {};
+    CHECK(reachOf(evidence, clock.now()) == DataCentreReach::Reachable);
+}
+
+TEST_CASE("reachability_answerFromThere_endsTheMark", "[routing]")
+{
+    // Guards against a data centre that stays without work after its cut is over.
+    ManualClock clock;
+    clock.advance(Seconds{100});
+    UpstreamState upstream;
+    upstream.replica.place = std::string(cutPlace);
+    recordCutOff(upstream.health, clock.now() + Milliseconds{600});
+    CHECK(unreachableCount(upstream.health, clock.now()) == 1);
+    clock.advance(Milliseconds{600});
+    CHECK(unreachableCount(upstream.health, clock.now()) == 0);
+}
