--- a/tests/storefollower.cpp
+++ b/tests/storefollower.cpp
@@ -179,8 +179,7 @@
     CHECK(follower.position() == 12);
     CHECK(state.followed.at(StoreKind::Replicas).confirmedAt > TimePoint{});
     REQUIRE(targets.size() >= 2);
-    CHECK(targets[0]
-          == this->dialect.listTarget(StoreKind::Replicas, {}, ReadConsistency::Stale));
+    CHECK(targets[0] == this->dialect.listTarget(StoreKind::Replicas, {}, ReadConsistency::Stale));
     CHECK(targets[1]
           == this->dialect.listTarget(StoreKind::Replicas, {}, ReadConsistency::Linearizable));
     follower.stop();
