Spread updates to other data centres over their interval

Cause: routers that start together find each other at once, so that each sends all its far updates in one turn each 2.7 s, and those of a data centre arrive in bursts. Ruled out: a longer silence, which the bursts would need to be 2.7 s.

--- a/src/routing/routercontacts.cpp
+++ b/src/routing/routercontacts.cpp
@@ -23,6 +23,15 @@
 /// Keeps the choice of the confirmer independent of other choices.
 constexpr std::uint64_t confirmerKey = 0x636f6e6669726d73;
 
+/// \returns whether \a now lies in a later period than \a last. Periods begin at another moment for
+/// each \a seed: what is due to many routers that were found at once is spread over the period.
+bool isLaterPeriod(TimePoint last, TimePoint now, Duration period, std::uint64_t seed)
+{
+    const Duration offset{static_cast<Duration::rep>(
+        seed % static_cast<std::uint64_t>(std::max<Duration::rep>(period.count(), 1)))};
+    return (now.time_since_epoch() + offset) / period > (last.time_since_epoch() + offset) / period;
+}
+
 double scoreOf(std::uint64_t key, const std::string &id)
 {
     return rendezvousScore(key, {hashOf(id), 1.0});
@@ -136,7 +145,11 @@
                                             : rhythm.farInterval;
         const bool isWanted =
             wave == BroadcastScope::All || (wave == BroadcastScope::Near && isNear);
-        if ((isAlive && isWanted) || now - contact.lastSent + slack >= pause) {
+        const bool isSpread = isAlive && !isNear && pause > gossipInterval;
+        const bool isDue = isSpread ? isLaterPeriod(contact.lastSent, now, pause,
+                                                    hashOf(this->id + address.host, address.port))
+                                    : now - contact.lastSent + slack >= pause;
+        if ((isAlive && isWanted) || isDue) {
             groups[contact.lastSent].push_back(address);
             contact.lastSent = now;
         }
--- a/tests/routercontacts.cpp
+++ b/tests/routercontacts.cpp
@@ -362,3 +362,29 @@
     CHECK(atRank(0, first.front()) == standby);
     CHECK(atRank(1, first.front()).size() == 1);
 }
+
+TEST_CASE_METHOD(RouterContactsFixture,
+                 "routerContacts_foundAtOnce_updatesAreSpreadOverTheInterval", "[routing]")
+{
+    // Guards against a fleet that starts together and sends each other all far updates in one
+    // burst, between which a data centre seems unresponsive.
+    constexpr int far = 160;
+    for (int number = 1; number <= far; ++number) {
+        this->hear(number, "hall-b");
+    }
+    std::size_t sent = 0;
+    std::size_t most = 0;
+    for (int turn = 0; turn < 200; ++turn) {
+        this->clock.advance(gossipInterval);
+        for (int number = 1; number <= far; ++number) {
+            this->hear(number, "hall-b");
+        }
+        const std::size_t now = this->tell();
+        sent += turn > 0 ? now : 0;
+        most = turn > 0 ? std::max(most, now) : 0;
+    }
+    // Six a turn by the interval of 160 routers.
+    CHECK(sent / 199 >= 5);
+    CHECK(sent / 199 <= 7);
+    CHECK(most < 20);
+}
