--- a/include/plantainswitch/routing/choice.h
+++ b/include/plantainswitch/routing/choice.h
@@ -46,7 +46,7 @@
     /// An upstream is left out from boundFactor times the mean of running requests, plus
     /// boundExtra. Below the promised multiple of two by what routers don't yet know of each other.
     double boundFactor = 1.75;
-    double boundExtra = 2.5;
+    double boundExtra = 2.0;
     /// Largest share of a service's upstreams that may be avoided at once: when more fail alike,
     /// the cause is not theirs, and avoiding them would put all load on the rest.
     double mostAvoided = 0.6;
