--- a/gateway/storefollower.h
+++ b/gateway/storefollower.h
@@ -36,7 +36,7 @@
                   FollowerEvents events);
 
     /// Lists once; resume() begins the watch. After a stale list position() stays 0, and resume()
-    /// lists again: nothing would tell of what was removed before the list.
+    /// lists again: no change shows what was removed before the list.
     void start(ReadConsistency consistency = ReadConsistency::Linearizable);
     void stop();
     /// Ends the watch until resume(); another router's word serves meanwhile.
--- a/include/plantainswitch/routing/reachability.h
+++ b/include/plantainswitch/routing/reachability.h
@@ -16,7 +16,7 @@
 inline constexpr int missedForUnresponsive = 7;
 inline constexpr Milliseconds minUnresponsiveSpan{300};
 inline constexpr Milliseconds maxUnresponsiveSpan{1500};
-/// Updates of this data centre's own routers that must have come meanwhile: without them it is this
+/// Routers of this data centre whose updates must have come meanwhile: without them it is this
 /// router that stood still or lost its link.
 inline constexpr std::size_t minLocalUpdates = 2;
 
--- a/tests/reachability.cpp
+++ b/tests/reachability.cpp
@@ -147,7 +147,7 @@
 TEST_CASE_METHOD(CutDataCentreFixture, "reachability_onlyThisRouterStoodStill_nothingIsCutOff",
                  "[routing]")
 {
-    // Guards against a frozen or overloaded router that takes its own pause for others' silence.
+    // Guards against a frozen or overloaded router that takes its own pause for a cut.
     for (int turn = 0; turn < 60; ++turn) {
         this->receiveUpdates(turn, false);
         this->clock.advance(Milliseconds{100});
