--- a/gateway/datacentremonitor.cpp
+++ b/gateway/datacentremonitor.cpp
@@ -64,7 +64,8 @@
 void DataCentreMonitor::probe(const std::string &dataCentre, Link &link,
                               std::span<UpstreamState *const> upstreams, TimePoint now)
 {
-    if (now - link.lastProbedAt < probeInterval || upstreams.empty()) {
+    const bool isEvacuated = this->gateway.evacuations.dataCentres.contains(dataCentre);
+    if (now - link.lastProbedAt < probeInterval || upstreams.empty() || isEvacuated) {
         return;
     }
     link.lastProbedAt = now;
--- a/gateway/dialect.cpp
+++ b/gateway/dialect.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::array kindNames{std::string_view{"routing"}, std::string_view{"replicas"},
-                               std::string_view{"routers"}};
+                               std::string_view{"routers"}, std::string_view{"evacuations"}};
 
 } // namespace
 
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -75,13 +75,15 @@
     /// The body has a content encoding, although none was requested.
     bool isEncoded = false;
     bool isEventStream = false;
+    /// How much longer the upstream is cold, if stated.
+    std::optional<Milliseconds> coldFor;
     std::optional<ReportedLoad> load;
     /// Header fields that are forwarded to the caller unchanged.
     std::vector<HeaderField> forwardedFields;
 };
 
 /// Kinds of objects in the platform's store.
-enum class StoreObjectKind : std::uint8_t { Routing, Replicas, Routers };
+enum class StoreObjectKind : std::uint8_t { Routing, Replicas, Routers, Evacuations };
 [[nodiscard]] std::string_view nameOf(StoreObjectKind kind) noexcept;
 
 /// How recent a list of the store's objects must be.
@@ -163,6 +165,10 @@
     /// Decodes an upstream's entry. \returns nothing if it is malformed, with \a fault set.
     [[nodiscard]] virtual std::optional<Replica> parseReplica(const StoreObject &item,
                                                               std::string &fault) const = 0;
+    /// \returns the data centre whose evacuation an object requests, or nothing if it is malformed,
+    /// with \a fault set.
+    [[nodiscard]] virtual std::optional<std::string> parseEvacuation(const StoreObject &item,
+                                                                     std::string &fault) const = 0;
     [[nodiscard]] virtual std::optional<RouterEntry>
     parseRouterEntry(const StoreObject &item) const = 0;
     /// \returns the body of the call that registers this router.
--- a/gateway/fleetcoordination.cpp
+++ b/gateway/fleetcoordination.cpp
@@ -13,24 +13,26 @@
 
 } // namespace
 
-std::optional<Endpoint> FleetGossip::coordinatorOf(std::uint64_t incarnation) const
+std::optional<Endpoint> FleetGossip::coordinatorOf(std::uint64_t upstream) const
 {
-    const UpstreamState *const engine = this->gateway.upstreams.findIncarnation(incarnation);
+    const UpstreamState *const engine = this->gateway.upstreams.findKey(upstream);
     const std::string place = engine == nullptr ? std::string() : engine->replica.dataCentre;
-    return this->contacts.coordinatorOf(incarnation, place, this->gateway.stopping,
+    return this->contacts.coordinatorOf(upstream, place, this->gateway.stopping,
                                         this->gateway.clock.now());
 }
 
 void FleetGossip::requestGrant(EngineGrantRequest grantRequest,
                                std::function<void(std::optional<EngineGrantReply>)> done)
 {
-    const std::optional<Endpoint> address = this->coordinatorOf(grantRequest.incarnation);
+    const std::optional<Endpoint> address = this->coordinatorOf(grantRequest.permit.upstream);
     if (!address) {
+        const Milliseconds coldFor = this->preparePermit(grantRequest);
         grantRequest.router = toText(this->gateway.settings.peerDatagrams);
         const std::uint32_t running =
             this->gateway.peerLoads.totalAt(grantRequest.incarnation).running;
-        const EngineGrantReply answer =
+        EngineGrantReply answer =
             this->coordinator.requestGrant(grantRequest, running, this->gateway.clock.now());
+        answer.coldFor = coldFor;
         if (answer.granted) {
             this->grantors[grantRequest.requestId] = this->gateway.settings.peerDatagrams;
         }
@@ -43,6 +45,8 @@
     ask.set_life(grantRequest.incarnation);
     ask.set_tokens(grantRequest.promptTokens);
     ask.set_bound(static_cast<float>(grantRequest.loadBound));
+    ask.set_upstream(grantRequest.permit.upstream);
+    ask.set_cold_ms(static_cast<std::uint32_t>(grantRequest.coldFor.count()));
     for (const std::uint64_t part : grantRequest.prefixHashes) {
         ask.add_chain(part);
     }
@@ -65,6 +69,24 @@
     this->sendTo(*address, datagram);
 }
 
+Milliseconds FleetGossip::preparePermit(EngineGrantRequest &request)
+{
+    const TimePoint now = this->gateway.clock.now();
+    UpstreamState *const engine = this->gateway.upstreams.findKey(request.permit.upstream);
+    request.permit.mayPermitCold = this->contacts.reachesLocalMajority(now);
+    if (engine == nullptr) {
+        request.permit.isCold = request.coldFor.count() > 0;
+        return request.coldFor;
+    }
+    engine->cold.presume(request.coldFor, now);
+    const Milliseconds coldFor = engine->cold.remaining(now);
+    // A router that still knows the previous incarnation has not learnt of the restart.
+    const bool isOutdated = incarnationOf(engine->replica) != request.incarnation;
+    request.permit.limits = this->gateway.permitLimits(engine->replica.service);
+    request.permit.isCold = request.permit.limits.cold > 0 && (coldFor.count() > 0 || isOutdated);
+    return coldFor;
+}
+
 void FleetGossip::onAsk(const wire::EngineAsk &message, const Endpoint &from)
 {
     EngineGrantRequest grantRequest;
@@ -74,6 +96,9 @@
     grantRequest.promptTokens = message.tokens();
     grantRequest.loadBound = message.bound();
     grantRequest.prefixHashes.assign(message.chain().begin(), message.chain().end());
+    grantRequest.permit.upstream = message.upstream();
+    grantRequest.coldFor = Milliseconds{message.cold_ms()};
+    const Milliseconds coldFor = this->preparePermit(grantRequest);
     const UpstreamState *const engine =
         this->gateway.upstreams.findIncarnation(grantRequest.incarnation);
     const std::uint32_t ownRunning = engine == nullptr ? 0 : engine->ownRunning;
@@ -89,6 +114,8 @@
     reply.set_running(answer.running);
     reply.set_unread_tokens(static_cast<std::uint32_t>(answer.pendingPrefillTokens));
     reply.set_known_parts(answer.cachedParts);
+    reply.set_permit_wait_ms(static_cast<std::uint32_t>(answer.permitWait.count()));
+    reply.set_cold_ms(static_cast<std::uint32_t>(coldFor.count()));
     this->sendTo(from, datagram);
 }
 
@@ -106,7 +133,9 @@
         this->grantors.erase(message.number());
     }
     callback(EngineGrantReply{message.granted(), message.running(),
-                              static_cast<double>(message.unread_tokens()), message.known_parts()});
+                              static_cast<double>(message.unread_tokens()), message.known_parts(),
+                              Milliseconds{message.permit_wait_ms()},
+                              Milliseconds{message.cold_ms()}});
 }
 
 void FleetGossip::releaseGrant(std::uint64_t incarnation, std::uint64_t requestId)
--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -137,9 +137,14 @@
 TimePoint FleetGossip::confirmedAt(StoreObjectKind kind) const
 {
     const TimePoint now = this->gateway.clock.now();
-    return kind == StoreObjectKind::Routing
-               ? this->contacts.configConfirmedAt(this->configVersion(), now)
-               : this->contacts.upstreamsConfirmedAt(this->latestRevision(), now);
+    switch (kind) {
+    case StoreObjectKind::Routing:
+        return this->contacts.configConfirmedAt(this->configVersion(), now);
+    case StoreObjectKind::Evacuations:
+        return this->contacts.evacuationsConfirmedAt(this->gateway.evacuations.revision, now);
+    default:
+        return this->contacts.upstreamsConfirmedAt(this->latestRevision(), now);
+    }
 }
 
 bool FleetGossip::isWatcherAlive() const
@@ -240,7 +245,10 @@
     contact.storeConnected = message.store_connected();
     contact.configConfirmed = timeOf(message.config_confirmed_ms(), now);
     contact.upstreamsConfirmed = timeOf(message.upstreams_confirmed_ms(), now);
+    contact.evacuationsRevision = message.evacuations_revision();
+    contact.evacuationsConfirmed = timeOf(message.evacuations_confirmed_ms(), now);
     contact.stopping = message.stopping();
+    this->applyEvacuationUpdate(message);
     RouterUpdate update;
     update.id = message.id();
     update.incarnation = message.incarnation();
@@ -283,6 +291,17 @@
     this->onUpdate();
 }
 
+void FleetGossip::applyEvacuationUpdate(const wire::RouterNews &message)
+{
+    if (message.evacuations_revision() <= this->gateway.evacuations.revision) {
+        return;
+    }
+    EvacuationSet set;
+    set.revision = message.evacuations_revision();
+    set.dataCentres.insert(message.evacuated().begin(), message.evacuated().end());
+    this->gateway.setEvacuations(std::move(set), message.id());
+}
+
 void FleetGossip::applyPerformanceReports(const wire::RouterNews &message, TimePoint now)
 {
     for (const wire::FigureReport &entry : message.figures()) {
@@ -418,6 +437,15 @@
         ageOf(this->gateway.syncStates.at(StoreObjectKind::Routing).confirmedAt, now));
     message.set_upstreams_confirmed_ms(
         ageOf(this->gateway.syncStates.at(StoreObjectKind::Replicas).confirmedAt, now));
+    const EvacuationSet &evacuations = this->gateway.evacuations;
+    if (evacuations.revision > 0) {
+        message.set_evacuations_revision(evacuations.revision);
+        message.set_evacuations_confirmed_ms(
+            ageOf(this->gateway.syncStates.at(StoreObjectKind::Evacuations).confirmedAt, now));
+        for (const std::string &dataCentre : evacuations.dataCentres) {
+            message.add_evacuated(dataCentre);
+        }
+    }
     message.set_known_routers(static_cast<std::uint32_t>(this->contacts.aliveCount(now)));
     for (const PeerLoad &load : update.loads) {
         wire::ReplicaLoad *const entry = message.add_loads();
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -75,6 +75,12 @@
     void onUpdateMessage(const wire::RouterNews &message, const Endpoint &from);
     void onAsk(const wire::EngineAsk &message, const Endpoint &from);
     void onReply(const wire::EngineReply &message);
+    /// Fills in by what limits the coordinator grants \a request, and merges its and the requesting
+    /// router's knowledge of whether the engine is cold.
+    /// \returns how much longer the engine is believed to be cold.
+    Milliseconds preparePermit(EngineGrantRequest &request);
+    /// Applies the evacuations that another router knows.
+    void applyEvacuationUpdate(const wire::RouterNews &message);
     void dropGrants(const std::string &id);
     void reconcileGrants(const RouterUpdate &update);
     /// Applies the performance estimates of another router.
@@ -96,7 +102,7 @@
     void appendRouterAddresses(wire::RouterNews &message) const;
     void sendTo(const Endpoint &address, const wire::GatewayDatagram &datagram);
     /// \returns the address of the engine's coordinator; nothing if it is this router.
-    [[nodiscard]] std::optional<Endpoint> coordinatorOf(std::uint64_t incarnation) const;
+    [[nodiscard]] std::optional<Endpoint> coordinatorOf(std::uint64_t upstream) const;
     void tick();
     void broadcast(BroadcastScope scope);
     /// \returns an update for a router that was last sent one at \a since.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -64,7 +64,8 @@
 
 void GatewayState::probeUpstream(const std::shared_ptr<UpstreamState> &upstream)
 {
-    if (upstream->isBeingProbed) {
+    if (upstream->isBeingProbed
+        || this->evacuations.dataCentres.contains(upstream->replica.dataCentre)) {
         return;
     }
     upstream->isBeingProbed = true;
@@ -86,6 +87,9 @@
 
 void GatewayState::recordUpstreamDown(const Replica &replica)
 {
+    if (const auto upstream = this->upstreams.find(replica.id)) {
+        upstream->cold.recordDown(this->coldStartOf(replica.service).duration, this->clock.now());
+    }
     const auto reports =
         this->crashQuarantine.confirmCrash(incarnationOf(replica), this->clock.now());
     if (!reports.empty()) {
@@ -145,6 +149,16 @@
            },
            [this] { return this->fleet.confirmerRank(); },
            [this] { return this->fleet.watchRank().value_or(0) > 0; }})
+    , evacuationFollower(this->state, StoreObjectKind::Evacuations,
+                         freshnessWithin(this->state.settings.maxCatchUpTime),
+                         {[this](const std::vector<StoreObject> &items, TimePoint) {
+                              this->applyEvacuationObjects(items, UpdateScope::Snapshot);
+                          },
+                          [this](const std::vector<StoreObject> &items, TimePoint) {
+                              this->applyEvacuationObjects(items, UpdateScope::Incremental);
+                          },
+                          [this] { return this->fleet.confirmerRank(); },
+                          [this] { return this->fleet.watchRank().value_or(0) > 0; }})
     , registrationClient(this->state)
     , storeViewClient(this->state)
     , peerAcceptor(this->context)
@@ -253,6 +267,9 @@
     // fetch what they lack from one that does.
     this->routingFollower.start(ReadConsistency::Stale);
     this->replicaFollower.start(ReadConsistency::Stale);
+    if (this->state.settings.followsEvacuations) {
+        this->evacuationFollower.start(ReadConsistency::Stale);
+    }
     this->tick();
     this->context.run();
     blockHandledSignals();
@@ -422,6 +439,7 @@
         // than they seem.
         this->routingFollower.relist();
         this->replicaFollower.relist();
+        this->evacuationFollower.relist();
     }
     if (pause) {
         logEvent(Event::Paused, {{"frozen_ms", std::to_string(pause->frozen.count())},
@@ -519,6 +537,7 @@
     this->fleet.stop();
     this->routingFollower.stop();
     this->replicaFollower.stop();
+    this->evacuationFollower.stop();
     this->context.stop();
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -80,6 +80,7 @@
     void applyReplicaObjects(const std::vector<StoreObject> &items, UpdateScope scope,
                              TimePoint keepUntil);
     void applyReplicaEvents(const std::vector<ReplicaEvent> &events);
+    void applyEvacuationObjects(const std::vector<StoreObject> &items, UpdateScope scope);
     void updateWatchRole();
     void registerRouter();
     void discoverRouters();
@@ -113,6 +114,7 @@
     DataCentreMonitor dataCentreMonitor;
     StoreFollower routingFollower;
     StoreFollower replicaFollower;
+    StoreFollower evacuationFollower;
     SequentialHttpClient registrationClient;
     SequentialHttpClient storeViewClient;
     Acceptor peerAcceptor;
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -14,6 +14,9 @@
 /// Number of coordinators that may reject a request before it is dispatched without a grant, by the
 /// load that they reported.
 constexpr std::uint32_t maxCoordinatorRejections = 2;
+/// How long no permit is requested from a coordinator that did not respond; the time of a few
+/// updates, by which a failed one is replaced.
+constexpr Milliseconds silentCoordinatorBlock{300};
 /// How long after one router has announced that an engine caches a prefix other routers do not
 /// announce it again. A third of the time for which the announcement is believed.
 constexpr Duration prefixAnnounceInterval = cacheResidency / 3;
@@ -30,7 +33,14 @@
     // The timer of an earlier attempt must not fire while the coordinator of the next one is asked.
     this->armTimer(this->deadline);
     this->gateway.refreshPeerLoads();
-    const auto candidates = this->gateway.upstreams.ofService(this->service);
+    const PlacementConstraints constraints = this->placementConstraints();
+    std::span<UpstreamState *const> candidates = this->gateway.upstreams.ofService(this->service);
+    std::vector<UpstreamState *> permitted;
+    if (!isUnconstrained(constraints)) {
+        permitted = permittedUpstreams(candidates, constraints);
+        this->hasNoPermittedPlace = permitted.empty() && !candidates.empty();
+        candidates = permitted;
+    }
     const SelectionRequest choiceRequest{this->gateway.settings.dataCentre,
                                          hashOf(this->request->attemptId),
                                          this->request->prompt ? &*this->request->prompt : nullptr,
@@ -54,14 +64,71 @@
         placement.donorId = donor.id;
         placement.copyFrom = donor.endpoint;
     }
-    if (!this->gateway.settings.mechanisms.exactCounts || this->prefixHashes.empty()
-        || this->coordinatorRejections >= maxCoordinatorRejections) {
+    if (!this->needsGrant(*candidates[choice->index])) {
         this->dispatchTo(placement);
         return;
     }
     this->requestGrant(std::move(placement));
 }
 
+PlacementConstraints RequestHandler::placementConstraints() const
+{
+    return {this->gateway.settings.areas, this->gateway.evacuations.dataCentres, this->route->homes,
+            this->workspaceHomes};
+}
+
+bool RequestHandler::isUsable(const std::shared_ptr<UpstreamState> &upstream) const
+{
+    return upstream && !upstream->replica.draining
+           && isPermitted(upstream->replica.dataCentre, this->placementConstraints());
+}
+
+bool RequestHandler::needsGrant(const UpstreamState &upstream) const
+{
+    return this->gateway.isLimitedAsCold(upstream)
+           || (this->gateway.settings.mechanisms.exactCounts && !this->prefixHashes.empty()
+               && this->coordinatorRejections < maxCoordinatorRejections);
+}
+
+bool RequestHandler::mayDispatchUnpermitted(UpstreamState &upstream) const
+{
+    const PermitLimits limits = this->gateway.permitLimits(upstream.replica.service);
+    if (limits.warm == 0) {
+        return true;
+    }
+    if (this->gateway.isLimitedAsCold(upstream)) {
+        return false;
+    }
+    const std::uint32_t share = std::max(1U, limits.warm / this->gateway.routerCount());
+    return upstream.unpermitted.tryTake(share, this->now())
+           || this->coordinatorRejections >= maxCoordinatorRejections;
+}
+
+void RequestHandler::recordPermitDenied(UpstreamState &upstream, Milliseconds wait)
+{
+    const TimePoint now = this->now();
+    upstream.permitBlockedUntil = now + wait;
+    this->gateway.metrics.count(Counter::PermitsDenied);
+    logEvent(Event::PermitDenied,
+             {{"request", this->request->attemptId},
+              {"upstream", upstream.replica.id},
+              {"cold_ms", std::to_string(upstream.cold.remaining(now).count())},
+              {"wait_ms", std::to_string(wait.count())}});
+}
+
+std::optional<Milliseconds> RequestHandler::shortestPermitWait() const
+{
+    std::optional<Milliseconds> shortest;
+    for (const UpstreamState *const upstream : this->gateway.upstreams.ofService(this->service)) {
+        const Duration wait = upstream->permitBlockedUntil - this->now();
+        if (wait > Duration{0}) {
+            const auto rounded = std::chrono::ceil<Milliseconds>(wait);
+            shortest = std::min(rounded, shortest.value_or(rounded));
+        }
+    }
+    return shortest;
+}
+
 bool RequestHandler::passAdmissionControl(const UpstreamSelection &choice)
 {
     // A request that may have been executed cannot be refused as not executed.
@@ -105,9 +172,15 @@
     EngineGrantRequest grantRequest;
     grantRequest.requestId = this->gateway.fleet->nextRequestId();
     grantRequest.incarnation = incarnationOf(target->replica);
+    grantRequest.permit.upstream = hashOf(target->replica.id);
+    if (this->gateway.isLimitedAsCold(*target)) {
+        grantRequest.coldFor = target->cold.remaining(this->now());
+    }
     grantRequest.prefixHashes = this->prefixHashes;
-    grantRequest.promptTokens = tokensOf(*this->request->prompt);
-    grantRequest.loadBound = placement.choice.loadBound;
+    if (!this->prefixHashes.empty()) {
+        grantRequest.promptTokens = tokensOf(*this->request->prompt);
+        grantRequest.loadBound = placement.choice.loadBound;
+    }
     this->grantId = grantRequest.requestId;
     this->grantedIncarnation = grantRequest.incarnation;
     const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
@@ -125,25 +198,40 @@
                                         const std::optional<EngineGrantReply> &coordinatorReply)
 {
     const auto target = this->gateway.upstreams.find(placement.upstreamId);
-    if (!target || target->replica.draining) {
+    if (!this->isUsable(target)) {
         this->releaseGrant();
         this->selectAndDispatch();
         return;
     }
     if (!coordinatorReply) {
-        this->dispatchTo(placement);
+        if (this->mayDispatchUnpermitted(*target)) {
+            this->dispatchTo(placement);
+            return;
+        }
+        this->releaseGrant();
+        this->coordinatorRejections += 1;
+        this->recordPermitDenied(*target, silentCoordinatorBlock);
+        this->selectAndDispatch();
         return;
     }
+    target->cold.presume(coordinatorReply->coldFor, this->now());
     const std::uint32_t others =
         coordinatorReply->running - std::min(coordinatorReply->running, target->ownRunning);
     target->peersRunning = others;
     if (!coordinatorReply->granted) {
         this->grantId = 0;
         this->coordinatorRejections += 1;
+        if (coordinatorReply->permitWait.count() > 0) {
+            this->recordPermitDenied(*target, coordinatorReply->permitWait);
+        }
         this->selectAndDispatch();
         return;
     }
     const double tokens = this->promptTokens();
+    if (this->prefixHashes.empty()) {
+        this->dispatchTo(placement);
+        return;
+    }
     double cached = 0.0;
     for (std::size_t i = 0; i < coordinatorReply->cachedParts && i < this->prefixHashes.size();
          ++i) {
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -26,6 +26,9 @@
 /// Retry-After of a request that no upstream could take: about the time after which an ejected
 /// upstream is tried again.
 constexpr Milliseconds defaultRetryAfter{400};
+/// Retry-After of a request that no permitted data centre can process. Evacuations and changes of
+/// homes last seconds at least.
+constexpr Milliseconds noPlaceRetryAfter{1000};
 
 std::string formatMilliseconds(Duration span)
 {
@@ -78,6 +81,7 @@
             return false;
         }
         this->workspace = authenticated->name;
+        this->workspaceHomes = authenticated->homes;
     }
     this->rank = requestPriority(*this->route, authenticated);
     this->service = serviceOf(*this->route, hashOf(this->request->attemptId));
@@ -268,8 +272,12 @@
                      isDeadlineReached ? "no answer in time" : "the upstream failed");
     } else if (isDeadlineReached) {
         this->refuse(ErrorKind::QueueExpired, "no upstream took it in time");
+    } else if (this->hasNoPermittedPlace) {
+        this->refuse(ErrorKind::NoPermittedPlace, "no permitted data centre", noPlaceRetryAfter);
     } else if (this->rejections > 0) {
         this->refuse(ErrorKind::Overloaded, "upstreams turned it away", defaultRetryAfter);
+    } else if (const auto wait = this->shortestPermitWait()) {
+        this->refuse(ErrorKind::Overloaded, "the upstreams left are cold", wait);
     } else {
         this->refuse(ErrorKind::UpstreamUnreachable, "no upstream could be reached",
                      defaultRetryAfter);
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -7,6 +7,7 @@
 #include <asio/steady_timer.hpp>
 
 #include "plantainswitch/routing/eventstream.h"
+#include "plantainswitch/routing/placementconstraints.h"
 
 #include "callerconnection.h"
 #include "fleetgossip.h"
@@ -59,6 +60,19 @@
     /// trial.
     bool isQuarantined();
     void selectAndDispatch();
+    /// \returns where the request may be processed.
+    [[nodiscard]] PlacementConstraints placementConstraints() const;
+    /// \returns whether \a upstream is still there, takes new requests and is permitted.
+    [[nodiscard]] bool isUsable(const std::shared_ptr<UpstreamState> &upstream) const;
+    /// \returns whether a request to \a upstream needs a grant of its coordinator.
+    [[nodiscard]] bool needsGrant(const UpstreamState &upstream) const;
+    /// \returns whether the request may be sent to \a upstream although its coordinator does not
+    /// respond.
+    [[nodiscard]] bool mayDispatchUnpermitted(UpstreamState &upstream) const;
+    /// Records that the coordinator gave no permit for \a upstream.
+    void recordPermitDenied(UpstreamState &upstream, Milliseconds wait);
+    /// \returns the time until an upstream of the service may get a permit, if it has none now.
+    [[nodiscard]] std::optional<Milliseconds> shortestPermitWait() const;
     /// Refuses the request if the service is overloaded. \returns whether it was admitted.
     bool passAdmissionControl(const UpstreamSelection &choice);
     /// Asks the engine's coordinator whether the engine has room for the request.
@@ -89,6 +103,8 @@
     void onCompleteStream();
     void onFault(UpstreamFault fault);
     void recordUpstreamFault(UpstreamFault fault);
+    /// Records what a response shows about whether the upstream is cold.
+    void recordColdness(const UpstreamResponse &head);
     void onFirstByte();
     /// Feeds the time for which the request held its slot to the service's estimator.
     void recordHoldTime();
@@ -116,6 +132,8 @@
     std::shared_ptr<const RoutingTable> routingTable;
     const Route *route = nullptr;
     std::string workspace;
+    /// Areas in which requests of the workspace may be processed. Part of \a routingTable.
+    std::span<const std::string> workspaceHomes;
     std::uint32_t rank = 0;
     std::string service;
     std::vector<std::uint64_t> prefixHashes;
@@ -131,6 +149,8 @@
     std::uint32_t possibleExecutions = 0;
     std::uint32_t connectFailures = 0;
     std::uint32_t rejections = 0;
+    /// No upstream of the service is in a permitted data centre.
+    bool hasNoPermittedPlace = false;
     /// Coordinators that rejected the request since the last attempt.
     std::uint32_t coordinatorRejections = 0;
     /// Id under which the coordinator granted the request; 0 if there is no grant.
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -30,10 +30,26 @@
     }
     this->headReceived = true;
     this->upstream->lastReceived = this->now();
+    this->recordColdness(decoded);
     this->response = std::move(decoded);
     return true;
 }
 
+void RequestHandler::recordColdness(const UpstreamResponse &head)
+{
+    const TimePoint now = this->now();
+    ColdState &cold = this->upstream->cold;
+    cold.presume(head.coldFor.value_or(Milliseconds{0}), now);
+    const Milliseconds duration =
+        this->gateway.coldStartOf(this->upstream->replica.service).duration;
+    if (cold.recordResponse(duration, now) && duration.count() > 0) {
+        logEvent(Event::UpstreamPresumedCold,
+                 {{"request", this->request->attemptId},
+                  {"upstream", this->upstream->replica.id},
+                  {"cold_ms", std::to_string(cold.remaining(now).count())}});
+    }
+}
+
 void RequestHandler::onFirstByte()
 {
     this->firstByteReceived = true;
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -82,6 +82,29 @@
     fields.finish();
 }
 
+void readColdStart(FieldReader &parent, GatewaySettings &settings, std::vector<Fault> &faults)
+{
+    const nlohmann::json &json = parent.child("coldStart");
+    FieldReader fields(json, parent.pathOf("coldStart"), faults);
+    ColdStartTolerance tolerance;
+    fields.read("factor", tolerance.factor, 0.0, maxWeight);
+    fields.read("margin", tolerance.margin, 0.0, maxWeight);
+    fields.finish();
+    if (!json.empty()) {
+        settings.coldStart = tolerance;
+    }
+}
+
+void readAreas(FieldReader &parent, AreaMap &areas, std::vector<Fault> &faults)
+{
+    const nlohmann::json &json = parent.child("areas");
+    FieldReader fields(json, parent.pathOf("areas"), faults);
+    for (const auto &[dataCentre, area] : json.items()) {
+        fields.read(dataCentre, areas[dataCentre], true);
+    }
+    fields.finish();
+}
+
 } // namespace
 
 std::optional<GatewaySettings> parseGatewaySettings(std::string_view text,
@@ -104,6 +127,9 @@
     readChoice(fields, settings.choice, faults);
     readAdmission(fields, settings.admission, faults);
     readMechanisms(fields, settings.mechanisms, faults);
+    readColdStart(fields, settings, faults);
+    readAreas(fields, settings.areas, faults);
+    fields.read("evacuations", settings.followsEvacuations);
     auto drain = static_cast<std::uint32_t>(settings.maxDrainTime.count());
     fields.read("drainMilliseconds", drain, 1, maxDrainMilliseconds);
     settings.maxDrainTime = Milliseconds{drain};
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -10,7 +10,9 @@
 #include "plantainswitch/membership/vm.h"
 #include "plantainswitch/observe/event.h"
 #include "plantainswitch/routing/admission.h"
+#include "plantainswitch/routing/coldstart.h"
 #include "plantainswitch/routing/fleetretrybudget.h"
+#include "plantainswitch/routing/placementconstraints.h"
 #include "plantainswitch/routing/selection.h"
 
 namespace plantainswitch::gateway {
@@ -50,6 +52,12 @@
     SelectionPolicy choice;
     AdmissionPolicy admission;
     Mechanisms mechanisms;
+    /// How far requests to cold upstreams may exceed what these bear; nothing if they are not
+    /// limited.
+    std::optional<ColdStartTolerance> coldStart;
+    /// Whether the store's list of evacuated data centres is followed.
+    bool followsEvacuations = false;
+    AreaMap areas;
     /// Time after which an upstream must get no new request once it has announced, by its entry or
     /// by the removal of its entry, that it is draining.
     Milliseconds maxDrainTime{2000};
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -9,6 +9,7 @@
 #include <asio/io_context.hpp>
 
 #include "plantainswitch/observe/metrics.h"
+#include "plantainswitch/routing/evacuations.h"
 #include "plantainswitch/routing/fleetretrybudget.h"
 #include "plantainswitch/routing/peerloads.h"
 #include "plantainswitch/routing/serviceestimator.h"
@@ -79,6 +80,13 @@
         return static_cast<std::uint32_t>(this->peerLoads.routerCount()) + 1;
     }
 
+    /// \returns what cold upstreams of \a service bear; without a limit if none is configured.
+    [[nodiscard]] ColdStart coldStartOf(std::string_view service) const;
+    /// \returns the limits on requests to each upstream of \a service.
+    [[nodiscard]] PermitLimits permitLimits(std::string_view service) const;
+    /// \returns whether a request to \a upstream needs a permit because it is believed cold.
+    [[nodiscard]] bool isLimitedAsCold(const UpstreamState &upstream) const;
+
     asio::io_context &context;
     const Clock &clock;
     const Dialect &dialect;
@@ -91,6 +99,7 @@
     bool isDirectoryLoaded = false;
     /// The store's objects, for routers that do not watch the store.
     StoreView storeView;
+    EvacuationSet evacuations;
     UpstreamRegistry upstreams;
     PeerLoads peerLoads;
     /// Estimators of the upstreams' performance, by name of the service.
@@ -113,6 +122,11 @@
     /// Records that an upstream is down. Requests that it failed to respond to before become
     /// suspects.
     void recordUpstreamDown(const Replica &replica);
+    /// Applies a set of evacuated data centres unless a newer one is known, and announces a change
+    /// to the other routers. \param source where the set comes from, for the log
+    void setEvacuations(EvacuationSet newer, std::string_view source);
+    /// Applies what the list of upstreams says about coldness.
+    void recordColdTimes(const std::vector<ReplicaEvent> &events);
     /// Records that a request got a response, so that it does not crash upstreams.
     void recordAnswered(RequestFingerprint request);
     /// Records a response of the store at \a now as of \a revision. It confirms every kind of
--- a/gateway/gatewaystore.cpp
+++ b/gateway/gatewaystore.cpp
@@ -134,6 +134,7 @@
         }
     }
     this->state.upstreams.apply(events);
+    this->state.recordColdTimes(events);
     this->state.peerLoadsChanged = true;
     for (const ReplicaEvent &event : events) {
         if (event.change == ReplicaChange::Removed) {
@@ -143,13 +144,15 @@
         }
     }
     for (const ReplicaEvent &event : events) {
-        logEvent(Event::ReplicaChanged, {{"upstream", event.replica.id},
-                                         {"change", std::string(nameOf(event.change))},
-                                         {"service", event.replica.service},
-                                         {"address", toText(event.replica.endpoint)},
-                                         {"place", event.replica.dataCentre},
-                                         {"born", std::to_string(event.replica.startTime)},
-                                         {"slots", std::to_string(event.replica.maxConcurrency)}});
+        logEvent(Event::ReplicaChanged,
+                 {{"upstream", event.replica.id},
+                  {"change", std::string(nameOf(event.change))},
+                  {"service", event.replica.service},
+                  {"address", toText(event.replica.endpoint)},
+                  {"place", event.replica.dataCentre},
+                  {"born", std::to_string(event.replica.startTime)},
+                  {"slots", std::to_string(event.replica.maxConcurrency)},
+                  {"cold_ms", std::to_string(event.replica.coldFor.count())}});
     }
 }
 
@@ -239,9 +242,13 @@
     if (watches) {
         this->routingFollower.resume();
         this->replicaFollower.resume();
+        if (this->state.settings.followsEvacuations) {
+            this->evacuationFollower.resume();
+        }
     } else {
         this->routingFollower.pause();
         this->replicaFollower.pause();
+        this->evacuationFollower.pause();
     }
 }
 
@@ -250,6 +257,8 @@
     this->checkLag(now);
     this->routingFollower.checkConfirmation(this->fleet.confirmedAt(StoreObjectKind::Routing));
     this->replicaFollower.checkConfirmation(this->fleet.confirmedAt(StoreObjectKind::Replicas));
+    this->evacuationFollower.checkConfirmation(
+        this->fleet.confirmedAt(StoreObjectKind::Evacuations));
 }
 
 void Gateway::checkLag(TimePoint now)
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -39,6 +39,7 @@
     std::size_t usable = 0;
     std::size_t avoided = 0;
     std::size_t leaving = 0;
+    std::size_t cold = 0;
     double running = 0.0;
 };
 
@@ -52,6 +53,7 @@
         service.leaving += upstream->replica.draining ? 1 : 0;
         service.avoided += !upstream->replica.draining && isEjectedNow ? 1 : 0;
         service.usable += !upstream->replica.draining && !isEjectedNow ? 1 : 0;
+        service.cold += upstream->cold.remaining(now).count() > 0 ? 1 : 0;
         service.running += runningAt(*upstream);
     }
     return services;
@@ -128,6 +130,10 @@
     appendGauge(page, "store_revision", static_cast<double>(state.storeView.revision));
     appendStoreSync(page, state);
     appendGauge(page, "members", state.routerCount());
+    appendType(page, "evacuated");
+    for (const std::string &dataCentre : state.evacuations.dataCentres) {
+        appendSample(page, "evacuated", fmt::format("place=\"{}\"", dataCentre), 1.0);
+    }
     appendGauge(page, "stopping", state.stopping ? 1.0 : 0.0);
     const auto services = conditionsOf(state);
     appendType(page, "upstreams");
@@ -138,6 +144,7 @@
         appendSample(page, "upstreams", labels("usable"), static_cast<double>(service.usable));
         appendSample(page, "upstreams", labels("avoided"), static_cast<double>(service.avoided));
         appendSample(page, "upstreams", labels("leaving"), static_cast<double>(service.leaving));
+        appendSample(page, "upstreams", labels("cold"), static_cast<double>(service.cold));
     }
     appendType(page, "running");
     for (const auto &[name, service] : services) {
--- a/gateway/upstreamregistry.cpp
+++ b/gateway/upstreamregistry.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "plantainswitch/base/hash.h"
+
 namespace plantainswitch::gateway {
 
 void UpstreamRegistry::apply(const std::vector<ReplicaEvent> &events)
@@ -34,6 +36,11 @@
             state->replica = event.replica;
             break;
         }
+        case ReplicaChange::ColdTime:
+            if (const auto existing = this->byId.find(id); existing != this->byId.end()) {
+                existing->second->replica = event.replica;
+            }
+            break;
         }
     }
     this->rebuildIndexes();
@@ -43,9 +50,11 @@
 {
     this->byService.clear();
     this->byIncarnation.clear();
+    this->byKey.clear();
     for (const auto &[id, state] : this->byId) {
         this->byService[state->replica.service].push_back(state.get());
         this->byIncarnation[incarnationOf(state->replica)] = state.get();
+        this->byKey[hashOf(id)] = state.get();
     }
 }
 
@@ -79,6 +88,12 @@
     return found == this->byIncarnation.end() ? nullptr : found->second;
 }
 
+UpstreamState *UpstreamRegistry::findKey(std::uint64_t key) const
+{
+    const auto found = this->byKey.find(key);
+    return found == this->byKey.end() ? nullptr : found->second;
+}
+
 std::shared_ptr<UpstreamConnection> UpstreamRegistry::acquireIdle(const UpstreamState &state,
                                                                   bool mayRepeat)
 {
--- a/gateway/upstreamregistry.h
+++ b/gateway/upstreamregistry.h
@@ -45,6 +45,8 @@
     [[nodiscard]] std::shared_ptr<UpstreamState> find(const std::string &id) const;
     /// \returns the state of an incarnation of an upstream, or nullptr if it was removed.
     [[nodiscard]] UpstreamState *findIncarnation(std::uint64_t incarnation) const;
+    /// \returns the state of the upstream whose id has the hash \a key, or nullptr.
+    [[nodiscard]] UpstreamState *findKey(std::uint64_t key) const;
     /// \returns all upstreams by id.
     [[nodiscard]] const std::map<std::string, std::shared_ptr<UpstreamState>> &all() const noexcept
     {
@@ -68,6 +70,7 @@
     std::map<std::string, std::shared_ptr<UpstreamState>> byId;
     std::unordered_map<std::string, std::vector<UpstreamState *>> byService;
     std::unordered_map<std::uint64_t, UpstreamState *> byIncarnation;
+    std::unordered_map<std::uint64_t, UpstreamState *> byKey;
     std::unordered_map<std::uint64_t, std::vector<std::shared_ptr<UpstreamConnection>>>
         idleConnections;
 };
--- a/include/plantainswitch/observe/metrics.h
+++ b/include/plantainswitch/observe/metrics.h
@@ -31,6 +31,7 @@
     QueueEntered,
     QueueRefused,
     QueueExpired,
+    PermitsDenied,
 };
 
 /// Histograms for each workspace and data class.
--- a/include/plantainswitch/routing/enginecoordinator.h
+++ b/include/plantainswitch/routing/enginecoordinator.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "plantainswitch/base/clock.h"
+#include "plantainswitch/routing/permitcoordinator.h"
 #include "plantainswitch/routing/selection.h"
 
 namespace plantainswitch {
@@ -21,8 +22,11 @@
     std::uint64_t incarnation = 0;
     std::vector<std::uint64_t> prefixHashes;
     std::uint32_t promptTokens = 0;
-    /// Running requests above which the engine would exceed its share.
+    /// Running requests above which the engine would exceed its share; 0 if not limited.
     double loadBound = 0.0;
+    /// How much longer the requesting router believes the engine to be cold.
+    Milliseconds coldFor{0};
+    PermitRequest permit;
 };
 
 /// The coordinator's reply.
@@ -34,6 +38,11 @@
     double pendingPrefillTokens = 0.0;
     /// Leading prompt parts that the engine is expected to have cached.
     std::uint32_t cachedParts = 0;
+    /// Time until a permit is available, if the request was denied for the lack of one; 0 if it was
+    /// denied by the load bound.
+    Milliseconds permitWait{0};
+    /// How much longer the coordinator believes the engine to be cold.
+    Milliseconds coldFor{0};
 };
 
 /// Time after which a grant is revoked that its router no longer reports: the message that released
@@ -92,6 +101,7 @@
 
     double tokensPerMillisecond;
     std::unordered_map<std::uint64_t, Engine> engines;
+    PermitCoordinator permits;
     PrefixIndex prefixIndex;
 };
 
--- a/include/plantainswitch/routing/replica.h
+++ b/include/plantainswitch/routing/replica.h
@@ -27,10 +27,12 @@
     std::uint32_t maxConcurrency = 0;
     /// It finishes its running requests and takes no new ones.
     bool draining = false;
+    /// How much longer it is cold, as of the time at which it wrote its entry.
+    Milliseconds coldFor{0};
 };
 
 /// What changed about one upstream.
-enum class ReplicaChange : std::uint8_t { Added, Restarted, Moved, Draining, Removed };
+enum class ReplicaChange : std::uint8_t { Added, Restarted, Moved, Draining, Removed, ColdTime };
 [[nodiscard]] std::string_view nameOf(ReplicaChange change) noexcept;
 
 /// A change of the list, for the log and for the owners of per-upstream state.
--- a/include/plantainswitch/routing/route.h
+++ b/include/plantainswitch/routing/route.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "plantainswitch/base/clock.h"
+#include "plantainswitch/routing/coldstart.h"
 
 namespace plantainswitch {
 
@@ -50,6 +51,8 @@
     Milliseconds maxEventInterval{0};
     /// Time without a first event after which callers give up on a stream; 0 if not stated.
     Milliseconds firstEventTimeout{0};
+    /// Areas in which requests may be processed; empty if in all.
+    std::vector<std::string> homes;
 };
 
 /// \returns whether a request of \a route may be executed more than once.
@@ -62,6 +65,8 @@
     std::vector<std::string> keys;
     /// Overrides the route's priority.
     std::optional<std::uint32_t> priority;
+    /// Areas in which its requests may be processed; empty if in all.
+    std::vector<std::string> homes;
 };
 
 /// Capacity of an upstream of a service with prompt caches.
@@ -79,6 +84,7 @@
     /// stated.
     std::uint32_t connectionLimit = 0;
     std::optional<EngineCapacity> engine;
+    ColdStart coldStart;
 };
 
 /// Limits on callers' requests.
--- a/include/plantainswitch/routing/routercontacts.h
+++ b/include/plantainswitch/routing/routercontacts.h
@@ -40,6 +40,10 @@
 /// the old ones were kept, they would be sent updates indefinitely.
 inline constexpr Seconds contactRetention{3600};
 
+/// How long a router that does not respond counts among those of its data centre of which a
+/// majority is required.
+inline constexpr Seconds majorityRetention{60};
+
 /// Which routers an update is sent to.
 enum class BroadcastScope : std::uint8_t {
     /// Routers whose interval has elapsed.
@@ -79,6 +83,10 @@
     /// current.
     TimePoint configConfirmed;
     TimePoint upstreamsConfirmed;
+    /// Store revision of the evacuations that it knows, and when the store last confirmed them to
+    /// it.
+    std::uint64_t evacuationsRevision = 0;
+    TimePoint evacuationsConfirmed;
     /// It is connected to the store.
     bool storeConnected = false;
     bool stopping = false;
@@ -154,9 +162,15 @@
     [[nodiscard]] TimePoint configConfirmedAt(std::uint64_t version, TimePoint now) const;
     /// \returns the same for upstream changes after \a revision.
     [[nodiscard]] TimePoint upstreamsConfirmedAt(std::uint64_t revision, TimePoint now) const;
-    /// \returns the address of the coordinator of the engine \a incarnation in \a engineDataCentre;
-    /// nothing if it is this router, which is not eligible if it \a isStopping.
-    [[nodiscard]] std::optional<Endpoint> coordinatorOf(std::uint64_t incarnation,
+    /// \returns the same for evacuations after \a revision.
+    [[nodiscard]] TimePoint evacuationsConfirmedAt(std::uint64_t revision, TimePoint now) const;
+    /// \returns whether more than half of the routers of this data centre that were recently alive,
+    /// including this one, are alive now. In a partition at most one part of them can say so.
+    [[nodiscard]] bool reachesLocalMajority(TimePoint now) const;
+    /// \returns the address of the coordinator of the engine with the hash \a key in
+    /// \a engineDataCentre; nothing if it is this router, which is not eligible if it \a
+    /// isStopping.
+    [[nodiscard]] std::optional<Endpoint> coordinatorOf(std::uint64_t key,
                                                         const std::string &engineDataCentre,
                                                         bool isStopping, TimePoint now) const;
     /// \returns a router with a newer configuration than \a configVersion or a newer store revision
--- a/include/plantainswitch/routing/upstreamstate.h
+++ b/include/plantainswitch/routing/upstreamstate.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "plantainswitch/base/clock.h"
+#include "plantainswitch/routing/coldstart.h"
 #include "plantainswitch/routing/health.h"
 #include "plantainswitch/routing/replica.h"
 
@@ -24,6 +25,11 @@
     TimePoint lastReceived;
     /// A probe connection is being attempted, because a response was interrupted.
     bool isBeingProbed = false;
+    ColdState cold;
+    /// Until when no permit for a request to the upstream is to be had.
+    TimePoint permitBlockedUntil;
+    /// Requests of this router sent without a permit, because the coordinator did not respond.
+    PermitWindow unpermitted;
 };
 
 /// \returns the number of requests of all routers on \a state's upstream.
--- a/src/routing/enginecoordinator.cpp
+++ b/src/routing/enginecoordinator.cpp
@@ -42,7 +42,12 @@
     if (now - engine.coordinatedSince < takeoverPeriod) {
         reply.running = std::max(reply.running, reported);
     }
-    if (reply.running + 1.0 > request.loadBound) {
+    if (request.loadBound > 0.0 && reply.running + 1.0 > request.loadBound) {
+        return reply;
+    }
+    const PermitReply permit = this->permits.request(request.permit, now);
+    if (!permit.permitted) {
+        reply.permitWait = permit.wait;
         return reply;
     }
     reply.granted = true;
@@ -97,6 +102,7 @@
 
 void EngineCoordinator::removeIdleEngines(TimePoint now)
 {
+    this->permits.removeIdle(now);
     std::erase_if(this->engines, [now](const auto &entry) {
         return entry.second.grants.empty() && now - entry.second.unreadAt > idleEngineRetention;
     });
--- /dev/null
+++ b/src/routing/permitcoordinator.cpp
@@ -0,0 +1,53 @@
+#include "plantainswitch/routing/permitcoordinator.h"
+
+#include <algorithm>
+
+namespace plantainswitch {
+
+namespace {
+
+/// Time without requests after which an upstream is removed. Longer than a window, whose permits
+/// would otherwise be forgotten.
+constexpr Seconds idleRetention{60};
+
+} // namespace
+
+PermitReply PermitCoordinator::request(const PermitRequest &request, TimePoint now)
+{
+    if (request.limits.warm == 0) {
+        return {!request.isCold, request.isCold ? permitWindow : Milliseconds{0}};
+    }
+    const auto [found, isNew] = this->upstreams.try_emplace(request.upstream);
+    Upstream &upstream = found->second;
+    // Without requests or a majority another router may have been the coordinator meanwhile.
+    const bool wasInterrupted =
+        isNew || !request.mayPermitCold || now - upstream.lastRequest >= permitWindow;
+    if (wasInterrupted) {
+        upstream.coordinatedSince = now;
+    }
+    upstream.lastRequest = now;
+    upstream.window.recordDemand(now);
+    if (!request.isCold) {
+        // A steady demand above the limit is not the start of an overload, so that it passes.
+        const std::uint32_t limit =
+            std::max(request.limits.warm, upstream.window.previousDemand(now));
+        const bool permitted = upstream.window.tryTake(limit, now);
+        return {permitted, permitted ? Milliseconds{0} : upstream.window.waitFor(limit, now)};
+    }
+    const Duration coordinated = now - upstream.coordinatedSince;
+    if (coordinated < permitWindow) {
+        return {false, std::chrono::ceil<Milliseconds>(permitWindow - coordinated)};
+    }
+    const bool permitted = upstream.window.tryTake(request.limits.cold, now);
+    return {permitted,
+            permitted ? Milliseconds{0} : upstream.window.waitFor(request.limits.cold, now)};
+}
+
+void PermitCoordinator::removeIdle(TimePoint now)
+{
+    std::erase_if(this->upstreams, [now](const auto &entry) {
+        return now - entry.second.lastRequest > idleRetention;
+    });
+}
+
+} // namespace plantainswitch
--- a/src/routing/replica.cpp
+++ b/src/routing/replica.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr std::array changeNames{std::string_view{"appeared"}, std::string_view{"reborn"},
-                                 std::string_view{"moved"}, std::string_view{"leaving"},
-                                 std::string_view{"gone"}};
+                                 std::string_view{"moved"},    std::string_view{"leaving"},
+                                 std::string_view{"gone"},     std::string_view{"cold-time"}};
 
 } // namespace
 
@@ -41,6 +41,7 @@
     // ready.
     replica.draining = replica.draining || (old.draining && !isRestarted);
     const bool startsDraining = replica.draining && !old.draining;
+    const bool isColdTimeChanged = replica.coldFor != old.coldFor && !isRestarted && !isMoved;
     old = replica;
     std::vector<ReplicaEvent> events;
     if (isRestarted) {
@@ -48,6 +49,9 @@
     } else if (isMoved) {
         events.push_back({ReplicaChange::Moved, replica});
     }
+    if (isColdTimeChanged) {
+        events.push_back({ReplicaChange::ColdTime, replica});
+    }
     if (startsDraining) {
         events.push_back({ReplicaChange::Draining, std::move(replica)});
     }
--- a/src/routing/routercontacts.cpp
+++ b/src/routing/routercontacts.cpp
@@ -292,7 +292,29 @@
                                     &RouterContact::upstreamsConfirmed, revision, now);
 }
 
-std::optional<Endpoint> RouterContacts::coordinatorOf(std::uint64_t incarnation,
+TimePoint RouterContacts::evacuationsConfirmedAt(std::uint64_t revision, TimePoint now) const
+{
+    return this->latestConfirmation(&RouterContact::evacuationsRevision,
+                                    &RouterContact::evacuationsConfirmed, revision, now);
+}
+
+bool RouterContacts::reachesLocalMajority(TimePoint now) const
+{
+    const GossipIntervals intervals = this->gossipIntervals();
+    std::size_t known = 1;
+    std::size_t alive = 1;
+    for (const auto &[address, contact] : this->contacts) {
+        const bool isRecent = !contact.id.empty() && now - contact.lastSeen <= majorityRetention;
+        if (!this->isLocal(contact) || !isRecent || contact.stopping) {
+            continue;
+        }
+        known += 1;
+        alive += this->isAlive(contact, intervals, now) ? 1 : 0;
+    }
+    return alive * 2 > known;
+}
+
+std::optional<Endpoint> RouterContacts::coordinatorOf(std::uint64_t key,
                                                       const std::string &engineDataCentre,
                                                       bool isStopping, TimePoint now) const
 {
@@ -300,14 +322,14 @@
     // counts of its own engines.
     const GossipIntervals intervals = this->gossipIntervals();
     bool bestIsLocal = engineDataCentre == this->dataCentre && !isStopping;
-    double highest = scoreOf(incarnation, this->id);
+    double highest = scoreOf(key, this->id);
     std::optional<Endpoint> best;
     for (const auto &[address, contact] : this->contacts) {
         if (!this->isAlive(contact, intervals, now) || contact.stopping) {
             continue;
         }
         const bool isLocal = contact.dataCentre == engineDataCentre;
-        const double score = scoreOf(incarnation, contact.id);
+        const double score = scoreOf(key, contact.id);
         if ((isLocal && !bestIsLocal) || (isLocal == bestIsLocal && score > highest)) {
             best = address;
             highest = score;
--- a/tests/gatewaysettings.cpp
+++ b/tests/gatewaysettings.cpp
@@ -55,3 +55,18 @@
         "admission": {"enabled": 3})"));
     CHECK(this->faults.size() == 3);
 }
+
+TEST_CASE_METHOD(GatewaySettingsFixture, "gatewaySettings_coldStartAndAreas_areTaken", "[settings]")
+{
+    CHECK_FALSE(this->parse("")->coldStart);
+    const auto settings = this->parse(R"(, "coldStart": {"factor": 1.5, "margin": 5},
+        "evacuations": true, "areas": {"hall-a": "north", "hall-b": "south"})");
+    REQUIRE(settings);
+    REQUIRE(settings->coldStart);
+    CHECK(settings->coldStart->factor == Approx(1.5));
+    CHECK(settings->coldStart->margin == Approx(5.0));
+    CHECK(settings->followsEvacuations);
+    CHECK(settings->areas.at("hall-b") == "south");
+    CHECK_FALSE(this->parse(R"(, "areas": {"hall-a": 3}, "coldStart": {"factor": "x"})"));
+    CHECK(this->faults.size() == 2);
+}
--- a/tests/routercontacts.cpp
+++ b/tests/routercontacts.cpp
@@ -393,3 +393,21 @@
     CHECK(sent / 199 <= 7);
     CHECK(most < 20);
 }
+
+TEST_CASE_METHOD(RouterContactsFixture,
+                 "routerContacts_cutOffFromMostOfItsDataCentre_hasNoMajority", "[routing]")
+{
+    // Guards against several routers that each consider themselves the only coordinator of an
+    // engine, because none of them reaches the others.
+    for (int number = 1; number <= 4; ++number) {
+        this->hear(number);
+        this->hear(10 + number, "hall-b");
+    }
+    CHECK(this->contacts.reachesLocalMajority(this->clock.now()));
+    this->clock.advance(Seconds{5});
+    CHECK_FALSE(this->contacts.reachesLocalMajority(this->clock.now()));
+    this->hear(1);
+    CHECK_FALSE(this->contacts.reachesLocalMajority(this->clock.now()));
+    this->hear(2);
+    CHECK(this->contacts.reachesLocalMajority(this->clock.now()));
+}
--- a/tests/support/gatewayfixture.cpp
+++ b/tests/support/gatewayfixture.cpp
@@ -35,19 +35,21 @@
             {"anonymous", false}, {"sticky", resumable}, {"resumable", resumable},
             {"gapGoalMs", 1000}};
     };
-    return nlohmann::json{
-        {"version", version},
-        {"routes",
-         {route("safe", "idempotent", "plain", false),
-          route("once", "non_idempotent", "plain", false),
-          route("stream", "streaming", "model", true), route("hasty", "streaming", "model", true)}},
-        {"services", {{{"name", "plain"}}, {{"name", "model"}}}},
-        {"limits",
-         {{"maxHeaderBytes", 16384},
-          {"maxBodyBytes", 100000},
-          {"headerTimeoutMs", 5000},
-          {"idleTimeoutMs", 15000}}},
-        {"tenants", {{{"name", "alpha"}, {"apiKeys", {"key-a"}}}}}}
+    nlohmann::json homed = route("homed", "idempotent", "plain", false);
+    homed["homeRegions"] = {"north"};
+    return nlohmann::json{{"version", version},
+                          {"routes",
+                           {route("safe", "idempotent", "plain", false),
+                            route("once", "non_idempotent", "plain", false),
+                            route("stream", "streaming", "model", true),
+                            route("hasty", "streaming", "model", true), homed}},
+                          {"services", {{{"name", "plain"}}, {{"name", "model"}}}},
+                          {"limits",
+                           {{"maxHeaderBytes", 16384},
+                            {"maxBodyBytes", 100000},
+                            {"headerTimeoutMs", 5000},
+                            {"idleTimeoutMs", 15000}}},
+                          {"tenants", {{{"name", "alpha"}, {"apiKeys", {"key-a"}}}}}}
         .dump();
 }
 
@@ -263,7 +265,8 @@
         const std::string items =
             isRouting    ? storeObject("main", makeRoutingDocument(this->routingVersion))
             : isReplicas ? this->replicaItems
-                         : std::string();
+            : target.starts_with("/objects/evacuations") ? this->evacuationItems
+                                                         : std::string();
         connection.send(plainResponse(R"({"items":[)" + items + R"(],"hasMore":false,"asOf":5})"));
     }
 }
@@ -281,6 +284,9 @@
     settings.peerCalls = {"127.0.0.1", 0};
     settings.store = this->store->endpoint();
     settings.log.level = Severity::Error;
+    if (this->settingsChange) {
+        this->settingsChange(settings);
+    }
     this->gateway = std::make_unique<Gateway>(this->clock, this->dialect, std::move(settings));
     this->gateway->openListeners();
     this->thread = std::thread([this] {
@@ -290,11 +296,17 @@
     eventually([this] { return this->isReady(); });
 }
 
+std::string GatewayFixture::makeStoreObject(const std::string &name, const std::string &document)
+{
+    return storeObject(name, document);
+}
+
 void GatewayFixture::addSilentRouter(const std::string &id, const std::string &place,
-                                     std::uint64_t storeRevision)
+                                     std::uint64_t storeRevision,
+                                     const std::vector<std::string> &evacuated)
 {
     const Endpoint to = this->gateway->datagramEndpoint();
-    this->routers.emplace_back([this, id, place, to, storeRevision] {
+    this->routers.emplace_back([this, id, place, to, storeRevision, evacuated] {
         asio::io_context context;
         asio::ip::udp::socket socket(context, {asio::ip::make_address("127.0.0.1"), 0});
         wire::GatewayDatagram datagram;
@@ -302,6 +314,12 @@
         datagram.mutable_news()->set_place(place);
         datagram.mutable_news()->set_incarnation(1);
         datagram.mutable_news()->set_store_revision(storeRevision);
+        constexpr std::uint64_t evacuationsRevision = 9;
+        datagram.mutable_news()->set_evacuations_revision(evacuated.empty() ? 0
+                                                                            : evacuationsRevision);
+        for (const std::string &dataCentre : evacuated) {
+            datagram.mutable_news()->add_evacuated(dataCentre);
+        }
         for (std::uint64_t sequence = 1; !this->stopped; ++sequence) {
             datagram.mutable_news()->set_sequence(sequence);
             asio::error_code error;
--- a/tests/support/gatewayfixture.h
+++ b/tests/support/gatewayfixture.h
@@ -111,14 +111,27 @@
     /// Sends the gateway updates of another router, which never replies, until the fixture is
     /// destroyed.
     /// \param storeRevision revision of the store up to which that router knows all changes
+    /// \param evacuated data centres that it reports as evacuated, as of revision 9
     void addSilentRouter(const std::string &id, const std::string &place,
-                         std::uint64_t storeRevision = 0);
+                         std::uint64_t storeRevision = 0,
+                         const std::vector<std::string> &evacuated = {});
     /// Starts the gateway and waits until it is ready.
     void start();
     /// Replaces the store's configuration. Lists return it, waiting watches do not report it.
     void editConfigSilently(std::uint64_t version) { this->routingVersion = version; }
     /// From now on the store responds to no watch, but still to lists.
     void ignoreWatches() { this->ignoresWatches = true; }
+    /// Sets the entries of evacuated data centres in the store, as JSON objects. Must be called
+    /// before start().
+    void setEvacuationItems(const std::string &items) { this->evacuationItems = items; }
+    /// Changes the settings with which start() creates the gateway.
+    void changeSettings(std::function<void(GatewaySettings &)> change)
+    {
+        this->settingsChange = std::move(change);
+    }
+    /// \returns an object of the store.
+    [[nodiscard]] static std::string makeStoreObject(const std::string &name,
+                                                     const std::string &document);
     /// \returns the version of the routing configuration in use; 0 if there is none.
     std::uint64_t appliedConfigVersion();
     /// \returns a request as callers send it.
@@ -160,6 +173,8 @@
 
     std::vector<std::unique_ptr<ScriptedServer>> upstreams;
     std::string replicaItems;
+    std::string evacuationItems;
+    std::function<void(GatewaySettings &)> settingsChange;
     std::atomic<int> listCount = 0;
     std::atomic<std::uint64_t> routingVersion = 7;
     std::atomic<bool> ignoresWatches = false;
