--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -36,6 +36,7 @@
     const PlacementConstraints constraints = this->placementConstraints();
     std::span<UpstreamState *const> candidates = this->gateway.upstreams.ofService(this->service);
     std::vector<UpstreamState *> permitted;
+    this->hasNoPermittedPlace = false;
     if (!isUnconstrained(constraints)) {
         permitted = permittedUpstreams(candidates, constraints);
         this->hasNoPermittedPlace = permitted.empty() && !candidates.empty();
--- a/include/plantainswitch/routing/selection.h
+++ b/include/plantainswitch/routing/selection.h
@@ -14,14 +14,6 @@
 
 namespace plantainswitch {
 
-/// How cold upstreams take part in the selection.
-enum class ColdUse : std::uint8_t {
-    /// Like warm ones; each request needs a permit.
-    Permitted,
-    /// Only if no warm one can be used.
-    LastResort,
-};
-
 /// Weights and limits by which upstreams are compared; delays are in milliseconds.
 struct SelectionPolicy
 {
@@ -63,7 +55,6 @@
     /// Maximum share of a service's upstreams that may be ejected at once. If more of them fail,
     /// the cause is elsewhere, and ejecting them would move all load to the rest.
     double maxEjectedShare = 0.6;
-    ColdUse coldUse = ColdUse::Permitted;
 };
 
 /// \returns the number of tokens from which a transfer is faster than a prefill; infinity if it
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -238,15 +238,13 @@
 }
 
 /// In order of preference: a class is used only if no candidate is in a better one.
-enum class Eligibility : std::uint8_t { Good, OverBound, Cold, Ejected, Unreachable, Unusable };
+enum class Eligibility : std::uint8_t { Good, OverBound, Ejected, Unreachable, Unusable };
 
 Eligibility eligibilityOf(const UpstreamState &state, const SelectionRequest &request,
-                          const CandidateStatistics &statistics, const SelectionPolicy &policy,
-                          TimePoint now)
+                          const CandidateStatistics &statistics, TimePoint now)
 {
-    const bool isCold = state.cold.remaining(now).count() > 0;
     const bool isBlocked = now < state.permitBlockedUntil;
-    if (isCold && isBlocked) {
+    if (isBlocked && state.cold.remaining(now).count() > 0) {
         return Eligibility::Unusable;
     }
     if (state.replica.draining || wasTried(state.replica, request)) {
@@ -261,9 +259,6 @@
     if (statistics.avoidanceHolds && isEjected(state.health, now)) {
         return Eligibility::Ejected;
     }
-    if (isCold && policy.coldUse == ColdUse::LastResort) {
-        return Eligibility::Cold;
-    }
     const bool isOverBound = isBlocked || runningAt(state) + 1.0 > statistics.bound;
     return isOverBound ? Eligibility::OverBound : Eligibility::Good;
 }
@@ -362,7 +357,7 @@
     double homeCost = 0.0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const Eligibility eligibility =
-            eligibilityOf(*candidates[i], request, comparison.statistics, policy, now);
+            eligibilityOf(*candidates[i], request, comparison.statistics, now);
         ejected += eligibility >= Eligibility::Ejected ? 1 : 0;
         overBound += eligibility == Eligibility::OverBound ? 1 : 0;
         if (eligibility == Eligibility::Unusable) {
