Measure an upstream's share of the load by the whole service, also under constraints

The load bound was taken over the permitted upstreams only, so that it grew with their own load.

Change: the bound follows the mean of the service; a request with a prompt for which all permitted upstreams are above it is refused at once as not run. Without evacuations or homes nothing changes.

--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Retry-After of a request for which all permitted upstreams have their share of the load: about
+/// the time that a request takes.
+constexpr Milliseconds shareRetryAfter{400};
 /// How long no permit is requested from a coordinator that did not respond; the time of a few
 /// updates, by which a failed one is replaced.
 constexpr Milliseconds silentCoordinatorBlock{300};
@@ -33,17 +36,19 @@
     const PlacementConstraints constraints = this->placementConstraints();
     std::span<UpstreamState *const> candidates = this->gateway.upstreams.ofService(this->service);
     std::vector<UpstreamState *> permitted;
+    SelectionPolicy policy = this->gateway.settings.choice;
+    const bool isConstrained = !isUnconstrained(constraints);
     this->hasNoPermittedPlace = false;
-    if (!isUnconstrained(constraints)) {
+    if (isConstrained) {
         permitted = permittedUpstreams(candidates, constraints);
         this->hasNoPermittedPlace = permitted.empty() && !candidates.empty();
+        policy.loadBoundFactor *= relativeMeanLoad(candidates, permitted);
         candidates = permitted;
     }
     const SelectionRequest choiceRequest{this->gateway.settings.dataCentre,
                                          hashOf(this->request->attemptId),
                                          this->request->prompt ? &*this->request->prompt : nullptr,
                                          this->prefixHashes, this->triedUpstreams};
-    SelectionPolicy policy = this->gateway.settings.choice;
     if (this->gateway.settings.mechanisms.estimates) {
         policy.performance = this->gateway.estimators[this->service].performance(this->now());
     }
@@ -53,7 +58,8 @@
         this->fail();
         return;
     }
-    if (!this->passAdmissionControl(*choice)) {
+    if (!this->passAdmissionControl(*choice)
+        || (isConstrained && !this->passLoadBound(*choice, *candidates[choice->index]))) {
         return;
     }
     Selection placement{*choice, candidates[choice->index]->replica.id, {}, {}};
@@ -164,6 +170,18 @@
     return false;
 }
 
+bool RequestHandler::passLoadBound(const UpstreamSelection &choice, const UpstreamState &upstream)
+{
+    const bool isWithinBound = runningAt(upstream) + 1.0 <= choice.loadBound;
+    if (isWithinBound || this->prefixHashes.empty() || this->possibleExecutions > 0
+        || this->responseStarted) {
+        return true;
+    }
+    this->refuse(ErrorKind::Overloaded, "the permitted upstreams have their share of the load",
+                 shareRetryAfter);
+    return false;
+}
+
 void RequestHandler::requestGrant(Selection placement)
 {
     const auto target = this->gateway.upstreams.find(placement.upstreamId);
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -75,6 +75,9 @@
     [[nodiscard]] std::optional<Milliseconds> shortestPermitWait() const;
     /// Refuses the request if the service is overloaded. \returns whether it was admitted.
     bool passAdmissionControl(const UpstreamSelection &choice);
+    /// Refuses the request if even the selected one of the permitted upstreams has its share of the
+    /// service's load. \returns whether it was admitted.
+    bool passLoadBound(const UpstreamSelection &choice, const UpstreamState &upstream);
     /// Asks the engine's coordinator whether the engine has room for the request.
     void requestGrant(Selection placement);
     void onCoordinatorReply(Selection placement,
--- a/include/plantainswitch/routing/placementconstraints.h
+++ b/include/plantainswitch/routing/placementconstraints.h
@@ -38,4 +38,10 @@
 permittedUpstreams(std::span<UpstreamState *const> upstreams,
                    const PlacementConstraints &constraints);
 
+/// \returns the mean of running requests over all \a upstreams of a service, relative to that over
+/// the \a permitted ones; at most 1. An upstream's share of the load is measured by the whole
+/// service, also for requests that may be sent to a part of it only.
+[[nodiscard]] double relativeMeanLoad(std::span<UpstreamState *const> upstreams,
+                                      std::span<UpstreamState *const> permitted);
+
 } // namespace plantainswitch
--- a/scripts/varydeployment.sh
+++ b/scripts/varydeployment.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Derives a variation of a deployment from its site file, with other engines, links or workspaces.
 # Usage: varydeployment.sh SITE-FILE VARIATION > NEW-FILE
-# Variations: slow, slow-b, small-memory, thin-links, small-plain, many-workspaces.
+# Variations: slow, slow-b, small-memory, thin-links, small-plain, many-workspaces, two-areas.
 set -euo pipefail
 site=${1:?a site file is needed}
 variation=${2:?a variation is needed}
@@ -53,6 +53,14 @@
     edits+=(-e '/^\[tenants\]/,/^$/s/^count = .*/count = 60/')
     engines 7 3 2
     ;;
+two-areas)
+    # Every second data centre moves to another area; one route of each kind of service has a home.
+    edits+=(-e '/^zones = \[/,/^\]/{n;s/region = "[^"]*"/region = "other"/}')
+    edits+=(-e 's/^cross_region_ms = .*/cross_region_ms = 4.0/')
+    home=$(sed -n '/^zones = \[/,/^\]/s/.*region = "\([^"]*\)".*/\1/p' "$site" | head -1)
+    edits+=(-e "0,/, kind = \"stream\"/s//, homes = [\"$home\"], kind = \"stream\"/")
+    edits+=(-e '0,/, kind = "safe"/s//, homes = ["other"], kind = "safe"/')
+    ;;
 *)
     echo "unknown variation: $variation" >&2
     exit 2
--- a/src/routing/placementconstraints.cpp
+++ b/src/routing/placementconstraints.cpp
@@ -7,6 +7,15 @@
 
 namespace {
 
+double meanLoadOf(std::span<UpstreamState *const> upstreams)
+{
+    double running = 0.0;
+    for (const UpstreamState *const upstream : upstreams) {
+        running += runningAt(*upstream);
+    }
+    return upstreams.empty() ? 0.0 : running / static_cast<double>(upstreams.size());
+}
+
 bool isHome(std::span<const std::string> homes, const std::string *area)
 {
     return homes.empty()
@@ -42,4 +51,11 @@
     return permitted;
 }
 
+double relativeMeanLoad(std::span<UpstreamState *const> upstreams,
+                        std::span<UpstreamState *const> permitted)
+{
+    const double permittedMean = meanLoadOf(permitted);
+    return permittedMean > 0.0 ? std::min(1.0, meanLoadOf(upstreams) / permittedMean) : 1.0;
+}
+
 } // namespace plantainswitch
--- a/tests/placementconstraints.cpp
+++ b/tests/placementconstraints.cpp
@@ -72,3 +72,22 @@
           == std::vector<std::string>{"hall-a"});
     CHECK(applyEvacuations(this->evacuations, {10, {"hall-b"}}).isEmpty());
 }
+
+TEST_CASE_METHOD(PlacementConstraintsFixture, "placement_loadOnHomesOnly_isMeasuredByTheService",
+                 "[routing]")
+{
+    // Load: one area is evacuated and half of the requests have their home in the rest of it.
+    // Guards against a bound by the mean of the permitted upstreams, which grows with their own
+    // load.
+    std::vector<UpstreamState> states(4);
+    std::vector<UpstreamState *> upstreams;
+    for (UpstreamState &state : states) {
+        upstreams.push_back(&state);
+    }
+    const std::vector<UpstreamState *> permitted{upstreams[0]};
+    CHECK(relativeMeanLoad(upstreams, permitted) == Approx(1.0));
+    states[0].ownRunning = 12;
+    states[1].peersRunning = 4;
+    CHECK(relativeMeanLoad(upstreams, permitted) == Approx(1.0 / 3.0));
+    CHECK(relativeMeanLoad(upstreams, {&upstreams[3], 1}) == Approx(1.0));
+}
