--- a/tests/placementconstraints.cpp
+++ b/tests/placementconstraints.cpp
@@ -81,6 +81,7 @@
     // load.
     std::vector<UpstreamState> states(4);
     std::vector<UpstreamState *> upstreams;
+    upstreams.reserve(states.size());
     for (UpstreamState &state : states) {
         upstreams.push_back(&state);
     }
