--- a/src/routing/permitcoordinator.cpp
+++ b/src/routing/permitcoordinator.cpp
@@ -22,7 +22,7 @@
     }
     const auto [found, isNew] = this->upstreams.try_emplace(request.upstream);
     Upstream &upstream = found->second;
-    // Without requests or a majority another router may have been the coordinator meanwhile.
+    // Without requests or a majority another router may have taken over in between.
     const bool wasInterrupted =
         isNew || !request.mayPermitCold || now - upstream.lastRequest >= permitWindow;
     if (wasInterrupted) {
--- a/tests/platformrequests.cpp
+++ b/tests/platformrequests.cpp
@@ -40,3 +40,13 @@
     const std::string head = this->dialect.serializeRequest(this->request, this->handover);
     CHECK(head.find("Kv-Fetch") == std::string::npos);
 }
+
+TEST_CASE_METHOD(PlatformRequestsFixture, "platformResponse_absurdColdTime_isLimited", "[platform]")
+{
+    // Guards against an overflow of the clock, and an upstream that is left out for years, after a
+    // garbled header field.
+    MessageHead head;
+    head.status = 200;
+    head.fields.push_back({"X-Cold-Time", "18446744073709551615"});
+    CHECK(this->dialect.parseResponse(head).coldFor == Milliseconds{platform::maxColdMilliseconds});
+}
