Send nothing to an upstream for the time of the back-off that it asked for

Cause: Retry-After of an upstream's rejection was not read. A rejection changes nothing about an upstream's health, and one that rejects has little running, so that selection even prefers it.

Notices are kept beside the list of upstreams (UpstreamNotices), so that an entry that lapses, moves or restarts under its id does not end them. Mean load and load bound stay those of the whole service; occupancy counts the upstreams left. When all back off, the caller is refused at once as not run, with Retry-After until the first end.

--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -83,7 +83,7 @@
 
 bool RequestHandler::isUsable(const std::shared_ptr<UpstreamState> &upstream) const
 {
-    return upstream && !upstream->replica.draining
+    return upstream && acceptsRequests(*upstream, this->now())
            && isPermitted(upstream->replica.dataCentre, this->placementConstraints());
 }
 
@@ -133,6 +133,14 @@
     return shortest;
 }
 
+std::optional<Milliseconds> RequestHandler::timeToFirstBackoffEnd() const
+{
+    return plantainswitch::timeToFirstBackoffEnd(
+        permittedUpstreams(this->gateway.upstreams.ofService(this->service),
+                           this->placementConstraints()),
+        this->now());
+}
+
 bool RequestHandler::passAdmissionControl(const UpstreamSelection &choice)
 {
     // A request that may have been executed cannot be refused as not executed.
@@ -378,6 +386,12 @@
                 if (const auto self = weak.lock()) {
                     self->onResponseEnd(outcome);
                 }
+            },
+            // What the upstream wants may have changed while the connection was established.
+            [weak] {
+                const auto self = weak.lock();
+                return self && self->upstream
+                       && self->isUsable(self->gateway.upstreams.find(self->upstream->replica.id));
             }};
 }
 
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -274,6 +274,8 @@
         this->refuse(ErrorKind::QueueExpired, "no upstream took it in time");
     } else if (this->hasNoPermittedPlace) {
         this->refuse(ErrorKind::NoPermittedPlace, "no permitted data centre", noPlaceRetryAfter);
+    } else if (const auto backoff = this->timeToFirstBackoffEnd()) {
+        this->refuse(ErrorKind::Overloaded, "all upstreams back off", backoff);
     } else if (this->rejections > 0) {
         this->refuse(ErrorKind::Overloaded, "upstreams turned it away", defaultRetryAfter);
     } else if (const auto wait = this->shortestPermitWait()) {
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -62,7 +62,7 @@
     void selectAndDispatch();
     /// \returns where the request may be processed.
     [[nodiscard]] PlacementConstraints placementConstraints() const;
-    /// \returns whether \a upstream is still there, takes new requests and is permitted.
+    /// \returns whether \a upstream is still there, accepts requests and is permitted.
     [[nodiscard]] bool isUsable(const std::shared_ptr<UpstreamState> &upstream) const;
     /// \returns whether a request to \a upstream needs a grant of its coordinator.
     [[nodiscard]] bool needsGrant(const UpstreamState &upstream) const;
@@ -73,6 +73,8 @@
     void recordPermitDenied(UpstreamState &upstream, Milliseconds wait);
     /// \returns the time until an upstream of the service may get a permit, if it has none now.
     [[nodiscard]] std::optional<Milliseconds> shortestPermitWait() const;
+    /// \returns the time until a permitted upstream accepts requests again, if all back off.
+    [[nodiscard]] std::optional<Milliseconds> timeToFirstBackoffEnd() const;
     /// Refuses the request if the service is overloaded. \returns whether it was admitted.
     bool passAdmissionControl(const UpstreamSelection &choice);
     /// Refuses the request if even the selected one of the permitted upstreams has its share of the
@@ -101,6 +103,8 @@
     void onResponseBody(std::string_view bytes);
     void onResponseEnd(ResponseOutcome end);
     void onConnectFailed();
+    /// Selects another upstream, because the one that was connected to no longer accepts requests.
+    void onWithheld();
     void onNotExecuted();
     void onCompleteResponse();
     void onCompleteStream();
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -60,6 +60,7 @@
                                           {"place", this->upstream->replica.dataCentre}});
     }
     if (head.backoff) {
+        this->gateway.upstreams.recordBackoff(this->upstream->replica, *head.backoff);
         logEvent(Event::UpstreamBackoff, {{"request", this->request->attemptId},
                                           {"upstream", this->upstream->replica.id},
                                           {"retry_after_ms", std::to_string(head.backoff->count())},
@@ -173,6 +174,10 @@
         this->onConnectFailed();
         return;
     }
+    if (outcome == ResponseOutcome::Withheld) {
+        this->onWithheld();
+        return;
+    }
     if (outcome != ResponseOutcome::Complete) {
         this->onFault(outcome == ResponseOutcome::Malformed ? UpstreamFault::InvalidResponse
                                                             : UpstreamFault::ConnectionLost);
@@ -202,6 +207,16 @@
     this->selectAndDispatch();
 }
 
+void RequestHandler::onWithheld()
+{
+    this->gateway.upstreams.release(*this->upstream, this->connection);
+    this->connection.reset();
+    this->releaseUpstream();
+    // Nothing was sent, so that this does not count as a retry.
+    this->logRetry("withheld");
+    this->selectAndDispatch();
+}
+
 void RequestHandler::onNotExecuted()
 {
     // "Misdirected" means that the address belongs to another upstream now; the store will report
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -40,6 +40,7 @@
     std::size_t avoided = 0;
     std::size_t leaving = 0;
     std::size_t cold = 0;
+    std::size_t backingOff = 0;
     double running = 0.0;
 };
 
@@ -50,9 +51,10 @@
     for (const auto &[id, upstream] : state.upstreams.all()) {
         ServiceConditions &service = services[upstream->replica.service];
         const bool isEjectedNow = isEjected(upstream->health, now);
-        service.leaving += upstream->replica.draining ? 1 : 0;
-        service.avoided += !upstream->replica.draining && isEjectedNow ? 1 : 0;
-        service.usable += !upstream->replica.draining && !isEjectedNow ? 1 : 0;
+        service.leaving += isDraining(*upstream) ? 1 : 0;
+        service.backingOff += isBackingOff(*upstream, now) ? 1 : 0;
+        service.avoided += !isDraining(*upstream) && isEjectedNow ? 1 : 0;
+        service.usable += acceptsRequests(*upstream, now) && !isEjectedNow ? 1 : 0;
         service.cold += upstream->cold.remaining(now).count() > 0 ? 1 : 0;
         service.running += runningAt(*upstream);
     }
@@ -145,6 +147,8 @@
         appendSample(page, "upstreams", labels("avoided"), static_cast<double>(service.avoided));
         appendSample(page, "upstreams", labels("leaving"), static_cast<double>(service.leaving));
         appendSample(page, "upstreams", labels("cold"), static_cast<double>(service.cold));
+        appendSample(page, "upstreams", labels("backing-off"),
+                     static_cast<double>(service.backingOff));
     }
     appendType(page, "running");
     for (const auto &[name, service] : services) {
--- a/gateway/upstreamconnection.cpp
+++ b/gateway/upstreamconnection.cpp
@@ -42,6 +42,10 @@
                 self->finish(ResponseOutcome::ConnectFailed);
                 return;
             }
+            if (self->handlers->maySend && !self->handlers->maySend()) {
+                self->finish(ResponseOutcome::Withheld);
+                return;
+            }
             self->writeRequest(request, isHead);
         });
 }
@@ -166,9 +170,10 @@
     this->idleStart = this->clock.now();
     const auto currentHandlers = std::move(this->handlers);
     this->handlers.reset();
-    const bool reusable = outcome == ResponseOutcome::Complete && this->keepAlive
-                          && !this->parser.hasBufferedBytes() && this->stream
-                          && this->stream->queuedBytes() == 0;
+    const bool isUsedUp =
+        outcome != ResponseOutcome::Complete && outcome != ResponseOutcome::Withheld;
+    const bool reusable = !isUsedUp && this->keepAlive && !this->parser.hasBufferedBytes()
+                          && this->stream && this->stream->queuedBytes() == 0;
     if (!reusable) {
         this->keepAlive = false;
         if (this->stream) {
--- a/gateway/upstreamconnection.h
+++ b/gateway/upstreamconnection.h
@@ -28,6 +28,8 @@
     ConnectionLost,
     /// The bytes received are not a valid response.
     Malformed,
+    /// The connection was established, but the request was no longer wanted; nothing was sent.
+    Withheld,
 };
 
 /// Callbacks for the response to one request, called in order. onEnd is called last and once,
@@ -39,6 +41,9 @@
     std::function<bool(MessageHead)> onHead;
     std::function<void(std::string_view)> onBody;
     std::function<void(ResponseOutcome)> onEnd;
+    /// Called once a new connection is established, before the request is sent on it. If it returns
+    /// false, the request is withheld. May be empty.
+    std::function<bool()> maySend = {};
 };
 
 /// One connection to an upstream or to the store. It carries one request at a time and never
--- a/gateway/upstreamregistry.cpp
+++ b/gateway/upstreamregistry.cpp
@@ -25,13 +25,12 @@
         case ReplicaChange::Moved:
             // A new incarnation has an empty cache and no faults. Requests of the old one keep its
             // state.
-            this->byId[id] = std::make_shared<UpstreamState>();
-            this->byId[id]->replica = event.replica;
+            this->byId[id] = this->makeState(event.replica);
             break;
         case ReplicaChange::Draining: {
             auto &state = this->byId[id];
             if (!state) {
-                state = std::make_shared<UpstreamState>();
+                state = this->makeState(event.replica);
             }
             state->replica = event.replica;
             break;
@@ -46,6 +45,35 @@
     this->rebuildIndexes();
 }
 
+std::shared_ptr<UpstreamState> UpstreamRegistry::makeState(const Replica &replica) const
+{
+    auto state = std::make_shared<UpstreamState>();
+    state->replica = replica;
+    state->announcedDraining = this->notices.isDraining(replica);
+    state->backoffUntil = this->notices.backoffEnd(replica);
+    return state;
+}
+
+bool UpstreamRegistry::recordDraining(const Replica &replica)
+{
+    if (!this->notices.recordDraining(replica)) {
+        return false;
+    }
+    const auto state = this->find(replica.id);
+    if (state && incarnationOf(state->replica) == incarnationOf(replica)) {
+        state->announcedDraining = true;
+    }
+    return true;
+}
+
+void UpstreamRegistry::recordBackoff(const Replica &replica, Milliseconds backoff)
+{
+    const TimePoint end = this->notices.recordBackoff(replica, backoff, this->clock.now());
+    if (const auto state = this->find(replica.id)) {
+        state->backoffUntil = end;
+    }
+}
+
 void UpstreamRegistry::rebuildIndexes()
 {
     this->byService.clear();
@@ -69,7 +97,7 @@
 {
     std::vector<UpstreamState *> found;
     for (const auto &[id, state] : this->byId) {
-        if (state->replica.dataCentre == dataCentre && !state->replica.draining) {
+        if (state->replica.dataCentre == dataCentre && !isDraining(*state)) {
             found.push_back(state.get());
         }
     }
--- a/gateway/upstreamregistry.h
+++ b/gateway/upstreamregistry.h
@@ -9,6 +9,7 @@
 #include "plantainswitch/routing/peerloads.h"
 #include "plantainswitch/routing/replica.h"
 #include "plantainswitch/routing/selection.h"
+#include "plantainswitch/routing/upstreamnotices.h"
 
 #include "upstreamconnection.h"
 
@@ -34,7 +35,8 @@
         , clock(clock)
     {}
 
-    /// Applies changes to the list of upstreams.
+    /// Applies changes to the list of upstreams. What an upstream has asked for in its responses
+    /// stays in force.
     void apply(const std::vector<ReplicaEvent> &events);
     /// \returns the state of all upstreams of \a service.
     [[nodiscard]] std::span<UpstreamState *const> ofService(const std::string &service) const;
@@ -53,6 +55,11 @@
         return this->byId;
     }
 
+    /// Records that an upstream has announced that it is draining. \returns whether that is new.
+    bool recordDraining(const Replica &replica);
+    /// Records that an upstream wants no requests from this router for \a backoff.
+    void recordBackoff(const Replica &replica, Milliseconds backoff);
+
     /// \returns an idle connection to the upstream, or nullptr.
     std::shared_ptr<UpstreamConnection> acquireIdle(const UpstreamState &state, bool mayRepeat);
     /// Takes back a connection, and keeps it if it is reusable.
@@ -63,10 +70,13 @@
     PrefixIndex prefixIndex;
 
 private:
+    /// \returns a new state of an upstream, with its notices.
+    [[nodiscard]] std::shared_ptr<UpstreamState> makeState(const Replica &replica) const;
     void rebuildIndexes();
 
     asio::io_context &context;
     const Clock &clock;
+    UpstreamNotices notices;
     std::map<std::string, std::shared_ptr<UpstreamState>> byId;
     std::unordered_map<std::string, std::vector<UpstreamState *>> byService;
     std::unordered_map<std::uint64_t, UpstreamState *> byIncarnation;
--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -28,6 +28,7 @@
 class RoutingTable;
 class SseParser;
 class SuspectTable;
+class UpstreamNotices;
 class UpstreamTable;
 
 template<typename Key, typename Value>
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -62,6 +62,7 @@
 #include "plantainswitch/routing/serviceestimator.h"
 #include "plantainswitch/routing/serviceperformance.h"
 #include "plantainswitch/routing/updatelog.h"
+#include "plantainswitch/routing/upstreamnotices.h"
 #include "plantainswitch/routing/upstreamstate.h"
 #include "plantainswitch/upstreams/retrybudget.h"
 #include "plantainswitch/upstreams/sse.h"
--- a/include/plantainswitch/routing/selection.h
+++ b/include/plantainswitch/routing/selection.h
@@ -104,15 +104,15 @@
     bool isFirstPrefill = false;
     /// Cost of the home, if another engine was selected.
     double homeCost = 0.0;
-    /// Running requests on the service's usable upstreams, as a share of their total concurrency; 0
-    /// if no upstream states its concurrency.
+    /// Running requests on the service's usable upstreams that do not back off, as a share of their
+    /// total concurrency; 0 if none states its concurrency.
     double occupancy = 0.0;
 };
 
 /// \returns the upstream with the lowest cost, or nothing if none can be used. Upstreams that are
-/// draining, were already tried or had two failed connection attempts in a row are never used;
-/// those above the load bound, ejected or with one failed connection attempt only if nothing else
-/// is left.
+/// draining or back off, were already tried or had two failed connection attempts in a row are
+/// never used; those above the load bound, ejected or with one failed connection attempt only if
+/// nothing else is left.
 [[nodiscard]] std::optional<UpstreamSelection>
 selectUpstream(std::span<UpstreamState *const> candidates, const SelectionRequest &request,
                const PrefixIndex &memory, const SelectionPolicy &policy, TimePoint now);
--- a/include/plantainswitch/routing/upstreamstate.h
+++ b/include/plantainswitch/routing/upstreamstate.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <span>
 
 #include "plantainswitch/base/clock.h"
 #include "plantainswitch/routing/coldstart.h"
@@ -30,8 +32,28 @@
     TimePoint permitBlockedUntil;
     /// Requests of this router sent without a permit, because the coordinator did not respond.
     PermitWindow unpermitted;
+    /// It has announced in a response that it is draining.
+    bool announcedDraining = false;
+    /// Until when it wants no requests from this router.
+    TimePoint backoffUntil;
 };
 
+/// \returns whether the upstream takes no new requests any more, by the list or by its own
+/// announcement.
+[[nodiscard]] bool isDraining(const UpstreamState &state) noexcept;
+
+/// \returns whether the upstream wants no requests from this router for some time.
+[[nodiscard]] bool isBackingOff(const UpstreamState &state, TimePoint now) noexcept;
+
+/// \returns whether the upstream is willing to take requests of this router: it is neither draining
+/// nor backing off. Every request that is sent to an upstream requires this.
+[[nodiscard]] bool acceptsRequests(const UpstreamState &state, TimePoint now) noexcept;
+
+/// \returns the time until the first of \a upstreams accepts requests again, if all that are not
+/// draining back off; nothing otherwise.
+[[nodiscard]] std::optional<Milliseconds>
+timeToFirstBackoffEnd(std::span<UpstreamState *const> upstreams, TimePoint now);
+
 /// \returns the number of requests of all routers on \a state's upstream.
 [[nodiscard]] std::uint32_t runningAt(const UpstreamState &state) noexcept;
 
--- a/src/routing/preferencelist.cpp
+++ b/src/routing/preferencelist.cpp
@@ -11,7 +11,7 @@
 
 bool isEligible(const UpstreamState &state, bool ejectionInForce, TimePoint now) noexcept
 {
-    return !state.replica.draining && connectFailureCount(state.health, now) == 0
+    return acceptsRequests(state, now) && connectFailureCount(state.health, now) == 0
            && !(ejectionInForce && isEjected(state.health, now));
 }
 
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -77,24 +77,30 @@
                                       const SelectionPolicy &policy, TimePoint now)
 {
     double running = 0.0;
+    double runningOnAvailable = 0.0;
     double failureShares = 0.0;
     double slots = 0.0;
     std::size_t usable = 0;
     std::size_t ejected = 0;
     for (const UpstreamState *state : candidates) {
-        if (state->replica.draining || connectFailureCount(state->health, now) > 0) {
+        if (isDraining(*state) || connectFailureCount(state->health, now) > 0) {
             continue;
         }
+        // An upstream that backs off still counts for the mean load: a bound over the others alone
+        // would let them run more than their multiple of the whole service's mean.
         ++usable;
         running += runningAt(*state);
-        slots += state->replica.maxConcurrency;
+        if (!isBackingOff(*state, now)) {
+            runningOnAvailable += runningAt(*state);
+            slots += state->replica.maxConcurrency;
+        }
         failureShares += failureRateOf(state->health, now);
         ejected += isEjected(state->health, now) ? 1 : 0;
     }
     const auto count = static_cast<double>(std::max<std::size_t>(usable, 1));
     return {policy.loadBoundFactor * running / count + policy.loadBoundExtra,
             static_cast<double>(ejected) <= policy.maxEjectedShare * count, failureShares / count,
-            slots > 0.0 ? running / slots : 0.0};
+            slots > 0.0 ? runningOnAvailable / slots : 0.0};
 }
 
 double preferenceDelay(std::size_t rank, const SelectionPolicy &policy)
@@ -137,12 +143,12 @@
     std::optional<std::size_t> second;
 };
 
-/// Excludes engines that are down: a transfer from one would block the request until its timeout. A
-/// draining engine is as good as any while it runs, and its cache will soon be lost.
+/// Excludes engines that are down or back off: a transfer from one would block the request until
+/// its timeout. A draining engine is as good as any while it runs, and its cache will soon be lost.
 bool canTransferFrom(const UpstreamState &state, const SelectionRequest &request, TimePoint now)
 {
     return !isEjected(state.health, now) && connectFailureCount(state.health, now) == 0
-           && !wasTried(state.replica, request);
+           && !isBackingOff(state, now) && !wasTried(state.replica, request);
 }
 
 /// \returns the engines with the most cached tokens of the prompt; among equals, those that come
@@ -247,7 +253,7 @@
     if (isBlocked && state.cold.remaining(now).count() > 0) {
         return Eligibility::Unusable;
     }
-    if (state.replica.draining || wasTried(state.replica, request)) {
+    if (!acceptsRequests(state, now) || wasTried(state.replica, request)) {
         return Eligibility::Unusable;
     }
     const std::uint32_t unreachable = connectFailureCount(state.health, now);
@@ -327,11 +333,6 @@
 
 } // namespace
 
-std::uint32_t runningAt(const UpstreamState &state) noexcept
-{
-    return state.ownRunning + state.peersRunning;
-}
-
 double breakEvenTransferTokens(const ServicePerformance &figures) noexcept
 {
     const double savedPerToken = 1.0 / figures.prefillRate - 1.0 / figures.transferRate;
@@ -339,11 +340,6 @@
                                : std::numeric_limits<double>::infinity();
 }
 
-std::uint64_t incarnationOf(const Replica &replica) noexcept
-{
-    return mixHash(hashOf(replica.id), replica.startTime);
-}
-
 std::optional<UpstreamSelection> selectUpstream(std::span<UpstreamState *const> candidates,
                                                 const SelectionRequest &request,
                                                 const PrefixIndex &memory,
