Send nothing new to an upstream that has announced that it leaves

An upstream that leaves says so in all its responses, also those that never report it to the store.

Cause: the announcement was not read; only the store's list could mark an upstream as draining.

--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -54,7 +54,7 @@
 
 void RequestHandler::recordNotice(const UpstreamResponse &head)
 {
-    if (head.isDraining) {
+    if (head.isDraining && this->gateway.upstreams.recordDraining(this->upstream->replica)) {
         logEvent(Event::UpstreamLeaving, {{"request", this->request->attemptId},
                                           {"upstream", this->upstream->replica.id},
                                           {"place", this->upstream->replica.dataCentre}});
