Let the soak's upstreams ask for back-offs and announce that they leave, and check both

Two new faults: an upstream rejects a share of its requests, or all, with Retry-After; an upstream announces that it leaves in its responses and is removed from the store without notice. The checks count, from what upstreams saw, the requests of each incarnation of a router during a back-off and after an announcement that it passed on; restarts and pauses of the router, links that lose bytes and pauses of the soak itself excuse them.

--- a/tests/soak/history.cpp
+++ b/tests/soak/history.cpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include "notices.h"
 #include "plantainswitch/base/hash.h"
 
 namespace plantainswitch::soak {
@@ -19,22 +20,6 @@
 using Violations = std::vector<Violation>;
 using RunsByAttempt = std::map<std::string, std::vector<const RunRecord *>>;
 
-/// \returns whether a fault overlaps the interval, or ended at most \a recovery before it.
-bool overlapsFault(const std::vector<FaultInterval> &faults, SoakTime from, SoakTime to,
-                   Milliseconds recovery)
-{
-    return std::any_of(faults.begin(), faults.end(), [&](const FaultInterval &fault) {
-        return fault.from <= to && from <= fault.to + recovery;
-    });
-}
-
-bool overlapsRouterFault(const SoakHistory &history, std::size_t router, SoakTime from, SoakTime to,
-                         Milliseconds recovery)
-{
-    const auto found = history.routerFaults.find(router);
-    return found != history.routerFaults.end() && overlapsFault(found->second, from, to, recovery);
-}
-
 RunsByAttempt runsOf(const SoakHistory &history)
 {
     RunsByAttempt runs;
@@ -373,6 +358,21 @@
 
 } // namespace
 
+bool overlapsFault(const std::vector<FaultInterval> &faults, SoakTime from, SoakTime to,
+                   Milliseconds recovery)
+{
+    return std::any_of(faults.begin(), faults.end(), [&](const FaultInterval &fault) {
+        return fault.from <= to && from <= fault.to + recovery;
+    });
+}
+
+bool overlapsRouterFault(const SoakHistory &history, std::size_t router, SoakTime from, SoakTime to,
+                         Milliseconds recovery)
+{
+    const auto found = history.routerFaults.find(router);
+    return found != history.routerFaults.end() && overlapsFault(found->second, from, to, recovery);
+}
+
 std::string responseBodyFor(std::string_view attempt)
 {
     return fmt::format("answer to {} {:x}", attempt, hashOf(attempt));
@@ -405,6 +405,7 @@
     checkAbandoned(history, runs, bounds, violations);
     checkQuarantine(history, runs, bounds, violations);
     checkRecovery(history, bounds, violations);
+    checkNotices(history, bounds, violations);
     for (const std::string &exit : history.unexpectedExits) {
         violations.push_back({"own-end", exit});
     }
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -63,6 +63,17 @@
     bool isRejected = false;
 };
 
+/// A response in which an upstream asked something of the router that received it.
+struct NoticeRecord
+{
+    std::string upstream;
+    /// The call that the response belongs to.
+    std::string attemptId;
+    SoakTime at{0};
+    /// For how long the upstream wants no requests; 0 if it announces that it is draining.
+    Milliseconds backoff{0};
+};
+
 /// Time in which a fault was injected.
 struct FaultInterval
 {
@@ -82,6 +93,7 @@
 {
     std::vector<CallRecord> calls;
     std::vector<RunRecord> runs;
+    std::vector<NoticeRecord> notices;
     std::vector<VersionRecord> versions;
     /// Revoked API keys and the configuration version that revoked each.
     std::map<std::string, std::uint64_t> revokedKeys;
@@ -92,6 +104,10 @@
     /// Faults of the store itself, and of any upstream or its links.
     std::vector<FaultInterval> storeFaults;
     std::vector<FaultInterval> upstreamFaults;
+    /// Times in which responses of an upstream may have been lost on their way, by upstream.
+    std::map<std::string, std::vector<FaultInterval>> lossyLinks;
+    /// Times in which the soak itself did not run, so that it responded and recorded late.
+    std::vector<FaultInterval> ownPauses;
     /// When each router was asked to stop gracefully.
     std::map<std::size_t, std::vector<SoakTime>> plannedStops;
     /// Router processes that ended without having been stopped, in words.
@@ -124,6 +140,13 @@
     double retryRatio = 0.2;
     double retryMargin = 60.0;
     Milliseconds retryWindow{10'000};
+    /// From a response that announced draining to the last call for which its router may send the
+    /// upstream a new request.
+    Milliseconds announcedDrain{2000};
+    /// From a response that asked for a back-off to the time from which on it is in force, and the
+    /// most requests of one router to the upstream from then on.
+    Milliseconds backoffDelay{500};
+    std::size_t maxBackoffRequests = 2;
     /// Most runs of one call, retries included.
     std::size_t maxRuns = 3;
     /// Most upstreams that one poison request may crash when it is sent repeatedly: those needed
@@ -143,6 +166,13 @@
 /// \returns how many events that response has.
 [[nodiscard]] std::size_t streamEventCount(std::string_view attempt);
 
+/// \returns whether a fault overlaps the interval, or ended at most \a recovery before it.
+[[nodiscard]] bool overlapsFault(const std::vector<FaultInterval> &faults, SoakTime from,
+                                 SoakTime to, Milliseconds recovery);
+/// \returns the same for the faults of one router.
+[[nodiscard]] bool overlapsRouterFault(const SoakHistory &history, std::size_t router,
+                                       SoakTime from, SoakTime to, Milliseconds recovery);
+
 /// \returns all violations of the proxy's guarantees that \a history shows.
 [[nodiscard]] std::vector<Violation> checkHistory(const SoakHistory &history,
                                                   const SoakBounds &bounds);
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -13,14 +13,15 @@
 namespace {
 
 constexpr std::array<std::string_view, faultKindCount> faultNames{
-    "router-kill",         "router-pause",   "router-stop",      "router-reload",
-    "all-routers-kill",    "rolling-stop",   "upstream-crash",   "upstream-dark",
-    "upstream-slow",       "upstream-fails", "upstream-rejects", "upstream-loses-answers",
-    "upstream-breaks-off", "upstream-adds",  "upstream-leaves",  "link-delay",
-    "link-reset",          "link-silent",    "link-one-way",     "store-link-silent",
-    "store-link-reset",    "store-silent",   "store-busy",       "store-resets",
-    "store-slow",          "store-loses",    "store-drops",      "store-lapses",
-    "new-route",           "revoked-key",    "crashing-call"};
+    "router-kill",         "router-pause",      "router-stop",        "router-reload",
+    "all-routers-kill",    "rolling-stop",      "upstream-crash",     "upstream-dark",
+    "upstream-slow",       "upstream-fails",    "upstream-rejects",   "upstream-loses-answers",
+    "upstream-breaks-off", "upstream-adds",     "upstream-backs-off", "upstream-announces-leaving",
+    "upstream-leaves",     "link-delay",        "link-reset",         "link-silent",
+    "link-one-way",        "store-link-silent", "store-link-reset",   "store-silent",
+    "store-busy",          "store-resets",      "store-slow",         "store-loses",
+    "store-drops",         "store-lapses",      "new-route",          "revoked-key",
+    "crashing-call"};
 
 constexpr std::int64_t minDuration = 200;
 constexpr std::int64_t maxDuration = 3500;
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -39,6 +39,8 @@
     UpstreamLosesResponses,
     UpstreamTruncatesResponses,
     UpstreamSendsExtraResponses,
+    UpstreamBacksOff,
+    UpstreamAnnouncesDraining,
     UpstreamDrains,
     LinkDelay,
     LinkReset,
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <utility>
 
 #include <fmt/format.h>
 #include <unistd.h>
@@ -37,6 +38,8 @@
 constexpr std::int64_t graceSeconds = 6;
 /// How long a draining upstream still serves.
 constexpr Milliseconds drainDuration{9000};
+/// How long an upstream that drains without reporting it to the store is still listed as ready.
+constexpr Milliseconds unreportedDrainDelay{4000};
 /// How long an upstream that a request has crashed stays down.
 constexpr Milliseconds crashDowntime{1500};
 constexpr std::size_t poisonCallCount = 20;
@@ -282,6 +285,11 @@
 
 void Soak::superviseRouters()
 {
+    constexpr Milliseconds tolerance{100};
+    const SoakTime previous = std::exchange(this->supervisedAt, this->now());
+    if (this->supervisedAt - previous > superviseInterval + tolerance) {
+        this->history.ownPauses.push_back({previous, this->supervisedAt});
+    }
     for (std::size_t number = 0; number < this->routers.size(); ++number) {
         Router &router = this->routers[number];
         const auto end = router.process->reap();
@@ -306,8 +314,9 @@
 void Soak::injectUpstreamFault(const FaultStep &step, std::size_t index)
 {
     SoakUpstream &upstream = *this->upstreams[index].upstream;
-    if (step.kind == FaultKind::UpstreamDrains) {
-        this->drainUpstream(index);
+    if (step.kind == FaultKind::UpstreamDrains
+        || step.kind == FaultKind::UpstreamAnnouncesDraining) {
+        this->drainUpstream(index, step.kind == FaultKind::UpstreamDrains);
         return;
     }
     this->history.upstreamFaults.push_back({this->now(), this->now() + step.duration});
@@ -321,6 +330,8 @@
         step.kind == FaultKind::UpstreamSlow ? 1.0 + 15.0 * step.intensity : 1.0;
     faults.errorShare = step.kind == FaultKind::UpstreamFails ? step.intensity : 0.0;
     faults.rejectShare = step.kind == FaultKind::UpstreamRejects ? step.intensity : 0.0;
+    // Above an intensity of a half the upstream rejects everything.
+    faults.backoffShare = step.kind == FaultKind::UpstreamBacksOff ? 2.0 * step.intensity : 0.0;
     faults.lostResponseShare =
         step.kind == FaultKind::UpstreamLosesResponses ? step.intensity : 0.0;
     faults.truncatedResponseShare =
@@ -333,6 +344,7 @@
 
 void Soak::crashUpstream(std::size_t index, Milliseconds downtime)
 {
+    this->recordLossyLink(index, Milliseconds{0});
     this->upstreams[index].upstream->crash();
     this->upstreams[index].link->stopListening();
     this->runAfter(downtime, [this, index] {
@@ -341,7 +353,13 @@
     });
 }
 
-void Soak::drainUpstream(std::size_t index)
+void Soak::recordLossyLink(std::size_t index, Milliseconds duration)
+{
+    this->history.lossyLinks[this->upstreams[index].upstream->name()].push_back(
+        {this->now(), this->now() + duration});
+}
+
+void Soak::drainUpstream(std::size_t index, bool isReported)
 {
     if (this->upstreams.size() >= maxUpstreams) {
         return;
@@ -349,10 +367,19 @@
     // The replacement is registered before the old upstream drains.
     this->addUpstream();
     std::erase(this->activeUpstreams, index);
-    this->registerUpstream(index, true);
-    this->history.drainingSince[this->upstreams[index].upstream->name()] = this->now();
+    this->upstreams[index].upstream->announceDraining();
+    if (isReported) {
+        this->registerUpstream(index, true);
+        this->history.drainingSince[this->upstreams[index].upstream->name()] = this->now();
+    } else {
+        this->runAfter(unreportedDrainDelay, [this, index] {
+            this->store->remove("servers", this->upstreams[index].upstream->name());
+            this->history.drainingSince[this->upstreams[index].upstream->name()] = this->now();
+        });
+    }
     this->runAfter(drainDuration, [this, index] {
         this->store->remove("servers", this->upstreams[index].upstream->name());
+        this->recordLossyLink(index, Milliseconds{0});
         this->upstreams[index].upstream->crash();
         this->upstreams[index].link->stopListening();
     });
@@ -362,6 +389,7 @@
 {
     FaultyLink &link = *this->upstreams[index].link;
     this->history.upstreamFaults.push_back({this->now(), this->now() + step.duration});
+    this->recordLossyLink(index, step.duration);
     switch (step.kind) {
     case FaultKind::LinkDelay:
         link.setDelay(Milliseconds{static_cast<std::int64_t>(300 * step.intensity)});
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -70,7 +70,12 @@
     /// Ends an upstream as a crash does: its address refuses connections for \a downtime.
     void crashUpstream(std::size_t index, Milliseconds downtime);
     /// Registers a replacement, marks the upstream as draining and later removes it.
-    void drainUpstream(std::size_t index);
+    /// Lets the upstream announce that it drains, and leave some time later.
+    /// \param isReported whether its entry in the store says so at once; otherwise the entry is
+    /// removed later without notice
+    void drainUpstream(std::size_t index, bool isReported);
+    /// Records that responses of an upstream may be lost on their way from now on.
+    void recordLossyLink(std::size_t index, Milliseconds duration);
     void superviseRouters();
     void runAfter(Milliseconds delay, std::function<void()> handler);
     void recordRouterFault(std::size_t number, SoakTime from, SoakTime to);
@@ -84,6 +89,8 @@
     asio::io_context context;
     SystemClock clock;
     TimePoint startTime;
+    /// When superviseRouters() last ran.
+    SoakTime supervisedAt{0};
     SoakHistory history;
     CallerEnvironment environment;
     std::uint64_t version = 1;
--- a/tests/soak/upstream.cpp
+++ b/tests/soak/upstream.cpp
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include <fmt/format.h>
+
 namespace plantainswitch::soak {
 
 namespace {
@@ -13,6 +15,8 @@
 /// Execution time of a non-streaming request, and the time between two events of a stream.
 constexpr Milliseconds minWorkTime{4};
 constexpr Milliseconds maxWorkTime{30};
+constexpr Milliseconds minBackoff{700};
+constexpr Milliseconds maxBackoff{3500};
 
 std::string headerValue(const gateway::MessageHead &head, std::string_view name)
 {
@@ -28,11 +32,6 @@
     return number;
 }
 
-std::vector<gateway::HeaderField> responseHeaders(const std::string &attemptId)
-{
-    return {{"X-Attempt-Id", attemptId}, {"X-Server-Stamp", "stamp"}};
-}
-
 } // namespace
 
 SoakUpstream::SoakUpstream(asio::io_context &context, const Clock &clock, std::string id,
@@ -125,14 +124,40 @@
 {
     const std::string attemptId = headerValue(request.head, "X-Attempt-Id");
     const bool isMisdirected = headerValue(request.head, "X-Expect-Instance") != this->id;
-    const bool isRejected = !isMisdirected && this->drawChance(this->faults.rejectShare);
-    if (isMisdirected || isRejected) {
-        this->history.runs.push_back({attemptId, this->id, this->now(), this->now(), true});
-        connection->respond(isMisdirected ? statusMisdirected : statusUnavailable,
-                            {{"X-Attempt-Id", attemptId}, {"X-Not-Executed", "1"}}, {}, false);
-        return;
+    if (isMisdirected) {
+        this->reject(connection, attemptId, statusMisdirected, Milliseconds{0});
+    } else if (this->drawChance(this->faults.rejectShare)) {
+        this->reject(connection, attemptId, statusUnavailable, Milliseconds{0});
+    } else if (this->faults.backoffShare > 0.0 && this->drawChance(this->faults.backoffShare)) {
+        std::uniform_int_distribution<std::int64_t> span(minBackoff.count(), maxBackoff.count());
+        this->reject(connection, attemptId, statusUnavailable, Milliseconds{span(this->random)});
+    } else {
+        this->startRun(connection, request, attemptId);
+    }
+}
+
+void SoakUpstream::reject(const std::shared_ptr<Connection> &connection,
+                          const std::string &attemptId, int status, Milliseconds backoff)
+{
+    this->history.runs.push_back({attemptId, this->id, this->now(), this->now(), true});
+    std::vector<gateway::HeaderField> fields{{"X-Attempt-Id", attemptId}, {"X-Not-Executed", "1"}};
+    if (backoff.count() > 0) {
+        const double seconds = std::chrono::duration<double>(backoff).count();
+        fields.push_back({"Retry-After", fmt::format("{:.3f}", seconds)});
+        this->history.notices.push_back({this->id, attemptId, this->now(), backoff});
+    }
+    connection->respond(status, fields, {}, false);
+}
+
+std::vector<gateway::HeaderField> SoakUpstream::responseHeaders(const std::string &attemptId)
+{
+    std::vector<gateway::HeaderField> fields{{"X-Attempt-Id", attemptId},
+                                             {"X-Server-Stamp", "stamp"}};
+    if (this->isDraining) {
+        fields.push_back({"Server-Leaving", "1"});
+        this->history.notices.push_back({this->id, attemptId, this->now(), Milliseconds{0}});
     }
-    this->startRun(connection, request, attemptId);
+    return fields;
 }
 
 void SoakUpstream::startRun(const std::shared_ptr<Connection> &connection,
@@ -190,16 +215,17 @@
     this->endRun(connection);
     const std::string body = responseBodyFor(run.attemptId);
     if (run.truncatesResponse) {
-        run.connection->startChunked(statusOk, responseHeaders(run.attemptId), false);
+        run.connection->startChunked(statusOk, this->responseHeaders(run.attemptId), false);
         run.connection->writeChunk(std::string_view(body).substr(0, body.size() / 2));
         this->truncateResponse(run.connection);
         return;
     }
-    run.connection->respond(run.fails ? statusFailed : statusOk, responseHeaders(run.attemptId),
+    run.connection->respond(run.fails ? statusFailed : statusOk,
+                            this->responseHeaders(run.attemptId),
                             run.fails ? std::string_view("failed") : std::string_view(body), false);
     if (run.sendsExtraResponse) {
-        run.connection->respond(statusOk, responseHeaders("nobody"), responseBodyFor("nobody"),
-                                false);
+        run.connection->respond(statusOk, this->responseHeaders("nobody"),
+                                responseBodyFor("nobody"), false);
     }
 }
 
@@ -210,7 +236,7 @@
     const std::size_t last = streamEventCount(run.attemptId);
     if (!run.headersSent) {
         run.headersSent = true;
-        auto fields = responseHeaders(run.attemptId);
+        auto fields = this->responseHeaders(run.attemptId);
         fields.push_back({"Content-Type", "text/event-stream"});
         connectionPointer->startChunked(statusOk, fields, false);
     }
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -24,6 +24,8 @@
     double errorShare = 0.0;
     /// Rejected with status 503 and the "not executed" marker.
     double rejectShare = 0.0;
+    /// Rejected in the same way, with a request for a back-off.
+    double backoffShare = 0.0;
     /// Executed, then the connection is reset without a response.
     double lostResponseShare = 0.0;
     /// The connection is reset in the middle of the response.
@@ -47,6 +49,8 @@
     void setFaults(const UpstreamFaults &newFaults) { this->faults = newFaults; }
     /// Sets the handler that is called when a poison request arrives; it has to call crash().
     void onCrash(std::function<void()> newHandler) { this->crashHandler = std::move(newHandler); }
+    /// From now on all responses announce that the upstream is draining.
+    void announceDraining() { this->isDraining = true; }
     /// Resets all connections and refuses new ones.
     void crash();
     /// Serves again after a crash.
@@ -78,6 +82,11 @@
                    const gateway::IncomingRequest &request);
     void startRun(const std::shared_ptr<Connection> &connection,
                   const gateway::IncomingRequest &request, const std::string &attemptId);
+    /// Rejects a request as not executed.
+    void reject(const std::shared_ptr<Connection> &connection, const std::string &attemptId,
+                int status, Milliseconds backoff);
+    /// \returns the header fields of a response, and records what it announces.
+    std::vector<gateway::HeaderField> responseHeaders(const std::string &attemptId);
     void scheduleStep(std::uint64_t connection);
     void sendResponse(std::uint64_t connection);
     void sendNextEvent(std::uint64_t connection);
@@ -98,6 +107,7 @@
     std::optional<asio::ip::tcp::acceptor> acceptor;
     gateway::CallerHandlers events;
     UpstreamFaults faults;
+    bool isDraining = false;
     std::function<void()> crashHandler;
     std::map<std::uint64_t, std::shared_ptr<Connection>> connections;
     std::uint64_t nextConnection = 1;
--- a/tests/soakhistory.cpp
+++ b/tests/soakhistory.cpp
@@ -240,3 +240,96 @@
     CHECK_FALSE(parsePlan("12 no-such-harm 1 2 0.5"));
     CHECK_FALSE(parsePlan("12 router-kill"));
 }
+
+namespace {
+
+/// A history in which upstream u-0 asks something of router 0 in its response to call a2.
+class SoakNoticesFixture : public SoakHistoryFixture
+{
+protected:
+    static constexpr SoakTime noticedAt{20'010};
+    static constexpr Milliseconds backoff{3000};
+
+    void addNotice(Milliseconds span)
+    {
+        this->history.notices.push_back({"u-0", "a2", noticedAt, span});
+    }
+
+    /// Adds calls that reach u-0 through router 0 one after another from \a delay after the notice.
+    void addCalls(int count, Milliseconds delay)
+    {
+        for (int i = 0; i < count; ++i) {
+            const std::string attempt = "b" + std::to_string(this->history.calls.size());
+            this->add(attempt, CallKind::Idempotent, responseBodyFor(attempt),
+                      noticedAt + delay + Milliseconds{i});
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(SoakNoticesFixture, "soakNotices_requestsDuringBackoff_areFound", "[soak]")
+{
+    this->addNotice(backoff);
+    this->addCalls(2, Milliseconds{600});
+    CHECK(this->failedChecks().empty());
+    this->addCalls(1, Milliseconds{700});
+    CHECK(this->failedChecks() == Checks{"backoff"});
+}
+
+TEST_CASE_METHOD(SoakNoticesFixture, "soakNotices_requestsBeforeAndAfterBackoff_areAllowed",
+                 "[soak]")
+{
+    this->addNotice(backoff);
+    this->addCalls(9, Milliseconds{100});
+    this->addCalls(9, backoff);
+    CHECK(this->failedChecks().empty());
+}
+
+TEST_CASE_METHOD(SoakNoticesFixture, "soakNotices_otherRouterOrIncarnation_isNotBound", "[soak]")
+{
+    this->addNotice(backoff);
+    this->addCalls(9, Milliseconds{600});
+    for (auto call = this->history.calls.end() - 9; call != this->history.calls.end(); ++call) {
+        call->router = 1;
+    }
+    CHECK(this->failedChecks().empty());
+    for (auto call = this->history.calls.end() - 9; call != this->history.calls.end(); ++call) {
+        call->router = 0;
+        call->incarnation = 1;
+    }
+    CHECK(this->failedChecks().empty());
+}
+
+TEST_CASE_METHOD(SoakNoticesFixture, "soakNotices_responseMayBeLost_isExcused", "[soak]")
+{
+    this->addNotice(backoff);
+    this->addCalls(9, Milliseconds{600});
+    CHECK(this->failedChecks() == Checks{"backoff"});
+    this->history.lossyLinks["u-1"].push_back({noticedAt, noticedAt});
+    CHECK(this->failedChecks() == Checks{"backoff"});
+    this->history.lossyLinks["u-0"].push_back({noticedAt, noticedAt});
+    CHECK(this->failedChecks().empty());
+}
+
+TEST_CASE_METHOD(SoakNoticesFixture, "soakNotices_newWorkAfterAnnouncedDraining_isFound", "[soak]")
+{
+    this->addNotice(Milliseconds{0});
+    this->addCalls(9, Milliseconds{1900});
+    CHECK(this->failedChecks().empty());
+    this->addCalls(1, Milliseconds{2200});
+    CHECK(this->failedChecks() == Checks{"announced-draining"});
+    this->history.routerFaults[0].push_back({noticedAt + backoff / 2, noticedAt + backoff / 2});
+    CHECK(this->failedChecks().empty());
+}
+
+TEST_CASE_METHOD(SoakNoticesFixture, "soakNotices_announcementNotPassedOn_doesNotBind", "[soak]")
+{
+    // Another upstream has given the call's answer, so that the router may have given up on the
+    // first one before it responded.
+    this->addNotice(Milliseconds{0});
+    RunRecord other{"a2", "u-1", noticedAt + Milliseconds{5}, noticedAt + Milliseconds{9}, false};
+    this->history.runs.push_back(other);
+    this->addCalls(1, Milliseconds{2200});
+    CHECK(this->failedChecks().empty());
+}
