Count rejections against an upstream when others reject less

The same cause elsewhere: an upstream that rejects without asking for a back-off also looks idle, and keeps getting its part of the requests until the retry budget, a fifth of the requests, is spent; callers are then refused though others have room.

Rejections now have a moving average of their own; selection compares both averages by what exceeds the service's mean, so that a service that is full everywhere changes nothing. The failure rate itself, which is logged, counts failures alone, as before.

Test of the load: 123 of 500 requests to the rejecting one of four upstreams before, now below the budget's 100.

--- a/include/plantainswitch/routing/health.h
+++ b/include/plantainswitch/routing/health.h
@@ -40,7 +40,8 @@
 inline constexpr double outcomeWeight = 0.1;
 /// Weight of a new delay in the mean extra delay.
 inline constexpr double delayWeight = 0.2;
-/// Half-life of the failure rate and the extra delay, so that the upstream is tried again.
+/// Half-life of the failure and rejection rates and the extra delay, so that the upstream is tried
+/// again.
 inline constexpr Seconds penaltyHalfLife{2};
 
 /// Health of one upstream as a router has observed it from responses.
@@ -63,6 +64,8 @@
     TimePoint ownTimeoutAt;
     /// Share of recent requests that failed, from 0 to 1.
     double failureRate = 0.0;
+    /// Share of recent requests that it rejected without executing them, from 0 to 1.
+    double rejectionRate = 0.0;
     /// Mean delay beyond the expected one, in milliseconds.
     double extraDelay = 0.0;
     TimePoint updatedAt;
@@ -110,6 +113,9 @@
                                                 TimePoint now) noexcept;
 /// \returns the failure rate, decayed by the time since the last outcome.
 [[nodiscard]] double failureRateOf(const UpstreamHealth &health, TimePoint now) noexcept;
+/// \returns the share of recent requests that failed or were rejected. An upstream that rejects
+/// runs little, and would be preferred for that.
+[[nodiscard]] double unservedRateOf(const UpstreamHealth &health, TimePoint now) noexcept;
 /// \returns the extra delay in milliseconds, decayed likewise.
 [[nodiscard]] double extraDelayOf(const UpstreamHealth &health, TimePoint now) noexcept;
 
--- a/include/plantainswitch/routing/selection.h
+++ b/include/plantainswitch/routing/selection.h
@@ -22,8 +22,8 @@
     /// Penalty for an upstream in another data centre, for the round trips and the bytes between
     /// data centres.
     double remoteDelay = 12.0;
-    /// Penalty for an upstream whose recent requests all failed while none failed elsewhere. A
-    /// failed request costs its caller about one latency objective.
+    /// Penalty for an upstream whose recent requests all failed or were rejected while none were
+    /// elsewhere. A failed request costs its caller about one latency objective.
     double failureDelay = 400.0;
     /// Penalty for each step down in a prefix's preference list, in prefills of one average
     /// request. All routers compute the same list, so that a prefix is cached on only as many
--- a/src/routing/health.cpp
+++ b/src/routing/health.cpp
@@ -29,10 +29,18 @@
 {
     const double factor = decayFactor(health.updatedAt, now);
     health.failureRate *= factor;
+    health.rejectionRate *= factor;
     health.extraDelay *= factor;
     health.updatedAt = now;
 }
 
+/// Adds an outcome to the moving averages; \a failed and \a rejected are 1 for what it was, or 0.
+void addOutcome(UpstreamHealth &health, double failed, double rejected)
+{
+    health.failureRate += outcomeWeight * (failed - health.failureRate);
+    health.rejectionRate += outcomeWeight * (rejected - health.rejectionRate);
+}
+
 /// Adds a timeout to the score. \returns whether the score suffices for an ejection.
 bool addTimeout(UpstreamHealth &health, TimePoint now)
 {
@@ -64,9 +72,8 @@
 void recordFault(UpstreamHealth &health, UpstreamFault fault, TimePoint now)
 {
     decay(health, now);
-    if (fault != UpstreamFault::Rejected) {
-        health.failureRate += outcomeWeight * (1.0 - health.failureRate);
-    }
+    const bool isRejection = fault == UpstreamFault::Rejected;
+    addOutcome(health, isRejection ? 0.0 : 1.0, isRejection ? 1.0 : 0.0);
     if (!indicatesDown(fault)) {
         return;
     }
@@ -101,7 +108,7 @@
     health.consecutiveConnectFailures = 0;
     health.ejectedUntil = std::min(health.ejectedUntil, now);
     health.ownEjectedUntil = std::min(health.ownEjectedUntil, now);
-    health.failureRate -= outcomeWeight * health.failureRate;
+    addOutcome(health, 0.0, 0.0);
     const double extra =
         std::max(0.0, std::chrono::duration<double, std::milli>(extraDelay).count());
     health.extraDelay += delayWeight * (extra - health.extraDelay);
@@ -146,6 +153,11 @@
     return health.failureRate * decayFactor(health.updatedAt, now);
 }
 
+double unservedRateOf(const UpstreamHealth &health, TimePoint now) noexcept
+{
+    return (health.failureRate + health.rejectionRate) * decayFactor(health.updatedAt, now);
+}
+
 double extraDelayOf(const UpstreamHealth &health, TimePoint now) noexcept
 {
     return health.extraDelay * decayFactor(health.updatedAt, now);
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -69,7 +69,7 @@
     double bound = 0.0;
     /// Few enough are ejected for the others to carry their load.
     bool avoidanceHolds = true;
-    double meanFailureShare = 0.0;
+    double meanUnservedRate = 0.0;
     double occupancy = 0.0;
 };
 
@@ -78,7 +78,7 @@
 {
     double running = 0.0;
     double runningOnAvailable = 0.0;
-    double failureShares = 0.0;
+    double unservedShares = 0.0;
     double slots = 0.0;
     std::size_t usable = 0;
     std::size_t ejected = 0;
@@ -94,12 +94,12 @@
             runningOnAvailable += runningAt(*state);
             slots += state->replica.maxConcurrency;
         }
-        failureShares += failureRateOf(state->health, now);
+        unservedShares += unservedRateOf(state->health, now);
         ejected += isEjected(state->health, now) ? 1 : 0;
     }
     const auto count = static_cast<double>(std::max<std::size_t>(usable, 1));
     return {policy.loadBoundFactor * running / count + policy.loadBoundExtra,
-            static_cast<double>(ejected) <= policy.maxEjectedShare * count, failureShares / count,
+            static_cast<double>(ejected) <= policy.maxEjectedShare * count, unservedShares / count,
             slots > 0.0 ? runningOnAvailable / slots : 0.0};
 }
 
@@ -318,11 +318,11 @@
         estimatePrompt(selection, comparison.cached, comparison.sources, request);
     }
     estimateDelay(selection, state, comparison.hasPrompt, policy, now);
-    const double excessFailures =
-        std::max(0.0, failureRateOf(state.health, now) - comparison.statistics.meanFailureShare);
+    const double excessUnserved =
+        std::max(0.0, unservedRateOf(state.health, now) - comparison.statistics.meanUnservedRate);
     selection.cost =
         selection.expectedDelay + costToOthers(selection, state, policy)
-        + policy.failureDelay * excessFailures
+        + policy.failureDelay * excessUnserved
         + (comparison.hasPrompt ? preferenceDelay(comparison.preferences.ranks[index], policy)
                                 : promptlessDelay(state, request, policy))
         + (state.replica.dataCentre == request.dataCentre ? 0.0 : policy.remoteDelay);
--- a/tests/upstreamselection.cpp
+++ b/tests/upstreamselection.cpp
@@ -130,6 +130,47 @@
     }
 }
 
+TEST_CASE_METHOD(UpstreamChoiceFixture, "load_oneOfFourRejectsAll_retryBudgetSuffices", "[routing]")
+{
+    // The pattern: one of four upstreams rejects every request at once, and therefore has the least
+    // running. Guards against callers that are refused because the retry budget, a fifth of the
+    // requests, is spent on it.
+    this->addEngines(4);
+    constexpr int requestCount = 500;
+    constexpr double retryRatio = 0.2;
+    int rejections = 0;
+    for (int i = 0; i < requestCount; ++i) {
+        const SelectionRequest request{"hall-a", hashOf(std::to_string(i)), nullptr, {}, {}};
+        const auto choice =
+            selectUpstream(this->pointers, request, this->memory, this->policy, this->clock.now());
+        REQUIRE(choice);
+        UpstreamHealth &health = this->pointers[choice->index]->health;
+        if (choice->index == 0) {
+            ++rejections;
+            recordFault(health, UpstreamFault::Rejected, this->clock.now());
+        } else {
+            recordSuccess(health, Duration{0}, this->clock.now());
+        }
+        this->clock.advance(Milliseconds{20});
+    }
+    CHECK(rejections < retryRatio * requestCount);
+}
+
+TEST_CASE_METHOD(UpstreamChoiceFixture, "load_allRejectAlike_noneIsPenalized", "[routing]")
+{
+    // Guards against leaving the home of a prefix for rejections that happen everywhere: the whole
+    // service is full.
+    const Prompt prompt = promptAbout(7);
+    const std::size_t home = this->handToHome(prompt);
+    for (UpstreamState *const state : this->pointers) {
+        state->ownRunning = 20;
+        recordFault(state->health, UpstreamFault::Rejected, this->clock.now());
+    }
+    const auto choice = this->choose(prompt);
+    REQUIRE(choice);
+    CHECK(choice->index == home);
+}
+
 TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_routersWithOldFigures_doNotAllPickTheSameEngine",
                  "[routing]")
 {
