--- a/tests/upstreamnotices.cpp
+++ b/tests/upstreamnotices.cpp
@@ -61,8 +61,8 @@
 
 TEST_CASE_METHOD(UpstreamNoticesFixture, "notices_entryLapsesAndReturns_areInForce", "[notices]")
 {
-    // Guards against new requests to a leaving or resting upstream whose entry lapsed during an
-    // outage of the store, or was shown again by a late list.
+    // Guards against new requests to a draining upstream, or one in its back-off, whose entry
+    // lapsed during an outage of the store, or was shown again by a late list.
     this->registry.recordBackoff(this->replica, backoff);
     this->change(ReplicaChange::Removed);
     this->change(ReplicaChange::Added);
