--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -22,7 +22,7 @@
 bool RequestHandler::onResponseHead(const MessageHead &head)
 {
     UpstreamResponse decoded = this->gateway.dialect.parseResponse(head);
-    // Also a late response to another request tells what the upstream wants.
+    // A late response to another request also states what the upstream wants.
     this->recordNotice(decoded);
     if (!decoded.attemptId.empty() && decoded.attemptId != this->request->attemptId) {
         logEvent(Event::UpstreamGarbage, {{"request", this->request->attemptId},
