--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -77,6 +77,11 @@
     bool isEventStream = false;
     /// How much longer the upstream is cold, if stated.
     std::optional<Milliseconds> coldFor;
+    /// The upstream takes no new requests because it is about to stop.
+    bool isDraining = false;
+    /// For how long the upstream wants no requests from this router, if it rejected this one and
+    /// said so.
+    std::optional<Milliseconds> backoff;
     std::optional<ReportedLoad> load;
     /// Header fields that are forwarded to the caller unchanged.
     std::vector<HeaderField> forwardedFields;
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -106,6 +106,8 @@
     void onCompleteStream();
     void onFault(UpstreamFault fault);
     void recordUpstreamFault(UpstreamFault fault);
+    /// Records what a response asks of this router.
+    void recordNotice(const UpstreamResponse &head);
     /// Records what a response shows about whether the upstream is cold.
     void recordColdness(const UpstreamResponse &head);
     void onFirstByte();
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -22,6 +22,8 @@
 bool RequestHandler::onResponseHead(const MessageHead &head)
 {
     UpstreamResponse decoded = this->gateway.dialect.parseResponse(head);
+    // Also a late response to another request tells what the upstream wants.
+    this->recordNotice(decoded);
     if (!decoded.attemptId.empty() && decoded.attemptId != this->request->attemptId) {
         logEvent(Event::UpstreamGarbage, {{"request", this->request->attemptId},
                                           {"upstream", this->upstream->replica.id},
@@ -50,6 +52,21 @@
     }
 }
 
+void RequestHandler::recordNotice(const UpstreamResponse &head)
+{
+    if (head.isDraining) {
+        logEvent(Event::UpstreamLeaving, {{"request", this->request->attemptId},
+                                          {"upstream", this->upstream->replica.id},
+                                          {"place", this->upstream->replica.dataCentre}});
+    }
+    if (head.backoff) {
+        logEvent(Event::UpstreamBackoff, {{"request", this->request->attemptId},
+                                          {"upstream", this->upstream->replica.id},
+                                          {"retry_after_ms", std::to_string(head.backoff->count())},
+                                          {"path", this->connectionPath}});
+    }
+}
+
 void RequestHandler::onFirstByte()
 {
     this->firstByteReceived = true;
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -80,6 +80,7 @@
     KeeperReplaced = 510,
     SlotsDiffer = 511,
     ShardsHandedOver = 512,
+    UpstreamBackoff = 513,
     UpstreamCrashed = 550,
     RequestQuarantined = 551,
     OrderLeaseTaken = 600,
--- a/scripts/wirenames.sh
+++ b/scripts/wirenames.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "${1:-$(dirname "$0")/..}"
 names='X-(Attempt-Id|Time-Budget|Prompt-Prefix|Token-Count|Model|Tenant|Expect-Instance|Server-Stamp'
-names+='|Not-Executed|Replica-Load|Replica-Id|Urgency-Class|Hold|Pin-Time|Kv-Backup)|Kv-(From|Fetch)'
+names+='|Not-Executed|Cold-Time|Replica-Load|Replica-Id|Urgency-Class|Hold|Pin-Time|Kv-Backup)|Kv-(From|Fetch)|Server-Leaving'
 names+='|"(pathPrefix|maxAttempts|goalMs|timeoutMs|gapGoalMs|apiKeys|healthPath|connLimit|kvCapacity'
 names+='|asOf|hasMore|afterRev|waitMs|coldLeftMs|draining|non_idempotent)"|/objects/(config|servers)|fleetbench'
 if grep -rInE "$names" --include='*.cpp' --include='*.h' --include='*.proto' \
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -77,6 +77,7 @@
     EventRow{Event::KeeperReplaced, "keeper-replaced", Severity::Warning},
     EventRow{Event::SlotsDiffer, "slots-differ", Severity::Info},
     EventRow{Event::ShardsHandedOver, "shards-handed-over", Severity::Info},
+    EventRow{Event::UpstreamBackoff, "upstream-backoff", Severity::Info},
     EventRow{Event::UpstreamCrashed, "upstream-crashed", Severity::Warning},
     EventRow{Event::RequestQuarantined, "request-quarantined", Severity::Error},
     EventRow{Event::OrderLeaseTaken, "order-lease-taken", Severity::Info},
--- a/tests/platformrequests.cpp
+++ b/tests/platformrequests.cpp
@@ -19,6 +19,15 @@
         this->request.target = "/a/";
     }
 
+    /// \returns the decoded head of a response with the given fields.
+    [[nodiscard]] UpstreamResponse decode(int status, std::vector<HeaderField> fields) const
+    {
+        MessageHead head;
+        head.status = status;
+        head.fields = std::move(fields);
+        return this->dialect.parseResponse(head);
+    }
+
     platform::PlatformDialect dialect;
     Replica replica;
     CallerRequest request;
@@ -50,3 +59,56 @@
     head.fields.push_back({"X-Cold-Time", "18446744073709551615"});
     CHECK(this->dialect.parseResponse(head).coldFor == Milliseconds{platform::maxColdMilliseconds});
 }
+
+TEST_CASE_METHOD(PlatformRequestsFixture, "platformResponse_rejectionWithRetryAfter_isABackoff",
+                 "[platform]")
+{
+    CHECK(this->decode(503, {{"Retry-After", "3"}}).backoff == Milliseconds{3000});
+    CHECK(this->decode(503, {{"retry-after", " 0.25 "}}).backoff == Milliseconds{250});
+    CHECK_FALSE(this->decode(503, {}).backoff);
+    CHECK_FALSE(this->decode(200, {{"Retry-After", "3"}}).backoff);
+    CHECK_FALSE(this->decode(429, {{"Retry-After", "3"}}).backoff);
+}
+
+TEST_CASE_METHOD(PlatformRequestsFixture, "platformResponse_malformedRetryAfter_isIgnored",
+                 "[platform]")
+{
+    // Guards against an upstream that is left out for ever, or an overflow of the clock, after a
+    // garbled header field.
+    for (const char *const text : {"", "soon", "-3", "0", "3s", "nan", "inf", "1e3", "0x10",
+                                   "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        CAPTURE(text);
+        CHECK_FALSE(this->decode(503, {{"Retry-After", text}}).backoff);
+    }
+    CHECK(this->decode(503, {{"Retry-After", "7200"}}).backoff == platform::maxBackoff);
+    const std::string digits(400, '9');
+    const auto huge = this->decode(503, {{"Retry-After", digits}}).backoff;
+    CHECK((!huge || *huge == platform::maxBackoff));
+}
+
+TEST_CASE_METHOD(PlatformRequestsFixture, "platformResponse_repeatedRetryAfter_longestHolds",
+                 "[platform]")
+{
+    const auto decoded =
+        this->decode(503, {{"Retry-After", "1"}, {"Retry-After", "4"}, {"Retry-After", "soon"}});
+    CHECK(decoded.backoff == Milliseconds{4000});
+}
+
+TEST_CASE_METHOD(PlatformRequestsFixture, "platformResponse_leavingMark_isDrainingAtAnyStatus",
+                 "[platform]")
+{
+    for (const int status : {200, 404, 500, 503}) {
+        CHECK(this->decode(status, {{"Server-Leaving", "1"}}).isDraining);
+    }
+    CHECK_FALSE(this->decode(200, {}).isDraining);
+    CHECK_FALSE(this->decode(200, {{"Server-Leaving", "0"}}).isDraining);
+    CHECK_FALSE(this->decode(200, {{"Server-Leaving", ""}}).isDraining);
+}
+
+TEST_CASE_METHOD(PlatformRequestsFixture, "platformResponse_misdirected_saysNothingOfTheUpstream",
+                 "[platform]")
+{
+    // Guards against marking an upstream as draining for a response of the one that has its
+    // address now.
+    CHECK_FALSE(this->decode(421, {{"Server-Leaving", "1"}}).isDraining);
+}
