Log what becomes of each reported crash and which trials a quarantine admits

The logs could not tell whether a crash was reported and not counted, or not reported at all. Event 552 logs each report with its router, age, length of the run and verdict; event 553 each trial. A placed request shows how many crashes count against it. No change of logic.

--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -352,8 +352,9 @@
     for (const wire::CrashSeen &crash : message.crashes()) {
         const TimePoint brokenAt = now - Milliseconds{crash.ago_ms()};
         const TimePoint begunAt = brokenAt - Milliseconds{crash.ran_ms()};
-        this->gateway.crashQuarantine.recordCrash(
-            {crash.request(), crash.life(), begunAt, brokenAt}, now);
+        ConfirmedCrash reported{{crash.request(), crash.life(), begunAt, brokenAt}};
+        reported.verdict = this->gateway.crashQuarantine.recordCrash(reported.report, now);
+        this->gateway.logCrash(reported, message.id());
     }
     for (const std::uint64_t cleared : message.cleared()) {
         this->gateway.crashQuarantine.clearSuspect(cleared, now);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -7,10 +7,9 @@
 #include <algorithm>
 #include <utility>
 
-#include <asio/post.hpp>
-#include <fmt/format.h>
-
+#include "plantainswitch/base/hash.h"
 #include "plantainswitch/observe/event.h"
+#include <asio/post.hpp>
 
 namespace plantainswitch::gateway {
 
@@ -90,19 +89,36 @@
     if (const auto upstream = this->upstreams.find(replica.id)) {
         upstream->cold.recordDown(this->coldStartOf(replica.service).duration, this->clock.now());
     }
-    const auto reports =
+    const auto confirmed =
         this->crashQuarantine.confirmCrash(incarnationOf(replica), this->clock.now());
-    if (!reports.empty()) {
+    if (!confirmed.empty()) {
         // The caller may retry the request at once, through any router.
         this->fleet->scheduleBroadcast();
     }
-    for (const CrashReport &report : reports) {
-        this->updateLog.recordCrash(report, this->clock.now());
-        logEvent(Event::UpstreamCrashed, {{"upstream", replica.id},
-                                          {"fingerprint", fmt::format("{:016x}", report.request)}});
+    for (const ConfirmedCrash &crash : confirmed) {
+        this->updateLog.recordCrash(crash.report, this->clock.now());
+        logEvent(Event::UpstreamCrashed,
+                 {{"upstream", replica.id}, {"fingerprint", formatHash(crash.report.request)}});
+        this->logCrash(crash, this->settings.id);
     }
 }
 
+void GatewayState::logCrash(const ConfirmedCrash &crash, std::string_view source) const
+{
+    const auto milliseconds = [](Duration span) {
+        return std::to_string(std::chrono::duration_cast<Milliseconds>(span).count());
+    };
+    const CrashReport &report = crash.report;
+    logEvent(Event::CrashReported,
+             {{"fingerprint", formatHash(report.request)},
+              {"incarnation", formatHash(report.incarnation)},
+              {"from", std::string(source)},
+              {"age_ms", milliseconds(this->clock.now() - report.brokenAt)},
+              {"ran_ms", milliseconds(report.brokenAt - report.sentAt)},
+              {"verdict", std::string(nameOf(crash.verdict))},
+              {"crashes", std::to_string(this->crashQuarantine.crashCount(report.request))}});
+}
+
 void GatewayState::recordAnswered(RequestFingerprint request)
 {
     if (this->crashQuarantine.clearSuspect(request, this->clock.now())) {
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -294,6 +294,7 @@
     state.ownPendingPrefill += this->pendingPrefillTokens;
     this->expectedDelay = choice.expectedDelay - choice.extraDelay;
     this->extraDelay = choice.extraDelay;
+    const std::size_t crashes = this->gateway.crashQuarantine.crashCount(this->fingerprint);
     logEvent(Event::RequestPlaced,
              {{"request", this->request->attemptId},
               {"route", this->route->name},
@@ -305,7 +306,7 @@
               {"home_ms", fmt::format("{:.1f}", choice.homeCost)},
               {"extra_ms", fmt::format("{:.1f}", extraDelayOf(state.health, this->now()))},
               {"bound", fmt::format("{:.1f}", choice.loadBound)},
-              {"prefix", fmt::format("{:016x}", sharedPrefixOf(this->prefixHashes).value_or(0))},
+              {"prefix", formatHash(sharedPrefixOf(this->prefixHashes).value_or(0))},
               {"tokens", fmt::format("{:.0f}", this->promptTokens())},
               {"first_read", choice.isFirstPrefill ? "yes" : "no"},
               {"uncached", fmt::format("{:.0f}", choice.uncachedTokens)},
@@ -315,6 +316,7 @@
               {"peers", std::to_string(state.peersRunning)},
               {"avoided", std::to_string(choice.ejectedCount)},
               {"over_bound", std::to_string(choice.overBoundCount)},
+              {"crashes", std::to_string(crashes)},
               {"left_ms", std::to_string(this->remainingTime().count())}});
     this->sendRequest(this->upstream, placement.copyFrom);
 }
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -97,9 +97,8 @@
     this->fingerprint = mixHash(hashOf(this->request->target, hashOf(this->workspace)),
                                 hashOf(this->request->body));
     if (this->isQuarantined()) {
-        logEvent(Event::RequestQuarantined,
-                 {{"request", this->request->attemptId},
-                  {"fingerprint", fmt::format("{:016x}", this->fingerprint)}});
+        logEvent(Event::RequestQuarantined, {{"request", this->request->attemptId},
+                                             {"fingerprint", formatHash(this->fingerprint)}});
         this->refuse(ErrorKind::Quarantined, "upstreams crashed on it");
         return false;
     }
@@ -114,7 +113,15 @@
         return false;
     }
     const bool isFirst = this->gateway.fleet->isDesignatedFor(this->fingerprint);
-    return !suspects.allowTrial(this->fingerprint, isFirst, this->now());
+    if (!suspects.allowTrial(this->fingerprint, isFirst, this->now())) {
+        return true;
+    }
+    logEvent(Event::QuarantineTrial,
+             {{"request", this->request->attemptId},
+              {"fingerprint", formatHash(this->fingerprint)},
+              {"designated", isFirst ? "yes" : "no"},
+              {"crashes", std::to_string(suspects.crashCount(this->fingerprint))}});
+    return false;
 }
 
 Milliseconds RequestHandler::remainingTime() const
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -122,6 +122,8 @@
     /// Records that an upstream is down. Requests that it failed to respond to before become
     /// suspects.
     void recordUpstreamDown(const Replica &replica);
+    /// Logs what became of a reported crash. \param source the router that reported it
+    void logCrash(const ConfirmedCrash &crash, std::string_view source) const;
     /// Applies a set of evacuated data centres unless a newer one is known, and announces a change
     /// to the other routers. \param source where the set comes from, for the log
     void setEvacuations(EvacuationSet newer, std::string_view source);
--- a/include/plantainswitch/base/hash.h
+++ b/include/plantainswitch/base/hash.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace plantainswitch {
@@ -11,4 +12,7 @@
 /// Combines two hashes into one; the order matters.
 [[nodiscard]] std::uint64_t mixHash(std::uint64_t first, std::uint64_t second) noexcept;
 
+/// \returns \a hash as 16 hexadecimal digits, as log lines and stored names have it.
+[[nodiscard]] std::string formatHash(std::uint64_t hash);
+
 } // namespace plantainswitch
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -83,6 +83,8 @@
     UpstreamBackoff = 513,
     UpstreamCrashed = 550,
     RequestQuarantined = 551,
+    CrashReported = 552,
+    QuarantineTrial = 553,
     OrderLeaseTaken = 600,
     OrderLeaseLost = 601,
     OrderSent = 602,
--- a/include/plantainswitch/routing/crashquarantine.h
+++ b/include/plantainswitch/routing/crashquarantine.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -24,6 +25,26 @@
     TimePoint brokenAt;
 };
 
+/// What became of a reported crash.
+enum class CrashVerdict : std::uint8_t {
+    /// It counts against the request.
+    Counted,
+    /// A crash of the same upstream incarnation counts already.
+    KnownUpstream,
+    /// It is taken for a part of an outage that counts already.
+    Concurrent,
+    /// The request was answered since.
+    AnsweredSince,
+};
+[[nodiscard]] std::string_view nameOf(CrashVerdict verdict) noexcept;
+
+/// A crash that this router confirmed, and what became of it.
+struct ConfirmedCrash
+{
+    CrashReport report;
+    CrashVerdict verdict = CrashVerdict::Counted;
+};
+
 /// Consecutive crashes after which a request is quarantined. One or two may be coincidence; the
 /// users' requirements allow three.
 inline constexpr std::size_t quarantineThreshold = 3;
@@ -63,12 +84,14 @@
                             TimePoint now);
     /// Records that \a incarnation was found down.
     /// \returns the crashes that this confirms, for the other routers.
-    std::vector<CrashReport> confirmCrash(std::uint64_t incarnation, TimePoint now);
+    std::vector<ConfirmedCrash> confirmCrash(std::uint64_t incarnation, TimePoint now);
     /// Records a crash seen by this router or reported by another one.
-    void recordCrash(const CrashReport &report, TimePoint now);
+    CrashVerdict recordCrash(const CrashReport &report, TimePoint now);
     /// Records that the request was answered, so that crashes before that are not attributed to it.
     /// \returns whether it was under suspicion.
     bool clearSuspect(RequestFingerprint request, TimePoint now);
+    /// \returns the number of crashes that count against \a request.
+    [[nodiscard]] std::size_t crashCount(RequestFingerprint request) const;
     /// \returns whether \a request is quarantined, even if a trial of it is due.
     [[nodiscard]] bool isQuarantined(RequestFingerprint request, TimePoint now) const;
     /// \returns the crashes of the quarantined requests, for routers that have just started: a
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -17,4 +17,16 @@
     return XXH64(pair.data(), sizeof(pair), 0);
 }
 
+std::string formatHash(std::uint64_t hash)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr unsigned bitsPerDigit = 4;
+    std::string text(sizeof(hash) * 2, '0');
+    for (auto digit = text.rbegin(); digit != text.rend(); ++digit) {
+        *digit = digits[hash % digits.size()];
+        hash >>= bitsPerDigit;
+    }
+    return text;
+}
+
 } // namespace plantainswitch
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -80,6 +80,8 @@
     EventRow{Event::UpstreamBackoff, "upstream-backoff", Severity::Info},
     EventRow{Event::UpstreamCrashed, "upstream-crashed", Severity::Warning},
     EventRow{Event::RequestQuarantined, "request-quarantined", Severity::Error},
+    EventRow{Event::CrashReported, "crash-reported", Severity::Info},
+    EventRow{Event::QuarantineTrial, "quarantine-trial", Severity::Info},
     EventRow{Event::OrderLeaseTaken, "order-lease-taken", Severity::Info},
     EventRow{Event::OrderLeaseLost, "order-lease-lost", Severity::Warning},
     EventRow{Event::OrderSent, "order-sent", Severity::Info},
--- a/src/routing/crashquarantine.cpp
+++ b/src/routing/crashquarantine.cpp
@@ -1,6 +1,7 @@
 #include "plantainswitch/routing/crashquarantine.h"
 
 #include <algorithm>
+#include <array>
 
 namespace plantainswitch {
 
@@ -18,6 +19,13 @@
 
 } // namespace
 
+std::string_view nameOf(CrashVerdict verdict) noexcept
+{
+    constexpr std::array<std::string_view, 4> names{"counted", "known-upstream", "concurrent",
+                                                    "answered-since"};
+    return names.at(static_cast<std::size_t>(verdict));
+}
+
 void CrashQuarantine::recordBrokenAnswer(RequestFingerprint request, std::uint64_t incarnation,
                                          TimePoint sentAt, TimePoint now)
 {
@@ -27,38 +35,40 @@
     this->brokenAnswers[incarnation].push_back({request, sentAt, now});
 }
 
-std::vector<CrashReport> CrashQuarantine::confirmCrash(std::uint64_t incarnation, TimePoint now)
+std::vector<ConfirmedCrash> CrashQuarantine::confirmCrash(std::uint64_t incarnation, TimePoint now)
 {
-    std::vector<CrashReport> reports;
+    std::vector<ConfirmedCrash> confirmed;
     const auto found = this->brokenAnswers.find(incarnation);
     if (found == this->brokenAnswers.end()) {
-        return reports;
+        return confirmed;
     }
     for (const BrokenAnswer &each : found->second) {
         if (now - each.when <= crashConfirmationWindow) {
-            reports.push_back({each.request, incarnation, each.sentAt, each.when});
+            confirmed.push_back({{each.request, incarnation, each.sentAt, each.when}});
         }
     }
     this->brokenAnswers.erase(found);
-    for (const CrashReport &report : reports) {
-        this->recordCrash(report, now);
+    for (ConfirmedCrash &crash : confirmed) {
+        crash.verdict = this->recordCrash(crash.report, now);
     }
-    return reports;
+    return confirmed;
 }
 
-void CrashQuarantine::recordCrash(const CrashReport &report, TimePoint now)
+CrashVerdict CrashQuarantine::recordCrash(const CrashReport &report, TimePoint now)
 {
     const auto success = this->answered.find(report.request);
     if (success != this->answered.end() && report.brokenAt <= success->second) {
-        return;
+        return CrashVerdict::AnsweredSince;
     }
     Suspect &suspect = this->suspects[report.request];
-    const bool isKnown =
-        std::any_of(suspect.crashes.begin(), suspect.crashes.end(), [&report](const auto &entry) {
-            return entry.first == report.incarnation || haveOneCause(entry.second, report);
-        });
-    if (isKnown) {
-        return;
+    if (suspect.crashes.contains(report.incarnation)) {
+        return CrashVerdict::KnownUpstream;
+    }
+    const bool isConcurrent =
+        std::any_of(suspect.crashes.begin(), suspect.crashes.end(),
+                    [&report](const auto &entry) { return haveOneCause(entry.second, report); });
+    if (isConcurrent) {
+        return CrashVerdict::Concurrent;
     }
     suspect.crashes.emplace(report.incarnation, report);
     suspect.lastCrash = std::max(suspect.lastCrash, report.brokenAt);
@@ -74,6 +84,13 @@
     if (this->suspects.size() > maxCrashSuspects) {
         this->dropOldest();
     }
+    return CrashVerdict::Counted;
+}
+
+std::size_t CrashQuarantine::crashCount(RequestFingerprint request) const
+{
+    const auto found = this->suspects.find(request);
+    return found == this->suspects.end() ? 0 : found->second.crashes.size();
 }
 
 bool CrashQuarantine::clearSuspect(RequestFingerprint request, TimePoint now)
