--- /dev/null
+++ b/tests/crashquarantinemodel.cpp
@@ -0,0 +1,557 @@
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "plantainswitch/routing/crashquarantine.h"
+
+using namespace plantainswitch;
+
+// A model of many routers before the upstreams of one service. Copies of one request crash each
+// upstream that runs them; other requests are innocent. Reports between routers are delayed and
+// lost, routers restart, one by one or all at once, and data centres are cut off from each other.
+
+namespace {
+
+/// How late after the third crash an attempt counts against the bound: the time within which a
+/// router that is in contact with the others has to know.
+constexpr Milliseconds contactTime{3000};
+/// Attempts that may reach upstreams later than that.
+constexpr std::size_t maxLateAttempts = 3;
+constexpr std::uint32_t maxAttempts = 3;
+constexpr Milliseconds silenceLimit{60};
+constexpr RequestFingerprint poison = 99;
+constexpr std::size_t innocentKinds = 3;
+
+struct ModelOptions
+{
+    std::size_t routers = 0;
+    std::size_t dataCentres = 0;
+    std::size_t upstreams = 0;
+    double reportLoss = 0.0;
+    /// Mean time between copies of the crashing request.
+    Milliseconds copyInterval{0};
+    /// When all routers are killed; 0: never.
+    Milliseconds killAllAt{0};
+    /// Interval of restarts of single routers; 0: none.
+    Milliseconds restartInterval{0};
+    /// When the first two data centres are cut off from each other, for ten seconds; 0: never.
+    Milliseconds cutAt{0};
+    /// When all upstreams of one data centre lose power; 0: never.
+    Milliseconds outageAt{0};
+    Seconds duration{60};
+};
+
+class QuarantineModel
+{
+public:
+    QuarantineModel(std::uint64_t seed, const ModelOptions &options)
+        : random(seed)
+        , options(options)
+        , routers(options.routers)
+        , upstreams(options.upstreams)
+    {
+        for (std::size_t i = 0; i < this->routers.size(); ++i) {
+            this->routers[i].dataCentre = i % options.dataCentres;
+        }
+        for (std::size_t i = 0; i < this->upstreams.size(); ++i) {
+            this->upstreams[i].dataCentre = i % options.dataCentres;
+            this->upstreams[i].incarnation = this->nextIncarnation++;
+        }
+    }
+
+    void run()
+    {
+        this->scheduleArrivals(poison, this->options.copyInterval);
+        for (std::size_t kind = 0; kind < innocentKinds; ++kind) {
+            this->scheduleArrivals(kind + 1, Milliseconds{100});
+        }
+        this->scheduleFaults();
+        const TimePoint end = this->start + this->options.duration;
+        while (!this->events.empty() && this->events.top().when <= end) {
+            const ModelEvent event = this->events.top();
+            this->events.pop();
+            this->now = event.when;
+            event.action();
+        }
+    }
+
+    /// Attempts of the crashing request that reached upstreams later than contactTime after its
+    /// third crash, from routers that were up for that long.
+    [[nodiscard]] std::size_t lateAttempts() const { return this->late.size(); }
+    [[nodiscard]] std::size_t crashes() const { return this->crashCount; }
+    /// The longest time for which copies of an innocent request were refused as quarantined
+    /// without one that was served.
+    [[nodiscard]] Duration longestInnocentRefusal() const { return this->longestRefusal; }
+
+private:
+    struct ModelRouter
+    {
+        CrashQuarantine quarantine;
+        std::size_t dataCentre = 0;
+        TimePoint startedAt;
+        /// Counts restarts: what an earlier process has begun ends with it.
+        std::uint64_t process = 0;
+        std::set<std::uint64_t> knownDown;
+    };
+
+    struct ModelUpstream
+    {
+        std::size_t dataCentre = 0;
+        std::uint64_t incarnation = 0;
+        bool isUp = true;
+        bool isCrashing = false;
+        std::vector<std::function<void()>> onCrash;
+    };
+
+    struct Attempt
+    {
+        std::uint64_t id = 0;
+        RequestFingerprint request = 0;
+        std::size_t router = 0;
+        std::uint64_t process = 0;
+        std::uint32_t executions = 0;
+        std::vector<std::size_t> tried;
+        TimePoint sentAt;
+        std::uint64_t incarnation = 0;
+        std::uint64_t run = 0;
+        bool isDone = false;
+    };
+    using AttemptPointer = std::shared_ptr<Attempt>;
+
+    struct ModelEvent
+    {
+        TimePoint when;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+        bool operator<(const ModelEvent &other) const
+        {
+            return std::tie(this->when, this->order) > std::tie(other.when, other.order);
+        }
+    };
+
+    void at(Duration delay, std::function<void()> action)
+    {
+        this->events.push({this->now + delay, this->nextOrder++, std::move(action)});
+    }
+
+    Milliseconds between(int low, int high)
+    {
+        return Milliseconds{std::uniform_int_distribution<int>(low, high)(this->random)};
+    }
+
+    std::size_t below(std::size_t limit)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, limit - 1)(this->random);
+    }
+
+    bool chance(double probability)
+    {
+        return std::uniform_real_distribution<double>(0.0, 1.0)(this->random) < probability;
+    }
+
+    void scheduleArrivals(RequestFingerprint request, Milliseconds interval)
+    {
+        const double mean = static_cast<double>(interval.count());
+        const double wait = std::exponential_distribution<double>(1.0 / mean)(this->random);
+        this->at(Milliseconds{1 + static_cast<int>(wait)}, [this, request, interval] {
+            auto attempt = std::make_shared<Attempt>();
+            attempt->id = this->nextAttempt++;
+            attempt->request = request;
+            attempt->router = this->below(this->routers.size());
+            attempt->process = this->routers[attempt->router].process;
+            this->admit(attempt);
+            this->scheduleArrivals(request, interval);
+        });
+    }
+
+    void scheduleFaults()
+    {
+        if (this->options.killAllAt.count() > 0) {
+            this->at(this->options.killAllAt, [this] {
+                for (std::size_t i = 0; i < this->routers.size(); ++i) {
+                    this->restart(i);
+                }
+            });
+        }
+        if (this->options.restartInterval.count() > 0) {
+            this->scheduleRestarts();
+        }
+        if (this->options.outageAt.count() > 0) {
+            this->at(this->options.outageAt, [this] {
+                for (std::size_t i = 0; i < this->upstreams.size(); ++i) {
+                    if (this->upstreams[i].dataCentre == 0) {
+                        this->crash(i, this->upstreams[i].incarnation);
+                    }
+                }
+            });
+        }
+    }
+
+    void scheduleRestarts()
+    {
+        this->at(this->options.restartInterval, [this] {
+            this->restart(this->below(this->routers.size()));
+            this->scheduleRestarts();
+        });
+    }
+
+    void restart(std::size_t index)
+    {
+        ModelRouter &router = this->routers[index];
+        router.quarantine = CrashQuarantine{};
+        router.knownDown.clear();
+        router.process += 1;
+        router.startedAt = this->now;
+        this->greet(index);
+    }
+
+    /// The other routers send their state to one that has just started.
+    void greet(std::size_t index)
+    {
+        for (std::size_t other = 0; other < this->routers.size(); ++other) {
+            if (other == index || !this->isConnected(index, other)) {
+                continue;
+            }
+            for (const CrashReport &report :
+                 this->routers[other].quarantine.quarantinedCrashes(this->now)) {
+                this->at(this->between(5, 120),
+                         [this, index, report] { this->onReport(index, report); });
+            }
+        }
+    }
+
+    [[nodiscard]] bool isConnected(std::size_t left, std::size_t right) const
+    {
+        const Duration since = this->now - this->start;
+        const bool isCut = this->options.cutAt.count() > 0 && since >= this->options.cutAt
+                           && since < this->options.cutAt + Seconds{10};
+        const std::size_t a = this->routers[left].dataCentre;
+        const std::size_t b = this->routers[right].dataCentre;
+        return !isCut || a == b || a + b != 1;
+    }
+
+    void admit(const AttemptPointer &attempt)
+    {
+        CrashQuarantine &quarantine = this->routers[attempt->router].quarantine;
+        if (quarantine.isQuarantined(attempt->request, this->now)
+            && !quarantine.allowTrial(attempt->request, this->isDesignated(attempt->router),
+                                      this->now)) {
+            this->onRefused(*attempt);
+            return;
+        }
+        this->dispatch(attempt);
+    }
+
+    [[nodiscard]] bool isDesignated(std::size_t router) const { return router == 0; }
+
+    void onRefused(const Attempt &attempt)
+    {
+        if (attempt.request == poison) {
+            return;
+        }
+        const auto [entry, isNew] = this->refusedSince.try_emplace(attempt.request, this->now);
+        this->longestRefusal = std::max(this->longestRefusal, this->now - entry->second);
+    }
+
+    [[nodiscard]] bool isAlive(const Attempt &attempt) const
+    {
+        return !attempt.isDone && this->routers[attempt.router].process == attempt.process;
+    }
+
+    void dispatch(const AttemptPointer &attempt)
+    {
+        ModelRouter &router = this->routers[attempt->router];
+        std::vector<std::size_t> candidates;
+        for (std::size_t i = 0; i < this->upstreams.size(); ++i) {
+            const bool wasTried =
+                std::find(attempt->tried.begin(), attempt->tried.end(), i) != attempt->tried.end();
+            if (!wasTried && !router.knownDown.contains(this->upstreams[i].incarnation)) {
+                candidates.push_back(i);
+            }
+        }
+        if (candidates.empty()) {
+            attempt->isDone = true;
+            return;
+        }
+        const std::size_t chosen = candidates[this->below(candidates.size())];
+        attempt->tried.push_back(chosen);
+        attempt->incarnation = this->upstreams[chosen].incarnation;
+        attempt->sentAt = this->now;
+        attempt->run += 1;
+        this->at(Milliseconds{1}, [this, attempt, chosen] {
+            if (this->isAlive(*attempt)) {
+                this->arrive(attempt, chosen);
+            }
+        });
+    }
+
+    void arrive(const AttemptPointer &attempt, std::size_t index)
+    {
+        ModelUpstream &upstream = this->upstreams[index];
+        if (!upstream.isUp) {
+            this->onFoundDown(attempt->router, upstream.incarnation);
+            this->dispatch(attempt);
+            return;
+        }
+        const std::uint64_t incarnation = upstream.incarnation;
+        const std::uint64_t run = attempt->run;
+        upstream.onCrash.push_back([this, attempt, incarnation, run] {
+            this->at(Milliseconds{1}, [this, attempt, incarnation, run] {
+                if (this->isAlive(*attempt) && attempt->run == run) {
+                    this->onBroken(attempt, incarnation);
+                }
+            });
+        });
+        if (attempt->request != poison) {
+            this->at(Milliseconds{15}, [this, attempt, index, incarnation, run] {
+                const ModelUpstream &server = this->upstreams[index];
+                if (server.isUp && server.incarnation == incarnation && this->isAlive(*attempt)
+                    && attempt->run == run) {
+                    this->onAnswered(attempt);
+                }
+            });
+            return;
+        }
+        this->recordReach(*attempt);
+        if (!upstream.isCrashing) {
+            upstream.isCrashing = true;
+            this->at(this->between(85, 115),
+                     [this, index, incarnation] { this->crash(index, incarnation); });
+        }
+        this->at(silenceLimit, [this, attempt, run] {
+            if (this->isAlive(*attempt) && attempt->run == run) {
+                this->onSilent(attempt);
+            }
+        });
+    }
+
+    void recordReach(const Attempt &attempt)
+    {
+        const bool isLate =
+            this->thirdCrashAt && attempt.sentAt > *this->thirdCrashAt + contactTime;
+        if (isLate && this->now - this->routers[attempt.router].startedAt >= contactTime) {
+            this->late.insert(attempt.id);
+        }
+    }
+
+    void crash(std::size_t index, std::uint64_t incarnation)
+    {
+        ModelUpstream &upstream = this->upstreams[index];
+        if (!upstream.isUp || upstream.incarnation != incarnation) {
+            return;
+        }
+        upstream.isUp = false;
+        if (upstream.isCrashing && ++this->crashCount == 3) {
+            this->thirdCrashAt = this->now;
+        }
+        upstream.isCrashing = false;
+        const auto waiting = std::exchange(upstream.onCrash, {});
+        for (const auto &notify : waiting) {
+            notify();
+        }
+        this->at(this->between(3000, 5000), [this, index] {
+            ModelUpstream &returned = this->upstreams[index];
+            returned.isUp = true;
+            returned.incarnation = this->nextIncarnation++;
+        });
+    }
+
+    void onAnswered(const AttemptPointer &attempt)
+    {
+        attempt->isDone = true;
+        this->refusedSince.erase(attempt->request);
+        if (this->routers[attempt->router].quarantine.clearSuspect(attempt->request, this->now)) {
+            this->broadcast(attempt->router, [this, request = attempt->request](std::size_t to) {
+                this->routers[to].quarantine.clearSuspect(request, this->now);
+            });
+        }
+    }
+
+    void onBroken(const AttemptPointer &attempt, std::uint64_t incarnation)
+    {
+        CrashQuarantine &quarantine = this->routers[attempt->router].quarantine;
+        quarantine.recordBrokenAnswer(attempt->request, incarnation, attempt->sentAt, this->now);
+        this->probe(attempt->router, incarnation);
+        if (!this->retry(attempt)) {
+            attempt->isDone = true;
+        }
+    }
+
+    /// Without a retry the router goes on waiting for the response.
+    void onSilent(const AttemptPointer &attempt) { this->retry(attempt); }
+
+    bool retry(const AttemptPointer &attempt)
+    {
+        const CrashQuarantine &quarantine = this->routers[attempt->router].quarantine;
+        if (attempt->executions + 1 >= maxAttempts
+            || quarantine.isQuarantined(attempt->request, this->now)) {
+            return false;
+        }
+        attempt->executions += 1;
+        this->dispatch(attempt);
+        return true;
+    }
+
+    /// Connects to the upstream, which refuses if it is down.
+    void probe(std::size_t router, std::uint64_t incarnation)
+    {
+        this->at(this->between(1, 3),
+                 [this, router, incarnation, process = this->routers[router].process] {
+                     if (this->routers[router].process == process && this->isDown(incarnation)) {
+                         this->onFoundDown(router, incarnation);
+                     }
+                 });
+    }
+
+    [[nodiscard]] bool isDown(std::uint64_t incarnation) const
+    {
+        return std::none_of(this->upstreams.begin(), this->upstreams.end(),
+                            [incarnation](const ModelUpstream &upstream) {
+                                return upstream.isUp && upstream.incarnation == incarnation;
+                            });
+    }
+
+    void onFoundDown(std::size_t router, std::uint64_t incarnation)
+    {
+        this->routers[router].knownDown.insert(incarnation);
+        for (const ConfirmedCrash &crash :
+             this->routers[router].quarantine.confirmCrash(incarnation, this->now)) {
+            this->broadcast(router, [this, report = crash.report](std::size_t to) {
+                this->onReport(to, report);
+            });
+        }
+    }
+
+    void onReport(std::size_t router, const CrashReport &report)
+    {
+        this->routers[router].quarantine.recordCrash(report, this->now);
+    }
+
+    /// Routers of the same data centre are notified sooner than others.
+    void broadcast(std::size_t from, const std::function<void(std::size_t)> &deliver)
+    {
+        for (std::size_t to = 0; to < this->routers.size(); ++to) {
+            if (to == from || !this->isConnected(from, to)
+                || this->chance(this->options.reportLoss)) {
+                continue;
+            }
+            const bool isLocal = this->routers[to].dataCentre == this->routers[from].dataCentre;
+            this->at(isLocal ? Milliseconds{20} : this->between(20, 120),
+                     [deliver, to] { deliver(to); });
+        }
+    }
+
+    std::mt19937_64 random;
+    ModelOptions options;
+    std::vector<ModelRouter> routers;
+    std::vector<ModelUpstream> upstreams;
+    std::priority_queue<ModelEvent> events;
+    const TimePoint start{Seconds{1000}};
+    TimePoint now = this->start;
+    std::uint64_t nextOrder = 0;
+    std::uint64_t nextAttempt = 1;
+    std::uint64_t nextIncarnation = 1;
+    std::size_t crashCount = 0;
+    std::optional<TimePoint> thirdCrashAt;
+    std::set<std::uint64_t> late;
+    std::map<RequestFingerprint, TimePoint> refusedSince;
+    Duration longestRefusal{0};
+};
+
+class CrashQuarantineModelFixture
+{
+protected:
+    static constexpr std::uint64_t seeds = 100;
+
+    /// \returns options that vary with the seed.
+    static ModelOptions optionsOf(std::uint64_t seed)
+    {
+        ModelOptions options;
+        options.dataCentres = 2 + seed % 3;
+        options.routers = options.dataCentres * (1 + seed % 4);
+        options.upstreams = options.dataCentres * (1 + seed % 3);
+        options.reportLoss = 0.05 * static_cast<double>(seed % 3);
+        options.copyInterval = Milliseconds{50 + 150 * static_cast<int>(seed % 5)};
+        return options;
+    }
+
+    static void checkBound(std::uint64_t seed, const ModelOptions &options)
+    {
+        QuarantineModel model(seed, options);
+        model.run();
+        INFO("seed " << seed << ", crashes " << model.crashes());
+        CHECK(model.lateAttempts() <= maxLateAttempts);
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(CrashQuarantineModelFixture,
+                 "crashQuarantine_copiesOnManyUpstreamsAtOnce_lateAttemptsStayWithinBound",
+                 "[routing]")
+{
+    // Guards against a crashing request that goes on reaching upstreams because crashes of several
+    // copies at the same time, or of runs that were given up, do not count against it.
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        checkBound(seed, optionsOf(seed));
+    }
+}
+
+TEST_CASE_METHOD(CrashQuarantineModelFixture,
+                 "crashQuarantine_routersRestartOneByOne_lateAttemptsStayWithinBound", "[routing]")
+{
+    // Guards against routers that forget a crashing request when they restart.
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        ModelOptions options = optionsOf(seed);
+        options.restartInterval = Milliseconds{700};
+        checkBound(seed, options);
+    }
+}
+
+TEST_CASE_METHOD(CrashQuarantineModelFixture,
+                 "crashQuarantine_allRoutersKilled_lateAttemptsStayWithinBound", "[routing]")
+{
+    // Guards against a fleet that learns anew what crashes upstreams after all routers were killed.
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        ModelOptions options = optionsOf(seed);
+        options.killAllAt = Milliseconds{15000 + 100 * static_cast<int>(seed)};
+        checkBound(seed, options);
+    }
+}
+
+TEST_CASE_METHOD(CrashQuarantineModelFixture,
+                 "crashQuarantine_dataCentresCutOff_lateAttemptsStayWithinBound", "[routing]")
+{
+    // Guards against two parts of the fleet that each count crashes and admit trials on their own.
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        ModelOptions options = optionsOf(seed);
+        options.cutAt = Milliseconds{500 + 50 * static_cast<int>(seed)};
+        checkBound(seed, options);
+    }
+}
+
+TEST_CASE_METHOD(CrashQuarantineModelFixture,
+                 "crashQuarantine_innocentRequestsBesideCrashes_areServedAgainSoon", "[routing]")
+{
+    // Guards against a quarantine that keeps an innocent request from being served, because it ran
+    // on upstreams that another one crashed, or that lost power together.
+    constexpr Seconds longestRefusal{3};
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        ModelOptions options = optionsOf(seed);
+        options.outageAt = Milliseconds{20000};
+        QuarantineModel model(seed, options);
+        model.run();
+        INFO("seed " << seed);
+        CHECK(model.longestInnocentRefusal() <= longestRefusal);
+    }
+}
