--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -11,6 +11,7 @@
 #include "plantainswitch/routing/prompt.h"
 #include "plantainswitch/routing/replica.h"
 #include "plantainswitch/routing/route.h"
+#include "plantainswitch/routing/trialrecord.h"
 
 #include "http1.h"
 
@@ -88,7 +89,7 @@
 };
 
 /// Kinds of objects in the platform's store.
-enum class StoreObjectKind : std::uint8_t { Routing, Replicas, Routers, Evacuations };
+enum class StoreObjectKind : std::uint8_t { Routing, Replicas, Routers, Evacuations, Quarantines };
 [[nodiscard]] std::string_view nameOf(StoreObjectKind kind) noexcept;
 
 /// How recent a list of the store's objects must be.
@@ -160,6 +161,11 @@
     /// \returns path and query of a call that waits for changes after \a revision.
     [[nodiscard]] virtual std::string watchTarget(StoreObjectKind kind, std::uint64_t revision,
                                                   Milliseconds wait) const = 0;
+    /// \returns path and query of a call on the object of \a kind named \a name.
+    [[nodiscard]] virtual std::string objectTarget(StoreObjectKind kind,
+                                                   std::string_view name) const = 0;
+    /// Decodes an object that the store returned. \returns nothing if it is malformed.
+    [[nodiscard]] virtual std::optional<StoreObject> parseObject(std::string_view body) const = 0;
     /// Decodes the store's response to a list. \returns nothing if it is malformed.
     [[nodiscard]] virtual std::optional<StoreResponse> parseList(std::string_view body) const = 0;
     [[nodiscard]] virtual std::optional<StoreResponse>
@@ -174,6 +180,12 @@
     /// with \a fault set.
     [[nodiscard]] virtual std::optional<std::string> parseEvacuation(const StoreObject &item,
                                                                      std::string &fault) const = 0;
+    /// Decodes the record of a quarantined request. \returns nothing if it is malformed.
+    [[nodiscard]] virtual std::optional<TrialRecord>
+    parseTrialRecord(const StoreObject &item) const = 0;
+    /// \returns the body of the call that writes \a record, under the condition that the stored one
+    /// has its revision; without a condition if that is 0.
+    [[nodiscard]] virtual std::string serializeTrialRecord(const TrialRecord &record) const = 0;
     [[nodiscard]] virtual std::optional<RouterEntry>
     parseRouterEntry(const StoreObject &item) const = 0;
     /// \returns the body of the call that registers this router.
--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -351,13 +351,17 @@
 {
     for (const wire::CrashSeen &crash : message.crashes()) {
         const TimePoint brokenAt = now - Milliseconds{crash.ago_ms()};
-        const TimePoint begunAt = brokenAt - Milliseconds{crash.ran_ms()};
-        ConfirmedCrash reported{{crash.request(), crash.life(), begunAt, brokenAt}};
-        reported.verdict = this->gateway.crashQuarantine.recordCrash(reported.report, now);
-        this->gateway.logCrash(reported, message.id());
+        const TimePoint sentAt = brokenAt - Milliseconds{crash.ran_ms()};
+        this->gateway.applyCrashReport({crash.request(), crash.life(), sentAt, brokenAt},
+                                       message.id());
     }
-    for (const std::uint64_t cleared : message.cleared()) {
-        this->gateway.crashQuarantine.clearSuspect(cleared, now);
+    for (int i = 0; i < message.cleared_size(); ++i) {
+        // Earlier builds do not state the age.
+        const Milliseconds age{i < message.cleared_ago_ms_size() ? message.cleared_ago_ms(i) : 0};
+        this->gateway.crashQuarantine.clearSuspect(message.cleared(i), now - age, now);
+    }
+    for (const wire::TrialsSeen &trials : message.trials()) {
+        this->gateway.recordTrials(trials.request(), trials.trials());
     }
 }
 
@@ -377,7 +381,8 @@
 {
     const TimePoint now = this->gateway.clock.now();
     RouterUpdate update = this->updateSince({});
-    update.crashUpdate.crashes = this->gateway.crashQuarantine.quarantinedCrashes(now);
+    update.crashUpdate.crashes = this->gateway.crashQuarantine.sharedCrashes();
+    update.crashUpdate.trials = this->gateway.crashQuarantine.sharedTrials();
     if (this->gateway.settings.mechanisms.prefixSnapshots
         && this->contacts.isDesignatedFor(hashOf(id), now, id)) {
         update.prefixes = this->prefixSnapshot(now);
@@ -471,8 +476,15 @@
         const auto ran = std::chrono::duration_cast<Milliseconds>(report.brokenAt - report.sentAt);
         entry->set_ran_ms(static_cast<std::uint32_t>(ran.count()));
     }
-    for (const RequestFingerprint cleared : update.crashUpdate.cleared) {
-        message.add_cleared(cleared);
+    for (const ClearedSuspect &cleared : update.crashUpdate.cleared) {
+        message.add_cleared(cleared.request);
+        const auto ago = std::chrono::duration_cast<Milliseconds>(now - cleared.answeredAt);
+        message.add_cleared_ago_ms(static_cast<std::uint32_t>(ago.count()));
+    }
+    for (const TrialCount &count : update.crashUpdate.trials) {
+        wire::TrialsSeen *const entry = message.add_trials();
+        entry->set_request(count.request);
+        entry->set_trials(count.trials);
     }
     return datagram;
 }
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "plantainswitch/base/hash.h"
 #include "plantainswitch/observe/event.h"
 #include <asio/post.hpp>
 
@@ -61,71 +60,6 @@
     return newest;
 }
 
-void GatewayState::probeUpstream(const std::shared_ptr<UpstreamState> &upstream)
-{
-    if (upstream->isBeingProbed
-        || this->evacuations.dataCentres.contains(upstream->replica.dataCentre)) {
-        return;
-    }
-    upstream->isBeingProbed = true;
-    const auto connection = std::make_shared<UpstreamConnection>(this->context, this->clock);
-    connection->connect(
-        upstream->replica.endpoint, upstreamConnectTimeout,
-        [this, upstream, connection](bool isConnected) {
-            upstream->isBeingProbed = false;
-            logEvent(Event::UpstreamChecked, {{"upstream", upstream->replica.id},
-                                              {"connected", isConnected ? "yes" : "no"}});
-            if (isConnected) {
-                this->upstreams.release(*upstream, connection);
-                return;
-            }
-            recordFault(upstream->health, UpstreamFault::Unreachable, this->clock.now());
-            this->recordUpstreamDown(upstream->replica);
-        });
-}
-
-void GatewayState::recordUpstreamDown(const Replica &replica)
-{
-    if (const auto upstream = this->upstreams.find(replica.id)) {
-        upstream->cold.recordDown(this->coldStartOf(replica.service).duration, this->clock.now());
-    }
-    const auto confirmed =
-        this->crashQuarantine.confirmCrash(incarnationOf(replica), this->clock.now());
-    if (!confirmed.empty()) {
-        // The caller may retry the request at once, through any router.
-        this->fleet->scheduleBroadcast();
-    }
-    for (const ConfirmedCrash &crash : confirmed) {
-        this->updateLog.recordCrash(crash.report, this->clock.now());
-        logEvent(Event::UpstreamCrashed,
-                 {{"upstream", replica.id}, {"fingerprint", formatHash(crash.report.request)}});
-        this->logCrash(crash, this->settings.id);
-    }
-}
-
-void GatewayState::logCrash(const ConfirmedCrash &crash, std::string_view source) const
-{
-    const auto milliseconds = [](Duration span) {
-        return std::to_string(std::chrono::duration_cast<Milliseconds>(span).count());
-    };
-    const CrashReport &report = crash.report;
-    logEvent(Event::CrashReported,
-             {{"fingerprint", formatHash(report.request)},
-              {"incarnation", formatHash(report.incarnation)},
-              {"from", std::string(source)},
-              {"age_ms", milliseconds(this->clock.now() - report.brokenAt)},
-              {"ran_ms", milliseconds(report.brokenAt - report.sentAt)},
-              {"verdict", std::string(nameOf(crash.verdict))},
-              {"crashes", std::to_string(this->crashQuarantine.crashCount(report.request))}});
-}
-
-void GatewayState::recordAnswered(RequestFingerprint request)
-{
-    if (this->crashQuarantine.clearSuspect(request, this->clock.now())) {
-        this->updateLog.recordCleared(request, this->clock.now());
-    }
-}
-
 Gateway::Gateway(const Clock &clock, const Dialect &dialect, GatewaySettings settings,
                  SettingsSource source)
     : context(1)
@@ -177,9 +111,11 @@
                           [this] { return this->fleet.watchRank().value_or(0) > 0; }})
     , registrationClient(this->state)
     , storeViewClient(this->state)
+    , trialStore(this->state)
     , peerAcceptor(this->context)
 {
     this->state.fleet = &this->fleet;
+    this->state.trials = &this->trialStore;
     startLogging(this->state.settings.log, this->state.settings.id,
                  [this](Severity severity, const std::string &line) {
                      this->logWriter.append(severity, line);
@@ -286,6 +222,9 @@
     if (this->state.settings.followsEvacuations) {
         this->evacuationFollower.start(ReadConsistency::Stale);
     }
+    if (this->state.settings.mechanisms.quarantine) {
+        this->trialStore.start();
+    }
     this->tick();
     this->context.run();
     blockHandledSignals();
@@ -487,6 +426,7 @@
     this->dataCentreMonitor.update(now);
     this->checkFreshness(now);
     this->fetchStoreView();
+    this->state.removeExpiredSuspects();
     this->updateReadiness();
     if (now - this->settingsReadAt > settingsCheckInterval) {
         this->reloadSettings(false);
@@ -554,6 +494,7 @@
     this->routingFollower.stop();
     this->replicaFollower.stop();
     this->evacuationFollower.stop();
+    this->trialStore.stop();
     this->context.stop();
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "plantainswitch/observe/pausedetector.h"
 #include "storefollower.h"
 #include "storeview.h"
+#include "trialstore.h"
 
 namespace plantainswitch::gateway {
 
@@ -117,6 +118,7 @@
     StoreFollower evacuationFollower;
     SequentialHttpClient registrationClient;
     SequentialHttpClient storeViewClient;
+    TrialStore trialStore;
     Acceptor peerAcceptor;
     CallerHandlers callerHandlers;
     CallerHandlers internalHandlers;
--- /dev/null
+++ b/gateway/gatewaycrashes.cpp
@@ -0,0 +1,176 @@
+#include "gatewaystate.h"
+
+#include <utility>
+
+#include <asio/steady_timer.hpp>
+
+#include "plantainswitch/base/hash.h"
+#include "plantainswitch/observe/event.h"
+
+#include "fleetgossip.h"
+#include "trialstore.h"
+
+namespace plantainswitch::gateway {
+
+namespace {
+
+/// How long after a run was given up its upstream is probed. A request that crashes upstreams does
+/// so soon after it began to run.
+constexpr Milliseconds givenUpProbeDelay{250};
+
+std::string formatMilliseconds(Duration span)
+{
+    return std::to_string(std::chrono::duration_cast<Milliseconds>(span).count());
+}
+
+} // namespace
+
+void GatewayState::probeUpstream(const std::shared_ptr<UpstreamState> &upstream,
+                                 std::function<void()> done)
+{
+    if (this->evacuations.dataCentres.contains(upstream->replica.dataCentre)) {
+        done();
+        return;
+    }
+    upstream->probeWaiters.push_back(std::move(done));
+    if (upstream->isBeingProbed) {
+        return;
+    }
+    upstream->isBeingProbed = true;
+    const auto connection = std::make_shared<UpstreamConnection>(this->context, this->clock);
+    connection->connect(
+        upstream->replica.endpoint, upstreamConnectTimeout,
+        [this, upstream, connection](bool isConnected) {
+            upstream->isBeingProbed = false;
+            logEvent(Event::UpstreamChecked, {{"upstream", upstream->replica.id},
+                                              {"connected", isConnected ? "yes" : "no"}});
+            if (isConnected) {
+                this->upstreams.release(*upstream, connection);
+            } else {
+                recordFault(upstream->health, UpstreamFault::Unreachable, this->clock.now());
+                this->recordUpstreamDown(upstream->replica);
+            }
+            for (const auto &waiter : std::exchange(upstream->probeWaiters, {})) {
+                waiter();
+            }
+        });
+}
+
+void GatewayState::scheduleProbe(const std::shared_ptr<UpstreamState> &upstream)
+{
+    if (upstream->isProbeScheduled) {
+        return;
+    }
+    upstream->isProbeScheduled = true;
+    const auto timer = std::make_shared<asio::steady_timer>(this->context, givenUpProbeDelay);
+    const TimePoint since = this->clock.now();
+    timer->async_wait([this, timer, upstream, since](const asio::error_code &error) {
+        upstream->isProbeScheduled = false;
+        if (!error && upstream->lastReceived <= since) {
+            this->probeUpstream(upstream, [] {});
+        }
+    });
+}
+
+void GatewayState::recordUpstreamDown(const Replica &replica)
+{
+    if (const auto upstream = this->upstreams.find(replica.id)) {
+        upstream->cold.recordDown(this->coldStartOf(replica.service).duration, this->clock.now());
+    }
+    this->confirmCrash(incarnationOf(replica), replica.id);
+}
+
+void GatewayState::confirmCrash(std::uint64_t incarnation, const std::string &upstreamId)
+{
+    const auto confirmed = this->crashQuarantine.confirmCrash(incarnation, this->clock.now());
+    if (!confirmed.empty()) {
+        // The caller may retry the request at once, through any router.
+        this->fleet->scheduleBroadcast();
+    }
+    for (const ConfirmedCrash &crash : confirmed) {
+        this->updateLog.recordCrash(crash.report, this->clock.now());
+        logEvent(Event::UpstreamCrashed,
+                 {{"upstream", upstreamId}, {"fingerprint", formatHash(crash.report.request)}});
+        this->logCrash(crash, this->settings.id);
+        this->publishSuspect(crash.report.request);
+    }
+}
+
+void GatewayState::applyCrashReport(const CrashReport &report, std::string_view source)
+{
+    const UpstreamState *const upstream = this->upstreams.findIncarnation(report.incarnation);
+    if (upstream != nullptr && refutes(*upstream, report)) {
+        this->logCrash({report, CrashVerdict::UpstreamAlive}, source);
+        return;
+    }
+    const TimePoint now = this->clock.now();
+    const ConfirmedCrash crash{report, this->crashQuarantine.recordCrash(report, now)};
+    this->logCrash(crash, source);
+    if (crash.verdict == CrashVerdict::Counted) {
+        this->publishSuspect(report.request);
+        for (const CrashReport &each : this->crashQuarantine.reportsToForward(report)) {
+            this->updateLog.recordCrash(each, now);
+            this->fleet->scheduleBroadcast();
+        }
+    }
+    // The crash may also have ended runs that this router gave up.
+    this->confirmCrash(report.incarnation,
+                       upstream == nullptr ? std::string() : upstream->replica.id);
+}
+
+void GatewayState::publishSuspect(RequestFingerprint request)
+{
+    if (this->settings.mechanisms.quarantine
+        && this->crashQuarantine.crashCount(request) == crashesForNoRetry
+        && this->fleet->isDesignatedFor(request)) {
+        this->trials->create(request);
+    }
+}
+
+void GatewayState::logCrash(const ConfirmedCrash &crash, std::string_view source) const
+{
+    const CrashReport &report = crash.report;
+    logEvent(Event::CrashReported,
+             {{"fingerprint", formatHash(report.request)},
+              {"incarnation", formatHash(report.incarnation)},
+              {"from", std::string(source)},
+              {"age_ms", formatMilliseconds(this->clock.now() - report.brokenAt)},
+              {"ran_ms", formatMilliseconds(report.brokenAt - report.sentAt)},
+              {"verdict", std::string(nameOf(crash.verdict))},
+              {"crashes", std::to_string(this->crashQuarantine.crashCount(report.request))}});
+}
+
+void GatewayState::recordTrials(RequestFingerprint request, std::uint32_t trials)
+{
+    const TimePoint now = this->clock.now();
+    if (this->crashQuarantine.recordTrials(request, trials, now)) {
+        this->updateLog.recordTrials({request, trials}, now);
+        this->fleet->scheduleBroadcast();
+    }
+}
+
+void GatewayState::recordAnswered(RequestFingerprint request)
+{
+    const TimePoint now = this->clock.now();
+    const bool wasPublished = this->crashQuarantine.crashCount(request) >= crashesForNoRetry;
+    if (!this->crashQuarantine.clearSuspect(request, now, now)) {
+        return;
+    }
+    this->updateLog.recordCleared({request, now}, now);
+    if (wasPublished) {
+        this->fleet->scheduleBroadcast();
+        this->trials->erase(request);
+    }
+}
+
+void GatewayState::removeExpiredSuspects()
+{
+    for (const RequestFingerprint request :
+         this->crashQuarantine.removeExpired(this->clock.now())) {
+        if (this->fleet->isDesignatedFor(request)) {
+            this->trials->erase(request);
+        }
+    }
+}
+
+} // namespace plantainswitch::gateway
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -325,6 +325,7 @@
                                  const std::optional<Endpoint> &copyFrom)
 {
     this->phase = Phase::AwaitingResponse;
+    this->isRunning = false;
     this->headReceived = false;
     this->firstByteReceived = false;
     this->responseBody.clear();
@@ -347,6 +348,7 @@
     this->connection = this->gateway.upstreams.acquireIdle(*target, isRetryable(*this->route));
     if (this->connection) {
         this->connectionPath = "reused";
+        this->onSending();
         this->connection->send(bytes, this->responseHandlers(), isHead);
         return;
     }
@@ -392,9 +394,20 @@
             // What the upstream wants may have changed while the connection was established.
             [weak] {
                 const auto self = weak.lock();
-                return self && self->upstream
-                       && self->isUsable(self->gateway.upstreams.find(self->upstream->replica.id));
+                const bool maySend =
+                    self && self->upstream
+                    && self->isUsable(self->gateway.upstreams.find(self->upstream->replica.id));
+                if (maySend) {
+                    self->onSending();
+                }
+                return maySend;
             }};
 }
 
+void RequestHandler::onSending()
+{
+    this->isRunning = true;
+    this->isUnusedTrial = false;
+}
+
 } // namespace plantainswitch::gateway
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -1,6 +1,7 @@
 #include "gatewayrequesthandler.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -26,6 +27,8 @@
 /// Retry-After of a request that no upstream could take: about the time after which an ejected
 /// upstream is tried again.
 constexpr Milliseconds defaultRetryAfter{400};
+/// Shortest Retry-After of a quarantined request: about the time that a trial takes.
+constexpr Milliseconds minQuarantineRetryAfter{200};
 /// Retry-After of a request that no permitted data centre can process. Evacuations and changes of
 /// homes last seconds at least.
 constexpr Milliseconds noPlaceRetryAfter{1000};
@@ -96,32 +99,90 @@
     this->gateway.retryBudgets.deposit(this->service, this->gateway.routerCount(), this->now());
     this->fingerprint = mixHash(hashOf(this->request->target, hashOf(this->workspace)),
                                 hashOf(this->request->body));
-    if (this->isQuarantined()) {
-        logEvent(Event::RequestQuarantined, {{"request", this->request->attemptId},
-                                             {"fingerprint", formatHash(this->fingerprint)}});
-        this->refuse(ErrorKind::Quarantined, "upstreams crashed on it");
+    return this->passQuarantine();
+}
+
+bool RequestHandler::passQuarantine()
+{
+    if (!this->gateway.settings.mechanisms.quarantine) {
+        return true;
+    }
+    switch (this->gateway.crashQuarantine.stateOf(this->fingerprint, this->now())) {
+    case QuarantineState::Held:
+        this->refuseQuarantined();
+        return false;
+    case QuarantineState::TrialDue:
+        this->requestTrial();
         return false;
+    case QuarantineState::Free:
+        break;
     }
     return true;
 }
 
-bool RequestHandler::isQuarantined()
+void RequestHandler::requestTrial()
 {
-    CrashQuarantine &suspects = this->gateway.crashQuarantine;
-    if (!this->gateway.settings.mechanisms.quarantine
-        || !suspects.isQuarantined(this->fingerprint, this->now())) {
-        return false;
-    }
-    const bool isFirst = this->gateway.fleet->isDesignatedFor(this->fingerprint);
-    if (!suspects.allowTrial(this->fingerprint, isFirst, this->now())) {
-        return true;
-    }
+    this->armTimer(this->deadline);
+    const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
+    this->gateway.trials->requestTrial(
+        this->fingerprint,
+        [weak, &gateway = this->gateway, request = this->fingerprint](TrialPermit permit) {
+            const auto self = weak.lock();
+            if (self && self->phase != Phase::Done) {
+                self->onTrialReply(permit);
+            } else if (permit == TrialPermit::Permitted) {
+                gateway.trials->returnTrial(request);
+            }
+        });
+}
+
+void RequestHandler::onTrialReply(TrialPermit permit)
+{
+    // Without the store the designated router alone decides.
+    const bool isDesignated = this->gateway.fleet->isDesignatedFor(this->fingerprint);
+    const bool isAllowed =
+        permit == TrialPermit::Permitted || (permit == TrialPermit::Unavailable && isDesignated);
+    CrashQuarantine &quarantine = this->gateway.crashQuarantine;
     logEvent(Event::QuarantineTrial,
              {{"request", this->request->attemptId},
               {"fingerprint", formatHash(this->fingerprint)},
-              {"designated", isFirst ? "yes" : "no"},
-              {"crashes", std::to_string(suspects.crashCount(this->fingerprint))}});
-    return false;
+              {"permit", std::string(nameOf(permit))},
+              {"designated", isDesignated ? "yes" : "no"},
+              {"trials", std::to_string(quarantine.trialCount(this->fingerprint))},
+              {"crashes", std::to_string(quarantine.crashCount(this->fingerprint))}});
+    if (!isAllowed) {
+        this->refuseQuarantined();
+        return;
+    }
+    if (permit == TrialPermit::Unavailable) {
+        quarantine.beginTrial(this->fingerprint, quarantine.trialCount(this->fingerprint) + 1,
+                              this->now());
+    }
+    this->isUnusedTrial = permit == TrialPermit::Permitted;
+    this->selectAndDispatch();
+}
+
+void RequestHandler::refuseQuarantined()
+{
+    logEvent(Event::RequestQuarantined, {{"request", this->request->attemptId},
+                                         {"fingerprint", formatHash(this->fingerprint)}});
+    const Milliseconds wait =
+        this->gateway.crashQuarantine.timeToTrial(this->fingerprint, this->now());
+    this->refuse(ErrorKind::Quarantined, "upstreams crashed on it",
+                 std::max(wait, minQuarantineRetryAfter));
+}
+
+void RequestHandler::recordUnansweredRun(RunEnd end)
+{
+    if (!std::exchange(this->isRunning, false)) {
+        return;
+    }
+    this->gateway.crashQuarantine.recordUnansweredRun({this->fingerprint,
+                                                       incarnationOf(this->upstream->replica),
+                                                       this->sentAt, this->now(), end});
+    if (end == RunEnd::GivenUp) {
+        this->gateway.scheduleProbe(this->upstream);
+    }
 }
 
 Milliseconds RequestHandler::remainingTime() const
@@ -169,6 +230,10 @@
         this->armTimer(this->deadline);
         return;
     }
+    if (this->phase == Phase::Probing) {
+        this->retryOrFail(UpstreamFault::ConnectionLost);
+        return;
+    }
     const Duration silent = this->now() - this->sentAt;
     const bool isBusy =
         this->phase == Phase::AwaitingResponse
@@ -204,11 +269,10 @@
 
 bool RequestHandler::canRetry() const
 {
-    // A quarantined request has crashed enough upstreams: the trial that it was admitted for is its
-    // only attempt.
+    // A request on which upstreams crashed may crash the next one, too. A trial has one attempt.
     return this->gateway.settings.mechanisms.retries && isRetryable(*this->route)
            && this->possibleExecutions + 1 < this->route->maxAttempts
-           && !this->gateway.crashQuarantine.isQuarantined(this->fingerprint, this->now());
+           && this->gateway.crashQuarantine.crashCount(this->fingerprint) < crashesForNoRetry;
 }
 
 bool RequestHandler::retry(std::string_view why)
@@ -247,6 +311,7 @@
 
 void RequestHandler::releaseUpstream()
 {
+    this->recordUnansweredRun(RunEnd::GivenUp);
     if (this->connection) {
         this->connection->abort();
         this->connection.reset();
@@ -323,6 +388,9 @@
 {
     this->phase = Phase::Done;
     this->timer.cancel();
+    if (std::exchange(this->isUnusedTrial, false)) {
+        this->gateway.trials->returnTrial(this->fingerprint);
+    }
     const Duration totalTime = this->now() - this->incoming.receivedAt;
     if (this->request && this->route != nullptr) {
         const std::string kind(nameOf(this->route->kind));
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -12,6 +12,7 @@
 #include "callerconnection.h"
 #include "fleetgossip.h"
 #include "gatewaystate.h"
+#include "trialstore.h"
 
 namespace plantainswitch::gateway {
 
@@ -35,7 +36,14 @@
     void abort();
 
 private:
-    enum class Phase : std::uint8_t { Selecting, AwaitingResponse, Relaying, Done };
+    enum class Phase : std::uint8_t {
+        Selecting,
+        AwaitingResponse,
+        Relaying,
+        /// The connection was lost, and the upstream is being probed.
+        Probing,
+        Done,
+    };
 
     /// A complete error response of an upstream.
     struct FailedResponse
@@ -56,9 +64,14 @@
     };
 
     bool prepare();
-    /// \returns whether the request is quarantined for crashing upstreams and is not due for a
-    /// trial.
-    bool isQuarantined();
+    /// Refuses the request if it is quarantined for crashing upstreams, or asks for a trial of it.
+    /// \returns whether it is not quarantined.
+    bool passQuarantine();
+    void requestTrial();
+    void onTrialReply(TrialPermit permit);
+    void refuseQuarantined();
+    /// Records that the run at the current upstream ends without a response.
+    void recordUnansweredRun(RunEnd end);
     void selectAndDispatch();
     /// \returns where the request may be processed.
     [[nodiscard]] PlacementConstraints placementConstraints() const;
@@ -89,6 +102,8 @@
     void dispatchTo(const Selection &placement);
     void sendRequest(const std::shared_ptr<UpstreamState> &target,
                      const std::optional<Endpoint> &copyFrom);
+    /// Called when the request's bytes are about to be sent to the upstream.
+    void onSending();
     /// Records that the engine caches the prompt's prefixes, and notifies the other routers if that
     /// is new to them.
     void recordPrefix(std::uint64_t incarnation);
@@ -109,6 +124,10 @@
     void onCompleteResponse();
     void onCompleteStream();
     void onFault(UpstreamFault fault);
+    /// Waits until the upstream was probed: if it has crashed, a retry would crash the next one.
+    void onConnectionLost();
+    /// Retries the request after \a fault, or ends it.
+    void retryOrFail(UpstreamFault fault);
     void recordUpstreamFault(UpstreamFault fault);
     /// Records what a response asks of this router.
     void recordNotice(const UpstreamResponse &head);
@@ -177,6 +196,10 @@
     bool isFirstPrefill = false;
     TimePoint sentAt;
     TimePoint firstByteAt;
+    /// The request was sent to the current upstream, which has not responded completely.
+    bool isRunning = false;
+    /// It was admitted as a trial, and the trial has not reached an upstream.
+    bool isUnusedTrial = false;
     bool headReceived = false;
     bool firstByteReceived = false;
     UpstreamResponse response;
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -14,6 +14,8 @@
 /// it is resumed.
 constexpr std::size_t pauseThresholdBytes = 256 << 10;
 constexpr std::size_t resumeThresholdBytes = 64 << 10;
+/// How long a retry after a lost connection waits for the probe of its upstream: some round trips.
+constexpr Milliseconds maxProbeWait{30};
 /// Number of failed connection attempts after which a request is refused as not executed.
 constexpr std::uint32_t maxConnectFailures = 4;
 
@@ -32,6 +34,8 @@
     }
     this->headReceived = true;
     this->upstream->lastReceived = this->now();
+    this->gateway.crashQuarantine.recordResponse(incarnationOf(this->upstream->replica),
+                                                 this->sentAt);
     this->recordColdness(decoded);
     this->response = std::move(decoded);
     return true;
@@ -178,9 +182,13 @@
         this->onWithheld();
         return;
     }
+    if (outcome == ResponseOutcome::ConnectionLost) {
+        this->onConnectionLost();
+        return;
+    }
+    this->isRunning = false;
     if (outcome != ResponseOutcome::Complete) {
-        this->onFault(outcome == ResponseOutcome::Malformed ? UpstreamFault::InvalidResponse
-                                                            : UpstreamFault::ConnectionLost);
+        this->onFault(UpstreamFault::InvalidResponse);
         return;
     }
     this->gateway.upstreams.release(*this->upstream, this->connection);
@@ -232,16 +240,15 @@
 
 void RequestHandler::onCompleteResponse()
 {
-    const bool isSuccess = this->response.status >= 200 && this->response.status < 300;
-    if (isSuccess) {
-        this->gateway.recordAnswered(this->fingerprint);
-    }
     const bool isTrusted =
         !this->response.isEncoded && !this->response.attemptId.empty() && this->response.isSigned;
     if (!isTrusted) {
         this->onFault(UpstreamFault::InvalidResponse);
         return;
     }
+    // An upstream that responds with an error has not crashed either.
+    this->gateway.recordAnswered(this->fingerprint);
+    const bool isSuccess = this->response.status >= 200 && this->response.status < 300;
     if (!isSuccess && this->response.status >= 500) {
         this->recordUpstreamFault(UpstreamFault::Failed);
         this->failedResponse =
@@ -305,15 +312,29 @@
 void RequestHandler::onFault(UpstreamFault fault)
 {
     this->recordUpstreamFault(fault);
-    if (fault == UpstreamFault::ConnectionLost) {
-        this->gateway.crashQuarantine.recordBrokenAnswer(
-            this->fingerprint, incarnationOf(this->upstream->replica), this->sentAt, this->now());
-        this->gateway.probeUpstream(this->upstream);
-    }
-    if (this->canRetry() && this->retry(nameOf(fault))) {
-        return;
+    this->retryOrFail(fault);
+}
+
+void RequestHandler::onConnectionLost()
+{
+    this->recordUpstreamFault(UpstreamFault::ConnectionLost);
+    this->recordUnansweredRun(RunEnd::ConnectionLost);
+    this->phase = Phase::Probing;
+    this->armTimer(this->now() + maxProbeWait);
+    const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
+    this->gateway.probeUpstream(this->upstream, [weak] {
+        const auto self = weak.lock();
+        if (self && self->phase == Phase::Probing) {
+            self->retryOrFail(UpstreamFault::ConnectionLost);
+        }
+    });
+}
+
+void RequestHandler::retryOrFail(UpstreamFault fault)
+{
+    if (!this->canRetry() || !this->retry(nameOf(fault))) {
+        this->fail();
     }
-    this->fail();
 }
 
 } // namespace plantainswitch::gateway
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -23,6 +23,7 @@
 
 class CallerConnection;
 class FleetGossip;
+class TrialStore;
 
 /// One upstream's entry in a StoreView.
 struct StoreViewReplica
@@ -112,25 +113,33 @@
     bool stopping = false;
     /// Set before the first request arrives.
     FleetGossip *fleet = nullptr;
+    TrialStore *trials = nullptr;
     /// Called when an exchange has ended, to release it.
     std::function<void(const CallerConnection &)> onExchangeDone;
-    /// Probes an upstream whose response broke off, unless a probe is already running. A crashed
-    /// upstream refuses the connection; one that only lost a response accepts it, and the next
-    /// request reuses it. Without the probe a crash would be noticed seconds later, when the next
-    /// request is sent there.
-    void probeUpstream(const std::shared_ptr<UpstreamState> &upstream);
+    /// Probes an upstream whose response broke off. A crashed upstream refuses the connection; one
+    /// that only lost a response accepts it, and the next request reuses it. Without the probe a
+    /// crash would be noticed seconds later, when the next request is sent there.
+    /// \param done called once the outcome is known; several calls share one probe
+    void probeUpstream(const std::shared_ptr<UpstreamState> &upstream, std::function<void()> done);
+    /// Probes an upstream at which a run was given up, unless it responds to others meanwhile.
+    void scheduleProbe(const std::shared_ptr<UpstreamState> &upstream);
     /// Records that an upstream is down. Requests that it failed to respond to before become
     /// suspects.
     void recordUpstreamDown(const Replica &replica);
-    /// Logs what became of a reported crash. \param source the router that reported it
-    void logCrash(const ConfirmedCrash &crash, std::string_view source) const;
+    /// Applies a report of another router. \param source that router, for the log
+    void applyCrashReport(const CrashReport &report, std::string_view source);
+    /// Records what the store says of a quarantined request, and notifies the other routers if that
+    /// is new.
+    void recordTrials(RequestFingerprint request, std::uint32_t trials);
+    /// Records that a request got a response, so that it does not crash upstreams.
+    void recordAnswered(RequestFingerprint request);
+    /// Forgets requests that have crashed nothing for a long time.
+    void removeExpiredSuspects();
     /// Applies a set of evacuated data centres unless a newer one is known, and announces a change
     /// to the other routers. \param source where the set comes from, for the log
     void setEvacuations(EvacuationSet newer, std::string_view source);
     /// Applies what the list of upstreams says about coldness.
     void recordColdTimes(const std::vector<ReplicaEvent> &events);
-    /// Records that a request got a response, so that it does not crash upstreams.
-    void recordAnswered(RequestFingerprint request);
     /// Records a response of the store at \a now as of \a revision. It confirms every kind of
     /// objects without later changes.
     void recordConfirmation(std::uint64_t revision, TimePoint now);
@@ -139,6 +148,14 @@
     /// Copies the other routers' loads into the upstreams' states.
     void refreshPeerLoads();
     bool peerLoadsChanged = false;
+
+private:
+    /// Attributes a crash of \a incarnation to the requests that it did not respond to.
+    void confirmCrash(std::uint64_t incarnation, const std::string &upstreamId);
+    /// Creates the store's record of a request that is close to its quarantine.
+    void publishSuspect(RequestFingerprint request);
+    /// Logs what became of a reported crash.
+    void logCrash(const ConfirmedCrash &crash, std::string_view source) const;
 };
 
 } // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/trialstore.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <string>
+
+#include "plantainswitch/routing/trialrecord.h"
+
+#include "sequentialhttpclient.h"
+
+namespace plantainswitch::gateway {
+
+/// What the store says to a request for a trial.
+enum class TrialPermit : std::uint8_t {
+    Permitted,
+    /// Another router was permitted a trial.
+    Denied,
+    /// The store did not respond, or refused the call.
+    Unavailable,
+};
+[[nodiscard]] std::string_view nameOf(TrialPermit permit) noexcept;
+
+/// The records of quarantined requests in the platform's store. They outlive the routers, and
+/// permit each trial to one router of the fleet.
+class TrialStore
+{
+public:
+    explicit TrialStore(GatewayState &gateway);
+
+    /// Lists the records, and once more when a stale list has caught up.
+    void start();
+    void stop();
+    /// Creates the record of a request. If there is one, routers that this one is cut off from have
+    /// seen crashes, too, and the request is quarantined.
+    void create(RequestFingerprint request);
+    /// Asks for the next trial of a request.
+    void requestTrial(RequestFingerprint request, std::function<void(TrialPermit)> done);
+    /// Takes back a trial that this router was permitted and that reached no upstream.
+    void returnTrial(RequestFingerprint request);
+    /// Removes the record of a request that was answered.
+    void erase(RequestFingerprint request);
+
+private:
+    struct Call
+    {
+        std::string method;
+        std::string target;
+        std::string body;
+        Milliseconds timeout{0};
+        std::function<void(const CallReply &)> done;
+    };
+
+    void list();
+    void onListed(const CallReply &reply);
+    void enqueue(Call call);
+    void startNext();
+    [[nodiscard]] std::string targetOf(RequestFingerprint request) const;
+    /// Reads the record of a request. \a done gets whether the store responded, and the record if
+    /// there is one.
+    void read(RequestFingerprint request,
+              std::function<void(bool, std::optional<TrialRecord>)> done);
+    /// Writes a record. A conflict is Denied.
+    void write(const TrialRecord &record, TrialStep step, std::function<void(TrialPermit)> done);
+    [[nodiscard]] std::optional<TrialRecord> recordIn(const std::string &body) const;
+
+    GatewayState &gateway;
+    SequentialHttpClient client;
+    asio::steady_timer timer;
+    std::deque<Call> calls;
+    /// Lists that have succeeded since the start.
+    int lists = 0;
+};
+
+} // namespace plantainswitch::gateway
--- a/include/plantainswitch/base/hash.h
+++ b/include/plantainswitch/base/hash.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,5 +15,7 @@
 
 /// \returns \a hash as 16 hexadecimal digits, as log lines and stored names have it.
 [[nodiscard]] std::string formatHash(std::uint64_t hash);
+/// \returns the hash that formatHash() wrote as \a text, or nothing.
+[[nodiscard]] std::optional<std::uint64_t> parseHash(std::string_view text);
 
 } // namespace plantainswitch
--- a/include/plantainswitch/routing/crashquarantine.h
+++ b/include/plantainswitch/routing/crashquarantine.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -14,6 +16,26 @@
 /// router.
 using RequestFingerprint = std::uint64_t;
 
+/// How a run of a request ended without a response.
+enum class RunEnd : std::uint8_t {
+    /// The upstream closed or reset the connection.
+    ConnectionLost,
+    /// The router closed the connection: the upstream was silent for too long, the caller left, or
+    /// the deadline passed. The upstream may go on with the run, and crash on it.
+    GivenUp,
+};
+
+/// A run of a request that ended without a response, as the router that sent it saw it.
+struct UnansweredRun
+{
+    RequestFingerprint request = 0;
+    /// The upstream's incarnation.
+    std::uint64_t incarnation = 0;
+    TimePoint sentAt;
+    TimePoint endedAt;
+    RunEnd end = RunEnd::ConnectionLost;
+};
+
 /// An upstream incarnation that crashed while it ran a request.
 struct CrashReport
 {
@@ -21,7 +43,7 @@
     std::uint64_t incarnation = 0;
     /// When the request was sent to the upstream, by this router's clock.
     TimePoint sentAt;
-    /// When the connection was lost, by this router's clock.
+    /// When the run ended for the router, by this router's clock.
     TimePoint brokenAt;
 };
 
@@ -31,10 +53,10 @@
     Counted,
     /// A crash of the same upstream incarnation counts already.
     KnownUpstream,
-    /// It is taken for a part of an outage that counts already.
-    Concurrent,
     /// The request was answered since.
     AnsweredSince,
+    /// The upstream has responded since.
+    UpstreamAlive,
 };
 [[nodiscard]] std::string_view nameOf(CrashVerdict verdict) noexcept;
 
@@ -45,95 +67,163 @@
     CrashVerdict verdict = CrashVerdict::Counted;
 };
 
+/// A request under suspicion that was answered.
+struct ClearedSuspect
+{
+    RequestFingerprint request = 0;
+    TimePoint answeredAt;
+};
+
+/// Number of trials of a quarantined request, as the platform's store has it.
+struct TrialCount
+{
+    RequestFingerprint request = 0;
+    std::uint32_t trials = 0;
+};
+
+/// Whether a request may be sent to an upstream.
+enum class QuarantineState : std::uint8_t {
+    /// It is not quarantined.
+    Free,
+    /// It is quarantined, and no trial is due.
+    Held,
+    /// It is quarantined and may run once, if the trial is permitted.
+    TrialDue,
+};
+
 /// Consecutive crashes after which a request is quarantined. One or two may be coincidence; the
 /// users' requirements allow three.
 inline constexpr std::size_t quarantineThreshold = 3;
-/// Time after a lost answer within which the upstream must be found down for it to count as a
+/// Crashes after which an attempt is not retried. The caller may send the request again.
+inline constexpr std::size_t crashesForNoRetry = 2;
+/// Time after a lost connection within which the upstream must be found down for it to count as a
 /// crash. An upstream that only lost one connection, or closed it, still accepts new ones.
 inline constexpr Seconds crashConfirmationWindow{8};
-/// Crashes within this time count once if the request was running on both upstreams: when several
-/// upstreams go down together, the requests running on them are not the cause. A run that started
-/// after the other one's connection was lost counts as another crash, however soon it follows: a
-/// router retries a request within a millisecond. The window covers the time in which connection
-/// losses are reported from all data centres.
-inline constexpr Milliseconds concurrentCrashWindow{40};
-/// Duration of the first quarantine, after which the request is admitted once as a trial; each
-/// further crash multiplies it by quarantineGrowth. The first one also blocks an innocent request
-/// that many callers send alike and that happened to run beside the crashing one; each trial of a
-/// crashing request takes down one upstream.
-inline constexpr Seconds initialQuarantine{3};
-inline constexpr int quarantineGrowth = 3;
-/// Time after its last crash at which a request is no longer suspected; also the maximum duration
-/// of a quarantine.
-inline constexpr Seconds maxQuarantine{600};
-/// Requests tracked at once, about 200 bytes each; the oldest ones are evicted first.
+/// The same for a run that the router gave up. A crash that its request causes follows soon, and
+/// runs that were given up are common on slow upstreams.
+inline constexpr Seconds givenUpConfirmationWindow{2};
+/// Time after a reported crash within which a response of the same upstream refutes it. An upstream
+/// that did crash needs longer to start again.
+inline constexpr Seconds crashRefutationWindow{1};
+/// Delay of each trial of a quarantined request after the last crash or trial; the last value
+/// repeats. The first trial comes soon, because the request may be innocent: it ran beside the
+/// crashing one, or on upstreams that lost power together. A request whose own trials crash
+/// upstreams takes one down every ten minutes at most.
+inline constexpr std::array<Milliseconds, 4> trialDelays{
+    Milliseconds{1000}, Milliseconds{5000}, Milliseconds{60'000}, Milliseconds{600'000}};
+/// How long an unanswered call for a trial blocks the next one.
+inline constexpr Milliseconds trialRetryDelay{500};
+/// Time after its last crash or trial at which a request is no longer suspected.
+inline constexpr Seconds maxQuarantine{1800};
+/// Requests with unanswered runs that are tracked at once. Beyond that, runs that routers gave up
+/// are not recorded.
+inline constexpr std::size_t maxUnansweredRequests = 4000;
+/// Suspects tracked at once, about 200 bytes each; the oldest ones are evicted first.
 inline constexpr std::size_t maxCrashSuspects = 4000;
-/// Quarantined requests that are sent to a router that has just started: as many as fit into one
-/// datagram. More are under suspicion only during an attack, and each one left out costs the new
-/// router's service three upstreams.
-inline constexpr std::size_t maxSharedQuarantines = 40;
+/// Suspects that are reported to a router that has just started: as many as fit into one datagram.
+/// More are under suspicion only during an attack, and each one left out costs the new router's
+/// service some upstreams.
+inline constexpr std::size_t maxSharedSuspects = 40;
 
 /// Quarantine of requests on which upstreams crashed. A request that crashes every upstream that
 /// runs it, and is retried again and again, would take down all upstreams of its service one after
 /// the other. It is quarantined after quarantineThreshold crashes without a success in between.
+///
+/// Invariant: copies of such a request, through any number of routers, end at most
+/// - quarantineThreshold upstreams,
+/// - those on which copies already ran when the report of the last of these crashes arrived, and
+/// - one for each trial, of which the platform's store permits the nth in the whole fleet only once
+///   (see TrialRecord).
+/// Every incarnation that crashed during a run counts, whether or not the router still waited for
+/// the run, and however close together the crashes are. Routers that have just started learn the
+/// quarantine from others, or from the store if all were killed.
 class CrashQuarantine
 {
 public:
-    /// Records that the connection of \a request, sent at \a sentAt, was lost at \a incarnation.
-    void recordBrokenAnswer(RequestFingerprint request, std::uint64_t incarnation, TimePoint sentAt,
-                            TimePoint now);
+    /// Records a run without a response. It counts against its request if the upstream is found
+    /// down within the confirmation window.
+    void recordUnansweredRun(const UnansweredRun &run);
     /// Records that \a incarnation was found down.
     /// \returns the crashes that this confirms, for the other routers.
     std::vector<ConfirmedCrash> confirmCrash(std::uint64_t incarnation, TimePoint now);
     /// Records a crash seen by this router or reported by another one.
     CrashVerdict recordCrash(const CrashReport &report, TimePoint now);
-    /// Records that the request was answered, so that crashes before that are not attributed to it.
+    /// Records that \a incarnation responded to a request that was sent at \a sentAt. This refutes
+    /// reports that it crashed just before, by routers that merely could not reach it.
+    void recordResponse(std::uint64_t incarnation, TimePoint sentAt);
+    /// Records that the request was answered at \a answeredAt, so that crashes before that are not
+    /// attributed to it.
     /// \returns whether it was under suspicion.
-    bool clearSuspect(RequestFingerprint request, TimePoint now);
-    /// \returns the number of crashes that count against \a request.
+    bool clearSuspect(RequestFingerprint request, TimePoint answeredAt, TimePoint now);
+
+    /// Records that \a trials trials of the request were permitted, by what the store or another
+    /// router says. \returns whether that was not known.
+    bool recordTrials(RequestFingerprint request, std::uint32_t trials, TimePoint now);
+    /// Records that this router was permitted the trial with the number \a trials.
+    void beginTrial(RequestFingerprint request, std::uint32_t trials, TimePoint now);
+    /// Records that a trial ended before the request reached an upstream, so that it may be made
+    /// again.
+    void returnTrial(RequestFingerprint request, TimePoint now);
+    /// Blocks trials of the request for trialRetryDelay, while a call for one is running.
+    void deferTrial(RequestFingerprint request, TimePoint now);
+
+    /// \returns the number of crashes that count against \a request; at least quarantineThreshold
+    /// if it is quarantined.
     [[nodiscard]] std::size_t crashCount(RequestFingerprint request) const;
+    /// \returns the number of trials that are known to be permitted.
+    [[nodiscard]] std::uint32_t trialCount(RequestFingerprint request) const;
     /// \returns whether \a request is quarantined, even if a trial of it is due.
-    [[nodiscard]] bool isQuarantined(RequestFingerprint request, TimePoint now) const;
-    /// \returns the crashes of the quarantined requests, for routers that have just started: a
-    /// restarted router without them would lose three more upstreams to each such request.
-    [[nodiscard]] std::vector<CrashReport> quarantinedCrashes(TimePoint now) const;
-    /// Admits a quarantined request once when its quarantine is over. One router of the fleet, the
-    /// designated one, does so for all, and the others learn the result; a router that learns
-    /// nothing admits one itself later.
-    /// \param isDesignated whether this router is the designated one
-    /// \returns whether the request may run.
-    bool allowTrial(RequestFingerprint request, bool isDesignated, TimePoint now);
+    [[nodiscard]] bool isQuarantined(RequestFingerprint request) const;
+    /// \returns whether \a request may be sent to an upstream.
+    [[nodiscard]] QuarantineState stateOf(RequestFingerprint request, TimePoint now) const;
+    /// \returns the time until the next trial of a quarantined request.
+    [[nodiscard]] Milliseconds timeToTrial(RequestFingerprint request, TimePoint now) const;
+    /// \returns the reports that this router passes on after \a newest, of another router, was
+    /// counted: all of a request that is close to its quarantine, and each later one.
+    [[nodiscard]] std::vector<CrashReport> reportsToForward(const CrashReport &newest) const;
+    /// \returns the crashes of requests with two or more of them, for routers that have just
+    /// started.
+    [[nodiscard]] std::vector<CrashReport> sharedCrashes() const;
+    /// \returns the quarantined requests of which the store has records, for the same routers.
+    [[nodiscard]] std::vector<TrialCount> sharedTrials() const;
+    /// Removes suspects without a crash or trial for maxQuarantine.
+    /// \returns those that were quarantined.
+    std::vector<RequestFingerprint> removeExpired(TimePoint now);
 
 private:
     struct Suspect
     {
         /// Crashes that count, by upstream incarnation.
         std::map<std::uint64_t, CrashReport> crashes;
-        TimePoint lastCrash;
-        Seconds quarantine{0};
-        TimePoint quarantinedUntil;
-        /// Earliest time of the next trial, once the quarantine is over.
+        /// The store has a record of its quarantine.
+        bool isRecorded = false;
+        std::uint32_t trials = 0;
+        /// Last crash or trial.
+        TimePoint lastActivity;
         TimePoint nextTrial;
     };
 
-    struct BrokenAnswer
-    {
-        RequestFingerprint request = 0;
-        TimePoint sentAt;
-        TimePoint when;
-    };
-
-    [[nodiscard]] static bool isInQuarantine(const Suspect &suspect, TimePoint now);
+    [[nodiscard]] static bool isHeld(const Suspect &suspect);
+    static void scheduleTrial(Suspect &suspect, TimePoint activity);
     void dropOldest();
-    /// \returns whether any connection of the request was lost.
-    bool removeBrokenAnswers(RequestFingerprint request);
+    void removeOldRuns(TimePoint now);
+    void removeEmptyRuns();
+    /// Removes the runs of \a request that ended before \a answeredAt. \returns whether there were
+    /// any.
+    bool removeRuns(RequestFingerprint request, TimePoint answeredAt);
+    /// Removes the crashes of \a suspect before \a answeredAt. \returns whether none is left.
+    static bool removeCrashes(Suspect &suspect, TimePoint answeredAt);
 
     std::unordered_map<RequestFingerprint, Suspect> suspects;
-    std::map<std::uint64_t, std::vector<BrokenAnswer>> brokenAnswers;
-    /// Requests that lost a connection and were answered within the last crashConfirmationWindow,
-    /// by the time of the answer: reports of earlier crashes may still arrive, from this router and
-    /// from others.
+    /// Runs that ended without a response within crashConfirmationWindow.
+    std::unordered_map<RequestFingerprint, std::vector<UnansweredRun>> unansweredRuns;
+    TimePoint runsCheckedAt;
+    /// Requests that had a run without a response and were answered within the last
+    /// crashConfirmationWindow, by the time of the answer: reports of earlier crashes may still
+    /// arrive, from this router and from others.
     std::unordered_map<RequestFingerprint, TimePoint> answered;
+    /// When the incarnations that were lately reported as crashed did so.
+    std::map<std::uint64_t, TimePoint> reportedCrashes;
 };
 
 } // namespace plantainswitch
--- a/include/plantainswitch/routing/peerloads.h
+++ b/include/plantainswitch/routing/peerloads.h
@@ -37,8 +37,8 @@
 struct CrashUpdate
 {
     std::vector<CrashReport> crashes;
-    /// Requests under suspicion that were answered.
-    std::vector<RequestFingerprint> cleared;
+    std::vector<ClearedSuspect> cleared;
+    std::vector<TrialCount> trials;
 };
 
 /// The state that a router sends to the others several times per second.
--- a/include/plantainswitch/routing/updatelog.h
+++ b/include/plantainswitch/routing/updatelog.h
@@ -15,16 +15,18 @@
 public:
     /// Records a prefix that was sent to an engine.
     void recordPrefix(const PrefixReport &chain, TimePoint now);
-    /// Records a crash that this router confirmed.
+    /// Records a crash that this router confirmed, or passes on.
     void recordCrash(const CrashReport &crash, TimePoint now);
     /// Records that a request under suspicion was answered.
-    void recordCleared(RequestFingerprint request, TimePoint now);
+    void recordCleared(const ClearedSuspect &suspect, TimePoint now);
+    /// Records what the store says of a quarantined request.
+    void recordTrials(const TrialCount &trials, TimePoint now);
     /// Removes events before \a then, of which all routers have been notified.
     void removeBefore(TimePoint then);
 
     /// \returns up to \a limit prefixes recorded since \a since, the newest ones first.
     [[nodiscard]] std::vector<PrefixReport> prefixesSince(TimePoint since, std::size_t limit) const;
-    /// \returns the crashes and answered suspects recorded since \a since.
+    /// \returns the crashes, answered suspects and trials recorded since \a since.
     [[nodiscard]] CrashUpdate crashesSince(TimePoint since) const;
 
 private:
@@ -37,7 +39,8 @@
 
     std::deque<Entry<PrefixReport>> prefixes;
     std::deque<Entry<CrashReport>> crashes;
-    std::deque<Entry<RequestFingerprint>> cleared;
+    std::deque<Entry<ClearedSuspect>> cleared;
+    std::deque<Entry<TrialCount>> trials;
 };
 
 } // namespace plantainswitch
--- a/include/plantainswitch/routing/upstreamstate.h
+++ b/include/plantainswitch/routing/upstreamstate.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
+#include <vector>
 
 #include "plantainswitch/base/clock.h"
 #include "plantainswitch/routing/coldstart.h"
+#include "plantainswitch/routing/crashquarantine.h"
 #include "plantainswitch/routing/health.h"
 #include "plantainswitch/routing/replica.h"
 
@@ -27,6 +30,10 @@
     TimePoint lastReceived;
     /// A probe connection is being attempted, because a response was interrupted.
     bool isBeingProbed = false;
+    /// A probe is to follow, because a run was given up.
+    bool isProbeScheduled = false;
+    /// Called when the running probe ends.
+    std::vector<std::function<void()>> probeWaiters;
     ColdState cold;
     /// Until when no permit for a request to the upstream is to be had.
     TimePoint permitBlockedUntil;
@@ -49,6 +56,10 @@
 /// nor backing off. Every request that is sent to an upstream requires this.
 [[nodiscard]] bool acceptsRequests(const UpstreamState &state, TimePoint now) noexcept;
 
+/// \returns whether the upstream has shown itself alive since \a crash: data of a response arrived
+/// later than any that was on its way at that time.
+[[nodiscard]] bool refutes(const UpstreamState &state, const CrashReport &crash) noexcept;
+
 /// \returns the time until the first of \a upstreams accepts requests again, if all that are not
 /// draining back off; nothing otherwise.
 [[nodiscard]] std::optional<Milliseconds>
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -1,11 +1,19 @@
 #include "plantainswitch/base/hash.h"
 
 #include <array>
+#include <charconv>
 
 #include <xxhash.h>
 
 namespace plantainswitch {
 
+namespace {
+
+/// Hexadecimal digits of a hash.
+constexpr std::size_t hashDigits = sizeof(std::uint64_t) * 2;
+
+} // namespace
+
 std::uint64_t hashOf(std::string_view text, std::uint64_t seed) noexcept
 {
     return XXH64(text.data(), text.size(), seed);
@@ -20,13 +28,24 @@
 std::string formatHash(std::uint64_t hash)
 {
     constexpr std::string_view digits = "0123456789abcdef";
-    constexpr unsigned bitsPerDigit = 4;
-    std::string text(sizeof(hash) * 2, '0');
+    std::string text(hashDigits, '0');
     for (auto digit = text.rbegin(); digit != text.rend(); ++digit) {
         *digit = digits[hash % digits.size()];
-        hash >>= bitsPerDigit;
+        hash /= digits.size();
     }
     return text;
 }
 
+std::optional<std::uint64_t> parseHash(std::string_view text)
+{
+    constexpr int base = 16;
+    std::uint64_t hash = 0;
+    const char *const end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, hash, base);
+    if (text.size() != hashDigits || error != std::errc{} || rest != end) {
+        return std::nullopt;
+    }
+    return hash;
+}
+
 } // namespace plantainswitch
--- a/src/routing/crashquarantine.cpp
+++ b/src/routing/crashquarantine.cpp
@@ -1,53 +1,76 @@
 #include "plantainswitch/routing/crashquarantine.h"
 
 #include <algorithm>
-#include <array>
 
 namespace plantainswitch {
 
 namespace {
 
-/// \returns whether two crashes may have one cause: the request was running on both upstreams when
-/// they went down.
-bool haveOneCause(const CrashReport &left, const CrashReport &right)
+/// Interval at which old runs and reports are removed.
+constexpr Seconds cleanupInterval{1};
+
+Duration confirmationWindow(RunEnd end) noexcept
 {
-    const bool overlap = left.sentAt < right.brokenAt && right.sentAt < left.brokenAt;
-    const Duration apart = left.brokenAt > right.brokenAt ? left.brokenAt - right.brokenAt
-                                                          : right.brokenAt - left.brokenAt;
-    return overlap && apart < concurrentCrashWindow;
+    return end == RunEnd::GivenUp ? givenUpConfirmationWindow : crashConfirmationWindow;
 }
 
 } // namespace
 
 std::string_view nameOf(CrashVerdict verdict) noexcept
 {
-    constexpr std::array<std::string_view, 4> names{"counted", "known-upstream", "concurrent",
-                                                    "answered-since"};
+    constexpr std::array<std::string_view, 4> names{"counted", "known-upstream", "answered-since",
+                                                    "upstream-alive"};
     return names.at(static_cast<std::size_t>(verdict));
 }
 
-void CrashQuarantine::recordBrokenAnswer(RequestFingerprint request, std::uint64_t incarnation,
-                                         TimePoint sentAt, TimePoint now)
+void CrashQuarantine::recordUnansweredRun(const UnansweredRun &run)
+{
+    this->removeOldRuns(run.endedAt);
+    if (run.end == RunEnd::GivenUp && this->unansweredRuns.size() >= maxUnansweredRequests) {
+        return;
+    }
+    this->unansweredRuns[run.request].push_back(run);
+}
+
+void CrashQuarantine::removeOldRuns(TimePoint now)
 {
-    std::erase_if(this->brokenAnswers, [now](const auto &entry) {
-        return now - entry.second.back().when > crashConfirmationWindow;
+    if (now - this->runsCheckedAt < cleanupInterval) {
+        return;
+    }
+    this->runsCheckedAt = now;
+    for (auto &[request, runs] : this->unansweredRuns) {
+        std::erase_if(runs, [now](const UnansweredRun &run) {
+            return now - run.endedAt > confirmationWindow(run.end);
+        });
+    }
+    this->removeEmptyRuns();
+    std::erase_if(this->answered, [now](const auto &entry) {
+        return now - entry.second > crashConfirmationWindow;
     });
-    this->brokenAnswers[incarnation].push_back({request, sentAt, now});
+    std::erase_if(this->reportedCrashes,
+                  [now](const auto &entry) { return now - entry.second > crashRefutationWindow; });
+}
+
+void CrashQuarantine::removeEmptyRuns()
+{
+    std::erase_if(this->unansweredRuns, [](const auto &entry) { return entry.second.empty(); });
 }
 
 std::vector<ConfirmedCrash> CrashQuarantine::confirmCrash(std::uint64_t incarnation, TimePoint now)
 {
     std::vector<ConfirmedCrash> confirmed;
-    const auto found = this->brokenAnswers.find(incarnation);
-    if (found == this->brokenAnswers.end()) {
-        return confirmed;
-    }
-    for (const BrokenAnswer &each : found->second) {
-        if (now - each.when <= crashConfirmationWindow) {
-            confirmed.push_back({{each.request, incarnation, each.sentAt, each.when}});
-        }
+    for (auto &[request, runs] : this->unansweredRuns) {
+        std::erase_if(runs, [&confirmed, incarnation, now](const UnansweredRun &run) {
+            if (run.incarnation != incarnation) {
+                return false;
+            }
+            if (now - run.endedAt <= confirmationWindow(run.end)) {
+                confirmed.push_back({{run.request, incarnation, run.sentAt, run.endedAt}});
+            }
+            return true;
+        });
     }
-    this->brokenAnswers.erase(found);
+    this->removeEmptyRuns();
     for (ConfirmedCrash &crash : confirmed) {
         crash.verdict = this->recordCrash(crash.report, now);
     }
@@ -56,84 +79,189 @@
 
 CrashVerdict CrashQuarantine::recordCrash(const CrashReport &report, TimePoint now)
 {
+    this->removeOldRuns(now);
     const auto success = this->answered.find(report.request);
     if (success != this->answered.end() && report.brokenAt <= success->second) {
         return CrashVerdict::AnsweredSince;
     }
     Suspect &suspect = this->suspects[report.request];
-    if (suspect.crashes.contains(report.incarnation)) {
+    if (!suspect.crashes.emplace(report.incarnation, report).second) {
         return CrashVerdict::KnownUpstream;
     }
-    const bool isConcurrent =
-        std::any_of(suspect.crashes.begin(), suspect.crashes.end(),
-                    [&report](const auto &entry) { return haveOneCause(entry.second, report); });
-    if (isConcurrent) {
-        return CrashVerdict::Concurrent;
-    }
-    suspect.crashes.emplace(report.incarnation, report);
-    suspect.lastCrash = std::max(suspect.lastCrash, report.brokenAt);
-    // During a quarantine, reports of earlier crashes may still arrive; only a trial after it is
-    // new evidence.
-    if (suspect.crashes.size() >= quarantineThreshold
-        && report.brokenAt >= suspect.quarantinedUntil) {
-        suspect.quarantine = suspect.quarantine.count() == 0
-                                 ? initialQuarantine
-                                 : std::min(suspect.quarantine * quarantineGrowth, maxQuarantine);
-        suspect.quarantinedUntil = now + suspect.quarantine;
-    }
+    TimePoint &crashedAt = this->reportedCrashes[report.incarnation];
+    crashedAt = std::max(crashedAt, report.brokenAt);
+    scheduleTrial(suspect, report.brokenAt);
     if (this->suspects.size() > maxCrashSuspects) {
         this->dropOldest();
     }
     return CrashVerdict::Counted;
 }
 
-std::size_t CrashQuarantine::crashCount(RequestFingerprint request) const
+void CrashQuarantine::scheduleTrial(Suspect &suspect, TimePoint activity)
 {
-    const auto found = this->suspects.find(request);
-    return found == this->suspects.end() ? 0 : found->second.crashes.size();
+    const std::size_t number = std::min<std::size_t>(suspect.trials, trialDelays.size() - 1);
+    suspect.lastActivity = std::max(suspect.lastActivity, activity);
+    suspect.nextTrial = std::max(suspect.nextTrial, activity + trialDelays.at(number));
 }
 
-bool CrashQuarantine::clearSuspect(RequestFingerprint request, TimePoint now)
+void CrashQuarantine::recordResponse(std::uint64_t incarnation, TimePoint sentAt)
 {
-    const bool wasSuspected = this->suspects.erase(request) > 0;
-    const bool wasBroken = this->removeBrokenAnswers(request);
-    if (wasSuspected || wasBroken) {
-        std::erase_if(this->answered, [now](const auto &entry) {
-            return now - entry.second > crashConfirmationWindow;
-        });
-        this->answered[request] = now;
+    const auto reported = this->reportedCrashes.find(incarnation);
+    if (reported == this->reportedCrashes.end() || sentAt <= reported->second
+        || sentAt - reported->second > crashRefutationWindow) {
+        return;
+    }
+    this->reportedCrashes.erase(reported);
+    for (auto &[request, suspect] : this->suspects) {
+        suspect.crashes.erase(incarnation);
+    }
+    std::erase_if(this->suspects, [](const auto &entry) {
+        return entry.second.crashes.empty() && !entry.second.isRecorded;
+    });
+}
+
+bool CrashQuarantine::clearSuspect(RequestFingerprint request, TimePoint answeredAt, TimePoint now)
+{
+    const auto found = this->suspects.find(request);
+    const bool wasSuspected = found != this->suspects.end();
+    if (wasSuspected && removeCrashes(found->second, answeredAt)) {
+        this->suspects.erase(found);
+    }
+    const bool hadRuns = this->removeRuns(request, answeredAt);
+    if (wasSuspected || hadRuns) {
+        this->removeOldRuns(now);
+        TimePoint &latest = this->answered[request];
+        latest = std::max(latest, answeredAt);
     }
     return wasSuspected;
 }
 
-bool CrashQuarantine::removeBrokenAnswers(RequestFingerprint request)
+bool CrashQuarantine::removeCrashes(Suspect &suspect, TimePoint answeredAt)
+{
+    std::erase_if(suspect.crashes,
+                  [answeredAt](const auto &entry) { return entry.second.brokenAt <= answeredAt; });
+    suspect.isRecorded = false;
+    suspect.trials = 0;
+    return suspect.crashes.empty();
+}
+
+bool CrashQuarantine::removeRuns(RequestFingerprint request, TimePoint answeredAt)
+{
+    const auto found = this->unansweredRuns.find(request);
+    if (found == this->unansweredRuns.end()) {
+        return false;
+    }
+    const std::size_t removed =
+        std::erase_if(found->second,
+                      [answeredAt](const UnansweredRun &run) { return run.endedAt <= answeredAt; });
+    if (found->second.empty()) {
+        this->unansweredRuns.erase(found);
+    }
+    return removed > 0;
+}
+
+bool CrashQuarantine::recordTrials(RequestFingerprint request, std::uint32_t trials, TimePoint now)
+{
+    Suspect &suspect = this->suspects[request];
+    if (suspect.isRecorded && trials <= suspect.trials) {
+        return false;
+    }
+    this->beginTrial(request, std::max(trials, suspect.trials), now);
+    return true;
+}
+
+void CrashQuarantine::beginTrial(RequestFingerprint request, std::uint32_t trials, TimePoint now)
+{
+    Suspect &suspect = this->suspects[request];
+    suspect.isRecorded = true;
+    suspect.trials = trials;
+    scheduleTrial(suspect, now);
+}
+
+void CrashQuarantine::returnTrial(RequestFingerprint request, TimePoint now)
+{
+    const auto found = this->suspects.find(request);
+    if (found != this->suspects.end() && found->second.trials > 0) {
+        found->second.trials -= 1;
+        found->second.nextTrial = now + trialRetryDelay;
+    }
+}
+
+void CrashQuarantine::deferTrial(RequestFingerprint request, TimePoint now)
+{
+    const auto found = this->suspects.find(request);
+    if (found != this->suspects.end()) {
+        found->second.nextTrial = std::max(found->second.nextTrial, now + trialRetryDelay);
+    }
+}
+
+bool CrashQuarantine::isHeld(const Suspect &suspect)
+{
+    return suspect.isRecorded || suspect.crashes.size() >= quarantineThreshold;
+}
+
+std::size_t CrashQuarantine::crashCount(RequestFingerprint request) const
 {
-    std::size_t forgotten = 0;
-    for (auto &[incarnation, broken] : this->brokenAnswers) {
-        forgotten += std::erase_if(
-            broken, [request](const BrokenAnswer &each) { return each.request == request; });
+    const auto found = this->suspects.find(request);
+    if (found == this->suspects.end()) {
+        return 0;
     }
-    std::erase_if(this->brokenAnswers, [](const auto &entry) { return entry.second.empty(); });
-    return forgotten > 0;
+    const std::size_t counted = found->second.crashes.size();
+    return isHeld(found->second) ? std::max(counted, quarantineThreshold) : counted;
+}
+
+std::uint32_t CrashQuarantine::trialCount(RequestFingerprint request) const
+{
+    const auto found = this->suspects.find(request);
+    return found == this->suspects.end() ? 0 : found->second.trials;
 }
 
-bool CrashQuarantine::isQuarantined(RequestFingerprint request, TimePoint now) const
+bool CrashQuarantine::isQuarantined(RequestFingerprint request) const
 {
     const auto found = this->suspects.find(request);
-    return found != this->suspects.end() && isInQuarantine(found->second, now);
+    return found != this->suspects.end() && isHeld(found->second);
 }
 
-bool CrashQuarantine::isInQuarantine(const Suspect &suspect, TimePoint now)
+QuarantineState CrashQuarantine::stateOf(RequestFingerprint request, TimePoint now) const
 {
-    return suspect.crashes.size() >= quarantineThreshold && now - suspect.lastCrash < maxQuarantine;
+    const auto found = this->suspects.find(request);
+    if (found == this->suspects.end() || !isHeld(found->second)) {
+        return QuarantineState::Free;
+    }
+    return now < found->second.nextTrial ? QuarantineState::Held : QuarantineState::TrialDue;
 }
 
-std::vector<CrashReport> CrashQuarantine::quarantinedCrashes(TimePoint now) const
+Milliseconds CrashQuarantine::timeToTrial(RequestFingerprint request, TimePoint now) const
+{
+    const auto found = this->suspects.find(request);
+    if (found == this->suspects.end()) {
+        return Milliseconds{0};
+    }
+    return std::chrono::ceil<Milliseconds>(std::max(found->second.nextTrial - now, Duration{0}));
+}
+
+std::vector<CrashReport> CrashQuarantine::reportsToForward(const CrashReport &newest) const
+{
+    std::vector<CrashReport> reports;
+    const auto found = this->suspects.find(newest.request);
+    if (found == this->suspects.end() || found->second.crashes.size() < crashesForNoRetry) {
+        return reports;
+    }
+    if (found->second.crashes.size() > crashesForNoRetry) {
+        return {newest};
+    }
+    for (const auto &[incarnation, report] : found->second.crashes) {
+        reports.push_back(report);
+    }
+    return reports;
+}
+
+std::vector<CrashReport> CrashQuarantine::sharedCrashes() const
 {
     std::vector<CrashReport> reports;
     std::size_t shared = 0;
     for (const auto &[request, suspect] : this->suspects) {
-        if (!isInQuarantine(suspect, now) || shared == maxSharedQuarantines) {
+        if (suspect.crashes.size() < crashesForNoRetry || shared == maxSharedSuspects) {
             continue;
         }
         ++shared;
@@ -147,30 +275,36 @@
     return reports;
 }
 
-bool CrashQuarantine::allowTrial(RequestFingerprint request, bool isDesignated, TimePoint now)
+std::vector<TrialCount> CrashQuarantine::sharedTrials() const
 {
-    const auto found = this->suspects.find(request);
-    if (found == this->suspects.end()) {
-        return true;
-    }
-    Suspect &suspect = found->second;
-    // A router that missed the report of the success must not quarantine the request indefinitely.
-    constexpr int extraQuarantines = 2;
-    const TimePoint due = suspect.quarantinedUntil
-                          + (isDesignated ? Seconds{0} : extraQuarantines * suspect.quarantine);
-    if (now < std::max(due, suspect.nextTrial)) {
-        return false;
+    std::vector<TrialCount> counts;
+    for (const auto &[request, suspect] : this->suspects) {
+        if (suspect.isRecorded && counts.size() < maxSharedSuspects) {
+            counts.push_back({request, suspect.trials});
+        }
     }
-    suspect.nextTrial = now + suspect.quarantine;
-    return true;
+    return counts;
+}
+
+std::vector<RequestFingerprint> CrashQuarantine::removeExpired(TimePoint now)
+{
+    std::vector<RequestFingerprint> expired;
+    std::erase_if(this->suspects, [&expired, now](const auto &entry) {
+        const bool isOld = now - entry.second.lastActivity >= maxQuarantine;
+        if (isOld && isHeld(entry.second)) {
+            expired.push_back(entry.first);
+        }
+        return isOld;
+    });
+    return expired;
 }
 
 void CrashQuarantine::dropOldest()
 {
-    const auto oldest = std::min_element(this->suspects.begin(), this->suspects.end(),
-                                         [](const auto &left, const auto &right) {
-                                             return left.second.lastCrash < right.second.lastCrash;
-                                         });
+    const auto oldest = std::min_element(
+        this->suspects.begin(), this->suspects.end(), [](const auto &left, const auto &right) {
+            return left.second.lastActivity < right.second.lastActivity;
+        });
     this->suspects.erase(oldest);
 }
 
--- a/src/routing/updatelog.cpp
+++ b/src/routing/updatelog.cpp
@@ -35,9 +35,14 @@
     this->crashes.push_back({crash, now});
 }
 
-void UpdateLog::recordCleared(RequestFingerprint request, TimePoint now)
+void UpdateLog::recordCleared(const ClearedSuspect &suspect, TimePoint now)
 {
-    this->cleared.push_back({request, now});
+    this->cleared.push_back({suspect, now});
+}
+
+void UpdateLog::recordTrials(const TrialCount &count, TimePoint now)
+{
+    this->trials.push_back({count, now});
 }
 
 void UpdateLog::removeBefore(TimePoint then)
@@ -45,6 +50,7 @@
     eraseBefore(this->prefixes, then);
     eraseBefore(this->crashes, then);
     eraseBefore(this->cleared, then);
+    eraseBefore(this->trials, then);
 }
 
 std::vector<PrefixReport> UpdateLog::prefixesSince(TimePoint since, std::size_t limit) const
@@ -64,8 +70,12 @@
         found.crashes.push_back(crash);
         return true;
     });
-    visitSince(this->cleared, since, [&found](RequestFingerprint request) {
-        found.cleared.push_back(request);
+    visitSince(this->cleared, since, [&found](const ClearedSuspect &suspect) {
+        found.cleared.push_back(suspect);
+        return true;
+    });
+    visitSince(this->trials, since, [&found](const TrialCount &count) {
+        found.trials.push_back(count);
         return true;
     });
     return found;
--- a/src/routing/upstreamstate.cpp
+++ b/src/routing/upstreamstate.cpp
@@ -21,6 +21,12 @@
     return !isDraining(state) && !isBackingOff(state, now);
 }
 
+bool refutes(const UpstreamState &state, const CrashReport &crash) noexcept
+{
+    constexpr Milliseconds maxTransit{100};
+    return state.lastReceived > crash.brokenAt + maxTransit;
+}
+
 std::optional<Milliseconds> timeToFirstBackoffEnd(std::span<UpstreamState *const> upstreams,
                                                   TimePoint now)
 {
--- a/tests/crashquarantine.cpp
+++ b/tests/crashquarantine.cpp
@@ -1,49 +1,76 @@
 #include <catch2/catch.hpp>
 
 #include "plantainswitch/routing/crashquarantine.h"
+#include "plantainswitch/routing/trialrecord.h"
+#include "plantainswitch/routing/upstreamstate.h"
 
 using namespace plantainswitch;
 
 namespace {
 
-class CrashSuspectsFixture
+class CrashQuarantineFixture
 {
 protected:
     /// Loses the request's connection to an upstream that is found down 100 ms later.
-    void crash(RequestFingerprint request, std::uint64_t life)
+    void crash(RequestFingerprint request, std::uint64_t incarnation)
     {
-        const TimePoint begunAt = this->clock.now();
+        const TimePoint sentAt = this->clock.now();
         this->clock.advance(Milliseconds{1});
-        this->suspects.recordBrokenAnswer(request, life, begunAt, this->clock.now());
+        this->quarantine.recordUnansweredRun({request, incarnation, sentAt, this->clock.now()});
         this->clock.advance(Milliseconds{100});
-        this->suspects.confirmCrash(life, this->clock.now());
+        this->quarantine.confirmCrash(incarnation, this->clock.now());
+    }
+
+    void crashThreeUpstreams(RequestFingerprint request)
+    {
+        for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+            this->crash(request, incarnation);
+        }
+    }
+
+    /// Records that the run of the request ends now without a response.
+    void endRun(RequestFingerprint request, std::uint64_t incarnation,
+                RunEnd end = RunEnd::ConnectionLost)
+    {
+        this->quarantine.recordUnansweredRun(
+            {request, incarnation, this->longAgo(), this->clock.now(), end});
+    }
+
+    void confirmCrash(std::uint64_t incarnation)
+    {
+        this->quarantine.confirmCrash(incarnation, this->clock.now());
+    }
+
+    bool recordAnswer(RequestFingerprint request)
+    {
+        return this->quarantine.clearSuspect(request, this->clock.now(), this->clock.now());
     }
 
     [[nodiscard]] bool isHeld(RequestFingerprint request) const
     {
-        return this->suspects.isQuarantined(request, this->clock.now());
+        return this->quarantine.isQuarantined(request);
     }
 
-    [[nodiscard]] bool mayRun(bool isFirst)
+    [[nodiscard]] QuarantineState state(RequestFingerprint request) const
     {
-        return this->suspects.allowTrial(7, isFirst, this->clock.now());
+        return this->quarantine.stateOf(request, this->clock.now());
     }
 
     /// Send time of a request that has been running for a while.
     [[nodiscard]] TimePoint longAgo() const { return this->clock.now() - Milliseconds{50}; }
 
-    [[nodiscard]] CrashReport crashNow(RequestFingerprint request, std::uint64_t life) const
+    [[nodiscard]] CrashReport crashNow(RequestFingerprint request, std::uint64_t incarnation) const
     {
-        return {request, life, this->longAgo(), this->clock.now()};
+        return {request, incarnation, this->longAgo(), this->clock.now()};
     }
 
-    CrashQuarantine suspects;
+    CrashQuarantine quarantine;
     ManualClock clock;
 };
 
 } // namespace
 
-TEST_CASE_METHOD(CrashSuspectsFixture, "crashSuspects_threeUpstreamsCrash_requestIsHeldBack",
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_threeUpstreamsCrash_requestIsHeld",
                  "[routing]")
 {
     // A caller keeps sending a request that crashes every upstream that runs it. After the third
@@ -56,155 +83,250 @@
     CHECK_FALSE(this->isHeld(8));
 }
 
-TEST_CASE_METHOD(CrashSuspectsFixture, "crashSuspects_answerLostAtLivingUpstream_isNoCrash",
+TEST_CASE_METHOD(CrashQuarantineFixture,
+                 "crashQuarantine_copiesCrashUpstreamsCloseTogether_eachCrashCounts", "[routing]")
+{
+    // Guards against taking crashes of overlapping copies for one outage: four upstreams of four
+    // data centres went down 33 ms apart, and the request ran on.
+    for (std::uint64_t incarnation = 1; incarnation <= 4; ++incarnation) {
+        this->quarantine.recordCrash(this->crashNow(7, incarnation), this->clock.now());
+        this->clock.advance(Milliseconds{33});
+    }
+    CHECK(this->isHeld(7));
+    CHECK(this->quarantine.crashCount(7) == 4);
+}
+
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_responseLostAtLivingUpstream_isNoCrash",
                  "[routing]")
 {
-    for (std::uint64_t life = 1; life <= 9; ++life) {
-        this->suspects.recordBrokenAnswer(7, life, this->longAgo(), this->clock.now());
+    for (std::uint64_t incarnation = 1; incarnation <= 9; ++incarnation) {
+        this->endRun(7, incarnation);
         this->clock.advance(Milliseconds{100});
     }
     CHECK_FALSE(this->isHeld(7));
 }
 
-TEST_CASE_METHOD(CrashSuspectsFixture, "crashSuspects_successBetween_beginsAnew", "[routing]")
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_givenUpRunsUpstreamCrashes_counts",
+                 "[routing]")
+{
+    // Guards against crashes that count against no request, because the router had given the run
+    // up as silent before the upstream went down.
+    for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+        this->endRun(7, incarnation, RunEnd::GivenUp);
+        this->clock.advance(Milliseconds{300});
+        this->confirmCrash(incarnation);
+    }
+    CHECK(this->isHeld(7));
+}
+
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_givenUpLongBeforeTheCrash_isNotBlamed",
+                 "[routing]")
+{
+    // Guards against blaming requests that left a slow upstream long before it went down.
+    for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+        this->endRun(7, incarnation, RunEnd::GivenUp);
+        this->clock.advance(givenUpConfirmationWindow + Milliseconds{1});
+        this->confirmCrash(incarnation);
+    }
+    CHECK(this->quarantine.crashCount(7) == 0);
+}
+
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_successBetween_startsAgain", "[routing]")
 {
     // Guards against quarantining a small request that many callers send alike and that was running
     // on two upstreams that crashed for other reasons.
     this->crash(7, 1);
     this->crash(7, 2);
-    CHECK(this->suspects.clearSuspect(7, this->clock.now()));
+    CHECK(this->recordAnswer(7));
     this->crash(7, 3);
     CHECK_FALSE(this->isHeld(7));
 }
 
-TEST_CASE_METHOD(CrashSuspectsFixture, "crashSuspects_upstreamsGoDownTogether_countOnce",
+TEST_CASE_METHOD(CrashQuarantineFixture,
+                 "crashQuarantine_successBeforeTheCrashesReportedLate_clearsNothing", "[routing]")
+{
+    // Guards against a report of a success that arrives after crashes which came later than it.
+    const TimePoint answeredAt = this->clock.now();
+    this->clock.advance(Milliseconds{10});
+    this->crashThreeUpstreams(7);
+    this->quarantine.clearSuspect(7, answeredAt, this->clock.now());
+    CHECK(this->isHeld(7));
+}
+
+TEST_CASE_METHOD(CrashQuarantineFixture,
+                 "crashQuarantine_upstreamsLosePowerTogether_innocentRequestIsFreeAfterItsTrial",
                  "[routing]")
 {
     // A data centre loses power while identical requests run on three of its upstreams. Guards
-    // against counting this as three crashes.
-    for (std::uint64_t life = 1; life <= 3; ++life) {
-        this->suspects.recordBrokenAnswer(7, life, this->longAgo(), this->clock.now());
+    // against holding such a request for longer than its first trial, which is due within a second.
+    for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+        this->endRun(7, incarnation);
     }
-    for (std::uint64_t life = 1; life <= 3; ++life) {
+    for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
         // Each upstream is found down when it is next tried.
-        this->clock.advance(Milliseconds{500});
-        this->suspects.confirmCrash(life, this->clock.now());
+        this->clock.advance(Milliseconds{300});
+        this->confirmCrash(incarnation);
     }
-    CHECK_FALSE(this->isHeld(7));
+    this->clock.advance(trialDelays.front() - 3 * Milliseconds{300});
+    REQUIRE(this->state(7) == QuarantineState::TrialDue);
+    this->quarantine.beginTrial(7, 1, this->clock.now());
+    CHECK(this->recordAnswer(7));
+    CHECK(this->state(7) == QuarantineState::Free);
 }
 
-TEST_CASE_METHOD(CrashSuspectsFixture, "crashSuspects_otherRoutersReports_countToo", "[routing]")
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_otherRoutersReports_countToo",
+                 "[routing]")
 {
     // Each attempt reaches another router. The routers' reports add up, and a crash that is
     // reported twice counts once.
     this->crash(7, 1);
-    this->suspects.recordCrash(this->crashNow(7, 2), this->clock.now());
+    CHECK(this->quarantine.recordCrash(this->crashNow(7, 2), this->clock.now())
+          == CrashVerdict::Counted);
     this->clock.advance(Seconds{1});
-    this->suspects.recordCrash(this->crashNow(7, 2), this->clock.now());
+    CHECK(this->quarantine.recordCrash(this->crashNow(7, 2), this->clock.now())
+          == CrashVerdict::KnownUpstream);
     CHECK_FALSE(this->isHeld(7));
-    this->clock.advance(Seconds{1});
-    this->suspects.recordCrash(this->crashNow(7, 3), this->clock.now());
+    this->quarantine.recordCrash(this->crashNow(7, 3), this->clock.now());
     CHECK(this->isHeld(7));
 }
 
-TEST_CASE_METHOD(CrashSuspectsFixture, "crashSuspects_heldForLong_isLetThroughOnceAndLonger",
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_secondCrashReported_bothArePassedOn",
+                 "[routing]")
+{
+    // Guards against a router that never learns of a crash, because the report to it was lost or
+    // its data centre cannot reach that of the reporting router.
+    this->quarantine.recordCrash(this->crashNow(7, 1), this->clock.now());
+    CHECK(this->quarantine.reportsToForward(this->crashNow(7, 1)).empty());
+    this->quarantine.recordCrash(this->crashNow(7, 2), this->clock.now());
+    CHECK(this->quarantine.reportsToForward(this->crashNow(7, 2)).size() == 2);
+    this->quarantine.recordCrash(this->crashNow(7, 3), this->clock.now());
+    const auto third = this->quarantine.reportsToForward(this->crashNow(7, 3));
+    REQUIRE(third.size() == 1);
+    CHECK(third.front().incarnation == 3);
+}
+
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_heldForLong_isTriedOnceAndThenLater",
                  "[routing]")
 {
-    for (std::uint64_t life = 1; life <= 3; ++life) {
-        this->crash(7, life);
+    this->crashThreeUpstreams(7);
+    CHECK(this->state(7) == QuarantineState::Held);
+    for (std::uint32_t trial = 0; trial < trialDelays.size(); ++trial) {
+        this->clock.advance(trialDelays.at(trial));
+        REQUIRE(this->state(7) == QuarantineState::TrialDue);
+        this->quarantine.beginTrial(7, trial + 1, this->clock.now());
+        CHECK(this->state(7) == QuarantineState::Held);
+        this->crash(7, 10 + trial);
+        CHECK(this->state(7) == QuarantineState::Held);
     }
-    CHECK_FALSE(this->mayRun(true));
-    this->clock.advance(initialQuarantine);
-    CHECK(this->mayRun(true));
-    CHECK_FALSE(this->mayRun(true));
-    CHECK(this->isHeld(7));
-    this->crash(7, 4);
-    this->clock.advance(initialQuarantine);
-    CHECK_FALSE(this->mayRun(true));
-    this->clock.advance(initialQuarantine * (quarantineGrowth - 1));
-    CHECK(this->mayRun(true));
+    this->clock.advance(trialDelays.back());
+    CHECK(this->state(7) == QuarantineState::TrialDue);
 }
 
-TEST_CASE_METHOD(CrashSuspectsFixture, "crashSuspects_manyReportsOfOneTrouble_holdOnceOnly",
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_manyReportsOfOneTrouble_holdOnceOnly",
                  "[routing]")
 {
     // A crashing request takes down many upstreams before it is quarantined, and an innocent
-    // request that many callers send alike was running on all of them. It must be quarantined for
-    // initialQuarantine only, not for ten minutes.
-    for (std::uint64_t life = 1; life <= 12; ++life) {
-        this->crash(7, life);
+    // request that many callers send alike was running on all of them. It must be held until its
+    // first trial only, not for ten minutes.
+    for (std::uint64_t incarnation = 1; incarnation <= 12; ++incarnation) {
+        this->crash(7, incarnation);
     }
-    this->clock.advance(initialQuarantine);
-    CHECK(this->mayRun(true));
+    this->clock.advance(trialDelays.front());
+    CHECK(this->state(7) == QuarantineState::TrialDue);
 }
 
-TEST_CASE_METHOD(CrashSuspectsFixture, "crashSuspects_wordOfClearingLost_isTriedLater", "[routing]")
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_outcomeOfTrialIsLost_isTriedLater",
+                 "[routing]")
 {
-    // The designated router runs the trial of a quarantined request, but its report of the success
-    // never arrives here. Guards against an indefinite quarantine.
-    for (std::uint64_t life = 1; life <= 3; ++life) {
-        this->crash(7, life);
-    }
-    this->clock.advance(initialQuarantine);
-    CHECK_FALSE(this->mayRun(false));
-    this->clock.advance(2 * initialQuarantine);
-    CHECK(this->mayRun(false));
+    // Another router was permitted a trial, but its report of the success never arrives here.
+    // Guards against an indefinite quarantine.
+    this->crashThreeUpstreams(7);
+    CHECK(this->quarantine.recordTrials(7, 1, this->clock.now()));
+    CHECK_FALSE(this->quarantine.recordTrials(7, 1, this->clock.now()));
+    this->clock.advance(trialDelays.front());
+    CHECK(this->state(7) == QuarantineState::Held);
+    this->clock.advance(trialDelays.at(1));
+    CHECK(this->state(7) == QuarantineState::TrialDue);
 }
 
-TEST_CASE_METHOD(CrashSuspectsFixture, "crashSuspects_triedAgainAndAnswered_isFree", "[routing]")
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_trialReachesNoUpstream_isDueAgainSoon",
+                 "[routing]")
 {
-    // An innocent request that many callers send alike ran beside the crashing one three times in a
-    // row. Its trial succeeds, so all copies may run again.
-    for (std::uint64_t life = 1; life <= 3; ++life) {
-        this->crash(7, life);
-    }
-    this->clock.advance(initialQuarantine);
-    REQUIRE(this->mayRun(true));
-    CHECK(this->suspects.clearSuspect(7, this->clock.now()));
-    CHECK_FALSE(this->isHeld(7));
+    // Guards against trials of an innocent request that are spent while no upstream is up.
+    this->crashThreeUpstreams(7);
+    this->clock.advance(trialDelays.front());
+    this->quarantine.beginTrial(7, 1, this->clock.now());
+    this->quarantine.returnTrial(7, this->clock.now());
+    CHECK(this->quarantine.trialCount(7) == 0);
+    this->clock.advance(trialRetryDelay);
+    CHECK(this->state(7) == QuarantineState::TrialDue);
 }
 
-TEST_CASE_METHOD(CrashSuspectsFixture, "crashSuspects_longAgo_isForgotten", "[routing]")
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_callForTrialRunning_otherCopiesAreHeld",
+                 "[routing]")
 {
-    for (std::uint64_t life = 1; life <= 3; ++life) {
-        this->crash(7, life);
-    }
+    // Guards against a call to the store for each copy that arrives while the first one waits.
+    this->crashThreeUpstreams(7);
+    this->clock.advance(trialDelays.front());
+    this->quarantine.deferTrial(7, this->clock.now());
+    CHECK(this->state(7) == QuarantineState::Held);
+    CHECK(this->quarantine.timeToTrial(7, this->clock.now()) == trialRetryDelay);
+}
+
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_recordInTheStore_isHeldByANewRouter",
+                 "[routing]")
+{
+    // Guards against a fleet that learns again what crashes upstreams, after all routers were
+    // killed at once.
+    CHECK(this->quarantine.recordTrials(7, 0, this->clock.now()));
+    CHECK(this->state(7) == QuarantineState::Held);
+    CHECK(this->quarantine.crashCount(7) == quarantineThreshold);
+    this->clock.advance(trialDelays.front());
+    CHECK(this->state(7) == QuarantineState::TrialDue);
+}
+
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_longAgo_isForgotten", "[routing]")
+{
+    this->crashThreeUpstreams(7);
+    this->crash(8, 9);
     this->clock.advance(maxQuarantine);
+    CHECK(this->quarantine.removeExpired(this->clock.now()) == std::vector<RequestFingerprint>{7});
     CHECK_FALSE(this->isHeld(7));
 }
 
-TEST_CASE_METHOD(CrashSuspectsFixture, "crashSuspects_foundDownMuchLater_isNoCrash", "[routing]")
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_foundDownMuchLater_isNoCrash",
+                 "[routing]")
 {
-    for (std::uint64_t life = 1; life <= 3; ++life) {
-        this->suspects.recordBrokenAnswer(7, life, this->longAgo(), this->clock.now());
+    for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+        this->endRun(7, incarnation);
         this->clock.advance(crashConfirmationWindow + Milliseconds{1});
-        CHECK(this->suspects.confirmCrash(life, this->clock.now()).empty());
+        CHECK(this->quarantine.confirmCrash(incarnation, this->clock.now()).empty());
     }
     CHECK_FALSE(this->isHeld(7));
 }
 
-TEST_CASE_METHOD(CrashSuspectsFixture, "crashSuspects_answeredSinceItBroke_isNotBlamedLater",
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_answeredSinceItBroke_isNotBlamedLater",
                  "[routing]")
 {
     // Many callers send the same innocent request, and some copies run beside a request that
     // crashes one upstream after the other, while other copies are answered. The upstreams are
     // found down only afterwards. Guards against quarantining a request that was answered since,
     // which would reject half of all requests.
-    for (std::uint64_t life = 1; life <= 3; ++life) {
-        this->suspects.recordBrokenAnswer(7, life, this->longAgo(), this->clock.now());
-        this->suspects.recordBrokenAnswer(8, life, this->longAgo(), this->clock.now());
+    for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+        this->endRun(7, incarnation);
+        this->endRun(8, incarnation);
         this->clock.advance(Milliseconds{100});
     }
-    this->suspects.clearSuspect(7, this->clock.now());
+    this->recordAnswer(7);
     this->clock.advance(Milliseconds{100});
-    for (std::uint64_t life = 1; life <= 3; ++life) {
-        this->suspects.confirmCrash(life, this->clock.now());
+    for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+        this->confirmCrash(incarnation);
     }
     CHECK_FALSE(this->isHeld(7));
     CHECK(this->isHeld(8));
 }
 
-TEST_CASE_METHOD(CrashSuspectsFixture, "crashSuspects_oldWordAfterItsSuccess_isIgnored",
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_oldReportAfterASuccess_isIgnored",
                  "[routing]")
 {
     // Another router's report of a crash arrives after the request was answered here, but the crash
@@ -212,46 +334,97 @@
     this->crash(7, 1);
     const TimePoint before = this->clock.now();
     this->clock.advance(Milliseconds{100});
-    CHECK(this->suspects.clearSuspect(7, this->clock.now()));
-    for (std::uint64_t life = 2; life <= 4; ++life) {
-        const Milliseconds apart{100 * static_cast<int>(life)};
-        this->suspects.recordCrash({7, life, before - 2 * apart, before - apart},
-                                   this->clock.now());
+    CHECK(this->recordAnswer(7));
+    for (std::uint64_t incarnation = 2; incarnation <= 4; ++incarnation) {
+        const Milliseconds apart{100 * static_cast<int>(incarnation)};
+        CHECK(this->quarantine.recordCrash({7, incarnation, before - 2 * apart, before - apart},
+                                           this->clock.now())
+              == CrashVerdict::AnsweredSince);
     }
     CHECK_FALSE(this->isHeld(7));
 }
 
-TEST_CASE_METHOD(CrashSuspectsFixture, "crashSuspects_sentOnWithinOneMoment_countsEachCrash",
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_retriedWithinOneMoment_countsEachCrash",
                  "[routing]")
 {
     // A router retries a request on the next upstream as soon as its connection is lost, so that
-    // three upstreams go down within some milliseconds. Each run started after the previous one had
-    // ended. Guards against taking them for one outage and running the caller's next attempt.
-    for (std::uint64_t life = 1; life <= 3; ++life) {
-        const TimePoint begunAt = this->clock.now();
+    // three upstreams go down within some milliseconds. Guards against taking them for one outage
+    // and running the caller's next attempt.
+    for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+        const TimePoint sentAt = this->clock.now();
         this->clock.advance(Milliseconds{2});
-        this->suspects.recordBrokenAnswer(7, life, begunAt, this->clock.now());
+        this->quarantine.recordUnansweredRun({7, incarnation, sentAt, this->clock.now()});
     }
-    for (std::uint64_t life = 1; life <= 3; ++life) {
-        this->suspects.confirmCrash(life, this->clock.now());
+    for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+        this->confirmCrash(incarnation);
     }
     CHECK(this->isHeld(7));
 }
 
-TEST_CASE_METHOD(CrashSuspectsFixture, "crashSuspects_routerStartsAnew_isToldWhatIsHeld",
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_upstreamRespondsAfterTheReport_isNoCrash",
                  "[routing]")
 {
-    // Routers are restarted one after the other while a crashing request is retried again and
-    // again. Each new router must be told which requests are quarantined, but not of requests that
-    // crashed once.
-    for (std::uint64_t life = 1; life <= 3; ++life) {
-        this->crash(7, life);
+    // A router that is cut off from the upstreams takes them for crashed and reports its requests.
+    // Guards against quarantining those on routers that still reach the upstreams.
+    for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+        this->quarantine.recordCrash(this->crashNow(7, incarnation), this->clock.now());
     }
+    REQUIRE(this->isHeld(7));
+    const TimePoint sentAt = this->clock.now() + Milliseconds{10};
+    this->quarantine.recordResponse(2, sentAt);
+    CHECK_FALSE(this->isHeld(7));
+    CHECK(this->quarantine.crashCount(7) == 2);
+}
+
+TEST_CASE_METHOD(CrashQuarantineFixture,
+                 "crashQuarantine_upstreamRespondsAfterItsRestart_crashStillCounts", "[routing]")
+{
+    // Guards against an upstream that is back under its id and seems never to have crashed.
+    this->crashThreeUpstreams(7);
+    this->quarantine.recordResponse(2, this->clock.now() + crashRefutationWindow);
+    CHECK(this->isHeld(7));
+}
+
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_routerStarts_isToldWhatIsSuspected",
+                 "[routing]")
+{
+    // Routers are restarted one after the other while a crashing request is retried again and
+    // again. Each new router must be told which requests are quarantined or close to it, but not of
+    // requests that crashed once.
+    this->crashThreeUpstreams(7);
     this->crash(8, 4);
+    this->quarantine.recordTrials(9, 2, this->clock.now());
     CrashQuarantine started;
-    for (const CrashReport &report : this->suspects.quarantinedCrashes(this->clock.now())) {
+    for (const CrashReport &report : this->quarantine.sharedCrashes()) {
         started.recordCrash(report, this->clock.now());
     }
-    CHECK(started.isQuarantined(7, this->clock.now()));
-    CHECK(this->suspects.quarantinedCrashes(this->clock.now()).size() == quarantineThreshold);
+    for (const TrialCount &count : this->quarantine.sharedTrials()) {
+        started.recordTrials(count.request, count.trials, this->clock.now());
+    }
+    CHECK(started.isQuarantined(7));
+    CHECK(started.isQuarantined(9));
+    CHECK(started.trialCount(9) == 2);
+    CHECK(started.crashCount(8) == 0);
+    CHECK(this->quarantine.sharedCrashes().size() == quarantineThreshold);
+}
+
+TEST_CASE_METHOD(CrashQuarantineFixture, "upstreamState_dataAfterReportedCrash_refutesIt",
+                 "[routing]")
+{
+    // Guards against believing a router that merely lost its way to an upstream.
+    UpstreamState state;
+    const CrashReport report = this->crashNow(7, 1);
+    state.lastReceived = this->clock.now() + Milliseconds{50};
+    CHECK_FALSE(refutes(state, report));
+    state.lastReceived = this->clock.now() + Milliseconds{150};
+    CHECK(refutes(state, report));
+}
+
+TEST_CASE("trialStep_byWhatTheStoreHas_permitsEachTrialOnce", "[routing]")
+{
+    // Guards against a trial by each router that does not know of the others' trials.
+    CHECK(nextTrialStep(std::nullopt, 0) == TrialStep::Create);
+    CHECK(nextTrialStep(TrialRecord{7, 0, 5}, 0) == TrialStep::Increment);
+    CHECK(nextTrialStep(TrialRecord{7, 1, 6}, 0) == TrialStep::Denied);
+    CHECK(nextTrialStep(TrialRecord{7, 1, 6}, 1) == TrialStep::Increment);
 }
--- a/tests/crashquarantinemodel.cpp
+++ b/tests/crashquarantinemodel.cpp
@@ -13,6 +13,7 @@
 #include <catch2/catch.hpp>
 
 #include "plantainswitch/routing/crashquarantine.h"
+#include "plantainswitch/routing/trialrecord.h"
 
 using namespace plantainswitch;
 
@@ -124,6 +125,7 @@
         TimePoint sentAt;
         std::uint64_t incarnation = 0;
         std::uint64_t run = 0;
+        bool isTrial = false;
         bool isDone = false;
     };
     using AttemptPointer = std::shared_ptr<Attempt>;
@@ -213,6 +215,24 @@
         router.process += 1;
         router.startedAt = this->now;
         this->greet(index);
+        // The store's lists may be stale by seconds, so that a second one follows the first.
+        for (const Milliseconds delay : {Milliseconds{50}, Milliseconds{5000}}) {
+            this->at(delay, [this, index, process = router.process] {
+                if (this->routers[index].process == process) {
+                    this->loadRecords(index);
+                }
+            });
+        }
+    }
+
+    void loadRecords(std::size_t router)
+    {
+        constexpr Milliseconds staleness{2000};
+        for (const auto &[request, record] : this->records) {
+            if (this->now - record.createdAt > staleness) {
+                this->routers[router].quarantine.recordTrials(request, record.trials, this->now);
+            }
+        }
     }
 
     /// The other routers send their state to one that has just started.
@@ -222,8 +242,7 @@
             if (other == index || !this->isConnected(index, other)) {
                 continue;
             }
-            for (const CrashReport &report :
-                 this->routers[other].quarantine.quarantinedCrashes(this->now)) {
+            for (const CrashReport &report : this->routers[other].quarantine.sharedCrashes()) {
                 this->at(this->between(5, 120),
                          [this, index, report] { this->onReport(index, report); });
             }
@@ -243,16 +262,106 @@
     void admit(const AttemptPointer &attempt)
     {
         CrashQuarantine &quarantine = this->routers[attempt->router].quarantine;
-        if (quarantine.isQuarantined(attempt->request, this->now)
-            && !quarantine.allowTrial(attempt->request, this->isDesignated(attempt->router),
-                                      this->now)) {
+        switch (quarantine.stateOf(attempt->request, this->now)) {
+        case QuarantineState::Free:
+            this->dispatch(attempt);
+            return;
+        case QuarantineState::Held:
             this->onRefused(*attempt);
             return;
+        case QuarantineState::TrialDue:
+            quarantine.deferTrial(attempt->request, this->now);
+            this->requestTrial(attempt, quarantine.trialCount(attempt->request));
+            return;
         }
-        this->dispatch(attempt);
     }
 
-    [[nodiscard]] bool isDesignated(std::size_t router) const { return router == 0; }
+    /// Reads the store's record of the request and increments it if nobody else has done so.
+    void requestTrial(const AttemptPointer &attempt, std::uint32_t known)
+    {
+        this->at(this->between(2, 8), [this, attempt, known] {
+            const auto found = this->records.find(attempt->request);
+            std::optional<TrialRecord> stored;
+            if (found != this->records.end()) {
+                stored =
+                    TrialRecord{attempt->request, found->second.trials, found->second.revision};
+            }
+            if (nextTrialStep(stored, known) == TrialStep::Denied) {
+                this->onTrialReply(attempt, stored->trials, false);
+                return;
+            }
+            const std::uint64_t revision = stored ? stored->revision : 0;
+            this->at(this->between(2, 8), [this, attempt, stored, revision] {
+                StoredRecord &record = this->records[attempt->request];
+                const bool isUnchanged = record.revision == revision;
+                if (isUnchanged) {
+                    record.trials = stored ? stored->trials + 1 : 1;
+                    record.revision = ++this->storeRevision;
+                    record.createdAt = stored ? record.createdAt : this->now;
+                }
+                this->onTrialReply(attempt, record.trials, isUnchanged);
+            });
+        });
+    }
+
+    /// Records what the store says of a quarantined request. The router that reads it notifies the
+    /// others.
+    void onTrials(std::size_t router, RequestFingerprint request, std::uint32_t trials)
+    {
+        if (!this->routers[router].quarantine.recordTrials(request, trials, this->now)) {
+            return;
+        }
+        this->broadcast(router, [this, request, trials](std::size_t to) {
+            this->routers[to].quarantine.recordTrials(request, trials, this->now);
+        });
+    }
+
+    void onTrialReply(const AttemptPointer &attempt, std::uint32_t trials, bool isPermitted)
+    {
+        this->at(Milliseconds{1}, [this, attempt, trials, isPermitted] {
+            if (!this->isAlive(*attempt)) {
+                return;
+            }
+            this->onTrials(attempt->router, attempt->request, trials);
+            if (!isPermitted) {
+                this->onRefused(*attempt);
+                return;
+            }
+            this->routers[attempt->router].quarantine.beginTrial(attempt->request, trials,
+                                                                 this->now);
+            attempt->isTrial = true;
+            this->dispatch(attempt);
+        });
+    }
+
+    [[nodiscard]] bool isDesignated(std::size_t router) const
+    {
+        for (std::size_t i = 0; i < router; ++i) {
+            if (this->isConnected(i, router)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /// The designated router creates the record of a request that is close to its quarantine. If
+    /// there is one, routers that this one is cut off from have seen crashes, too.
+    void publish(std::size_t router, RequestFingerprint request)
+    {
+        if (!this->isDesignated(router)
+            || this->routers[router].quarantine.crashCount(request) != crashesForNoRetry) {
+            return;
+        }
+        this->at(this->between(2, 8),
+                 [this, router, request, process = this->routers[router].process] {
+                     const auto [entry, isNew] = this->records.try_emplace(request);
+                     if (isNew) {
+                         entry->second = {0, ++this->storeRevision, this->now};
+                     } else if (this->routers[router].process == process) {
+                         this->onTrials(router, request, entry->second.trials);
+                     }
+                 });
+    }
 
     void onRefused(const Attempt &attempt)
     {
@@ -281,6 +390,10 @@
         }
         if (candidates.empty()) {
             attempt->isDone = true;
+            if (attempt->isTrial) {
+                router.quarantine.returnTrial(attempt->request, this->now);
+                this->records[attempt->request].trials -= 1;
+            }
             return;
         }
         const std::size_t chosen = candidates[this->below(candidates.size())];
@@ -370,31 +483,54 @@
     {
         attempt->isDone = true;
         this->refusedSince.erase(attempt->request);
-        if (this->routers[attempt->router].quarantine.clearSuspect(attempt->request, this->now)) {
-            this->broadcast(attempt->router, [this, request = attempt->request](std::size_t to) {
-                this->routers[to].quarantine.clearSuspect(request, this->now);
-            });
+        CrashQuarantine &quarantine = this->routers[attempt->router].quarantine;
+        const bool wasQuarantined = quarantine.isQuarantined(attempt->request);
+        quarantine.recordResponse(attempt->incarnation, attempt->sentAt);
+        if (!quarantine.clearSuspect(attempt->request, this->now, this->now)) {
+            return;
+        }
+        if (wasQuarantined) {
+            this->records.erase(attempt->request);
         }
+        this->broadcast(attempt->router,
+                        [this, request = attempt->request, when = this->now](std::size_t to) {
+                            this->routers[to].quarantine.clearSuspect(request, when, this->now);
+                        });
     }
 
     void onBroken(const AttemptPointer &attempt, std::uint64_t incarnation)
     {
-        CrashQuarantine &quarantine = this->routers[attempt->router].quarantine;
-        quarantine.recordBrokenAnswer(attempt->request, incarnation, attempt->sentAt, this->now);
-        this->probe(attempt->router, incarnation);
-        if (!this->retry(attempt)) {
-            attempt->isDone = true;
-        }
+        this->recordRun(*attempt, incarnation, RunEnd::ConnectionLost);
+        // The retry waits for what the probe finds.
+        this->probe(attempt->router, incarnation, this->between(1, 3), [this, attempt] {
+            if (!this->retry(attempt)) {
+                attempt->isDone = true;
+            }
+        });
+    }
+
+    void recordRun(const Attempt &attempt, std::uint64_t incarnation, RunEnd end)
+    {
+        this->routers[attempt.router].quarantine.recordUnansweredRun(
+            {attempt.request, incarnation, attempt.sentAt, this->now, end});
     }
 
     /// Without a retry the router goes on waiting for the response.
-    void onSilent(const AttemptPointer &attempt) { this->retry(attempt); }
+    void onSilent(const AttemptPointer &attempt)
+    {
+        constexpr Milliseconds probeDelay{250};
+        const Attempt before = *attempt;
+        if (this->retry(attempt)) {
+            this->recordRun(before, before.incarnation, RunEnd::GivenUp);
+            this->probe(before.router, before.incarnation, probeDelay, [] {});
+        }
+    }
 
     bool retry(const AttemptPointer &attempt)
     {
         const CrashQuarantine &quarantine = this->routers[attempt->router].quarantine;
         if (attempt->executions + 1 >= maxAttempts
-            || quarantine.isQuarantined(attempt->request, this->now)) {
+            || quarantine.crashCount(attempt->request) >= crashesForNoRetry) {
             return false;
         }
         attempt->executions += 1;
@@ -403,14 +539,19 @@
     }
 
     /// Connects to the upstream, which refuses if it is down.
-    void probe(std::size_t router, std::uint64_t incarnation)
+    void probe(std::size_t router, std::uint64_t incarnation, Milliseconds delay,
+               std::function<void()> done)
     {
-        this->at(this->between(1, 3),
-                 [this, router, incarnation, process = this->routers[router].process] {
-                     if (this->routers[router].process == process && this->isDown(incarnation)) {
-                         this->onFoundDown(router, incarnation);
-                     }
-                 });
+        this->at(delay, [this, router, incarnation, done = std::move(done),
+                         process = this->routers[router].process] {
+            if (this->routers[router].process != process) {
+                return;
+            }
+            if (this->isDown(incarnation)) {
+                this->onFoundDown(router, incarnation);
+            }
+            done();
+        });
     }
 
     [[nodiscard]] bool isDown(std::uint64_t incarnation) const
@@ -426,15 +567,28 @@
         this->routers[router].knownDown.insert(incarnation);
         for (const ConfirmedCrash &crash :
              this->routers[router].quarantine.confirmCrash(incarnation, this->now)) {
-            this->broadcast(router, [this, report = crash.report](std::size_t to) {
-                this->onReport(to, report);
-            });
+            this->publish(router, crash.report.request);
+            this->notify(router, crash.report);
         }
     }
 
+    void notify(std::size_t router, const CrashReport &report)
+    {
+        this->broadcast(router, [this, report](std::size_t to) { this->onReport(to, report); });
+    }
+
     void onReport(std::size_t router, const CrashReport &report)
     {
-        this->routers[router].quarantine.recordCrash(report, this->now);
+        CrashQuarantine &quarantine = this->routers[router].quarantine;
+        const CrashVerdict verdict = quarantine.recordCrash(report, this->now);
+        this->onFoundDown(router, report.incarnation);
+        if (verdict != CrashVerdict::Counted) {
+            return;
+        }
+        this->publish(router, report.request);
+        for (const CrashReport &each : quarantine.reportsToForward(report)) {
+            this->notify(router, each);
+        }
     }
 
     /// Routers of the same data centre are notified sooner than others.
@@ -455,6 +609,14 @@
     ModelOptions options;
     std::vector<ModelRouter> routers;
     std::vector<ModelUpstream> upstreams;
+    struct StoredRecord
+    {
+        std::uint32_t trials = 0;
+        std::uint64_t revision = 0;
+        TimePoint createdAt;
+    };
+    std::map<RequestFingerprint, StoredRecord> records;
+    std::uint64_t storeRevision = 0;
     std::priority_queue<ModelEvent> events;
     const TimePoint start{Seconds{1000}};
     TimePoint now = this->start;
--- a/tests/gatewaycrashes.cpp
+++ b/tests/gatewaycrashes.cpp
@@ -1,9 +1,12 @@
 #include <atomic>
+#include <future>
 #include <thread>
 #include <vector>
 
 #include <catch2/catch.hpp>
 
+#include "plantainswitch/base/hash.h"
+
 #include "gatewayfixture.h"
 
 using namespace plantainswitch;
@@ -43,6 +46,30 @@
         }
     }
 
+    static RequestFingerprint fingerprintOf(const std::string &body)
+    {
+        return mixHash(hashOf("/safe/x", hashOf("alpha")), hashOf(body));
+    }
+
+    QuarantineState stateOf(RequestFingerprint request)
+    {
+        std::promise<QuarantineState> state;
+        this->gateway->post([this, request, &state] {
+            state.set_value(
+                this->gateway->sharedState().crashQuarantine.stateOf(request, this->clock.now()));
+        });
+        return state.get_future().get();
+    }
+
+    bool isQuarantined(RequestFingerprint request)
+    {
+        return this->stateOf(request) != QuarantineState::Free;
+    }
+
+    const RequestFingerprint poisonFingerprint = fingerprintOf("poison");
+    const RequestFingerprint innocentFingerprint = fingerprintOf("innocent");
+    const std::string poisonRecord = formatHash(this->poisonFingerprint);
+    const std::string innocentRecord = formatHash(this->innocentFingerprint);
     std::vector<ScriptedServer *> servers;
     std::atomic<int> runs = 0;
 };
@@ -67,3 +94,67 @@
     CHECK(this->runs <= 4);
     CHECK(this->call(makeRequest("/safe/x", "b1", "body")).status == 200);
 }
+
+TEST_CASE_METHOD(GatewayCrashesFixture, "crash_ofThreeUpstreams_isRecordedInTheStore", "[gateway]")
+{
+    // Guards against a fleet that forgets a crashing request when all its routers are killed.
+    this->addCrashing(8, std::chrono::milliseconds{0});
+    this->start();
+    for (int i = 0; i < 4; ++i) {
+        this->call(makeRequest("/safe/x", "p" + std::to_string(i), "poison"));
+    }
+    CHECK(eventually([this] { return this->storedTrials(poisonRecord) == 0; }));
+}
+
+TEST_CASE_METHOD(GatewayCrashesFixture, "quarantine_recordedInTheStore_holdsAfterTheRoutersStart",
+                 "[gateway]")
+{
+    // Guards against a router that sends a request to upstreams although the fleet had quarantined
+    // it before all routers were killed.
+    this->addCrashing(4, std::chrono::milliseconds{0});
+    this->setTrialRecord(poisonRecord, 3);
+    this->start();
+    const auto isRefused = [this](int number) {
+        return this->call(makeRequest("/safe/x", "p" + std::to_string(number), "poison")).status
+               == 503;
+    };
+    CHECK(eventually([this] { return this->isQuarantined(poisonFingerprint); }));
+    for (int i = 0; i < 4; ++i) {
+        CHECK(isRefused(i));
+    }
+    CHECK(this->runs == 0);
+}
+
+TEST_CASE_METHOD(GatewayCrashesFixture, "quarantine_trialSucceeds_requestIsServedAndRecordRemoved",
+                 "[gateway]")
+{
+    // Guards against an innocent request that stays quarantined because it once ran beside a
+    // crashing one.
+    this->addCrashing(2, std::chrono::milliseconds{0});
+    this->setTrialRecord(innocentRecord, 0);
+    this->start();
+    CHECK(eventually([this] { return this->isQuarantined(innocentFingerprint); }));
+    CHECK(this->call(makeRequest("/safe/x", "a", "innocent")).status == 503);
+    CHECK(eventually(
+        [this] { return this->call(makeRequest("/safe/x", "b", "innocent")).body == "served"; }));
+    CHECK(eventually([this] { return !this->storedTrials(innocentRecord); }));
+    CHECK(this->call(makeRequest("/safe/x", "c", "innocent")).body == "served");
+}
+
+TEST_CASE_METHOD(GatewayCrashesFixture, "quarantine_anotherRouterIsPermittedTheTrial_isDenied",
+                 "[gateway]")
+{
+    // Guards against a trial by each router that does not know of the others' trials.
+    this->addCrashing(2, std::chrono::milliseconds{0});
+    this->setTrialRecord(innocentRecord, 0);
+    this->start();
+    CHECK(eventually([this] { return this->isQuarantined(innocentFingerprint); }));
+    this->setTrialRecord(innocentRecord, 3);
+    CHECK(eventually(
+        [this] { return this->stateOf(innocentFingerprint) == QuarantineState::TrialDue; }));
+    for (int i = 0; i < 4; ++i) {
+        CHECK(this->call(makeRequest("/safe/x", "a" + std::to_string(i), "innocent")).status
+              == 503);
+    }
+    CHECK(this->storedTrials(innocentRecord) == 3);
+}
--- a/tests/platformrequests.cpp
+++ b/tests/platformrequests.cpp
@@ -112,3 +112,31 @@
     // address now.
     CHECK_FALSE(this->decode(421, {{"Server-Leaving", "1"}}).isDraining);
 }
+
+TEST_CASE_METHOD(PlatformRequestsFixture, "platformTrialRecord_writtenAndRead_isTheSame",
+                 "[platform]")
+{
+    const TrialRecord written{0x0123456789abcdefULL, 2, 77};
+    const auto item = this->dialect.parseObject(this->dialect.serializeTrialRecord(written));
+    REQUIRE(item);
+    const auto read = this->dialect.parseTrialRecord(*item);
+    REQUIRE(read);
+    CHECK(read->request == written.request);
+    CHECK(read->trials == written.trials);
+    CHECK(read->revision == written.revision);
+    CHECK(this->dialect.objectTarget(StoreObjectKind::Quarantines, item->name)
+          == "/objects/plantain-quarantines/0123456789abcdef");
+}
+
+TEST_CASE_METHOD(PlatformRequestsFixture, "platformTrialRecord_malformed_isIgnored", "[platform]")
+{
+    // Guards against an object of another writer that quarantines requests.
+    const std::string name = "0123456789abcdef";
+    CHECK(this->dialect.parseTrialRecord({name, false, R"({"trials":1})", 0}));
+    for (const char *const document : {"", "[]", "{}", R"({"trials":"1"})", "{"}) {
+        CHECK_FALSE(this->dialect.parseTrialRecord({name, false, document, 0}));
+    }
+    for (const char *const other : {"", "0123", "0123456789abcdeg", "0123456789abcdef0", "-1"}) {
+        CHECK_FALSE(this->dialect.parseTrialRecord({other, false, R"({"trials":1})", 0}));
+    }
+}
--- a/tests/routercontacts.cpp
+++ b/tests/routercontacts.cpp
@@ -165,11 +165,16 @@
     clock.advance(Milliseconds{100});
     const TimePoint between = clock.now();
     log.recordPrefix({2, 5}, clock.now());
-    log.recordCleared(7, clock.now());
+    log.recordCleared({7, clock.now()}, clock.now());
+    log.recordTrials({7, 2}, clock.now());
     CHECK(log.prefixesSince({}, 10).size() == 2);
     CHECK(log.prefixesSince({}, 1).front().prefix == 2);
     CHECK(log.prefixesSince(between, 10).size() == 1);
-    CHECK(log.crashesSince(between).cleared == std::vector<RequestFingerprint>{7});
+    const CrashUpdate crashes = log.crashesSince(between);
+    REQUIRE(crashes.cleared.size() == 1);
+    CHECK(crashes.cleared.front().request == 7);
+    REQUIRE(crashes.trials.size() == 1);
+    CHECK(crashes.trials.front().trials == 2);
     clock.advance(Milliseconds{100});
     CHECK(log.prefixesSince(clock.now(), 10).empty());
     log.removeBefore(between);
--- a/tests/support/gatewayfixture.cpp
+++ b/tests/support/gatewayfixture.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::seconds eventTimeout{20};
 constexpr std::chrono::milliseconds pollInterval{5};
 
+constexpr std::string_view trialRecordsPath = "/objects/plantain-quarantines";
+
 std::string makeRoutingDocument(std::uint64_t version)
 {
     const auto route = [](const std::string &name, const std::string &kind,
@@ -265,6 +267,10 @@
             connection.send(plainResponse(R"({"events":[],"asOf":5})"));
             continue;
         }
+        if (target.starts_with(trialRecordsPath)) {
+            connection.send(this->serveTrialRecords(*request));
+            continue;
+        }
         const bool isRouting = target.starts_with("/objects/config");
         const bool isReplicas = target.starts_with("/objects/servers");
         this->listCount += isReplicas ? 1 : 0;
@@ -277,6 +283,68 @@
     }
 }
 
+std::string GatewayFixture::serveTrialRecords(const ReceivedRequest &request)
+{
+    const std::lock_guard lock(this->trialMutex);
+    const auto respond = [](int status, const std::string &body) {
+        return fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}", status, body.size(),
+                           body);
+    };
+    const auto render = [this](const std::string &name) {
+        const auto &[trials, revision] = this->trialRecords.at(name);
+        return fmt::format(R"({{"metadata":{{"name":"{}","rev":{}}},"spec":{{"trials":{}}}}})",
+                           name, revision, trials);
+    };
+    const std::string path = request.head.target.substr(0, request.head.target.find('?'));
+    std::string name =
+        path.size() > trialRecordsPath.size() ? path.substr(trialRecordsPath.size() + 1) : "";
+    const bool hasBody = request.head.method == "POST" || request.head.method == "PUT";
+    const nlohmann::json body =
+        hasBody ? nlohmann::json::parse(request.body) : nlohmann::json::object();
+    if (request.head.method == "GET" && name.empty()) {
+        std::vector<std::string> items;
+        for (const auto &[key, record] : this->trialRecords) {
+            items.push_back(render(key));
+        }
+        return respond(200, fmt::format(R"({{"items":[{}],"hasMore":false,"asOf":5}})",
+                                        fmt::join(items, ",")));
+    }
+    if (request.head.method == "POST") {
+        name = body["metadata"]["name"];
+    }
+    const auto stored = this->trialRecords.find(name);
+    const bool exists = stored != this->trialRecords.end();
+    if (request.head.method == "DELETE") {
+        this->trialRecords.erase(name);
+        return respond(200, "{}");
+    }
+    if (!hasBody) {
+        return exists ? respond(200, render(name)) : respond(404, "{}");
+    }
+    const bool conflicts =
+        request.head.method == "POST"
+            ? exists
+            : !exists || body["metadata"].value("rev", 0U) != stored->second.second;
+    if (conflicts) {
+        return respond(409, exists ? render(name) : "{}");
+    }
+    this->trialRecords[name] = {body["spec"]["trials"], ++this->trialRevision};
+    return respond(200, render(name));
+}
+
+void GatewayFixture::setTrialRecord(const std::string &name, int trials)
+{
+    const std::lock_guard lock(this->trialMutex);
+    this->trialRecords[name] = {trials, ++this->trialRevision};
+}
+
+std::optional<int> GatewayFixture::storedTrials(const std::string &name)
+{
+    const std::lock_guard lock(this->trialMutex);
+    const auto found = this->trialRecords.find(name);
+    return found == this->trialRecords.end() ? std::nullopt : std::optional(found->second.first);
+}
+
 void GatewayFixture::start()
 {
     this->store = std::make_unique<ScriptedServer>(
--- a/tests/support/gatewayfixture.h
+++ b/tests/support/gatewayfixture.h
@@ -126,6 +126,11 @@
     /// Sets the entries of evacuated data centres in the store, as JSON objects. Must be called
     /// before start().
     void setEvacuationItems(const std::string &items) { this->evacuationItems = items; }
+    /// Sets the store's record of a quarantined request.
+    void setTrialRecord(const std::string &name, int trials);
+    /// \returns the trials in the store's record of a quarantined request; nothing without a
+    /// record.
+    std::optional<int> storedTrials(const std::string &name);
     /// Changes the settings with which start() creates the gateway.
     void changeSettings(std::function<void(GatewaySettings &)> change)
     {
@@ -172,10 +177,16 @@
     void stopGateway();
     void addEntry(const std::string &id, const std::string &service, const Endpoint &endpoint);
     void serveStore(ServerConnection &connection);
+    /// Serves a call on a record of a quarantined request, or on all of them.
+    std::string serveTrialRecords(const ReceivedRequest &request);
 
     std::vector<std::unique_ptr<ScriptedServer>> upstreams;
     std::string replicaItems;
     std::string evacuationItems;
+    /// Trials and revision of each record of a quarantined request.
+    std::map<std::string, std::pair<int, std::uint64_t>> trialRecords;
+    std::uint64_t trialRevision = 5;
+    std::mutex trialMutex;
     Milliseconds coldTime{0};
     std::function<void(GatewaySettings &)> settingsChange;
     std::atomic<int> listCount = 0;
