--- a/tests/crashquarantinemodel.cpp
+++ b/tests/crashquarantinemodel.cpp
@@ -202,7 +202,9 @@
     void scheduleRestarts()
     {
         this->at(this->options.restartInterval, [this] {
-            this->restart(this->below(this->routers.size()));
+            const std::size_t index = this->below(this->routers.size());
+            this->restart(index);
+            this->greet(index);
             this->scheduleRestarts();
         });
     }
@@ -214,7 +216,6 @@
         router.knownDown.clear();
         router.process += 1;
         router.startedAt = this->now;
-        this->greet(index);
         // The store's lists may be stale by seconds, so that a second one follows the first.
         for (const Milliseconds delay : {Milliseconds{50}, Milliseconds{5000}}) {
             this->at(delay, [this, index, process = router.process] {
