--- /dev/null
+++ b/tests/gatewaycutoff.cpp
@@ -0,0 +1,227 @@
+#include <atomic>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+
+#include <catch2/catch.hpp>
+
+#include "gatewayfixture.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::gateway;
+
+namespace {
+
+/// A gateway that tests hold as a member.
+class TestedGateway : public GatewayFixture
+{
+public:
+    using GatewayFixture::addDeadUpstream;
+    using GatewayFixture::addUpstream;
+    using GatewayFixture::call;
+    using GatewayFixture::changeSettings;
+    using GatewayFixture::connectCaller;
+    using GatewayFixture::eventually;
+    using GatewayFixture::gateway;
+    using GatewayFixture::makeChunk;
+    using GatewayFixture::makeEvent;
+    using GatewayFixture::makeRequest;
+    using GatewayFixture::makeResponse;
+    using GatewayFixture::makeStreamHead;
+    using GatewayFixture::readResponse;
+    using GatewayFixture::start;
+
+    [[nodiscard]] bool knows(const std::string &router)
+    {
+        std::promise<bool> known;
+        this->gateway->post([this, &router, &known] {
+            known.set_value(this->gateway->sharedState().peerLoads.routerCount() > 0
+                            && !router.empty());
+        });
+        return known.get_future().get();
+    }
+};
+
+/// Two routers of one fleet. The first is cut off from all upstreams, in a way that each test
+/// chooses; the second one reaches them.
+class GatewayCutOffFixture
+{
+protected:
+    using Responder = std::function<void(ServerConnection &, const ReceivedRequest &)>;
+
+    /// What the cut router meets at the upstreams' addresses.
+    enum class Cut : std::uint8_t { Refuses, Silent, Resets };
+
+    void addUpstreams(const std::string &service, int count, Cut cut, const Responder &respond)
+    {
+        for (int i = 0; i < count; ++i) {
+            const std::string id = service + "-" + std::to_string(i);
+            this->helper.addUpstream(id, service, [this, respond](ServerConnection &connection) {
+                while (const auto request = connection.read()) {
+                    this->recordRun(*request);
+                    respond(connection, *request);
+                }
+            });
+            this->addCutUpstream(id, service, cut);
+        }
+    }
+
+    void addCutUpstream(const std::string &id, const std::string &service, Cut cut)
+    {
+        if (cut == Cut::Refuses) {
+            this->cutOff.addDeadUpstream(id, service);
+            return;
+        }
+        this->cutOff.addUpstream(id, service, [cut](ServerConnection &connection) {
+            if (cut == Cut::Silent) {
+                connection.waitForEnd();
+            } else if (connection.read()) {
+                connection.reset();
+            }
+        });
+    }
+
+    void start()
+    {
+        const std::uint16_t datagramPort = freePort();
+        const std::uint16_t callPort = freePort();
+        const auto settingsOf = [=](const std::string &id, const std::string &own,
+                                    const std::string &other) {
+            return [=](GatewaySettings &settings) {
+                settings.id = id;
+                settings.peerDatagrams = {own, datagramPort};
+                settings.peerCalls = {own, callPort};
+                settings.seeds = {{other, datagramPort}};
+            };
+        };
+        this->helper.changeSettings(settingsOf("helper", "127.0.0.2", "127.0.0.1"));
+        this->cutOff.changeSettings(settingsOf("cut", "127.0.0.1", "127.0.0.2"));
+        this->helper.start();
+        this->cutOff.start();
+        REQUIRE(TestedGateway::eventually([this] { return this->cutOff.knows("helper"); }));
+    }
+
+    /// \returns a port that is free on the addresses of both routers.
+    static std::uint16_t freePort()
+    {
+        asio::io_context context;
+        asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+        const std::uint16_t port = acceptor.local_endpoint().port();
+        const asio::ip::tcp::acceptor other(context, {asio::ip::make_address("127.0.0.2"), port});
+        return port;
+    }
+
+    void recordRun(const ReceivedRequest &request)
+    {
+        const std::string *const attempt = request.head.find("X-Attempt-Id");
+        const std::lock_guard lock(this->mutex);
+        this->runs[attempt == nullptr ? std::string() : *attempt] += 1;
+        this->lastRequest = request;
+    }
+
+    int runsOf(const std::string &attempt)
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->runs[attempt];
+    }
+
+    static void serve(ServerConnection &connection, const ReceivedRequest &request)
+    {
+        connection.send(TestedGateway::makeResponse(request, "served"));
+    }
+
+    /// Calls the cut router until it serves at the first attempt, or fails.
+    bool isServedInTheEnd(const std::string &path)
+    {
+        int number = 0;
+        return TestedGateway::eventually([this, &path, &number] {
+            const std::string attempt = "warm-" + path + std::to_string(++number);
+            return this->cutOff.call(TestedGateway::makeRequest(path, attempt)).body == "served";
+        });
+    }
+
+    std::mutex mutex;
+    std::map<std::string, int> runs;
+    ReceivedRequest lastRequest;
+    TestedGateway helper;
+    TestedGateway cutOff;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(GatewayCutOffFixture, "cutOff_upstreamsRefuseConnections_callersAreServed",
+                 "[gateway]")
+{
+    // Guards against a router that refuses its callers while another one reaches the upstreams.
+    this->addUpstreams("plain", 4, Cut::Refuses, serve);
+    this->start();
+    REQUIRE(this->isServedInTheEnd("/safe/x"));
+    for (int i = 0; i < 10; ++i) {
+        const std::string number = std::to_string(i);
+        CHECK(this->cutOff.call(TestedGateway::makeRequest("/safe/x", "s" + number)).body
+              == "served");
+        CHECK(this->cutOff.call(TestedGateway::makeRequest("/once/x", "o" + number, "order")).body
+              == "served");
+        CHECK(this->runsOf("o" + number) == 1);
+    }
+}
+
+TEST_CASE_METHOD(GatewayCutOffFixture, "cutOff_upstreamsSilent_callersAreServed", "[gateway]")
+{
+    // The same where bytes vanish: connections hang instead of being refused.
+    this->addUpstreams("plain", 4, Cut::Silent, serve);
+    this->start();
+    REQUIRE(this->isServedInTheEnd("/safe/x"));
+    for (int i = 0; i < 10; ++i) {
+        CHECK(this->cutOff.call(TestedGateway::makeRequest("/safe/x", "s" + std::to_string(i))).body
+              == "served");
+    }
+}
+
+TEST_CASE_METHOD(GatewayCutOffFixture, "cutOff_upstreamsResetConnections_callersAreServed",
+                 "[gateway]")
+{
+    // The same where connections are reset.
+    this->addUpstreams("plain", 4, Cut::Resets, serve);
+    this->start();
+    REQUIRE(this->isServedInTheEnd("/safe/x"));
+    for (int i = 0; i < 10; ++i) {
+        CHECK(this->cutOff.call(TestedGateway::makeRequest("/safe/x", "s" + std::to_string(i))).body
+              == "served");
+    }
+}
+
+TEST_CASE_METHOD(GatewayCutOffFixture, "cutOff_stream_arrivesWholeAndInOrder", "[gateway]")
+{
+    // Guards against streams that lose, repeat or reorder events on their way through two routers.
+    constexpr int events = 50;
+    this->addUpstreams(
+        "model", 4, Cut::Refuses, [](ServerConnection &connection, const ReceivedRequest &request) {
+            connection.send(TestedGateway::makeStreamHead(request));
+            for (int id = 1; id <= events; ++id) {
+                connection.send(TestedGateway::makeChunk(TestedGateway::makeEvent(id)));
+            }
+            connection.send("0\r\n\r\n");
+        });
+    this->start();
+    std::string expected;
+    for (int id = 1; id <= events; ++id) {
+        expected += TestedGateway::makeEvent(id);
+    }
+    const std::string prompt =
+        "X-Model: m\r\nX-Token-Count: 20,5\r\nX-Prompt-Prefix: a1:10,b2:10\r\n";
+    int number = 0;
+    REQUIRE(TestedGateway::eventually([&] {
+        const auto request =
+            TestedGateway::makeRequest("/stream/x", "w" + std::to_string(++number), {}, prompt);
+        return this->cutOff.call(request).body == expected;
+    }));
+    for (int i = 0; i < 5; ++i) {
+        const ReceivedResponse answer = this->cutOff.call(
+            TestedGateway::makeRequest("/stream/x", "t" + std::to_string(i), {}, prompt));
+        CHECK(answer.isComplete);
+        CHECK(answer.body == expected);
+        CHECK(this->runsOf("t" + std::to_string(i)) == 1);
+    }
+}
