Forward requests to another router while this one reaches no upstream of their service

Cause: a router had no other way to serve than to send to upstreams itself. It knew within half a second that nothing of it arrived, and that the other routers' updates did, and could only refuse.

Change: a router that fails at three upstreams of a service in a row (all, if there are fewer) without any contact for 200 ms counts as cut off. It tells the others so, probes the service each 250 ms, and forwards its requests to a router that reports no cut, of its own data centre first. One hop: a forwarded request is not forwarded again. The receiving router admits, places, retries and sends it like one of its own; it gets the time that is left and the number of upstreams that may have run the request, accepts 128 at once, and returns those that it does not process. Requests that may run once go to another router only if nothing was sent. Streams pass whole events, and are resumed elsewhere if that router fails. A router that announced draining in a forwarded response is known as draining here, too. Without contact to any upstream, crashes are in doubt for 600 ms: a router that is cut off accuses no request.

--- a/gateway/bytestream.cpp
+++ b/gateway/bytestream.cpp
@@ -10,13 +10,13 @@
 
 namespace {
 
-/// Bytes read per system call. All connections are read on the event loop's one thread and share
+/// Bytes read per system call. All connections of an event loop are read on its one thread and share
 /// this buffer; one buffer per connection would take megabytes with hundreds of open streams.
 constexpr std::size_t readSize = 64 << 10;
 
 std::array<char, readSize> &readBuffer()
 {
-    static std::array<char, readSize> buffer;
+    thread_local std::array<char, readSize> buffer;
     return buffer;
 }
 
--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -118,6 +118,15 @@
     return Endpoint{newer->host, this->gateway.settings.peerCalls.port};
 }
 
+std::optional<Endpoint> FleetGossip::forwardTarget(const ForwardQuery &query) const
+{
+    const auto target = this->contacts.forwardTarget(query, this->gateway.clock.now());
+    if (!target) {
+        return std::nullopt;
+    }
+    return Endpoint{target->host, this->gateway.settings.peerCalls.port};
+}
+
 std::uint64_t FleetGossip::configVersion() const
 {
     return this->gateway.routingTable ? this->gateway.routingTable->config().version : 0;
@@ -248,6 +257,9 @@
     contact.evacuationsRevision = message.evacuations_revision();
     contact.evacuationsConfirmed = timeOf(message.evacuations_confirmed_ms(), now);
     contact.stopping = message.stopping();
+    contact.acceptsForwards = message.accepts_forwards();
+    contact.unreachableServices = {message.unreachable_services().begin(),
+                                   message.unreachable_services().end()};
     this->applyEvacuationUpdate(message);
     RouterUpdate update;
     update.id = message.id();
@@ -452,6 +464,12 @@
             message.add_evacuated(dataCentre);
         }
     }
+    message.set_accepts_forwards(this->gateway.settings.mechanisms.forwarding);
+    for (const auto &[service, reach] : this->gateway.reach) {
+        if (reach.wasCutOff) {
+            message.add_unreachable_services(hashOf(service));
+        }
+    }
     message.set_known_routers(static_cast<std::uint32_t>(this->contacts.aliveCount(now)));
     for (const PeerLoad &load : update.loads) {
         wire::ReplicaLoad *const entry = message.add_loads();
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -52,6 +52,8 @@
     [[nodiscard]] std::optional<std::size_t> watchRank() const;
     /// \returns whether this router is the only one of the fleet designated to act for \a key.
     [[nodiscard]] bool isDesignatedFor(std::uint64_t key) const;
+    /// \returns the address for calls of a router to which a request can be forwarded.
+    [[nodiscard]] std::optional<Endpoint> forwardTarget(const ForwardQuery &query) const;
     /// Sends an update to the routers of this data centre soon, because they wait for a change.
     /// Routers elsewhere get it with their next regular update.
     void scheduleBroadcast();
--- /dev/null
+++ b/gateway/forwarding.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "http1.h"
+
+namespace plantainswitch::gateway {
+
+/// Field of a forwarded request: the number of upstreams that may have run it.
+inline constexpr std::string_view forwardedAttemptsField = "Plantain-Forwarded-Attempts";
+/// Field of a forwarded request: the configuration by which the sender admitted it.
+inline constexpr std::string_view forwardedConfigField = "Plantain-Forwarded-Config";
+/// Field of the response to a forwarded request: the router has not processed it.
+inline constexpr std::string_view notAcceptedField = "Plantain-Not-Accepted";
+/// Field of the response to a forwarded request: the upstream that responded.
+inline constexpr std::string_view respondingUpstreamField = "Plantain-Upstream";
+
+/// Requests of other routers that a router processes at once. Their bodies and its own callers'
+/// fit into the memory of the smallest VM.
+inline constexpr std::size_t maxForwardedRunning = 128;
+
+/// What a router states about a request that it forwards.
+struct ForwardedRequest
+{
+    /// Upstreams that may have run the request.
+    std::uint32_t attempts = 0;
+    std::uint64_t configVersion = 0;
+};
+
+/// Reads what the sender states, and removes these fields from \a head, so that no upstream gets
+/// them. \returns nothing if the request is not forwarded, or a field is malformed.
+[[nodiscard]] std::optional<ForwardedRequest> takeForwardedFields(MessageHead &head);
+/// Removes \a name from \a fields. \returns its value, or nothing.
+std::optional<std::string> takeField(std::vector<HeaderField> &fields, std::string_view name);
+
+} // namespace plantainswitch::gateway
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -122,7 +122,7 @@
                  });
     this->callerHandlers.onRequest = [this](const std::shared_ptr<CallerConnection> &caller,
                                             IncomingRequest incoming) {
-        this->onRequest(caller, std::move(incoming));
+        this->onRequest(caller, std::move(incoming), std::nullopt);
     };
     this->callerHandlers.onDisconnected = [this](CallerConnection &caller) {
         const auto found = this->exchanges.find(caller.id());
@@ -140,13 +140,15 @@
             found->second->onCallerWritable();
         }
     };
+    this->internalHandlers = this->callerHandlers;
     this->internalHandlers.onRequest = [this](const std::shared_ptr<CallerConnection> &caller,
                                               const IncomingRequest &incoming) {
         this->onInternalRequest(caller, incoming);
     };
-    this->internalHandlers.onDisconnected = [](CallerConnection &) {};
-    this->internalHandlers.onClosed = [this](CallerConnection &caller) {
-        this->callers.erase(caller.id());
+    this->peerHandlers = this->callerHandlers;
+    this->peerHandlers.onRequest = [this](const std::shared_ptr<CallerConnection> &caller,
+                                          IncomingRequest incoming) {
+        this->onPeerRequest(caller, std::move(incoming));
     };
     this->state.onExchangeDone = [this](const CallerConnection &caller) {
         this->exchanges.erase(caller.id());
@@ -203,11 +205,11 @@
         this->openListeners();
     }
     if (this->controlAcceptor.is_open()) {
-        this->acceptInternal(this->controlAcceptor);
+        this->acceptInternal(this->controlAcceptor, this->internalHandlers);
     }
-    this->acceptInternal(this->peerAcceptor);
+    this->acceptInternal(this->peerAcceptor, this->peerHandlers);
     this->acceptCallers();
-    this->acceptInternal(this->readinessAcceptor);
+    this->acceptInternal(this->readinessAcceptor, this->internalHandlers);
     for (const int signal : handledSignals) {
         this->signals.add(signal);
     }
@@ -303,10 +305,10 @@
         });
 }
 
-void Gateway::acceptInternal(Acceptor &acceptor)
+void Gateway::acceptInternal(Acceptor &acceptor, const CallerHandlers &handlers)
 {
     acceptor.async_accept(
-        [this, &acceptor](const asio::error_code &error, asio::ip::tcp::socket socket) {
+        [this, &acceptor, &handlers](const asio::error_code &error, asio::ip::tcp::socket socket) {
             if (error == asio::error::operation_aborted) {
                 return;
             }
@@ -315,16 +317,31 @@
                 CallerLimits limits;
                 limits.maxHeaderBytes = maxInternalHeadBytes;
                 limits.maxBodyBytes = 0;
+                if (&handlers == &this->peerHandlers && this->state.routingTable) {
+                    // A forwarded request has some fields more than its caller sent.
+                    limits = this->state.routingTable->config().limits;
+                    limits.maxHeaderBytes += maxInternalHeadBytes;
+                }
                 const auto caller = std::make_shared<CallerConnection>(
                     this->nextCallerId++, std::make_shared<ByteStream>(std::move(socket)), limits,
-                    this->internalHandlers, this->state.clock);
+                    handlers, this->state.clock);
                 this->callers.emplace(caller->id(), caller);
                 caller->start();
             }
-            this->acceptInternal(acceptor);
+            this->acceptInternal(acceptor, handlers);
         });
 }
 
+void Gateway::onPeerRequest(const std::shared_ptr<CallerConnection> &caller,
+                            IncomingRequest incoming)
+{
+    if (const auto forwarded = takeForwardedFields(incoming.head)) {
+        this->onRequest(caller, std::move(incoming), forwarded);
+        return;
+    }
+    this->onInternalRequest(caller, incoming);
+}
+
 void Gateway::onInternalRequest(const std::shared_ptr<CallerConnection> &caller,
                                 const IncomingRequest &incoming)
 {
@@ -361,10 +378,11 @@
     caller->respond(notFound, {}, {}, true);
 }
 
-void Gateway::onRequest(const std::shared_ptr<CallerConnection> &caller, IncomingRequest incoming)
+void Gateway::onRequest(const std::shared_ptr<CallerConnection> &caller, IncomingRequest incoming,
+                        std::optional<ForwardedRequest> forwarded)
 {
     const auto exchange =
-        std::make_shared<RequestHandler>(this->state, caller, std::move(incoming));
+        std::make_shared<RequestHandler>(this->state, caller, std::move(incoming), forwarded);
     this->exchanges[caller->id()] = exchange;
     exchange->start();
 }
@@ -427,6 +445,7 @@
     this->checkFreshness(now);
     this->fetchStoreView();
     this->state.removeExpiredSuspects();
+    this->state.checkReach();
     this->updateReadiness();
     if (now - this->settingsReadAt > settingsCheckInterval) {
         this->reloadSettings(false);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -64,10 +64,14 @@
 
     void listen(Acceptor &acceptor, const Endpoint &endpoint);
     void acceptCallers();
-    void acceptInternal(Acceptor &acceptor);
+    void acceptInternal(Acceptor &acceptor, const CallerHandlers &handlers);
+    /// Handles a request of another router: one that it forwards, or a call of its own.
+    void onPeerRequest(const std::shared_ptr<CallerConnection> &caller, IncomingRequest incoming);
     void onInternalRequest(const std::shared_ptr<CallerConnection> &caller,
                            const IncomingRequest &incoming);
-    void onRequest(const std::shared_ptr<CallerConnection> &caller, IncomingRequest incoming);
+    /// \param forwarded what another router states, if it has forwarded the request
+    void onRequest(const std::shared_ptr<CallerConnection> &caller, IncomingRequest incoming,
+                   std::optional<ForwardedRequest> forwarded);
     void onSignal();
     /// Logs if the process was frozen or late since the last call, and lists the store again after
     /// a freeze.
@@ -122,6 +126,7 @@
     Acceptor peerAcceptor;
     CallerHandlers callerHandlers;
     CallerHandlers internalHandlers;
+    CallerHandlers peerHandlers;
     std::uint64_t nextCallerId = 1;
     std::unordered_map<std::uint64_t, std::shared_ptr<CallerConnection>> callers;
     std::unordered_map<std::uint64_t, std::shared_ptr<RequestHandler>> exchanges;
--- a/gateway/gatewaycrashes.cpp
+++ b/gateway/gatewaycrashes.cpp
@@ -18,6 +18,9 @@
 /// so soon after it began to run.
 constexpr Milliseconds givenUpProbeDelay{250};
 
+/// How long a crash is in doubt while this router has no contact to any upstream: longer than it
+/// takes to find out that it is cut off.
+constexpr Milliseconds crashDoubtTime{600};
 std::string formatMilliseconds(Duration span)
 {
     return std::to_string(std::chrono::duration_cast<Milliseconds>(span).count());
@@ -45,9 +48,11 @@
             logEvent(Event::UpstreamChecked, {{"upstream", upstream->replica.id},
                                               {"connected", isConnected ? "yes" : "no"}});
             if (isConnected) {
+                recordConnected(this->reach[upstream->replica.service], this->clock.now());
                 this->upstreams.release(*upstream, connection);
             } else {
                 recordFault(upstream->health, UpstreamFault::Unreachable, this->clock.now());
+                this->recordContactFailure(upstream->replica, ContactFailure::ConnectFailed);
                 this->recordUpstreamDown(upstream->replica);
             }
             for (const auto &waiter : std::exchange(upstream->probeWaiters, {})) {
@@ -77,7 +82,17 @@
     if (const auto upstream = this->upstreams.find(replica.id)) {
         upstream->cold.recordDown(this->coldStartOf(replica.service).duration, this->clock.now());
     }
-    this->confirmCrash(incarnationOf(replica), replica.id);
+    if (this->reachesUpstreams()) {
+        this->confirmCrash(incarnationOf(replica), replica.id);
+        return;
+    }
+    // This router may have lost its way to all upstreams, which is no crash of any of them.
+    const auto wait = std::make_shared<asio::steady_timer>(this->context, crashDoubtTime);
+    wait->async_wait([this, wait, replica](const asio::error_code &error) {
+        if (!error && !this->isCutOff(replica.service)) {
+            this->confirmCrash(incarnationOf(replica), replica.id);
+        }
+    });
 }
 
 void GatewayState::confirmCrash(std::uint64_t incarnation, const std::string &upstreamId)
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -32,6 +32,12 @@
     }
     // The timer of an earlier attempt must not fire while the coordinator of the next one is asked.
     this->armTimer(this->deadline);
+    const bool isCutOff =
+        this->gateway.isCutOff(this->service)
+        && !takeTrialRequest(*this->reach, isRetryable(*this->route), this->now());
+    if (isCutOff && this->forward("cut off")) {
+        return;
+    }
     this->gateway.refreshPeerLoads();
     const PlacementConstraints constraints = this->placementConstraints();
     std::span<UpstreamState *const> candidates = this->gateway.upstreams.ofService(this->service);
@@ -55,7 +61,9 @@
     const auto choice = selectUpstream(candidates, choiceRequest,
                                        this->gateway.upstreams.prefixIndex, policy, this->now());
     if (!choice) {
-        this->fail();
+        if (this->connectFailures == 0 || !this->forward("unreachable")) {
+            this->fail();
+        }
         return;
     }
     if (!this->passAdmissionControl(*choice)
@@ -394,6 +402,9 @@
             // What the upstream wants may have changed while the connection was established.
             [weak] {
                 const auto self = weak.lock();
+                if (self) {
+                    recordConnected(*self->reach, self->now());
+                }
                 const bool maySend =
                     self && self->upstream
                     && self->isUsable(self->gateway.upstreams.find(self->upstream->replica.id));
--- /dev/null
+++ b/gateway/gatewayrequestforward.cpp
@@ -0,0 +1,235 @@
+#include "gatewayrequesthandler.h"
+
+#include <fmt/format.h>
+
+#include "plantainswitch/base/hash.h"
+#include "plantainswitch/observe/event.h"
+
+namespace plantainswitch::gateway {
+
+namespace {
+
+/// Routers to which a request is forwarded one after the other.
+constexpr std::size_t maxForwards = 3;
+/// Timeout for a connection to another router.
+constexpr Milliseconds forwardConnectTimeout{250};
+/// Multiple of the latency objective after which a request that may be repeated is forwarded to the
+/// next router. The one that has it retries at other upstreams meanwhile.
+constexpr int maxForwardObjectives = 3;
+constexpr std::size_t maxForwardedResponseBytes = 16 << 20;
+
+} // namespace
+
+bool RequestHandler::forward(std::string_view why)
+{
+    const bool isAllowed = this->gateway.settings.mechanisms.forwarding && !this->forwarded
+                           && this->forwardHosts.size() < maxForwards
+                           && this->remainingTime() >= minRemainingTime;
+    if (!isAllowed) {
+        return false;
+    }
+    const PlacementConstraints constraints = this->placementConstraints();
+    const ForwardQuery query{hashOf(this->service), hashOf(this->request->attemptId),
+                             [&constraints](const std::string &dataCentre) {
+                                 return isPermitted(dataCentre, constraints);
+                             },
+                             this->forwardHosts};
+    const auto target = this->gateway.fleet->forwardTarget(query);
+    if (!target) {
+        return false;
+    }
+    this->releaseUpstream();
+    this->forwardHosts.push_back(target->host);
+    this->logForward(why);
+    this->gateway.metrics.count(Counter::Forwards);
+    this->sendForwarded(*target);
+    return true;
+}
+
+void RequestHandler::sendForwarded(const Endpoint &target)
+{
+    this->phase = Phase::Forwarding;
+    this->headReceived = false;
+    this->responseBody.clear();
+    this->response = {};
+    this->eventRelay.dropPartial();
+    this->sentAt = this->now();
+    const std::optional<std::uint64_t> resumeAfter =
+        this->eventRelay.lastId() ? this->eventRelay.lastId() : this->request->resumeAfter;
+    const std::uint64_t version = this->routingTable->config().version;
+    std::string bytes = this->gateway.dialect.serializeForwarded(
+        this->incoming.head, this->remainingTime(), resumeAfter, this->request->body.size(),
+        {{std::string(forwardedAttemptsField), std::to_string(this->possibleExecutions)},
+         {std::string(forwardedConfigField), std::to_string(version)}});
+    bytes.append(this->request->body);
+    const bool mayRepeat = isRetryable(*this->route);
+    this->armTimer(mayRepeat && !this->responseStarted
+                       ? this->now() + maxForwardObjectives * this->route->objective
+                       : this->deadline);
+    this->connection =
+        std::make_shared<UpstreamConnection>(this->gateway.context, this->gateway.clock);
+    this->connection->connectAndSend(target, std::min(forwardConnectTimeout, this->remainingTime()),
+                                     std::move(bytes), this->forwardHandlers(),
+                                     this->request->method == "HEAD");
+}
+
+ResponseHandlers RequestHandler::forwardHandlers()
+{
+    const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
+    return {[weak](const MessageHead &head) {
+                const auto self = weak.lock();
+                if (self) {
+                    self->onForwardHead(head);
+                }
+                return true;
+            },
+            [weak](std::string_view bytes) {
+                if (const auto self = weak.lock()) {
+                    self->onForwardBody(bytes);
+                }
+            },
+            [weak](ResponseOutcome outcome) {
+                if (const auto self = weak.lock()) {
+                    self->onForwardEnd(outcome);
+                }
+            },
+            {}};
+}
+
+void RequestHandler::onForwardHead(const MessageHead &head)
+{
+    this->headReceived = true;
+    this->response = this->gateway.dialect.parseResponse(head);
+    this->wasNotAccepted = takeField(this->response.forwardedFields, notAcceptedField).has_value();
+    const auto responding = takeField(this->response.forwardedFields, respondingUpstreamField);
+    const auto source = responding ? this->gateway.upstreams.find(*responding) : nullptr;
+    if (source && this->response.isDraining
+        && this->gateway.upstreams.recordDraining(source->replica)) {
+        logEvent(Event::UpstreamLeaving, {{"request", this->request->attemptId},
+                                          {"upstream", source->replica.id},
+                                          {"place", source->replica.dataCentre}});
+    }
+}
+
+void RequestHandler::onForwardBody(std::string_view bytes)
+{
+    const auto self = this->shared_from_this();
+    if (this->phase == Phase::Done) {
+        return;
+    }
+    if (!this->isRelayedStream()) {
+        this->responseBody.append(bytes);
+        if (this->responseBody.size() > maxForwardedResponseBytes) {
+            this->connection->abort();
+            this->onForwardLost();
+        }
+        return;
+    }
+    if (this->timeToFirstByte == Duration{0}) {
+        this->timeToFirstByte = this->now() - this->incoming.receivedAt;
+    }
+    if (!this->relayEvents(bytes)) {
+        this->connection->abort();
+        this->onForwardLost();
+    }
+}
+
+void RequestHandler::onForwardEnd(ResponseOutcome outcome)
+{
+    const auto self = this->shared_from_this();
+    if (this->phase == Phase::Done) {
+        return;
+    }
+    if (outcome == ResponseOutcome::ConnectFailed) {
+        this->forwardAgainOrFail("unreachable");
+        return;
+    }
+    const bool isPartialStream = this->isRelayedStream() && this->eventRelay.hasPartial();
+    if (outcome != ResponseOutcome::Complete || isPartialStream) {
+        this->onForwardLost();
+        return;
+    }
+    this->connection.reset();
+    if (this->wasNotAccepted) {
+        this->forwardAgainOrFail("not accepted");
+        return;
+    }
+    if (this->isRelayedStream()) {
+        this->onCompleteStream();
+        return;
+    }
+    this->forwardResponse();
+}
+
+void RequestHandler::onForwardLost()
+{
+    // The other router may have sent the request to an upstream.
+    this->possibleExecutions += 1;
+    const bool mayRepeat =
+        isRetryable(*this->route) && this->possibleExecutions < this->route->maxAttempts
+        && this->gateway.retryBudgets.tryWithdraw(this->service, this->gateway.routerCount(),
+                                                  this->now());
+    if (!mayRepeat || !this->forward("lost")) {
+        this->connection.reset();
+        this->fail();
+    }
+}
+
+void RequestHandler::forwardAgainOrFail(std::string_view why)
+{
+    if (!this->forward(why)) {
+        this->connection.reset();
+        // The other router has not processed the request.
+        this->phase = Phase::Selecting;
+        this->fail();
+    }
+}
+
+void RequestHandler::onForwardTimeout()
+{
+    if (!this->headReceived && !this->forwardHosts.empty() && this->canRetry()) {
+        this->onForwardLost();
+        return;
+    }
+    this->armTimer(this->deadline);
+}
+
+bool RequestHandler::acceptForwarded()
+{
+    const std::uint64_t version =
+        this->gateway.routingTable ? this->gateway.routingTable->config().version : 0;
+    const bool isAccepted = this->gateway.settings.mechanisms.forwarding
+                            && version >= this->forwarded->configVersion && !this->gateway.stopping
+                            && this->gateway.forwardedRunning < maxForwardedRunning;
+    if (isAccepted) {
+        this->gateway.forwardedRunning += 1;
+        this->possibleExecutions = this->forwarded->attempts;
+        return true;
+    }
+    this->forwarded.reset();
+    constexpr int unavailable = 503;
+    this->caller->respond(unavailable, {{std::string(notAcceptedField), "1"}}, {}, true);
+    this->finish("not-accepted");
+    return false;
+}
+
+std::vector<HeaderField> RequestHandler::responseFields() const
+{
+    std::vector<HeaderField> fields = this->response.forwardedFields;
+    if (this->forwarded && !this->triedUpstreams.empty()) {
+        fields.push_back({std::string(respondingUpstreamField), this->triedUpstreams.back()});
+    }
+    return fields;
+}
+
+void RequestHandler::logForward(std::string_view why) const
+{
+    logEvent(Event::RequestForwarded, {{"request", this->request->attemptId},
+                                       {"service", this->service},
+                                       {"to", this->forwardHosts.back()},
+                                       {"why", std::string(why)},
+                                       {"attempts", std::to_string(this->possibleExecutions)},
+                                       {"left_ms", std::to_string(this->remainingTime().count())}});
+}
+
+} // namespace plantainswitch::gateway
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -41,17 +41,18 @@
 } // namespace
 
 RequestHandler::RequestHandler(GatewayState &gateway, std::shared_ptr<CallerConnection> caller,
-                               IncomingRequest incoming)
+                               IncomingRequest incoming, std::optional<ForwardedRequest> forwarded)
     : gateway(gateway)
     , caller(std::move(caller))
     , incoming(std::move(incoming))
+    , forwarded(forwarded)
     , timer(gateway.context)
 {}
 
 void RequestHandler::start()
 {
     this->gateway.metrics.count(Counter::Requests);
-    if (!this->prepare()) {
+    if ((this->forwarded && !this->acceptForwarded()) || !this->prepare()) {
         return;
     }
     this->selectAndDispatch();
@@ -96,7 +97,11 @@
     if (this->request->prompt) {
         this->prefixHashes = prefixHashesOf(*this->request->prompt);
     }
-    this->gateway.retryBudgets.deposit(this->service, this->gateway.routerCount(), this->now());
+    this->reach = &this->gateway.reach[this->service];
+    // The router that a request came to first has made the deposit.
+    if (!this->forwarded) {
+        this->gateway.retryBudgets.deposit(this->service, this->gateway.routerCount(), this->now());
+    }
     this->fingerprint = mixHash(hashOf(this->request->target, hashOf(this->workspace)),
                                 hashOf(this->request->body));
     return this->passQuarantine();
@@ -226,6 +231,10 @@
         this->fail();
         return;
     }
+    if (this->phase == Phase::Forwarding) {
+        this->onForwardTimeout();
+        return;
+    }
     if (!this->upstream) {
         this->armTimer(this->deadline);
         return;
@@ -244,6 +253,9 @@
     }
     if (!isBusy) {
         this->recordUpstreamFault(UpstreamFault::TimedOut);
+        this->gateway.recordContactFailure(this->upstream->replica,
+                                           this->isRunning ? ContactFailure::NoResponse
+                                                           : ContactFailure::ConnectFailed);
     }
     if (this->canRetry() && this->retry(isBusy ? "busy" : "silent")) {
         return;
@@ -336,7 +348,7 @@
         return;
     }
     const bool isDeadlineReached = this->now() + minRemainingTime >= this->deadline;
-    const bool mayHaveRun = this->possibleExecutions > 0
+    const bool mayHaveRun = this->possibleExecutions > 0 || this->phase == Phase::Forwarding
                             || (this->upstream && this->phase != Phase::Selecting
                                 && !(this->headReceived && this->response.notExecuted));
     if (mayHaveRun) {
@@ -388,6 +400,9 @@
 {
     this->phase = Phase::Done;
     this->timer.cancel();
+    if (this->forwarded) {
+        this->gateway.forwardedRunning -= 1;
+    }
     if (std::exchange(this->isUnusedTrial, false)) {
         this->gateway.trials->returnTrial(this->fingerprint);
     }
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -11,6 +11,7 @@
 
 #include "callerconnection.h"
 #include "fleetgossip.h"
+#include "forwarding.h"
 #include "gatewaystate.h"
 #include "trialstore.h"
 
@@ -24,8 +25,9 @@
 class RequestHandler : public std::enable_shared_from_this<RequestHandler>
 {
 public:
+    /// \param forwarded what another router states, if it has forwarded the request
     RequestHandler(GatewayState &gateway, std::shared_ptr<CallerConnection> caller,
-                   IncomingRequest incoming);
+                   IncomingRequest incoming, std::optional<ForwardedRequest> forwarded);
 
     void start();
     /// The caller has disconnected: cancels the running attempt at once.
@@ -42,6 +44,8 @@
         Relaying,
         /// The connection was lost, and the upstream is being probed.
         Probing,
+        /// Another router processes the request.
+        Forwarding,
         Done,
     };
 
@@ -141,7 +145,31 @@
     bool retry(std::string_view why);
     [[nodiscard]] bool canRetry() const;
     void releaseUpstream();
-    void relayEvents(std::string_view bytes);
+    /// \returns whether the response is an event stream, which is relayed as it arrives.
+    [[nodiscard]] bool isRelayedStream() const noexcept;
+    /// Relays the complete events among \a bytes to the caller. \returns false if they are
+    /// malformed.
+    bool relayEvents(std::string_view bytes);
+
+    /// Forwards the request to another router that reaches the service. \returns false if there is
+    /// none, or no time is left.
+    bool forward(std::string_view why);
+    void sendForwarded(const Endpoint &target);
+    ResponseHandlers forwardHandlers();
+    void onForwardHead(const MessageHead &head);
+    void onForwardBody(std::string_view bytes);
+    void onForwardEnd(ResponseOutcome outcome);
+    /// The connection to the other router was lost after the request was sent.
+    void onForwardLost();
+    void onForwardTimeout();
+    void forwardAgainOrFail(std::string_view why);
+    /// Accepts a request that another router has forwarded, or returns it. \returns whether it was
+    /// accepted.
+    bool acceptForwarded();
+    /// \returns the header fields of the response to the caller, or to the forwarding router.
+    [[nodiscard]] std::vector<HeaderField> responseFields() const;
+    void logForward(std::string_view why) const;
+
     void forwardResponse();
     void forwardFailure();
     void fail();
@@ -155,6 +183,8 @@
     GatewayState &gateway;
     std::shared_ptr<CallerConnection> caller;
     IncomingRequest incoming;
+    /// What another router states, if it has forwarded the request.
+    std::optional<ForwardedRequest> forwarded;
     std::optional<CallerRequest> request;
     /// Keeps alive what \a route points to.
     std::shared_ptr<const RoutingTable> routingTable;
@@ -164,6 +194,11 @@
     std::span<const std::string> workspaceHomes;
     std::uint32_t rank = 0;
     std::string service;
+    ServiceReach *reach = nullptr;
+    /// Hosts of the routers that the request was forwarded to.
+    std::vector<std::string> forwardHosts;
+    /// The router that the request was forwarded to has returned it.
+    bool wasNotAccepted = false;
     std::vector<std::uint64_t> prefixHashes;
     RequestFingerprint fingerprint = 0;
     TimePoint deadline;
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -34,6 +34,7 @@
     }
     this->headReceived = true;
     this->upstream->lastReceived = this->now();
+    this->gateway.recordContact(*this->reach);
     this->gateway.crashQuarantine.recordResponse(incarnationOf(this->upstream->replica),
                                                  this->sentAt);
     this->recordColdness(decoded);
@@ -119,10 +120,8 @@
         return;
     }
     this->upstream->lastReceived = this->now();
-    const bool isRelayed = this->response.status == 200 && this->response.isSigned
-                           && !this->response.isEncoded && this->response.isEventStream
-                           && !this->response.attemptId.empty();
-    if (!isRelayed) {
+    this->gateway.recordContact(*this->reach);
+    if (!this->isRelayedStream()) {
         this->responseBody.append(bytes);
         if (this->responseBody.size() > maxBufferedResponseBytes) {
             this->connection->abort();
@@ -133,31 +132,39 @@
     if (!this->firstByteReceived) {
         this->onFirstByte();
     }
-    this->relayEvents(bytes);
+    if (!this->relayEvents(bytes)) {
+        this->connection->abort();
+        this->onFault(UpstreamFault::InvalidResponse);
+    }
+}
+
+bool RequestHandler::isRelayedStream() const noexcept
+{
+    return this->response.status == 200 && this->response.isSigned && !this->response.isEncoded
+           && this->response.isEventStream && !this->response.attemptId.empty();
 }
 
-void RequestHandler::relayEvents(std::string_view bytes)
+bool RequestHandler::relayEvents(std::string_view bytes)
 {
     std::string completeEvents;
     if (!this->eventRelay.feed(bytes, completeEvents)) {
-        this->connection->abort();
-        this->onFault(UpstreamFault::InvalidResponse);
-        return;
+        return false;
     }
     this->phase = Phase::Relaying;
     if (completeEvents.empty()) {
-        return;
+        return true;
     }
     if (!this->responseStarted) {
         this->responseStarted = true;
-        this->caller->startChunked(this->response.status, this->response.forwardedFields,
+        this->caller->startChunked(this->response.status, this->responseFields(),
                                    this->gateway.stopping);
     }
     this->caller->writeChunk(completeEvents);
-    this->armTimer(this->silenceDeadline());
+    this->armTimer(this->upstream ? this->silenceDeadline() : this->deadline);
     if (this->caller->queuedBytes() > pauseThresholdBytes) {
         this->connection->pauseReading();
     }
+    return true;
 }
 
 void RequestHandler::onCallerWritable()
@@ -203,11 +210,14 @@
 void RequestHandler::onConnectFailed()
 {
     this->recordUpstreamFault(UpstreamFault::Unreachable);
+    this->gateway.recordContactFailure(this->upstream->replica, ContactFailure::ConnectFailed);
     this->gateway.recordUpstreamDown(this->upstream->replica);
     this->releaseUpstream();
     this->connectFailures += 1;
     if (this->connectFailures >= maxConnectFailures) {
-        this->fail();
+        if (!this->forward("unreachable")) {
+            this->fail();
+        }
         return;
     }
     // Nothing was sent, so that this does not count as a retry.
@@ -276,10 +286,12 @@
     }
     if (!this->responseStarted) {
         this->responseStarted = true;
-        this->caller->startChunked(this->response.status, this->response.forwardedFields,
+        this->caller->startChunked(this->response.status, this->responseFields(),
                                    this->gateway.stopping);
     }
-    this->recordHoldTime();
+    if (this->upstream) {
+        this->recordHoldTime();
+    }
     this->releaseUpstream();
     this->caller->finishChunked();
     this->finish("whole");
@@ -295,7 +307,7 @@
         return;
     }
     const int status = this->response.status;
-    this->caller->respond(status, this->response.forwardedFields, this->responseBody,
+    this->caller->respond(status, this->responseFields(), this->responseBody,
                           this->gateway.stopping);
     this->finish(status < 300 ? "whole" : "failed-upstream");
 }
@@ -318,6 +330,7 @@
 void RequestHandler::onConnectionLost()
 {
     this->recordUpstreamFault(UpstreamFault::ConnectionLost);
+    this->gateway.recordContactFailure(this->upstream->replica, ContactFailure::NoResponse);
     this->recordUnansweredRun(RunEnd::ConnectionLost);
     this->phase = Phase::Probing;
     this->armTimer(this->now() + maxProbeWait);
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -79,6 +79,7 @@
     fields.read("retries", mechanisms.retries);
     fields.read("quarantine", mechanisms.quarantine);
     fields.read("prefixSnapshots", mechanisms.prefixSnapshots);
+    fields.read("forwarding", mechanisms.forwarding);
     fields.finish();
 }
 
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -30,6 +30,9 @@
     bool quarantine = true;
     /// Send joining routers the locations of cached prefixes.
     bool prefixSnapshots = true;
+    /// Forward requests to another router while no upstream of their service can be reached, and
+    /// process those that others forward.
+    bool forwarding = true;
 };
 
 /// The settings of a gateway, read from one JSON file.
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -13,6 +13,7 @@
 #include "plantainswitch/routing/fleetretrybudget.h"
 #include "plantainswitch/routing/peerloads.h"
 #include "plantainswitch/routing/serviceestimator.h"
+#include "plantainswitch/routing/servicereach.h"
 #include "plantainswitch/routing/updatelog.h"
 
 #include "dialect.h"
@@ -106,6 +107,12 @@
     /// Estimators of the upstreams' performance, by name of the service.
     std::map<std::string, ServiceEstimator> estimators;
     FleetRetryBudget retryBudgets;
+    /// Whether this router reaches the upstreams, by name of the service.
+    std::map<std::string, ServiceReach> reach;
+    /// When data of any upstream last arrived, or a connection to one was last established.
+    TimePoint lastUpstreamContact;
+    /// Requests of other routers that are being processed.
+    std::size_t forwardedRunning = 0;
     Metrics metrics;
     /// Changes that have yet to be sent to other routers.
     UpdateLog updateLog;
@@ -123,6 +130,15 @@
     void probeUpstream(const std::shared_ptr<UpstreamState> &upstream, std::function<void()> done);
     /// Probes an upstream at which a run was given up, unless it responds to others meanwhile.
     void scheduleProbe(const std::shared_ptr<UpstreamState> &upstream);
+    /// Records that data of a response arrived from an upstream.
+    void recordContact(ServiceReach &serviceReach);
+    /// Records that an upstream did not respond, or could not be connected to.
+    void recordContactFailure(const Replica &replica, ContactFailure kind);
+    /// \returns whether this router is cut off from a service.
+    [[nodiscard]] bool isCutOff(const std::string &service) const;
+    /// Probes the services that this router is cut off from, and tells the other routers of
+    /// changes.
+    void checkReach();
     /// Records that an upstream is down. Requests that it failed to respond to before become
     /// suspects.
     void recordUpstreamDown(const Replica &replica);
@@ -150,6 +166,10 @@
     bool peerLoadsChanged = false;
 
 private:
+    /// \returns whether this router lately had contact to any upstream, so that one that it cannot
+    /// reach is down.
+    [[nodiscard]] bool reachesUpstreams() const;
+    void probeService(const std::string &service, ServiceReach &serviceReach);
     /// Attributes a crash of \a incarnation to the requests that it did not respond to.
     void confirmCrash(std::uint64_t incarnation, const std::string &upstreamId);
     /// Creates the store's record of a request that is close to its quarantine.
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -150,6 +150,12 @@
         appendSample(page, "upstreams", labels("backing-off"),
                      static_cast<double>(service.backingOff));
     }
+    appendType(page, "service_cut_off");
+    for (const auto &[name, reach] : state.reach) {
+        appendSample(page, "service_cut_off", fmt::format("service=\"{}\"", name),
+                     reach.wasCutOff ? 1.0 : 0.0);
+    }
+    appendGauge(page, "forwarded_running", static_cast<double>(state.forwardedRunning));
     appendType(page, "running");
     for (const auto &[name, service] : services) {
         appendSample(page, "running", fmt::format("service=\"{}\"", name), service.running);
--- a/include/plantainswitch/observe/metrics.h
+++ b/include/plantainswitch/observe/metrics.h
@@ -32,6 +32,7 @@
     QueueRefused,
     QueueExpired,
     PermitsDenied,
+    Forwards,
 };
 
 /// Histograms for each workspace and data class.
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -61,6 +61,7 @@
 #include "plantainswitch/routing/selection.h"
 #include "plantainswitch/routing/serviceestimator.h"
 #include "plantainswitch/routing/serviceperformance.h"
+#include "plantainswitch/routing/servicereach.h"
 #include "plantainswitch/routing/trialrecord.h"
 #include "plantainswitch/routing/updatelog.h"
 #include "plantainswitch/routing/upstreamnotices.h"
--- a/include/plantainswitch/routing/routercontacts.h
+++ b/include/plantainswitch/routing/routercontacts.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -90,6 +92,23 @@
     /// It is connected to the store.
     bool storeConnected = false;
     bool stopping = false;
+    /// It processes requests that other routers forward to it.
+    bool acceptsForwards = false;
+    /// Hashes of the names of the services that it is cut off from.
+    std::set<std::uint64_t> unreachableServices;
+};
+
+/// A request that is to be forwarded to another router.
+struct ForwardQuery
+{
+    /// Hash of the service's name.
+    std::uint64_t service = 0;
+    /// Hash of the request, by which the requests spread over the routers.
+    std::uint64_t request = 0;
+    /// \returns whether the request may be sent to a data centre. May be empty.
+    std::function<bool(const std::string &)> isPermitted;
+    /// Hosts of the routers that were tried.
+    std::vector<std::string> tried;
 };
 
 /// State of the updates from the routers of another data centre.
@@ -180,6 +199,10 @@
                                                                std::uint64_t storeRevision,
                                                                std::uint64_t turn,
                                                                TimePoint now) const;
+    /// \returns a live router that accepts forwarded requests and reaches the service, preferably
+    /// of this data centre; nothing if there is none.
+    [[nodiscard]] std::optional<Endpoint> forwardTarget(const ForwardQuery &query,
+                                                        TimePoint now) const;
     /// \returns up to \a limit live routers, starting further on with each \a turn.
     [[nodiscard]] std::vector<Endpoint> aliveSubset(std::size_t limit, std::uint64_t turn,
                                                     TimePoint now) const;
--- a/src/routing/routercontacts.cpp
+++ b/src/routing/routercontacts.cpp
@@ -339,6 +339,34 @@
     return best;
 }
 
+std::optional<Endpoint> RouterContacts::forwardTarget(const ForwardQuery &query,
+                                                      TimePoint now) const
+{
+    const GossipIntervals intervals = this->gossipIntervals();
+    std::optional<Endpoint> best;
+    bool bestIsLocal = false;
+    double highest = 0.0;
+    for (const auto &[address, contact] : this->contacts) {
+        const bool wasTried =
+            std::find(query.tried.begin(), query.tried.end(), address.host) != query.tried.end();
+        const bool isEligible = contact.acceptsForwards && !contact.stopping && !wasTried
+                                && !contact.unreachableServices.contains(query.service)
+                                && (!query.isPermitted || query.isPermitted(contact.dataCentre))
+                                && this->isAlive(contact, intervals, now);
+        if (!isEligible) {
+            continue;
+        }
+        const bool isLocal = this->isLocal(contact);
+        const double score = scoreOf(query.request, contact.id);
+        if (!best || (isLocal && !bestIsLocal) || (isLocal == bestIsLocal && score > highest)) {
+            best = address;
+            bestIsLocal = isLocal;
+            highest = score;
+        }
+    }
+    return best;
+}
+
 std::optional<Endpoint> RouterContacts::routerWithNewerState(std::uint64_t configVersion,
                                                              std::uint64_t storeRevision,
                                                              std::uint64_t turn,
