--- a/gateway/bytestream.cpp
+++ b/gateway/bytestream.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Bytes read per system call. All connections of an event loop are read on its one thread and share
-/// this buffer; one buffer per connection would take megabytes with hundreds of open streams.
+/// Bytes read per system call. All connections of an event loop are read on its one thread and
+/// share this buffer; one buffer per connection would take megabytes with hundreds of open streams.
 constexpr std::size_t readSize = 64 << 10;
 
 std::array<char, readSize> &readBuffer()
