Skip responses of other attempts also when forwarded; drop crashes only while others reach the service

Cause, found by reading the change again: a forwarded request took any response on its connection for its own, unlike one that is sent to an upstream; and a router dropped the crashes that it saw while it reached no upstream of the service, also where no router reaches one: then the upstreams are down, and their crashes may be the request's.

Change: a response with another attempt's id is skipped. A doubted crash is dropped only if another router still reports that it reaches the service.

--- a/gateway/gatewaycrashes.cpp
+++ b/gateway/gatewaycrashes.cpp
@@ -96,7 +96,10 @@
     // This router may have lost its way to all upstreams, which is no crash of any of them.
     const auto wait = std::make_shared<asio::steady_timer>(this->context, crashDoubtTime);
     wait->async_wait([this, wait, replica](const asio::error_code &error) {
-        if (!error && !this->isCutOff(replica.service)) {
+        const bool isCutOffAlone =
+            this->isCutOff(replica.service)
+            && this->fleet->forwardTarget({hashOf(replica.service), 0, {}, {}}).has_value();
+        if (!error && !isCutOffAlone) {
             this->confirmCrash(incarnationOf(replica), replica.id);
         }
     });
--- a/gateway/gatewayrequestforward.cpp
+++ b/gateway/gatewayrequestforward.cpp
@@ -78,10 +78,7 @@
     const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
     return {[weak](const MessageHead &head) {
                 const auto self = weak.lock();
-                if (self) {
-                    self->onForwardHead(head);
-                }
-                return true;
+                return !self || self->onForwardHead(head);
             },
             [weak](std::string_view bytes) {
                 if (const auto self = weak.lock()) {
@@ -96,10 +93,13 @@
             {}};
 }
 
-void RequestHandler::onForwardHead(const MessageHead &head)
+bool RequestHandler::onForwardHead(const MessageHead &head)
 {
-    this->headReceived = true;
     this->response = this->gateway.dialect.parseResponse(head);
+    if (!this->response.attemptId.empty() && this->response.attemptId != this->request->attemptId) {
+        return false;
+    }
+    this->headReceived = true;
     this->wasNotAccepted = takeField(this->response.forwardedFields, notAcceptedField).has_value();
     const auto responding = takeField(this->response.forwardedFields, respondingUpstreamField);
     const auto source = responding ? this->gateway.upstreams.find(*responding) : nullptr;
@@ -109,6 +109,7 @@
                                           {"upstream", source->replica.id},
                                           {"place", source->replica.dataCentre}});
     }
+    return true;
 }
 
 void RequestHandler::onForwardBody(std::string_view bytes)
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -156,7 +156,8 @@
     bool forward(std::string_view why);
     void sendForwarded(const Endpoint &target);
     ResponseHandlers forwardHandlers();
-    void onForwardHead(const MessageHead &head);
+    /// \returns false if the response belongs to another request.
+    bool onForwardHead(const MessageHead &head);
     void onForwardBody(std::string_view bytes);
     void onForwardEnd(ResponseOutcome outcome);
     /// The connection to the other router was lost after the request was sent.
