Limit requests to brittle upstreams by grants of their coordinators

Each router judges an upstream's room by its own requests and by updates that are a tenth of a second old, so that rejections add up over the fleet.

While a service is brittle each request needs a grant of the upstream's coordinator, which grants the slots and N/4 more, after a rejection no more than ran beside it, 0.6 of that in the first four seconds, and the part of the fleet that it reaches. While a coordinator is silent, all routers together send half of the slots per window. Requests without a grant are refused at once, as not run. Events 516 and 517, gauge service_brittle, switch /mechanisms/brittleLimits.

--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -83,6 +83,9 @@
     /// For how long the upstream wants no requests from this router, if it rejected this one and
     /// said so.
     std::optional<Milliseconds> backoff;
+    /// The upstream is brittle: it crashes if it has to reject more than this number of requests in
+    /// a second for want of room.
+    std::optional<std::uint32_t> maxRejections;
     std::optional<ReportedLoad> load;
     /// Header fields that are forwarded to the caller unchanged.
     std::vector<HeaderField> forwardedFields;
--- a/gateway/fleetcoordination.cpp
+++ b/gateway/fleetcoordination.cpp
@@ -1,5 +1,7 @@
 #include "fleetgossip.h"
 
+#include <algorithm>
+
 #include "plantainswitch/base/hash.h"
 
 namespace plantainswitch::gateway {
@@ -47,6 +49,7 @@
     ask.set_bound(static_cast<float>(grantRequest.loadBound));
     ask.set_upstream(grantRequest.permit.upstream);
     ask.set_cold_ms(static_cast<std::uint32_t>(grantRequest.coldFor.count()));
+    ask.set_brittle_bound(static_cast<float>(grantRequest.brittleBound));
     for (const std::uint64_t part : grantRequest.prefixHashes) {
         ask.add_chain(part);
     }
@@ -74,6 +77,7 @@
     const TimePoint now = this->gateway.clock.now();
     UpstreamState *const engine = this->gateway.upstreams.findKey(request.permit.upstream);
     request.permit.mayPermitCold = this->contacts.reachesLocalMajority(now);
+    this->prepareBrittleBound(request, engine);
     if (engine == nullptr) {
         request.permit.isCold = request.coldFor.count() > 0;
         return request.coldFor;
@@ -87,6 +91,21 @@
     return coldFor;
 }
 
+void FleetGossip::prepareBrittleBound(EngineGrantRequest &request, const UpstreamState *engine)
+{
+    // The requesting router may not know yet that the upstream is brittle.
+    const double known = engine == nullptr ? 0.0 : this->gateway.brittleBoundOf(*engine);
+    if (known > 0.0) {
+        request.brittleBound =
+            request.brittleBound > 0.0 ? std::min(known, request.brittleBound) : known;
+    }
+    const TimePoint now = this->gateway.clock.now();
+    std::erase_if(this->lostRouters,
+                  [now](const auto &entry) { return now - entry.second >= lostRouterRetention; });
+    request.brittleBound *=
+        brittleCoordinatorShare(this->contacts.aliveCount(now) + 1, this->lostRouters.size());
+}
+
 void FleetGossip::onAsk(const wire::EngineAsk &message, const Endpoint &from)
 {
     EngineGrantRequest grantRequest;
@@ -95,6 +114,7 @@
     grantRequest.incarnation = message.life();
     grantRequest.promptTokens = message.tokens();
     grantRequest.loadBound = message.bound();
+    grantRequest.brittleBound = message.brittle_bound();
     grantRequest.prefixHashes.assign(message.chain().begin(), message.chain().end());
     grantRequest.permit.upstream = message.upstream();
     grantRequest.coldFor = Milliseconds{message.cold_ms()};
@@ -156,6 +176,20 @@
     this->sendTo(address, datagram);
 }
 
+void FleetGossip::reportRejection(const Replica &replica)
+{
+    const std::uint64_t incarnation = incarnationOf(replica);
+    const std::optional<Endpoint> address = this->coordinatorOf(hashOf(replica.id));
+    if (!address) {
+        this->coordinator.recordRejection(incarnation, this->gateway.clock.now());
+        return;
+    }
+    wire::GatewayDatagram datagram;
+    datagram.mutable_end()->set_life(incarnation);
+    datagram.mutable_end()->set_rejected(true);
+    this->sendTo(*address, datagram);
+}
+
 void FleetGossip::dropGrants(const std::string &id)
 {
     for (const Endpoint &address : this->contacts.addressesOf(id)) {
--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -244,8 +244,12 @@
         this->onReply(datagram.reply());
         break;
     case wire::GatewayDatagram::kEnd:
-        this->coordinator.releaseGrant(toText(from), datagram.end().number(),
-                                       datagram.end().life());
+        if (datagram.end().rejected()) {
+            this->coordinator.recordRejection(datagram.end().life(), this->gateway.clock.now());
+        } else {
+            this->coordinator.releaseGrant(toText(from), datagram.end().number(),
+                                           datagram.end().life());
+        }
         break;
     case wire::GatewayDatagram::BODY_NOT_SET:
         logEvent(Event::DatagramInvalid, {{"from", toText(from)}});
@@ -273,6 +277,7 @@
     }
     const TimePoint now = this->gateway.clock.now();
     RouterContact &contact = this->contacts.recordReceived(from, now);
+    this->lostRouters.erase(message.id());
     contact.id = message.id();
     contact.dataCentre = message.place();
     contact.configVersion = message.config_version();
@@ -319,6 +324,11 @@
     }
     this->applyPerformanceReports(message, now);
     this->applyCrashUpdate(message, now);
+    for (const wire::BrittleService &entry : message.brittle()) {
+        this->gateway.applyBrittleNotice(
+            {entry.service(), entry.max_rejections(), now - Milliseconds{entry.ago_ms()}},
+            message.id());
+    }
     this->onUpdate();
 }
 
@@ -503,6 +513,13 @@
             message.add_unreachable_services(hashOf(service));
         }
     }
+    for (const BrittleNotice &notice : this->gateway.brittleServices.notices(now)) {
+        wire::BrittleService *const entry = message.add_brittle();
+        entry->set_service(notice.service);
+        entry->set_max_rejections(notice.maxRejections);
+        entry->set_ago_ms(static_cast<std::uint32_t>(
+            std::chrono::duration_cast<Milliseconds>(now - notice.announcedAt).count()));
+    }
     message.set_known_routers(static_cast<std::uint32_t>(this->contacts.aliveCount(now)));
     for (const PeerLoad &load : update.loads) {
         wire::ReplicaLoad *const entry = message.add_loads();
@@ -569,6 +586,7 @@
     for (const std::string &failedRouter : this->contacts.removeFailed(now)) {
         this->gateway.peerLoads.removeRouter(failedRouter);
         logEvent(Event::MemberGone, {{"member", failedRouter}});
+        this->lostRouters[failedRouter] = now;
         this->dropGrants(failedRouter);
         this->gateway.peerLoadsChanged = true;
     }
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -37,6 +38,9 @@
                       std::function<void(std::optional<EngineGrantReply>)> done);
     /// Reports to the coordinator that a granted request has ended.
     void releaseGrant(std::uint64_t incarnation, std::uint64_t requestId);
+    /// Reports to the coordinator of a brittle upstream that it rejected a request for want of
+    /// room.
+    void reportRejection(const Replica &replica);
     /// \returns an id for the next request to a coordinator.
     [[nodiscard]] std::uint64_t nextRequestId() noexcept { return ++this->lastRequestId; }
     /// \returns the address at which this router receives updates. Valid after start().
@@ -81,8 +85,13 @@
     /// router's knowledge of whether the engine is cold.
     /// \returns how much longer the engine is believed to be cold.
     Milliseconds preparePermit(EngineGrantRequest &request);
-    /// Applies the evacuations that another router knows.
+    /// Sets the bound on a brittle engine's requests, by both routers' knowledge and by how much of
+    /// the fleet this router reaches.
+    /// \param engine nullptr if this router does not know the engine
+    void prepareBrittleBound(EngineGrantRequest &request, const UpstreamState *engine);
+    /// Applies which upstreams another router has ejected, and on which its requests timed out.
     void applyPeerHealth(const RouterUpdate &update, TimePoint now);
+    /// Applies the evacuations that another router knows.
     void applyEvacuationUpdate(const wire::RouterNews &message);
     void dropGrants(const std::string &id);
     void reconcileGrants(const RouterUpdate &update);
@@ -127,6 +136,8 @@
     /// Address of the coordinator that granted each request. Another router may be the coordinator
     /// by the time the request ends.
     std::unordered_map<std::uint64_t, Endpoint> grantors;
+    /// When routers were lost that have not come back, by id.
+    std::map<std::string, TimePoint> lostRouters;
     /// Which routers get the next broadcast in addition to those that are due.
     BroadcastScope nextBroadcastScope = BroadcastScope::Due;
     bool stopped = false;
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -54,7 +54,9 @@
     const SelectionRequest choiceRequest{this->gateway.settings.dataCentre,
                                          hashOf(this->request->attemptId),
                                          this->request->prompt ? &*this->request->prompt : nullptr,
-                                         this->prefixHashes, this->triedUpstreams};
+                                         this->prefixHashes,
+                                         this->triedUpstreams,
+                                         this->gateway.isBrittle(this->service)};
     if (this->gateway.settings.mechanisms.estimates) {
         policy.performance = this->gateway.estimators[this->service].performance(this->now());
     }
@@ -97,13 +99,20 @@
 
 bool RequestHandler::needsGrant(const UpstreamState &upstream) const
 {
-    return this->gateway.isLimitedAsCold(upstream)
+    return this->gateway.isLimitedAsCold(upstream) || this->gateway.isBrittle(this->service)
            || (this->gateway.settings.mechanisms.exactCounts && !this->prefixHashes.empty()
                && this->coordinatorRejections < maxLoadRejections);
 }
 
 bool RequestHandler::mayDispatchUnpermitted(UpstreamState &upstream) const
 {
+    if (this->gateway.isBrittle(upstream.replica.service)) {
+        const std::uint32_t share =
+            brittleShare(hashOf(this->gateway.settings.id), this->gateway.routerCount(),
+                         upstream.replica.maxConcurrency, this->now());
+        return !this->gateway.isLimitedAsCold(upstream)
+               && upstream.unpermitted.tryTake(share, this->now());
+    }
     const PermitLimits limits = this->gateway.permitLimits(upstream.replica.service);
     if (limits.warm == 0) {
         return true;
@@ -214,6 +223,7 @@
         grantRequest.loadBound =
             loadBoundAfter(this->coordinatorRejections, placement.choice.loadBound);
     }
+    grantRequest.brittleBound = this->gateway.brittleBoundOf(*target);
     this->grantId = grantRequest.requestId;
     this->grantedIncarnation = grantRequest.incarnation;
     const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
@@ -256,6 +266,8 @@
         this->coordinatorRejections += 1;
         if (coordinatorReply->permitWait.count() > 0) {
             this->recordPermitDenied(*target, coordinatorReply->permitWait);
+        } else if (this->gateway.isBrittle(this->service)) {
+            this->recordPermitDenied(*target, brittleDenialWait);
         }
         this->selectAndDispatch();
         return;
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -361,6 +361,9 @@
         this->refuse(ErrorKind::NoPermittedPlace, "no permitted data centre", noPlaceRetryAfter);
     } else if (const auto backoff = this->timeToFirstBackoffEnd()) {
         this->refuse(ErrorKind::Overloaded, "all upstreams back off", backoff);
+    } else if (this->gateway.isBrittle(this->service) && this->connectFailures == 0) {
+        this->refuse(ErrorKind::Overloaded, "the brittle upstreams have no room",
+                     defaultRetryAfter);
     } else if (this->rejections > 0) {
         this->refuse(ErrorKind::Overloaded, "upstreams turned it away", defaultRetryAfter);
     } else if (const auto wait = this->shortestPermitWait()) {
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -64,6 +64,9 @@
                                           {"upstream", this->upstream->replica.id},
                                           {"place", this->upstream->replica.dataCentre}});
     }
+    if (!head.misdirected) {
+        this->gateway.recordBrittleness(this->upstream->replica.service, head.maxRejections);
+    }
     if (head.backoff) {
         this->gateway.upstreams.recordBackoff(this->upstream->replica, *head.backoff);
         logEvent(Event::UpstreamBackoff, {{"request", this->request->attemptId},
@@ -241,6 +244,10 @@
     // it.
     this->recordUpstreamFault(this->response.misdirected ? UpstreamFault::Unreachable
                                                          : UpstreamFault::Rejected);
+    if (!this->response.misdirected && this->gateway.isBrittle(this->service)) {
+        this->gateway.fleet->reportRejection(this->upstream->replica);
+        this->upstream->permitBlockedUntil = this->now() + brittleDenialWait;
+    }
     this->releaseUpstream();
     this->isUnusedTrial = this->isTrial;
     this->rejections += 1;
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -80,6 +80,7 @@
     fields.read("quarantine", mechanisms.quarantine);
     fields.read("prefixSnapshots", mechanisms.prefixSnapshots);
     fields.read("forwarding", mechanisms.forwarding);
+    fields.read("brittleLimits", mechanisms.brittleLimits);
     fields.finish();
 }
 
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -33,6 +33,8 @@
     /// Forward requests to another router while no upstream of their service can be reached, and
     /// process those that others forward.
     bool forwarding = true;
+    /// Limit the requests to upstreams that announce that they are brittle.
+    bool brittleLimits = true;
 };
 
 /// The settings of a gateway, read from one JSON file.
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -9,6 +9,7 @@
 #include <asio/io_context.hpp>
 
 #include "plantainswitch/observe/metrics.h"
+#include "plantainswitch/routing/brittleservices.h"
 #include "plantainswitch/routing/evacuations.h"
 #include "plantainswitch/routing/fleetretrybudget.h"
 #include "plantainswitch/routing/peerloads.h"
@@ -88,6 +89,15 @@
     [[nodiscard]] PermitLimits permitLimits(std::string_view service) const;
     /// \returns whether a request to \a upstream needs a permit because it is believed cold.
     [[nodiscard]] bool isLimitedAsCold(const UpstreamState &upstream) const;
+    /// \returns the number of requests that a brittle upstream must not exceed; 0 if its service is
+    /// not brittle.
+    [[nodiscard]] double brittleBoundOf(const UpstreamState &upstream) const;
+    [[nodiscard]] bool isBrittle(std::string_view service) const;
+    /// Records whether a response of the service announces that its upstreams are brittle, and
+    /// notifies the other routers of a change.
+    void recordBrittleness(const std::string &service, std::optional<std::uint32_t> maxRejections);
+    /// Applies an announcement that another router received.
+    void applyBrittleNotice(const BrittleNotice &notice, std::string_view source);
 
     asio::io_context &context;
     const Clock &clock;
@@ -117,6 +127,7 @@
     /// Changes that have yet to be sent to other routers.
     UpdateLog updateLog;
     CrashQuarantine crashQuarantine;
+    BrittleServices brittleServices;
     bool stopping = false;
     TimePoint suspectsRefreshedAt;
     /// Reads of the store for requests close to their quarantine, since the start.
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -155,6 +155,11 @@
         appendSample(page, "service_cut_off", fmt::format("service=\"{}\"", name),
                      reach.wasCutOff ? 1.0 : 0.0);
     }
+    appendType(page, "service_brittle");
+    for (const auto &[name, service] : services) {
+        appendSample(page, "service_brittle", fmt::format("service=\"{}\"", name),
+                     state.isBrittle(name) ? 1.0 : 0.0);
+    }
     appendGauge(page, "forwarded_running", static_cast<double>(state.forwardedRunning));
     appendType(page, "running");
     for (const auto &[name, service] : services) {
--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -6,6 +6,7 @@
 
 namespace plantainswitch {
 
+class BrittleServices;
 class Clock;
 class OwnClaimTable;
 class CatalogueTable;
@@ -35,6 +36,7 @@
 class SharedMap;
 
 struct Authorization;
+struct BrittleNotice;
 struct CatalogueView;
 struct ChatHints;
 struct UpstreamSelection;
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -84,6 +84,8 @@
     UpstreamBackoff = 513,
     ServiceCutOff = 514,
     ServiceReached = 515,
+    ServiceBrittle = 516,
+    ServiceSound = 517,
     UpstreamCrashed = 550,
     RequestQuarantined = 551,
     CrashReported = 552,
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -40,6 +40,7 @@
 #include "plantainswitch/placement/rendezvous.h"
 #include "plantainswitch/placement/slotsync.h"
 #include "plantainswitch/routing/admission.h"
+#include "plantainswitch/routing/brittleservices.h"
 #include "plantainswitch/routing/coldstart.h"
 #include "plantainswitch/routing/crashquarantine.h"
 #include "plantainswitch/routing/enginecoordinator.h"
--- a/include/plantainswitch/routing/enginecoordinator.h
+++ b/include/plantainswitch/routing/enginecoordinator.h
@@ -24,6 +24,8 @@
     std::uint32_t promptTokens = 0;
     /// Running requests above which the engine would exceed its share; 0 if not limited.
     double loadBound = 0.0;
+    /// Running requests that the engine must not exceed because it is brittle; 0 if it is not.
+    double brittleBound = 0.0;
     /// How much longer the requesting router believes the engine to be cold.
     Milliseconds coldFor{0};
     PermitRequest permit;
@@ -52,6 +54,17 @@
 /// doesn't know the grants of its predecessor.
 inline constexpr Milliseconds takeoverPeriod{2000};
 
+/// The same for a brittle engine, which meanwhile gets brittleTakeoverShare of its bound: routers
+/// that the new coordinator cannot reach may still have grants of the previous one, or get new
+/// ones.
+inline constexpr Seconds brittleTakeoverPeriod{4};
+inline constexpr double brittleTakeoverShare = 0.6;
+/// A coordinator that was not asked about a brittle engine for so long may not have been the only
+/// one.
+inline constexpr Milliseconds brittleTakeoverGap{1250};
+/// Interval after which a brittle engine that has rejected requests is tried with one more at once.
+inline constexpr Seconds roomProbeInterval{2};
+
 /// Time without a request after which an idle engine is removed. Each restart of an engine creates
 /// a new incarnation: if all were kept, a year of them at 1,900 per day would exhaust the memory of
 /// a small VM. It is longer than takeoverPeriod, so that no count is lost.
@@ -84,6 +97,9 @@
     /// Releases a grant; an unknown one is ignored.
     void releaseGrant(const std::string &router, std::uint64_t requestId,
                       std::uint64_t incarnation);
+    /// Records that a brittle engine rejected a request for want of room. From then on it gets no
+    /// more at once than it had beside that one, and one more each roomProbeInterval.
+    void recordRejection(std::uint64_t incarnation, TimePoint now);
     /// Revokes the grants of \a router on the engine in excess of the \a reported ones, if they are
     /// older than orphanedGrantTimeout.
     void reconcile(const std::string &router, std::uint64_t incarnation, std::uint32_t reported,
@@ -106,8 +122,22 @@
         double pendingPrefill = 0.0;
         TimePoint unreadAt;
         TimePoint coordinatedSince;
+        /// Requests at once that it had room for when it last rejected one; 0 if it never did.
+        double room = 0.0;
+        TimePoint rejectedAt;
+        /// Since when it has been asked about without a gap while it was brittle.
+        TimePoint brittleSince;
+        TimePoint brittleAskedAt;
     };
 
+    /// \returns the number of requests above which none is granted; 0 if not limited.
+    [[nodiscard]] static double boundOf(const EngineGrantRequest &request, const Engine &engine,
+                                        TimePoint now) noexcept;
+    /// Records a request for a grant on a brittle engine. \returns whether others may have granted
+    /// some lately.
+    static bool isBrittleTakeover(Engine &engine, TimePoint now) noexcept;
+    [[nodiscard]] static double roomOf(const Engine &engine, TimePoint now) noexcept;
+
     double tokensPerMillisecond;
     std::unordered_map<std::uint64_t, Engine> engines;
     PermitCoordinator permits;
--- a/include/plantainswitch/routing/selection.h
+++ b/include/plantainswitch/routing/selection.h
@@ -73,6 +73,9 @@
     std::span<const std::uint64_t> prefixHashes;
     /// Ids of the upstreams on which the request was already attempted.
     std::span<const std::string> triedUpstreams;
+    /// The upstreams are brittle: one whose coordinator denied a permit is not used until the wait
+    /// has ended, even if no other is left.
+    bool isBrittle = false;
 };
 
 /// A selected upstream and the estimates behind the selection; delays are in milliseconds.
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -81,6 +81,8 @@
     EventRow{Event::UpstreamBackoff, "upstream-backoff", Severity::Info},
     EventRow{Event::ServiceCutOff, "service-cut-off", Severity::Warning},
     EventRow{Event::ServiceReached, "service-reached", Severity::Info},
+    EventRow{Event::ServiceBrittle, "service-brittle", Severity::Warning},
+    EventRow{Event::ServiceSound, "service-sound", Severity::Info},
     EventRow{Event::UpstreamCrashed, "upstream-crashed", Severity::Warning},
     EventRow{Event::RequestQuarantined, "request-quarantined", Severity::Error},
     EventRow{Event::CrashReported, "crash-reported", Severity::Info},
--- a/src/routing/enginecoordinator.cpp
+++ b/src/routing/enginecoordinator.cpp
@@ -44,10 +44,14 @@
     reply.cachedParts = static_cast<std::uint32_t>(cached);
     reply.pendingPrefillTokens = engine.pendingPrefill;
     reply.running = static_cast<std::uint32_t>(engine.grants.size());
-    if (now - engine.coordinatedSince < takeoverPeriod) {
+    const bool isTakenOver = request.brittleBound > 0.0
+                                 ? isBrittleTakeover(engine, now)
+                                 : now - engine.coordinatedSince < takeoverPeriod;
+    if (isTakenOver) {
         reply.running = std::max(reply.running, reported);
     }
-    if (request.loadBound > 0.0 && reply.running + 1.0 > request.loadBound) {
+    const double bound = boundOf(request, engine, now);
+    if (bound > 0.0 && reply.running + 1.0 > bound) {
         return reply;
     }
     const PermitReply permit = this->permits.request(request.permit, now);
@@ -63,6 +67,53 @@
     return reply;
 }
 
+double EngineCoordinator::roomOf(const Engine &engine, TimePoint now) noexcept
+{
+    return engine.room + static_cast<double>((now - engine.rejectedAt) / roomProbeInterval);
+}
+
+bool EngineCoordinator::isBrittleTakeover(Engine &engine, TimePoint now) noexcept
+{
+    if (now - engine.brittleAskedAt >= brittleTakeoverGap) {
+        engine.brittleSince = now;
+    }
+    engine.brittleAskedAt = now;
+    return now - engine.brittleSince < brittleTakeoverPeriod;
+}
+
+double EngineCoordinator::boundOf(const EngineGrantRequest &request, const Engine &engine,
+                                  TimePoint now) noexcept
+{
+    if (request.brittleBound <= 0.0) {
+        return request.loadBound;
+    }
+    double bound = request.brittleBound;
+    if (now - engine.brittleSince < brittleTakeoverPeriod) {
+        bound *= brittleTakeoverShare;
+    }
+    if (engine.room > 0.0) {
+        bound = std::min(bound, roomOf(engine, now));
+    }
+    // Otherwise an upstream with a single slot would get nothing.
+    bound = std::max(1.0, bound);
+    return request.loadBound > 0.0 ? std::min(bound, request.loadBound) : bound;
+}
+
+void EngineCoordinator::recordRejection(std::uint64_t incarnation, TimePoint now)
+{
+    const auto found = this->engines.find(incarnation);
+    if (found == this->engines.end()) {
+        return;
+    }
+    Engine &engine = found->second;
+    double room = static_cast<double>(engine.grants.size()) - 1.0;
+    if (engine.room > 0.0) {
+        room = std::min(room, roomOf(engine, now));
+    }
+    engine.room = std::max(1.0, room);
+    engine.rejectedAt = now;
+}
+
 void EngineCoordinator::releaseGrant(const std::string &router, std::uint64_t requestId,
                                      std::uint64_t incarnation)
 {
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -250,7 +250,7 @@
                           const CandidateStatistics &statistics, TimePoint now)
 {
     const bool isBlocked = now < state.permitBlockedUntil;
-    if (isBlocked && state.cold.remaining(now).count() > 0) {
+    if (isBlocked && (request.isBrittle || state.cold.remaining(now).count() > 0)) {
         return Eligibility::Unusable;
     }
     if (!acceptsRequests(state, now) || wasTried(state.replica, request)) {
--- /dev/null
+++ b/tests/brittleservices.cpp
@@ -0,0 +1,152 @@
+#include <catch2/catch.hpp>
+
+#include "plantainswitch/routing/brittleservices.h"
+#include "plantainswitch/routing/coldstart.h"
+#include "plantainswitch/routing/enginecoordinator.h"
+
+using namespace plantainswitch;
+
+namespace {
+
+constexpr std::uint64_t service = 5;
+constexpr std::uint64_t engine = 7;
+
+class BrittleServicesFixture
+{
+protected:
+    void respond(std::optional<std::uint32_t> maxRejections)
+    {
+        this->services.recordResponse(service, maxRejections, this->clock.now());
+    }
+
+    [[nodiscard]] std::optional<std::uint32_t> maxRejections() const
+    {
+        return this->services.maxRejections(service, this->clock.now());
+    }
+
+    bool requestGrant(std::uint64_t id, double bound, std::uint32_t reported = 0)
+    {
+        EngineGrantRequest request;
+        request.router = "a";
+        request.requestId = id;
+        request.incarnation = engine;
+        request.brittleBound = bound;
+        return this->coordinator.requestGrant(request, reported, this->clock.now()).granted;
+    }
+
+    /// Requests and releases grants until the coordinator's takeover is over.
+    void finishTakeover(double bound)
+    {
+        for (int i = 0; i < 5; ++i) {
+            this->requestGrant(1, bound);
+            this->coordinator.releaseGrant("a", 1, engine);
+            this->clock.advance(Milliseconds{1000});
+        }
+    }
+
+    BrittleServices services;
+    EngineCoordinator coordinator{100.0};
+    ManualClock clock;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleService_announced_isBrittleUntilItIsNot",
+                 "[routing]")
+{
+    this->respond(std::nullopt);
+    CHECK_FALSE(this->maxRejections());
+    this->clock.advance(Milliseconds{1});
+    this->respond(4);
+    CHECK(this->maxRejections() == 4U);
+    this->clock.advance(brittleOverlap);
+    this->respond(std::nullopt);
+    CHECK_FALSE(this->maxRejections());
+}
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleService_responsesOvertakeEachOther_staysBrittle",
+                 "[routing]")
+{
+    // Guards against a limit that a response ends which was sent before the announcement.
+    this->respond(4);
+    this->clock.advance(Milliseconds{20});
+    this->respond(std::nullopt);
+    CHECK(this->maxRejections() == 4U);
+}
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleService_noticeFromBeforeItsEnd_isIgnored",
+                 "[routing]")
+{
+    // Guards against an announcement that routers pass on after it has ended.
+    this->respond(4);
+    const auto notices = this->services.notices(this->clock.now());
+    REQUIRE(notices.size() == 1);
+    this->clock.advance(brittleOverlap);
+    this->respond(std::nullopt);
+    CHECK(this->services.notices(this->clock.now()).empty());
+    this->services.applyNotice(notices.front());
+    CHECK_FALSE(this->maxRejections());
+    BrittleServices other;
+    other.applyNotice(notices.front());
+    CHECK(other.maxRejections(service, this->clock.now()) == 4U);
+}
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleService_noResponses_isForgotten", "[routing]")
+{
+    this->respond(4);
+    this->clock.advance(brittleRetention);
+    CHECK_FALSE(this->maxRejections());
+}
+
+TEST_CASE("brittleShare_manyRouters_sendHalfOfTheSlotsInSum", "[routing]")
+{
+    // Guards against routers that each send one request per window without the coordinator.
+    ManualClock clock;
+    constexpr std::uint32_t routers = 100;
+    constexpr int windows = 200;
+    std::uint32_t total = 0;
+    for (int window = 0; window < windows; ++window) {
+        for (std::uint64_t router = 0; router < routers; ++router) {
+            total += brittleShare(router, routers, 8, clock.now());
+        }
+        clock.advance(permitWindow);
+    }
+    CHECK(total / windows >= 3);
+    CHECK(total / windows <= 5);
+    CHECK(brittleShare(1, 2, 8, clock.now()) == 2);
+}
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleEngine_newCoordinator_grantsLess", "[routing]")
+{
+    // Guards against two coordinators, before and after a change, that grant all slots each.
+    int granted = 0;
+    for (std::uint64_t id = 10; id < 30; ++id) {
+        granted += this->requestGrant(id, 10.0) ? 1 : 0;
+    }
+    CHECK(granted == 6);
+}
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleEngine_rejectsRequest_getsNoMoreThanBesideIt",
+                 "[routing]")
+{
+    // Guards against rejections that go on while the upstream has less room than slots.
+    this->finishTakeover(10.0);
+    for (std::uint64_t id = 10; id < 18; ++id) {
+        REQUIRE(this->requestGrant(id, 10.0));
+    }
+    this->coordinator.recordRejection(engine, this->clock.now());
+    this->coordinator.releaseGrant("a", 17, engine);
+    CHECK_FALSE(this->requestGrant(20, 10.0));
+    for (int i = 0; i < 2; ++i) {
+        this->clock.advance(Milliseconds{1000});
+        this->requestGrant(30, 1.0);
+    }
+    CHECK(this->requestGrant(21, 10.0));
+    CHECK_FALSE(this->requestGrant(22, 10.0));
+}
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleEngine_singleSlot_getsOneRequest", "[routing]")
+{
+    CHECK(this->requestGrant(10, 0.5));
+    CHECK_FALSE(this->requestGrant(11, 0.5));
+}
