Name the shares of brittle upstreams' requests apart; test how the announcement is read

brittleShare and brittleCoordinatorShare read alike, and isBrittleTakeover recorded a request: now brittleUncoordinatedShare and recordBrittleRequest. No behaviour changes. platformResponse_brittleMark_isReadAtAnyStatus is new. platformrequests, brittleservices passed.

--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -107,9 +107,9 @@
 bool RequestHandler::mayDispatchUnpermitted(UpstreamState &upstream) const
 {
     if (this->gateway.isBrittle(upstream.replica.service)) {
-        const std::uint32_t share =
-            brittleShare(hashOf(this->gateway.settings.id), this->gateway.routerCount(),
-                         upstream.replica.maxConcurrency, this->now());
+        const std::uint32_t share = brittleUncoordinatedShare(
+            hashOf(this->gateway.settings.id), this->gateway.routerCount(),
+            upstream.replica.maxConcurrency, this->now());
         return !this->gateway.isLimitedAsCold(upstream)
                && upstream.unpermitted.tryTake(share, this->now());
     }
--- a/include/plantainswitch/routing/brittleservices.h
+++ b/include/plantainswitch/routing/brittleservices.h
@@ -83,7 +83,7 @@
 /// upstream's coordinator does not respond. All routers together send half of the \a slots; with
 /// more routers than that they take turns.
 /// \param router hash of the router's id
-[[nodiscard]] std::uint32_t brittleShare(std::uint64_t router, std::uint32_t routers,
-                                         std::uint32_t slots, TimePoint now) noexcept;
+[[nodiscard]] std::uint32_t brittleUncoordinatedShare(std::uint64_t router, std::uint32_t routers,
+                                                      std::uint32_t slots, TimePoint now) noexcept;
 
 } // namespace plantainswitch
--- a/include/plantainswitch/routing/enginecoordinator.h
+++ b/include/plantainswitch/routing/enginecoordinator.h
@@ -127,7 +127,7 @@
         TimePoint rejectedAt;
         /// Since when it has been asked about without a gap while it was brittle.
         TimePoint brittleSince;
-        TimePoint brittleAskedAt;
+        TimePoint lastBrittleRequest;
     };
 
     /// \returns the number of requests above which none is granted; 0 if not limited.
@@ -135,7 +135,7 @@
                                         TimePoint now) noexcept;
     /// Records a request for a grant on a brittle engine. \returns whether others may have granted
     /// some lately.
-    static bool isBrittleTakeover(Engine &engine, TimePoint now) noexcept;
+    static bool recordBrittleRequest(Engine &engine, TimePoint now) noexcept;
     [[nodiscard]] static double roomOf(const Engine &engine, TimePoint now) noexcept;
 
     double tokensPerMillisecond;
--- a/src/routing/brittleservices.cpp
+++ b/src/routing/brittleservices.cpp
@@ -65,8 +65,8 @@
     return static_cast<double>(alive) / static_cast<double>(std::max<std::size_t>(alive + lost, 1));
 }
 
-std::uint32_t brittleShare(std::uint64_t router, std::uint32_t routers, std::uint32_t slots,
-                           TimePoint now) noexcept
+std::uint32_t brittleUncoordinatedShare(std::uint64_t router, std::uint32_t routers,
+                                        std::uint32_t slots, TimePoint now) noexcept
 {
     const std::uint32_t total = std::max(1U, slots / 2);
     if (total >= routers) {
--- a/src/routing/enginecoordinator.cpp
+++ b/src/routing/enginecoordinator.cpp
@@ -45,7 +45,7 @@
     reply.pendingPrefillTokens = engine.pendingPrefill;
     reply.running = static_cast<std::uint32_t>(engine.grants.size());
     const bool isTakenOver = request.brittleBound > 0.0
-                                 ? isBrittleTakeover(engine, now)
+                                 ? recordBrittleRequest(engine, now)
                                  : now - engine.coordinatedSince < takeoverPeriod;
     if (isTakenOver) {
         reply.running = std::max(reply.running, reported);
@@ -72,12 +72,12 @@
     return engine.room + static_cast<double>((now - engine.rejectedAt) / roomProbeInterval);
 }
 
-bool EngineCoordinator::isBrittleTakeover(Engine &engine, TimePoint now) noexcept
+bool EngineCoordinator::recordBrittleRequest(Engine &engine, TimePoint now) noexcept
 {
-    if (now - engine.brittleAskedAt >= brittleTakeoverGap) {
+    if (now - engine.lastBrittleRequest >= brittleTakeoverGap) {
         engine.brittleSince = now;
     }
-    engine.brittleAskedAt = now;
+    engine.lastBrittleRequest = now;
     return now - engine.brittleSince < brittleTakeoverPeriod;
 }
 
--- a/tests/brittlemodel.cpp
+++ b/tests/brittlemodel.cpp
@@ -375,9 +375,9 @@
     void onSilence(const AttemptPointer &attempt, std::size_t index)
     {
         UpstreamView &view = this->routers[attempt->router].views[index];
-        const std::uint32_t share =
-            brittleShare(attempt->router + 1, static_cast<std::uint32_t>(this->routers.size()),
-                         this->options.slots, this->now);
+        const std::uint32_t share = brittleUncoordinatedShare(
+            attempt->router + 1, static_cast<std::uint32_t>(this->routers.size()),
+            this->options.slots, this->now);
         attempt->grantor = this->routers.size();
         if (this->isAlive(*attempt) && view.unpermitted.tryTake(share, this->now)) {
             this->dispatch(attempt, index);
--- a/tests/brittleservices.cpp
+++ b/tests/brittleservices.cpp
@@ -107,13 +107,13 @@
     std::uint32_t total = 0;
     for (int window = 0; window < windows; ++window) {
         for (std::uint64_t router = 0; router < routers; ++router) {
-            total += brittleShare(router, routers, 8, clock.now());
+            total += brittleUncoordinatedShare(router, routers, 8, clock.now());
         }
         clock.advance(permitWindow);
     }
     CHECK(total / windows >= 3);
     CHECK(total / windows <= 5);
-    CHECK(brittleShare(1, 2, 8, clock.now()) == 2);
+    CHECK(brittleUncoordinatedShare(1, 2, 8, clock.now()) == 2);
 }
 
 TEST_CASE_METHOD(BrittleServicesFixture, "brittleEngine_newCoordinator_grantsLess", "[routing]")
--- a/tests/platformrequests.cpp
+++ b/tests/platformrequests.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include <catch2/catch.hpp>
 
 #include "platformdialect.h"
@@ -105,6 +107,22 @@
     CHECK_FALSE(this->decode(200, {{"Server-Leaving", ""}}).isDraining);
 }
 
+TEST_CASE_METHOD(PlatformRequestsFixture, "platformResponse_brittleMark_isReadAtAnyStatus",
+                 "[platform]")
+{
+    for (const int status : {200, 404, 500, 503}) {
+        CHECK(this->decode(status, {{"Server-Brittle", " 6 "}}).maxRejections == 6U);
+    }
+    CHECK_FALSE(this->decode(200, {}).maxRejections);
+    for (const char *const value : {"", "often", "-1", "1.5"}) {
+        CHECK_FALSE(this->decode(503, {{"Server-Brittle", value}}).maxRejections);
+    }
+    const auto repeated = this->decode(200, {{"Server-Brittle", "9"}, {"Server-Brittle", "4"}});
+    CHECK(repeated.maxRejections == 4U);
+    const auto huge = this->decode(200, {{"Server-Brittle", "99999999999"}}).maxRejections;
+    CHECK(huge == std::numeric_limits<std::uint32_t>::max());
+}
+
 TEST_CASE_METHOD(PlatformRequestsFixture, "platformResponse_misdirected_saysNothingOfTheUpstream",
                  "[platform]")
 {
