--- a/gateway/bytestream.cpp
+++ b/gateway/bytestream.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Bytes read per system call. All connections of an event loop are read on its one thread and
-/// share this buffer; one buffer per connection would take megabytes with hundreds of open streams.
+/// share this buffer.
 constexpr std::size_t readSize = 64 << 10;
 
 std::array<char, readSize> &readBuffer()
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -151,9 +151,10 @@
     [[nodiscard]] virtual std::string serializeRequest(const CallerRequest &request,
                                                        const DispatchContext &handover) const = 0;
     /// \returns the head of a caller's request to forward to another router, which processes it
-    /// like one of its own. \param remainingTime replaces the caller's time budget \param
-    /// resumeAfter replaces the id of the last event that the caller has received \param more
-    /// fields that only routers use
+    /// like one of its own.
+    /// \param remainingTime replaces the caller's time budget
+    /// \param resumeAfter replaces the id of the last event that the caller has received
+    /// \param more fields that only routers use
     [[nodiscard]] virtual std::string
     serializeForwarded(const MessageHead &head, Milliseconds remainingTime,
                        std::optional<std::uint64_t> resumeAfter, std::size_t bodySize,
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -17,8 +17,7 @@
 /// Field of the response to a forwarded request: the upstream that responded.
 inline constexpr std::string_view respondingUpstreamField = "Plantain-Upstream";
 
-/// Requests of other routers that a router processes at once. Their bodies and its own callers'
-/// fit into the memory of the smallest VM.
+/// Requests of other routers that a router processes at once.
 inline constexpr std::size_t maxForwardedRunning = 128;
 
 /// What a router states about a request that it forwards.
--- a/gateway/trialstore.cpp
+++ b/gateway/trialstore.cpp
@@ -12,11 +12,10 @@
 /// A caller waits for the permit, so that a slow store counts as unavailable.
 constexpr Milliseconds callTimeout{300};
 constexpr Milliseconds listTimeout{2500};
-/// Interval between the lists: longer than a stale one is behind.
+/// Interval between the lists at a start.
 constexpr Seconds listInterval{5};
 constexpr int requiredLists = 2;
-/// Calls that wait at once. More are only made during an attack; those that are left out leave a
-/// request quarantined for longer.
+/// Calls that wait at once. Further ones fail, which leaves a request quarantined for longer.
 constexpr std::size_t maxWaitingCalls = 64;
 
 constexpr int ok = 200;
--- a/include/plantainswitch/routing/crashquarantine.h
+++ b/include/plantainswitch/routing/crashquarantine.h
@@ -93,24 +93,20 @@
     TrialDue,
 };
 
-/// Consecutive crashes after which a request is quarantined. One or two may be coincidence; the
-/// users' requirements allow three.
+/// Consecutive crashes after which a request is quarantined. One or two may be coincidence.
 inline constexpr std::size_t quarantineThreshold = 3;
 /// Crashes after which an attempt is not retried. The caller may send the request again.
 inline constexpr std::size_t crashesForNoRetry = 2;
 /// Time after a lost connection within which the upstream must be found down for it to count as a
 /// crash. An upstream that only lost one connection, or closed it, still accepts new ones.
 inline constexpr Seconds crashConfirmationWindow{8};
-/// The same for a run that the router gave up. A crash that its request causes follows soon, and
-/// runs that were given up are common on slow upstreams.
+/// The same for a run that the router gave up.
 inline constexpr Seconds givenUpConfirmationWindow{2};
-/// Time after a reported crash within which a response of the same upstream refutes it. An upstream
-/// that did crash needs longer to start again.
+/// Time after a reported crash within which a response of the same upstream refutes it.
 inline constexpr Seconds crashRefutationWindow{1};
 /// Delay of each trial of a quarantined request after the last crash or trial; the last value
 /// repeats. The first trial comes soon, because the request may be innocent: it ran beside the
-/// crashing one, or on upstreams that lost power together. A request whose own trials crash
-/// upstreams takes one down every ten minutes at most.
+/// crashing one, or on upstreams that lost power together.
 inline constexpr std::array<Milliseconds, 4> trialDelays{
     Milliseconds{1000}, Milliseconds{5000}, Milliseconds{60'000}, Milliseconds{600'000}};
 /// How long an unanswered call for a trial blocks the next one.
@@ -120,11 +116,9 @@
 /// Requests with unanswered runs that are tracked at once. Beyond that, runs that routers gave up
 /// are not recorded.
 inline constexpr std::size_t maxUnansweredRequests = 4000;
-/// Suspects tracked at once, about 200 bytes each; the oldest ones are evicted first.
+/// Suspects tracked at once; the oldest ones are evicted first.
 inline constexpr std::size_t maxCrashSuspects = 4000;
-/// Suspects that are reported to a router that has just started: as many as fit into one datagram.
-/// More are under suspicion only during an attack, and each one left out costs the new router's
-/// service some upstreams.
+/// Suspects that are reported to a router that has just started.
 inline constexpr std::size_t maxSharedSuspects = 40;
 
 /// Quarantine of requests on which upstreams crashed. A request that crashes every upstream that
--- a/tests/crashquarantine.cpp
+++ b/tests/crashquarantine.cpp
@@ -403,7 +403,7 @@
                  "[routing]")
 {
     // Routers are restarted one after the other while a crashing request is retried again and
-    // again. Each new router must be told which requests are quarantined or close to it, but not of
+    // again. Each new router must learn which requests are quarantined or close to it, but not of
     // requests that crashed once.
     this->crashThreeUpstreams(7);
     this->crash(8, 4);
--- a/tests/gatewaycrashes.cpp
+++ b/tests/gatewaycrashes.cpp
@@ -90,7 +90,8 @@
             this->call(makeRequest("/safe/x", "p" + std::to_string(i), "poison"));
         CHECK((answer.status == 502 || answer.status == 503 || answer.status == 504));
     }
-    // Three crashes quarantine the request; one more run may have begun before the third was found.
+    // Three crashes quarantine the request; one more run may have started before the third was
+    // found.
     CHECK(this->runs <= 4);
     CHECK(this->call(makeRequest("/safe/x", "b1", "body")).status == 200);
 }
