One piece of code for what the last changes wrote twice; no scan of contacts for each grant

Twins: text to number (parseUnsigned, three copies), milliseconds in log fields (formatMilliseconds, three), ages in updates (millisecondsSince, four, of which only one was bounded), the response body that is buffered or relayed (processBody), whether a response belongs to the attempt, an upstream's announcement that it is draining, the id of the last event, the largest buffered response, and for how long a router has been an upstream's only coordinator (CoordinationSpan; permits and brittle engines counted it apart).

Work in the wrong place: each grant counted the live routers and removed old entries of lost ones, also where nothing is brittle; lost routers were kept for ever if nothing was. The first is done for brittle engines only, the second at each gossip interval. A response recorded twice whether its service is brittle.

A forwarded response to another attempt no longer replaces the decoded head.

--- a/gateway/fleetcoordination.cpp
+++ b/gateway/fleetcoordination.cpp
@@ -99,11 +99,11 @@
         request.brittleBound =
             request.brittleBound > 0.0 ? std::min(known, request.brittleBound) : known;
     }
-    const TimePoint now = this->gateway.clock.now();
-    std::erase_if(this->lostRouters,
-                  [now](const auto &entry) { return now - entry.second >= lostRouterRetention; });
-    request.brittleBound *=
-        brittleCoordinatorShare(this->contacts.aliveCount(now) + 1, this->lostRouters.size());
+    if (request.brittleBound <= 0.0) {
+        return;
+    }
+    request.brittleBound *= brittleCoordinatorShare(
+        this->contacts.aliveCount(this->gateway.clock.now()) + 1, this->lostRouters.size());
 }
 
 void FleetGossip::onAsk(const wire::EngineAsk &message, const Endpoint &from)
--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -56,29 +56,32 @@
     return moment == TimePoint{} ? 0 : static_cast<std::uint32_t>(age.count()) + 1;
 }
 
+/// \returns the milliseconds since \a moment, as far as the field of a message holds them.
+std::uint32_t millisecondsSince(TimePoint moment, TimePoint now)
+{
+    constexpr Milliseconds::rep most = std::numeric_limits<std::uint32_t>::max();
+    const auto age = std::chrono::duration_cast<Milliseconds>(now - moment);
+    return static_cast<std::uint32_t>(std::clamp<Milliseconds::rep>(age.count(), 0, most));
+}
+
 void appendCrashUpdate(wire::RouterNews &message, const CrashUpdate &update, TimePoint now)
 {
     for (const CrashReport &report : update.crashes) {
         wire::CrashSeen *const entry = message.add_crashes();
         entry->set_request(report.request);
         entry->set_life(report.incarnation);
-        const auto ago = std::chrono::duration_cast<Milliseconds>(now - report.brokenAt);
-        entry->set_ago_ms(static_cast<std::uint32_t>(ago.count()));
-        const auto ran = std::chrono::duration_cast<Milliseconds>(report.brokenAt - report.sentAt);
-        entry->set_ran_ms(static_cast<std::uint32_t>(ran.count()));
+        entry->set_ago_ms(millisecondsSince(report.brokenAt, now));
+        entry->set_ran_ms(millisecondsSince(report.sentAt, report.brokenAt));
     }
     for (const ClearedSuspect &cleared : update.cleared) {
         message.add_cleared(cleared.request);
-        const auto ago = std::chrono::duration_cast<Milliseconds>(now - cleared.answeredAt);
-        message.add_cleared_ago_ms(static_cast<std::uint32_t>(ago.count()));
+        message.add_cleared_ago_ms(millisecondsSince(cleared.answeredAt, now));
     }
     for (const TrialCount &count : update.trials) {
         wire::TrialsSeen *const entry = message.add_trials();
         entry->set_request(count.request);
         entry->set_trials(count.trials);
-        const auto ago = std::chrono::duration_cast<Milliseconds>(now - count.recordedAt);
-        entry->set_ago_ms(static_cast<std::uint32_t>(
-            std::min<Milliseconds::rep>(ago.count(), std::numeric_limits<std::uint32_t>::max())));
+        entry->set_ago_ms(millisecondsSince(count.recordedAt, now));
     }
 }
 
@@ -517,8 +520,7 @@
         wire::BrittleService *const entry = message.add_brittle();
         entry->set_service(notice.service);
         entry->set_max_rejections(notice.maxRejections);
-        entry->set_ago_ms(static_cast<std::uint32_t>(
-            std::chrono::duration_cast<Milliseconds>(now - notice.announcedAt).count()));
+        entry->set_ago_ms(millisecondsSince(notice.announcedAt, now));
     }
     message.set_known_routers(static_cast<std::uint32_t>(this->contacts.aliveCount(now)));
     for (const PeerLoad &load : update.loads) {
@@ -583,6 +585,8 @@
     const TimePoint now = this->gateway.clock.now();
     this->contacts.removeUnresponsive(now);
     this->coordinator.removeIdleEngines(now);
+    std::erase_if(this->lostRouters,
+                  [now](const auto &entry) { return now - entry.second >= lostRouterRetention; });
     for (const std::string &failedRouter : this->contacts.removeFailed(now)) {
         this->gateway.peerLoads.removeRouter(failedRouter);
         logEvent(Event::MemberGone, {{"member", failedRouter}});
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -1,25 +1,18 @@
 #include "forwarding.h"
 
 #include <algorithm>
-#include <charconv>
+#include <limits>
+
+#include "plantainswitch/base/number.h"
 
 namespace plantainswitch::gateway {
 
 namespace {
 
-template<typename Number>
-std::optional<Number> parseNumber(const std::optional<std::string> &text)
+std::optional<std::uint64_t> takeNumber(MessageHead &head, std::string_view name)
 {
-    Number number = 0;
-    if (!text) {
-        return std::nullopt;
-    }
-    const char *const end = text->data() + text->size();
-    const auto [rest, error] = std::from_chars(text->data(), end, number);
-    if (error != std::errc{} || rest != end) {
-        return std::nullopt;
-    }
-    return number;
+    const auto text = takeField(head.fields, name);
+    return text ? parseUnsigned(*text) : std::nullopt;
 }
 
 } // namespace
@@ -39,13 +32,12 @@
 
 std::optional<ForwardedRequest> takeForwardedFields(MessageHead &head)
 {
-    const auto attempts =
-        parseNumber<std::uint32_t>(takeField(head.fields, forwardedAttemptsField));
-    const auto version = parseNumber<std::uint64_t>(takeField(head.fields, forwardedConfigField));
-    if (!attempts || !version) {
+    const auto attempts = takeNumber(head, forwardedAttemptsField);
+    const auto version = takeNumber(head, forwardedConfigField);
+    if (!attempts || !version || *attempts > std::numeric_limits<std::uint32_t>::max()) {
         return std::nullopt;
     }
-    return ForwardedRequest{*attempts, *version};
+    return ForwardedRequest{static_cast<std::uint32_t>(*attempts), *version};
 }
 
 } // namespace plantainswitch::gateway
--- a/gateway/gatewaybrittle.cpp
+++ b/gateway/gatewaybrittle.cpp
@@ -6,47 +6,54 @@
 
 namespace plantainswitch::gateway {
 
-double GatewayState::brittleBoundOf(const UpstreamState &upstream) const
+namespace {
+
+/// \param service name or hash of the service
+void logBrittleness(const std::string &service, std::optional<std::uint32_t> maxRejections,
+                    std::string_view source)
+{
+    logEvent(maxRejections ? Event::ServiceBrittle : Event::ServiceSound,
+             {{"service", service},
+              {"max_rejections", std::to_string(maxRejections.value_or(0))},
+              {"from", std::string(source)}});
+}
+
+} // namespace
+
+std::optional<std::uint32_t> GatewayState::maxRejectionsOf(std::string_view service) const
 {
     if (!this->settings.mechanisms.brittleLimits) {
-        return 0.0;
+        return std::nullopt;
     }
-    const auto maxRejections =
-        this->brittleServices.maxRejections(hashOf(upstream.replica.service), this->clock.now());
-    return maxRejections ? brittleLoadBound(upstream.replica.maxConcurrency, *maxRejections) : 0.0;
+    return this->brittleServices.maxRejections(hashOf(service), this->clock.now());
 }
 
 bool GatewayState::isBrittle(std::string_view service) const
 {
-    return this->settings.mechanisms.brittleLimits
-           && this->brittleServices.maxRejections(hashOf(service), this->clock.now()).has_value();
+    return this->maxRejectionsOf(service).has_value();
+}
+
+double GatewayState::brittleBoundOf(const UpstreamState &upstream) const
+{
+    const auto maxRejections = this->maxRejectionsOf(upstream.replica.service);
+    return maxRejections ? brittleLoadBound(upstream.replica.maxConcurrency, *maxRejections) : 0.0;
 }
 
 void GatewayState::recordBrittleness(const std::string &service,
                                      std::optional<std::uint32_t> maxRejections)
 {
-    const bool wasBrittle = this->isBrittle(service);
-    this->brittleServices.recordResponse(hashOf(service), maxRejections, this->clock.now());
-    const bool isBrittleNow = this->isBrittle(service);
-    if (isBrittleNow == wasBrittle) {
-        return;
+    const bool isChange =
+        this->brittleServices.recordResponse(hashOf(service), maxRejections, this->clock.now());
+    if (isChange && this->settings.mechanisms.brittleLimits) {
+        logBrittleness(service, maxRejections, this->settings.id);
+        this->fleet->scheduleBroadcast();
     }
-    logEvent(isBrittleNow ? Event::ServiceBrittle : Event::ServiceSound,
-             {{"service", service},
-              {"max_rejections", std::to_string(maxRejections.value_or(0))},
-              {"from", this->settings.id}});
-    this->fleet->scheduleBroadcast();
 }
 
 void GatewayState::applyBrittleNotice(const BrittleNotice &notice, std::string_view source)
 {
-    const TimePoint now = this->clock.now();
-    const bool wasBrittle = this->brittleServices.maxRejections(notice.service, now).has_value();
-    this->brittleServices.applyNotice(notice);
-    if (!wasBrittle && this->brittleServices.maxRejections(notice.service, now)) {
-        logEvent(Event::ServiceBrittle, {{"service", formatHash(notice.service)},
-                                         {"max_rejections", std::to_string(notice.maxRejections)},
-                                         {"from", std::string(source)}});
+    if (this->brittleServices.applyNotice(notice, this->clock.now())) {
+        logBrittleness(formatHash(notice.service), notice.maxRejections, source);
     }
 }
 
--- a/gateway/gatewaycrashes.cpp
+++ b/gateway/gatewaycrashes.cpp
@@ -16,22 +16,14 @@
 
 namespace {
 
-/// How long after a run was given up its upstream is probed. A request that crashes upstreams does
-/// so soon after it began to run.
+/// How long after a run was given up its upstream is probed.
 constexpr Milliseconds givenUpProbeDelay{250};
-
 /// Interval at which the store is read for requests that are close to their quarantine.
 constexpr Seconds suspectRefreshInterval{1};
-/// Requests it is read for each time. More are that close only during an attack; they take turns.
+/// Requests it is read for each time. If there are more, they take turns.
 constexpr std::size_t maxRefreshedSuspects = 8;
-
-/// How long a crash is in doubt while this router has no contact to any upstream: longer than it
-/// takes to find out that it is cut off.
+/// How long a crash is in doubt while this router has no contact to any upstream.
 constexpr Milliseconds crashDoubtTime{600};
-std::string formatMilliseconds(Duration span)
-{
-    return std::to_string(std::chrono::duration_cast<Milliseconds>(span).count());
-}
 
 } // namespace
 
--- a/gateway/gatewayreach.cpp
+++ b/gateway/gatewayreach.cpp
@@ -52,13 +52,11 @@
         const bool cutOff = this->isCutOff(service);
         if (cutOff != serviceReach.wasCutOff) {
             serviceReach.wasCutOff = cutOff;
-            const auto age =
-                std::chrono::duration_cast<Milliseconds>(now - serviceReach.lastContact);
             logEvent(cutOff ? Event::ServiceCutOff : Event::ServiceReached,
                      {{"service", service},
                       {"failed", std::to_string(serviceReach.failed.size())},
                       {"upstreams", std::to_string(this->upstreams.ofService(service).size())},
-                      {"contact_ms", std::to_string(age.count())}});
+                      {"contact_ms", formatMilliseconds(now - serviceReach.lastContact)}});
             this->fleet->scheduleBroadcast();
         }
         if (cutOff && now - serviceReach.lastProbe >= cutOffProbeInterval) {
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -359,8 +359,7 @@
     handover.remainingTime = this->remainingTime();
     handover.workspace = this->workspace;
     handover.rank = this->rank;
-    handover.resumeAfter =
-        this->eventRelay.lastId() ? this->eventRelay.lastId() : this->request->resumeAfter;
+    handover.resumeAfter = this->lastReceivedEvent();
     std::string bytes = this->gateway.dialect.serializeRequest(*this->request, handover);
     bytes.append(this->request->body);
     const bool isHead = this->request->method == "HEAD";
@@ -427,6 +426,11 @@
             }};
 }
 
+std::optional<std::uint64_t> RequestHandler::lastReceivedEvent() const
+{
+    return this->eventRelay.lastId() ? this->eventRelay.lastId() : this->request->resumeAfter;
+}
+
 void RequestHandler::onSending()
 {
     this->isRunning = true;
--- a/gateway/gatewayrequestforward.cpp
+++ b/gateway/gatewayrequestforward.cpp
@@ -1,5 +1,7 @@
 #include "gatewayrequesthandler.h"
 
+#include <utility>
+
 #include <fmt/format.h>
 
 #include "plantainswitch/base/hash.h"
@@ -14,9 +16,8 @@
 /// Timeout for a connection to another router.
 constexpr Milliseconds forwardConnectTimeout{250};
 /// Multiple of the latency objective after which a request that may be repeated is forwarded to the
-/// next router. The one that has it retries at other upstreams meanwhile.
+/// next router. Until then the one that has it retries at other upstreams.
 constexpr int maxForwardObjectives = 3;
-constexpr std::size_t maxForwardedResponseBytes = 16 << 20;
 
 } // namespace
 
@@ -54,11 +55,10 @@
     this->response = {};
     this->eventRelay.dropPartial();
     this->sentAt = this->now();
-    const std::optional<std::uint64_t> resumeAfter =
-        this->eventRelay.lastId() ? this->eventRelay.lastId() : this->request->resumeAfter;
     const std::uint64_t version = this->routingTable->config().version;
     std::string bytes = this->gateway.dialect.serializeForwarded(
-        this->incoming.head, this->remainingTime(), resumeAfter, this->request->body.size(),
+        this->incoming.head, this->remainingTime(), this->lastReceivedEvent(),
+        this->request->body.size(),
         {{std::string(forwardedAttemptsField), std::to_string(this->possibleExecutions)},
          {std::string(forwardedConfigField), std::to_string(version)}});
     bytes.append(this->request->body);
@@ -95,19 +95,17 @@
 
 bool RequestHandler::onForwardHead(const MessageHead &head)
 {
-    this->response = this->gateway.dialect.parseResponse(head);
-    if (!this->response.attemptId.empty() && this->response.attemptId != this->request->attemptId) {
+    UpstreamResponse decoded = this->gateway.dialect.parseResponse(head);
+    if (!this->isForThisAttempt(decoded)) {
         return false;
     }
+    this->response = std::move(decoded);
     this->headReceived = true;
     this->wasNotAccepted = takeField(this->response.forwardedFields, notAcceptedField).has_value();
     const auto responding = takeField(this->response.forwardedFields, respondingUpstreamField);
     const auto source = responding ? this->gateway.upstreams.find(*responding) : nullptr;
-    if (source && this->response.isDraining
-        && this->gateway.upstreams.recordDraining(source->replica)) {
-        logEvent(Event::UpstreamLeaving, {{"request", this->request->attemptId},
-                                          {"upstream", source->replica.id},
-                                          {"place", source->replica.dataCentre}});
+    if (source && this->response.isDraining) {
+        this->recordDraining(source->replica);
     }
     return true;
 }
@@ -118,18 +116,10 @@
     if (this->phase == Phase::Done) {
         return;
     }
-    if (!this->isRelayedStream()) {
-        this->responseBody.append(bytes);
-        if (this->responseBody.size() > maxForwardedResponseBytes) {
-            this->connection->abort();
-            this->onForwardLost();
-        }
-        return;
-    }
-    if (this->timeToFirstByte == Duration{0}) {
+    if (this->isRelayedStream() && this->timeToFirstByte == Duration{0}) {
         this->timeToFirstByte = this->now() - this->incoming.receivedAt;
     }
-    if (!this->relayEvents(bytes)) {
+    if (!this->processBody(bytes)) {
         this->connection->abort();
         this->onForwardLost();
     }
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -27,17 +27,12 @@
 /// Retry-After of a request that no upstream could take: about the time after which an ejected
 /// upstream is tried again.
 constexpr Milliseconds defaultRetryAfter{400};
-/// Shortest Retry-After of a quarantined request: about the time that a trial takes.
+/// Shortest Retry-After of a quarantined request.
 constexpr Milliseconds minQuarantineRetryAfter{200};
 /// Retry-After of a request that no permitted data centre can process. Evacuations and changes of
 /// homes last seconds at least.
 constexpr Milliseconds noPlaceRetryAfter{1000};
 
-std::string formatMilliseconds(Duration span)
-{
-    return fmt::format("{:.1f}", std::chrono::duration<double, std::milli>(span).count());
-}
-
 } // namespace
 
 RequestHandler::RequestHandler(GatewayState &gateway, std::shared_ptr<CallerConnection> caller,
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -145,6 +145,15 @@
     bool retry(std::string_view why);
     [[nodiscard]] bool canRetry() const;
     void releaseUpstream();
+    /// Buffers a part of a response's body, or relays its complete events to the caller. \returns
+    /// false if the body is too large or malformed.
+    bool processBody(std::string_view bytes);
+    /// \returns whether a response belongs to the current attempt, as far as it states one.
+    [[nodiscard]] bool isForThisAttempt(const UpstreamResponse &head) const;
+    /// Records that an upstream has announced that it is draining.
+    void recordDraining(const Replica &replica);
+    /// \returns the id of the last event that the caller has received.
+    [[nodiscard]] std::optional<std::uint64_t> lastReceivedEvent() const;
     /// \returns whether the response is an event stream, which is relayed as it arrives.
     [[nodiscard]] bool isRelayedStream() const noexcept;
     /// Relays the complete events among \a bytes to the caller. \returns false if they are
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -14,7 +14,7 @@
 /// it is resumed.
 constexpr std::size_t pauseThresholdBytes = 256 << 10;
 constexpr std::size_t resumeThresholdBytes = 64 << 10;
-/// How long a retry after a lost connection waits for the probe of its upstream: some round trips.
+/// How long a retry after a lost connection waits for the probe of its upstream.
 constexpr Milliseconds maxProbeWait{30};
 /// Number of failed connection attempts after which a request is refused as not executed.
 constexpr std::uint32_t maxConnectFailures = 4;
@@ -26,7 +26,7 @@
     UpstreamResponse decoded = this->gateway.dialect.parseResponse(head);
     // A late response to another request also states what the upstream wants.
     this->recordNotice(decoded);
-    if (!decoded.attemptId.empty() && decoded.attemptId != this->request->attemptId) {
+    if (!this->isForThisAttempt(decoded)) {
         logEvent(Event::UpstreamGarbage, {{"request", this->request->attemptId},
                                           {"upstream", this->upstream->replica.id},
                                           {"why", "an answer to another request was skipped"}});
@@ -59,10 +59,8 @@
 
 void RequestHandler::recordNotice(const UpstreamResponse &head)
 {
-    if (head.isDraining && this->gateway.upstreams.recordDraining(this->upstream->replica)) {
-        logEvent(Event::UpstreamLeaving, {{"request", this->request->attemptId},
-                                          {"upstream", this->upstream->replica.id},
-                                          {"place", this->upstream->replica.dataCentre}});
+    if (head.isDraining) {
+        this->recordDraining(this->upstream->replica);
     }
     if (!head.misdirected) {
         this->gateway.recordBrittleness(this->upstream->replica.service, head.maxRejections);
@@ -124,23 +122,38 @@
     }
     this->upstream->lastReceived = this->now();
     this->gateway.recordContact(*this->reach);
-    if (!this->isRelayedStream()) {
-        this->responseBody.append(bytes);
-        if (this->responseBody.size() > maxBufferedResponseBytes) {
-            this->connection->abort();
-            this->onFault(UpstreamFault::InvalidResponse);
-        }
-        return;
-    }
-    if (!this->firstByteReceived) {
+    if (this->isRelayedStream() && !this->firstByteReceived) {
         this->onFirstByte();
     }
-    if (!this->relayEvents(bytes)) {
+    if (!this->processBody(bytes)) {
         this->connection->abort();
         this->onFault(UpstreamFault::InvalidResponse);
     }
 }
 
+bool RequestHandler::processBody(std::string_view bytes)
+{
+    if (this->isRelayedStream()) {
+        return this->relayEvents(bytes);
+    }
+    this->responseBody.append(bytes);
+    return this->responseBody.size() <= maxBufferedResponseBytes;
+}
+
+bool RequestHandler::isForThisAttempt(const UpstreamResponse &head) const
+{
+    return head.attemptId.empty() || head.attemptId == this->request->attemptId;
+}
+
+void RequestHandler::recordDraining(const Replica &replica)
+{
+    if (this->gateway.upstreams.recordDraining(replica)) {
+        logEvent(Event::UpstreamLeaving, {{"request", this->request->attemptId},
+                                          {"upstream", replica.id},
+                                          {"place", replica.dataCentre}});
+    }
+}
+
 bool RequestHandler::isRelayedStream() const noexcept
 {
     return this->response.status == 200 && this->response.isSigned && !this->response.isEncoded
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -93,6 +93,9 @@
     /// not brittle.
     [[nodiscard]] double brittleBoundOf(const UpstreamState &upstream) const;
     [[nodiscard]] bool isBrittle(std::string_view service) const;
+    /// \returns the number of rejections within a second above which the upstreams of the service
+    /// crash, if it is brittle.
+    [[nodiscard]] std::optional<std::uint32_t> maxRejectionsOf(std::string_view service) const;
     /// Records whether a response of the service announces that its upstreams are brittle, and
     /// notifies the other routers of a change.
     void recordBrittleness(const std::string &service, std::optional<std::uint32_t> maxRejections);
@@ -142,7 +145,7 @@
     /// crash would be noticed seconds later, when the next request is sent there.
     /// \param done called once the outcome is known; several calls share one probe
     void probeUpstream(const std::shared_ptr<UpstreamState> &upstream, std::function<void()> done);
-    /// Probes an upstream at which a run was given up, unless it responds to others meanwhile.
+    /// Probes an upstream at which a run was given up, unless it responds to others first.
     void scheduleProbe(const std::shared_ptr<UpstreamState> &upstream);
     /// Records that data of a response arrived from an upstream.
     void recordContact(ServiceReach &serviceReach);
@@ -150,7 +153,7 @@
     void recordContactFailure(const Replica &replica, ContactFailure kind);
     /// \returns whether this router is cut off from a service.
     [[nodiscard]] bool isCutOff(const std::string &service) const;
-    /// Probes the services that this router is cut off from, and tells the other routers of
+    /// Probes the services that this router is cut off from, and notifies the other routers of
     /// changes.
     void checkReach();
     /// Records that an upstream is down. Requests that it failed to respond to before become
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <utility>
 
+#include "plantainswitch/base/clock.h"
+
 namespace plantainswitch {
 
 /// Severity of a log event.
@@ -134,6 +136,8 @@
 void stopLogging();
 /// Logs one event as one line.
 void logEvent(Event event, std::initializer_list<LogField> fields);
+/// \returns whole milliseconds, as fields of events state them.
+[[nodiscard]] std::string formatMilliseconds(Duration span);
 
 /// \returns the line of an event in \a format; values are escaped so that the result is one line.
 [[nodiscard]] std::string formatEvent(LogFormat format, std::string_view node, const EventRow &row,
--- a/include/plantainswitch/routing/brittleservices.h
+++ b/include/plantainswitch/routing/brittleservices.h
@@ -28,8 +28,8 @@
 inline constexpr Seconds brittleRetention{30};
 /// How long a router that was lost counts for brittleCoordinatorShare().
 inline constexpr Seconds lostRouterRetention{30};
-/// After a coordinator has denied a request to a brittle upstream, its router asks again so much
-/// later; about the time in which a slot is released.
+/// After a coordinator has denied a request to a brittle upstream, its router requests no grant for
+/// it for so long.
 inline constexpr Milliseconds brittleDenialWait{100};
 
 /// The services whose upstreams have announced that they are brittle, by the responses that this
@@ -46,10 +46,12 @@
 public:
     /// Records whether a response of the service carries the announcement.
     /// \param maxRejections as in BrittleNotice; nothing if the response does not carry it
-    void recordResponse(std::uint64_t service, std::optional<std::uint32_t> maxRejections,
+    /// \returns whether the service is brittle since then, or no longer is.
+    bool recordResponse(std::uint64_t service, std::optional<std::uint32_t> maxRejections,
                         TimePoint now);
     /// Applies an announcement that another router received.
-    void applyNotice(const BrittleNotice &notice);
+    /// \returns whether the service is brittle since then.
+    bool applyNotice(const BrittleNotice &notice, TimePoint now);
     /// \returns the announced number of rejections while the service is brittle.
     [[nodiscard]] std::optional<std::uint32_t> maxRejections(std::uint64_t service,
                                                              TimePoint now) const;
@@ -70,8 +72,8 @@
     std::unordered_map<std::uint64_t, Service> services;
 };
 
-/// \returns the number of requests up to which a brittle upstream gets any: its slots, and a few to
-/// keep them busy, whose rejection it withstands.
+/// \returns the number of requests up to which a brittle upstream gets any: its slots, and some of
+/// those that it may reject.
 [[nodiscard]] double brittleLoadBound(std::uint32_t slots, std::uint32_t maxRejections) noexcept;
 
 /// \returns the part of a brittle upstream's bound that a coordinator grants which reaches \a alive
--- a/include/plantainswitch/routing/enginecoordinator.h
+++ b/include/plantainswitch/routing/enginecoordinator.h
@@ -54,14 +54,11 @@
 /// doesn't know the grants of its predecessor.
 inline constexpr Milliseconds takeoverPeriod{2000};
 
-/// The same for a brittle engine, which meanwhile gets brittleTakeoverShare of its bound: routers
+/// The same for a brittle engine, which gets brittleTakeoverShare of its bound until then: routers
 /// that the new coordinator cannot reach may still have grants of the previous one, or get new
 /// ones.
 inline constexpr Seconds brittleTakeoverPeriod{4};
 inline constexpr double brittleTakeoverShare = 0.6;
-/// A coordinator that was not asked about a brittle engine for so long may not have been the only
-/// one.
-inline constexpr Milliseconds brittleTakeoverGap{1250};
 /// Interval after which a brittle engine that has rejected requests is tried with one more at once.
 inline constexpr Seconds roomProbeInterval{2};
 
@@ -125,17 +122,14 @@
         /// Requests at once that it had room for when it last rejected one; 0 if it never did.
         double room = 0.0;
         TimePoint rejectedAt;
-        /// Since when it has been asked about without a gap while it was brittle.
-        TimePoint brittleSince;
-        TimePoint lastBrittleRequest;
+        /// Counts requests while it is brittle.
+        CoordinationSpan brittleSpan;
     };
 
     /// \returns the number of requests above which none is granted; 0 if not limited.
+    /// \param isTakeover another router may still be the engine's coordinator
     [[nodiscard]] static double boundOf(const EngineGrantRequest &request, const Engine &engine,
-                                        TimePoint now) noexcept;
-    /// Records a request for a grant on a brittle engine. \returns whether others may have granted
-    /// some lately.
-    static bool recordBrittleRequest(Engine &engine, TimePoint now) noexcept;
+                                        bool isTakeover, TimePoint now) noexcept;
     [[nodiscard]] static double roomOf(const Engine &engine, TimePoint now) noexcept;
 
     double tokensPerMillisecond;
--- a/include/plantainswitch/routing/permitcoordinator.h
+++ b/include/plantainswitch/routing/permitcoordinator.h
@@ -26,6 +26,19 @@
     Milliseconds wait{0};
 };
 
+/// For how long a coordinator has been the only one of an upstream.
+struct CoordinationSpan
+{
+    TimePoint since;
+    TimePoint lastRequest;
+};
+
+/// Records a request about the upstream. Without one for permitWindow, another router may have been
+/// its coordinator in between.
+/// \param isInterrupted another router may have been the coordinator for other reasons
+/// \returns for how long this router has been the only one.
+Duration recordRequest(CoordinationSpan &span, bool isInterrupted, TimePoint now) noexcept;
+
 /// Limits the requests to the upstreams that this router coordinates, summed over all routers.
 ///
 /// Invariant: of the permits that one router gives for a cold upstream, at most PermitLimits::cold
@@ -45,9 +58,7 @@
     struct Upstream
     {
         PermitWindow window;
-        /// Since when it has been requested without interruption, with a majority.
-        TimePoint coordinatedSince;
-        TimePoint lastRequest;
+        CoordinationSpan span;
     };
 
     std::unordered_map<std::uint64_t, Upstream> upstreams;
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -1,10 +1,11 @@
 #include "plantainswitch/base/hash.h"
 
 #include <array>
-#include <charconv>
 
 #include <xxhash.h>
 
+#include "plantainswitch/base/number.h"
+
 namespace plantainswitch {
 
 namespace {
@@ -39,13 +40,7 @@
 std::optional<std::uint64_t> parseHash(std::string_view text)
 {
     constexpr int base = 16;
-    std::uint64_t hash = 0;
-    const char *const end = text.data() + text.size();
-    const auto [rest, error] = std::from_chars(text.data(), end, hash, base);
-    if (text.size() != hashDigits || error != std::errc{} || rest != end) {
-        return std::nullopt;
-    }
-    return hash;
+    return text.size() == hashDigits ? parseUnsigned(text, base) : std::nullopt;
 }
 
 } // namespace plantainswitch
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -154,4 +154,9 @@
     return line;
 }
 
+std::string formatMilliseconds(Duration span)
+{
+    return std::to_string(std::chrono::duration_cast<Milliseconds>(span).count());
+}
+
 } // namespace plantainswitch
--- a/src/routing/brittleservices.cpp
+++ b/src/routing/brittleservices.cpp
@@ -13,23 +13,27 @@
            && service.notAnnouncedAt < service.announcedAt + brittleOverlap;
 }
 
-void BrittleServices::recordResponse(std::uint64_t service,
+bool BrittleServices::recordResponse(std::uint64_t service,
                                      std::optional<std::uint32_t> maxRejections, TimePoint now)
 {
     if (maxRejections) {
-        this->applyNotice({service, *maxRejections, now});
-        return;
+        return this->applyNotice({service, *maxRejections, now}, now);
     }
-    this->services[service].notAnnouncedAt = now;
+    Service &known = this->services[service];
+    const bool wasBrittle = isBrittle(known, now);
+    known.notAnnouncedAt = now;
+    return isBrittle(known, now) != wasBrittle;
 }
 
-void BrittleServices::applyNotice(const BrittleNotice &notice)
+bool BrittleServices::applyNotice(const BrittleNotice &notice, TimePoint now)
 {
     Service &known = this->services[notice.service];
+    const bool wasBrittle = isBrittle(known, now);
     if (notice.announcedAt > known.announcedAt) {
         known.announcedAt = notice.announcedAt;
         known.maxRejections = notice.maxRejections;
     }
+    return isBrittle(known, now) != wasBrittle;
 }
 
 std::optional<std::uint32_t> BrittleServices::maxRejections(std::uint64_t service,
--- a/src/routing/enginecoordinator.cpp
+++ b/src/routing/enginecoordinator.cpp
@@ -44,13 +44,14 @@
     reply.cachedParts = static_cast<std::uint32_t>(cached);
     reply.pendingPrefillTokens = engine.pendingPrefill;
     reply.running = static_cast<std::uint32_t>(engine.grants.size());
-    const bool isTakenOver = request.brittleBound > 0.0
-                                 ? recordBrittleRequest(engine, now)
-                                 : now - engine.coordinatedSince < takeoverPeriod;
-    if (isTakenOver) {
+    const bool isTakeover =
+        request.brittleBound > 0.0
+            ? recordRequest(engine.brittleSpan, false, now) < brittleTakeoverPeriod
+            : now - engine.coordinatedSince < takeoverPeriod;
+    if (isTakeover) {
         reply.running = std::max(reply.running, reported);
     }
-    const double bound = boundOf(request, engine, now);
+    const double bound = boundOf(request, engine, isTakeover, now);
     if (bound > 0.0 && reply.running + 1.0 > bound) {
         return reply;
     }
@@ -72,23 +73,14 @@
     return engine.room + static_cast<double>((now - engine.rejectedAt) / roomProbeInterval);
 }
 
-bool EngineCoordinator::recordBrittleRequest(Engine &engine, TimePoint now) noexcept
-{
-    if (now - engine.lastBrittleRequest >= brittleTakeoverGap) {
-        engine.brittleSince = now;
-    }
-    engine.lastBrittleRequest = now;
-    return now - engine.brittleSince < brittleTakeoverPeriod;
-}
-
 double EngineCoordinator::boundOf(const EngineGrantRequest &request, const Engine &engine,
-                                  TimePoint now) noexcept
+                                  bool isTakeover, TimePoint now) noexcept
 {
     if (request.brittleBound <= 0.0) {
         return request.loadBound;
     }
     double bound = request.brittleBound;
-    if (now - engine.brittleSince < brittleTakeoverPeriod) {
+    if (isTakeover) {
         bound *= brittleTakeoverShare;
     }
     if (engine.room > 0.0) {
--- a/src/routing/permitcoordinator.cpp
+++ b/src/routing/permitcoordinator.cpp
@@ -15,6 +15,15 @@
 
 } // namespace
 
+Duration recordRequest(CoordinationSpan &span, bool isInterrupted, TimePoint now) noexcept
+{
+    if (isInterrupted || now - span.lastRequest >= permitWindow) {
+        span.since = now;
+    }
+    span.lastRequest = now;
+    return now - span.since;
+}
+
 PermitReply PermitCoordinator::request(const PermitRequest &request, TimePoint now)
 {
     if (request.limits.warm == 0) {
@@ -22,13 +31,7 @@
     }
     const auto [found, isNew] = this->upstreams.try_emplace(request.upstream);
     Upstream &upstream = found->second;
-    // Without requests or a majority another router may have taken over in between.
-    const bool wasInterrupted =
-        isNew || !request.mayPermitCold || now - upstream.lastRequest >= permitWindow;
-    if (wasInterrupted) {
-        upstream.coordinatedSince = now;
-    }
-    upstream.lastRequest = now;
+    const Duration coordinated = recordRequest(upstream.span, isNew || !request.mayPermitCold, now);
     upstream.window.recordDemand(now);
     if (!request.isCold) {
         // A steady demand above the limit is not the start of an overload, so that it passes.
@@ -37,7 +40,6 @@
         const bool permitted = upstream.window.tryTake(limit, now);
         return {permitted, permitted ? Milliseconds{0} : upstream.window.waitFor(limit, now)};
     }
-    const Duration coordinated = now - upstream.coordinatedSince;
     if (coordinated < permitWindow) {
         const auto left = std::chrono::ceil<Milliseconds>(permitWindow - coordinated);
         return {false, std::min(left, maxTakeoverWait)};
@@ -50,7 +52,7 @@
 void PermitCoordinator::removeIdle(TimePoint now)
 {
     std::erase_if(this->upstreams, [now](const auto &entry) {
-        return now - entry.second.lastRequest > idleRetention;
+        return now - entry.second.span.lastRequest > idleRetention;
     });
 }
 
--- a/src/routing/routercontacts.cpp
+++ b/src/routing/routercontacts.cpp
@@ -359,31 +359,35 @@
     {
         std::optional<Endpoint> address;
         double score = 0.0;
-        std::size_t eligible = 0;
     };
     const GossipIntervals intervals = this->gossipIntervals();
     Choice local;
     Choice any;
     std::size_t localRouters = 1;
+    std::size_t localEligible = 0;
+    const auto consider = [](Choice &choice, const Endpoint &address, double score) {
+        if (!choice.address || score > choice.score) {
+            choice = {address, score};
+        }
+    };
     for (const auto &[address, contact] : this->contacts) {
         if (!this->isAlive(contact, intervals, now)) {
             continue;
         }
-        localRouters += this->isLocal(contact) ? 1 : 0;
+        const bool isLocal = this->isLocal(contact);
+        localRouters += isLocal ? 1 : 0;
         if (!isEligible(contact, address, query)) {
             continue;
         }
         const double score = scoreOf(query.request, contact.id);
-        for (Choice *const choice : {&any, this->isLocal(contact) ? &local : &any}) {
-            choice->eligible += 1;
-            if (!choice->address || score > choice->score) {
-                choice->address = address;
-                choice->score = score;
-            }
+        consider(any, address, score);
+        if (isLocal) {
+            localEligible += 1;
+            consider(local, address, score);
         }
     }
     // A few routers of a data centre cannot serve the callers of all others there.
-    const bool localsSuffice = local.eligible * minLocalHelperShare >= localRouters;
+    const bool localsSuffice = localEligible * minLocalHelperShare >= localRouters;
     return localsSuffice && local.address ? local.address : any.address;
 }
 
--- a/tests/brittlemodel.cpp
+++ b/tests/brittlemodel.cpp
@@ -553,7 +553,7 @@
     {
         this->routers[to].heardAt[from] = this->now;
         for (const BrittleNotice &notice : this->routers[from].brittle.notices(this->now)) {
-            this->routers[to].brittle.applyNotice(notice);
+            this->routers[to].brittle.applyNotice(notice, this->now);
         }
         std::vector<std::uint32_t> &reported = this->routers[to].reported[from];
         reported.resize(this->upstreams.size());
--- a/tests/brittleservices.cpp
+++ b/tests/brittleservices.cpp
@@ -84,10 +84,10 @@
     this->clock.advance(brittleOverlap);
     this->respond(std::nullopt);
     CHECK(this->services.notices(this->clock.now()).empty());
-    this->services.applyNotice(notices.front());
+    this->services.applyNotice(notices.front(), this->clock.now());
     CHECK_FALSE(this->maxRejections());
     BrittleServices other;
-    other.applyNotice(notices.front());
+    other.applyNotice(notices.front(), this->clock.now());
     CHECK(other.maxRejections(service, this->clock.now()) == 4U);
 }
 
