Log rejections by brittle upstreams, and requests sent to them without a grant

The two hypotheses on their crashes look alike in the logs: a rejection was logged as a fault like any other, and a request without its coordinator's reply like one with it.

--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -247,6 +247,10 @@
     }
     if (!coordinatorReply) {
         if (this->mayDispatchUnpermitted(*target)) {
+            if (this->gateway.isBrittle(this->service)) {
+                logEvent(Event::BrittleUngranted,
+                         {{"request", this->request->attemptId}, {"upstream", target->replica.id}});
+            }
             this->dispatchTo(placement);
             return;
         }
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -259,6 +259,13 @@
     this->recordUpstreamFault(this->response.misdirected ? UpstreamFault::Unreachable
                                                          : UpstreamFault::Rejected);
     if (!this->response.misdirected && this->gateway.isBrittle(this->service)) {
+        logEvent(Event::BrittleRejection,
+                 {{"request", this->request->attemptId},
+                  {"upstream", this->upstream->replica.id},
+                  {"own", std::to_string(this->upstream->ownRunning)},
+                  {"peers", std::to_string(this->upstream->peersRunning)},
+                  {"max_rejections",
+                   std::to_string(this->gateway.maxRejectionsOf(this->service).value_or(0))}});
         this->gateway.fleet->reportRejection(this->upstream->replica);
         this->upstream->permitBlockedUntil = this->now() + brittleDenialWait;
     }
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -89,6 +89,8 @@
     ServiceReached = 515,
     ServiceBrittle = 516,
     ServiceSound = 517,
+    BrittleRejection = 518,
+    BrittleUngranted = 519,
     UpstreamCrashed = 550,
     RequestQuarantined = 551,
     CrashReported = 552,
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -84,6 +84,8 @@
     EventRow{Event::ServiceReached, "service-reached", Severity::Info},
     EventRow{Event::ServiceBrittle, "service-brittle", Severity::Warning},
     EventRow{Event::ServiceSound, "service-sound", Severity::Info},
+    EventRow{Event::BrittleRejection, "brittle-rejection", Severity::Info},
+    EventRow{Event::BrittleUngranted, "brittle-ungranted", Severity::Info},
     EventRow{Event::UpstreamCrashed, "upstream-crashed", Severity::Warning},
     EventRow{Event::RequestQuarantined, "request-quarantined", Severity::Error},
     EventRow{Event::CrashReported, "crash-reported", Severity::Info},
