Keep grants of runs that were given up at brittle upstreams until these can have ended

Reported: brittle upstreams crash more often than allowed. Cause: a router released the grant of a run with the run itself, although the upstream may still hold it, so that the coordinator granted the same slot again. An upstream that stood still for a second rejected all of that at once when it went on.

The end of a grant now states whether the upstream responded, was not used, or was abandoned; the coordinator keeps an abandoned one until the run would usually have ended, counted from a response to any router, 2 s at most.

--- a/gateway/fleetcoordination.cpp
+++ b/gateway/fleetcoordination.cpp
@@ -158,7 +158,18 @@
                               Milliseconds{message.cold_ms()}});
 }
 
-void FleetGossip::releaseGrant(std::uint64_t incarnation, std::uint64_t requestId)
+void FleetGossip::onGrantEnd(const wire::EngineEnd &message, const Endpoint &from)
+{
+    const Milliseconds typicalHold{message.abandoned_hold_ms()};
+    const GrantEnd end = typicalHold.count() > 0 ? GrantEnd::Abandoned
+                         : message.responded()   ? GrantEnd::Responded
+                                                 : GrantEnd::Unused;
+    this->coordinator.endGrant(toText(from), message.number(), message.life(), {end, typicalHold},
+                               this->gateway.clock.now());
+}
+
+void FleetGossip::releaseGrant(std::uint64_t incarnation, std::uint64_t requestId,
+                               const GrantRelease &release)
 {
     const auto found = this->grantors.find(requestId);
     if (found == this->grantors.end()) {
@@ -167,12 +178,19 @@
     const Endpoint address = found->second;
     this->grantors.erase(found);
     if (address == this->gateway.settings.peerDatagrams) {
-        this->coordinator.releaseGrant(toText(address), requestId, incarnation);
+        this->coordinator.endGrant(toText(address), requestId, incarnation, release,
+                                   this->gateway.clock.now());
         return;
     }
     wire::GatewayDatagram datagram;
-    datagram.mutable_end()->set_number(requestId);
-    datagram.mutable_end()->set_life(incarnation);
+    wire::EngineEnd &message = *datagram.mutable_end();
+    message.set_number(requestId);
+    message.set_life(incarnation);
+    message.set_responded(release.end == GrantEnd::Responded);
+    if (release.end == GrantEnd::Abandoned) {
+        const auto hold = std::chrono::ceil<Milliseconds>(release.typicalHold);
+        message.set_abandoned_hold_ms(std::max(1U, static_cast<std::uint32_t>(hold.count())));
+    }
     this->sendTo(address, datagram);
 }
 
--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -296,8 +296,7 @@
         if (datagram.end().rejected()) {
             this->coordinator.recordRejection(datagram.end().life(), this->gateway.clock.now());
         } else {
-            this->coordinator.releaseGrant(toText(from), datagram.end().number(),
-                                           datagram.end().life());
+            this->onGrantEnd(datagram.end(), from);
         }
         break;
     case wire::GatewayDatagram::kOriginReport:
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -38,10 +38,17 @@
     void requestGrant(EngineGrantRequest grantRequest,
                       std::function<void(std::optional<EngineGrantReply>)> done);
     /// Reports to the coordinator that a granted request has ended.
-    void releaseGrant(std::uint64_t incarnation, std::uint64_t requestId);
+    void releaseGrant(std::uint64_t incarnation, std::uint64_t requestId,
+                      const GrantRelease &release = {});
     /// Reports to the coordinator of a brittle upstream that it rejected a request for want of
     /// room.
     void reportRejection(const Replica &replica);
+    /// \returns the number of grants that this router keeps as coordinator for runs that were given
+    /// up.
+    [[nodiscard]] std::size_t abandonedGrantCount() const noexcept
+    {
+        return this->coordinator.abandonedCount();
+    }
     /// \returns an id for the next request to a coordinator.
     [[nodiscard]] std::uint64_t nextRequestId() noexcept { return ++this->lastRequestId; }
     /// \returns the address at which this router receives updates. Valid after start().
@@ -89,6 +96,7 @@
     void onUpdateMessage(const wire::RouterNews &message, const Endpoint &from);
     void onAsk(const wire::EngineAsk &message, const Endpoint &from);
     void onReply(const wire::EngineReply &message);
+    void onGrantEnd(const wire::EngineEnd &message, const Endpoint &from);
     /// Fills in by what limits the coordinator grants \a request, and merges its and the requesting
     /// router's knowledge of whether the engine is cold.
     /// \returns how much longer the engine is believed to be cold.
--- a/gateway/gatewaybrittle.cpp
+++ b/gateway/gatewaybrittle.cpp
@@ -33,6 +33,12 @@
     return this->maxRejectionsOf(service).has_value();
 }
 
+Duration GatewayState::typicalHold(const std::string &service)
+{
+    const double hold = this->estimators[service].performance(this->clock.now()).slotHoldTime;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(hold));
+}
+
 double GatewayState::brittleBoundOf(const UpstreamState &upstream) const
 {
     const auto maxRejections = this->maxRejectionsOf(upstream.replica.service);
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -289,12 +289,17 @@
     this->dispatchTo(placement);
 }
 
-void RequestHandler::releaseGrant()
+void RequestHandler::releaseGrant(GrantEnd end)
 {
-    if (this->grantId != 0) {
-        this->gateway.fleet->releaseGrant(this->grantedIncarnation, this->grantId);
-        this->grantId = 0;
+    if (this->grantId == 0) {
+        return;
+    }
+    GrantRelease release;
+    if (this->gateway.isBrittle(this->service)) {
+        release = {end, this->gateway.typicalHold(this->service)};
     }
+    this->gateway.fleet->releaseGrant(this->grantedIncarnation, this->grantId, release);
+    this->grantId = 0;
 }
 
 double RequestHandler::promptTokens() const
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -334,12 +334,16 @@
 
 void RequestHandler::releaseUpstream()
 {
+    const bool hasResponded = this->upstream && this->headReceived;
+    const GrantEnd grantEnd = this->isRunning ? GrantEnd::Abandoned
+                              : hasResponded  ? GrantEnd::Responded
+                                              : GrantEnd::Unused;
     this->recordUnansweredRun(RunEnd::GivenUp);
     if (this->connection) {
         this->connection->abort();
         this->connection.reset();
     }
-    this->releaseGrant();
+    this->releaseGrant(grantEnd);
     if (!this->upstream) {
         return;
     }
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -126,7 +126,7 @@
     void requestGrant(Selection placement);
     void onCoordinatorReply(Selection placement,
                             const std::optional<EngineGrantReply> &keeperAnswer);
-    void releaseGrant();
+    void releaseGrant(GrantEnd end = GrantEnd::Unused);
     [[nodiscard]] double promptTokens() const;
     void dispatchTo(const Selection &placement);
     void sendRequest(const std::shared_ptr<UpstreamState> &target,
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "fleetgossip.h"
+
 namespace plantainswitch::gateway {
 
 namespace {
@@ -160,6 +162,7 @@
         appendSample(page, "service_brittle", fmt::format("service=\"{}\"", name),
                      state.isBrittle(name) ? 1.0 : 0.0);
     }
+    appendGauge(page, "abandoned_grants", static_cast<double>(state.fleet->abandonedGrantCount()));
     appendGauge(page, "forwarded_running", static_cast<double>(state.forwardedRunning));
     appendType(page, "running");
     for (const auto &[name, service] : services) {
--- a/include/plantainswitch/routing/enginecoordinator.h
+++ b/include/plantainswitch/routing/enginecoordinator.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -31,6 +32,25 @@
     PermitRequest permit;
 };
 
+/// Why a router no longer needs a grant.
+enum class GrantEnd : std::uint8_t {
+    /// The request did not reach the engine, or the engine closed the connection.
+    Unused,
+    /// The engine has responded.
+    Responded,
+    /// The router has given the run up. The engine may still hold it: it goes on after the
+    /// connection was closed, or is silent and has not noticed.
+    Abandoned,
+};
+
+/// The end of a grant, as its router states it.
+struct GrantRelease
+{
+    GrantEnd end = GrantEnd::Unused;
+    /// Time for which a request of the service usually holds its slot; only of an abandoned run.
+    Duration typicalHold{0};
+};
+
 /// The coordinator's reply.
 struct EngineGrantReply
 {
@@ -59,6 +79,9 @@
 /// ones.
 inline constexpr Seconds brittleTakeoverPeriod{4};
 inline constexpr double brittleTakeoverShare = 0.6;
+/// Longest time for which the grant of an abandoned run is kept. It spans a brief silence of the
+/// engine.
+inline constexpr Seconds maxAbandonedRetention{2};
 /// Interval after which a brittle engine that has rejected requests is tried with one more at once.
 inline constexpr Seconds roomProbeInterval{2};
 
@@ -94,6 +117,11 @@
     /// Releases a grant; an unknown one is ignored.
     void releaseGrant(const std::string &router, std::uint64_t requestId,
                       std::uint64_t incarnation);
+    /// Ends a grant as its router states. That of an abandoned run is kept until the run would
+    /// usually have ended, counted from when the engine was seen to respond; without a response for
+    /// maxAbandonedRetention.
+    void endGrant(const std::string &router, std::uint64_t requestId, std::uint64_t incarnation,
+                  const GrantRelease &release, TimePoint now);
     /// Records that a brittle engine rejected a request for want of room. From then on it gets no
     /// more at once than it had beside that one, and one more each roomProbeInterval.
     void recordRejection(std::uint64_t incarnation, TimePoint now);
@@ -108,14 +136,33 @@
     void removeIdleEngines(TimePoint now);
     /// \returns the number of engines that are tracked.
     [[nodiscard]] std::size_t engineCount() const noexcept { return this->engines.size(); }
+    /// \returns the number of grants that are kept for abandoned runs.
+    [[nodiscard]] std::size_t abandonedCount() const noexcept;
     /// \returns the engine incarnations on which \a router has grants.
     [[nodiscard]] std::vector<std::uint64_t> incarnationsGrantedTo(const std::string &router) const;
 
 private:
+    /// A run that its router no longer waits for.
+    struct Abandonment
+    {
+        TimePoint since;
+        Duration typicalHold{0};
+        /// When the engine is known to have begun the run at the latest; nothing while it is
+        /// silent.
+        std::optional<TimePoint> begunBy;
+    };
+
+    struct Grant
+    {
+        TimePoint grantedAt;
+        std::optional<Abandonment> abandonment;
+    };
+
     struct Engine
     {
-        /// Time of each grant, by router and request id.
-        std::map<std::pair<std::string, std::uint64_t>, TimePoint> grants;
+        /// By router and request id.
+        std::map<std::pair<std::string, std::uint64_t>, Grant> grants;
+        TimePoint lastResponse;
         double pendingPrefill = 0.0;
         TimePoint unreadAt;
         TimePoint coordinatedSince;
@@ -130,6 +177,11 @@
     /// \param isTakeover another router may still be the engine's coordinator
     [[nodiscard]] static double boundOf(const EngineGrantRequest &request, const Engine &engine,
                                         bool isTakeover, TimePoint now) noexcept;
+    void abandonGrant(const std::string &router, std::uint64_t requestId, std::uint64_t incarnation,
+                      Duration typicalHold, TimePoint now);
+    void recordResponse(std::uint64_t incarnation, TimePoint now);
+    /// Releases the grants of abandoned runs that have ended by now.
+    static void releaseAbandoned(Engine &engine, TimePoint now);
     [[nodiscard]] static double roomOf(const Engine &engine, TimePoint now) noexcept;
 
     double tokensPerMillisecond;
--- a/src/routing/enginecoordinator.cpp
+++ b/src/routing/enginecoordinator.cpp
@@ -38,6 +38,7 @@
     engine.pendingPrefill =
         std::max(0.0, engine.pendingPrefill - elapsed * this->tokensPerMillisecond);
     engine.unreadAt = now;
+    releaseAbandoned(engine, now);
     const std::size_t cached =
         this->prefixIndex.cachedParts(request.prefixHashes, request.incarnation, now);
     EngineGrantReply reply;
@@ -62,7 +63,7 @@
     }
     reply.granted = true;
     reply.running += 1;
-    engine.grants[{request.router, request.requestId}] = now;
+    engine.grants[{request.router, request.requestId}] = {now, std::nullopt};
     engine.pendingPrefill += uncachedTokensOf(request, cached);
     this->prefixIndex.recordUse(request.prefixHashes, request.incarnation, now);
     return reply;
@@ -104,6 +105,7 @@
     }
     engine.room = std::max(1.0, room);
     engine.rejectedAt = now;
+    this->recordResponse(incarnation, now);
 }
 
 void EngineCoordinator::releaseGrant(const std::string &router, std::uint64_t requestId,
@@ -115,6 +117,75 @@
     }
 }
 
+void EngineCoordinator::endGrant(const std::string &router, std::uint64_t requestId,
+                                 std::uint64_t incarnation, const GrantRelease &release,
+                                 TimePoint now)
+{
+    if (release.end == GrantEnd::Abandoned) {
+        this->abandonGrant(router, requestId, incarnation, release.typicalHold, now);
+        return;
+    }
+    if (release.end == GrantEnd::Responded) {
+        this->recordResponse(incarnation, now);
+    }
+    this->releaseGrant(router, requestId, incarnation);
+}
+
+void EngineCoordinator::abandonGrant(const std::string &router, std::uint64_t requestId,
+                                     std::uint64_t incarnation, Duration typicalHold, TimePoint now)
+{
+    const auto engine = this->engines.find(incarnation);
+    if (engine == this->engines.end()) {
+        return;
+    }
+    const auto grant = engine->second.grants.find({router, requestId});
+    if (grant == engine->second.grants.end()) {
+        return;
+    }
+    const TimePoint grantedAt = grant->second.grantedAt;
+    const bool hasResponded = engine->second.lastResponse > grantedAt;
+    grant->second.abandonment = {now, typicalHold,
+                                 hasResponded ? std::optional(grantedAt) : std::nullopt};
+}
+
+void EngineCoordinator::recordResponse(std::uint64_t incarnation, TimePoint now)
+{
+    const auto engine = this->engines.find(incarnation);
+    if (engine == this->engines.end()) {
+        return;
+    }
+    engine->second.lastResponse = now;
+    for (auto &[key, grant] : engine->second.grants) {
+        if (grant.abandonment && !grant.abandonment->begunBy) {
+            grant.abandonment->begunBy = now;
+        }
+    }
+}
+
+void EngineCoordinator::releaseAbandoned(Engine &engine, TimePoint now)
+{
+    std::erase_if(engine.grants, [now](const auto &entry) {
+        const std::optional<Abandonment> &abandonment = entry.second.abandonment;
+        if (!abandonment) {
+            return false;
+        }
+        const bool hasEnded =
+            abandonment->begunBy && now >= *abandonment->begunBy + abandonment->typicalHold;
+        return hasEnded || now >= abandonment->since + maxAbandonedRetention;
+    });
+}
+
+std::size_t EngineCoordinator::abandonedCount() const noexcept
+{
+    std::size_t count = 0;
+    for (const auto &[incarnation, engine] : this->engines) {
+        for (const auto &[key, grant] : engine.grants) {
+            count += grant.abandonment ? 1 : 0;
+        }
+    }
+    return count;
+}
+
 void EngineCoordinator::reconcile(const std::string &router, std::uint64_t incarnation,
                                   std::uint32_t reported, TimePoint now)
 {
@@ -127,11 +198,12 @@
     auto last = first;
     std::uint32_t counted = 0;
     while (last != grants.end() && last->first.first == router) {
-        ++counted;
+        // Routers no longer report the runs that they have given up.
+        counted += last->second.abandonment ? 0 : 1;
         ++last;
     }
     for (auto grant = first; counted > reported && grant != last;) {
-        if (now - grant->second < orphanedGrantTimeout) {
+        if (grant->second.abandonment || now - grant->second.grantedAt < orphanedGrantTimeout) {
             ++grant;
             continue;
         }
@@ -151,6 +223,9 @@
 void EngineCoordinator::removeIdleEngines(TimePoint now)
 {
     this->permits.removeIdle(now);
+    for (auto &[incarnation, engine] : this->engines) {
+        releaseAbandoned(engine, now);
+    }
     std::erase_if(this->engines, [now](const auto &entry) {
         return entry.second.grants.empty() && now - entry.second.unreadAt > idleEngineRetention;
     });
--- a/tests/brittleservices.cpp
+++ b/tests/brittleservices.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::uint64_t service = 5;
 constexpr std::uint64_t engine = 7;
+constexpr Milliseconds typicalHold{130};
 
 class BrittleServicesFixture
 {
@@ -34,6 +35,11 @@
         return this->coordinator.requestGrant(request, reported, this->clock.now()).granted;
     }
 
+    void endGrant(std::uint64_t id, GrantEnd end)
+    {
+        this->coordinator.endGrant("a", id, engine, {end, typicalHold}, this->clock.now());
+    }
+
     /// Requests and releases grants until the coordinator's takeover is over.
     void finishTakeover(double bound)
     {
@@ -150,3 +156,61 @@
     CHECK(this->requestGrant(10, 0.5));
     CHECK_FALSE(this->requestGrant(11, 0.5));
 }
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleEngine_goesOnWithAbandonedRun_keepsItsGrant",
+                 "[routing]")
+{
+    // Guards against a slot that is granted again while the engine still runs what a router gave
+    // up.
+    this->finishTakeover(2.0);
+    REQUIRE(this->requestGrant(10, 2.0));
+    REQUIRE(this->requestGrant(11, 2.0));
+    this->clock.advance(Milliseconds{20});
+    this->endGrant(11, GrantEnd::Responded);
+    REQUIRE(this->requestGrant(12, 2.0));
+    this->endGrant(10, GrantEnd::Abandoned);
+    CHECK(this->coordinator.abandonedCount() == 1);
+    this->clock.advance(typicalHold - Milliseconds{21});
+    CHECK_FALSE(this->requestGrant(13, 2.0));
+    this->clock.advance(Milliseconds{1});
+    CHECK(this->requestGrant(13, 2.0));
+}
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleEngine_isSilent_keepsAbandonedGrantsUntilResponse",
+                 "[routing]")
+{
+    // Guards against requests that pile up at a silent engine, which rejects them when it goes on.
+    this->finishTakeover(1.0);
+    REQUIRE(this->requestGrant(10, 1.0));
+    this->endGrant(10, GrantEnd::Abandoned);
+    this->clock.advance(2 * typicalHold);
+    CHECK_FALSE(this->requestGrant(11, 1.0));
+    this->endGrant(99, GrantEnd::Responded);
+    CHECK_FALSE(this->requestGrant(12, 1.0));
+    this->clock.advance(typicalHold);
+    CHECK(this->requestGrant(13, 1.0));
+}
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleEngine_staysSilent_losesAbandonedGrantsInTheEnd",
+                 "[routing]")
+{
+    // Guards against an engine that never gets a request again, because nothing shows that it
+    // responds.
+    this->finishTakeover(1.0);
+    REQUIRE(this->requestGrant(10, 1.0));
+    this->endGrant(10, GrantEnd::Abandoned);
+    this->clock.advance(maxAbandonedRetention);
+    CHECK(this->requestGrant(11, 1.0));
+}
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleEngine_routerReportsNothing_keepsAbandonedGrant",
+                 "[routing]")
+{
+    // Guards against updates of a router that revoke the grants of runs it no longer counts.
+    this->finishTakeover(1.0);
+    REQUIRE(this->requestGrant(10, 1.0));
+    this->clock.advance(orphanedGrantTimeout);
+    this->endGrant(10, GrantEnd::Abandoned);
+    this->coordinator.reconcile("a", engine, 0, this->clock.now());
+    CHECK_FALSE(this->requestGrant(11, 1.0));
+}
--- a/tests/support/brittlemodel.h
+++ b/tests/support/brittlemodel.h
@@ -66,6 +66,8 @@
     /// Interval at which a router responds to others late for two seconds; 0: never.
     Milliseconds slownessInterval{0};
     bool isLimited = true;
+    /// Whether coordinators keep the grants of abandoned runs.
+    bool areAbandonedKept = true;
 };
 
 class BrittleModel : private Simulation
@@ -452,7 +454,7 @@
         }
         run->isAbandoned = true;
         const AttemptPointer attempt = run->attempt;
-        this->release(run);
+        this->release(run, this->options.areAbandonedKept ? GrantEnd::Abandoned : GrantEnd::Unused);
         if (isRetried && attempt->tried.size() < maxRunsOfRequest) {
             this->select(attempt);
         }
@@ -580,7 +582,7 @@
                 });
             }
         }
-        this->release(run);
+        this->release(run, GrantEnd::Responded);
         attempt->rejections += 1;
         if (attempt->rejections <= maxRejectedAttempts) {
             this->select(attempt);
@@ -595,7 +597,7 @@
                 return;
             }
             run->isOver = true;
-            this->release(run);
+            this->release(run, isServed ? GrantEnd::Responded : GrantEnd::Unused);
             if (isServed && this->isAlive(*run->attempt)) {
                 this->servedCount += this->announces() ? 1 : 0;
                 this->recordResponse(run->attempt->router);
@@ -611,7 +613,7 @@
     }
 
     /// The router no longer waits for the run.
-    void release(const RunPointer &run)
+    void release(const RunPointer &run, GrantEnd end)
     {
         const AttemptPointer &attempt = run->attempt;
         if (!this->isAlive(*attempt)) {
@@ -620,13 +622,20 @@
         this->routers[attempt->router].views[run->upstream].running -= 1;
         const std::size_t grantor = std::exchange(attempt->grantor, this->routers.size());
         if (grantor < this->routers.size() && !this->isLost()) {
-            this->at(this->between(1, 4), [this, attempt, grantor, run] {
-                this->routers[grantor].coordinator.releaseGrant(std::to_string(attempt->router),
-                                                                attempt->id, run->incarnation);
+            this->at(this->between(1, 4), [this, attempt, grantor, run, end] {
+                this->endGrant(*attempt, grantor, run->incarnation, end);
             });
         }
     }
 
+    void endGrant(const Attempt &attempt, std::size_t grantor, std::uint64_t incarnation,
+                  GrantEnd end)
+    {
+        constexpr Milliseconds typicalHold{130};
+        this->routers[grantor].coordinator.endGrant(std::to_string(attempt.router), attempt.id,
+                                                    incarnation, {end, typicalHold}, this->now);
+    }
+
     void crash(std::size_t index)
     {
         ModelUpstream &upstream = this->upstreams[index];
