--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -21,6 +21,18 @@
 /// announce it again. A third of the time for which the announcement is believed.
 constexpr Duration prefixAnnounceInterval = cacheResidency / 3;
 
+/// \returns the ids of the parts that other prompts may share, for the log.
+std::string sharedPartsOf(const std::optional<Prompt> &prompt)
+{
+    constexpr std::size_t maxLoggedParts = 8;
+    std::string text;
+    const std::size_t parts = prompt && !prompt->parts.empty() ? prompt->parts.size() - 1 : 0;
+    for (std::size_t i = 0; i < std::min(parts, maxLoggedParts); ++i) {
+        text += fmt::format("{}{:x}", i == 0 ? "" : ",", prompt->parts[i].id);
+    }
+    return text;
+}
+
 } // namespace
 
 void RequestHandler::selectAndDispatch()
@@ -338,6 +350,7 @@
               {"extra_ms", fmt::format("{:.1f}", extraDelayOf(state.health, this->now()))},
               {"bound", fmt::format("{:.1f}", choice.loadBound)},
               {"prefix", formatHash(sharedPrefixOf(this->prefixHashes).value_or(0))},
+              {"parts", sharedPartsOf(this->request->prompt)},
               {"tokens", fmt::format("{:.0f}", this->promptTokens())},
               {"first_read", choice.isFirstPrefill ? "yes" : "no"},
               {"uncached", fmt::format("{:.0f}", choice.uncachedTokens)},
