--- a/include/plantainswitch/routing/enginecoordinator.h
+++ b/include/plantainswitch/routing/enginecoordinator.h
@@ -79,7 +79,7 @@
 /// ones.
 inline constexpr Seconds brittleTakeoverPeriod{4};
 inline constexpr double brittleTakeoverShare = 0.6;
-/// Longest time for which the grant of an abandoned run is kept. It spans a brief silence of the
+/// Longest time for which the grant of an abandoned run is kept. It spans a brief pause of the
 /// engine.
 inline constexpr Seconds maxAbandonedRetention{2};
 /// Interval after which a brittle engine that has rejected requests is tried with one more at once.
@@ -147,9 +147,9 @@
     {
         TimePoint since;
         Duration typicalHold{0};
-        /// When the engine is known to have begun the run at the latest; nothing while it is
+        /// When the engine is known to have started the run at the latest; nothing while it is
         /// silent.
-        std::optional<TimePoint> begunBy;
+        std::optional<TimePoint> startedBy;
     };
 
     struct Grant
--- a/src/routing/enginecoordinator.cpp
+++ b/src/routing/enginecoordinator.cpp
@@ -156,8 +156,8 @@
     }
     engine->second.lastResponse = now;
     for (auto &[key, grant] : engine->second.grants) {
-        if (grant.abandonment && !grant.abandonment->begunBy) {
-            grant.abandonment->begunBy = now;
+        if (grant.abandonment && !grant.abandonment->startedBy) {
+            grant.abandonment->startedBy = now;
         }
     }
 }
@@ -170,7 +170,7 @@
             return false;
         }
         const bool hasEnded =
-            abandonment->begunBy && now >= *abandonment->begunBy + abandonment->typicalHold;
+            abandonment->startedBy && now >= *abandonment->startedBy + abandonment->typicalHold;
         return hasEnded || now >= abandonment->since + maxAbandonedRetention;
     });
 }
