--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -35,16 +35,24 @@
 
 } // namespace
 
-void RequestHandler::selectAndDispatch()
+bool RequestHandler::maySelect()
 {
-    this->phase = Phase::Selecting;
     if (this->remainingTime() < minRemainingTime) {
         this->fail();
-        return;
+        return false;
     }
     // A crash may have been reported while the request waited, or ran elsewhere.
     if (const auto blocking = this->blockedBy()) {
         this->refuseQuarantined(blocking->key);
+        return false;
+    }
+    return true;
+}
+
+void RequestHandler::selectAndDispatch()
+{
+    this->phase = Phase::Selecting;
+    if (!this->maySelect()) {
         return;
     }
     // The timer of an earlier attempt must not fire while the coordinator of the next one is asked.
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -104,6 +104,9 @@
     void refuseQuarantined(SuspectKey key);
     /// Records that the run at the current upstream ends without a response.
     void recordUnansweredRun(RunEnd end);
+    /// Ends the request if no time is left for an attempt, or one of its suspects is quarantined.
+    /// \returns whether an upstream may be selected.
+    bool maySelect();
     void selectAndDispatch();
     /// \returns where the request may be processed.
     [[nodiscard]] PlacementConstraints placementConstraints() const;
