Log how late the event loop is, what a load bound is a mean over, and how long lost peers were silent

Change: event 109 and the gauge event_loop_late_seconds state how late the event loop was and how many datagrams it read in a turn; 301 how long a lost peer was silent; 213 how long a fetch took; 404 over how many upstreams the mean behind the load bound was taken. Conclusion: observability only, no change of behaviour.

--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -271,6 +271,7 @@
                                             return;
                                         }
                                         if (!error) {
+                                            this->gateway.loopMonitor.recordDatagrams(1);
                                             this->onDatagram(size);
                                         }
                                         this->receive();
@@ -639,7 +640,9 @@
                   [now](const auto &entry) { return now - entry.second >= lostRouterRetention; });
     for (const std::string &failedRouter : this->contacts.removeFailed(now)) {
         this->gateway.peerLoads.removeRouter(failedRouter);
-        logEvent(Event::MemberGone, {{"member", failedRouter}});
+        const std::uint32_t silent = millisecondsSince(this->contacts.lastSeen(failedRouter), now);
+        logEvent(Event::MemberGone,
+                 {{"member", failedRouter}, {"silent_ms", std::to_string(silent)}});
         this->lostRouters[failedRouter] = now;
         this->dropGrants(failedRouter);
         this->gateway.peerLoadsChanged = true;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -294,6 +294,7 @@
                 return;
             }
             if (!error) {
+                this->state.loopMonitor.recordConnections(1);
                 prepareSocket(socket);
                 const CallerLimits limits = this->state.routingTable
                                                 ? this->state.routingTable->config().limits
@@ -424,10 +425,27 @@
     }
 }
 
+void Gateway::reportLateness(TimePoint now)
+{
+    EventLoopMonitor &monitor = this->state.loopMonitor;
+    if (this->tickDue) {
+        monitor.recordLateness(now - *this->tickDue);
+    }
+    if (const auto report = monitor.takeReport(now)) {
+        logEvent(Event::LoopLate,
+                 {{"late_ms", std::to_string(report->lateness.count())},
+                  {"interval_ms", std::to_string(report->interval.count())},
+                  {"datagrams", std::to_string(report->datagrams)},
+                  {"most_in_turn", std::to_string(report->mostDatagramsInTurn)},
+                  {"connections", std::to_string(report->connections)}});
+    }
+}
+
 void Gateway::tick()
 {
     const TimePoint now = this->state.clock.now();
     this->detectPause(now);
+    this->reportLateness(now);
     const CallerLimits limits =
         this->state.routingTable ? this->state.routingTable->config().limits : CallerLimits{};
     std::vector<std::shared_ptr<CallerConnection>> open;
@@ -458,6 +476,7 @@
         this->finishStopIfDrained();
     }
     this->timer.expires_after(tickInterval);
+    this->tickDue = this->state.clock.now() + tickInterval;
     this->timer.async_wait([this](const asio::error_code &error) {
         if (!error) {
             this->tick();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -77,6 +77,8 @@
     /// Logs if the process was frozen or late since the last call, and lists the store again after
     /// a freeze.
     void detectPause(TimePoint now);
+    /// Logs if the event loop was late since the last call.
+    void reportLateness(TimePoint now);
     void tick();
     void updateReadiness();
     void followStore();
@@ -143,6 +145,8 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<RequestHandler>> exchanges;
     bool wasReady = false;
     PauseDetector pauseDetector;
+    /// When the next tick is due; nothing before the first one.
+    std::optional<TimePoint> tickDue;
     /// When a message last arrived from a router that is connected to the store.
     TimePoint watcherLastSeen;
     TimePoint startedAt;
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -362,6 +362,7 @@
               {"home_ms", fmt::format("{:.1f}", choice.homeCost)},
               {"extra_ms", fmt::format("{:.1f}", extraDelayOf(state.health, this->now()))},
               {"bound", fmt::format("{:.1f}", choice.loadBound)},
+              {"bound_over", std::to_string(choice.boundOver)},
               {"prefix", formatHash(sharedPrefixOf(this->prefixHashes).value_or(0))},
               {"parts", sharedPartsOf(this->request->prompt)},
               {"tokens", fmt::format("{:.0f}", this->promptTokens())},
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -8,6 +8,7 @@
 
 #include <asio/io_context.hpp>
 
+#include "plantainswitch/observe/eventloopmonitor.h"
 #include "plantainswitch/observe/metrics.h"
 #include "plantainswitch/routing/brittleservices.h"
 #include "plantainswitch/routing/evacuations.h"
@@ -132,6 +133,7 @@
     /// Requests of other routers that are being processed.
     std::size_t forwardedRunning = 0;
     Metrics metrics;
+    EventLoopMonitor loopMonitor;
     /// Changes that have yet to be sent to other routers.
     UpdateLog updateLog;
     CrashQuarantine crashQuarantine;
--- a/gateway/gatewaystore.cpp
+++ b/gateway/gatewaystore.cpp
@@ -350,6 +350,7 @@
     const auto view = reply.status == ok ? parseStoreView(reply.body) : std::nullopt;
     logEvent(Event::CaughtUp, {{"from", toText(from)},
                                {"outcome", view ? "taken" : "failed"},
+                               {"waited_ms", std::to_string(reply.elapsed.count())},
                                {"part", query.revision == notRequested ? "config" : "upstreams"},
                                {"before", std::to_string(this->state.storeView.revision)},
                                {"revision", std::to_string(view ? view->revision : 0)},
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -138,6 +138,7 @@
     for (const std::string &dataCentre : state.evacuations.dataCentres) {
         appendSample(page, "evacuated", fmt::format("place=\"{}\"", dataCentre), 1.0);
     }
+    appendGauge(page, "event_loop_late_seconds", secondsOf(state.loopMonitor.lateness()));
     appendGauge(page, "stopping", state.stopping ? 1.0 : 0.0);
     const auto services = conditionsOf(state);
     appendType(page, "upstreams");
--- a/gateway/sequentialhttpclient.cpp
+++ b/gateway/sequentialhttpclient.cpp
@@ -87,6 +87,8 @@
 void SequentialHttpClient::finish(CallReply result)
 {
     this->timer.cancel();
+    result.elapsed =
+        std::chrono::duration_cast<Milliseconds>(this->gateway.clock.now() - this->startedAt);
     const auto completion = std::move(this->done);
     this->done = nullptr;
     if (completion) {
--- a/gateway/sequentialhttpclient.h
+++ b/gateway/sequentialhttpclient.h
@@ -14,6 +14,8 @@
 {
     int status = 0;
     std::string body;
+    /// Time since the start of the call.
+    Milliseconds elapsed{0};
 };
 
 /// Timeouts of a call.
--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -13,6 +13,7 @@
 class PrefixIndex;
 class ChatAffinityCache;
 class EngineCoordinator;
+class EventLoopMonitor;
 class EventRelay;
 class ExplainTable;
 class FleetRetryBudget;
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -27,6 +27,7 @@
     ReadinessChanged = 106,
     LogDropped = 107,
     Paused = 108,
+    LoopLate = 109,
     CatalogueTaken = 200,
     PlatformUnreachable = 201,
     PlatformBack = 202,
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -25,6 +25,7 @@
 #include "plantainswitch/membership/vmlist.h"
 #include "plantainswitch/membership/watchers.h"
 #include "plantainswitch/observe/event.h"
+#include "plantainswitch/observe/eventloopmonitor.h"
 #include "plantainswitch/observe/explain.h"
 #include "plantainswitch/observe/linebuffer.h"
 #include "plantainswitch/observe/logsettings.h"
--- a/include/plantainswitch/routing/routercontacts.h
+++ b/include/plantainswitch/routing/routercontacts.h
@@ -176,6 +176,8 @@
     [[nodiscard]] Milliseconds maxInterval() const;
     /// \returns all known addresses from which updates of \a router arrived.
     [[nodiscard]] std::vector<Endpoint> addressesOf(const std::string &router) const;
+    /// \returns when an update of \a router last arrived; the clock's epoch if never.
+    [[nodiscard]] TimePoint lastSeen(const std::string &router) const;
     /// \returns whether a router with a connection to the store is alive.
     [[nodiscard]] bool isWatcherAlive(TimePoint now) const;
     /// \returns the rank of this router among those that watch the store for its data centre, 0 for
--- a/include/plantainswitch/routing/selection.h
+++ b/include/plantainswitch/routing/selection.h
@@ -100,6 +100,8 @@
     std::uint32_t overBoundCount = 0;
     /// Running requests above which an upstream of the service exceeds its share.
     double loadBound = 0.0;
+    /// Number of upstreams whose mean load \a loadBound is a multiple of.
+    std::uint32_t boundOver = 0;
     /// The upstream is the prefix's home, the first one in its preference list.
     bool isHome = false;
     /// No engine is known to have the shared prefix cached, so that the home is to prefill it. It
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -22,6 +22,7 @@
     EventRow{Event::ReadinessChanged, "readiness-changed", Severity::Info},
     EventRow{Event::LogDropped, "log-dropped", Severity::Warning},
     EventRow{Event::Paused, "paused", Severity::Warning},
+    EventRow{Event::LoopLate, "loop-late", Severity::Warning},
     EventRow{Event::CatalogueTaken, "catalogue-taken", Severity::Info},
     EventRow{Event::PlatformUnreachable, "platform-unreachable", Severity::Warning},
     EventRow{Event::PlatformBack, "platform-back", Severity::Info},
--- a/src/routing/routercontacts.cpp
+++ b/src/routing/routercontacts.cpp
@@ -222,6 +222,17 @@
     return found;
 }
 
+TimePoint RouterContacts::lastSeen(const std::string &router) const
+{
+    TimePoint latest;
+    for (const auto &[address, contact] : this->contacts) {
+        if (contact.id == router) {
+            latest = std::max(latest, contact.lastSeen);
+        }
+    }
+    return latest;
+}
+
 bool RouterContacts::isWatcherAlive(TimePoint now) const
 {
     return std::any_of(this->contacts.begin(), this->contacts.end(), [now](const auto &entry) {
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -71,6 +71,8 @@
     bool avoidanceHolds = true;
     double meanUnservedRate = 0.0;
     double occupancy = 0.0;
+    /// Number of candidates that count for the mean load.
+    std::size_t counted = 0;
 };
 
 CandidateStatistics collectStatistics(std::span<UpstreamState *const> candidates,
@@ -100,7 +102,7 @@
     const auto count = static_cast<double>(std::max<std::size_t>(usable, 1));
     return {policy.loadBoundFactor * running / count + policy.loadBoundExtra,
             static_cast<double>(ejected) <= policy.maxEjectedShare * count, unservedShares / count,
-            slots > 0.0 ? runningOnAvailable / slots : 0.0};
+            slots > 0.0 ? runningOnAvailable / slots : 0.0, usable};
 }
 
 double preferenceDelay(std::size_t rank, const SelectionPolicy &policy)
@@ -375,6 +377,7 @@
         best->ejectedCount = ejected;
         best->overBoundCount = overBound;
         best->loadBound = comparison.statistics.bound;
+        best->boundOver = static_cast<std::uint32_t>(comparison.statistics.counted);
         best->homeCost = homeCost;
         best->occupancy = comparison.statistics.occupancy;
     }
