--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -295,6 +295,7 @@
             }
             if (!error) {
                 this->state.loopMonitor.recordConnections(1);
+                this->state.metrics.count(Counter::ConnectionsAccepted);
                 prepareSocket(socket);
                 const CallerLimits limits = this->state.routingTable
                                                 ? this->state.routingTable->config().limits
@@ -432,12 +433,11 @@
         monitor.recordLateness(now - *this->tickDue);
     }
     if (const auto report = monitor.takeReport(now)) {
-        logEvent(Event::LoopLate,
-                 {{"late_ms", std::to_string(report->lateness.count())},
-                  {"interval_ms", std::to_string(report->interval.count())},
-                  {"datagrams", std::to_string(report->datagrams)},
-                  {"most_in_turn", std::to_string(report->mostDatagramsInTurn)},
-                  {"connections", std::to_string(report->connections)}});
+        logEvent(Event::LoopLate, {{"late_ms", std::to_string(report->lateness.count())},
+                                   {"interval_ms", std::to_string(report->interval.count())},
+                                   {"datagrams", std::to_string(report->datagrams)},
+                                   {"most_in_turn", std::to_string(report->mostDatagramsInTurn)},
+                                   {"connections", std::to_string(report->connections)}});
     }
 }
 
--- a/include/plantainswitch/observe/metrics.h
+++ b/include/plantainswitch/observe/metrics.h
@@ -34,6 +34,7 @@
     PermitsDenied,
     Forwards,
     StreamsTakenUp,
+    ConnectionsAccepted,
 };
 
 /// Histograms for each workspace and data class.
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -38,6 +38,7 @@
     std::string_view{"permits_denied_total"},
     std::string_view{"forwards_total"},
     std::string_view{"streams_taken_up_total"},
+    std::string_view{"connections_accepted_total"},
 };
 constexpr std::array controlNames{
     std::string_view{"swim"},          std::string_view{"leaving"},
