Keep grants of runs at brittle upstreams whose connection was reset

Cause: a router released the grant of a run whose connection was lost, as if the upstream had ended it. If the network resets the connections of many routers at once, upstreams that go on with their runs get the same slots granted again, and crash on what they then have to reject. Tests: brittleUpstream_connectionOfARunReset_keepsItsGrant failed before; a case in brittleabandoned.

--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -212,6 +212,8 @@
     if (end == RunEnd::GivenUp) {
         this->gateway.scheduleProbe(this->upstream);
     }
+    // Also after a lost connection: the network may have reset it, and the upstream goes on.
+    this->releaseGrant(GrantEnd::Abandoned);
 }
 
 Milliseconds RequestHandler::remainingTime() const
@@ -349,15 +351,12 @@
 void RequestHandler::releaseUpstream()
 {
     const bool hasResponded = this->upstream && this->headReceived;
-    const GrantEnd grantEnd = this->isRunning ? GrantEnd::Abandoned
-                              : hasResponded  ? GrantEnd::Responded
-                                              : GrantEnd::Unused;
     this->recordUnansweredRun(RunEnd::GivenUp);
     if (this->connection) {
         this->connection->abort();
         this->connection.reset();
     }
-    this->releaseGrant(grantEnd);
+    this->releaseGrant(hasResponded ? GrantEnd::Responded : GrantEnd::Unused);
     if (!this->upstream) {
         return;
     }
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -102,7 +102,8 @@
     void requestTrial(SuspectKey key);
     void onTrialReply(SuspectKey key, TrialPermit permit);
     void refuseQuarantined(SuspectKey key);
-    /// Records that the run at the current upstream ends without a response.
+    /// Records that the run at the current upstream ends without a response. The upstream may still
+    /// hold it.
     void recordUnansweredRun(RunEnd end);
     /// Ends the request if no time is left for an attempt, or one of its suspects is quarantined.
     /// \returns whether an upstream may be selected.
--- a/include/plantainswitch/routing/enginecoordinator.h
+++ b/include/plantainswitch/routing/enginecoordinator.h
@@ -34,12 +34,12 @@
 
 /// Why a router no longer needs a grant.
 enum class GrantEnd : std::uint8_t {
-    /// The request did not reach the engine, or the engine closed the connection.
+    /// The request did not reach the engine.
     Unused,
     /// The engine has responded.
     Responded,
-    /// The router has given the run up. The engine may still hold it: it goes on after the
-    /// connection was closed, or is silent and has not noticed.
+    /// The router has given the run up, or its connection was lost. The engine may still hold it: it
+    /// goes on without the connection, or is silent and has not noticed.
     Abandoned,
 };
 
--- a/tests/brittleabandoned.cpp
+++ b/tests/brittleabandoned.cpp
@@ -41,3 +41,14 @@
         options.restartInterval = Milliseconds{700};
     });
 }
+
+TEST_CASE_METHOD(BrittleModelFixture, "brittleUpstreams_connectionsResetOnTheWay_rarelyCrash",
+                 "[routing]")
+{
+    // Guards against grants that end with a connection which the network reset, although the
+    // upstream goes on with the run.
+    checkFalls([](BrittleOptions &options) {
+        options.resetInterval = Milliseconds{3000};
+        options.persistentShare = 1.0;
+    });
+}
--- a/tests/gatewaybrittle.cpp
+++ b/tests/gatewaybrittle.cpp
@@ -113,3 +113,26 @@
     this->callAtOnce({});
     CHECK(this->load.rejected > 3);
 }
+
+TEST_CASE_METHOD(GatewayBrittleFixture, "brittleUpstream_connectionOfARunReset_keepsItsGrant",
+                 "[gateway]")
+{
+    // Guards against a slot that is granted again although the upstream may go on with a run whose
+    // connection was reset on its way.
+    this->addUpstream("plain-0", "plain", [this](ServerConnection &connection) {
+        while (const auto request = connection.read()) {
+            if (request->body == "reset") {
+                connection.reset();
+                return;
+            }
+            connection.send(makeResponse(*request, "served", 200, "Server-Brittle: 3\r\n"));
+        }
+    });
+    this->start();
+    REQUIRE(this->call(makeRequest("/once/x", "a1")).body == "served");
+    CHECK(this->call(makeRequest("/once/x", "a2", "reset")).status == 502);
+    CHECK(eventually([this] {
+        return this->getInternalPage("/metrics").body.find("plantainswitch_abandoned_grants 1\n")
+               != std::string::npos;
+    }));
+}
--- a/tests/support/brittlemodel.h
+++ b/tests/support/brittlemodel.h
@@ -65,6 +65,9 @@
     Milliseconds silenceInterval{0};
     /// Interval at which a router responds to others late for two seconds; 0: never.
     Milliseconds slownessInterval{0};
+    /// Interval at which the connections of some routers are reset on their way; 0: never.
+    Milliseconds resetInterval{0};
+    double resetShare = 0.5;
     bool isLimited = true;
     /// Whether coordinators keep the grants of abandoned runs.
     bool areAbandonedKept = true;
@@ -109,6 +112,7 @@
         this->repeat(this->options.slownessInterval, [this] {
             this->routers[this->anyRouter()].slowUntil = this->now + Seconds{2};
         });
+        this->repeat(this->options.resetInterval, [this] { this->resetConnections(); });
         if (this->options.killAllAt.count() > 0) {
             this->at(this->options.killAllAt, [this] {
                 for (std::size_t i = 0; i < this->routers.size(); ++i) {
@@ -437,6 +441,7 @@
         this->routers[attempt->router].views[index].running += 1;
         const auto run = std::make_shared<Run>(
             Run{attempt, index, this->upstreams[index].incarnation, this->now});
+        this->runs.push_back(run);
         this->at(this->between(1, 4), [this, run] { this->arrive(run); });
         if (this->options.abandonedShare > 0.0 && this->chance(this->options.abandonedShare)) {
             this->at(this->between(10, 150), [this, run] { this->abandon(run, false); });
@@ -461,6 +466,19 @@
         this->at(this->between(1, 4), [this, run] { this->drop(run); });
     }
 
+    /// The network resets all connections of some routers. Upstreams notice it like a closed one.
+    void resetConnections()
+    {
+        std::erase_if(this->runs, [](const auto &run) { return run.expired(); });
+        const auto affected = this->options.resetShare * static_cast<double>(this->routers.size());
+        for (const std::weak_ptr<Run> &each : std::vector(this->runs)) {
+            const RunPointer run = each.lock();
+            if (run && static_cast<double>(run->attempt->router) < affected) {
+                this->abandon(run, true);
+            }
+        }
+    }
+
     [[nodiscard]] bool isPersistent(std::size_t upstream) const
     {
         constexpr std::uint64_t steps = 100;
@@ -737,6 +755,7 @@
     BrittleOptions options;
     std::vector<ModelRouter> routers;
     std::vector<ModelUpstream> upstreams;
+    std::vector<std::weak_ptr<Run>> runs;
     std::uint64_t nextIncarnation = 1;
     std::uint64_t nextAttempt = 1;
     std::size_t fallCount = 0;
