Handle what peers and the store send before the work of callers' and upstreams' connections

Cause: one event loop took one event of each socket per turn. A turn handles one event of each busy connection, so that the sockets on which all peers depend got less the busier the router was: one datagram, one new connection a turn, of 60 and more datagrams a second. It took its peers for lost, made itself coordinator of their engines, and learnt of no newer configuration. The class: a source that many share, served at the rate of one connection. Change: what callers, upstreams and forwarding routers send goes into a queue (WorkQueue), which is performed for 5 ms at a time; everything else is handled in between: datagrams (all that wait, up to 256), the store's and other routers' responses, timers. Timeouts of requests wait behind what has arrived, so that an upstream is not taken for silent whose bytes were not read yet. Tests: gatewayoverload, of which two cases failed (1 of 60 datagrams read before the next request, 3 of 30 connections accepted in three turns): all read, all accepted. Its turns were posts to the I/O context, which is now emptied at once; a turn is now a piece of work behind all others, as strict for the acceptor.

--- a/gateway/bytestream.cpp
+++ b/gateway/bytestream.cpp
@@ -41,8 +41,9 @@
     socket.set_option(KeepCount(keepAliveProbes), ignored);
 }
 
-ByteStream::ByteStream(asio::ip::tcp::socket socket)
+ByteStream::ByteStream(asio::ip::tcp::socket socket, WorkQueue *work)
     : socket(std::move(socket))
+    , work(work)
 {}
 
 void ByteStream::start(Handlers newHandlers)
@@ -59,19 +60,24 @@
     this->waitingToRead = true;
     this->socket.async_wait(asio::socket_base::wait_read,
                             [self = this->shared_from_this()](const asio::error_code &error) {
-                                self->waitingToRead = false;
                                 if (error) {
+                                    self->waitingToRead = false;
                                     if (error != asio::error::operation_aborted) {
                                         self->notifyClosed(false);
                                     }
                                     return;
                                 }
-                                self->readNow();
+                                if (self->work == nullptr) {
+                                    self->readNow();
+                                } else {
+                                    self->work->push([self] { self->readNow(); });
+                                }
                             });
 }
 
 void ByteStream::readNow()
 {
+    this->waitingToRead = false;
     if (!this->reading || !this->socket.is_open()) {
         return;
     }
@@ -93,6 +99,22 @@
     this->waitToRead();
 }
 
+Duration ByteStream::readDelay() const noexcept
+{
+    return this->work == nullptr ? Duration{0} : this->work->currentWait();
+}
+
+bool ByteStream::isClosedByPeer()
+{
+    if (!this->socket.is_open()) {
+        return true;
+    }
+    char next = 0;
+    asio::error_code error;
+    this->socket.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, error);
+    return error && error != asio::error::would_block && error != asio::error::try_again;
+}
+
 void ByteStream::resumeReading()
 {
     this->reading = true;
--- a/gateway/bytestream.h
+++ b/gateway/bytestream.h
@@ -7,6 +7,8 @@
 
 #include <asio/ip/tcp.hpp>
 
+#include "plantainswitch/base/workqueue.h"
+
 namespace plantainswitch::gateway {
 
 /// How long sent bytes may stay unacknowledged before the connection counts as dead
@@ -33,7 +35,9 @@
         std::function<void()> onWritten;
     };
 
-    explicit ByteStream(asio::ip::tcp::socket socket);
+    /// \param work where reading waits for its turn; nullptr to read as soon as bytes have arrived,
+    /// which is for what other routers or the store send
+    explicit ByteStream(asio::ip::tcp::socket socket, WorkQueue *work = nullptr);
 
     /// Sets the handlers and starts to read.
     void start(Handlers handlers);
@@ -56,6 +60,10 @@
     void resumeReading();
 
     [[nodiscard]] bool isOpen() const { return this->socket.is_open(); }
+    /// \returns how long the bytes that are being handled have waited since they were noticed.
+    [[nodiscard]] Duration readDelay() const noexcept;
+    /// \returns whether the peer has closed the connection and everything it sent was read.
+    [[nodiscard]] bool isClosedByPeer();
     /// \returns the number of queued bytes that were not written yet.
     [[nodiscard]] std::size_t queuedBytes() const noexcept
     {
@@ -71,6 +79,7 @@
     void notifyClosed(bool orderly);
 
     asio::ip::tcp::socket socket;
+    WorkQueue *work;
     Handlers handlers;
     std::string queued;
     std::string writing;
--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -30,6 +30,8 @@
 constexpr std::size_t maxSnapshotPrefixes = 1024;
 /// Number of services whose performance is reported in one update.
 constexpr int maxReportedServices = 16;
+/// Datagrams that are read before the event loop handles other events.
+constexpr std::uint32_t maxDatagramsAtOnce = 256;
 /// Number of streams in one update whose origins it carries; about 6 kB.
 constexpr std::size_t maxReportedOrigins = 512;
 
@@ -147,7 +149,7 @@
             this->contacts.addSeed(address, this->gateway.clock.now());
         }
     }
-    this->receive();
+    this->waitForDatagrams();
     this->tick();
 }
 
@@ -262,20 +264,33 @@
     });
 }
 
-void FleetGossip::receive()
-{
-    this->socket.async_receive_from(asio::buffer(this->buffer), this->sender,
-                                    [this](const asio::error_code &error, std::size_t size) {
-                                        if (this->stopped
-                                            || error == asio::error::operation_aborted) {
-                                            return;
-                                        }
-                                        if (!error) {
-                                            this->gateway.loopMonitor.recordDatagrams(1);
-                                            this->onDatagram(size);
-                                        }
-                                        this->receive();
-                                    });
+void FleetGossip::waitForDatagrams()
+{
+    this->socket.async_wait(asio::socket_base::wait_read, [this](const asio::error_code &error) {
+        if (this->stopped || error == asio::error::operation_aborted) {
+            return;
+        }
+        this->receiveWaiting();
+        this->waitForDatagrams();
+    });
+}
+
+void FleetGossip::receiveWaiting()
+{
+    std::uint32_t count = 0;
+    while (!this->stopped && count < maxDatagramsAtOnce) {
+        asio::error_code error;
+        const std::size_t size =
+            this->socket.receive_from(asio::buffer(this->buffer), this->sender, 0, error);
+        if (error == asio::error::would_block || error == asio::error::try_again) {
+            break;
+        }
+        ++count;
+        if (!error) {
+            this->onDatagram(size);
+        }
+    }
+    this->gateway.loopMonitor.recordDatagrams(count);
 }
 
 void FleetGossip::onDatagram(std::size_t size)
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -91,7 +91,9 @@
         std::unique_ptr<asio::steady_timer> timer;
     };
 
-    void receive();
+    void waitForDatagrams();
+    /// Reads the datagrams that have arrived, up to a limit.
+    void receiveWaiting();
     void onDatagram(std::size_t size);
     void onUpdateMessage(const wire::RouterNews &message, const Endpoint &from);
     void onAsk(const wire::EngineAsk &message, const Endpoint &from);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -24,7 +24,8 @@
 constexpr Milliseconds stopAbortReserve{400};
 /// Interval at which the settings file is checked, since it may change without a signal.
 constexpr Milliseconds settingsCheckInterval{2000};
-constexpr int listenBacklog = 1024;
+/// Time for which callers' and upstreams' events are handled before all others are looked for.
+constexpr Milliseconds workSlice{5};
 constexpr std::size_t maxInternalHeadBytes = 8192;
 
 } // namespace
@@ -67,9 +68,9 @@
     , settingsSource(std::move(source))
     , settingsText(this->settingsSource ? this->settingsSource().value_or("") : "")
     , logWriter(this->context)
-    , callerAcceptor(this->context)
-    , readinessAcceptor(this->context)
-    , controlAcceptor(this->context)
+    , callerAcceptor(this->context, this->state.work)
+    , readinessAcceptor(this->context, this->state.work)
+    , controlAcceptor(this->context, this->state.work)
     , signals(this->context)
     , timer(this->context)
     , fleet(this->state,
@@ -114,7 +115,7 @@
     , configViewClient(this->state)
     , trialStore(this->state)
     , versionConfirmer(this->state)
-    , peerAcceptor(this->context)
+    , peerAcceptor(this->context, this->state.work)
 {
     this->state.fleet = &this->fleet;
     this->state.trials = &this->trialStore;
@@ -163,23 +164,14 @@
     stopLogging();
 }
 
-void Gateway::listen(Acceptor &acceptor, const Endpoint &endpoint)
-{
-    const asio::ip::tcp::endpoint local(asio::ip::make_address(endpoint.host), endpoint.port);
-    acceptor.open(local.protocol());
-    acceptor.set_option(asio::socket_base::reuse_address(true));
-    acceptor.bind(local);
-    acceptor.listen(listenBacklog);
-}
-
 void Gateway::openListeners()
 {
     const GatewaySettings &settings = this->state.settings;
-    this->listen(this->callerAcceptor, settings.callers);
-    this->listen(this->readinessAcceptor, settings.readiness);
-    this->listen(this->peerAcceptor, settings.peerCalls);
+    this->callerAcceptor.listen(settings.callers);
+    this->readinessAcceptor.listen(settings.readiness);
+    this->peerAcceptor.listen(settings.peerCalls);
     if (settings.control.port != 0) {
-        this->listen(this->controlAcceptor, settings.control);
+        this->controlAcceptor.listen(settings.control);
     }
 }
 
@@ -190,12 +182,12 @@
 
 Endpoint Gateway::callerEndpoint() const
 {
-    return {this->state.settings.callers.host, this->callerAcceptor.local_endpoint().port()};
+    return {this->state.settings.callers.host, this->callerAcceptor.port()};
 }
 
 Endpoint Gateway::readinessEndpoint() const
 {
-    return {this->state.settings.readiness.host, this->readinessAcceptor.local_endpoint().port()};
+    return {this->state.settings.readiness.host, this->readinessAcceptor.port()};
 }
 
 void Gateway::run()
@@ -204,10 +196,10 @@
     logEvent(Event::Started, {{"place", settings.dataCentre},
                               {"callers", toText(settings.callers)},
                               {"store", toText(settings.store)}});
-    if (!this->callerAcceptor.is_open()) {
+    if (!this->callerAcceptor.isOpen()) {
         this->openListeners();
     }
-    if (this->controlAcceptor.is_open()) {
+    if (this->controlAcceptor.isOpen()) {
         this->acceptInternal(this->controlAcceptor, this->internalHandlers);
     }
     this->acceptInternal(this->peerAcceptor, this->peerHandlers);
@@ -231,7 +223,7 @@
         this->trialStore.start();
     }
     this->tick();
-    this->context.run();
+    this->runEventLoop();
     blockHandledSignals();
     logEvent(Event::Stopped, {});
     this->logWriter.flush();
@@ -286,55 +278,52 @@
                                        {"changed", changed.empty() ? "nothing" : changed}});
 }
 
+void Gateway::runEventLoop()
+{
+    while (!this->context.stopped()) {
+        if (this->state.work.isEmpty()) {
+            this->context.run_one();
+        }
+        this->context.poll();
+        this->state.work.runFor(workSlice);
+    }
+}
+
 void Gateway::acceptCallers()
 {
-    this->callerAcceptor.async_accept(
-        [this](const asio::error_code &error, asio::ip::tcp::socket socket) {
-            if (error == asio::error::operation_aborted) {
-                return;
-            }
-            if (!error) {
-                this->state.loopMonitor.recordConnections(1);
-                this->state.metrics.count(Counter::ConnectionsAccepted);
-                prepareSocket(socket);
-                const CallerLimits limits = this->state.routingTable
-                                                ? this->state.routingTable->config().limits
-                                                : CallerLimits{};
-                const auto caller = std::make_shared<CallerConnection>(
-                    this->nextCallerId++, std::make_shared<ByteStream>(std::move(socket)), limits,
-                    this->callerHandlers, this->state.clock);
-                this->callers.emplace(caller->id(), caller);
-                caller->start();
-            }
-            this->acceptCallers();
-        });
+    this->callerAcceptor.start([this](asio::ip::tcp::socket socket) {
+        this->state.loopMonitor.recordConnections(1);
+        this->state.metrics.count(Counter::ConnectionsAccepted);
+        const CallerLimits limits =
+            this->state.routingTable ? this->state.routingTable->config().limits : CallerLimits{};
+        this->startCaller(std::move(socket), limits, this->callerHandlers);
+    });
+}
+
+void Gateway::acceptInternal(ConnectionAcceptor &acceptor, const CallerHandlers &handlers)
+{
+    acceptor.start([this, &handlers](asio::ip::tcp::socket socket) {
+        CallerLimits limits;
+        limits.maxHeaderBytes = maxInternalHeadBytes;
+        limits.maxBodyBytes = 0;
+        if (&handlers == &this->peerHandlers && this->state.routingTable) {
+            // A forwarded request has some fields more than its caller sent.
+            limits = this->state.routingTable->config().limits;
+            limits.maxHeaderBytes += maxInternalHeadBytes;
+        }
+        this->startCaller(std::move(socket), limits, handlers);
+    });
 }
 
-void Gateway::acceptInternal(Acceptor &acceptor, const CallerHandlers &handlers)
+void Gateway::startCaller(asio::ip::tcp::socket socket, const CallerLimits &limits,
+                          const CallerHandlers &handlers)
 {
-    acceptor.async_accept(
-        [this, &acceptor, &handlers](const asio::error_code &error, asio::ip::tcp::socket socket) {
-            if (error == asio::error::operation_aborted) {
-                return;
-            }
-            if (!error) {
-                prepareSocket(socket);
-                CallerLimits limits;
-                limits.maxHeaderBytes = maxInternalHeadBytes;
-                limits.maxBodyBytes = 0;
-                if (&handlers == &this->peerHandlers && this->state.routingTable) {
-                    // A forwarded request has some fields more than its caller sent.
-                    limits = this->state.routingTable->config().limits;
-                    limits.maxHeaderBytes += maxInternalHeadBytes;
-                }
-                const auto caller = std::make_shared<CallerConnection>(
-                    this->nextCallerId++, std::make_shared<ByteStream>(std::move(socket)), limits,
-                    handlers, this->state.clock);
-                this->callers.emplace(caller->id(), caller);
-                caller->start();
-            }
-            this->acceptInternal(acceptor, handlers);
-        });
+    prepareSocket(socket);
+    const auto caller = std::make_shared<CallerConnection>(
+        this->nextCallerId++, std::make_shared<ByteStream>(std::move(socket), &this->state.work),
+        limits, handlers, this->state.clock);
+    this->callers.emplace(caller->id(), caller);
+    caller->start();
 }
 
 void Gateway::onPeerRequest(const std::shared_ptr<CallerConnection> &caller,
@@ -504,7 +493,7 @@
         return;
     }
     const bool forced = since > this->state.settings.stopGrace - stopAbortReserve;
-    if (this->callerAcceptor.is_open()) {
+    if (this->callerAcceptor.isOpen()) {
         logEvent(Event::StopDraining, {{"in_flight", std::to_string(this->exchanges.size())}});
         this->callerAcceptor.close();
     }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -5,11 +5,11 @@
 #include <unordered_map>
 
 #include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
 #include "callerconnection.h"
+#include "connectionacceptor.h"
 #include "datacentremonitor.h"
 #include "fleetgossip.h"
 #include "gatewayrequesthandler.h"
@@ -61,11 +61,12 @@
     [[nodiscard]] GatewayState &sharedState() noexcept { return this->state; }
 
 private:
-    using Acceptor = asio::ip::tcp::acceptor;
-
-    void listen(Acceptor &acceptor, const Endpoint &endpoint);
+    /// Handles events until the context is stopped.
+    void runEventLoop();
     void acceptCallers();
-    void acceptInternal(Acceptor &acceptor, const CallerHandlers &handlers);
+    void acceptInternal(ConnectionAcceptor &acceptor, const CallerHandlers &handlers);
+    void startCaller(asio::ip::tcp::socket socket, const CallerLimits &limits,
+                     const CallerHandlers &handlers);
     /// Handles a request of another router: one that it forwards, or a call of its own.
     void onPeerRequest(const std::shared_ptr<CallerConnection> &caller, IncomingRequest incoming);
     void onInternalRequest(const std::shared_ptr<CallerConnection> &caller,
@@ -118,9 +119,9 @@
     std::string settingsText;
     TimePoint settingsReadAt;
     LogWriter logWriter;
-    Acceptor callerAcceptor;
-    Acceptor readinessAcceptor;
-    Acceptor controlAcceptor;
+    ConnectionAcceptor callerAcceptor;
+    ConnectionAcceptor readinessAcceptor;
+    ConnectionAcceptor controlAcceptor;
     asio::signal_set signals;
     asio::steady_timer timer;
     PerformanceLogger performanceLogger;
@@ -136,7 +137,7 @@
     TimePoint configFetchPausedUntil;
     TrialStore trialStore;
     VersionConfirmer versionConfirmer;
-    Acceptor peerAcceptor;
+    ConnectionAcceptor peerAcceptor;
     CallerHandlers callerHandlers;
     CallerHandlers internalHandlers;
     CallerHandlers peerHandlers;
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -411,8 +411,8 @@
         return;
     }
     this->connectionPath = "new";
-    this->connection =
-        std::make_shared<UpstreamConnection>(this->gateway.context, this->gateway.clock);
+    this->connection = std::make_shared<UpstreamConnection>(
+        this->gateway.context, this->gateway.clock, &this->gateway.work);
     this->connection->connectAndSend(target->replica.endpoint,
                                      std::min(upstreamConnectTimeout, this->remainingTime()),
                                      std::move(bytes), this->responseHandlers(), isHead);
--- a/gateway/gatewayrequestforward.cpp
+++ b/gateway/gatewayrequestforward.cpp
@@ -71,8 +71,8 @@
     this->armTimer(mayRepeat && !this->responseStarted
                        ? this->now() + maxForwardObjectives * this->route->objective
                        : this->deadline);
-    this->connection =
-        std::make_shared<UpstreamConnection>(this->gateway.context, this->gateway.clock);
+    this->connection = std::make_shared<UpstreamConnection>(
+        this->gateway.context, this->gateway.clock, &this->gateway.work);
     this->connection->connectAndSend(target, std::min(forwardConnectTimeout, this->remainingTime()),
                                      std::move(bytes), this->forwardHandlers(),
                                      this->request->method == "HEAD");
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -245,9 +245,18 @@
     this->timer.expires_at(std::min(due, this->deadline));
     this->timer.async_wait([weak](const asio::error_code &error) {
         const auto self = weak.lock();
-        if (!error && self && self->phase != Phase::Done) {
-            self->onTimer();
+        if (error || !self) {
+            return;
         }
+        // Behind what has arrived by now: otherwise an overloaded router takes upstreams for silent
+        // whose bytes it has not read yet.
+        self->gateway.work.push([weak, armedAt = self->timer.expiry()] {
+            const auto request = weak.lock();
+            const bool isCurrent = request && request->timer.expiry() == armedAt;
+            if (isCurrent && request->phase != Phase::Done) {
+                request->onTimer();
+            }
+        });
     });
 }
 
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -8,6 +8,7 @@
 
 #include <asio/io_context.hpp>
 
+#include "plantainswitch/base/workqueue.h"
 #include "plantainswitch/observe/eventloopmonitor.h"
 #include "plantainswitch/observe/metrics.h"
 #include "plantainswitch/routing/brittleservices.h"
@@ -73,6 +74,7 @@
                  GatewaySettings settings)
         : context(context)
         , clock(clock)
+        , work(clock)
         , dialect(dialect)
         , settings(std::move(settings))
         , replicaDirectory(suspectedExpiryGrace(this->settings.maxDrainTime))
@@ -110,6 +112,8 @@
 
     asio::io_context &context;
     const Clock &clock;
+    /// What callers, upstreams and forwarding routers send; everything else is handled at once.
+    WorkQueue work;
     const Dialect &dialect;
     GatewaySettings settings;
     std::shared_ptr<const RoutingTable> routingTable;
--- a/gateway/upstreamconnection.cpp
+++ b/gateway/upstreamconnection.cpp
@@ -4,9 +4,11 @@
 
 namespace plantainswitch::gateway {
 
-UpstreamConnection::UpstreamConnection(asio::io_context &context, const Clock &clock)
+UpstreamConnection::UpstreamConnection(asio::io_context &context, const Clock &clock,
+                                       WorkQueue *work)
     : context(context)
     , clock(clock)
+    , work(work)
     , connecting(context)
     , timer(context)
     , parser(MessageKind::Response, maxResponseHeadBytes,
@@ -80,7 +82,7 @@
     prepareSocket(this->connecting);
     this->keepAlive = true;
     this->idleStart = this->clock.now();
-    this->stream = std::make_shared<ByteStream>(std::move(this->connecting));
+    this->stream = std::make_shared<ByteStream>(std::move(this->connecting), this->work);
     const std::weak_ptr<UpstreamConnection> weak = this->weak_from_this();
     this->stream->start({[weak](std::string_view bytes) {
                              if (const auto self = weak.lock()) {
--- a/gateway/upstreamconnection.h
+++ b/gateway/upstreamconnection.h
@@ -51,7 +51,8 @@
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection>
 {
 public:
-    UpstreamConnection(asio::io_context &context, const Clock &clock);
+    /// \param work where reading waits for its turn, see ByteStream
+    UpstreamConnection(asio::io_context &context, const Clock &clock, WorkQueue *work = nullptr);
 
     /// Connects without sending a request. \a done is called with whether it succeeded; a request
     /// can be sent then.
@@ -81,6 +82,7 @@
 
     asio::io_context &context;
     const Clock &clock;
+    WorkQueue *work;
     asio::ip::tcp::socket connecting;
     asio::steady_timer timer;
     std::shared_ptr<ByteStream> stream;
--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -34,6 +34,7 @@
 class SuspectTable;
 class UpstreamNotices;
 class UpstreamTable;
+class WorkQueue;
 
 template<typename Key, typename Value>
 class SharedMap;
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -8,6 +8,7 @@
 #include "plantainswitch/base/lockorder.h"
 #include "plantainswitch/base/number.h"
 #include "plantainswitch/base/sharedmap.h"
+#include "plantainswitch/base/workqueue.h"
 #include "plantainswitch/catalogue/entry.h"
 #include "plantainswitch/catalogue/parse.h"
 #include "plantainswitch/catalogue/table.h"
--- a/tests/gatewayoverload.cpp
+++ b/tests/gatewayoverload.cpp
@@ -3,7 +3,6 @@
 #include <vector>
 
 #include <asio/ip/udp.hpp>
-#include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
@@ -92,17 +91,16 @@
         return accepted.get_future().get();
     }
 
-    /// Runs \a done after \a turns turns of the event loop.
+    /// Runs \a done after \a turns pieces of work, each of which waits behind all others.
     void afterTurns(int turns, std::function<void()> done)
     {
-        asio::post(this->gateway->sharedState().context,
-                   [this, turns, done = std::move(done)]() mutable {
-                       if (turns == 0) {
-                           done();
-                       } else {
-                           this->afterTurns(turns - 1, std::move(done));
-                       }
-                   });
+        this->gateway->sharedState().work.push([this, turns, done = std::move(done)]() mutable {
+            if (turns == 0) {
+                done();
+            } else {
+                this->afterTurns(turns - 1, std::move(done));
+            }
+        });
     }
 
     std::atomic<int> executions = 0;
@@ -163,9 +161,11 @@
     this->stall();
     const std::vector<asio::ip::tcp::socket> callers = this->connectCallers(connections);
     std::promise<std::uint64_t> accepted;
-    this->afterTurns(3, [this, &accepted] {
-        accepted.set_value(
-            this->gateway->sharedState().metrics.value(Counter::ConnectionsAccepted));
+    this->gateway->post([this, &accepted] {
+        this->afterTurns(3, [this, &accepted] {
+            accepted.set_value(
+                this->gateway->sharedState().metrics.value(Counter::ConnectionsAccepted));
+        });
     });
     this->resume();
     CHECK(accepted.get_future().get() - before == connections);
