Drop requests whose callers have left before they are read

What callers saw: upstreams worked for callers that had given up (GONE) at a router that got more than its processor could handle. Cause: a caller that gives up closes its connection behind its request. The router read the request, sent it on, and found the close with the next read, a turn of the event loop later. Change: once a request is complete, its connection is looked at for a close before it is handled. The time that a request has waited at the router counts against its deadline.

--- a/gateway/callerconnection.cpp
+++ b/gateway/callerconnection.cpp
@@ -73,8 +73,8 @@
     if (!this->isReceiving) {
         this->isReceiving = true;
         this->incoming = {};
-        this->incoming.receivedAt = this->clock.now();
-        this->lastActivityAt = this->incoming.receivedAt;
+        this->incoming.receivedAt = this->clock.now() - this->stream->readDelay();
+        this->lastActivityAt = this->clock.now();
     } else if (this->parser.inBody()) {
         this->lastActivityAt = this->clock.now();
     }
@@ -103,6 +103,11 @@
     case ParseState::Complete:
         break;
     }
+    if (this->stream->isClosedByPeer()) {
+        // The request waited behind others until its caller gave up.
+        this->closeImmediately();
+        return;
+    }
     this->busy = true;
     this->isReceiving = false;
     this->keepAlive = this->incoming.head.keepAlive;
--- a/gateway/callerconnection.h
+++ b/gateway/callerconnection.h
@@ -20,7 +20,7 @@
 {
     MessageHead head;
     std::string body;
-    /// When its first byte was read.
+    /// When its first bytes were noticed.
     TimePoint receivedAt;
 };
 
--- a/tests/gatewayoverload.cpp
+++ b/tests/gatewayoverload.cpp
@@ -170,3 +170,20 @@
     this->resume();
     CHECK(accepted.get_future().get() - before == connections);
 }
+
+TEST_CASE_METHOD(GatewayOverloadFixture, "callers_haveLeftBeforeTheirRequestsAreRead_nothingIsSent",
+                 "[gateway]")
+{
+    // Guards against an overloaded router that sends requests on whose callers have given up.
+    this->start();
+    std::vector<asio::ip::tcp::socket> callers = this->connectCallers(20);
+    REQUIRE(eventually([this] { return this->acceptedConnections() >= 20; }));
+    this->stall();
+    sendRequests(callers);
+    for (asio::ip::tcp::socket &caller : callers) {
+        caller.close();
+    }
+    this->resume();
+    CHECK(this->call(makeRequest("/safe/x", "last")).status == 200);
+    CHECK(this->executions == 1);
+}
