Wait longer for each further configuration that another router does not send in time

What callers saw: a router behind a congested link served by a configuration that was replaced 8 s before (CONFIG; a caller was refused as the older version says). Cause: a fetch of the configuration is given up after 400 ms without a byte, and begun anew at the next router, with the same limit. Over a congested link the first byte takes longer, from whichever router, so that none of the fetches ends. The class: a retry without back-off, whose limit is shorter than what it waits for. Change: the limit doubles with each failure in a row, up to 1.6 s, and starts over with a success. That of the list of upstreams stays: it is small, and an upstream's draining is bound to two seconds. Test: storeView_linkIsCongested_configArrivesAllTheSame failed before. Its router now has an id that is not chosen to watch the store beside the six watchers of the fixture, in both tests.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -111,8 +111,8 @@
                           [this] { return this->fleet.confirmerRank(); },
                           [this] { return this->fleet.watchRank().value_or(0) > 0; }})
     , registrationClient(this->state)
-    , upstreamViewClient(this->state)
-    , configViewClient(this->state)
+    , upstreamFetch(this->state)
+    , configFetch(this->state)
     , trialStore(this->state)
     , versionConfirmer(this->state)
     , peerAcceptor(this->context, this->state.work)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -27,6 +27,19 @@
 /// \returns the text of the settings file, or nothing if it cannot be read.
 using SettingsSource = std::function<std::optional<std::string>()>;
 
+/// The fetches of one part of the other routers' views of the store.
+struct StoreViewFetch
+{
+    explicit StoreViewFetch(GatewayState &gateway)
+        : client(gateway)
+    {}
+
+    SequentialHttpClient client;
+    /// Fetches in a row that have failed.
+    std::uint32_t failures = 0;
+    TimePoint pausedUntil;
+};
+
 /// The router process: callers, upstreams, store and other routers on one event loop and one
 /// thread.
 class Gateway
@@ -99,8 +112,8 @@
     /// Fetches newer upstreams and a newer configuration from other routers, each in a call of its
     /// own.
     void fetchStoreView();
-    void callStoreView(SequentialHttpClient &client, const Endpoint &router,
-                       const StoreViewQuery &query);
+    void callStoreView(StoreViewFetch &fetch, const Endpoint &router, const StoreViewQuery &query,
+                       Milliseconds idleTimeout);
     /// Lists again if other routers know a newer state, or if none was confirmed recently.
     void checkFreshness(TimePoint now);
     /// Lists again if other routers have known a newer state than this one for some time.
@@ -131,10 +144,8 @@
     StoreFollower replicaFollower;
     StoreFollower evacuationFollower;
     SequentialHttpClient registrationClient;
-    /// For the upstreams and for the configuration of another router's view of the store.
-    SequentialHttpClient upstreamViewClient;
-    SequentialHttpClient configViewClient;
-    TimePoint configFetchPausedUntil;
+    StoreViewFetch upstreamFetch;
+    StoreViewFetch configFetch;
     TrialStore trialStore;
     VersionConfirmer versionConfirmer;
     ConnectionAcceptor peerAcceptor;
--- a/gateway/gatewaystore.cpp
+++ b/gateway/gatewaystore.cpp
@@ -34,6 +34,14 @@
 /// Timeout for registering this router in the store.
 constexpr Milliseconds registrationTimeout{2500};
 
+/// \returns the time without a byte after which a fetch of the configuration is given up. It grows
+/// with each failure: over a congested link the first byte takes longer, from whichever router.
+Milliseconds configIdleTimeout(std::uint32_t failures)
+{
+    constexpr std::uint32_t maxDoublings = 2;
+    return storeViewIdleTimeout * (1 << std::min(failures, maxDoublings));
+}
+
 } // namespace
 
 void Gateway::applyRouting(const std::vector<StoreObject> &items)
@@ -318,29 +326,36 @@
         return;
     }
     // Changes of upstreams are small and urgent; they must not wait behind a large configuration.
-    if (!this->upstreamViewClient.isBusy()) {
+    if (!this->upstreamFetch.client.isBusy()) {
         if (const auto router = this->fleet.routerWithNewerUpstreams()) {
-            this->callStoreView(this->upstreamViewClient, *router,
-                                {this->state.storeView.revision, notRequested});
+            this->callStoreView(this->upstreamFetch, *router,
+                                {this->state.storeView.revision, notRequested},
+                                storeViewIdleTimeout);
         }
     }
-    if (!this->configViewClient.isBusy()
-        && this->state.clock.now() >= this->configFetchPausedUntil) {
+    if (!this->configFetch.client.isBusy()
+        && this->state.clock.now() >= this->configFetch.pausedUntil) {
         if (const auto router = this->fleet.routerWithNewerConfig()) {
             const std::uint64_t version =
                 this->state.routingTable ? this->state.routingTable->config().version : 0;
-            this->callStoreView(this->configViewClient, *router, {notRequested, version});
+            this->callStoreView(this->configFetch, *router, {notRequested, version},
+                                configIdleTimeout(this->configFetch.failures));
         }
     }
 }
 
-void Gateway::callStoreView(SequentialHttpClient &client, const Endpoint &router,
-                            const StoreViewQuery &query)
+void Gateway::callStoreView(StoreViewFetch &fetch, const Endpoint &router,
+                            const StoreViewQuery &query, Milliseconds idleTimeout)
 {
-    client.call(router, "GET", storeViewTarget(query), {}, {storeViewTimeout, storeViewIdleTimeout},
-                [this, router, query](const CallReply &reply) {
-                    this->applyStoreView(router, query, reply);
-                });
+    fetch.client.call(router, "GET", storeViewTarget(query), {}, {storeViewTimeout, idleTimeout},
+                      [this, &fetch, router, query](const CallReply &reply) {
+                          constexpr int ok = 200;
+                          const bool isFetched = reply.status == ok;
+                          fetch.failures = isFetched ? 0 : fetch.failures + 1;
+                          fetch.pausedUntil = this->state.clock.now()
+                                              + (isFetched ? Milliseconds{0} : configFetchPause);
+                          this->applyStoreView(router, query, reply);
+                      });
 }
 
 void Gateway::applyStoreView(const Endpoint &from, const StoreViewQuery &query,
@@ -355,9 +370,6 @@
                                {"before", std::to_string(this->state.storeView.revision)},
                                {"revision", std::to_string(view ? view->revision : 0)},
                                {"replicas", std::to_string(view ? view->replicas.size() : 0)}});
-    if (!view && query.revision == notRequested) {
-        this->configFetchPausedUntil = this->state.clock.now() + configFetchPause;
-    }
     if (!view || this->state.storeView.connected) {
         return;
     }
--- a/tests/gatewaystoreview.cpp
+++ b/tests/gatewaystoreview.cpp
@@ -27,6 +27,8 @@
                           [](ServerConnection &connection) { connection.waitForEnd(); });
         this->callPort = freePort();
         this->changeSettings([this](GatewaySettings &settings) {
+            // One that is not chosen to watch the store beside these watchers.
+            settings.id = "router-2";
             settings.peerDatagrams = {"127.0.0.1", this->callPort};
             settings.peerCalls = {"127.0.0.1", this->callPort};
         });
@@ -57,6 +59,8 @@
 
     static constexpr std::uint64_t newVersion = 99;
     std::atomic<bool> sendsConfig = false;
+    /// Time until the other router sends the first byte of a configuration.
+    Milliseconds configDelay{0};
 
 private:
     static constexpr std::uint64_t newRevision = 50;
@@ -85,6 +89,7 @@
             view.revision = newRevision;
             view.routingDocument = makeRouting(newVersion);
             recordReplica(view, "plain-0", drainingEntry(), newRevision);
+            std::this_thread::sleep_for(asksForConfig ? this->configDelay : Milliseconds{0});
             const std::string body =
                 query ? serializeStoreView(view, newVersion, *query) : std::string();
             connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
@@ -144,3 +149,14 @@
     this->sendsConfig = true;
     CHECK(eventually([this] { return this->appliedConfigVersion() == newVersion; }));
 }
+
+TEST_CASE_METHOD(GatewayStoreViewFixture, "storeView_linkIsCongested_configArrivesAllTheSame",
+                 "[gateway]")
+{
+    // Guards against fetches of a configuration that are all given up before the first byte, at one
+    // router after the other.
+    this->sendsConfig = true;
+    this->configDelay = Milliseconds{600};
+    this->startAmongWatchers();
+    CHECK(eventually([this] { return this->appliedConfigVersion() == newVersion; }));
+}
