--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -26,6 +26,9 @@
 constexpr Milliseconds settingsCheckInterval{2000};
 /// Time for which callers' and upstreams' events are handled before all others are looked for.
 constexpr Milliseconds workSlice{5};
+/// Time in a call of the event loop from which it has waited for an event, so that no other is
+/// ready.
+constexpr Milliseconds idleWait{1};
 constexpr std::size_t maxInternalHeadBytes = 8192;
 
 } // namespace
@@ -280,11 +283,23 @@
 
 void Gateway::runEventLoop()
 {
+    const Clock &clock = this->state.clock;
+    TimePoint polledAt = clock.now();
     while (!this->context.stopped()) {
         if (this->state.work.isEmpty()) {
+            const TimePoint waitedSince = clock.now();
             this->context.run_one();
+            const TimePoint now = clock.now();
+            if (now - waitedSince >= idleWait) {
+                polledAt = now;
+            }
+            continue;
+        }
+        // Looks for other events once a slice only: each time costs a system call.
+        if (clock.now() - polledAt >= workSlice) {
+            this->context.poll();
+            polledAt = clock.now();
         }
-        this->context.poll();
         this->state.work.runFor(workSlice);
     }
 }
