Forward requests for which the upstreams that a router reaches have no room

Cause: the bound on an engine's load is a multiple of the mean over the upstreams that a router can connect to. One that reaches few takes its own load for that mean, and coordinators apply the bound that a request states. A router was cut off from a service or not: with one upstream left, or one open connection, it sent there whatever it had, or refused. The class: the state of the whole service, inferred from the part that one router reaches. Change: if upstreams that a router cannot connect to run requests of others, its reach is limited: the mean is that of the whole service, and a request for which none that it reaches has room is forwarded, as by a router that is cut off. Updates name the service as unreachable then, so that it is no target. If nothing can be selected because of failed connections, the request is forwarded, whether or not it has tried one. Upstreams that are down for all routers still do not count.

--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -573,7 +573,7 @@
     this->originExchange.append(message, update.origins);
     message.set_accepts_forwards(this->gateway.settings.mechanisms.forwarding);
     for (const auto &[service, reach] : this->gateway.reach) {
-        if (reach.wasCutOff) {
+        if (reach.wasCutOff || reach.wasLimited) {
             message.add_unreachable_services(hashOf(service));
         }
     }
--- a/gateway/gatewayreach.cpp
+++ b/gateway/gatewayreach.cpp
@@ -59,6 +59,17 @@
                       {"contact_ms", formatMilliseconds(now - serviceReach.lastContact)}});
             this->fleet->scheduleBroadcast();
         }
+        const bool isLimited = isReachLimited(this->upstreams.ofService(service), now);
+        if (isLimited != serviceReach.wasLimited) {
+            serviceReach.wasLimited = isLimited;
+            const auto upstreams = this->upstreams.ofService(service);
+            logEvent(Event::ServicePartlyReached,
+                     {{"service", service},
+                      {"partly", isLimited ? "yes" : "no"},
+                      {"unreachable", std::to_string(unreachableCount(upstreams, now))},
+                      {"upstreams", std::to_string(upstreams.size())}});
+            this->fleet->scheduleBroadcast();
+        }
         if (cutOff && now - serviceReach.lastProbe >= cutOffProbeInterval) {
             this->probeService(service, serviceReach);
         }
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -89,11 +89,17 @@
     const auto choice = selectUpstream(candidates, choiceRequest,
                                        this->gateway.upstreams.prefixIndex, policy, this->now());
     if (!choice) {
-        if (this->connectFailures == 0 || !this->forward("unreachable")) {
+        const bool isUnreachable =
+            this->connectFailures > 0 || unreachableCount(candidates, this->now()) > 0;
+        if (!isUnreachable || !this->forward("unreachable")) {
             this->fail();
         }
         return;
     }
+    if (choice->isOverBound && isReachLimited(candidates, this->now())
+        && this->forward("limited reach")) {
+        return;
+    }
     if (!this->passAdmissionControl(*choice)
         || (isConstrained && !this->passLoadBound(*choice, *candidates[choice->index]))) {
         return;
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -92,6 +92,7 @@
     ServiceSound = 517,
     BrittleRejection = 518,
     BrittleUngranted = 519,
+    ServicePartlyReached = 520,
     UpstreamCrashed = 550,
     RequestQuarantined = 551,
     CrashReported = 552,
--- a/include/plantainswitch/routing/selection.h
+++ b/include/plantainswitch/routing/selection.h
@@ -102,6 +102,8 @@
     double loadBound = 0.0;
     /// Number of upstreams whose mean load \a loadBound is a multiple of.
     std::uint32_t boundOver = 0;
+    /// No upstream below its share was left.
+    bool isOverBound = false;
     /// The upstream is the prefix's home, the first one in its preference list.
     bool isHome = false;
     /// No engine is known to have the shared prefix cached, so that the home is to prefill it. It
@@ -114,6 +116,13 @@
     double occupancy = 0.0;
 };
 
+/// \returns how many of \a upstreams this router cannot connect to.
+[[nodiscard]] std::size_t unreachableCount(std::span<UpstreamState *const> upstreams,
+                                           TimePoint now);
+/// \returns whether this router reaches only a part of \a upstreams: some that it cannot connect to
+/// run requests of other routers.
+[[nodiscard]] bool isReachLimited(std::span<UpstreamState *const> upstreams, TimePoint now);
+
 /// \returns the upstream with the lowest cost, or nothing if none can be used. Upstreams that are
 /// draining or back off, were already tried or had two failed connection attempts in a row are
 /// never used; those above the load bound, ejected or with one failed connection attempt only if
--- a/include/plantainswitch/routing/servicereach.h
+++ b/include/plantainswitch/routing/servicereach.h
@@ -51,6 +51,8 @@
     TimePoint lastTrialRequest;
     /// What was last logged and reported to the other routers.
     bool wasCutOff = false;
+    /// The same for whether the router reaches only a part of the service.
+    bool wasLimited = false;
 };
 
 /// Records that data of a response arrived from an upstream of the service.
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -87,6 +87,7 @@
     EventRow{Event::ServiceSound, "service-sound", Severity::Info},
     EventRow{Event::BrittleRejection, "brittle-rejection", Severity::Info},
     EventRow{Event::BrittleUngranted, "brittle-ungranted", Severity::Info},
+    EventRow{Event::ServicePartlyReached, "service-partly-reached", Severity::Warning},
     EventRow{Event::UpstreamCrashed, "upstream-crashed", Severity::Warning},
     EventRow{Event::RequestQuarantined, "request-quarantined", Severity::Error},
     EventRow{Event::CrashReported, "crash-reported", Severity::Info},
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -83,9 +83,13 @@
     double unservedShares = 0.0;
     double slots = 0.0;
     std::size_t usable = 0;
+    std::size_t reachable = 0;
     std::size_t ejected = 0;
+    // If this router reaches few upstreams, the mean of these would be its own load.
+    const bool countsUnreachable = isReachLimited(candidates, now);
     for (const UpstreamState *state : candidates) {
-        if (isDraining(*state) || connectFailureCount(state->health, now) > 0) {
+        const bool isUnreachable = connectFailureCount(state->health, now) > 0;
+        if (isDraining(*state) || (isUnreachable && !countsUnreachable)) {
             continue;
         }
         // An upstream that backs off still counts for the mean load: a bound over the others alone
@@ -96,13 +100,17 @@
             runningOnAvailable += runningAt(*state);
             slots += state->replica.maxConcurrency;
         }
-        unservedShares += unservedRateOf(state->health, now);
-        ejected += isEjected(state->health, now) ? 1 : 0;
+        if (!isUnreachable) {
+            ++reachable;
+            unservedShares += unservedRateOf(state->health, now);
+            ejected += isEjected(state->health, now) ? 1 : 0;
+        }
     }
     const auto count = static_cast<double>(std::max<std::size_t>(usable, 1));
+    const auto reached = static_cast<double>(std::max<std::size_t>(reachable, 1));
     return {policy.loadBoundFactor * running / count + policy.loadBoundExtra,
-            static_cast<double>(ejected) <= policy.maxEjectedShare * count, unservedShares / count,
-            slots > 0.0 ? runningOnAvailable / slots : 0.0, usable};
+            static_cast<double>(ejected) <= policy.maxEjectedShare * reached,
+            unservedShares / reached, slots > 0.0 ? runningOnAvailable / slots : 0.0, usable};
 }
 
 double preferenceDelay(std::size_t rank, const SelectionPolicy &policy)
@@ -342,6 +350,23 @@
                                : std::numeric_limits<double>::infinity();
 }
 
+std::size_t unreachableCount(std::span<UpstreamState *const> upstreams, TimePoint now)
+{
+    const auto count =
+        std::count_if(upstreams.begin(), upstreams.end(), [now](const UpstreamState *upstream) {
+            return connectFailureCount(upstream->health, now) > 0;
+        });
+    return static_cast<std::size_t>(count);
+}
+
+bool isReachLimited(std::span<UpstreamState *const> upstreams, TimePoint now)
+{
+    return std::any_of(upstreams.begin(), upstreams.end(), [now](const UpstreamState *upstream) {
+        return connectFailureCount(upstream->health, now) > 0 && upstream->peersRunning > 0
+               && !isDraining(*upstream);
+    });
+}
+
 std::optional<UpstreamSelection> selectUpstream(std::span<UpstreamState *const> candidates,
                                                 const SelectionRequest &request,
                                                 const PrefixIndex &memory,
@@ -376,6 +401,7 @@
         }
         best->ejectedCount = ejected;
         best->overBoundCount = overBound;
+        best->isOverBound = bestEligibility >= Eligibility::OverBound;
         best->loadBound = comparison.statistics.bound;
         best->boundOver = static_cast<std::uint32_t>(comparison.statistics.counted);
         best->homeCost = homeCost;
--- a/tests/gatewaycutoff.cpp
+++ b/tests/gatewaycutoff.cpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <thread>
 
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
@@ -230,6 +231,57 @@
     }
 }
 
+TEST_CASE_METHOD(GatewayCutOffFixture, "cutOff_openConnectionLivesOn_othersCallersAreServed",
+                 "[gateway]")
+{
+    // Guards against a router that new connections to all upstreams are refused to, and that does
+    // not take itself for cut off because an open one still brings events.
+    const auto isOver = std::make_shared<std::atomic<bool>>(false);
+    ScriptedServer &left =
+        this->cutOff.addUpstream("model-0", "model", [isOver](ServerConnection &connection) {
+            const auto request = connection.read();
+            connection.send(TestedGateway::makeStreamHead(*request));
+            for (int id = 1; !*isOver; ++id) {
+                connection.send(TestedGateway::makeChunk(TestedGateway::makeEvent(id)));
+                std::this_thread::sleep_for(std::chrono::milliseconds{20});
+            }
+        });
+    for (const std::string id : {"model-0", "model-1", "model-2", "model-3"}) {
+        this->helper.addUpstream(id, "model", [](ServerConnection &connection) {
+            while (const auto request = connection.read()) {
+                connection.send(TestedGateway::makeStreamHead(*request)
+                                + TestedGateway::makeChunk("id: 1\ndata: helped\n\n")
+                                + "0\r\n\r\n");
+            }
+        });
+        if (id != "model-0") {
+            this->cutOff.addDeadUpstream(id, "model");
+        }
+    }
+    this->start();
+    std::vector<asio::ip::tcp::socket> callers;
+    int number = 0;
+    REQUIRE(TestedGateway::eventually([&] {
+        callers.push_back(this->cutOff.connectCaller());
+        const std::string attempt = "l" + std::to_string(++number);
+        asio::write(callers.back(), asio::buffer(TestedGateway::makeRequest("/stream/x", attempt)));
+        std::string received;
+        asio::read_until(callers.back(), asio::dynamic_buffer(received), "\r\n\r\n");
+        return left.connectionCount() > 0;
+    }));
+    left.stopAccepting();
+    int served = 0;
+    for (int i = 0; i < 20; ++i) {
+        const std::string attempt = "a" + std::to_string(i);
+        served += this->cutOff.call(TestedGateway::makeRequest("/stream/x", attempt)).body
+                          == "id: 1\ndata: helped\n\n"
+                      ? 1
+                      : 0;
+    }
+    *isOver = true;
+    CHECK(served == 20);
+}
+
 TEST_CASE_METHOD(GatewayCutOffFixture, "cutOff_callerTakesStreamUp_goesOnAtTheVersionThatBeganIt",
                  "[gateway]")
 {
--- a/tests/upstreamselection.cpp
+++ b/tests/upstreamselection.cpp
@@ -541,3 +541,48 @@
     memory.recordSharedUse(2, 5, clock.now() - Seconds{5});
     CHECK(memory.wasUsed(2, 5, Seconds{1}, clock.now()));
 }
+
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_fewUpstreamsCanBeReached_boundIsThatOfTheService",
+                 "[routing]")
+{
+    // Guards against a router that takes the mean load of the few upstreams that it reaches, which
+    // is its own, for that of the service.
+    this->addEngines(10);
+    for (std::size_t i = 0; i < this->pointers.size(); ++i) {
+        UpstreamState &state = *this->pointers[i];
+        state.peersRunning = 2;
+        if (i == 0) {
+            state.ownRunning = 18;
+        } else {
+            recordFault(state.health, UpstreamFault::Unreachable, this->clock.now());
+        }
+    }
+    const auto choice = this->choose(promptAbout(7));
+    REQUIRE(choice);
+    CHECK(choice->index == 0);
+    CHECK(choice->isOverBound);
+    CHECK(choice->boundOver == 10);
+    CHECK(choice->loadBound < 10.0);
+    CHECK(isReachLimited(this->pointers, this->clock.now()));
+}
+
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_upstreamsAreDownForAll_boundIsThatOfTheOthers",
+                 "[routing]")
+{
+    // Guards against crashed upstreams that lower the share of those that have their load.
+    this->addEngines(10);
+    for (std::size_t i = 0; i < this->pointers.size(); ++i) {
+        UpstreamState &state = *this->pointers[i];
+        if (i < 5) {
+            recordFault(state.health, UpstreamFault::Unreachable, this->clock.now());
+        } else {
+            state.peersRunning = 8;
+        }
+    }
+    const auto choice = this->choose(promptAbout(7));
+    REQUIRE(choice);
+    CHECK_FALSE(choice->isOverBound);
+    CHECK(choice->boundOver == 5);
+    CHECK_FALSE(isReachLimited(this->pointers, this->clock.now()));
+    CHECK(unreachableCount(this->pointers, this->clock.now()) == 5);
+}
