Let the quarantine's model settle before it looks for records that are left

Trace: it was created 68 ms before the run's end, at the second crash that its request had met, and is removed within a second if the run goes on (none at 59, 61, 62, 64 and 70 s); nothing was left, the run was over. The check asked for a state in the middle of a disturbance. Change: crashing requests and crashes of upstreams' own end with the run's duration, innocent requests go on for ten seconds, longer than a quarantine's second trial is away; no record of an innocent one may be left then. As strict: a record that nobody removes is still there.

--- a/tests/support/quarantinemodel.h
+++ b/tests/support/quarantinemodel.h
@@ -114,7 +114,8 @@
             this->scheduleRefresh(i);
         }
         this->scheduleFaults();
-        this->runFor(this->options.duration);
+        // Innocent requests go on for as long as a quarantine that began at the end may last.
+        this->runFor(this->options.duration + settleTime);
     }
 
     /// Attempts of the crashing request, or of requests with the crashing part, that reached
@@ -192,11 +193,20 @@
     };
     using AttemptPointer = std::shared_ptr<Attempt>;
 
+    static constexpr Seconds settleTime{10};
+
+    /// \returns whether requests that crash upstreams still arrive, and upstreams crash by
+    /// themselves.
+    [[nodiscard]] bool isDisturbed() const { return this->elapsed() < this->options.duration; }
+
     void scheduleArrivals(SuspectKey request, Milliseconds interval)
     {
         const double mean = static_cast<double>(interval.count());
         const double wait = this->exponential(mean);
         this->at(Milliseconds{1 + static_cast<int>(wait)}, [this, request, interval] {
+            if (request >= poison && !this->isDisturbed()) {
+                return;
+            }
             auto attempt = std::make_shared<Attempt>();
             attempt->id = this->nextAttempt++;
             attempt->crashingKind = request >= poison ? request : 0;
@@ -259,6 +269,9 @@
         const double mean = static_cast<double>(this->options.crashInterval.count());
         const double wait = this->exponential(mean);
         this->at(Milliseconds{1 + static_cast<int>(wait)}, [this] {
+            if (!this->isDisturbed()) {
+                return;
+            }
             const std::size_t index = this->below(this->upstreams.size());
             this->crash(index, this->upstreams[index].incarnation);
             this->scheduleCrashes();
