--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -88,16 +88,11 @@
     }
     const auto choice = selectUpstream(candidates, choiceRequest,
                                        this->gateway.upstreams.prefixIndex, policy, this->now());
-    if (!choice) {
-        const bool isUnreachable =
-            this->connectFailures > 0 || unreachableCount(candidates, this->now()) > 0;
-        if (!isUnreachable || !this->forward("unreachable")) {
-            this->fail();
-        }
+    if (this->forwardForLackOfReach(candidates, choice)) {
         return;
     }
-    if (choice->isOverBound && isReachLimited(candidates, this->now())
-        && this->forward("limited reach")) {
+    if (!choice) {
+        this->fail();
         return;
     }
     if (!this->passAdmissionControl(*choice)
@@ -117,6 +112,18 @@
     this->requestGrant(std::move(placement));
 }
 
+bool RequestHandler::forwardForLackOfReach(std::span<UpstreamState *const> candidates,
+                                           const std::optional<UpstreamSelection> &choice)
+{
+    if (!choice) {
+        const bool isUnreachable =
+            this->connectFailures > 0 || unreachableCount(candidates, this->now()) > 0;
+        return isUnreachable && this->forward("unreachable");
+    }
+    return choice->isOverBound && isReachLimited(candidates, this->now())
+           && this->forward("limited reach");
+}
+
 PlacementConstraints RequestHandler::placementConstraints() const
 {
     return {this->gateway.settings.areas, this->gateway.evacuations.dataCentres, this->route->homes,
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -109,6 +109,10 @@
     /// \returns whether an upstream may be selected.
     bool maySelect();
     void selectAndDispatch();
+    /// Forwards the request if none of the upstreams that this router can connect to has room for
+    /// it, and others serve other routers. \returns whether it was forwarded.
+    bool forwardForLackOfReach(std::span<UpstreamState *const> candidates,
+                               const std::optional<UpstreamSelection> &choice);
     /// \returns where the request may be processed.
     [[nodiscard]] PlacementConstraints placementConstraints() const;
     /// \returns whether \a upstream is still there, accepts requests and is permitted.
--- a/tests/gatewayoverload.cpp
+++ b/tests/gatewayoverload.cpp
@@ -75,6 +75,7 @@
     std::vector<asio::ip::tcp::socket> connectCallers(int count)
     {
         std::vector<asio::ip::tcp::socket> callers;
+        callers.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i) {
             callers.push_back(this->connectCaller());
         }
