--- a/gateway/fleetcoordination.cpp
+++ b/gateway/fleetcoordination.cpp
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 #include "plantainswitch/base/hash.h"
+#include "plantainswitch/observe/event.h"
 
 namespace plantainswitch::gateway {
 
@@ -194,12 +197,25 @@
     this->sendTo(address, datagram);
 }
 
+void FleetGossip::onRejection(std::uint64_t incarnation, const std::string &router)
+{
+    const auto record = this->coordinator.recordRejection(incarnation, this->gateway.clock.now());
+    const UpstreamState *const engine = this->gateway.upstreams.findIncarnation(incarnation);
+    logEvent(Event::BrittleRoomReduced,
+             {{"upstream", engine == nullptr ? std::string() : engine->replica.id},
+              {"incarnation", formatHash(incarnation)},
+              {"from", router},
+              {"granted", std::to_string(record ? record->granted : 0)},
+              {"abandoned", std::to_string(record ? record->abandoned : 0)},
+              {"room", fmt::format("{:.0f}", record ? record->room : 0.0)}});
+}
+
 void FleetGossip::reportRejection(const Replica &replica)
 {
     const std::uint64_t incarnation = incarnationOf(replica);
     const std::optional<Endpoint> address = this->coordinatorOf(hashOf(replica.id));
     if (!address) {
-        this->coordinator.recordRejection(incarnation, this->gateway.clock.now());
+        this->onRejection(incarnation, toText(this->gateway.settings.peerDatagrams));
         return;
     }
     wire::GatewayDatagram datagram;
--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -238,7 +238,7 @@
         break;
     case wire::GatewayDatagram::kEnd:
         if (datagram.end().rejected()) {
-            this->coordinator.recordRejection(datagram.end().life(), this->gateway.clock.now());
+            this->onRejection(datagram.end().life(), toText(from));
         } else {
             this->onGrantEnd(datagram.end(), from);
         }
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -99,6 +99,9 @@
     void onAsk(const wire::EngineAsk &message, const Endpoint &from);
     void onReply(const wire::EngineReply &message);
     void onGrantEnd(const wire::EngineEnd &message, const Endpoint &from);
+    /// Records that a brittle engine, which this router coordinates, has rejected a request.
+    /// \param router that reports it
+    void onRejection(std::uint64_t incarnation, const std::string &router);
     /// Fills in by what limits the coordinator grants \a request, and merges its and the requesting
     /// router's knowledge of whether the engine is cold.
     /// \returns how much longer the engine is believed to be cold.
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -336,6 +336,13 @@
     if (this->gateway.isBrittle(this->service)) {
         release = {end, this->gateway.typicalHold(this->service)};
     }
+    if (release.end == GrantEnd::Abandoned) {
+        logEvent(Event::BrittleRunAbandoned,
+                 {{"request", this->request->attemptId},
+                  {"upstream", this->upstream->replica.id},
+                  {"ran_ms", formatMilliseconds(this->now() - this->sentAt)},
+                  {"hold_ms", formatMilliseconds(release.typicalHold)}});
+    }
     this->gateway.fleet->releaseGrant(this->grantedIncarnation, this->grantId, release);
     this->grantId = 0;
 }
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -1,5 +1,7 @@
 #include "gatewayrequesthandler.h"
 
+#include <fmt/format.h>
+
 #include "plantainswitch/observe/event.h"
 
 namespace plantainswitch::gateway {
@@ -19,6 +21,11 @@
 /// Number of failed connection attempts after which a request is refused as not executed.
 constexpr std::uint32_t maxConnectFailures = 4;
 
+std::string describe(const ReportedLoad &load)
+{
+    return fmt::format("{}+{}/{}", load.running, load.waiting, load.slots);
+}
+
 } // namespace
 
 bool RequestHandler::onResponseHead(const MessageHead &head)
@@ -264,6 +271,7 @@
                   {"upstream", this->upstream->replica.id},
                   {"own", std::to_string(this->upstream->ownRunning)},
                   {"peers", std::to_string(this->upstream->peersRunning)},
+                  {"stated", this->response.load ? describe(*this->response.load) : std::string()},
                   {"max_rejections",
                    std::to_string(this->gateway.maxRejectionsOf(this->service).value_or(0))}});
         this->gateway.fleet->reportRejection(this->upstream->replica);
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -93,6 +93,8 @@
     BrittleRejection = 518,
     BrittleUngranted = 519,
     ServicePartlyReached = 520,
+    BrittleRoomReduced = 521,
+    BrittleRunAbandoned = 522,
     UpstreamCrashed = 550,
     RequestQuarantined = 551,
     CrashReported = 552,
--- a/include/plantainswitch/routing/enginecoordinator.h
+++ b/include/plantainswitch/routing/enginecoordinator.h
@@ -68,6 +68,16 @@
     Milliseconds coldFor{0};
 };
 
+/// What a coordinator counts of a brittle engine when it learns of a rejection.
+struct RejectionRecord
+{
+    /// Grants, those of abandoned runs included.
+    std::size_t granted = 0;
+    std::size_t abandoned = 0;
+    /// Requests at once that the engine gets from now on.
+    double room = 0.0;
+};
+
 /// Time after which a grant is revoked that its router no longer reports: the message that released
 /// it was lost. It spans a few of the routers' updates.
 inline constexpr Milliseconds orphanedGrantTimeout{2000};
@@ -125,7 +135,8 @@
                   const GrantRelease &release, TimePoint now);
     /// Records that a brittle engine rejected a request for want of room. From then on it gets no
     /// more at once than it had beside that one, and one more each roomProbeInterval.
-    void recordRejection(std::uint64_t incarnation, TimePoint now);
+    /// \returns what is counted of the engine; nothing if it is not tracked.
+    std::optional<RejectionRecord> recordRejection(std::uint64_t incarnation, TimePoint now);
     /// Revokes the grants of \a router on the engine in excess of the \a reported ones, if they are
     /// older than orphanedGrantTimeout.
     void reconcile(const std::string &router, std::uint64_t incarnation, std::uint32_t reported,
@@ -183,6 +194,7 @@
     void recordResponse(std::uint64_t incarnation, TimePoint now);
     /// Releases the grants of abandoned runs that have ended by now.
     static void releaseAbandoned(Engine &engine, TimePoint now);
+    [[nodiscard]] static std::size_t abandonedCountOf(const Engine &engine) noexcept;
     [[nodiscard]] static double roomOf(const Engine &engine, TimePoint now) noexcept;
 
     double tokensPerMillisecond;
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -88,6 +88,8 @@
     EventRow{Event::BrittleRejection, "brittle-rejection", Severity::Info},
     EventRow{Event::BrittleUngranted, "brittle-ungranted", Severity::Info},
     EventRow{Event::ServicePartlyReached, "service-partly-reached", Severity::Warning},
+    EventRow{Event::BrittleRoomReduced, "brittle-room-reduced", Severity::Warning},
+    EventRow{Event::BrittleRunAbandoned, "brittle-run-abandoned", Severity::Info},
     EventRow{Event::UpstreamCrashed, "upstream-crashed", Severity::Warning},
     EventRow{Event::RequestQuarantined, "request-quarantined", Severity::Error},
     EventRow{Event::CrashReported, "crash-reported", Severity::Info},
--- a/src/routing/enginecoordinator.cpp
+++ b/src/routing/enginecoordinator.cpp
@@ -92,11 +92,12 @@
     return request.loadBound > 0.0 ? std::min(bound, request.loadBound) : bound;
 }
 
-void EngineCoordinator::recordRejection(std::uint64_t incarnation, TimePoint now)
+std::optional<RejectionRecord> EngineCoordinator::recordRejection(std::uint64_t incarnation,
+                                                                  TimePoint now)
 {
     const auto found = this->engines.find(incarnation);
     if (found == this->engines.end()) {
-        return;
+        return std::nullopt;
     }
     Engine &engine = found->second;
     double room = static_cast<double>(engine.grants.size()) - 1.0;
@@ -106,6 +107,7 @@
     engine.room = std::max(1.0, room);
     engine.rejectedAt = now;
     this->recordResponse(incarnation, now);
+    return RejectionRecord{engine.grants.size(), abandonedCountOf(engine), engine.room};
 }
 
 void EngineCoordinator::releaseGrant(const std::string &router, std::uint64_t requestId,
@@ -179,13 +181,19 @@
 {
     std::size_t count = 0;
     for (const auto &[incarnation, engine] : this->engines) {
-        for (const auto &[key, grant] : engine.grants) {
-            count += grant.abandonment ? 1 : 0;
-        }
+        count += abandonedCountOf(engine);
     }
     return count;
 }
 
+std::size_t EngineCoordinator::abandonedCountOf(const Engine &engine) noexcept
+{
+    const auto count =
+        std::count_if(engine.grants.begin(), engine.grants.end(),
+                      [](const auto &entry) { return entry.second.abandonment.has_value(); });
+    return static_cast<std::size_t>(count);
+}
+
 void EngineCoordinator::reconcile(const std::string &router, std::uint64_t incarnation,
                                   std::uint32_t reported, TimePoint now)
 {
