Count a brittle upstream's requests once for all its incarnations

Cause: coordinators counted grants by incarnation. While routers' lists differ after an upstream has returned under its id, it has two counts, and all its slots are granted in each: by routers that know it, and by those whose list is old, whose requests arrive all the same. Each crash makes this state, and with it the next crash. Permits for cold upstreams have been counted by id for this reason; grants of brittle ones were not. The class: a count by a name under which not all know the counted thing. Change: BrittleGrants, split off EngineCoordinator, counts by the upstream's id.

--- a/gateway/fleetcoordination.cpp
+++ b/gateway/fleetcoordination.cpp
@@ -199,7 +199,8 @@
 
 void FleetGossip::onRejection(std::uint64_t incarnation, const std::string &router)
 {
-    const auto record = this->coordinator.recordRejection(incarnation, this->gateway.clock.now());
+    const auto record =
+        this->coordinator.brittle().recordRejection(incarnation, this->gateway.clock.now());
     const UpstreamState *const engine = this->gateway.upstreams.findIncarnation(incarnation);
     logEvent(Event::BrittleRoomReduced,
              {{"upstream", engine == nullptr ? std::string() : engine->replica.id},
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -47,7 +47,7 @@
     /// up.
     [[nodiscard]] std::size_t abandonedGrantCount() const noexcept
     {
-        return this->coordinator.abandonedCount();
+        return this->coordinator.brittle().abandonedCount();
     }
     /// \returns an id for the next request to a coordinator.
     [[nodiscard]] std::uint64_t nextRequestId() noexcept { return ++this->lastRequestId; }
--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -6,6 +6,7 @@
 
 namespace plantainswitch {
 
+class BrittleGrants;
 class BrittleServices;
 class Clock;
 class OwnClaimTable;
@@ -40,6 +41,7 @@
 class SharedMap;
 
 struct Authorization;
+struct BrittleCount;
 struct BrittleNotice;
 struct CatalogueView;
 struct ChatHints;
--- a/tests/brittleservices.cpp
+++ b/tests/brittleservices.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::uint64_t service = 5;
 constexpr std::uint64_t engine = 7;
+constexpr std::uint64_t upstream = 70;
 constexpr Milliseconds typicalHold{130};
 
 class BrittleServicesFixture
@@ -31,6 +32,7 @@
         request.router = "a";
         request.requestId = id;
         request.incarnation = engine;
+        request.permit.upstream = upstream;
         request.brittleBound = bound;
         return this->coordinator.requestGrant(request, reported, this->clock.now()).granted;
     }
@@ -140,7 +142,7 @@
     for (std::uint64_t id = 10; id < 18; ++id) {
         REQUIRE(this->requestGrant(id, 10.0));
     }
-    this->coordinator.recordRejection(engine, this->clock.now());
+    this->coordinator.brittle().recordRejection(engine, this->clock.now());
     this->coordinator.releaseGrant("a", 17, engine);
     CHECK_FALSE(this->requestGrant(20, 10.0));
     for (int i = 0; i < 2; ++i) {
@@ -169,7 +171,7 @@
     this->endGrant(11, GrantEnd::Responded);
     REQUIRE(this->requestGrant(12, 2.0));
     this->endGrant(10, GrantEnd::Abandoned);
-    CHECK(this->coordinator.abandonedCount() == 1);
+    CHECK(this->coordinator.brittle().abandonedCount() == 1);
     this->clock.advance(typicalHold - Milliseconds{21});
     CHECK_FALSE(this->requestGrant(13, 2.0));
     this->clock.advance(Milliseconds{1});
@@ -214,3 +216,26 @@
     this->coordinator.reconcile("a", engine, 0, this->clock.now());
     CHECK_FALSE(this->requestGrant(11, 1.0));
 }
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleEngine_routersKnowTwoIncarnations_hasOneCount",
+                 "[routing]")
+{
+    // Guards against an engine that has returned under its id and gets all its slots twice: from
+    // routers that know it, and from those whose list is old.
+    constexpr std::uint64_t previous = 6;
+    this->finishTakeover(2.0);
+    REQUIRE(this->requestGrant(10, 2.0));
+    REQUIRE(this->requestGrant(11, 2.0));
+    EngineGrantRequest request;
+    request.router = "b";
+    request.requestId = 12;
+    request.incarnation = previous;
+    request.permit.upstream = upstream;
+    request.brittleBound = 2.0;
+    CHECK_FALSE(this->coordinator.requestGrant(request, 0, this->clock.now()).granted);
+    this->endGrant(10, GrantEnd::Responded);
+    CHECK(this->coordinator.requestGrant(request, 0, this->clock.now()).granted);
+    CHECK_FALSE(this->requestGrant(13, 2.0));
+    this->coordinator.endGrant("b", 12, previous, {GrantEnd::Responded, {}}, this->clock.now());
+    CHECK(this->requestGrant(14, 2.0));
+}
--- a/tests/support/brittlemodel.h
+++ b/tests/support/brittlemodel.h
@@ -260,6 +260,7 @@
                      request.router = std::to_string(attempt->router);
                      request.requestId = attempt->id;
                      request.incarnation = incarnation;
+                     request.permit.upstream = index + 1;
                      request.brittleBound = this->coordinatorBound(coordinator, bound);
                      const bool isGranted =
                          this->routers[coordinator]
@@ -284,6 +285,7 @@
             request.router = std::to_string(attempt->router);
             request.requestId = attempt->id;
             request.incarnation = incarnation;
+            request.permit.upstream = index + 1;
             request.brittleBound = this->coordinatorBound(coordinator, bound);
             EngineCoordinator &grants = this->routers[coordinator].coordinator;
             if (grants.requestGrant(request, this->reportedAt(coordinator, index), this->now)
@@ -505,8 +507,8 @@
         const std::size_t coordinator = this->coordinatorOf(run->attempt->router, run->upstream);
         if (this->isReached(run->attempt->router, coordinator)) {
             this->at(this->between(1, 4), [this, coordinator, run] {
-                this->routers[coordinator].coordinator.recordRejection(run->knownIncarnation,
-                                                                       this->now);
+                this->routers[coordinator].coordinator.brittle().recordRejection(
+                    run->knownIncarnation, this->now);
             });
         }
     }
