Keep grants at brittle upstreams until their runs can have ended, by what the upstreams state

Cause: the grant of an abandoned run ended after the service's typical hold, a mean. It was counted from the grant, measured from a stream's first event, a geometric mean over routers with a prior of 20 ms, and over runs that had ended: those that were given up, the long ones, did not count, so that a configuration that shortens a timeout made the figure smaller and the abandoned runs more at once. Grants of a router taken for lost, and of runs whose response could not be read, ended at once. The class: an estimate of the middle taken for a bound. Change: a request states the time that one in ten runs of the service exceeds (RunTimeEstimate, which counts runs that were given up by the share of such that go on) and the deadline that the upstream gets with it. The grant of an abandoned run, also of a lost router, is kept for the former from when the upstream has responded, until the latter at most. Upstreams that state their load have the last word, which no code has used: what they hold without a grant is counted as well, and a slot that an abandoned run has left is granted again. Replaced check: an abandoned grant was demanded back 130 ms after the grant, now after 130 ms from being abandoned; the time before that is checked as before.

--- a/gateway/fleetcoordination.cpp
+++ b/gateway/fleetcoordination.cpp
@@ -16,6 +16,13 @@
 /// waiting longer.
 constexpr Milliseconds coordinatorTimeout{25};
 
+/// \returns \a span as the field of a message holds it, rounded up.
+std::uint32_t millisecondsOf(Duration span)
+{
+    const auto rounded = std::chrono::ceil<Milliseconds>(std::max(span, Duration{0}));
+    return static_cast<std::uint32_t>(rounded.count());
+}
+
 } // namespace
 
 std::optional<Endpoint> FleetGossip::coordinatorOf(std::uint64_t upstream) const
@@ -53,6 +60,8 @@
     ask.set_upstream(grantRequest.permit.upstream);
     ask.set_cold_ms(static_cast<std::uint32_t>(grantRequest.coldFor.count()));
     ask.set_brittle_bound(static_cast<float>(grantRequest.brittleBound));
+    ask.set_run_time_ms(millisecondsOf(grantRequest.runTime.usual));
+    ask.set_deadline_ms(millisecondsOf(grantRequest.runTime.longest));
     for (const std::uint64_t part : grantRequest.prefixHashes) {
         ask.add_chain(part);
     }
@@ -105,6 +114,9 @@
     if (request.brittleBound <= 0.0) {
         return;
     }
+    if (request.runTime.usual.count() == 0 && engine != nullptr) {
+        request.runTime.usual = this->gateway.runTimeBound(engine->replica.service);
+    }
     request.brittleBound *= brittleCoordinatorShare(
         this->contacts.aliveCount(this->gateway.clock.now()) + 1, this->lostRouters.size());
 }
@@ -118,6 +130,8 @@
     grantRequest.promptTokens = message.tokens();
     grantRequest.loadBound = message.bound();
     grantRequest.brittleBound = message.brittle_bound();
+    grantRequest.runTime = {Milliseconds{message.run_time_ms()},
+                            Milliseconds{message.deadline_ms()}};
     grantRequest.prefixHashes.assign(message.chain().begin(), message.chain().end());
     grantRequest.permit.upstream = message.upstream();
     grantRequest.coldFor = Milliseconds{message.cold_ms()};
@@ -161,13 +175,24 @@
                               Milliseconds{message.cold_ms()}});
 }
 
+void FleetGossip::onEnd(const wire::EngineEnd &message, const Endpoint &from)
+{
+    if (!message.rejected() && !message.has_stated_load()) {
+        this->onGrantEnd(message, from);
+        return;
+    }
+    const auto load =
+        message.has_stated_load() ? std::optional(message.stated_load()) : std::nullopt;
+    this->onBrittleResponse({message.life(), load, message.rejected()}, toText(from));
+}
+
 void FleetGossip::onGrantEnd(const wire::EngineEnd &message, const Endpoint &from)
 {
-    const Milliseconds typicalHold{message.abandoned_hold_ms()};
-    const GrantEnd end = typicalHold.count() > 0 ? GrantEnd::Abandoned
-                         : message.responded()   ? GrantEnd::Responded
-                                                 : GrantEnd::Unused;
-    this->coordinator.endGrant(toText(from), message.number(), message.life(), {end, typicalHold},
+    const Milliseconds usualRunTime{message.abandoned_hold_ms()};
+    const GrantEnd end = usualRunTime.count() > 0 ? GrantEnd::Abandoned
+                         : message.responded()    ? GrantEnd::Responded
+                                                  : GrantEnd::Unused;
+    this->coordinator.endGrant(toText(from), message.number(), message.life(), {end, usualRunTime},
                                this->gateway.clock.now());
 }
 
@@ -191,44 +216,55 @@
     message.set_life(incarnation);
     message.set_responded(release.end == GrantEnd::Responded);
     if (release.end == GrantEnd::Abandoned) {
-        const auto hold = std::chrono::ceil<Milliseconds>(release.typicalHold);
-        message.set_abandoned_hold_ms(std::max(1U, static_cast<std::uint32_t>(hold.count())));
+        message.set_abandoned_hold_ms(std::max(1U, millisecondsOf(release.usualRunTime)));
     }
     this->sendTo(address, datagram);
 }
 
-void FleetGossip::onRejection(std::uint64_t incarnation, const std::string &router)
+void FleetGossip::onBrittleResponse(const BrittleResponse &response, const std::string &router)
 {
-    const auto record =
-        this->coordinator.brittle().recordRejection(incarnation, this->gateway.clock.now());
-    const UpstreamState *const engine = this->gateway.upstreams.findIncarnation(incarnation);
+    BrittleGrants &grants = this->coordinator.brittle();
+    const TimePoint now = this->gateway.clock.now();
+    if (!response.isRejection) {
+        grants.recordResponse(response.incarnation, response.load, now);
+        return;
+    }
+    const auto count = grants.recordRejection(response.incarnation, response.load, now);
+    const UpstreamState *const engine =
+        this->gateway.upstreams.findIncarnation(response.incarnation);
     logEvent(Event::BrittleRoomReduced,
              {{"upstream", engine == nullptr ? std::string() : engine->replica.id},
-              {"incarnation", formatHash(incarnation)},
+              {"incarnation", formatHash(response.incarnation)},
               {"from", router},
-              {"granted", std::to_string(record ? record->granted : 0)},
-              {"abandoned", std::to_string(record ? record->abandoned : 0)},
-              {"room", fmt::format("{:.0f}", record ? record->room : 0.0)}});
+              {"granted", std::to_string(count ? count->granted : 0)},
+              {"abandoned", std::to_string(count ? count->abandoned : 0)},
+              {"unknown", std::to_string(count ? count->unknown : 0)},
+              {"room", fmt::format("{:.0f}", count ? count->room : 0.0)}});
 }
 
-void FleetGossip::reportRejection(const Replica &replica)
+void FleetGossip::reportBrittleResponse(const Replica &replica, std::optional<std::uint32_t> load,
+                                        bool isRejection)
 {
-    const std::uint64_t incarnation = incarnationOf(replica);
+    const BrittleResponse response{incarnationOf(replica), load, isRejection};
     const std::optional<Endpoint> address = this->coordinatorOf(hashOf(replica.id));
     if (!address) {
-        this->onRejection(incarnation, toText(this->gateway.settings.peerDatagrams));
+        this->onBrittleResponse(response, toText(this->gateway.settings.peerDatagrams));
         return;
     }
     wire::GatewayDatagram datagram;
-    datagram.mutable_end()->set_life(incarnation);
-    datagram.mutable_end()->set_rejected(true);
+    wire::EngineEnd &message = *datagram.mutable_end();
+    message.set_life(response.incarnation);
+    message.set_rejected(isRejection);
+    if (load) {
+        message.set_stated_load(*load);
+    }
     this->sendTo(*address, datagram);
 }
 
 void FleetGossip::dropGrants(const std::string &id)
 {
     for (const Endpoint &address : this->contacts.addressesOf(id)) {
-        this->coordinator.releaseRouter(toText(address));
+        this->coordinator.releaseRouter(toText(address), this->gateway.clock.now());
     }
 }
 
--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -237,11 +237,7 @@
         this->onReply(datagram.reply());
         break;
     case wire::GatewayDatagram::kEnd:
-        if (datagram.end().rejected()) {
-            this->onRejection(datagram.end().life(), toText(from));
-        } else {
-            this->onGrantEnd(datagram.end(), from);
-        }
+        this->onEnd(datagram.end(), from);
         break;
     case wire::GatewayDatagram::kOriginReport:
         this->originExchange.onOrigins(datagram.origin_report().origins());
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -40,9 +40,11 @@
     /// Reports to the coordinator that a granted request has ended.
     void releaseGrant(std::uint64_t incarnation, std::uint64_t requestId,
                       const GrantRelease &release = {});
-    /// Reports to the coordinator of a brittle upstream that it rejected a request for want of
-    /// room.
-    void reportRejection(const Replica &replica);
+    /// Reports a response of a brittle upstream to its coordinator.
+    /// \param load requests that the upstream states to hold
+    /// \param isRejection it rejected the request for want of room
+    void reportBrittleResponse(const Replica &replica, std::optional<std::uint32_t> load,
+                               bool isRejection);
     /// \returns the number of grants that this router keeps as coordinator for runs that were given
     /// up.
     [[nodiscard]] std::size_t abandonedGrantCount() const noexcept
@@ -85,6 +87,14 @@
     [[nodiscard]] std::uint64_t latestRevision() const;
 
 private:
+    /// A response of a brittle upstream.
+    struct BrittleResponse
+    {
+        std::uint64_t incarnation = 0;
+        std::optional<std::uint32_t> load;
+        bool isRejection = false;
+    };
+
     struct PendingAsk
     {
         std::function<void(std::optional<EngineGrantReply>)> done;
@@ -98,10 +108,11 @@
     void onUpdateMessage(const wire::RouterNews &message, const Endpoint &from);
     void onAsk(const wire::EngineAsk &message, const Endpoint &from);
     void onReply(const wire::EngineReply &message);
+    void onEnd(const wire::EngineEnd &message, const Endpoint &from);
     void onGrantEnd(const wire::EngineEnd &message, const Endpoint &from);
-    /// Records that a brittle engine, which this router coordinates, has rejected a request.
+    /// Records a response of a brittle engine that this router coordinates.
     /// \param router that reports it
-    void onRejection(std::uint64_t incarnation, const std::string &router);
+    void onBrittleResponse(const BrittleResponse &response, const std::string &router);
     /// Fills in by what limits the coordinator grants \a request, and merges its and the requesting
     /// router's knowledge of whether the engine is cold.
     /// \returns how much longer the engine is believed to be cold.
--- a/gateway/fleetupdates.cpp
+++ b/gateway/fleetupdates.cpp
@@ -172,13 +172,21 @@
             continue;
         }
         PerformanceReport report;
-        report.performance = {entry.prefill_rate(),      entry.base_delay(),
-                              entry.delay_per_running(), entry.transfer_rate(),
-                              entry.transfer_setup(),    entry.hold_time(),
-                              entry.tokens_per_request()};
+        report.performance.prefillRate = entry.prefill_rate();
+        report.performance.baseDelay = entry.base_delay();
+        report.performance.delayPerRunning = entry.delay_per_running();
+        report.performance.transferRate = entry.transfer_rate();
+        report.performance.transferSetup = entry.transfer_setup();
+        report.performance.slotHoldTime = entry.hold_time();
+        report.performance.tokensPerRequest = entry.tokens_per_request();
         report.prefillSamples = entry.prefill_samples();
         report.transferSamples = entry.transfer_samples();
         report.slotHoldSamples = entry.hold_samples();
+        // Earlier builds do not state it.
+        if (entry.run_time_bound() > 0.0F) {
+            report.performance.runTimeBound = entry.run_time_bound();
+            report.runSamples = entry.run_samples();
+        }
         this->gateway.estimators[entry.service()].applyReport(message.id(), report, now);
     }
 }
@@ -187,8 +195,8 @@
 {
     for (const auto &[service, estimator] : this->gateway.estimators) {
         const PerformanceReport report = estimator.ownReport();
-        const double samples =
-            report.prefillSamples + report.transferSamples + report.slotHoldSamples;
+        const double samples = report.prefillSamples + report.transferSamples
+                               + report.slotHoldSamples + report.runSamples;
         if (samples <= 0.0 || message.figures_size() >= maxReportedServices) {
             continue;
         }
@@ -204,6 +212,8 @@
         entry->set_prefill_samples(static_cast<float>(report.prefillSamples));
         entry->set_transfer_samples(static_cast<float>(report.transferSamples));
         entry->set_hold_samples(static_cast<float>(report.slotHoldSamples));
+        entry->set_run_time_bound(static_cast<float>(report.performance.runTimeBound));
+        entry->set_run_samples(static_cast<float>(report.runSamples));
     }
 }
 
--- a/gateway/gatewaybrittle.cpp
+++ b/gateway/gatewaybrittle.cpp
@@ -33,10 +33,10 @@
     return this->maxRejectionsOf(service).has_value();
 }
 
-Duration GatewayState::typicalHold(const std::string &service)
+Duration GatewayState::runTimeBound(const std::string &service)
 {
-    const double hold = this->estimators[service].performance(this->clock.now()).slotHoldTime;
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(hold));
+    const double bound = this->estimators[service].performance(this->clock.now()).runTimeBound;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(bound));
 }
 
 double GatewayState::brittleBoundOf(const UpstreamState &upstream) const
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -261,6 +261,10 @@
             loadBoundAfter(this->coordinatorRejections, placement.choice.loadBound);
     }
     grantRequest.brittleBound = this->gateway.brittleBoundOf(*target);
+    grantRequest.runTime.longest = this->remainingTime();
+    if (grantRequest.brittleBound > 0.0) {
+        grantRequest.runTime.usual = this->gateway.runTimeBound(this->service);
+    }
     this->grantId = grantRequest.requestId;
     this->grantedIncarnation = grantRequest.incarnation;
     const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
@@ -334,14 +338,14 @@
     }
     GrantRelease release;
     if (this->gateway.isBrittle(this->service)) {
-        release = {end, this->gateway.typicalHold(this->service)};
+        release = {end, this->gateway.runTimeBound(this->service)};
     }
     if (release.end == GrantEnd::Abandoned) {
         logEvent(Event::BrittleRunAbandoned,
                  {{"request", this->request->attemptId},
                   {"upstream", this->upstream->replica.id},
                   {"ran_ms", formatMilliseconds(this->now() - this->sentAt)},
-                  {"hold_ms", formatMilliseconds(release.typicalHold)}});
+                  {"hold_ms", formatMilliseconds(release.usualRunTime)}});
     }
     this->gateway.fleet->releaseGrant(this->grantedIncarnation, this->grantId, release);
     this->grantId = 0;
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -212,6 +212,7 @@
     if (end == RunEnd::GivenUp) {
         this->gateway.scheduleProbe(this->upstream);
     }
+    this->gateway.estimators[this->service].recordRunGivenUp(this->now() - this->sentAt);
     // Also after a lost connection: the network may have reset it, and the upstream goes on.
     this->releaseGrant(GrantEnd::Abandoned);
 }
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -172,6 +172,8 @@
     /// Records what a response asks of this router.
     void recordNotice(const UpstreamResponse &head);
     /// Records what a response shows about whether the upstream is cold.
+    /// Reports the load that a brittle upstream states to its coordinator.
+    void reportBrittleLoad();
     void recordColdness(const UpstreamResponse &head);
     void onFirstByte();
     /// Feeds the time for which the request held its slot to the service's estimator.
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -21,6 +21,12 @@
 /// Number of failed connection attempts after which a request is refused as not executed.
 constexpr std::uint32_t maxConnectFailures = 4;
 
+/// \returns the requests that an upstream holds.
+std::uint32_t heldBy(const ReportedLoad &load)
+{
+    return load.running + load.waiting;
+}
+
 std::string describe(const ReportedLoad &load)
 {
     return fmt::format("{}+{}/{}", load.running, load.waiting, load.slots);
@@ -46,9 +52,21 @@
                                                  this->sentAt);
     this->recordColdness(decoded);
     this->response = std::move(decoded);
+    this->reportBrittleLoad();
     return true;
 }
 
+void RequestHandler::reportBrittleLoad()
+{
+    // A response that was read late states an old load.
+    const bool isLate = this->gateway.loopMonitor.lateness() > grantArrivalTime;
+    if (this->response.load && !isLate && !this->response.notExecuted
+        && this->gateway.isBrittle(this->service)) {
+        this->gateway.fleet->reportBrittleResponse(this->upstream->replica,
+                                                   heldBy(*this->response.load), false);
+    }
+}
+
 void RequestHandler::recordColdness(const UpstreamResponse &head)
 {
     const TimePoint now = this->now();
@@ -110,6 +128,7 @@
 void RequestHandler::recordHoldTime()
 {
     const UpstreamState &state = *this->upstream;
+    this->gateway.estimators[this->service].recordRunEnded(this->now() - this->sentAt);
     if (this->response.isEventStream) {
         this->gateway.estimators[this->service].recordSlotHold(this->now() - this->firstByteAt);
         return;
@@ -219,6 +238,8 @@
     }
     this->isRunning = false;
     if (outcome != ResponseOutcome::Complete) {
+        // The upstream may go on with a run whose response cannot be read.
+        this->releaseGrant(GrantEnd::Abandoned);
         this->onFault(UpstreamFault::InvalidResponse);
         return;
     }
@@ -274,7 +295,9 @@
                   {"stated", this->response.load ? describe(*this->response.load) : std::string()},
                   {"max_rejections",
                    std::to_string(this->gateway.maxRejectionsOf(this->service).value_or(0))}});
-        this->gateway.fleet->reportRejection(this->upstream->replica);
+        this->gateway.fleet->reportBrittleResponse(
+            this->upstream->replica,
+            this->response.load ? std::optional(heldBy(*this->response.load)) : std::nullopt, true);
         this->upstream->permitBlockedUntil = this->now() + brittleDenialWait;
     }
     this->releaseUpstream();
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -99,8 +99,8 @@
     /// not brittle.
     [[nodiscard]] double brittleBoundOf(const UpstreamState &upstream) const;
     [[nodiscard]] bool isBrittle(std::string_view service) const;
-    /// \returns the time for which a request of the service usually holds its slot.
-    [[nodiscard]] Duration typicalHold(const std::string &service);
+    /// \returns the time that few runs of the service exceed.
+    [[nodiscard]] Duration runTimeBound(const std::string &service);
     /// \returns the number of rejections within a second above which the upstreams of the service
     /// crash, if it is brittle.
     [[nodiscard]] std::optional<std::uint32_t> maxRejectionsOf(std::string_view service) const;
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -66,6 +66,7 @@
 #include "plantainswitch/routing/requestsuspects.h"
 #include "plantainswitch/routing/route.h"
 #include "plantainswitch/routing/routercontacts.h"
+#include "plantainswitch/routing/runtimeestimate.h"
 #include "plantainswitch/routing/selection.h"
 #include "plantainswitch/routing/serviceestimator.h"
 #include "plantainswitch/routing/serviceperformance.h"
--- a/include/plantainswitch/routing/enginecoordinator.h
+++ b/include/plantainswitch/routing/enginecoordinator.h
@@ -61,8 +61,9 @@
     /// older than orphanedGrantTimeout.
     void reconcile(const std::string &router, std::uint64_t incarnation, std::uint32_t reported,
                    TimePoint now);
-    /// Revokes all grants of a router that has left the fleet.
-    void releaseRouter(const std::string &router);
+    /// Revokes all grants of a router that has left the fleet, but for those at brittle engines,
+    /// which may go on with its runs.
+    void releaseRouter(const std::string &router, TimePoint now);
     /// Removes the engines without grants for which there was no request within
     /// idleEngineRetention.
     void removeIdleEngines(TimePoint now);
--- a/include/plantainswitch/routing/enginegrant.h
+++ b/include/plantainswitch/routing/enginegrant.h
@@ -9,6 +9,16 @@
 
 namespace plantainswitch {
 
+/// For how long an upstream may hold a request.
+struct RunTimeBound
+{
+    /// Exceeded by few runs of the service, from sending the request to the end of the response; 0
+    /// if not known.
+    Duration usual{0};
+    /// The deadline that is passed to the upstream; 0 if not known.
+    Duration longest{0};
+};
+
 /// A router's request to the coordinator to admit one more request to an engine.
 struct EngineGrantRequest
 {
@@ -23,6 +33,8 @@
     double loadBound = 0.0;
     /// Running requests that the engine must not exceed because it is brittle; 0 if it is not.
     double brittleBound = 0.0;
+    /// Of a brittle engine.
+    RunTimeBound runTime;
     /// How much longer the requesting router believes the engine to be cold.
     Milliseconds coldFor{0};
     PermitRequest permit;
@@ -44,8 +56,8 @@
 struct GrantRelease
 {
     GrantEnd end = GrantEnd::Unused;
-    /// Time for which a request of the service usually holds its slot; only of an abandoned run.
-    Duration typicalHold{0};
+    /// As in RunTimeBound; only of an abandoned run.
+    Duration usualRunTime{0};
 };
 
 /// The coordinator's reply.
--- a/include/plantainswitch/routing/serviceestimator.h
+++ b/include/plantainswitch/routing/serviceestimator.h
@@ -5,6 +5,7 @@
 
 #include "plantainswitch/base/clock.h"
 #include "plantainswitch/routing/leastsquares.h"
+#include "plantainswitch/routing/runtimeestimate.h"
 #include "plantainswitch/routing/serviceperformance.h"
 
 namespace plantainswitch {
@@ -33,6 +34,9 @@
     void recordFirstByte(const FirstByteSample &sample);
     /// Records how long a request held its slot.
     void recordSlotHold(Duration held);
+    /// Records that a run has ended with a response, or was given up, after \a time.
+    void recordRunEnded(Duration time);
+    void recordRunGivenUp(Duration time);
     /// Applies another router's estimate, which replaces its previous one.
     void applyReport(const std::string &router, const PerformanceReport &report, TimePoint now);
 
@@ -58,11 +62,13 @@
     RecursiveLeastSquares<3> prefill;
     /// Additional time of a transfer; features: constant, thousands of transferred tokens.
     RecursiveLeastSquares<2> transfer;
+    RunTimeEstimate runTime;
     double slotHoldTime;
     double tokensPerRequest;
     double prefillSamples = 0.0;
     double transferSamples = 0.0;
     double slotHoldSamples = 0.0;
+    double runSamples = 0.0;
     double error = 0.0;
     std::map<std::string, ReceivedReport> received;
 };
--- a/include/plantainswitch/routing/serviceperformance.h
+++ b/include/plantainswitch/routing/serviceperformance.h
@@ -20,6 +20,8 @@
     double slotHoldTime = 20.0;
     /// Prompt tokens that a request adds to an engine's cache, by prefill or transfer.
     double tokensPerRequest = 500.0;
+    /// Time that few runs exceed, from the request to the end of the response.
+    double runTimeBound = 400.0;
 };
 
 /// A router's own estimate, as it is sent to the other routers.
@@ -31,6 +33,8 @@
     double prefillSamples = 0.0;
     double transferSamples = 0.0;
     double slotHoldSamples = 0.0;
+    /// Runs behind the bound on their time, those included that were given up.
+    double runSamples = 0.0;
 };
 
 } // namespace plantainswitch
--- a/src/routing/enginecoordinator.cpp
+++ b/src/routing/enginecoordinator.cpp
@@ -109,19 +109,20 @@
             ++grant;
             continue;
         }
-        this->brittleGrants.end(router, grant->first.second, incarnation, {}, now);
+        this->brittleGrants.end(router, grant->first.second, incarnation,
+                                {GrantEnd::Abandoned, Duration{0}}, now);
         grant = grants.erase(grant);
         --counted;
     }
 }
 
-void EngineCoordinator::releaseRouter(const std::string &router)
+void EngineCoordinator::releaseRouter(const std::string &router, TimePoint now)
 {
     for (auto &[incarnation, engine] : this->engines) {
         std::erase_if(engine.grants,
                       [&router](const auto &grant) { return grant.first.first == router; });
     }
-    this->brittleGrants.releaseRouter(router);
+    this->brittleGrants.abandonRouter(router, now);
 }
 
 void EngineCoordinator::removeIdleEngines(TimePoint now)
--- a/src/routing/serviceestimator.cpp
+++ b/src/routing/serviceestimator.cpp
@@ -103,14 +103,15 @@
         this->transferSetup.add(figures.transferSetup, report.transferSamples);
         this->holdTime.add(figures.slotHoldTime, report.slotHoldSamples);
         this->tokensPerRequest.add(figures.tokensPerRequest, report.prefillSamples);
+        this->runTimeBound.add(figures.runTimeBound, report.runSamples);
     }
 
     [[nodiscard]] ServicePerformance value() const
     {
-        return {this->prefillRate.value(),     this->baseDelay.value(),
-                this->delayPerRunning.value(), this->transferRate.value(),
-                this->transferSetup.value(),   this->holdTime.value(),
-                this->tokensPerRequest.value()};
+        return {this->prefillRate.value(),      this->baseDelay.value(),
+                this->delayPerRunning.value(),  this->transferRate.value(),
+                this->transferSetup.value(),    this->holdTime.value(),
+                this->tokensPerRequest.value(), this->runTimeBound.value()};
     }
 
     LogarithmicMean prefillRate;
@@ -120,19 +121,21 @@
     LogarithmicMean transferSetup;
     LogarithmicMean holdTime;
     LogarithmicMean tokensPerRequest;
+    LogarithmicMean runTimeBound;
 };
 
 bool isValid(const PerformanceReport &report)
 {
     const ServicePerformance &figures = report.performance;
     const auto isPositive = [](double value) { return std::isfinite(value) && value > 0.0; };
-    if (!std::isfinite(report.prefillSamples + report.transferSamples + report.slotHoldSamples)) {
+    if (!std::isfinite(report.prefillSamples + report.transferSamples + report.slotHoldSamples
+                       + report.runSamples)) {
         return false;
     }
     return isPositive(figures.prefillRate) && isPositive(figures.baseDelay)
            && isPositive(figures.delayPerRunning) && isPositive(figures.transferRate)
            && isPositive(figures.transferSetup) && isPositive(figures.slotHoldTime)
-           && isPositive(figures.tokensPerRequest);
+           && isPositive(figures.tokensPerRequest) && isPositive(figures.runTimeBound);
 }
 
 } // namespace
@@ -197,6 +200,18 @@
         std::max(meanWeight, 1.0 / this->slotHoldSamples) * (value - this->slotHoldTime);
 }
 
+void ServiceEstimator::recordRunEnded(Duration time)
+{
+    this->runSamples = std::min(maxSamples, this->runSamples + 1.0);
+    this->runTime.recordEnded(millisecondsOf(time));
+}
+
+void ServiceEstimator::recordRunGivenUp(Duration time)
+{
+    this->runSamples = std::min(maxSamples, this->runSamples + 1.0);
+    this->runTime.recordGivenUp(millisecondsOf(time));
+}
+
 void ServiceEstimator::applyReport(const std::string &router, const PerformanceReport &report,
                                    TimePoint now)
 {
@@ -210,8 +225,8 @@
         return;
     }
     PerformanceReport bounded = report;
-    for (double *samples :
-         {&bounded.prefillSamples, &bounded.transferSamples, &bounded.slotHoldSamples}) {
+    for (double *samples : {&bounded.prefillSamples, &bounded.transferSamples,
+                            &bounded.slotHoldSamples, &bounded.runSamples}) {
         *samples = std::clamp(*samples, 0.0, maxSamples);
     }
     this->received[router] = {bounded, now};
@@ -223,6 +238,7 @@
     report.prefillSamples = this->prefillSamples;
     report.transferSamples = this->transferSamples;
     report.slotHoldSamples = this->slotHoldSamples;
+    report.runSamples = this->runSamples;
     report.performance.baseDelay = this->prefill.coefficient(0);
     report.performance.prefillRate = tokenUnit / this->prefill.coefficient(1);
     report.performance.delayPerRunning = this->prefill.coefficient(2);
@@ -230,13 +246,14 @@
     report.performance.transferRate = tokenUnit / this->transfer.coefficient(1);
     report.performance.slotHoldTime = this->slotHoldTime;
     report.performance.tokensPerRequest = this->tokensPerRequest;
+    report.performance.runTimeBound = this->runTime.upperBound();
     return report;
 }
 
 ServicePerformance ServiceEstimator::performance(TimePoint now) const
 {
     FigureMeans means;
-    means.add({ServicePerformance{}, priorSamples, priorSamples, priorSamples});
+    means.add({ServicePerformance{}, priorSamples, priorSamples, priorSamples, priorSamples});
     means.add(this->ownReport());
     for (const auto &[router, entry] : this->received) {
         if (now - entry.when <= performanceReportLifetime) {
--- a/tests/brittleservices.cpp
+++ b/tests/brittleservices.cpp
@@ -11,7 +11,7 @@
 constexpr std::uint64_t service = 5;
 constexpr std::uint64_t engine = 7;
 constexpr std::uint64_t upstream = 70;
-constexpr Milliseconds typicalHold{130};
+constexpr Milliseconds usualRunTime{130};
 
 class BrittleServicesFixture
 {
@@ -34,12 +34,13 @@
         request.incarnation = engine;
         request.permit.upstream = upstream;
         request.brittleBound = bound;
+        request.runTime.usual = usualRunTime;
         return this->coordinator.requestGrant(request, reported, this->clock.now()).granted;
     }
 
     void endGrant(std::uint64_t id, GrantEnd end)
     {
-        this->coordinator.endGrant("a", id, engine, {end, typicalHold}, this->clock.now());
+        this->coordinator.endGrant("a", id, engine, {end, usualRunTime}, this->clock.now());
     }
 
     /// Requests and releases grants until the coordinator's takeover is over.
@@ -142,7 +143,7 @@
     for (std::uint64_t id = 10; id < 18; ++id) {
         REQUIRE(this->requestGrant(id, 10.0));
     }
-    this->coordinator.brittle().recordRejection(engine, this->clock.now());
+    this->coordinator.brittle().recordRejection(engine, std::nullopt, this->clock.now());
     this->coordinator.releaseGrant("a", 17, engine);
     CHECK_FALSE(this->requestGrant(20, 10.0));
     for (int i = 0; i < 2; ++i) {
@@ -172,7 +173,7 @@
     REQUIRE(this->requestGrant(12, 2.0));
     this->endGrant(10, GrantEnd::Abandoned);
     CHECK(this->coordinator.brittle().abandonedCount() == 1);
-    this->clock.advance(typicalHold - Milliseconds{21});
+    this->clock.advance(usualRunTime - Milliseconds{1});
     CHECK_FALSE(this->requestGrant(13, 2.0));
     this->clock.advance(Milliseconds{1});
     CHECK(this->requestGrant(13, 2.0));
@@ -185,11 +186,11 @@
     this->finishTakeover(1.0);
     REQUIRE(this->requestGrant(10, 1.0));
     this->endGrant(10, GrantEnd::Abandoned);
-    this->clock.advance(2 * typicalHold);
+    this->clock.advance(2 * usualRunTime);
     CHECK_FALSE(this->requestGrant(11, 1.0));
     this->endGrant(99, GrantEnd::Responded);
     CHECK_FALSE(this->requestGrant(12, 1.0));
-    this->clock.advance(typicalHold);
+    this->clock.advance(usualRunTime);
     CHECK(this->requestGrant(13, 1.0));
 }
 
@@ -239,3 +240,64 @@
     this->coordinator.endGrant("b", 12, previous, {GrantEnd::Responded, {}}, this->clock.now());
     CHECK(this->requestGrant(14, 2.0));
 }
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleEngine_routerIsLost_keepsItsGrants", "[routing]")
+{
+    // Guards against slots that are granted again while the engine goes on with the runs of a
+    // router that is cut off, or stands still.
+    this->finishTakeover(1.0);
+    REQUIRE(this->requestGrant(10, 1.0));
+    this->coordinator.releaseRouter("a", this->clock.now());
+    CHECK_FALSE(this->requestGrant(11, 1.0));
+    this->clock.advance(maxAbandonedRetention);
+    CHECK(this->requestGrant(11, 1.0));
+}
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleEngine_deadlineOfAbandonedRun_endsItsGrant",
+                 "[routing]")
+{
+    // Guards against an engine that is silent for long and still has what was sent to it.
+    this->finishTakeover(1.0);
+    constexpr Milliseconds deadline{5000};
+    EngineGrantRequest request;
+    request.router = "a";
+    request.requestId = 10;
+    request.incarnation = engine;
+    request.permit.upstream = upstream;
+    request.brittleBound = 1.0;
+    request.runTime = {usualRunTime, deadline};
+    REQUIRE(this->coordinator.requestGrant(request, 0, this->clock.now()).granted);
+    this->endGrant(10, GrantEnd::Abandoned);
+    this->clock.advance(maxAbandonedRetention);
+    CHECK_FALSE(this->requestGrant(11, 1.0));
+    this->clock.advance(deadline + grantArrivalTime - maxAbandonedRetention);
+    CHECK(this->requestGrant(11, 1.0));
+}
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleEngine_statesMoreThanGranted_isCounted",
+                 "[routing]")
+{
+    // Guards against requests that another coordinator granted, or none.
+    this->finishTakeover(4.0);
+    REQUIRE(this->requestGrant(10, 4.0));
+    this->clock.advance(Milliseconds{20});
+    this->coordinator.brittle().recordResponse(engine, 4, this->clock.now());
+    CHECK_FALSE(this->requestGrant(11, 4.0));
+    this->clock.advance(usualRunTime);
+    CHECK(this->requestGrant(11, 4.0));
+}
+
+TEST_CASE_METHOD(BrittleServicesFixture, "brittleEngine_hasDroppedAbandonedRuns_getsOthers",
+                 "[routing]")
+{
+    // Guards against slots that stay empty because an abandoned run may go on, although the engine
+    // states that it does not.
+    this->finishTakeover(2.0);
+    REQUIRE(this->requestGrant(10, 2.0));
+    REQUIRE(this->requestGrant(11, 2.0));
+    this->endGrant(10, GrantEnd::Abandoned);
+    this->clock.advance(grantArrivalTime);
+    CHECK_FALSE(this->requestGrant(12, 2.0));
+    this->coordinator.brittle().recordResponse(engine, 1, this->clock.now());
+    CHECK(this->requestGrant(12, 2.0));
+}
--- a/tests/enginecoordinator.cpp
+++ b/tests/enginecoordinator.cpp
@@ -85,7 +85,7 @@
     this->ask("a", 1);
     this->ask("a", 2);
     CHECK(this->keeper.incarnationsGrantedTo("a") == std::vector<std::uint64_t>{7});
-    this->keeper.releaseRouter("a");
+    this->keeper.releaseRouter("a", this->clock.now());
     CHECK(this->ask("b", 1).running == 1);
     CHECK(this->keeper.incarnationsGrantedTo("a").empty());
 }
--- a/tests/support/brittlemodel.h
+++ b/tests/support/brittlemodel.h
@@ -9,6 +9,7 @@
 #include "plantainswitch/base/hash.h"
 #include "plantainswitch/routing/brittleservices.h"
 #include "plantainswitch/routing/enginecoordinator.h"
+#include "plantainswitch/routing/runtimeestimate.h"
 
 #include "brittleoptions.h"
 #include "brittleupstreams.h"
@@ -261,6 +262,7 @@
                      request.requestId = attempt->id;
                      request.incarnation = incarnation;
                      request.permit.upstream = index + 1;
+                     request.runTime = {this->usualRunTime(), callerDeadline};
                      request.brittleBound = this->coordinatorBound(coordinator, bound);
                      const bool isGranted =
                          this->routers[coordinator]
@@ -286,6 +288,7 @@
             request.requestId = attempt->id;
             request.incarnation = incarnation;
             request.permit.upstream = index + 1;
+            request.runTime = {this->usualRunTime(), callerDeadline};
             request.brittleBound = this->coordinatorBound(coordinator, bound);
             EngineCoordinator &grants = this->routers[coordinator].coordinator;
             if (grants.requestGrant(request, this->reportedAt(coordinator, index), this->now)
@@ -393,6 +396,7 @@
             return;
         }
         run->isAbandoned = true;
+        this->runTimes.recordGivenUp(this->ranFor(*run));
         const AttemptPointer attempt = run->attempt;
         this->release(run, this->options.areAbandonedKept ? GrantEnd::Abandoned : GrantEnd::Unused);
         if (isRetried && attempt->tried.size() < maxRunsOfRequest) {
@@ -460,6 +464,9 @@
                      [this, run, response] { this->onResponse(run, response); });
             return;
         }
+        if (response.load && this->isAlive(*run->attempt) && this->brittleBound(router) > 0.0) {
+            this->reportLoad(run, response);
+        }
         switch (response.outcome) {
         case Outcome::Served:
             this->onServed(run);
@@ -477,6 +484,7 @@
     void onServed(const RunPointer &run)
     {
         run->isOver = true;
+        this->runTimes.recordEnded(this->ranFor(*run));
         this->keepConnection(*run);
         this->release(run, GrantEnd::Responded);
         if (this->isAlive(*run->attempt)) {
@@ -493,7 +501,6 @@
             this->recordResponse(attempt->router);
             this->routers[attempt->router].views[run->upstream].blockedUntil =
                 this->now + brittleDenialWait;
-            this->reportRejection(run);
         }
         this->release(run, GrantEnd::Responded);
         attempt->rejections += 1;
@@ -502,15 +509,32 @@
         }
     }
 
-    void reportRejection(const RunPointer &run)
+    void reportLoad(const RunPointer &run, const Response &response)
     {
         const std::size_t coordinator = this->coordinatorOf(run->attempt->router, run->upstream);
-        if (this->isReached(run->attempt->router, coordinator)) {
-            this->at(this->between(1, 4), [this, coordinator, run] {
-                this->routers[coordinator].coordinator.brittle().recordRejection(
-                    run->knownIncarnation, this->now);
-            });
+        if (!this->isReached(run->attempt->router, coordinator)) {
+            return;
         }
+        this->at(this->between(1, 4), [this, coordinator, run, response] {
+            BrittleGrants &grants = this->routers[coordinator].coordinator.brittle();
+            const auto load = this->options.statesLoad ? response.load : std::nullopt;
+            if (response.outcome == Outcome::Rejected) {
+                grants.recordRejection(run->knownIncarnation, load, this->now);
+            } else {
+                grants.recordResponse(run->knownIncarnation, load, this->now);
+            }
+        });
+    }
+
+    [[nodiscard]] Duration usualRunTime() const
+    {
+        return std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::milli>(this->runTimes.upperBound()));
+    }
+
+    [[nodiscard]] double ranFor(const BrittleRun &run) const
+    {
+        return std::chrono::duration<double, std::milli>(this->now - run.sentAt).count();
     }
 
     void recordResponse(std::size_t router)
@@ -540,7 +564,7 @@
                   GrantEnd end)
     {
         this->routers[grantor].coordinator.endGrant(std::to_string(attempt.router), attempt.id,
-                                                    incarnation, {end, this->options.meanRun},
+                                                    incarnation, {end, this->usualRunTime()},
                                                     this->now);
     }
 
@@ -622,7 +646,7 @@
             const bool isLost =
                 i != index && this->now - router.heardAt[i] >= this->failureDetection(index, i);
             if (isLost && !router.isLost[i]) {
-                router.coordinator.releaseRouter(std::to_string(i));
+                router.coordinator.releaseRouter(std::to_string(i), this->now);
                 router.reported[i].clear();
             }
             router.isLost[i] = isLost;
@@ -659,6 +683,8 @@
     std::vector<std::weak_ptr<BrittleRun>> runs;
     std::uint64_t nextAttempt = 1;
     std::size_t servedCount = 0;
+    /// As the routers' reports to each other make it known to all.
+    RunTimeEstimate runTimes;
 };
 
 } // namespace plantainswitch
--- a/tests/support/brittleoptions.h
+++ b/tests/support/brittleoptions.h
@@ -20,6 +20,8 @@
 /// Time without a response after which a router gives a run up.
 inline constexpr Milliseconds silenceTimeout{250};
 inline constexpr Seconds upstreamSilence{1};
+/// Time after which an upstream stops working on a request.
+inline constexpr Milliseconds callerDeadline{5000};
 inline constexpr std::size_t maxRunsOfRequest = 2;
 /// Mean run whose time is spread evenly, and its least and most.
 inline constexpr Milliseconds evenRun{130};
--- a/tests/support/brittleupstreams.h
+++ b/tests/support/brittleupstreams.h
@@ -212,7 +212,9 @@
         ModelUpstream &upstream = this->upstreams[run->upstream];
         upstream.running += 1;
         run->isExecuting = true;
-        this->at(this->runTime(upstream), [this, run] { this->finish(run); });
+        const Duration left = run->sentAt + callerDeadline - this->now;
+        this->at(std::min(this->runTime(upstream), std::max(left, Duration{0})),
+                 [this, run] { this->finish(run); });
     }
 
     void finish(const RunPointer &run)
@@ -278,7 +280,7 @@
     {
         const ModelUpstream &upstream = this->upstreams[run->upstream];
         Response response{outcome, std::nullopt};
-        if (this->options.statesLoad && outcome != Outcome::ConnectionLost) {
+        if (outcome != Outcome::ConnectionLost) {
             response.load = upstream.running + static_cast<std::uint32_t>(upstream.waiting.size());
         }
         this->at(this->between(1, 4), [this, run, response] { this->onResponse(run, response); });
