Bound what is buffered of responses over all connections together

What callers would see: upstreams in trouble may send bytes that are no response without end. A head was bounded by 64 KiB and a buffered body by 16 MiB, an incomplete event by 1 MiB, each for one connection, so that ten such bodies, or 150 such events, take all memory of the smallest VM (160 MB); a skipped response and informational ones had no bound. A connection is closed after 4 MiB of responses to other requests or 32 informational ones. Body bytes without the upstream's signature no longer count as a sign that it is well. Gauge response_buffer_bytes.

--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -411,6 +411,7 @@
     this->headReceived = false;
     this->firstByteReceived = false;
     this->responseBody.clear();
+    this->bufferShare.clear();
     this->stream.currentVersion = versionKeyOf(target->replica);
     this->sentAt = this->now();
     if (!this->prefixHashes.empty()) {
--- a/gateway/gatewayrequestforward.cpp
+++ b/gateway/gatewayrequestforward.cpp
@@ -52,6 +52,7 @@
     this->phase = Phase::Forwarding;
     this->headReceived = false;
     this->responseBody.clear();
+    this->bufferShare.clear();
     this->response = {};
     this->eventRelay.dropPartial();
     this->stream.currentVersion.reset();
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -285,6 +285,8 @@
     bool firstByteReceived = false;
     UpstreamResponse response;
     std::string responseBody;
+    /// Of what is buffered of the response: its body, or an incomplete event.
+    BufferShare bufferShare{this->gateway.responseBuffers};
     /// The last error response of an earlier attempt. It is forwarded if no later attempt gets a
     /// response.
     std::optional<FailedResponse> failedResponse;
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -146,8 +146,11 @@
     if (this->phase == Phase::Done) {
         return;
     }
-    this->upstream->lastReceived = this->now();
-    this->gateway.recordContact(*this->reach);
+    // Bytes that are no response do not show that the upstream is well.
+    if (this->response.isSigned || this->response.notExecuted) {
+        this->upstream->lastReceived = this->now();
+        this->gateway.recordContact(*this->reach);
+    }
     if (this->isRelayedStream() && !this->firstByteReceived) {
         this->onFirstByte();
     }
@@ -162,8 +165,12 @@
     if (this->isRelayedStream()) {
         return this->relayEvents(bytes);
     }
+    const std::size_t size = this->responseBody.size() + bytes.size();
+    if (size > maxBufferedResponseBytes || !this->bufferShare.resize(size)) {
+        return false;
+    }
     this->responseBody.append(bytes);
-    return this->responseBody.size() <= maxBufferedResponseBytes;
+    return true;
 }
 
 bool RequestHandler::isForThisAttempt(const UpstreamResponse &head) const
@@ -189,7 +196,8 @@
 bool RequestHandler::relayEvents(std::string_view bytes)
 {
     std::string completeEvents;
-    if (!this->eventRelay.feed(bytes, completeEvents)) {
+    if (!this->eventRelay.feed(bytes, completeEvents)
+        || !this->bufferShare.resize(this->eventRelay.partialSize())) {
         return false;
     }
     this->phase = Phase::Relaying;
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::uint32_t maxPort = 65535;
 constexpr double maxGraceSeconds = 600.0;
+constexpr std::uint32_t minResponseBufferBytes = 1 << 20;
+constexpr std::uint32_t maxResponseBufferBytes = 1 << 30;
 constexpr std::uint32_t maxDrainMilliseconds = 60'000;
 constexpr std::uint32_t minCatchUpMilliseconds = 500;
 constexpr std::uint32_t maxCatchUpMilliseconds = 60'000;
@@ -142,6 +144,8 @@
     fields.read("graceSeconds", grace, 1.0, maxGraceSeconds);
     settings.stopGrace =
         std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(grace));
+    fields.read("responseBufferBytes", settings.responseBufferBytes, minResponseBufferBytes,
+                maxResponseBufferBytes);
     settings.log = readLogSettings(fields, faults);
     fields.finish();
     if (!faults.empty()) {
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -70,6 +70,9 @@
     Milliseconds maxCatchUpTime{3000};
     /// Time from the signal for a stop to its forced end.
     Milliseconds stopGrace{8000};
+    /// Largest sum of what is buffered of upstreams' responses, beyond the first bufferReserve
+    /// bytes of each.
+    std::uint32_t responseBufferBytes = std::uint32_t{32} << 20;
     LogSettings log;
 };
 
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -8,6 +8,7 @@
 
 #include <asio/io_context.hpp>
 
+#include "plantainswitch/base/bufferpool.h"
 #include "plantainswitch/base/workqueue.h"
 #include "plantainswitch/observe/eventloopmonitor.h"
 #include "plantainswitch/observe/metrics.h"
@@ -80,6 +81,7 @@
         , replicaDirectory(suspectedExpiryGrace(this->settings.maxDrainTime))
         , upstreams(context, clock)
         , retryBudgets(this->settings.retries)
+        , responseBuffers(this->settings.responseBufferBytes)
     {}
 
     /// \returns the number of routers, including this one, among which fleet-wide limits are
@@ -134,6 +136,8 @@
     std::map<std::string, ServiceReach> reach;
     /// When data of any upstream last arrived, or a connection to one was last established.
     TimePoint lastUpstreamContact;
+    /// What is buffered of upstreams' responses.
+    BufferPool responseBuffers;
     /// Requests of other routers that are being processed.
     std::size_t forwardedRunning = 0;
     Metrics metrics;
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -139,6 +139,7 @@
         appendSample(page, "evacuated", fmt::format("place=\"{}\"", dataCentre), 1.0);
     }
     appendGauge(page, "event_loop_late_seconds", secondsOf(state.loopMonitor.lateness()));
+    appendGauge(page, "response_buffer_bytes", static_cast<double>(state.responseBuffers.used()));
     appendGauge(page, "stopping", state.stopping ? 1.0 : 0.0);
     const auto services = conditionsOf(state);
     appendType(page, "upstreams");
--- a/gateway/http1.cpp
+++ b/gateway/http1.cpp
@@ -29,6 +29,10 @@
 
 } // namespace
 
+/// Informational responses before one final response above which it counts as malformed: an
+/// upstream may send them without end.
+constexpr std::uint32_t maxInterimResponses = 32;
+
 struct MessageParser::State
 {
     http_parser parser{};
@@ -41,6 +45,8 @@
     bool expectsEmptyBody = false;
     /// An informational (1xx) response, such as 100, that is followed by the final one.
     bool interim = false;
+    /// Informational responses before the final one.
+    std::uint32_t interimCount = 0;
     MessageKind kind = MessageKind::Request;
 
     void begin()
@@ -181,6 +187,7 @@
 
 ParseState MessageParser::beginNext()
 {
+    this->state->interimCount = 0;
     this->state->begin();
     return this->parseMessage();
 }
@@ -201,6 +208,9 @@
 {
     ParseState parseState = this->parseHead();
     while (parseState == ParseState::Complete && this->state->interim) {
+        if (++this->state->interimCount > maxInterimResponses) {
+            return ParseState::Malformed;
+        }
         this->state->begin();
         parseState = this->parseHead();
     }
--- a/gateway/upstreamconnection.cpp
+++ b/gateway/upstreamconnection.cpp
@@ -21,7 +21,9 @@
               },
               [this](std::string_view bytes) {
                   const auto currentHandlers = this->handlers;
-                  if (!this->skippingResponse && currentHandlers) {
+                  if (this->skippingResponse) {
+                      this->skippedBytes += bytes.size();
+                  } else if (currentHandlers) {
                       currentHandlers->onBody(bytes);
                   }
               }})
@@ -100,6 +102,7 @@
 void UpstreamConnection::send(const std::string &request, ResponseHandlers newHandlers, bool isHead)
 {
     static_cast<void>(this->parser.beginNext());
+    this->skippedBytes = 0;
     this->busy = true;
     this->handlers = std::make_shared<ResponseHandlers>(std::move(newHandlers));
     this->writeRequest(request, isHead);
@@ -133,6 +136,10 @@
 void UpstreamConnection::handleParseState(ParseState parseState)
 {
     while (this->busy) {
+        if (this->skippingResponse && this->skippedBytes > maxSkippedBytes) {
+            this->finish(ResponseOutcome::Malformed);
+            return;
+        }
         if (parseState == ParseState::Incomplete) {
             return;
         }
--- a/gateway/upstreamconnection.h
+++ b/gateway/upstreamconnection.h
@@ -17,6 +17,8 @@
 
 /// Largest head of a response in bytes.
 inline constexpr std::size_t maxResponseHeadBytes = 64 << 10;
+/// Bytes of responses to other requests above which a connection is closed.
+inline constexpr std::size_t maxSkippedBytes = 4 << 20;
 
 /// How the use of a connection for one request ended.
 enum class ResponseOutcome : std::uint8_t {
@@ -92,6 +94,8 @@
     bool aborted = false;
     bool keepAlive = false;
     bool skippingResponse = false;
+    /// Of responses to other requests since the current one was sent.
+    std::size_t skippedBytes = 0;
     TimePoint idleStart;
 };
 
--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -7,6 +7,8 @@
 namespace plantainswitch {
 
 class BrittleGrants;
+class BufferPool;
+class BufferShare;
 class BrittleServices;
 class Clock;
 class OwnClaimTable;
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -2,6 +2,7 @@
 
 /// Umbrella header of the plantainswitch library.
 
+#include "plantainswitch/base/bufferpool.h"
 #include "plantainswitch/base/clock.h"
 #include "plantainswitch/base/error.h"
 #include "plantainswitch/base/hash.h"
--- a/include/plantainswitch/routing/eventstream.h
+++ b/include/plantainswitch/routing/eventstream.h
@@ -26,6 +26,8 @@
     [[nodiscard]] std::uint64_t eventCount() const noexcept { return this->count; }
     /// \returns whether an incomplete event is buffered.
     [[nodiscard]] bool hasPartial() const noexcept { return !this->partial.empty(); }
+    /// \returns the bytes of the incomplete event.
+    [[nodiscard]] std::size_t partialSize() const noexcept { return this->partial.size(); }
     /// Discards the incomplete event, before the stream is resumed from another upstream.
     void dropPartial() noexcept
     {
--- /dev/null
+++ b/tests/gatewayendless.cpp
@@ -0,0 +1,186 @@
+#include <atomic>
+#include <thread>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "gatewayfixture.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::gateway;
+
+namespace {
+
+/// Upstreams that send bytes without end in response to some requests, until the connection is
+/// closed, and serve the others.
+class GatewayEndlessFixture : public GatewayFixture
+{
+protected:
+    static constexpr int callers = 24;
+    /// Bytes that one response may have if no other is buffered.
+    static constexpr std::size_t limitOfOne = 16 << 20;
+
+    void addEndless(const std::string &id, const std::string &service)
+    {
+        this->addUpstream(id, service, [this](ServerConnection &connection) {
+            while (const auto request = connection.read()) {
+                if (request->body != "endless") {
+                    connection.send(this->makeServed(*request));
+                    continue;
+                }
+                this->sendWithoutEnd(connection, *request);
+                return;
+            }
+        });
+    }
+
+    std::string makeServed(const ReceivedRequest &request) const
+    {
+        return this->isStream ? makeStreamHead(request) + makeChunk(makeEvent(1)) + "0\r\n\r\n"
+                              : makeResponse(request, "served");
+    }
+
+    void sendWithoutEnd(ServerConnection &connection, const ReceivedRequest &request)
+    {
+        constexpr int most = 2000;
+        connection.send(this->begin(request));
+        int sent = 0;
+        while (sent < most && !connection.waitForEnd(std::chrono::milliseconds{0})) {
+            connection.send(this->filler);
+            ++sent;
+        }
+        this->closedEarly += sent < most ? 1 : 0;
+        const std::size_t size = static_cast<std::size_t>(sent) * this->filler.size();
+        this->sentBeyondLimit += size >= limitOfOne ? 1 : 0;
+    }
+
+    /// Calls for endless responses from many callers at once, and for others beside them.
+    void callAtOnce(const std::string &path, const std::string &fields = {})
+    {
+        std::vector<std::thread> threads;
+        for (int i = 0; i < callers; ++i) {
+            threads.emplace_back([this, i, &path, &fields] {
+                const bool isEndless = i % 2 == 0;
+                const std::string attempt = "c" + std::to_string(i);
+                const int status =
+                    this->call(makeRequest(path, attempt, isEndless ? "endless" : "", fields))
+                        .status;
+                this->failed += isEndless && status == 502 ? 1 : 0;
+                this->served += !isEndless && status == 200 ? 1 : 0;
+            });
+        }
+        for (std::thread &thread : threads) {
+            thread.join();
+        }
+    }
+
+    void checkOutcome()
+    {
+        CHECK(this->failed == callers / 2);
+        CHECK(this->served == callers / 2);
+        CHECK(eventually([this] { return this->closedEarly == callers / 2; }));
+        CHECK(this->sentBeyondLimit == 0);
+        CHECK(eventually([this] {
+            return this->getInternalPage("/metrics")
+                       .body.find("plantainswitch_response_buffer_bytes 0\n")
+                   != std::string::npos;
+        }));
+    }
+
+    std::function<std::string(const ReceivedRequest &)> begin;
+    std::string filler;
+    bool isStream = false;
+    std::atomic<int> closedEarly = 0;
+    std::atomic<int> sentBeyondLimit = 0;
+    std::atomic<int> failed = 0;
+    std::atomic<int> served = 0;
+};
+
+std::string chunkedHead(const std::string &attempt)
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt
+           + "\r\nX-Server-Stamp: stamp\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string attemptOf(const ReceivedRequest &request)
+{
+    return *request.head.find("X-Attempt-Id");
+}
+
+} // namespace
+
+TEST_CASE_METHOD(GatewayEndlessFixture, "responseHead_withoutEnd_failsAlone", "[gateway]")
+{
+    // Guards against heads without end that take the memory of all callers.
+    this->begin = [](const ReceivedRequest &) { return "HTTP/1.1 200 OK\r\nX-Filler: "; };
+    this->filler.assign(16 << 10, 'a');
+    this->addEndless("plain-0", "plain");
+    this->start();
+    this->callAtOnce("/once/x");
+    this->checkOutcome();
+}
+
+TEST_CASE_METHOD(GatewayEndlessFixture, "responseBody_withoutEnd_failsAlone", "[gateway]")
+{
+    // Guards against bodies without end that take the memory of all callers together, though each
+    // is below the limit of one.
+    this->begin = [](const ReceivedRequest &request) { return chunkedHead(attemptOf(request)); };
+    this->filler = makeChunk(std::string(64 << 10, 'a'));
+    this->addEndless("plain-0", "plain");
+    this->changeSettings([](GatewaySettings &settings) { settings.responseBufferBytes = 4 << 20; });
+    this->start();
+    this->callAtOnce("/once/x");
+    this->checkOutcome();
+}
+
+TEST_CASE_METHOD(GatewayEndlessFixture, "skippedBody_withoutEnd_failsAlone", "[gateway]")
+{
+    // Guards against a response to another request that is skipped without end.
+    this->begin = [](const ReceivedRequest &) { return chunkedHead("other"); };
+    this->filler = makeChunk(std::string(64 << 10, 'a'));
+    this->addEndless("plain-0", "plain");
+    this->start();
+    this->callAtOnce("/once/x");
+    this->checkOutcome();
+}
+
+TEST_CASE_METHOD(GatewayEndlessFixture, "interimResponses_withoutEnd_failAlone", "[gateway]")
+{
+    // Guards against informational responses that are never followed by a final one.
+    this->begin = [](const ReceivedRequest &) { return std::string(); };
+    for (int i = 0; i < 500; ++i) {
+        this->filler += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    this->addEndless("plain-0", "plain");
+    this->start();
+    this->callAtOnce("/once/x");
+    this->checkOutcome();
+}
+
+TEST_CASE_METHOD(GatewayEndlessFixture, "trailers_withoutEnd_failAlone", "[gateway]")
+{
+    // Guards against trailers without end behind a body that is complete.
+    this->begin = [](const ReceivedRequest &request) {
+        return chunkedHead(attemptOf(request)) + makeChunk("a") + "0\r\n";
+    };
+    for (int i = 0; i < 500; ++i) {
+        this->filler += "X-Trailer: value\r\n";
+    }
+    this->addEndless("plain-0", "plain");
+    this->start();
+    this->callAtOnce("/once/x");
+    this->checkOutcome();
+}
+
+TEST_CASE_METHOD(GatewayEndlessFixture, "event_withoutEnd_failsAlone", "[gateway]")
+{
+    // Guards against events without end: each is below the limit of one, all together are not.
+    this->isStream = true;
+    this->begin = [](const ReceivedRequest &request) { return makeStreamHead(request); };
+    this->filler = makeChunk(std::string(64 << 10, 'a'));
+    this->addEndless("model-0", "model");
+    this->changeSettings([](GatewaySettings &settings) { settings.responseBufferBytes = 4 << 20; });
+    this->start();
+    this->callAtOnce("/stream/x");
+    this->checkOutcome();
+}
