--- a/tests/gatewayendless.cpp
+++ b/tests/gatewayendless.cpp
@@ -34,7 +34,7 @@
         });
     }
 
-    std::string makeServed(const ReceivedRequest &request) const
+    [[nodiscard]] std::string makeServed(const ReceivedRequest &request) const
     {
         return this->isStream ? makeStreamHead(request) + makeChunk(makeEvent(1)) + "0\r\n\r\n"
                               : makeResponse(request, "served");
@@ -58,6 +58,7 @@
     void callAtOnce(const std::string &path, const std::string &fields = {})
     {
         std::vector<std::thread> threads;
+        threads.reserve(callers);
         for (int i = 0; i < callers; ++i) {
             threads.emplace_back([this, i, &path, &fields] {
                 const bool isEndless = i % 2 == 0;
