Compute the bound on run times only for abandoned runs; names and comments in the field's words

Each release of a grant at a brittle upstream computed the bound over all routers' reports, which only abandoned runs use.

--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -338,9 +338,10 @@
     }
     GrantRelease release;
     if (this->gateway.isBrittle(this->service)) {
-        release = {end, this->gateway.runTimeBound(this->service)};
+        release.end = end;
     }
     if (release.end == GrantEnd::Abandoned) {
+        release.usualRunTime = this->gateway.runTimeBound(this->service);
         logEvent(Event::BrittleRunAbandoned,
                  {{"request", this->request->attemptId},
                   {"upstream", this->upstream->replica.id},
--- a/include/plantainswitch/routing/brittlegrants.h
+++ b/include/plantainswitch/routing/brittlegrants.h
@@ -19,8 +19,8 @@
 inline constexpr double brittleTakeoverShare = 0.6;
 /// Longest time for which the grant of an abandoned run is kept whose deadline is not known.
 inline constexpr Seconds maxAbandonedRetention{2};
-/// Interval after which a brittle upstream that has rejected requests is tried with one more at
-/// once.
+/// Interval after which a brittle upstream that has rejected requests may hold one more of them
+/// at once.
 inline constexpr Seconds roomProbeInterval{2};
 /// Longest time between a grant and the request's arrival at the upstream that is accounted for
 /// when the upstream states its load.
--- a/include/plantainswitch/routing/enginegrant.h
+++ b/include/plantainswitch/routing/enginegrant.h
@@ -46,9 +46,9 @@
     Unused,
     /// The engine has responded.
     Responded,
-    /// The router has given the run up, or its connection was lost. The engine may still hold it:
-    /// it
-    /// goes on without the connection, or is silent and has not noticed.
+    /// The router has given the run up, or its connection was lost.
+    /// The engine may still hold it: it goes on without the connection, or is silent and has not
+    /// noticed.
     Abandoned,
 };
 
