End 204 and 304 responses with their head, also if they state a length

Callers saw requests run into their deadline when an upstream responded 304 with Content-Length, as RFC 9110 allows: the parser, whose library reads a body wherever a length is stated, waited for one that never comes. Class: a length that states what the body would be, not what follows. HEAD was handled by the request's method only.

--- a/gateway/http1.cpp
+++ b/gateway/http1.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+constexpr int noContent = 204;
+constexpr int notModified = 304;
+
 bool isTokenCharacter(unsigned char c) noexcept
 {
     constexpr std::string_view others = "!#$%&'*+-.^_`|~";
@@ -94,12 +97,15 @@
         } else {
             this->head.status = static_cast<int>(this->parser.status_code);
         }
-        this->interim = this->head.status >= 100 && this->head.status < 200;
+        const int status = this->head.status;
+        this->interim = status >= 100 && status < 200;
         if (!this->interim) {
             this->events.onHead(std::move(this->head));
         }
         this->head = {};
-        return this->expectsEmptyBody ? 1 : 0;
+        // These never have a body, even with a length.
+        const bool isEmptyStatus = status == noContent || status == notModified;
+        return this->expectsEmptyBody || isEmptyStatus ? 1 : 0;
     }
 };
 
