Notify the other routers of a trial that was returned

The trace: all upstreams were down at the first trial (1.3 s), so it reached none and was returned to the store. The router that made it tried again after 0.5 s, but the others, notified that trial 1 was permitted, waited 5 s for its outcome; its own echo delayed that router, too. After trials 2 and 3 the wait is 60 and 600 s. Cause: routers ordered what they know of the record by the number of trials, which may fall. Class: a value that may go down, merged as a maximum. Now by the store's revision, which never falls; returning a trial is broadcast as permitting one is. Routers of earlier builds ignore the field, and what they send is merged as before.

--- a/gateway/fleetupdates.cpp
+++ b/gateway/fleetupdates.cpp
@@ -82,6 +82,7 @@
         entry->set_request(count.key);
         entry->set_trials(count.trials);
         entry->set_ago_ms(millisecondsSince(count.recordedAt, now));
+        entry->set_revision(count.revision);
     }
 }
 
@@ -231,8 +232,8 @@
         this->gateway.applyCleared({message.cleared(i), now - age});
     }
     for (const wire::TrialsSeen &trials : message.trials()) {
-        this->gateway.recordTrials(
-            {trials.request(), trials.trials(), now - Milliseconds{trials.ago_ms()}});
+        this->gateway.recordTrials({trials.request(), trials.trials(),
+                                    now - Milliseconds{trials.ago_ms()}, trials.revision()});
     }
 }
 
--- a/gateway/trialstore.cpp
+++ b/gateway/trialstore.cpp
@@ -87,7 +87,7 @@
     for (const StoreObject &item : listed->objects) {
         if (const auto record = this->gateway.dialect.parseTrialRecord(item)) {
             // The list may be stale: what was answered lately goes before it.
-            this->gateway.recordTrials({record->key, record->trials, {}});
+            this->gateway.recordTrials({record->key, record->trials, {}, record->revision});
         }
     }
 }
@@ -126,7 +126,7 @@
     const TimePoint readAt = this->gateway.clock.now();
     this->read(key, [this, key, readAt](bool, const std::optional<TrialRecord> &stored) {
         if (stored && stored->isQuarantined) {
-            this->gateway.recordTrials({key, stored->trials, readAt});
+            this->gateway.recordTrials({key, stored->trials, readAt, stored->revision});
         }
     });
 }
@@ -145,7 +145,7 @@
         }
         const TrialStep step = nextTrialStep(stored, known);
         if (step == TrialStep::Denied) {
-            this->gateway.recordTrials({key, stored->trials, readAt});
+            this->gateway.recordTrials({key, stored->trials, readAt, stored->revision});
             done(TrialPermit::Denied);
             return;
         }
@@ -153,7 +153,7 @@
                                stored ? stored->revision : 0};
         this->write(next, step, [this, next, readAt, done](TrialPermit permit) {
             if (permit == TrialPermit::Permitted) {
-                this->gateway.recordTrials({next.key, next.trials, readAt});
+                this->gateway.recordTrials({next.key, next.trials, readAt, next.revision + 1});
                 this->gateway.crashQuarantine.beginTrial(next.key, next.trials,
                                                          this->gateway.clock.now());
             }
@@ -169,8 +169,13 @@
     quarantine.returnTrial(key, this->gateway.clock.now());
     this->read(key, [this, key, permitted](bool, const std::optional<TrialRecord> &stored) {
         if (stored && stored->trials == permitted && permitted > 0) {
-            this->write({key, permitted - 1, true, stored->revision}, TrialStep::Increment,
-                        [](TrialPermit) {});
+            const TrialRecord returned{key, permitted - 1, true, stored->revision};
+            this->write(returned, TrialStep::Increment, [this, returned](TrialPermit permit) {
+                if (permit == TrialPermit::Permitted) {
+                    this->gateway.recordTrials({returned.key, returned.trials,
+                                                this->gateway.clock.now(), returned.revision + 1});
+                }
+            });
         }
     });
 }
--- a/include/plantainswitch/routing/crashquarantine.h
+++ b/include/plantainswitch/routing/crashquarantine.h
@@ -78,6 +78,10 @@
     std::uint32_t trials = 0;
     /// When the store was read, or earlier. What was answered since is not quarantined by it.
     TimePoint recordedAt;
+    /// Revision of the store's record, or a lower one that is higher than any before the count. Of
+    /// two counts that with the higher revision is newer, even if it is lower, as after a trial
+    /// that was returned. 0 if unknown: the higher count is newer then.
+    std::uint64_t revision = 0;
 };
 
 /// Whether a request may be sent to an upstream.
@@ -206,6 +210,9 @@
         bool isRecorded = false;
         TimePoint recordedAt;
         std::uint32_t trials = 0;
+        std::uint64_t revision = 0;
+        /// The last trial reached no upstream.
+        bool isTrialReturned = false;
         /// Last crash or trial.
         TimePoint lastActivity;
         TimePoint nextTrial;
@@ -215,6 +222,9 @@
     [[nodiscard]] std::size_t countOf(SuspectKey key, const Suspect &suspect) const;
     [[nodiscard]] bool isHeld(SuspectKey key, const Suspect &suspect) const;
     static void scheduleTrial(Suspect &suspect, TimePoint activity);
+    /// Makes the trial after number \a trials due soon.
+    static void undoTrial(Suspect &suspect, std::uint32_t trials, TimePoint now);
+    [[nodiscard]] static bool isNewer(const TrialCount &count, const Suspect &suspect) noexcept;
     void dropOldest();
     void removeOldRuns(TimePoint now);
     void removeEmptyRuns();
--- a/src/routing/crashquarantine.cpp
+++ b/src/routing/crashquarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace plantainswitch {
 
@@ -153,6 +154,8 @@
                   [answeredAt](const auto &entry) { return entry.second.brokenAt <= answeredAt; });
     suspect.isRecorded = false;
     suspect.trials = 0;
+    suspect.revision = 0;
+    suspect.isTrialReturned = false;
     return suspect.crashes.empty();
 }
 
@@ -176,29 +179,51 @@
         return false;
     }
     Suspect &suspect = this->suspects[count.key];
-    if (suspect.isRecorded && count.trials <= suspect.trials) {
+    if (suspect.isRecorded && !isNewer(count, suspect)) {
         return false;
     }
-    this->beginTrial(count.key, std::max(count.trials, suspect.trials), now);
+    const bool isKnown = suspect.isRecorded && count.trials == suspect.trials
+                         && (count.trials == 0 || suspect.isTrialReturned);
+    if (suspect.isRecorded && count.trials < suspect.trials) {
+        undoTrial(suspect, count.trials, now);
+    } else if (!isKnown) {
+        this->beginTrial(count.key, std::max(count.trials, suspect.trials), now);
+    }
     suspect.recordedAt = count.recordedAt;
+    suspect.revision = std::max(suspect.revision, count.revision);
     return true;
 }
 
+bool CrashQuarantine::isNewer(const TrialCount &count, const Suspect &suspect) noexcept
+{
+    const bool hasRevisions = count.revision > 0 && suspect.revision > 0;
+    return hasRevisions ? std::pair{count.revision, count.trials}
+                              > std::pair{suspect.revision, suspect.trials}
+                        : count.trials > suspect.trials;
+}
+
 void CrashQuarantine::beginTrial(SuspectKey key, std::uint32_t trials, TimePoint now)
 {
     Suspect &suspect = this->suspects[key];
     suspect.isRecorded = true;
     suspect.recordedAt = now;
     suspect.trials = trials;
+    suspect.isTrialReturned = false;
     scheduleTrial(suspect, now);
 }
 
+void CrashQuarantine::undoTrial(Suspect &suspect, std::uint32_t trials, TimePoint now)
+{
+    suspect.trials = trials;
+    suspect.isTrialReturned = true;
+    suspect.nextTrial = now + trialRetryDelay;
+}
+
 void CrashQuarantine::returnTrial(SuspectKey key, TimePoint now)
 {
     const auto found = this->suspects.find(key);
     if (found != this->suspects.end() && found->second.trials > 0) {
-        found->second.trials -= 1;
-        found->second.nextTrial = now + trialRetryDelay;
+        undoTrial(found->second, found->second.trials - 1, now);
     }
 }
 
@@ -326,7 +351,7 @@
     std::vector<TrialCount> counts;
     for (const auto &[key, suspect] : this->suspects) {
         if (suspect.isRecorded && counts.size() < maxSharedSuspects) {
-            counts.push_back({key, suspect.trials, suspect.recordedAt});
+            counts.push_back({key, suspect.trials, suspect.recordedAt, suspect.revision});
         }
     }
     return counts;
--- a/tests/crashquarantine.cpp
+++ b/tests/crashquarantine.cpp
@@ -261,6 +261,36 @@
     CHECK(this->state(14) == QuarantineState::TrialDue);
 }
 
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_otherRouterReturnsTrial_isDueAgainSoon",
+                 "[routing]")
+{
+    // Guards against routers that wait for the outcome of another one's trial, of which they were
+    // notified, although it reached no upstream.
+    this->crashThreeUpstreams(14);
+    const TrialCount permitted{14, 3, this->clock.now(), 7};
+    const TrialCount returned{14, 2, this->clock.now(), 8};
+    CHECK(this->quarantine.recordTrials(permitted, this->clock.now()));
+    CHECK(this->quarantine.recordTrials(returned, this->clock.now()));
+    CHECK(this->quarantine.trialCount(14) == 2);
+    // It may arrive again, by way of another router.
+    CHECK_FALSE(this->quarantine.recordTrials(permitted, this->clock.now()));
+    this->clock.advance(trialRetryDelay);
+    CHECK(this->state(14) == QuarantineState::TrialDue);
+}
+
+TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_returnedTrialIsConfirmed_staysDueSoon",
+                 "[routing]")
+{
+    // Guards against a router that takes the store's record of its own returned trial for another
+    // trial.
+    this->crashThreeUpstreams(14);
+    this->quarantine.recordTrials({14, 2, this->clock.now(), 7}, this->clock.now());
+    this->quarantine.returnTrial(14, this->clock.now());
+    CHECK(this->quarantine.recordTrials({14, 1, this->clock.now(), 8}, this->clock.now()));
+    this->clock.advance(trialRetryDelay);
+    CHECK(this->state(14) == QuarantineState::TrialDue);
+}
+
 TEST_CASE_METHOD(CrashQuarantineFixture, "crashQuarantine_callForTrialRunning_otherCopiesAreHeld",
                  "[routing]")
 {
--- a/tests/crashquarantinemodel.cpp
+++ b/tests/crashquarantinemodel.cpp
@@ -51,17 +51,25 @@
         });
     }
 
+    /// Runs the model with the options of one seed, changed by \a change, and calls \a check.
+    static void runSeed(std::uint64_t seed,
+                        const std::function<void(std::uint64_t, QuarantineOptions &)> &change,
+                        const std::function<void(const QuarantineModel &)> &check)
+    {
+        QuarantineOptions options = optionsOf(seed);
+        change(seed, options);
+        QuarantineModel model(seed, options);
+        model.run();
+        INFO("seed " << seed << ", crashes " << model.crashes());
+        check(model);
+    }
+
 private:
     static void forEachSeed(const std::function<void(std::uint64_t, QuarantineOptions &)> &change,
                             const std::function<void(const QuarantineModel &)> &check)
     {
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-            QuarantineOptions options = optionsOf(seed);
-            change(seed, options);
-            QuarantineModel model(seed, options);
-            model.run();
-            INFO("seed " << seed << ", crashes " << model.crashes());
-            check(model);
+            runSeed(seed, change, check);
         }
     }
 };
@@ -117,6 +125,18 @@
         });
 }
 
+TEST_CASE_METHOD(CrashQuarantineModelFixture,
+                 "crashQuarantine_noUpstreamAtTheFirstTrial_isTriedAgainByAllRouters", "[routing]")
+{
+    // Guards against routers that hold an innocent request for as long as after a second trial,
+    // because the first one, of another router, found no upstream.
+    const std::uint64_t seed = GENERATE(355, 1330, 1390, 1975);
+    runSeed(
+        seed,
+        [](std::uint64_t, QuarantineOptions &options) { options.outageAt = Milliseconds{20000}; },
+        [](const QuarantineModel &model) { CHECK(model.longestInnocentRefusal() <= Seconds{3}); });
+}
+
 TEST_CASE_METHOD(CrashQuarantineModelFixture,
                  "crashQuarantine_longRequestsOnCrashingUpstreams_areMostlyServed", "[routing]")
 {
