Write whole responses to slow callers, and count them as buffered

Callers that read slowly got a cut response when their router stopped: a connection whose request had ended counted as idle although bytes were queued, so the first check of a stop, or the idle timeout while a large response was read, discarded them; a response that announced the close left the list of connections at once, so that a drained router could end before it was written. And what had been received completely, waiting to be written, counted in no bound: a caller that sent request after request and read nothing queued all responses. Cause: the end of a request was taken for the end of its response. Now a connection is writing until its queue is empty: it is neither idle nor drained, its next request waits, and it is closed as idle only if nothing is written for the idle timeout. The share of the response's buffer moves with it (BufferShare), also to an error response that is kept during a retry; a relayed stream is read no further when its queue may not grow.

--- a/gateway/bytestream.cpp
+++ b/gateway/bytestream.cpp
@@ -123,7 +123,7 @@
 
 void ByteStream::write(std::string_view bytes)
 {
-    if (!this->socket.is_open() || this->closing) {
+    if (!this->socket.is_open()) {
         return;
     }
     this->queued.append(bytes);
@@ -166,9 +166,7 @@
             return;
         }
     }
-    if (this->closing) {
-        this->close();
-    } else if (this->handlers.onWritten) {
+    if (this->handlers.onWritten) {
         const auto onWritten = this->handlers.onWritten;
         onWritten();
     }
@@ -193,12 +191,6 @@
     asio::post(this->socket.get_executor(), std::move(work));
 }
 
-void ByteStream::closeAfterWriting()
-{
-    this->closing = true;
-    this->scheduleWrite();
-}
-
 void ByteStream::close()
 {
     this->handlers = {};
--- a/gateway/bytestream.h
+++ b/gateway/bytestream.h
@@ -44,10 +44,8 @@
     /// Replaces the handlers.
     void setHandlers(Handlers handlers) { this->handlers = std::move(handlers); }
     /// Queues bytes. Writes of one turn of the event loop are sent together. Ignored once the
-    /// stream is closed or closing.
+    /// stream is closed.
     void write(std::string_view bytes);
-    /// Closes the connection once all queued bytes are written.
-    void closeAfterWriting();
     /// Closes the connection with a FIN and discards queued bytes. No handler is called afterwards.
     void close();
     /// Closes the connection with a TCP reset, so that the peer does not take a truncated response
@@ -88,7 +86,6 @@
     bool waitingToRead = false;
     bool writeScheduled = false;
     bool waitingToWrite = false;
-    bool closing = false;
 };
 
 /// Sets the options of every connection of the gateway: non-blocking, TCP_NODELAY, keep-alive and
--- a/gateway/callerconnection.cpp
+++ b/gateway/callerconnection.cpp
@@ -1,5 +1,7 @@
 #include "callerconnection.h"
 
+#include <utility>
+
 #include <fmt/format.h>
 
 namespace plantainswitch::gateway {
@@ -54,7 +56,9 @@
                          },
                          [weak] {
                              const auto self = weak.lock();
-                             if (self && self->busy && self->handlers.onWritten) {
+                             if (self && self->writing) {
+                                 self->onResponseWritten();
+                             } else if (self && self->busy && self->handlers.onWritten) {
                                  self->handlers.onWritten(*self);
                              }
                          }});
@@ -63,7 +67,7 @@
 void CallerConnection::onBytes(std::string_view bytes)
 {
     const auto self = this->shared_from_this();
-    if (this->busy) {
+    if (this->busy || this->writing) {
         this->pipelined.append(bytes);
         if (this->pipelined.size() > maxPipelinedBytes) {
             this->stream->pauseReading();
@@ -172,13 +176,31 @@
 void CallerConnection::finishResponse()
 {
     this->busy = false;
+    this->writing = true;
+    this->unwrittenBytes = this->queuedBytes();
     this->lastActivityAt = this->clock.now();
-    if (!this->keepAlive) {
-        this->closed = true;
-        this->stream->closeAfterWriting();
-        this->handlers.onClosed(*this);
-        return;
+}
+
+void CallerConnection::keepUntilWritten(BufferShare share)
+{
+    if (this->writing) {
+        this->unwrittenShare.emplace(std::move(share));
     }
+}
+
+void CallerConnection::onResponseWritten()
+{
+    this->writing = false;
+    this->unwrittenShare.reset();
+    if (this->keepAlive) {
+        this->beginNextRequest();
+    } else {
+        this->closeImmediately();
+    }
+}
+
+void CallerConnection::beginNextRequest()
+{
     this->stream->resumeReading();
     this->incoming = {};
     if (!this->parser.hasBufferedBytes() && this->pipelined.empty()) {
@@ -211,13 +233,15 @@
 {
     this->busy = false;
     this->closed = true;
+    this->writing = false;
+    this->unwrittenShare.reset();
     this->stream->reset();
     this->handlers.onClosed(*this);
 }
 
 void CallerConnection::closeWhenIdle()
 {
-    if (this->busy) {
+    if (this->busy || this->writing) {
         this->keepAlive = false;
     } else if (!this->isReceiving) {
         this->closeImmediately();
@@ -231,6 +255,9 @@
     if (this->busy || this->closed) {
         return;
     }
+    if (this->writing && this->hasWritten()) {
+        this->lastActivityAt = now;
+    }
     const bool inHead = this->isReceiving && !this->parser.inBody();
     const Duration allowed = inHead ? newLimits.headerTimeout : newLimits.idleTimeout;
     if (now - this->lastActivityAt > allowed) {
@@ -238,6 +265,12 @@
     }
 }
 
+bool CallerConnection::hasWritten()
+{
+    const std::size_t before = std::exchange(this->unwrittenBytes, this->queuedBytes());
+    return this->unwrittenBytes < before;
+}
+
 void CallerConnection::closeImmediately()
 {
     if (this->closed) {
@@ -245,6 +278,8 @@
     }
     this->closed = true;
     this->busy = false;
+    this->writing = false;
+    this->unwrittenShare.reset();
     this->stream->close();
     this->handlers.onClosed(*this);
 }
--- a/gateway/callerconnection.h
+++ b/gateway/callerconnection.h
@@ -2,9 +2,11 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "plantainswitch/base/bufferpool.h"
 #include "plantainswitch/base/clock.h"
 #include "plantainswitch/routing/route.h"
 
@@ -36,8 +38,8 @@
     std::function<void(CallerConnection &)> onWritten;
 };
 
-/// The connection of one caller. Requests are served one at a time; a response is sent either with
-/// a length or chunked.
+/// The connection of one caller. Requests are served one at a time: the next one is taken up once
+/// the response before is written. A response is sent either with a length or chunked.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -59,17 +61,21 @@
     void finishChunked();
     /// Aborts the response with a reset, so that the caller can tell that it is incomplete.
     void abort();
-    /// Closes the connection now if no request is running, otherwise after its response. A response
-    /// whose head was sent before a stop did not announce the close, and the caller would send its
-    /// next request on the connection.
+    /// Keeps \a share for as long as bytes of the response are queued.
+    void keepUntilWritten(BufferShare share);
+    /// Closes the connection now if no request is running and all is written, otherwise after its
+    /// response. A response whose head was sent before a stop did not announce the close, and the
+    /// caller would send its next request on the connection.
     void closeWhenIdle();
-    /// Applies \a limits, and closes the connection if it was silent, or its request head
-    /// incomplete, for longer than they allow.
+    /// Applies \a limits, and closes the connection if it was silent, its request head incomplete,
+    /// or nothing of a response read by the caller, for longer than they allow.
     void enforceLimits(const CallerLimits &limits, TimePoint now);
 
     [[nodiscard]] std::uint64_t id() const noexcept { return this->connectionId; }
     /// \returns whether a request is running.
     [[nodiscard]] bool isBusy() const noexcept { return this->busy; }
+    /// \returns whether a complete response is not yet written.
+    [[nodiscard]] bool isWriting() const noexcept { return this->writing; }
     /// \returns the number of response bytes that were not written yet.
     [[nodiscard]] std::size_t queuedBytes() const { return this->stream->queuedBytes(); }
 
@@ -80,6 +86,10 @@
     void onStreamClosed();
     void writeHead(int status, const std::vector<HeaderField> &fields);
     void finishResponse();
+    void onResponseWritten();
+    void beginNextRequest();
+    /// \returns whether bytes of the response were written since the last call.
+    bool hasWritten();
     void closeImmediately();
 
     std::uint64_t connectionId;
@@ -92,9 +102,15 @@
     bool isReceiving = false;
     bool tooLarge = false;
     bool busy = false;
+    /// The response is complete, and bytes of it are queued.
+    bool writing = false;
+    /// Queued bytes at the last check.
+    std::size_t unwrittenBytes = 0;
+    std::optional<BufferShare> unwrittenShare;
     bool keepAlive = true;
     bool closed = false;
-    /// Bytes received while a request runs. Bounded by pausing the connection.
+    /// Bytes received while a request runs or its response is written. Bounded by pausing the
+    /// connection.
     std::string pipelined;
     TimePoint lastActivityAt;
 };
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -426,9 +426,12 @@
     for (const auto &caller : open) {
         caller->closeWhenIdle();
     }
-    // Waits one more turn after the last response, so that its bytes are sent.
-    const bool wasIdle = std::exchange(this->wasDrained, this->exchanges.empty());
-    if (!(this->exchanges.empty() && wasIdle) && !forced) {
+    const bool isWriting = std::any_of(this->callers.begin(), this->callers.end(),
+                                       [](const auto &entry) { return entry.second->isWriting(); });
+    const bool isDrained = this->exchanges.empty() && !isWriting;
+    // A request that has arrived in part gets one more turn.
+    const bool wasDrained = std::exchange(this->wasDrained, isDrained);
+    if (!(isDrained && wasDrained) && !forced) {
         return;
     }
     this->forceStop();
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -444,6 +444,7 @@
 {
     this->phase = Phase::Done;
     this->timer.cancel();
+    this->caller->keepUntilWritten(std::move(this->bufferShare));
     if (this->forwarded) {
         this->gateway.forwardedRunning -= 1;
     }
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -60,6 +60,7 @@
         int status = 0;
         std::vector<HeaderField> fields;
         std::string body;
+        BufferShare share;
     };
 
     /// A chosen upstream, independent of the list of candidates that it was chosen from.
@@ -285,7 +286,8 @@
     bool firstByteReceived = false;
     UpstreamResponse response;
     std::string responseBody;
-    /// Of what is buffered of the response: its body, or an incomplete event.
+    /// Of what is buffered of the response: its body, or an incomplete event and what the caller
+    /// has not read.
     BufferShare bufferShare{this->gateway.responseBuffers};
     /// The last error response of an earlier attempt. It is forwarded if no later attempt gets a
     /// response.
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -212,7 +212,9 @@
     }
     this->caller->writeChunk(completeEvents);
     this->armTimer(this->upstream ? this->silenceDeadline() : this->deadline);
-    if (this->caller->queuedBytes() > pauseThresholdBytes) {
+    const std::size_t queued = this->caller->queuedBytes();
+    if (queued > pauseThresholdBytes
+        || !this->bufferShare.resize(this->eventRelay.partialSize() + queued)) {
         this->connection->pauseReading();
     }
     return true;
@@ -333,7 +335,7 @@
         this->recordUpstreamFault(UpstreamFault::Failed);
         this->failedResponse =
             FailedResponse{this->response.status, std::move(this->response.forwardedFields),
-                           std::move(this->responseBody)};
+                           std::move(this->responseBody), std::move(this->bufferShare)};
         if (!this->canRetry() || !this->retry("failed")) {
             this->forwardFailure();
         }
@@ -387,6 +389,7 @@
     this->response.status = this->failedResponse->status;
     this->response.forwardedFields = std::move(this->failedResponse->fields);
     this->responseBody = std::move(this->failedResponse->body);
+    this->bufferShare = std::move(this->failedResponse->share);
     this->failedResponse.reset();
     this->forwardResponse();
 }
--- a/include/plantainswitch/base/bufferpool.h
+++ b/include/plantainswitch/base/bufferpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <utility>
 
 namespace plantainswitch {
 
@@ -29,23 +30,28 @@
     std::size_t usedBytes = 0;
 };
 
-/// The size of one buffer of a pool, returned when it is destroyed.
+/// The size of one buffer of a pool, returned when it is destroyed. Moves with what is buffered.
 class BufferShare
 {
 public:
     explicit BufferShare(BufferPool &pool) noexcept
-        : pool(pool)
+        : pool(&pool)
     {}
     ~BufferShare() { this->clear(); }
     BufferShare(const BufferShare &) = delete;
     BufferShare &operator=(const BufferShare &) = delete;
+    BufferShare(BufferShare &&other) noexcept
+        : pool(other.pool)
+        , size(std::exchange(other.size, 0))
+    {}
+    BufferShare &operator=(BufferShare &&other) noexcept;
 
     /// \returns false if the buffer may not grow to \a size bytes.
     [[nodiscard]] bool resize(std::size_t size) noexcept;
     void clear() noexcept { static_cast<void>(this->resize(0)); }
 
 private:
-    BufferPool &pool;
+    BufferPool *pool;
     std::size_t size = 0;
 };
 
--- a/src/base/bufferpool.cpp
+++ b/src/base/bufferpool.cpp
@@ -25,9 +25,19 @@
     return true;
 }
 
+BufferShare &BufferShare::operator=(BufferShare &&other) noexcept
+{
+    if (this != &other) {
+        this->clear();
+        this->pool = other.pool;
+        this->size = std::exchange(other.size, 0);
+    }
+    return *this;
+}
+
 bool BufferShare::resize(std::size_t newSize) noexcept
 {
-    if (!this->pool.resize(this->size, newSize)) {
+    if (!this->pool->resize(this->size, newSize)) {
         return false;
     }
     this->size = newSize;
--- a/tests/gatewayendless.cpp
+++ b/tests/gatewayendless.cpp
@@ -2,6 +2,7 @@
 #include <thread>
 #include <vector>
 
+#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "gatewayfixture.h"
@@ -34,6 +35,27 @@
         });
     }
 
+    /// Adds an upstream that responds to each request with a body of \a size bytes.
+    void addLarge(const std::string &id, std::size_t size)
+    {
+        this->addUpstream(id, "plain", [size](ServerConnection &connection) {
+            while (const auto request = connection.read()) {
+                connection.send(makeResponse(*request, std::string(size, 'a')));
+            }
+        });
+    }
+
+    /// \returns what the gateway counts as buffered of responses.
+    std::size_t bufferedBytes()
+    {
+        const std::string page = this->getInternalPage("/metrics").body;
+        const std::string name = "\nplantainswitch_response_buffer_bytes ";
+        const std::size_t at = page.find(name);
+        return at == std::string::npos
+                   ? 0
+                   : static_cast<std::size_t>(std::stod(page.substr(at + name.size())));
+    }
+
     [[nodiscard]] std::string makeServed(const ReceivedRequest &request) const
     {
         return this->isStream ? makeStreamHead(request) + makeChunk(makeEvent(1)) + "0\r\n\r\n"
@@ -81,11 +103,7 @@
         CHECK(this->served == callers / 2);
         CHECK(eventually([this] { return this->closedEarly == callers / 2; }));
         CHECK(this->sentBeyondLimit == 0);
-        CHECK(eventually([this] {
-            return this->getInternalPage("/metrics")
-                       .body.find("plantainswitch_response_buffer_bytes 0\n")
-                   != std::string::npos;
-        }));
+        CHECK(eventually([this] { return this->bufferedBytes() == 0; }));
     }
 
     std::function<std::string(const ReceivedRequest &)> begin;
@@ -173,6 +191,49 @@
     this->checkOutcome();
 }
 
+TEST_CASE_METHOD(GatewayEndlessFixture, "responseBody_callerReadsNothing_countsUntilItIsWritten",
+                 "[gateway]")
+{
+    // Guards against large responses to callers that read slowly: they wait in memory that nothing
+    // bounds.
+    constexpr std::size_t size = 12 << 20;
+    this->addLarge("plain-0", size);
+    this->start();
+    asio::ip::tcp::socket slow = this->connectCaller();
+    asio::write(slow, asio::buffer(makeRequest("/once/x", "c1")));
+    REQUIRE(eventually([this] { return this->bufferedBytes() > size / 2; }));
+    CHECK(this->call(makeRequest("/once/x", "c2")).status == 502);
+    const ReceivedResponse whole = readResponse(slow);
+    CHECK(whole.body.size() == size);
+    CHECK(eventually([this] { return this->bufferedBytes() == 0; }));
+    CHECK(this->call(makeRequest("/once/x", "c3")).body.size() == size);
+}
+
+TEST_CASE_METHOD(GatewayEndlessFixture, "errorResponse_keptDuringRetry_countsAsBuffered",
+                 "[gateway]")
+{
+    // Guards against error responses that are kept for the caller while the request is retried, in
+    // memory that nothing bounds.
+    constexpr std::size_t size = 4 << 20;
+    std::atomic<bool> wasCounted = false;
+    std::atomic<int> requests = 0;
+    for (const char *const id : {"plain-0", "plain-1"}) {
+        this->addUpstream(id, "plain", [&, this](ServerConnection &connection) {
+            while (const auto request = connection.read()) {
+                if (++requests == 2) {
+                    wasCounted = eventually([this] { return this->bufferedBytes() > size / 2; });
+                }
+                connection.send(makeResponse(*request, std::string(size, 'a'), 500));
+            }
+        });
+    }
+    this->start();
+    CHECK(this->call(makeRequest("/safe/x", "c1")).body.size() == size);
+    CHECK(requests == 2);
+    CHECK(wasCounted);
+    CHECK(eventually([this] { return this->bufferedBytes() == 0; }));
+}
+
 TEST_CASE_METHOD(GatewayEndlessFixture, "event_withoutEnd_failsAlone", "[gateway]")
 {
     // Guards against events without end: each is below the limit of one, all together are not.
