--- a/tests/callerconnection.cpp
+++ b/tests/callerconnection.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// A connection whose caller reads only when it is told to, so that large responses stay queued.
+/// A connection whose caller reads only on demand, so that large responses stay queued.
 class CallerConnectionFixture
 {
 protected:
--- a/tests/support/quarantinemodel.h
+++ b/tests/support/quarantinemodel.h
@@ -495,7 +495,7 @@
         this->eraseIfAnswered(router, count.key);
     }
 
-    /// Erases a record that was written for a request that was answered meanwhile.
+    /// Erases a record that was written while its request was answered.
     void eraseIfAnswered(std::size_t router, SuspectKey key)
     {
         if (this->routers[router].quarantine.crashCount(key) < crashesForNoRetry) {
