--- a/tests/enginecoordinator.cpp
+++ b/tests/enginecoordinator.cpp
@@ -10,9 +10,9 @@
 {
 protected:
     EngineGrantReply ask(const std::string &router, std::uint64_t number, double bound = 3.0,
-                         std::uint32_t told = 0)
+                         std::uint32_t stated = 0)
     {
-        return this->coordinator.requestGrant({router, number, 7, {1, 2}, 1000, bound}, told,
+        return this->coordinator.requestGrant({router, number, 7, {1, 2}, 1000, bound}, stated,
                                               this->clock.now());
     }
 
