--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -62,6 +62,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// How long work takes at this moment, in percent of the usual time; 0 if not stated.
+    std::uint32_t slowdownPercent = 0;
 };
 
 /// The head of an upstream's response, decoded.
--- a/gateway/fleetcoordination.cpp
+++ b/gateway/fleetcoordination.cpp
@@ -9,22 +9,6 @@
 
 namespace plantainswitch::gateway {
 
-namespace {
-
-/// How long a coordinator may take to respond: a few round trips between data centres and one turn
-/// of its event loop. After that the router decides by its own knowledge, which is better than
-/// waiting longer.
-constexpr Milliseconds coordinatorTimeout{25};
-
-/// \returns \a span as the field of a message holds it, rounded up.
-std::uint32_t millisecondsOf(Duration span)
-{
-    const auto rounded = std::chrono::ceil<Milliseconds>(std::max(span, Duration{0}));
-    return static_cast<std::uint32_t>(rounded.count());
-}
-
-} // namespace
-
 std::optional<Endpoint> FleetGossip::coordinatorOf(std::uint64_t upstream) const
 {
     const UpstreamState *const engine = this->gateway.upstreams.findKey(upstream);
@@ -123,6 +107,10 @@
 
 void FleetGossip::onAsk(const wire::EngineAsk &message, const Endpoint &from)
 {
+    if (isSlotAsk(message)) {
+        this->onSlotAsk(message, from);
+        return;
+    }
     EngineGrantRequest grantRequest;
     grantRequest.router = toText(from);
     grantRequest.requestId = message.number();
@@ -158,6 +146,9 @@
 
 void FleetGossip::onReply(const wire::EngineReply &message)
 {
+    if (this->slots.onReply(decodeSlotReply(message))) {
+        return;
+    }
     const auto found = this->pendingGrantRequests.find(message.number());
     if (found == this->pendingGrantRequests.end()) {
         // Too late: the request was dispatched without the grant, or has ended.
@@ -188,17 +179,18 @@
 
 void FleetGossip::onGrantEnd(const wire::EngineEnd &message, const Endpoint &from)
 {
-    const Milliseconds usualRunTime{message.abandoned_hold_ms()};
-    const GrantEnd end = usualRunTime.count() > 0 ? GrantEnd::Abandoned
-                         : message.responded()    ? GrantEnd::Responded
-                                                  : GrantEnd::Unused;
-    this->coordinator.endGrant(toText(from), message.number(), message.life(), {end, usualRunTime},
+    const GrantRelease release = decodeRelease(message);
+    this->coordinator.endGrant(toText(from), message.number(), message.life(), release,
                                this->gateway.clock.now());
+    this->slotQueues.end(toText(from), message.number(), message.life(), release);
 }
 
 void FleetGossip::releaseGrant(std::uint64_t incarnation, std::uint64_t requestId,
                                const GrantRelease &release)
 {
+    if (this->slots.end(requestId, release)) {
+        return;
+    }
     const auto found = this->grantors.find(requestId);
     if (found == this->grantors.end()) {
         return;
@@ -210,15 +202,7 @@
                                    this->gateway.clock.now());
         return;
     }
-    wire::GatewayDatagram datagram;
-    wire::EngineEnd &message = *datagram.mutable_end();
-    message.set_number(requestId);
-    message.set_life(incarnation);
-    message.set_responded(release.end == GrantEnd::Responded);
-    if (release.end == GrantEnd::Abandoned) {
-        message.set_abandoned_hold_ms(std::max(1U, millisecondsOf(release.usualRunTime)));
-    }
-    this->sendTo(address, datagram);
+    this->sendTo(address, encodeEnd(requestId, incarnation, release));
 }
 
 void FleetGossip::onBrittleResponse(const BrittleResponse &response, const std::string &router)
@@ -265,6 +249,7 @@
 {
     for (const Endpoint &address : this->contacts.addressesOf(id)) {
         this->coordinator.releaseRouter(toText(address), this->gateway.clock.now());
+        this->slotQueues.releaseRouter(toText(address));
     }
 }
 
@@ -279,6 +264,7 @@
         }
         this->coordinator.reconcile(router, incarnation, running, this->gateway.clock.now());
     }
+    this->slotQueues.reconcile(router, update.loads);
 }
 
 } // namespace plantainswitch::gateway
--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -60,6 +60,14 @@
                          this->sendTo(address, datagram);
                      })
     , coordinator(ServicePerformance{}.prefillRate)
+    , slotQueues(gateway,
+                 [this](const std::string &router, const SlotReply &reply) {
+                     this->sendSlotReply(router, reply);
+                 })
+    , slots(gateway, this->slotQueues,
+            [this](const Endpoint &address, const wire::GatewayDatagram &datagram) {
+                this->sendTo(address, datagram);
+            })
 {}
 
 void FleetGossip::start()
@@ -314,6 +322,8 @@
     const TimePoint now = this->gateway.clock.now();
     this->contacts.removeUnresponsive(now);
     this->coordinator.removeIdleEngines(now);
+    this->slotQueues.removeIdle();
+    this->gateway.endContention();
     this->originExchange.tick();
     std::erase_if(this->lostRouters,
                   [now](const auto &entry) { return now - entry.second >= lostRouterRetention; });
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -17,6 +17,8 @@
 
 #include "gatewaystate.h"
 #include "originexchange.h"
+#include "slotqueueclient.h"
+#include "slotqueuecoordinator.h"
 
 namespace plantainswitch::gateway {
 
@@ -40,6 +42,14 @@
     /// Reports to the coordinator that a granted request has ended.
     void releaseGrant(std::uint64_t incarnation, std::uint64_t requestId,
                       const GrantRelease &release = {});
+    /// Asks the coordinator of a contended upstream for a slot, as SlotQueueClient::ask() does. The
+    /// slot, or the wait for it, is ended by releaseGrant().
+    void requestSlot(SlotAsk ask, std::string attempt, SlotQueueClient::Done done);
+    /// \returns the slot queues of the upstreams that this router coordinates.
+    [[nodiscard]] const SlotQueueCoordinator &slotQueuesHere() const noexcept
+    {
+        return this->slotQueues;
+    }
     /// Reports a response of a brittle upstream to its coordinator.
     /// \param load requests that the upstream states to hold
     /// \param isRejection it rejected the request for want of room
@@ -107,6 +117,9 @@
     void onDatagram(std::size_t size);
     void onUpdateMessage(const wire::RouterNews &message, const Endpoint &from);
     void onAsk(const wire::EngineAsk &message, const Endpoint &from);
+    void onSlotAsk(const wire::EngineAsk &message, const Endpoint &from);
+    /// Sends the end of a request's wait to its router.
+    void sendSlotReply(const std::string &router, const SlotReply &reply);
     void onReply(const wire::EngineReply &message);
     void onEnd(const wire::EngineEnd &message, const Endpoint &from);
     void onGrantEnd(const wire::EngineEnd &message, const Endpoint &from);
@@ -165,6 +178,8 @@
     RouterContacts contacts;
     OriginExchange originExchange;
     EngineCoordinator coordinator;
+    SlotQueueCoordinator slotQueues;
+    SlotQueueClient slots;
     std::uint64_t lastRequestId = 0;
     std::unordered_map<std::uint64_t, PendingAsk> pendingGrantRequests;
     /// Address of the coordinator that granted each request. Another router may be the coordinator
--- a/gateway/fleetupdates.cpp
+++ b/gateway/fleetupdates.cpp
@@ -136,6 +136,10 @@
             {entry.service(), entry.max_rejections(), now - Milliseconds{entry.ago_ms()}},
             message.id());
     }
+    for (const wire::ContendedService &entry : message.contended()) {
+        this->gateway.applyContentionNotice({entry.service(), now - Milliseconds{entry.ago_ms()}},
+                                            message.id());
+    }
     this->onUpdate();
 }
 
@@ -339,6 +343,13 @@
         entry->set_max_rejections(notice.maxRejections);
         entry->set_ago_ms(millisecondsSince(notice.announcedAt, now));
     }
+    const Seconds retention = this->gateway.settings.contention.retention;
+    for (const ContentionNotice &notice :
+         this->gateway.contendedServices.notices(retention, now)) {
+        wire::ContendedService *const entry = message.add_contended();
+        entry->set_service(notice.service);
+        entry->set_ago_ms(millisecondsSince(notice.observedAt, now));
+    }
     message.set_known_routers(static_cast<std::uint32_t>(this->contacts.aliveCount(now)));
     for (const PeerLoad &load : update.loads) {
         wire::ReplicaLoad *const entry = message.add_loads();
--- /dev/null
+++ b/gateway/gatewaycontention.cpp
@@ -0,0 +1,74 @@
+#include <vector>
+
+#include "plantainswitch/base/hash.h"
+#include "plantainswitch/observe/event.h"
+
+#include "fleetgossip.h"
+#include "gatewaystate.h"
+
+namespace plantainswitch::gateway {
+
+bool GatewayState::isSmall(const std::string &service) const
+{
+    std::vector<std::uint32_t> slots;
+    for (const UpstreamState *const upstream : this->upstreams.ofService(service)) {
+        if (!isDraining(*upstream)) {
+            slots.push_back(slotsOf(*upstream));
+        }
+    }
+    return isSmallService(slots, this->routerCount());
+}
+
+bool GatewayState::isContended(const std::string &service) const
+{
+    const ContentionPolicy &policy = this->settings.contention;
+    return policy.enabled
+           && this->contendedServices.isContended(hashOf(service), policy.retention,
+                                                  this->clock.now())
+           && !this->isBrittle(service) && this->isSmall(service);
+}
+
+void GatewayState::recordContention(const std::string &service)
+{
+    const ContentionPolicy &policy = this->settings.contention;
+    if (!policy.enabled || !this->isSmall(service)) {
+        return;
+    }
+    const TimePoint now = this->clock.now();
+    if (this->contendedServices.recordSign({hashOf(service), now}, policy.retention, now)) {
+        logEvent(Event::ServiceContended, {{"service", service}, {"from", this->settings.id}});
+        this->fleet->scheduleBroadcast();
+    }
+}
+
+void GatewayState::applyContentionNotice(const ContentionNotice &notice, std::string_view source)
+{
+    const ContentionPolicy &policy = this->settings.contention;
+    if (policy.enabled
+        && this->contendedServices.recordSign(notice, policy.retention, this->clock.now())) {
+        logEvent(Event::ServiceContended,
+                 {{"service", formatHash(notice.service)}, {"from", std::string(source)}});
+    }
+}
+
+void GatewayState::endContention()
+{
+    for (const std::uint64_t service :
+         this->contendedServices.removeEnded(this->settings.contention.retention,
+                                             this->clock.now())) {
+        logEvent(Event::ServiceUncontended, {{"service", formatHash(service)}});
+    }
+}
+
+Duration GatewayState::slotHoldTime(const std::string &service)
+{
+    const double held = this->estimators[service].performance(this->clock.now()).slotHoldTime;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(held));
+}
+
+double GatewayState::usualShareOf(std::string_view /*workspace*/) const
+{
+    return 0.0;
+}
+
+} // namespace plantainswitch::gateway
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -14,9 +14,6 @@
 /// Retry-After of a request for which all permitted upstreams have their share of the load: about
 /// the time that a request takes.
 constexpr Milliseconds shareRetryAfter{400};
-/// How long no permit is requested from a coordinator that did not respond; the time of a few
-/// updates, by which a failed one is replaced.
-constexpr Milliseconds silentCoordinatorBlock{300};
 /// How long after one router has announced that an engine caches a prefix other routers do not
 /// announce it again. A third of the time for which the announcement is believed.
 constexpr Duration prefixAnnounceInterval = cacheResidency / 3;
@@ -77,17 +74,24 @@
         policy.loadBoundFactor *= relativeMeanLoad(candidates, permitted);
         candidates = permitted;
     }
+    const std::vector<std::string> excluded = this->excludedUpstreams(candidates);
     const SelectionRequest choiceRequest{this->gateway.settings.dataCentre,
                                          hashOf(this->request->attemptId),
                                          this->request->prompt ? &*this->request->prompt : nullptr,
                                          this->prefixHashes,
-                                         this->triedUpstreams,
+                                         excluded,
                                          this->gateway.isBrittle(this->service)};
     if (this->gateway.settings.mechanisms.estimates) {
         policy.performance = this->gateway.estimators[this->service].performance(this->now());
     }
     const auto choice = selectUpstream(candidates, choiceRequest,
                                        this->gateway.upstreams.prefixIndex, policy, this->now());
+    // An ejected upstream is the last choice, also if the coordinators of the others let requests
+    // wait.
+    const bool isAskingForSlots = !choice || isEjected(candidates[choice->index]->health, this->now());
+    if (isAskingForSlots && this->requestLastSlot()) {
+        return;
+    }
     if (this->forwardForLackOfReach(candidates, choice)) {
         return;
     }
@@ -105,6 +109,10 @@
         placement.donorId = donor.id;
         placement.copyFrom = donor.endpoint;
     }
+    if (this->usesSlotQueue(*candidates[choice->index])) {
+        this->requestSlot(std::move(placement), firstGrantWait(this->grantTimes()));
+        return;
+    }
     if (!this->needsGrant(*candidates[choice->index])) {
         this->dispatchTo(placement);
         return;
@@ -331,27 +339,6 @@
     this->dispatchTo(placement);
 }
 
-void RequestHandler::releaseGrant(GrantEnd end)
-{
-    if (this->grantId == 0) {
-        return;
-    }
-    GrantRelease release;
-    if (this->gateway.isBrittle(this->service)) {
-        release.end = end;
-    }
-    if (release.end == GrantEnd::Abandoned) {
-        release.usualRunTime = this->gateway.runTimeBound(this->service);
-        logEvent(Event::BrittleRunAbandoned,
-                 {{"request", this->request->attemptId},
-                  {"upstream", this->upstream->replica.id},
-                  {"ran_ms", formatMilliseconds(this->now() - this->sentAt)},
-                  {"hold_ms", formatMilliseconds(release.usualRunTime)}});
-    }
-    this->gateway.fleet->releaseGrant(this->grantedIncarnation, this->grantId, release);
-    this->grantId = 0;
-}
-
 double RequestHandler::promptTokens() const
 {
     return this->request->prompt ? tokensOf(*this->request->prompt) : 0.0;
@@ -363,6 +350,7 @@
     this->upstream = this->gateway.upstreams.find(placement.upstreamId);
     UpstreamState &state = *this->upstream;
     this->triedUpstreams.push_back(state.replica.id);
+    this->grantSequence = {};
     this->firstByteSample = {choice.uncachedTokens, choice.transferredTokens,
                              static_cast<double>(runningAt(state)), Duration{0}};
     this->isFirstPrefill = choice.isFirstPrefill;
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -7,6 +7,7 @@
 #include <asio/steady_timer.hpp>
 
 #include "plantainswitch/routing/eventstream.h"
+#include "plantainswitch/routing/grantsequence.h"
 #include "plantainswitch/routing/placementconstraints.h"
 #include "plantainswitch/routing/requestsuspects.h"
 #include "plantainswitch/routing/streamorigin.h"
@@ -22,6 +23,10 @@
 /// Remaining time below which an attempt is pointless.
 inline constexpr Milliseconds minRemainingTime{10};
 
+/// How long no permit is requested from a coordinator that did not respond; the time of a few
+/// updates, by which a failed one is replaced.
+inline constexpr Milliseconds silentCoordinatorBlock{300};
+
 /// Retry-After of a stream that can't go on; its caller may begin it anew at once.
 inline constexpr Milliseconds beginAnewRetryAfter{50};
 
@@ -138,6 +143,27 @@
     void requestGrant(Selection placement);
     void onCoordinatorReply(Selection placement,
                             const std::optional<EngineGrantReply> &keeperAnswer);
+    /// \returns whether a request to \a upstream needs a slot of its coordinator's queue.
+    [[nodiscard]] bool usesSlotQueue(const UpstreamState &upstream) const;
+    [[nodiscard]] GrantTimes grantTimes() const;
+    /// \returns the upstreams that were tried, and those among \a candidates whose coordinators have
+    /// denied the request since.
+    [[nodiscard]] std::vector<std::string>
+    excludedUpstreams(std::span<UpstreamState *const> candidates) const;
+    /// Asks the upstream's coordinator for a slot.
+    void requestSlot(Selection placement, Milliseconds maxWait);
+    void onSlotReply(Selection placement, const std::optional<SlotReply> &reply);
+    /// Sends the request without a slot if this router's share allows it, because the upstream's
+    /// coordinator does not respond; otherwise asks the next one.
+    void dispatchUncoordinated(const Selection &placement, UpstreamState &target);
+    /// Asks the coordinator with the shortest wait again, with all the time that is left, or refuses
+    /// the request if that was done. \returns false if no coordinator has denied it.
+    bool requestLastSlot();
+    void refuseForSlots();
+    /// Records whether a response shows that the slots of the service do not suffice.
+    void recordContention();
+    /// \returns what to report to the coordinator at the end of a grant.
+    [[nodiscard]] GrantRelease makeRelease(GrantEnd end) const;
     void releaseGrant(GrantEnd end = GrantEnd::Unused);
     [[nodiscard]] double promptTokens() const;
     void dispatchTo(const Selection &placement);
@@ -265,7 +291,9 @@
     bool hasNoPermittedPlace = false;
     /// Coordinators that rejected the request since the last attempt.
     std::uint32_t coordinatorRejections = 0;
-    /// Id under which the coordinator granted the request; 0 if there is no grant.
+    /// The coordinators of a contended service that were asked since the last attempt.
+    GrantSequence grantSequence;
+    /// Id under which a coordinator has granted the request, or was asked to; 0 if there is none.
     std::uint64_t grantId = 0;
     std::uint64_t grantedIncarnation = 0;
     bool countsPendingPrefill = false;
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -52,6 +52,7 @@
                                                  this->sentAt);
     this->recordColdness(decoded);
     this->response = std::move(decoded);
+    this->recordContention();
     this->reportBrittleLoad();
     return true;
 }
--- /dev/null
+++ b/gateway/gatewayrequestslots.cpp
@@ -0,0 +1,217 @@
+#include "gatewayrequesthandler.h"
+
+#include "plantainswitch/base/hash.h"
+#include "plantainswitch/observe/event.h"
+
+namespace plantainswitch::gateway {
+
+namespace {
+
+/// Time for which routers compare upstreams by the wait that a coordinator stated.
+constexpr Milliseconds queueWaitRetention{150};
+/// Retry-After if no coordinator stated one: a few times the time that a small service takes.
+constexpr Milliseconds slotRetryAfter{200};
+
+} // namespace
+
+bool RequestHandler::usesSlotQueue(const UpstreamState &upstream) const
+{
+    return !this->request->prompt && this->gateway.isContended(this->service)
+           && !this->gateway.isLimitedAsCold(upstream);
+}
+
+GrantTimes RequestHandler::grantTimes() const
+{
+    return {this->route->objective, this->remainingTime()};
+}
+
+std::vector<std::string>
+RequestHandler::excludedUpstreams(std::span<UpstreamState *const> candidates) const
+{
+    std::vector<std::string> excluded = this->triedUpstreams;
+    for (const UpstreamState *const candidate : candidates) {
+        if (wasDenied(this->grantSequence, hashOf(candidate->replica.id))) {
+            excluded.push_back(candidate->replica.id);
+        }
+    }
+    return excluded;
+}
+
+void RequestHandler::requestSlot(Selection placement, Milliseconds maxWait)
+{
+    const auto target = this->gateway.upstreams.find(placement.upstreamId);
+    if (this->now() < target->permitBlockedUntil) {
+        // Its coordinator did not respond a short time ago.
+        this->dispatchUncoordinated(placement, *target);
+        return;
+    }
+    SlotAsk ask;
+    ask.upstream = hashOf(target->replica.id);
+    ask.incarnation = incarnationOf(target->replica);
+    ask.request.requestId = this->gateway.fleet->nextRequestId();
+    ask.request.workspace = hashOf(this->workspace);
+    ask.request.weight = this->gateway.usualShareOf(this->workspace);
+    ask.request.priority = this->rank;
+    ask.request.untilObjective =
+        timeToObjective(this->grantTimes(), this->now() - this->incoming.receivedAt);
+    ask.request.untilDeadline = this->remainingTime();
+    ask.request.maxWait = maxWait;
+    this->grantId = ask.request.requestId;
+    this->grantedIncarnation = ask.incarnation;
+    const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
+    this->gateway.fleet->requestSlot(
+        std::move(ask), this->request->attemptId,
+        [weak, placement = std::move(placement)](const std::optional<SlotReply> &reply) {
+            const auto self = weak.lock();
+            if (self && self->phase == Phase::Selecting) {
+                self->onSlotReply(placement, reply);
+            }
+        });
+}
+
+void RequestHandler::onSlotReply(Selection placement, const std::optional<SlotReply> &reply)
+{
+    const auto target = this->gateway.upstreams.find(placement.upstreamId);
+    const bool isGranted = reply && reply->state.verdict == SlotQueueVerdict::Granted;
+    if (!isGranted) {
+        this->grantId = 0;
+    }
+    if (!this->isUsable(target) || this->remainingTime() < minRemainingTime) {
+        this->releaseGrant();
+        this->selectAndDispatch();
+        return;
+    }
+    if (!reply) {
+        this->recordPermitDenied(*target, silentCoordinatorBlock);
+        this->dispatchUncoordinated(placement, *target);
+        return;
+    }
+    target->cold.presume(reply->coldFor, this->now());
+    target->learnedLimit = reply->learnedLimit;
+    target->peersRunning =
+        reply->state.running - std::min(reply->state.running, target->ownRunning);
+    target->queueWait = isGranted ? Milliseconds{0} : reply->state.expectedWait;
+    target->queueWaitUntil = this->now() + queueWaitRetention;
+    if (isGranted) {
+        // The wait is over.
+        placement.choice.expectedDelay = placement.choice.extraDelay;
+        this->dispatchTo(placement);
+        return;
+    }
+    const bool needsPermit = reply->coldFor.count() > 0;
+    recordDenial(this->grantSequence,
+                 {hashOf(target->replica.id),
+                  needsPermit ? std::nullopt : std::optional(reply->state.expectedWait),
+                  reply->state.retryAfter});
+    this->selectAndDispatch();
+}
+
+void RequestHandler::dispatchUncoordinated(const Selection &placement, UpstreamState &target)
+{
+    const std::uint32_t share = contendedUncoordinatedShare(
+        hashOf(this->gateway.settings.id), this->gateway.routerCount(), slotsOf(target),
+        this->gateway.slotHoldTime(this->service), this->now());
+    if (target.unpermitted.tryTake(share, this->now())) {
+        this->dispatchTo(placement);
+        return;
+    }
+    recordDenial(this->grantSequence, {hashOf(target.replica.id), std::nullopt, Milliseconds{0}});
+    this->selectAndDispatch();
+}
+
+bool RequestHandler::requestLastSlot()
+{
+    if (this->grantSequence.denials.empty()) {
+        return false;
+    }
+    const auto key = lastUpstreamToAsk(this->grantSequence);
+    const UpstreamState *const known = key ? this->gateway.upstreams.findKey(*key) : nullptr;
+    const auto target = known == nullptr ? nullptr : this->gateway.upstreams.find(known->replica.id);
+    if (!this->isUsable(target)) {
+        this->refuseForSlots();
+        return true;
+    }
+    this->grantSequence.isExhausted = true;
+    Selection placement;
+    placement.upstreamId = target->replica.id;
+    placement.choice.extraDelay = extraDelayOf(target->health, this->now());
+    placement.choice.expectedDelay = placement.choice.extraDelay;
+    this->requestSlot(std::move(placement), this->remainingTime());
+    return true;
+}
+
+void RequestHandler::refuseForSlots()
+{
+    // A request that may have been executed cannot be refused as not executed.
+    if (this->possibleExecutions > 0 || this->responseStarted) {
+        this->fail();
+        return;
+    }
+    this->refuse(ErrorKind::Overloaded, "the slots of the service are taken",
+                 shortestRetryAfter(this->grantSequence, slotRetryAfter));
+}
+
+GrantRelease RequestHandler::makeRelease(GrantEnd end) const
+{
+    GrantRelease release;
+    if (this->gateway.isBrittle(this->service)) {
+        release.end = end;
+        if (end == GrantEnd::Abandoned) {
+            release.usualRunTime = this->gateway.runTimeBound(this->service);
+        }
+        return release;
+    }
+    const bool hasResponded = this->upstream && this->headReceived;
+    // The time of a rejection is not that of a run.
+    if (!hasResponded || !this->response.notExecuted) {
+        release.end = end;
+    }
+    // A response that was read late states an old load.
+    const bool isLate = this->gateway.loopMonitor.lateness() > grantArrivalTime;
+    if (hasResponded && this->response.load && !isLate) {
+        const ReportedLoad &load = *this->response.load;
+        release.load = StatedLoad{load.running + load.waiting, load.slowdownPercent};
+    }
+    return release;
+}
+
+void RequestHandler::releaseGrant(GrantEnd end)
+{
+    if (this->grantId == 0) {
+        return;
+    }
+    const GrantRelease release = this->makeRelease(end);
+    if (release.end == GrantEnd::Abandoned && this->gateway.isBrittle(this->service)) {
+        logEvent(Event::BrittleRunAbandoned,
+                 {{"request", this->request->attemptId},
+                  {"upstream", this->upstream->replica.id},
+                  {"ran_ms", formatMilliseconds(this->now() - this->sentAt)},
+                  {"hold_ms", formatMilliseconds(release.usualRunTime)}});
+    }
+    this->gateway.fleet->releaseGrant(this->grantedIncarnation,
+                                      std::exchange(this->grantId, 0), release);
+}
+
+void RequestHandler::recordContention()
+{
+    if (this->request->prompt || this->response.misdirected) {
+        return;
+    }
+    UpstreamLoadSign sign;
+    sign.isRejection = this->response.notExecuted;
+    sign.rejectsForOtherReasons = this->response.isDraining
+                                  || this->upstream->cold.remaining(this->now()).count() > 0
+                                  || (this->response.backoff && !this->response.load);
+    if (const auto &load = this->response.load) {
+        sign.isLoadStated = true;
+        sign.running = load->running;
+        sign.waiting = load->waiting;
+        sign.slots = load->slots;
+        this->upstream->statedSlots = load->slots;
+    }
+    if (showsContention(sign)) {
+        this->gateway.recordContention(this->service);
+    }
+}
+
+} // namespace plantainswitch::gateway
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -86,6 +86,19 @@
     fields.finish();
 }
 
+void readContention(FieldReader &parent, ContentionPolicy &policy, std::vector<Fault> &faults)
+{
+    FieldReader fields(parent.child("contention"), parent.pathOf("contention"), faults);
+    constexpr double maxRetentionSeconds = 600.0;
+    constexpr double maxMarginShare = 2.0;
+    double retention = static_cast<double>(policy.retention.count());
+    fields.read("enabled", policy.enabled);
+    fields.read("retentionSeconds", retention, 1.0, maxRetentionSeconds);
+    fields.read("marginShare", policy.marginShare, 0.0, maxMarginShare);
+    fields.finish();
+    policy.retention = Seconds{static_cast<std::int64_t>(retention)};
+}
+
 void readColdStart(FieldReader &parent, GatewaySettings &settings, std::vector<Fault> &faults)
 {
     const nlohmann::json &json = parent.child("coldStart");
@@ -131,6 +144,7 @@
     readChoice(fields, settings.choice, faults);
     readAdmission(fields, settings.admission, faults);
     readMechanisms(fields, settings.mechanisms, faults);
+    readContention(fields, settings.contention, faults);
     readColdStart(fields, settings, faults);
     readAreas(fields, settings.areas, faults);
     fields.read("evacuations", settings.followsEvacuations);
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -11,6 +11,7 @@
 #include "plantainswitch/observe/event.h"
 #include "plantainswitch/routing/admission.h"
 #include "plantainswitch/routing/coldstart.h"
+#include "plantainswitch/routing/contendedservices.h"
 #include "plantainswitch/routing/fleetretrybudget.h"
 #include "plantainswitch/routing/placementconstraints.h"
 #include "plantainswitch/routing/selection.h"
@@ -57,6 +58,7 @@
     SelectionPolicy choice;
     AdmissionPolicy admission;
     Mechanisms mechanisms;
+    ContentionPolicy contention;
     /// How far requests to cold upstreams may exceed what these bear; nothing if they are not
     /// limited.
     std::optional<ColdStartTolerance> coldStart;
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -13,6 +13,7 @@
 #include "plantainswitch/observe/eventloopmonitor.h"
 #include "plantainswitch/observe/metrics.h"
 #include "plantainswitch/routing/brittleservices.h"
+#include "plantainswitch/routing/contendedservices.h"
 #include "plantainswitch/routing/evacuations.h"
 #include "plantainswitch/routing/fleetretrybudget.h"
 #include "plantainswitch/routing/peerloads.h"
@@ -112,6 +113,21 @@
     /// Applies an announcement that another router received.
     void applyBrittleNotice(const BrittleNotice &notice, std::string_view source);
 
+    /// \returns whether requests to the service need a slot of their upstream's coordinator: it is
+    /// small, its slots did not suffice lately, and it is not brittle.
+    [[nodiscard]] bool isContended(const std::string &service) const;
+    /// Records a sign that the slots of a small service do not suffice, and notifies the other
+    /// routers of a change.
+    void recordContention(const std::string &service);
+    /// Applies a sign that another router received.
+    void applyContentionNotice(const ContentionNotice &notice, std::string_view source);
+    /// Logs the services that are no longer contended.
+    void endContention();
+    /// \returns the mean time for which a request of the service holds its slot.
+    [[nodiscard]] Duration slotHoldTime(const std::string &service);
+    /// \returns the usual share of a workspace of all requests of the fleet; 0 if not known.
+    [[nodiscard]] double usualShareOf(std::string_view workspace) const;
+
     asio::io_context &context;
     const Clock &clock;
     /// What callers, upstreams and forwarding routers send; everything else is handled at once.
@@ -146,6 +162,7 @@
     UpdateLog updateLog;
     CrashQuarantine crashQuarantine;
     BrittleServices brittleServices;
+    ContendedServices contendedServices;
     /// Where the streams of callers began.
     StreamOriginTable streamOrigins;
     ServiceVersions serviceVersions;
@@ -205,6 +222,8 @@
     bool peerLoadsChanged = false;
 
 private:
+    /// \returns whether the service has fewer slots than there are routers.
+    [[nodiscard]] bool isSmall(const std::string &service) const;
     /// \returns whether this router lately had contact to any upstream, so that one that it cannot
     /// reach is down.
     [[nodiscard]] bool reachesUpstreams() const;
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -95,6 +95,24 @@
     }
 }
 
+/// Appends the slot queues of the contended upstreams that this router coordinates.
+void appendSlotQueues(std::string &page, const GatewayState &state)
+{
+    const std::vector<SlotQueueGauge> queues = state.fleet->slotQueuesHere().gauges();
+    const auto append = [&page, &queues](std::string_view name, auto valueOf) {
+        appendType(page, name);
+        for (const SlotQueueGauge &queue : queues) {
+            appendSample(page, name, fmt::format("upstream=\"{}\"", queue.upstream),
+                         static_cast<double>(valueOf(queue)));
+        }
+    };
+    append("slot_queue_waiting", [](const SlotQueueGauge &queue) { return queue.waiting; });
+    append("slot_queue_grants", [](const SlotQueueGauge &queue) { return queue.granted; });
+    append("slot_queue_unknown", [](const SlotQueueGauge &queue) { return queue.unknown; });
+    append("slot_queue_slowdown_percent",
+           [](const SlotQueueGauge &queue) { return queue.slowdownPercent; });
+}
+
 /// Appends how recent the knowledge of each kind of the store's objects is.
 void appendStoreSync(std::string &page, const GatewayState &state)
 {
@@ -164,6 +182,12 @@
         appendSample(page, "service_brittle", fmt::format("service=\"{}\"", name),
                      state.isBrittle(name) ? 1.0 : 0.0);
     }
+    appendType(page, "service_contended");
+    for (const auto &[name, service] : services) {
+        appendSample(page, "service_contended", fmt::format("service=\"{}\"", name),
+                     state.isContended(name) ? 1.0 : 0.0);
+    }
+    appendSlotQueues(page, state);
     appendGauge(page, "abandoned_grants", static_cast<double>(state.fleet->abandonedGrantCount()));
     appendGauge(page, "forwarded_running", static_cast<double>(state.forwardedRunning));
     appendType(page, "running");
--- /dev/null
+++ b/gateway/slotqueueclient.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include <asio/steady_timer.hpp>
+
+#include "gatewaystate.h"
+#include "slotmessages.h"
+#include "slotqueuecoordinator.h"
+
+namespace plantainswitch::gateway {
+
+/// Asks the coordinators of contended upstreams for slots, and ends what they granted.
+///
+/// A request that was asked for is known to its coordinator until end() was called for it, or \a
+/// done with anything but a grant. What a lost message leaves behind at a coordinator is removed
+/// there by SlotQueueCoordinator::reconcile().
+class SlotQueueClient
+{
+public:
+    using Sender = std::function<void(const Endpoint &, const wire::GatewayDatagram &)>;
+    /// Called with the grant or the denial; with nothing if the coordinator does not respond.
+    using Done = std::function<void(const std::optional<SlotReply> &)>;
+
+    /// \param own coordinates the upstreams of which this router is the coordinator
+    SlotQueueClient(GatewayState &gateway, SlotQueueCoordinator &own, Sender send);
+
+    /// Asks for a slot. \a done is called once, unless end() is called before.
+    /// \param attempt the caller's id, for the log
+    /// \param coordinator nothing if it is this router
+    void ask(SlotAsk ask, std::string attempt, std::optional<Endpoint> coordinator, Done done);
+    /// Ends a grant, or withdraws a request that waits. \returns false if the request is unknown.
+    bool end(std::uint64_t requestId, const GrantRelease &release);
+    /// Handles a coordinator's reply. \returns false if the request is unknown.
+    bool onReply(const SlotReply &reply);
+
+private:
+    struct Pending
+    {
+        SlotAsk ask;
+        std::string attempt;
+        std::optional<Endpoint> coordinator;
+        Done done;
+        std::unique_ptr<asio::steady_timer> timer;
+        TimePoint askedAt;
+        /// When the request was first told to wait.
+        std::optional<TimePoint> queuedAt;
+        /// A reply to the last message is expected.
+        bool isAwaitingReply = false;
+    };
+
+    struct Grant
+    {
+        std::optional<Endpoint> coordinator;
+        std::uint64_t incarnation = 0;
+    };
+
+    /// Sends a pending request with the times that are left.
+    void sendAsk(std::uint64_t requestId);
+    void sendEnd(std::uint64_t requestId, const Grant &grant, const GrantRelease &release);
+    void onQueued(Pending &pending, const SlotReply &reply);
+    void armTimer(std::uint64_t requestId, Duration wait);
+    void onTimer(std::uint64_t requestId);
+    /// Withdraws a pending request and calls its \a done.
+    void giveUp(std::uint64_t requestId, std::string_view outcome,
+                const std::optional<SlotReply> &reply);
+    void logLeft(const Pending &pending, std::string_view outcome) const;
+    [[nodiscard]] TimePoint waitEnd(const Pending &pending) const;
+
+    GatewayState &gateway;
+    SlotQueueCoordinator &own;
+    Sender send;
+    std::unordered_map<std::uint64_t, Pending> pendingAsks;
+    std::unordered_map<std::uint64_t, Grant> grants;
+};
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/slotqueuecoordinator.cpp
@@ -0,0 +1,284 @@
+#include "slotqueuecoordinator.h"
+
+#include <algorithm>
+
+#include "plantainswitch/base/hash.h"
+#include "plantainswitch/routing/enginecoordinator.h"
+
+namespace plantainswitch::gateway {
+
+namespace {
+
+/// Shortest time between two runs of the timer.
+constexpr Milliseconds minTimerInterval{1};
+
+} // namespace
+
+SlotQueueCoordinator::SlotQueueCoordinator(GatewayState &gateway, ReplySender send)
+    : gateway(gateway)
+    , send(std::move(send))
+    , timer(gateway.context)
+{}
+
+SlotReply SlotQueueCoordinator::request(const SlotAsk &ask)
+{
+    const TimePoint now = this->gateway.clock.now();
+    Upstream &upstream = this->upstreams[ask.upstream];
+    upstream.lastRequest = now;
+    upstream.incarnation = ask.incarnation;
+    upstream.slots = ask.slots;
+    upstream.receivedLimit = ask.learnedLimit;
+    this->upstreamOf[ask.incarnation] = ask.upstream;
+    this->recordOwnRunning(upstream, ask);
+    SlotReply reply = this->makeReply(ask.request.requestId, upstream);
+    reply.coldFor = this->coldFor(ask.upstream);
+    if (reply.coldFor.count() > 0) {
+        // The router learns from the reply that it needs a permit instead.
+        reply.state.verdict = SlotQueueVerdict::Denied;
+        reply.state.running = static_cast<std::uint32_t>(upstream.queue.grantedCount());
+        return reply;
+    }
+    this->grantWaiting(ask.upstream, upstream);
+    const SlotQueueLimits limits = this->limitsOf(ask.upstream, upstream);
+    reply.state =
+        upstream.queue.request(ask.request, limits, this->unknownRunning(upstream), now);
+    this->recordContention(ask.upstream, upstream,
+                           reply.state.verdict == SlotQueueVerdict::Denied);
+    this->armTimer();
+    return reply;
+}
+
+SlotReply SlotQueueCoordinator::makeReply(std::uint64_t requestId, const Upstream &upstream) const
+{
+    SlotReply reply;
+    reply.requestId = requestId;
+    reply.incarnation = upstream.incarnation;
+    reply.learnedLimit = learnedLimitOf(upstream);
+    return reply;
+}
+
+void SlotQueueCoordinator::recordOwnRunning(Upstream &upstream, const SlotAsk &ask)
+{
+    const auto granted =
+        static_cast<std::uint32_t>(upstream.queue.grantedTo(ask.request.router));
+    if (ask.ownRunning <= granted) {
+        upstream.unknownOfRouters.erase(ask.request.router);
+        return;
+    }
+    upstream.unknownOfRouters[ask.request.router] = {ask.ownRunning - granted,
+                                                     this->gateway.clock.now()};
+}
+
+void SlotQueueCoordinator::recordContention(std::uint64_t key, const Upstream &upstream,
+                                            bool wasDenied)
+{
+    const UpstreamState *const state = this->gateway.upstreams.findKey(key);
+    const bool isFull =
+        static_cast<double>(upstream.queue.waitingCount()) >= this->slotsOf(key, upstream);
+    if (state != nullptr && (wasDenied || isFull)) {
+        this->gateway.recordContention(state->replica.service);
+    }
+}
+
+Milliseconds SlotQueueCoordinator::coldFor(std::uint64_t key) const
+{
+    const UpstreamState *const state = this->gateway.upstreams.findKey(key);
+    if (state == nullptr || !this->gateway.isLimitedAsCold(*state)) {
+        return Milliseconds{0};
+    }
+    return state->cold.remaining(this->gateway.clock.now());
+}
+
+double SlotQueueCoordinator::learnedLimitOf(const Upstream & /*upstream*/)
+{
+    return 0.0;
+}
+
+double SlotQueueCoordinator::slotsOf(std::uint64_t key, const Upstream &upstream) const
+{
+    const double limit = learnedLimitOf(upstream);
+    if (limit > 0.0) {
+        return limit;
+    }
+    const UpstreamState *const state = this->gateway.upstreams.findKey(key);
+    const std::uint32_t known = state == nullptr ? 0 : plantainswitch::slotsOf(*state);
+    return std::max(1U, known > 0 ? known : upstream.slots);
+}
+
+SlotQueueLimits SlotQueueCoordinator::limitsOf(std::uint64_t key, const Upstream &upstream) const
+{
+    SlotQueueLimits limits;
+    limits.slots = this->slotsOf(key, upstream);
+    limits.margin = std::max(1.0, this->gateway.settings.contention.marginShare * limits.slots);
+    if (const UpstreamState *const state = this->gateway.upstreams.findKey(key)) {
+        limits.holdTime =
+            std::chrono::duration_cast<Milliseconds>(this->gateway.slotHoldTime(state->replica.service));
+    }
+    return limits;
+}
+
+std::uint32_t SlotQueueCoordinator::unknownRunning(const Upstream &upstream) const
+{
+    const TimePoint now = this->gateway.clock.now();
+    const auto currentOf = [now](const UnknownCount &count) {
+        return now - count.statedAt < unknownRunningRetention ? count.requests : 0U;
+    };
+    std::uint32_t byRouters = 0;
+    for (const auto &[router, count] : upstream.unknownOfRouters) {
+        byRouters += currentOf(count);
+    }
+    return std::max(byRouters, currentOf(upstream.statedUnknown));
+}
+
+SlotQueueCoordinator::Upstream *SlotQueueCoordinator::findIncarnation(std::uint64_t incarnation)
+{
+    const auto key = this->upstreamOf.find(incarnation);
+    if (key == this->upstreamOf.end()) {
+        return nullptr;
+    }
+    const auto found = this->upstreams.find(key->second);
+    return found == this->upstreams.end() ? nullptr : &found->second;
+}
+
+void SlotQueueCoordinator::end(const std::string &router, std::uint64_t requestId,
+                               std::uint64_t incarnation, const GrantRelease &release)
+{
+    Upstream *const upstream = this->findIncarnation(incarnation);
+    if (upstream == nullptr) {
+        return;
+    }
+    const TimePoint now = this->gateway.clock.now();
+    if (release.load) {
+        // The grants include the one that ends, which the upstream may have counted.
+        const auto granted = static_cast<std::uint32_t>(upstream->queue.grantedCount());
+        upstream->statedUnknown = {release.load->held - std::min(release.load->held, granted), now};
+        upstream->slowdownPercent = release.load->slowdownPercent;
+    }
+    upstream->queue.end(router, requestId, now, release.end);
+    this->grantWaiting(this->upstreamOf.at(incarnation), *upstream);
+    this->armTimer();
+}
+
+void SlotQueueCoordinator::grantWaiting(std::uint64_t key, Upstream &upstream)
+{
+    const std::vector<SlotGrant> grants =
+        upstream.queue.grantWaiting(this->limitsOf(key, upstream), this->unknownRunning(upstream),
+                                    this->gateway.clock.now());
+    for (const SlotGrant &grant : grants) {
+        SlotReply reply = this->makeReply(grant.requestId, upstream);
+        reply.state.verdict = SlotQueueVerdict::Granted;
+        reply.state.running = grant.running;
+        this->send(grant.router, reply);
+    }
+    for (const SlotDrop &drop : upstream.queue.takeDropped()) {
+        SlotReply reply = this->makeReply(drop.requestId, upstream);
+        reply.state.verdict = SlotQueueVerdict::Denied;
+        reply.state.expectedWait = drop.waited;
+        reply.state.retryAfter = drop.retryAfter;
+        reply.state.running = static_cast<std::uint32_t>(upstream.queue.grantedCount());
+        this->send(drop.router, reply);
+    }
+}
+
+void SlotQueueCoordinator::armTimer()
+{
+    std::optional<TimePoint> due;
+    const TimePoint now = this->gateway.clock.now();
+    const auto include = [&due](TimePoint moment) { due = std::min(moment, due.value_or(moment)); };
+    // Requests that were counted without a grant make room when they no longer are.
+    const auto includeEnd = [&include, now](const UnknownCount &count) {
+        if (count.requests > 0 && now < count.statedAt + unknownRunningRetention) {
+            include(count.statedAt + unknownRunningRetention);
+        }
+    };
+    for (const auto &[key, upstream] : this->upstreams) {
+        if (upstream.queue.waitingCount() == 0) {
+            continue;
+        }
+        include(upstream.queue.nextChange().value_or(now + unknownRunningRetention));
+        includeEnd(upstream.statedUnknown);
+        for (const auto &[router, count] : upstream.unknownOfRouters) {
+            includeEnd(count);
+        }
+    }
+    if (!due) {
+        this->timer.cancel();
+        return;
+    }
+    this->timer.expires_after(std::max<Duration>(*due - now, minTimerInterval));
+    this->timer.async_wait([this](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        for (auto &[key, upstream] : this->upstreams) {
+            if (upstream.queue.waitingCount() > 0) {
+                this->grantWaiting(key, upstream);
+            }
+        }
+        this->armTimer();
+    });
+}
+
+void SlotQueueCoordinator::reconcile(const std::string &router, const std::vector<PeerLoad> &loads)
+{
+    for (auto &[key, upstream] : this->upstreams) {
+        if (upstream.queue.grantedTo(router) == 0) {
+            continue;
+        }
+        std::uint32_t running = 0;
+        for (const PeerLoad &load : loads) {
+            const auto named = this->upstreamOf.find(load.incarnation);
+            running += named != this->upstreamOf.end() && named->second == key ? load.running : 0;
+        }
+        upstream.queue.reconcile(router, running, this->gateway.clock.now());
+        this->grantWaiting(key, upstream);
+    }
+    this->armTimer();
+}
+
+void SlotQueueCoordinator::releaseRouter(const std::string &router)
+{
+    for (auto &[key, upstream] : this->upstreams) {
+        upstream.queue.releaseRouter(router, this->gateway.clock.now());
+        upstream.unknownOfRouters.erase(router);
+        this->grantWaiting(key, upstream);
+    }
+    this->armTimer();
+}
+
+void SlotQueueCoordinator::removeIdle()
+{
+    const TimePoint now = this->gateway.clock.now();
+    for (auto &[key, upstream] : this->upstreams) {
+        std::erase_if(upstream.unknownOfRouters, [now](const auto &entry) {
+            return now - entry.second.statedAt >= unknownRunningRetention;
+        });
+    }
+    std::erase_if(this->upstreams, [now](const auto &entry) {
+        const SlotQueue &queue = entry.second.queue;
+        return queue.grantedCount() == 0 && queue.waitingCount() == 0
+               && now - entry.second.lastRequest > idleEngineRetention;
+    });
+    // An upstream that restarts often has had many incarnations.
+    std::erase_if(this->upstreamOf, [this](const auto &entry) {
+        const auto found = this->upstreams.find(entry.second);
+        return found == this->upstreams.end()
+               || (found->second.incarnation != entry.first
+                   && found->second.queue.grantedCount() == 0
+                   && found->second.queue.waitingCount() == 0);
+    });
+}
+
+std::vector<SlotQueueGauge> SlotQueueCoordinator::gauges() const
+{
+    std::vector<SlotQueueGauge> gauges;
+    for (const auto &[key, upstream] : this->upstreams) {
+        const UpstreamState *const state = this->gateway.upstreams.findKey(key);
+        gauges.push_back({state == nullptr ? formatHash(key) : state->replica.id,
+                          upstream.queue.waitingCount(), upstream.queue.grantedCount(),
+                          this->unknownRunning(upstream), upstream.slowdownPercent});
+    }
+    return gauges;
+}
+
+} // namespace plantainswitch::gateway
--- /dev/null
+++ b/gateway/slotqueuecoordinator.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <asio/steady_timer.hpp>
+
+#include "plantainswitch/routing/peerloads.h"
+#include "plantainswitch/routing/slotqueue.h"
+
+#include "gatewaystate.h"
+#include "slotmessages.h"
+
+namespace plantainswitch::gateway {
+
+/// Time for which requests at an upstream without a grant are counted, by what the upstream or
+/// their router stated. Long enough for the next response to state it anew.
+inline constexpr Milliseconds unknownRunningRetention{200};
+
+/// What a coordinator knows of one contended upstream, for the gauges.
+struct SlotQueueGauge
+{
+    /// Id of the upstream, or its hash if this router does not know it.
+    std::string upstream;
+    std::size_t waiting = 0;
+    std::size_t granted = 0;
+    std::uint32_t unknown = 0;
+    /// As the upstream last stated it; 0 if it did not.
+    std::uint32_t slowdownPercent = 0;
+};
+
+/// The slot queues of the contended upstreams that this router coordinates.
+class SlotQueueCoordinator
+{
+public:
+    /// Sends the end of a request's wait to its router.
+    using ReplySender = std::function<void(const std::string &router, const SlotReply &)>;
+
+    SlotQueueCoordinator(GatewayState &gateway, ReplySender send);
+
+    /// Grants, queues or denies a request. If it is queued, a second reply follows.
+    SlotReply request(const SlotAsk &ask);
+    /// Ends a grant or a wait; an unknown one is ignored.
+    void end(const std::string &router, std::uint64_t requestId, std::uint64_t incarnation,
+             const GrantRelease &release);
+    /// Revokes old grants of \a router that are not among its \a loads.
+    void reconcile(const std::string &router, const std::vector<PeerLoad> &loads);
+    /// Revokes the grants and removes the waiting requests of a router that has left the fleet.
+    void releaseRouter(const std::string &router);
+    /// Removes the queues without grants for which there was no request for idleEngineRetention.
+    void removeIdle();
+    [[nodiscard]] std::vector<SlotQueueGauge> gauges() const;
+
+private:
+    /// Requests without a grant, by one statement.
+    struct UnknownCount
+    {
+        std::uint32_t requests = 0;
+        TimePoint statedAt;
+    };
+
+    struct Upstream
+    {
+        SlotQueue queue;
+        std::uint64_t incarnation = 0;
+        /// As the last router stated them that asked; 0 if it did not.
+        std::uint32_t slots = 0;
+        /// Concurrency limit that a router received from an earlier coordinator; 0 if none.
+        double receivedLimit = 0.0;
+        TimePoint lastRequest;
+        /// By the upstream's own statement, and by those of the routers.
+        UnknownCount statedUnknown;
+        std::map<std::string, UnknownCount> unknownOfRouters;
+        std::uint32_t slowdownPercent = 0;
+    };
+
+    /// \returns the concurrency limit of the upstream; 0 if none was learned.
+    [[nodiscard]] static double learnedLimitOf(const Upstream &upstream);
+    /// \returns the number of requests that the upstream runs well at once.
+    [[nodiscard]] double slotsOf(std::uint64_t key, const Upstream &upstream) const;
+    [[nodiscard]] SlotQueueLimits limitsOf(std::uint64_t key, const Upstream &upstream) const;
+    [[nodiscard]] std::uint32_t unknownRunning(const Upstream &upstream) const;
+    [[nodiscard]] Upstream *findIncarnation(std::uint64_t incarnation);
+    /// \returns how much longer requests to the upstream need a permit because it is cold.
+    [[nodiscard]] Milliseconds coldFor(std::uint64_t key) const;
+    void recordOwnRunning(Upstream &upstream, const SlotAsk &ask);
+    /// Records a sign of contention if the queue is as long as an upstream's would be.
+    void recordContention(std::uint64_t key, const Upstream &upstream, bool wasDenied);
+    /// Grants the waiting requests whose turn has come, and notifies the routers of all whose wait
+    /// has ended.
+    void grantWaiting(std::uint64_t key, Upstream &upstream);
+    [[nodiscard]] SlotReply makeReply(std::uint64_t requestId, const Upstream &upstream) const;
+    void armTimer();
+
+    GatewayState &gateway;
+    ReplySender send;
+    asio::steady_timer timer;
+    /// By hash of the upstream's id.
+    std::unordered_map<std::uint64_t, Upstream> upstreams;
+    /// The upstream of each incarnation that routers have named.
+    std::unordered_map<std::uint64_t, std::uint64_t> upstreamOf;
+};
+
+} // namespace plantainswitch::gateway
--- a/include/plantainswitch/routing/enginegrant.h
+++ b/include/plantainswitch/routing/enginegrant.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,12 +53,23 @@
     Abandoned,
 };
 
+/// What a contended upstream states in a response.
+struct StatedLoad
+{
+    /// Requests that it runs or lets wait.
+    std::uint32_t held = 0;
+    /// How long its work takes at this moment, in percent of the usual time; 0 if not stated.
+    std::uint32_t slowdownPercent = 0;
+};
+
 /// The end of a grant, as its router states it.
 struct GrantRelease
 {
     GrantEnd end = GrantEnd::Unused;
     /// As in RunTimeBound; only of an abandoned run.
     Duration usualRunTime{0};
+    /// Of a contended upstream that has responded and stated it.
+    std::optional<StatedLoad> load;
 };
 
 /// The coordinator's reply.
--- a/include/plantainswitch/routing/upstreamstate.h
+++ b/include/plantainswitch/routing/upstreamstate.h
@@ -39,6 +39,14 @@
     TimePoint permitBlockedUntil;
     /// Requests of this router sent without a permit, because the coordinator did not respond.
     PermitWindow unpermitted;
+    /// Slots by its last response that stated them; 0 if none did.
+    std::uint32_t statedSlots = 0;
+    /// How long a request would wait at the upstream's coordinator, by its last reply, and until
+    /// when that is believed.
+    Milliseconds queueWait{0};
+    TimePoint queueWaitUntil;
+    /// Concurrency limit that a coordinator last stated; 0 if none.
+    double learnedLimit = 0.0;
     /// It has announced in a response that it is draining.
     bool announcedDraining = false;
     /// Until when it wants no requests from this router.
@@ -65,6 +73,9 @@
 [[nodiscard]] std::optional<Milliseconds>
 timeToFirstBackoffEnd(std::span<UpstreamState *const> upstreams, TimePoint now);
 
+/// \returns the slots of the upstream by its entry, or else by its responses; 0 if not known.
+[[nodiscard]] std::uint32_t slotsOf(const UpstreamState &state) noexcept;
+
 /// \returns the number of requests of all routers on \a state's upstream.
 [[nodiscard]] std::uint32_t runningAt(const UpstreamState &state) noexcept;
 
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -50,8 +50,12 @@
     return policy.promptlessJitter * static_cast<double>(step) / steps;
 }
 
-double queueDelay(const UpstreamState &state, const SelectionPolicy &policy)
+double queueDelay(const UpstreamState &state, const SelectionPolicy &policy, TimePoint now)
 {
+    // The coordinator counts exactly what this router knows from updates.
+    if (now < state.queueWaitUntil) {
+        return static_cast<double>(state.queueWait.count());
+    }
     const double running = runningAt(state);
     double delay = running * policy.performance.delayPerRunning;
     const double slots = state.replica.maxConcurrency;
@@ -234,7 +238,7 @@
         / policy.performance.prefillRate;
     selection.extraDelay = extraDelayOf(state.health, now);
     selection.expectedDelay = (hasPrompt ? policy.performance.baseDelay : 0.0) + prefill
-                              + transferDelay(selection, policy) + queueDelay(state, policy)
+                              + transferDelay(selection, policy) + queueDelay(state, policy, now)
                               + selection.extraDelay;
 }
 
--- a/src/routing/upstreamstate.cpp
+++ b/src/routing/upstreamstate.cpp
@@ -43,6 +43,11 @@
     return first;
 }
 
+std::uint32_t slotsOf(const UpstreamState &state) noexcept
+{
+    return state.replica.maxConcurrency > 0 ? state.replica.maxConcurrency : state.statedSlots;
+}
+
 std::uint32_t runningAt(const UpstreamState &state) noexcept
 {
     return state.ownRunning + state.peersRunning;
