Queue for the slots of a contended upstream

Cause: at a small service each of many routers estimates the load alone, and queueing at the upstream makes all requests late. Change: a pure queue at the upstream's coordinator grants as many requests as the upstream runs, in the order of start-time fair queueing, and denies those that can't be in time.

--- /dev/null
+++ b/src/routing/slotqueue.cpp
@@ -0,0 +1,535 @@
+#include "plantainswitch/routing/slotqueue.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+#include "plantainswitch/base/hash.h"
+#include "plantainswitch/routing/enginecoordinator.h"
+
+namespace plantainswitch {
+
+namespace {
+
+/// Assumed before a hold time was observed or stated.
+constexpr double defaultHoldTime = 50.0;
+constexpr double minHoldTime = 1.0;
+/// Samples over which hold times are averaged: at 170 ends per second, a change of the upstream's
+/// speed shows within a tenth of a second, and the mean varies by a tenth.
+constexpr std::uint32_t holdTimeSamples = 16;
+/// Standard deviations of the hold time that are kept between the expected start and the objective.
+constexpr double holdTimeDeviations = 1.5;
+/// Time over which the use of the slots is averaged.
+constexpr double useAveragingTime = 250.0;
+/// Use of the slots by requests in time from which late requests are denied. At 0.9 of what the
+/// upstream runs, the mean use stays below it.
+constexpr double fullUse = 0.95;
+/// Use from which late requests that wait already are removed.
+constexpr double fullUseForWaiting = 0.98;
+constexpr double usualWeightSmoothing = 0.05;
+/// Lower bound of a weight, in usual weights. Without it, a workspace that hardly ever sent
+/// requests would get none of its first ones through.
+constexpr double minRelativeWeight = 0.1;
+constexpr double maxCapacity = 1e6;
+constexpr std::size_t maxFlows = 2 * maxSlotQueueLength;
+/// Share of the time until the deadline that callers wait before they repeat a request.
+constexpr double maxRetryShare = 1.0 / 3.0;
+
+using RealMilliseconds = std::chrono::duration<double, std::milli>;
+
+constexpr double toReal(Duration time) noexcept
+{
+    return RealMilliseconds{time}.count();
+}
+
+Duration toDuration(double milliseconds) noexcept
+{
+    return std::chrono::duration_cast<Duration>(RealMilliseconds{milliseconds});
+}
+
+Milliseconds roundUp(double milliseconds) noexcept
+{
+    return std::chrono::ceil<Milliseconds>(RealMilliseconds{milliseconds});
+}
+
+std::uint32_t capacityOf(const SlotQueueLimits &limits) noexcept
+{
+    const double slots = std::isfinite(limits.slots) ? limits.slots : 1.0;
+    const double margin = std::isfinite(limits.margin) ? std::max(limits.margin, 0.0) : 0.0;
+    return static_cast<std::uint32_t>(std::clamp(slots + margin, 1.0, maxCapacity));
+}
+
+/// \returns the time after which to retry, when the wait must fall by \a excess milliseconds.
+Milliseconds retryAfter(double excess, double untilDeadline, const std::string &router,
+                        std::uint64_t requestId)
+{
+    constexpr double shortest = toReal(minSlotRetryAfter);
+    // The spread must remain where the bound cuts the time, or else all would return at once.
+    const double longest = std::max(untilDeadline * maxRetryShare, shortest);
+    const double base = std::clamp(excess, shortest, std::max(shortest, longest / 2.0));
+    const double spread = 1.0 + std::ldexp(static_cast<double>(hashOf(router, requestId)), -64);
+    return Milliseconds{static_cast<std::int64_t>(std::min(base * spread, longest))};
+}
+
+} // namespace
+
+SlotQueueReply SlotQueue::request(const SlotQueueRequest &request, const SlotQueueLimits &limits,
+                                  std::uint32_t unknownRunning, TimePoint now)
+{
+    const Key key{request.router, request.requestId};
+    const View view = this->viewOf(limits, unknownRunning, now);
+    if (const auto known = this->stateOf(key, view)) {
+        return *known;
+    }
+    this->removeOverdue(view);
+    const double weight = this->weightOf(request);
+    const Decision decision = this->decide(request, weight, view);
+    SlotQueueReply reply;
+    reply.verdict = decision.verdict;
+    reply.expectedWait = roundUp(decision.wait);
+    switch (decision.verdict) {
+    case SlotQueueVerdict::Granted:
+        this->activate(request.workspace).weight = weight;
+        this->grant(key, request.workspace, !decision.isLate, view);
+        break;
+    case SlotQueueVerdict::Queued:
+        this->enqueue(request, weight, decision.isLate, view);
+        break;
+    case SlotQueueVerdict::Denied:
+        reply.retryAfter = retryAfter(decision.wait - decision.acceptable,
+                                      toReal(request.untilDeadline), key.first, key.second);
+        break;
+    }
+    reply.running = static_cast<std::uint32_t>(this->grants.size()) + unknownRunning;
+    return reply;
+}
+
+std::optional<SlotRun> SlotQueue::end(const std::string &router, std::uint64_t requestId,
+                                      TimePoint now, GrantEnd reason)
+{
+    const Key key{router, requestId};
+    if (const auto number = this->numbers.find(key); number != this->numbers.end()) {
+        this->remove(number->second);
+        return std::nullopt;
+    }
+    const auto found = this->grants.find(key);
+    if (found == this->grants.end()) {
+        return std::nullopt;
+    }
+    const SlotRun run{found->second.concurrency, now - found->second.grantedAt};
+    this->advanceUse(now);
+    this->forget(found);
+    this->lastProgress = now;
+    if (reason != GrantEnd::Unused) {
+        this->recordHoldTime(toReal(run.runTime));
+    }
+    return reason == GrantEnd::Responded ? std::optional{run} : std::nullopt;
+}
+
+std::vector<SlotGrant> SlotQueue::grantWaiting(const SlotQueueLimits &limits,
+                                               std::uint32_t unknownRunning, TimePoint now)
+{
+    const View view = this->viewOf(limits, unknownRunning, now);
+    this->removeOverdue(view);
+    std::vector<SlotGrant> granted;
+    while (this->hasRoom(view)) {
+        const auto number = this->next();
+        if (!number) {
+            break;
+        }
+        const Waiting request = this->waiting.at(*number);
+        this->remove(*number);
+        this->grant(request.key, request.workspace, !request.isLate, view);
+        granted.push_back({request.key.first, request.key.second, request.workspace,
+                           std::chrono::duration_cast<Milliseconds>(now - request.arrivedAt),
+                           static_cast<std::uint32_t>(this->grants.size()) + unknownRunning});
+    }
+    return granted;
+}
+
+std::vector<SlotDrop> SlotQueue::takeDropped()
+{
+    return std::exchange(this->dropped, {});
+}
+
+void SlotQueue::releaseRouter(const std::string &router, TimePoint now)
+{
+    this->advanceUse(now);
+    const Key first{router, 0};
+    for (auto each = this->grants.lower_bound(first);
+         each != this->grants.end() && each->first.first == router;) {
+        this->forget(each++);
+    }
+    std::vector<std::uint64_t> removed;
+    for (auto each = this->numbers.lower_bound(first);
+         each != this->numbers.end() && each->first.first == router; ++each) {
+        removed.push_back(each->second);
+    }
+    for (const std::uint64_t number : removed) {
+        this->remove(number);
+    }
+}
+
+void SlotQueue::reconcile(const std::string &router, std::uint32_t reported, TimePoint now)
+{
+    std::vector<std::map<Key, Grant>::iterator> granted;
+    for (auto each = this->grants.lower_bound({router, 0});
+         each != this->grants.end() && each->first.first == router; ++each) {
+        granted.push_back(each);
+    }
+    if (granted.size() <= reported) {
+        return;
+    }
+    std::sort(granted.begin(), granted.end(), [](const auto &left, const auto &right) {
+        return left->second.grantedAt < right->second.grantedAt;
+    });
+    granted.resize(granted.size() - reported);
+    this->advanceUse(now);
+    for (const auto &each : granted) {
+        if (now - each->second.grantedAt > orphanedGrantTimeout) {
+            this->forget(each);
+        }
+    }
+}
+
+std::size_t SlotQueue::grantedTo(const std::string &router) const
+{
+    const auto isOther = [&router](const auto &item) { return item.first.first != router; };
+    const auto first = this->grants.lower_bound({router, 0});
+    return static_cast<std::size_t>(
+        std::distance(first, std::find_if(first, this->grants.end(), isOther)));
+}
+
+std::optional<Duration> SlotQueue::holdTime() const noexcept
+{
+    return this->holds.samples == 0 ? std::nullopt : std::optional{toDuration(this->holds.mean)};
+}
+
+std::optional<TimePoint> SlotQueue::nextChange() const noexcept
+{
+    if (this->byExpiry.empty()) {
+        return std::nullopt;
+    }
+    const TimePoint expiry = this->byExpiry.begin()->first;
+    return this->byLatestStart.empty() ? expiry
+                                       : std::min(expiry, this->byLatestStart.begin()->first);
+}
+
+SlotQueue::View SlotQueue::viewOf(const SlotQueueLimits &limits, std::uint32_t unknownRunning,
+                                  TimePoint now)
+{
+    this->advanceUse(now);
+    View view;
+    view.capacity = capacityOf(limits);
+    view.unknown = unknownRunning;
+    view.now = now;
+    const double stated = toReal(limits.holdTime);
+    view.hold =
+        this->holds.samples > 0 ? this->holds.mean : (stated > 0.0 ? stated : defaultHoldTime);
+    view.hold = std::max(view.hold, minHoldTime);
+    // While an upstream stalls no run ends, and the mean doesn't tell.
+    const double silence = this->grants.empty() ? 0.0 : toReal(now - this->lastProgress);
+    const std::uint32_t left = std::max(view.capacity, unknownRunning + 1) - unknownRunning;
+    view.interval = std::max(view.hold, silence) / left;
+    this->lastCapacity = view.capacity;
+    this->lastUnknown = unknownRunning;
+    this->updateUseLevel();
+    return view;
+}
+
+bool SlotQueue::hasRoom(const View &view) const noexcept
+{
+    return this->grants.size() + view.unknown < view.capacity;
+}
+
+SlotQueue::Decision SlotQueue::decide(const SlotQueueRequest &request, double weight,
+                                      const View &view) const
+{
+    const double untilObjective = toReal(request.untilObjective);
+    const double untilLastStart = toReal(request.untilDeadline) - view.hold;
+    const double longest = std::min(toReal(request.maxWait), untilLastStart);
+    if (untilLastStart < 0.0) {
+        return {SlotQueueVerdict::Denied, true, this->waitLate(0, view), 0.0};
+    }
+    if (untilObjective < view.hold) {
+        return this->decideLate(longest, view);
+    }
+    if (this->hasRoom(view) && this->byLatestStart.empty()) {
+        return {SlotQueueVerdict::Granted, false, 0.0, 0.0};
+    }
+    const Order order{request.priority, view.now + request.untilObjective, this->nextNumber};
+    const double wait = this->waitOnTime(request.workspace, weight, order, view);
+    const double allowed = this->waitAllowed(untilObjective, view);
+    if (wait > allowed) {
+        Decision decision = this->decideLate(longest, view);
+        if (decision.verdict == SlotQueueVerdict::Denied) {
+            decision.wait = wait;
+            decision.acceptable = allowed;
+        }
+        return decision;
+    }
+    const bool isQueued = wait <= longest && this->waiting.size() < maxSlotQueueLength;
+    return {isQueued ? SlotQueueVerdict::Queued : SlotQueueVerdict::Denied, false, wait,
+            std::max(longest, 0.0)};
+}
+
+SlotQueue::Decision SlotQueue::decideLate(double longest, const View &view) const
+{
+    const double drain = view.interval * static_cast<double>(this->waiting.size() + 1);
+    if (this->use >= fullUse) {
+        return {SlotQueueVerdict::Denied, true, drain, 0.0};
+    }
+    if (this->hasRoom(view) && this->waiting.empty()) {
+        return {SlotQueueVerdict::Granted, true, 0.0, 0.0};
+    }
+    const double wait = this->waitLate(this->waiting.size(), view);
+    if (wait > longest || this->waiting.size() >= maxSlotQueueLength) {
+        return {SlotQueueVerdict::Denied, true, drain, 0.0};
+    }
+    return {SlotQueueVerdict::Queued, true, wait, 0.0};
+}
+
+std::optional<SlotQueueReply> SlotQueue::stateOf(const Key &key, const View &view) const
+{
+    SlotQueueReply reply;
+    reply.running = static_cast<std::uint32_t>(this->grants.size()) + view.unknown;
+    if (this->grants.contains(key)) {
+        reply.verdict = SlotQueueVerdict::Granted;
+        return reply;
+    }
+    const auto number = this->numbers.find(key);
+    if (number == this->numbers.end()) {
+        return std::nullopt;
+    }
+    const Waiting &request = this->waiting.at(number->second);
+    reply.verdict = SlotQueueVerdict::Queued;
+    double wait = 0.0;
+    if (request.isLate) {
+        const auto lateAhead = std::distance(this->late.begin(), this->late.find(number->second));
+        wait = this->waitLate(
+            this->waiting.size() - this->late.size() + static_cast<std::size_t>(lateAhead), view);
+    } else {
+        const double weight = this->flows.at(request.workspace).weight;
+        wait = this->waitOnTime(request.workspace, weight, request.order, view);
+    }
+    reply.expectedWait = roundUp(std::min(wait, toReal(request.expiresAt - view.now)));
+    return reply;
+}
+
+double SlotQueue::waitOnTime(std::uint64_t workspace, double weight, const Order &order,
+                             const View &view) const
+{
+    double weights = weight;
+    std::size_t ahead = 0;
+    std::size_t total = 0;
+    for (const auto &[id, flow] : this->flows) {
+        total += flow.waiting.size();
+        if (id == workspace) {
+            ahead = static_cast<std::size_t>(
+                std::distance(flow.waiting.begin(), flow.waiting.lower_bound(order)));
+        } else if (!flow.waiting.empty()) {
+            weights += flow.weight;
+        }
+    }
+    const double turns = static_cast<double>(ahead + 1) * weights / weight;
+    // Never more turns than there are requests: shorter queues of others end first.
+    return view.interval * std::min(turns, static_cast<double>(total + 1));
+}
+
+double SlotQueue::waitLate(std::size_t ahead, const View &view) const noexcept
+{
+    const double spare = 1.0 - std::min(this->use, fullUseForWaiting);
+    return view.interval * static_cast<double>(ahead + 1) / spare;
+}
+
+double SlotQueue::waitAllowed(double untilObjective, const View &view) const noexcept
+{
+    const double left = untilObjective - view.hold;
+    const double deviation = std::sqrt(this->holds.variance);
+    // An objective that hardly exceeds the mean hold time still leaves half of the difference.
+    return std::max(left - holdTimeDeviations * deviation, left / 2.0);
+}
+
+double SlotQueue::weightOf(const SlotQueueRequest &request) noexcept
+{
+    if (!std::isfinite(request.weight) || request.weight <= 0.0) {
+        return this->usualWeight > 0.0 ? this->usualWeight : 1.0;
+    }
+    if (this->usualWeight <= 0.0) {
+        this->usualWeight = request.weight;
+    }
+    this->usualWeight += usualWeightSmoothing * (request.weight - this->usualWeight);
+    return std::max(request.weight, minRelativeWeight * this->usualWeight);
+}
+
+void SlotQueue::grant(const Key &key, std::uint64_t workspace, bool isOnTime, const View &view)
+{
+    if (this->grants.empty()) {
+        this->lastProgress = view.now;
+    }
+    const double concurrency = static_cast<double>(this->grants.size() + 1 + view.unknown);
+    this->grants[key] = {view.now, concurrency, isOnTime};
+    if (isOnTime) {
+        // Late requests use spare capacity, which is not charged to their workspace.
+        Flow &flow = this->activate(workspace);
+        this->virtualTime = std::max(this->virtualTime, flow.startTag);
+        flow.startTag += 1.0 / flow.weight;
+        ++this->onTimeGrants;
+    }
+    this->updateUseLevel();
+    this->removePassedFlows();
+}
+
+void SlotQueue::enqueue(const SlotQueueRequest &request, double weight, bool isLate,
+                        const View &view)
+{
+    const std::uint64_t number = this->nextNumber++;
+    Waiting queued;
+    queued.key = {request.router, request.requestId};
+    queued.workspace = request.workspace;
+    queued.order = {request.priority, view.now + request.untilObjective, number};
+    queued.arrivedAt = view.now;
+    queued.latestStart =
+        view.now + toDuration(this->waitAllowed(toReal(request.untilObjective), view));
+    queued.deadline = view.now + request.untilDeadline;
+    queued.expiresAt =
+        std::min(view.now + request.maxWait, queued.deadline - toDuration(view.hold));
+    queued.isLate = isLate;
+    this->numbers[queued.key] = number;
+    this->byExpiry.emplace(queued.expiresAt, number);
+    if (isLate) {
+        this->late.insert(number);
+    } else {
+        Flow &flow = this->activate(request.workspace);
+        flow.weight = weight;
+        flow.waiting.insert(queued.order);
+        this->byLatestStart.emplace(queued.latestStart, number);
+    }
+    this->waiting.emplace(number, std::move(queued));
+}
+
+void SlotQueue::remove(std::uint64_t number)
+{
+    const auto found = this->waiting.find(number);
+    if (!found->second.isLate) {
+        this->makeLate(number);
+    }
+    this->late.erase(number);
+    this->byExpiry.erase({found->second.expiresAt, number});
+    this->numbers.erase(found->second.key);
+    this->waiting.erase(found);
+}
+
+void SlotQueue::drop(std::uint64_t number, SlotDropReason reason, const View &view)
+{
+    const Waiting request = this->waiting.at(number);
+    this->remove(number);
+    // An owner that doesn't take them must not make them grow without bound.
+    if (this->dropped.size() < maxSlotQueueLength) {
+        const double drain = view.interval * static_cast<double>(this->waiting.size());
+        this->dropped.push_back(
+            {request.key.first, request.key.second, reason,
+             std::chrono::duration_cast<Milliseconds>(view.now - request.arrivedAt),
+             retryAfter(drain, toReal(request.deadline - view.now), request.key.first,
+                        request.key.second)});
+    }
+}
+
+void SlotQueue::removeOverdue(const View &view)
+{
+    while (!this->byExpiry.empty() && this->byExpiry.begin()->first <= view.now) {
+        this->drop(this->byExpiry.begin()->second, SlotDropReason::Expired, view);
+    }
+    while (!this->byLatestStart.empty() && this->byLatestStart.begin()->first < view.now) {
+        this->makeLate(this->byLatestStart.begin()->second);
+    }
+    while (this->use >= fullUseForWaiting && !this->late.empty()) {
+        this->drop(*this->late.begin(), SlotDropReason::Late, view);
+    }
+}
+
+void SlotQueue::makeLate(std::uint64_t number)
+{
+    Waiting &request = this->waiting.at(number);
+    this->flows.at(request.workspace).waiting.erase(request.order);
+    this->byLatestStart.erase({request.latestStart, number});
+    this->late.insert(number);
+    request.isLate = true;
+}
+
+std::optional<std::uint64_t> SlotQueue::next() const
+{
+    const Flow *best = nullptr;
+    for (const auto &[workspace, flow] : this->flows) {
+        if (flow.waiting.empty()) {
+            continue;
+        }
+        const auto rank = [](const Flow &each) {
+            return std::pair{each.startTag, std::get<2>(*each.waiting.begin())};
+        };
+        if (best == nullptr || rank(flow) < rank(*best)) {
+            best = &flow;
+        }
+    }
+    if (best != nullptr) {
+        return std::get<2>(*best->waiting.begin());
+    }
+    return this->late.empty() ? std::nullopt : std::optional{*this->late.begin()};
+}
+
+SlotQueue::Flow &SlotQueue::activate(std::uint64_t workspace)
+{
+    Flow &flow = this->flows[workspace];
+    if (flow.waiting.empty()) {
+        flow.startTag = std::max(flow.startTag, this->virtualTime);
+    }
+    return flow;
+}
+
+void SlotQueue::removePassedFlows()
+{
+    // Removing them earlier would let a workspace start afresh each time its queue becomes empty.
+    std::erase_if(this->flows, [this](const auto &item) {
+        return item.second.waiting.empty() && item.second.startTag <= this->virtualTime;
+    });
+    if (this->flows.size() > maxFlows) {
+        std::erase_if(this->flows, [](const auto &item) { return item.second.waiting.empty(); });
+    }
+}
+
+void SlotQueue::advanceUse(TimePoint now) noexcept
+{
+    const double passed = toReal(now - this->useUpdatedAt);
+    if (passed > 0.0) {
+        const double share = 1.0 - std::exp(-passed / useAveragingTime);
+        this->use += (this->useLevel - this->use) * share;
+        this->useUpdatedAt = now;
+    }
+}
+
+void SlotQueue::updateUseLevel() noexcept
+{
+    const double used = static_cast<double>(this->onTimeGrants + this->lastUnknown);
+    this->useLevel = std::min(used / this->lastCapacity, 1.0);
+}
+
+void SlotQueue::forget(std::map<Key, Grant>::iterator grant) noexcept
+{
+    if (grant->second.isOnTime) {
+        --this->onTimeGrants;
+    }
+    this->grants.erase(grant);
+    this->updateUseLevel();
+}
+
+void SlotQueue::recordHoldTime(double time) noexcept
+{
+    HoldTimes &holds = this->holds;
+    holds.samples = std::min(holds.samples + 1, holdTimeSamples);
+    const double share = 1.0 / holds.samples;
+    const double difference = time - holds.mean;
+    holds.mean += share * difference;
+    holds.variance = (1.0 - share) * (holds.variance + share * difference * difference);
+}
+
+} // namespace plantainswitch
