--- a/gateway/fleetcoordination.cpp
+++ b/gateway/fleetcoordination.cpp
@@ -107,8 +107,8 @@
 
 void FleetGossip::onAsk(const wire::EngineAsk &message, const Endpoint &from)
 {
-    if (isSlotAsk(message)) {
-        this->onSlotAsk(message, from);
+    if (isQueueAsk(message)) {
+        this->onQueueAsk(message, from);
         return;
     }
     EngineGrantRequest grantRequest;
@@ -146,7 +146,7 @@
 
 void FleetGossip::onReply(const wire::EngineReply &message)
 {
-    if (this->slots.onReply(decodeSlotReply(message))) {
+    if (this->slots.onReply(decodeQueueReply(message))) {
         return;
     }
     const auto found = this->pendingGrantRequests.find(message.number());
--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -60,10 +60,8 @@
                          this->sendTo(address, datagram);
                      })
     , coordinator(ServicePerformance{}.prefillRate)
-    , slotQueues(gateway,
-                 [this](const std::string &router, const SlotReply &reply) {
-                     this->sendSlotReply(router, reply);
-                 })
+    , slotQueues(gateway, [this](const std::string &router,
+                                 const QueueReply &reply) { this->sendQueueReply(router, reply); })
     , slots(gateway, this->slotQueues,
             [this](const Endpoint &address, const wire::GatewayDatagram &datagram) {
                 this->sendTo(address, datagram);
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -44,7 +44,7 @@
                       const GrantRelease &release = {});
     /// Asks the coordinator of a contended upstream for a slot, as SlotQueueClient::ask() does. The
     /// slot, or the wait for it, is ended by releaseGrant().
-    void requestSlot(SlotAsk ask, std::string attempt, SlotQueueClient::Done done);
+    void requestSlot(QueueAsk ask, std::string attempt, SlotQueueClient::Done done);
     /// \returns the slot queues of the upstreams that this router coordinates.
     [[nodiscard]] const SlotQueueCoordinator &slotQueuesHere() const noexcept
     {
@@ -117,9 +117,9 @@
     void onDatagram(std::size_t size);
     void onUpdateMessage(const wire::RouterNews &message, const Endpoint &from);
     void onAsk(const wire::EngineAsk &message, const Endpoint &from);
-    void onSlotAsk(const wire::EngineAsk &message, const Endpoint &from);
+    void onQueueAsk(const wire::EngineAsk &message, const Endpoint &from);
     /// Sends the end of a request's wait to its router.
-    void sendSlotReply(const std::string &router, const SlotReply &reply);
+    void sendQueueReply(const std::string &router, const QueueReply &reply);
     void onReply(const wire::EngineReply &message);
     void onEnd(const wire::EngineEnd &message, const Endpoint &from);
     void onGrantEnd(const wire::EngineEnd &message, const Endpoint &from);
--- a/gateway/fleetslotqueue.cpp
+++ b/gateway/fleetslotqueue.cpp
@@ -4,24 +4,24 @@
 
 namespace plantainswitch::gateway {
 
-void FleetGossip::requestSlot(SlotAsk ask, std::string attempt, SlotQueueClient::Done done)
+void FleetGossip::requestSlot(QueueAsk ask, std::string attempt, SlotQueueClient::Done done)
 {
     const std::optional<Endpoint> coordinator = this->coordinatorOf(ask.upstream);
     this->slots.ask(std::move(ask), std::move(attempt), coordinator, std::move(done));
 }
 
-void FleetGossip::onSlotAsk(const wire::EngineAsk &message, const Endpoint &from)
+void FleetGossip::onQueueAsk(const wire::EngineAsk &message, const Endpoint &from)
 {
-    SlotAsk ask = decodeSlotAsk(message);
+    QueueAsk ask = decodeQueueAsk(message);
     ask.request.router = toText(from);
-    this->sendTo(from, encode(this->slotQueues.request(ask)));
+    this->sendTo(from, gateway::encode(this->slotQueues.request(ask)));
 }
 
-void FleetGossip::sendSlotReply(const std::string &router, const SlotReply &reply)
+void FleetGossip::sendQueueReply(const std::string &router, const QueueReply &reply)
 {
     if (router != toText(this->gateway.settings.peerDatagrams)) {
         if (const auto address = endpointOf(router)) {
-            this->sendTo(*address, encode(reply));
+            this->sendTo(*address, gateway::encode(reply));
         }
         return;
     }
--- a/gateway/fleetupdates.cpp
+++ b/gateway/fleetupdates.cpp
@@ -344,8 +344,7 @@
         entry->set_ago_ms(millisecondsSince(notice.announcedAt, now));
     }
     const Seconds retention = this->gateway.settings.contention.retention;
-    for (const ContentionNotice &notice :
-         this->gateway.contendedServices.notices(retention, now)) {
+    for (const ContentionNotice &notice : this->gateway.contendedServices.notices(retention, now)) {
         wire::ContendedService *const entry = message.add_contended();
         entry->set_service(notice.service);
         entry->set_ago_ms(millisecondsSince(notice.observedAt, now));
--- a/gateway/gatewaycontention.cpp
+++ b/gateway/gatewaycontention.cpp
@@ -53,9 +53,8 @@
 
 void GatewayState::endContention()
 {
-    for (const std::uint64_t service :
-         this->contendedServices.removeEnded(this->settings.contention.retention,
-                                             this->clock.now())) {
+    for (const std::uint64_t service : this->contendedServices.removeEnded(
+             this->settings.contention.retention, this->clock.now())) {
         logEvent(Event::ServiceUncontended, {{"service", formatHash(service)}});
     }
 }
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -88,7 +88,8 @@
                                        this->gateway.upstreams.prefixIndex, policy, this->now());
     // An ejected upstream is the last choice, also if the coordinators of the others let requests
     // wait.
-    const bool isAskingForSlots = !choice || isEjected(candidates[choice->index]->health, this->now());
+    const bool isAskingForSlots =
+        !choice || isEjected(candidates[choice->index]->health, this->now());
     if (isAskingForSlots && this->requestLastSlot()) {
         return;
     }
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -146,18 +146,18 @@
     /// \returns whether a request to \a upstream needs a slot of its coordinator's queue.
     [[nodiscard]] bool usesSlotQueue(const UpstreamState &upstream) const;
     [[nodiscard]] GrantTimes grantTimes() const;
-    /// \returns the upstreams that were tried, and those among \a candidates whose coordinators have
-    /// denied the request since.
+    /// \returns the upstreams that were tried, and those among \a candidates whose coordinators
+    /// have denied the request since.
     [[nodiscard]] std::vector<std::string>
     excludedUpstreams(std::span<UpstreamState *const> candidates) const;
     /// Asks the upstream's coordinator for a slot.
     void requestSlot(Selection placement, Milliseconds maxWait);
-    void onSlotReply(Selection placement, const std::optional<SlotReply> &reply);
+    void onQueueReply(Selection placement, const std::optional<QueueReply> &reply);
     /// Sends the request without a slot if this router's share allows it, because the upstream's
     /// coordinator does not respond; otherwise asks the next one.
     void dispatchUncoordinated(const Selection &placement, UpstreamState &target);
-    /// Asks the coordinator with the shortest wait again, with all the time that is left, or refuses
-    /// the request if that was done. \returns false if no coordinator has denied it.
+    /// Asks the coordinator with the shortest wait again, with all the time that is left, or
+    /// refuses the request if that was done. \returns false if no coordinator has denied it.
     bool requestLastSlot();
     void refuseForSlots();
     /// Records whether a response shows that the slots of the service do not suffice.
--- a/gateway/gatewayrequestslots.cpp
+++ b/gateway/gatewayrequestslots.cpp
@@ -1,5 +1,8 @@
 #include "gatewayrequesthandler.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "plantainswitch/base/hash.h"
 #include "plantainswitch/observe/event.h"
 
@@ -45,7 +48,7 @@
         this->dispatchUncoordinated(placement, *target);
         return;
     }
-    SlotAsk ask;
+    QueueAsk ask;
     ask.upstream = hashOf(target->replica.id);
     ask.incarnation = incarnationOf(target->replica);
     ask.request.requestId = this->gateway.fleet->nextRequestId();
@@ -61,15 +64,15 @@
     const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
     this->gateway.fleet->requestSlot(
         std::move(ask), this->request->attemptId,
-        [weak, placement = std::move(placement)](const std::optional<SlotReply> &reply) {
+        [weak, placement = std::move(placement)](const std::optional<QueueReply> &reply) {
             const auto self = weak.lock();
             if (self && self->phase == Phase::Selecting) {
-                self->onSlotReply(placement, reply);
+                self->onQueueReply(placement, reply);
             }
         });
 }
 
-void RequestHandler::onSlotReply(Selection placement, const std::optional<SlotReply> &reply)
+void RequestHandler::onQueueReply(Selection placement, const std::optional<QueueReply> &reply)
 {
     const auto target = this->gateway.upstreams.find(placement.upstreamId);
     const bool isGranted = reply && reply->state.verdict == SlotQueueVerdict::Granted;
@@ -126,7 +129,8 @@
     }
     const auto key = lastUpstreamToAsk(this->grantSequence);
     const UpstreamState *const known = key ? this->gateway.upstreams.findKey(*key) : nullptr;
-    const auto target = known == nullptr ? nullptr : this->gateway.upstreams.find(known->replica.id);
+    const auto target =
+        known == nullptr ? nullptr : this->gateway.upstreams.find(known->replica.id);
     if (!this->isUsable(target)) {
         this->refuseForSlots();
         return true;
@@ -161,6 +165,9 @@
         }
         return release;
     }
+    if (this->request->prompt) {
+        return release;
+    }
     const bool hasResponded = this->upstream && this->headReceived;
     // The time of a rejection is not that of a run.
     if (!hasResponded || !this->response.notExecuted) {
@@ -188,8 +195,8 @@
                   {"ran_ms", formatMilliseconds(this->now() - this->sentAt)},
                   {"hold_ms", formatMilliseconds(release.usualRunTime)}});
     }
-    this->gateway.fleet->releaseGrant(this->grantedIncarnation,
-                                      std::exchange(this->grantId, 0), release);
+    this->gateway.fleet->releaseGrant(this->grantedIncarnation, std::exchange(this->grantId, 0),
+                                      release);
 }
 
 void RequestHandler::recordContention()
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <map>
+#include <vector>
 
 #include <fmt/format.h>
 
--- a/gateway/slotmessages.cpp
+++ b/gateway/slotmessages.cpp
@@ -23,7 +23,7 @@
     return static_cast<std::uint32_t>(std::clamp<Milliseconds::rep>(rounded.count(), 0, most));
 }
 
-wire::GatewayDatagram encode(const SlotAsk &ask)
+wire::GatewayDatagram encode(const QueueAsk &ask)
 {
     wire::GatewayDatagram datagram;
     wire::EngineAsk &message = *datagram.mutable_ask();
@@ -42,7 +42,7 @@
     return datagram;
 }
 
-wire::GatewayDatagram encode(const SlotReply &reply)
+wire::GatewayDatagram encode(const QueueReply &reply)
 {
     wire::GatewayDatagram datagram;
     wire::EngineReply &message = *datagram.mutable_reply();
@@ -76,14 +76,14 @@
     return datagram;
 }
 
-bool isSlotAsk(const wire::EngineAsk &message)
+bool isQueueAsk(const wire::EngineAsk &message)
 {
     return message.max_wait_ms() > 0;
 }
 
-SlotAsk decodeSlotAsk(const wire::EngineAsk &message)
+QueueAsk decodeQueueAsk(const wire::EngineAsk &message)
 {
-    SlotAsk ask;
+    QueueAsk ask;
     ask.request.requestId = message.number();
     ask.request.workspace = message.workspace();
     ask.request.weight = usableFigure(message.weight());
@@ -99,9 +99,9 @@
     return ask;
 }
 
-SlotReply decodeSlotReply(const wire::EngineReply &message)
+QueueReply decodeQueueReply(const wire::EngineReply &message)
 {
-    SlotReply reply;
+    QueueReply reply;
     reply.requestId = message.number();
     reply.incarnation = message.life();
     reply.state.verdict = message.granted()  ? SlotQueueVerdict::Granted
--- a/gateway/slotmessages.h
+++ b/gateway/slotmessages.h
@@ -15,7 +15,7 @@
 inline constexpr Milliseconds coordinatorTimeout{25};
 
 /// A router's request for a slot of a contended upstream, to the upstream's coordinator.
-struct SlotAsk
+struct QueueAsk
 {
     /// The router is set by the coordinator.
     SlotQueueRequest request;
@@ -31,7 +31,7 @@
 };
 
 /// The coordinator's reply, or the end of a request's wait.
-struct SlotReply
+struct QueueReply
 {
     std::uint64_t requestId = 0;
     std::uint64_t incarnation = 0;
@@ -42,15 +42,15 @@
     double learnedLimit = 0.0;
 };
 
-[[nodiscard]] wire::GatewayDatagram encode(const SlotAsk &ask);
-[[nodiscard]] wire::GatewayDatagram encode(const SlotReply &reply);
+[[nodiscard]] wire::GatewayDatagram encode(const QueueAsk &ask);
+[[nodiscard]] wire::GatewayDatagram encode(const QueueReply &reply);
 /// \returns the message that a granted or waiting request has ended.
 [[nodiscard]] wire::GatewayDatagram encodeEnd(std::uint64_t requestId, std::uint64_t incarnation,
                                               const GrantRelease &release);
 /// \returns whether the request may wait in a queue. Routers of earlier versions never let it.
-[[nodiscard]] bool isSlotAsk(const wire::EngineAsk &message);
-[[nodiscard]] SlotAsk decodeSlotAsk(const wire::EngineAsk &message);
-[[nodiscard]] SlotReply decodeSlotReply(const wire::EngineReply &message);
+[[nodiscard]] bool isQueueAsk(const wire::EngineAsk &message);
+[[nodiscard]] QueueAsk decodeQueueAsk(const wire::EngineAsk &message);
+[[nodiscard]] QueueReply decodeQueueReply(const wire::EngineReply &message);
 /// \returns how a grant ends, as its router states it.
 [[nodiscard]] GrantRelease decodeRelease(const wire::EngineEnd &message);
 /// \returns \a span as the field of a message holds it, rounded up.
--- a/gateway/slotqueueclient.cpp
+++ b/gateway/slotqueueclient.cpp
@@ -17,7 +17,7 @@
     , send(std::move(send))
 {}
 
-void SlotQueueClient::ask(SlotAsk ask, std::string attempt, std::optional<Endpoint> coordinator,
+void SlotQueueClient::ask(QueueAsk ask, std::string attempt, std::optional<Endpoint> coordinator,
                           Done done)
 {
     ask.request.router = toText(this->gateway.settings.peerDatagrams);
@@ -37,17 +37,16 @@
 void SlotQueueClient::sendAsk(std::uint64_t requestId)
 {
     Pending &pending = this->pendingAsks.at(requestId);
-    const auto elapsed = std::chrono::duration_cast<Milliseconds>(this->gateway.clock.now()
-                                                                  - pending.askedAt);
-    SlotAsk message = pending.ask;
+    const auto elapsed =
+        std::chrono::duration_cast<Milliseconds>(this->gateway.clock.now() - pending.askedAt);
+    QueueAsk message = pending.ask;
     const auto reduce = [elapsed](Milliseconds &span, Milliseconds least) {
         span = std::max(least, span - elapsed);
     };
     reduce(message.request.untilObjective, Milliseconds{0});
     reduce(message.request.untilDeadline, Milliseconds{0});
     reduce(message.request.maxWait, Milliseconds{1});
-    if (const UpstreamState *const upstream =
-            this->gateway.upstreams.findKey(message.upstream)) {
+    if (const UpstreamState *const upstream = this->gateway.upstreams.findKey(message.upstream)) {
         message.ownRunning = upstream->ownRunning;
         message.slots = slotsOf(*upstream);
         message.learnedLimit = upstream->learnedLimit;
@@ -62,7 +61,7 @@
     this->send(*pending.coordinator, encode(message));
 }
 
-bool SlotQueueClient::onReply(const SlotReply &reply)
+bool SlotQueueClient::onReply(const QueueReply &reply)
 {
     const auto found = this->pendingAsks.find(reply.requestId);
     if (found == this->pendingAsks.end()) {
@@ -88,15 +87,14 @@
     return true;
 }
 
-void SlotQueueClient::onQueued(Pending &pending, const SlotReply &reply)
+void SlotQueueClient::onQueued(Pending &pending, const QueueReply &reply)
 {
     const TimePoint now = this->gateway.clock.now();
     pending.isAwaitingReply = false;
     if (!pending.queuedAt) {
         pending.queuedAt = now;
         this->gateway.metrics.count(Counter::QueueEntered);
-        const UpstreamState *const upstream =
-            this->gateway.upstreams.findKey(pending.ask.upstream);
+        const UpstreamState *const upstream = this->gateway.upstreams.findKey(pending.ask.upstream);
         logEvent(Event::RequestQueued,
                  {{"request", pending.attempt},
                   {"upstream", upstream == nullptr ? std::string() : upstream->replica.id},
@@ -104,8 +102,8 @@
                   {"max_wait_ms", std::to_string(pending.ask.request.maxWait.count())}});
     }
     const Duration left = this->waitEnd(pending) - now;
-    const Duration wait = std::clamp<Duration>(reply.state.expectedWait, Duration{0},
-                                               std::max(left, Duration{0}));
+    const Duration wait =
+        std::clamp<Duration>(reply.state.expectedWait, Duration{0}, std::max(left, Duration{0}));
     this->armTimer(reply.requestId, wait + coordinatorTimeout);
 }
 
@@ -121,8 +119,7 @@
     timer.async_wait([this, requestId, expiry = timer.expiry()](const asio::error_code &error) {
         const auto found = this->pendingAsks.find(requestId);
         // A timer that was set anew may already have completed.
-        if (!error && found != this->pendingAsks.end()
-            && found->second.timer->expiry() == expiry) {
+        if (!error && found != this->pendingAsks.end() && found->second.timer->expiry() == expiry) {
             this->onTimer(requestId);
         }
     });
@@ -141,7 +138,7 @@
         this->sendAsk(requestId);
         return;
     }
-    SlotReply reply;
+    QueueReply reply;
     reply.requestId = requestId;
     reply.incarnation = pending.ask.incarnation;
     reply.state.expectedWait = pending.ask.request.maxWait;
@@ -150,7 +147,7 @@
 }
 
 void SlotQueueClient::giveUp(std::uint64_t requestId, std::string_view outcome,
-                             const std::optional<SlotReply> &reply)
+                             const std::optional<QueueReply> &reply)
 {
     const auto found = this->pendingAsks.find(requestId);
     const Pending pending = std::move(found->second);
@@ -197,11 +194,10 @@
     if (!pending.queuedAt) {
         return;
     }
-    logEvent(
-        Event::RequestQueueLeft,
-        {{"request", pending.attempt},
-         {"outcome", std::string(outcome)},
-         {"waited_ms", formatMilliseconds(this->gateway.clock.now() - *pending.queuedAt)}});
+    logEvent(Event::RequestQueueLeft,
+             {{"request", pending.attempt},
+              {"outcome", std::string(outcome)},
+              {"waited_ms", formatMilliseconds(this->gateway.clock.now() - *pending.queuedAt)}});
 }
 
 } // namespace plantainswitch::gateway
--- a/gateway/slotqueueclient.h
+++ b/gateway/slotqueueclient.h
@@ -26,7 +26,7 @@
 public:
     using Sender = std::function<void(const Endpoint &, const wire::GatewayDatagram &)>;
     /// Called with the grant or the denial; with nothing if the coordinator does not respond.
-    using Done = std::function<void(const std::optional<SlotReply> &)>;
+    using Done = std::function<void(const std::optional<QueueReply> &)>;
 
     /// \param own coordinates the upstreams of which this router is the coordinator
     SlotQueueClient(GatewayState &gateway, SlotQueueCoordinator &own, Sender send);
@@ -34,16 +34,16 @@
     /// Asks for a slot. \a done is called once, unless end() is called before.
     /// \param attempt the caller's id, for the log
     /// \param coordinator nothing if it is this router
-    void ask(SlotAsk ask, std::string attempt, std::optional<Endpoint> coordinator, Done done);
+    void ask(QueueAsk ask, std::string attempt, std::optional<Endpoint> coordinator, Done done);
     /// Ends a grant, or withdraws a request that waits. \returns false if the request is unknown.
     bool end(std::uint64_t requestId, const GrantRelease &release);
     /// Handles a coordinator's reply. \returns false if the request is unknown.
-    bool onReply(const SlotReply &reply);
+    bool onReply(const QueueReply &reply);
 
 private:
     struct Pending
     {
-        SlotAsk ask;
+        QueueAsk ask;
         std::string attempt;
         std::optional<Endpoint> coordinator;
         Done done;
@@ -64,12 +64,12 @@
     /// Sends a pending request with the times that are left.
     void sendAsk(std::uint64_t requestId);
     void sendEnd(std::uint64_t requestId, const Grant &grant, const GrantRelease &release);
-    void onQueued(Pending &pending, const SlotReply &reply);
+    void onQueued(Pending &pending, const QueueReply &reply);
     void armTimer(std::uint64_t requestId, Duration wait);
     void onTimer(std::uint64_t requestId);
     /// Withdraws a pending request and calls its \a done.
     void giveUp(std::uint64_t requestId, std::string_view outcome,
-                const std::optional<SlotReply> &reply);
+                const std::optional<QueueReply> &reply);
     void logLeft(const Pending &pending, std::string_view outcome) const;
     [[nodiscard]] TimePoint waitEnd(const Pending &pending) const;
 
--- a/gateway/slotqueuecoordinator.cpp
+++ b/gateway/slotqueuecoordinator.cpp
@@ -20,7 +20,7 @@
     , timer(gateway.context)
 {}
 
-SlotReply SlotQueueCoordinator::request(const SlotAsk &ask)
+QueueReply SlotQueueCoordinator::request(const QueueAsk &ask)
 {
     const TimePoint now = this->gateway.clock.now();
     Upstream &upstream = this->upstreams[ask.upstream];
@@ -30,7 +30,7 @@
     upstream.receivedLimit = ask.learnedLimit;
     this->upstreamOf[ask.incarnation] = ask.upstream;
     this->recordOwnRunning(upstream, ask);
-    SlotReply reply = this->makeReply(ask.request.requestId, upstream);
+    QueueReply reply = this->makeReply(ask.request.requestId, upstream);
     reply.coldFor = this->coldFor(ask.upstream);
     if (reply.coldFor.count() > 0) {
         // The router learns from the reply that it needs a permit instead.
@@ -40,27 +40,24 @@
     }
     this->grantWaiting(ask.upstream, upstream);
     const SlotQueueLimits limits = this->limitsOf(ask.upstream, upstream);
-    reply.state =
-        upstream.queue.request(ask.request, limits, this->unknownRunning(upstream), now);
-    this->recordContention(ask.upstream, upstream,
-                           reply.state.verdict == SlotQueueVerdict::Denied);
+    reply.state = upstream.queue.request(ask.request, limits, this->unknownRunning(upstream), now);
+    this->recordContention(ask.upstream, upstream, reply.state.verdict == SlotQueueVerdict::Denied);
     this->armTimer();
     return reply;
 }
 
-SlotReply SlotQueueCoordinator::makeReply(std::uint64_t requestId, const Upstream &upstream) const
+QueueReply SlotQueueCoordinator::makeReply(std::uint64_t requestId, const Upstream &upstream) const
 {
-    SlotReply reply;
+    QueueReply reply;
     reply.requestId = requestId;
     reply.incarnation = upstream.incarnation;
     reply.learnedLimit = learnedLimitOf(upstream);
     return reply;
 }
 
-void SlotQueueCoordinator::recordOwnRunning(Upstream &upstream, const SlotAsk &ask)
+void SlotQueueCoordinator::recordOwnRunning(Upstream &upstream, const QueueAsk &ask)
 {
-    const auto granted =
-        static_cast<std::uint32_t>(upstream.queue.grantedTo(ask.request.router));
+    const auto granted = static_cast<std::uint32_t>(upstream.queue.grantedTo(ask.request.router));
     if (ask.ownRunning <= granted) {
         upstream.unknownOfRouters.erase(ask.request.router);
         return;
@@ -111,8 +108,8 @@
     limits.slots = this->slotsOf(key, upstream);
     limits.margin = std::max(1.0, this->gateway.settings.contention.marginShare * limits.slots);
     if (const UpstreamState *const state = this->gateway.upstreams.findKey(key)) {
-        limits.holdTime =
-            std::chrono::duration_cast<Milliseconds>(this->gateway.slotHoldTime(state->replica.service));
+        limits.holdTime = std::chrono::duration_cast<Milliseconds>(
+            this->gateway.slotHoldTime(state->replica.service));
     }
     return limits;
 }
@@ -161,17 +158,16 @@
 
 void SlotQueueCoordinator::grantWaiting(std::uint64_t key, Upstream &upstream)
 {
-    const std::vector<SlotGrant> grants =
-        upstream.queue.grantWaiting(this->limitsOf(key, upstream), this->unknownRunning(upstream),
-                                    this->gateway.clock.now());
+    const std::vector<SlotGrant> grants = upstream.queue.grantWaiting(
+        this->limitsOf(key, upstream), this->unknownRunning(upstream), this->gateway.clock.now());
     for (const SlotGrant &grant : grants) {
-        SlotReply reply = this->makeReply(grant.requestId, upstream);
+        QueueReply reply = this->makeReply(grant.requestId, upstream);
         reply.state.verdict = SlotQueueVerdict::Granted;
         reply.state.running = grant.running;
         this->send(grant.router, reply);
     }
     for (const SlotDrop &drop : upstream.queue.takeDropped()) {
-        SlotReply reply = this->makeReply(drop.requestId, upstream);
+        QueueReply reply = this->makeReply(drop.requestId, upstream);
         reply.state.verdict = SlotQueueVerdict::Denied;
         reply.state.expectedWait = drop.waited;
         reply.state.retryAfter = drop.retryAfter;
--- a/gateway/slotqueuecoordinator.h
+++ b/gateway/slotqueuecoordinator.h
@@ -40,12 +40,12 @@
 {
 public:
     /// Sends the end of a request's wait to its router.
-    using ReplySender = std::function<void(const std::string &router, const SlotReply &)>;
+    using ReplySender = std::function<void(const std::string &router, const QueueReply &)>;
 
     SlotQueueCoordinator(GatewayState &gateway, ReplySender send);
 
     /// Grants, queues or denies a request. If it is queued, a second reply follows.
-    SlotReply request(const SlotAsk &ask);
+    QueueReply request(const QueueAsk &ask);
     /// Ends a grant or a wait; an unknown one is ignored.
     void end(const std::string &router, std::uint64_t requestId, std::uint64_t incarnation,
              const GrantRelease &release);
@@ -89,13 +89,13 @@
     [[nodiscard]] Upstream *findIncarnation(std::uint64_t incarnation);
     /// \returns how much longer requests to the upstream need a permit because it is cold.
     [[nodiscard]] Milliseconds coldFor(std::uint64_t key) const;
-    void recordOwnRunning(Upstream &upstream, const SlotAsk &ask);
+    void recordOwnRunning(Upstream &upstream, const QueueAsk &ask);
     /// Records a sign of contention if the queue is as long as an upstream's would be.
     void recordContention(std::uint64_t key, const Upstream &upstream, bool wasDenied);
     /// Grants the waiting requests whose turn has come, and notifies the routers of all whose wait
     /// has ended.
     void grantWaiting(std::uint64_t key, Upstream &upstream);
-    [[nodiscard]] SlotReply makeReply(std::uint64_t requestId, const Upstream &upstream) const;
+    [[nodiscard]] QueueReply makeReply(std::uint64_t requestId, const Upstream &upstream) const;
     void armTimer();
 
     GatewayState &gateway;
--- a/include/plantainswitch/routing/enginegrant.h
+++ b/include/plantainswitch/routing/enginegrant.h
@@ -69,7 +69,7 @@
     /// As in RunTimeBound; only of an abandoned run.
     Duration usualRunTime{0};
     /// Of a contended upstream that has responded and stated it.
-    std::optional<StatedLoad> load;
+    std::optional<StatedLoad> load = std::nullopt;
 };
 
 /// The coordinator's reply.
--- a/tests/gatewaysettings.cpp
+++ b/tests/gatewaysettings.cpp
@@ -70,3 +70,22 @@
     CHECK_FALSE(this->parse(R"(, "areas": {"hall-a": 3}, "coldStart": {"factor": "x"})"));
     CHECK(this->faults.size() == 2);
 }
+
+TEST_CASE_METHOD(GatewaySettingsFixture, "gatewaySettings_contention_isTakenAndChecked",
+                 "[settings]")
+{
+    const auto defaults = this->parse("");
+    REQUIRE(defaults);
+    CHECK(defaults->contention.enabled);
+    CHECK(defaults->contention.retention == Seconds{10});
+    CHECK(defaults->contention.marginShare == Approx(0.3));
+    const auto settings = this->parse(
+        R"(, "contention": {"enabled": false, "retentionSeconds": 60, "marginShare": 0})");
+    REQUIRE(settings);
+    CHECK_FALSE(settings->contention.enabled);
+    CHECK(settings->contention.retention == Seconds{60});
+    CHECK(settings->contention.marginShare == Approx(0.0));
+    CHECK_FALSE(
+        this->parse(R"(, "contention": {"retentionSeconds": 0, "marginShare": 3, "x": 1})"));
+    CHECK(this->faults.size() == 3);
+}
--- a/tests/platformrequests.cpp
+++ b/tests/platformrequests.cpp
@@ -197,3 +197,25 @@
         CHECK_FALSE(parse(R"("version":)" + std::string(text) + ","));
     }
 }
+
+TEST_CASE_METHOD(PlatformRequestsFixture, "platformResponse_loadOfThreeOrFourFigures_isTaken",
+                 "[platform]")
+{
+    // Guards against ignoring the load of upstreams that also state their slowdown.
+    const auto loadOf = [this](const std::string &text) {
+        return this->decode(200, {{"X-Replica-Load", text}}).load;
+    };
+    const auto three = loadOf("3, 1, 6");
+    REQUIRE(three);
+    CHECK(three->running == 3);
+    CHECK(three->waiting == 1);
+    CHECK(three->slots == 6);
+    CHECK(three->slowdownPercent == 0);
+    const auto four = loadOf("6,2,6,250");
+    REQUIRE(four);
+    CHECK(four->waiting == 2);
+    CHECK(four->slowdownPercent == 250);
+    for (const char *const text : {"", "3,1", "3,1,6,x", "3,1,6,100,7", "3,1,-6"}) {
+        CHECK_FALSE(loadOf(text));
+    }
+}
