--- a/include/plantainswitch/routing/slotqueue.h
+++ b/include/plantainswitch/routing/slotqueue.h
@@ -249,14 +249,17 @@
     [[nodiscard]] double waitAllowed(double untilObjective, const View &view) const noexcept;
     double weightOf(const SlotQueueRequest &request) noexcept;
 
-    void grant(const Key &key, std::uint64_t workspace, bool isOnTime, const View &view);
+    void charge(Flow &flow) noexcept;
+    void grant(const Key &key, bool isOnTime, const View &view);
     void enqueue(const SlotQueueRequest &request, double weight, bool isLate, const View &view);
     void remove(std::uint64_t number);
     void drop(std::uint64_t number, SlotDropReason reason, const View &view);
     void removeOverdue(const View &view);
     void makeLate(std::uint64_t number);
     [[nodiscard]] std::optional<std::uint64_t> next() const;
-    Flow &activate(std::uint64_t workspace);
+    Flow &activate(std::uint64_t workspace, double weight);
+    /// \returns the lowest start time of a workspace that has sent little.
+    [[nodiscard]] double firstTag(double weight) const noexcept;
     void removePassedFlows();
     void advanceUse(TimePoint now) noexcept;
     void updateUseLevel() noexcept;
--- a/src/routing/slotqueue.cpp
+++ b/src/routing/slotqueue.cpp
@@ -31,6 +31,9 @@
 /// requests would get none of its first ones through.
 constexpr double minRelativeWeight = 0.1;
 constexpr double maxCapacity = 1e6;
+/// Requests that a workspace may be behind its share. Requests of a small workspace arrive in
+/// bursts: without credit for the time before, a part of them waits as if the workspace surged.
+constexpr double burstCredit = 8.0;
 constexpr std::size_t maxFlows = 2 * maxSlotQueueLength;
 /// Share of the time until the deadline that callers wait before they repeat a request.
 constexpr double maxRetryShare = 1.0 / 3.0;
@@ -89,8 +92,10 @@
     reply.expectedWait = roundUp(decision.wait);
     switch (decision.verdict) {
     case SlotQueueVerdict::Granted:
-        this->activate(request.workspace).weight = weight;
-        this->grant(key, request.workspace, !decision.isLate, view);
+        if (!decision.isLate) {
+            this->charge(this->activate(request.workspace, weight));
+        }
+        this->grant(key, !decision.isLate, view);
         break;
     case SlotQueueVerdict::Queued:
         this->enqueue(request, weight, decision.isLate, view);
@@ -138,8 +143,11 @@
             break;
         }
         const Waiting request = this->waiting.at(*number);
+        if (!request.isLate) {
+            this->charge(this->flows.at(request.workspace));
+        }
         this->remove(*number);
-        this->grant(request.key, request.workspace, !request.isLate, view);
+        this->grant(request.key, !request.isLate, view);
         granted.push_back({request.key.first, request.key.second, request.workspace,
                            std::chrono::duration_cast<Milliseconds>(now - request.arrivedAt),
                            static_cast<std::uint32_t>(this->grants.size()) + unknownRunning});
@@ -319,21 +327,28 @@
 double SlotQueue::waitOnTime(std::uint64_t workspace, double weight, const Order &order,
                              const View &view) const
 {
-    double weights = weight;
-    std::size_t ahead = 0;
-    std::size_t total = 0;
+    std::size_t ownAhead = 0;
+    double startTag = this->firstTag(weight);
+    if (const auto own = this->flows.find(workspace); own != this->flows.end()) {
+        const Flow &flow = own->second;
+        ownAhead = static_cast<std::size_t>(
+            std::distance(flow.waiting.begin(), flow.waiting.lower_bound(order)));
+        startTag = flow.waiting.empty() ? std::max(flow.startTag, startTag) : flow.startTag;
+    }
+    const double ownTag = startTag + static_cast<double>(ownAhead) / weight;
+    double ahead = static_cast<double>(ownAhead);
     for (const auto &[id, flow] : this->flows) {
-        total += flow.waiting.size();
-        if (id == workspace) {
-            ahead = static_cast<std::size_t>(
-                std::distance(flow.waiting.begin(), flow.waiting.lower_bound(order)));
-        } else if (!flow.waiting.empty()) {
-            weights += flow.weight;
+        if (id != workspace && !flow.waiting.empty() && flow.startTag <= ownTag) {
+            const double earlier = std::floor((ownTag - flow.startTag) * flow.weight) + 1.0;
+            ahead += std::min(earlier, static_cast<double>(flow.waiting.size()));
         }
     }
-    const double turns = static_cast<double>(ahead + 1) * weights / weight;
-    // Never more turns than there are requests: shorter queues of others end first.
-    return view.interval * std::min(turns, static_cast<double>(total + 1));
+    return view.interval * (ahead + 1.0);
+}
+
+double SlotQueue::firstTag(double weight) const noexcept
+{
+    return this->virtualTime - burstCredit / weight;
 }
 
 double SlotQueue::waitLate(std::size_t ahead, const View &view) const noexcept
@@ -362,18 +377,18 @@
     return std::max(request.weight, minRelativeWeight * this->usualWeight);
 }
 
-void SlotQueue::grant(const Key &key, std::uint64_t workspace, bool isOnTime, const View &view)
+void SlotQueue::charge(Flow &flow) noexcept
 {
-    if (this->grants.empty()) {
-        this->lastProgress = view.now;
-    }
+    this->virtualTime = std::max(this->virtualTime, flow.startTag);
+    flow.startTag += 1.0 / flow.weight;
+}
+
+void SlotQueue::grant(const Key &key, bool isOnTime, const View &view)
+{
+    this->lastProgress = view.now;
     const double concurrency = static_cast<double>(this->grants.size() + 1 + view.unknown);
     this->grants[key] = {view.now, concurrency, isOnTime};
     if (isOnTime) {
-        // Late requests use spare capacity, which is not charged to their workspace.
-        Flow &flow = this->activate(workspace);
-        this->virtualTime = std::max(this->virtualTime, flow.startTag);
-        flow.startTag += 1.0 / flow.weight;
         ++this->onTimeGrants;
     }
     this->updateUseLevel();
@@ -400,8 +415,7 @@
     if (isLate) {
         this->late.insert(number);
     } else {
-        Flow &flow = this->activate(request.workspace);
-        flow.weight = weight;
+        Flow &flow = this->activate(request.workspace, weight);
         flow.waiting.insert(queued.order);
         this->byLatestStart.emplace(queued.latestStart, number);
     }
@@ -477,11 +491,16 @@
     return this->late.empty() ? std::nullopt : std::optional{*this->late.begin()};
 }
 
-SlotQueue::Flow &SlotQueue::activate(std::uint64_t workspace)
+SlotQueue::Flow &SlotQueue::activate(std::uint64_t workspace, double weight)
 {
-    Flow &flow = this->flows[workspace];
+    const auto [found, isNew] = this->flows.try_emplace(workspace);
+    Flow &flow = found->second;
+    flow.weight = weight;
+    if (isNew) {
+        flow.startTag = this->firstTag(weight);
+    }
     if (flow.waiting.empty()) {
-        flow.startTag = std::max(flow.startTag, this->virtualTime);
+        flow.startTag = std::max(flow.startTag, this->firstTag(flow.weight));
     }
     return flow;
 }
@@ -490,7 +509,7 @@
 {
     // Removing them earlier would let a workspace start afresh each time its queue becomes empty.
     std::erase_if(this->flows, [this](const auto &item) {
-        return item.second.waiting.empty() && item.second.startTag <= this->virtualTime;
+        return item.second.waiting.empty() && item.second.startTag <= this->firstTag(item.second.weight);
     });
     if (this->flows.size() > maxFlows) {
         std::erase_if(this->flows, [](const auto &item) { return item.second.waiting.empty(); });
