--- a/include/plantainswitch/routing/slotqueue.h
+++ b/include/plantainswitch/routing/slotqueue.h
@@ -131,13 +131,14 @@
 /// that was denied or dropped is never granted without having asked again.
 ///
 /// The owner calls grantWaiting() after each end(), releaseRouter() and reconcile(), when limits or
-/// unknown requests have changed, and not later than nextChange(); then takeDropped().
+/// unknown requests have changed, and not later than nextChange(). It calls takeDropped() after
+/// each request() and grantWaiting(), because an id that was dropped may ask again.
 class SlotQueue
 {
 public:
     /// Grants, queues or denies a request. One that is granted or queued already stays as it is.
     /// \param unknownRunning requests at the upstream that have no grant of this queue
-    SlotQueueReply request(const SlotQueueRequest &request, const SlotQueueLimits &limits,
+    SlotQueueReply request(const SlotQueueRequest &asked, const SlotQueueLimits &limits,
                            std::uint32_t unknownRunning, TimePoint now);
     /// Ends a grant, or removes a waiting request; an unknown one is ignored.
     /// \param reason with GrantEnd::Unused the time is not taken for a run's
--- a/src/routing/slotqueue.cpp
+++ b/src/routing/slotqueue.cpp
@@ -18,15 +18,18 @@
 /// speed shows within a tenth of a second, and the mean varies by a tenth.
 constexpr std::uint32_t holdTimeSamples = 16;
 /// Standard deviations of the hold time that are kept between the expected start and the objective.
+/// In the load model at twice the load, 0.035 of the responses were late with 1, 0.026 with 1.5 and
+/// 0.019 with 2; at 0.9 of the load, the share in time was 0.955, 0.952 and 0.950.
 constexpr double holdTimeDeviations = 1.5;
 /// Time over which the use of the slots is averaged.
 constexpr double useAveragingTime = 250.0;
-/// Use of the slots by requests in time from which late requests are denied. At 0.9 of what the
-/// upstream runs, the mean use stays below it.
+/// Use of the slots by requests in time from which late requests are denied. Less than a slot in
+/// twenty is left then, and its late run delays those in time.
 constexpr double fullUse = 0.95;
 /// Use from which late requests that wait already are removed.
 constexpr double fullUseForWaiting = 0.98;
 constexpr double maxCapacity = 1e6;
+constexpr Milliseconds maxRequestTime = std::chrono::hours{24};
 /// Share of the wait that would still do, up to which a request is queued. Requests that arrive
 /// later with less time left overtake it: without a reserve, up to 0.2 of all requests became late
 /// in the queue under overload, and were denied only then.
@@ -70,11 +73,21 @@
     return Milliseconds{static_cast<std::int64_t>(std::min(base * spread, longest))};
 }
 
+/// Times of a damaged message must not overflow.
+SlotQueueRequest withValidTimes(SlotQueueRequest request)
+{
+    for (Milliseconds *each : {&request.untilObjective, &request.untilDeadline, &request.maxWait}) {
+        *each = std::clamp(*each, Milliseconds{0}, maxRequestTime);
+    }
+    return request;
+}
+
 } // namespace
 
-SlotQueueReply SlotQueue::request(const SlotQueueRequest &request, const SlotQueueLimits &limits,
+SlotQueueReply SlotQueue::request(const SlotQueueRequest &asked, const SlotQueueLimits &limits,
                                   std::uint32_t unknownRunning, TimePoint now)
 {
+    const SlotQueueRequest request = withValidTimes(asked);
     const Key key{request.router, request.requestId};
     const View view = this->viewOf(limits, unknownRunning, now);
     if (const auto known = this->stateOf(key, view)) {
@@ -235,7 +248,7 @@
     view.hold = std::max(view.hold, minHoldTime);
     // While an upstream stalls no run ends, and the mean doesn't tell.
     const double silence = this->grants.empty() ? 0.0 : toReal(now - this->lastProgress);
-    const std::uint32_t left = std::max(view.capacity, unknownRunning + 1) - unknownRunning;
+    const std::uint32_t left = unknownRunning < view.capacity ? view.capacity - unknownRunning : 1;
     view.interval = std::max(view.hold, silence) / left;
     this->lastCapacity = view.capacity;
     this->lastUnknown = unknownRunning;
--- a/tests/slotqueue.cpp
+++ b/tests/slotqueue.cpp
@@ -181,13 +181,15 @@
 {
     // Guards against a queue that grows without bound, and against numbers that are none.
     this->limits = {2.0, 1.0, Milliseconds{1}};
-    SlotQueueRequest request = inTime(1, 0, Seconds{1000});
-    request.untilDeadline = request.maxWait = Seconds{1000};
+    SlotQueueRequest request = inTime();
+    request.untilObjective = request.untilDeadline = request.maxWait = Milliseconds::max();
     request.weight = std::numeric_limits<double>::quiet_NaN();
     for (std::uint64_t id = 10; id < 10 + maxSlotQueueLength; ++id) {
         REQUIRE(this->ask(id, request) == SlotQueueVerdict::Queued);
     }
     CHECK(this->ask(9, request) == SlotQueueVerdict::Denied);
     this->limits.slots = std::numeric_limits<double>::quiet_NaN();
-    CHECK(this->queue.grantWaiting(this->limits, 4'000'000'000, this->now).empty());
+    CHECK(
+        this->queue.grantWaiting(this->limits, std::numeric_limits<std::uint32_t>::max(), this->now)
+            .empty());
 }
