--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -286,6 +286,11 @@
             update.origins.clear();
         }
         wire::GatewayDatagram datagram = this->encode(update);
+        // The first update to this group in each interval, whatever its rhythm.
+        if (now.time_since_epoch() / usageReportInterval
+            != group.lastSent.time_since_epoch() / usageReportInterval) {
+            this->appendWorkspaceUse(*datagram.mutable_news(), now);
+        }
         if (this->sequence % performanceUpdatePeriod == 1) {
             this->appendPerformanceReports(*datagram.mutable_news());
         }
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -130,6 +130,9 @@
     /// Applies the performance estimates of another router.
     void applyPerformanceReports(const wire::RouterNews &message, TimePoint now);
     void appendPerformanceReports(wire::RouterNews &message) const;
+    /// Applies the rates of workspaces' requests at another router.
+    void applyWorkspaceUse(const wire::RouterNews &message, TimePoint now);
+    void appendWorkspaceUse(wire::RouterNews &message, TimePoint now);
     [[nodiscard]] std::uint64_t configVersion() const;
     /// Applies the crash reports of another router.
     void applyCrashUpdate(const wire::RouterNews &message, TimePoint now);
--- a/gateway/fleetupdates.cpp
+++ b/gateway/fleetupdates.cpp
@@ -130,6 +130,7 @@
         }
     }
     this->applyPerformanceReports(message, now);
+    this->applyWorkspaceUse(message, now);
     this->applyCrashUpdate(message, now);
     for (const wire::BrittleService &entry : message.brittle()) {
         this->gateway.applyBrittleNotice(
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -214,6 +214,8 @@
     admissionRequest.priority = this->rank;
     admissionRequest.occupancy = choice.occupancy;
     admissionRequest.jitterSeed = hashOf(this->request->attemptId);
+    admissionRequest.surge = this->gateway.surgeOf(this->workspace);
+    admissionRequest.unqueuedDelay = Milliseconds{static_cast<std::int64_t>(choice.unqueuedDelay)};
     const AdmissionDecision admittance =
         plantainswitch::admit(admissionRequest, this->gateway.settings.admission);
     if (admittance.verdict == AdmissionVerdict::Admitted) {
@@ -227,7 +229,9 @@
               {"objective_ms", std::to_string(admissionRequest.objective.count())},
               {"rank", std::to_string(admissionRequest.priority)},
               {"occupancy", fmt::format("{:.2f}", admissionRequest.occupancy)},
+              {"surge", fmt::format("{:.1f}", admissionRequest.surge)},
               {"retry_after_ms", std::to_string(admittance.retryAfter.count())}});
+    this->gateway.metrics.count(Counter::SurgeRefusals, admissionRequest.surge > 1.0 ? 1 : 0);
     this->refuse(ErrorKind::Overloaded, "the service is overloaded", admittance.retryAfter);
     return false;
 }
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -107,9 +107,10 @@
         this->prefixHashes = prefixHashesOf(*this->request->prompt);
     }
     this->reach = &this->gateway.reach[this->service];
-    // The router that a request came to first has made the deposit.
+    // The router that a request came to first has made the deposit, and counted the request.
     if (!this->forwarded) {
         this->gateway.retryBudgets.deposit(this->service, this->gateway.routerCount(), this->now());
+        this->gateway.recordUse(this->workspace);
     }
     this->suspects.keys = {requestSuspect(mixHash(
         hashOf(this->request->target, hashOf(this->workspace)), hashOf(this->request->body)))};
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -73,6 +73,14 @@
     fields.finish();
 }
 
+void readFairness(FieldReader &parent, FairnessPolicy &policy, std::vector<Fault> &faults)
+{
+    FieldReader fields(parent.child("fairness"), parent.pathOf("fairness"), faults);
+    fields.read("enabled", policy.enabled);
+    fields.read("minSurge", policy.minSurge, 1.0, maxSurge);
+    fields.finish();
+}
+
 void readMechanisms(FieldReader &parent, Mechanisms &mechanisms, std::vector<Fault> &faults)
 {
     FieldReader fields(parent.child("mechanisms"), parent.pathOf("mechanisms"), faults);
@@ -130,6 +138,7 @@
     readRetries(fields, settings.retries, faults);
     readChoice(fields, settings.choice, faults);
     readAdmission(fields, settings.admission, faults);
+    readFairness(fields, settings.fairness, faults);
     readMechanisms(fields, settings.mechanisms, faults);
     readColdStart(fields, settings, faults);
     readAreas(fields, settings.areas, faults);
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -14,6 +14,7 @@
 #include "plantainswitch/routing/fleetretrybudget.h"
 #include "plantainswitch/routing/placementconstraints.h"
 #include "plantainswitch/routing/selection.h"
+#include "plantainswitch/routing/workspaceusage.h"
 
 namespace plantainswitch::gateway {
 
@@ -37,6 +38,15 @@
     bool brittleLimits = true;
 };
 
+/// Treatment of workspaces that send more requests than usual.
+struct FairnessPolicy
+{
+    /// Under overload, the excess of surging workspaces is rejected first.
+    bool enabled = true;
+    /// Surge from which that holds.
+    double minSurge = unusualSurge;
+};
+
 /// The settings of a gateway, read from one JSON file.
 struct GatewaySettings
 {
@@ -56,6 +66,7 @@
     FleetRetryLimit retries;
     SelectionPolicy choice;
     AdmissionPolicy admission;
+    FairnessPolicy fairness;
     Mechanisms mechanisms;
     /// How far requests to cold upstreams may exceed what these bear; nothing if they are not
     /// limited.
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -21,6 +21,7 @@
 #include "plantainswitch/routing/serviceversions.h"
 #include "plantainswitch/routing/streamorigin.h"
 #include "plantainswitch/routing/updatelog.h"
+#include "plantainswitch/routing/workspaceusage.h"
 
 #include "dialect.h"
 #include "gatewaysettings.h"
@@ -101,6 +102,11 @@
     /// not brittle.
     [[nodiscard]] double brittleBoundOf(const UpstreamState &upstream) const;
     [[nodiscard]] bool isBrittle(std::string_view service) const;
+    /// Records a request that a caller sent to this router. \param workspace empty if it has none
+    void recordUse(std::string_view workspace);
+    /// \returns the surge of the workspace that admission control takes into account: 1 below the
+    /// configured minimum, without fairness and for requests without a workspace.
+    [[nodiscard]] double surgeOf(std::string_view workspace) const;
     /// \returns the time that few runs of the service exceed.
     [[nodiscard]] Duration runTimeBound(const std::string &service);
     /// \returns the number of rejections within a second above which the upstreams of the service
@@ -131,6 +137,8 @@
     PeerLoads peerLoads;
     /// Estimators of the upstreams' performance, by name of the service.
     std::map<std::string, ServiceEstimator> estimators;
+    /// Rates of the workspaces' requests over the fleet.
+    WorkspaceUsage workspaceUsage;
     FleetRetryBudget retryBudgets;
     /// Whether this router reaches the upstreams, by name of the service.
     std::map<std::string, ServiceReach> reach;
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -1,10 +1,13 @@
 #include "gauges.h"
 
+#include <algorithm>
 #include <array>
 #include <map>
 
 #include <fmt/format.h>
 
+#include "plantainswitch/base/hash.h"
+
 #include "fleetgossip.h"
 
 namespace plantainswitch::gateway {
@@ -119,6 +122,26 @@
     }
 }
 
+/// Appends the workspaces that surge, named by the configuration.
+void appendSurges(std::string &page, const GatewayState &state)
+{
+    constexpr std::size_t maxSurgesOnPage = 8;
+    const auto surges = state.workspaceUsage.surges(maxSurgesOnPage, state.clock.now());
+    appendType(page, "workspace_surge");
+    for (const WorkspaceSurge &surging : surges) {
+        std::string name = formatHash(surging.workspace);
+        if (state.routingTable) {
+            const auto &workspaces = state.routingTable->config().workspaces;
+            const auto named = std::ranges::find(
+                workspaces, surging.workspace,
+                [](const RoutedWorkspace &workspace) { return hashOf(workspace.name); });
+            name = named == workspaces.end() ? name : named->name;
+        }
+        appendSample(page, "workspace_surge", fmt::format("workspace=\"{}\"", name), surging.surge);
+    }
+    appendGauge(page, "known_workspaces", static_cast<double>(state.workspaceUsage.size()));
+}
+
 } // namespace
 
 std::string renderGauges(const GatewayState &state)
@@ -171,6 +194,7 @@
         appendSample(page, "running", fmt::format("service=\"{}\"", name), service.running);
     }
     appendPerformance(page, state);
+    appendSurges(page, state);
     appendType(page, "retries_left");
     for (const auto &[name, service] : services) {
         appendSample(page, "retries_left", fmt::format("service=\"{}\"", name),
--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -39,6 +39,7 @@
 class UpstreamNotices;
 class UpstreamTable;
 class WorkQueue;
+class WorkspaceUsage;
 
 template<typename Key, typename Value>
 class SharedMap;
@@ -103,6 +104,8 @@
 struct Vm;
 struct VmList;
 struct Workspace;
+struct WorkspaceSurge;
+struct WorkspaceUse;
 
 enum class ErrorKind : std::uint8_t;
 enum class Event : std::uint16_t;
--- a/include/plantainswitch/observe/metrics.h
+++ b/include/plantainswitch/observe/metrics.h
@@ -35,6 +35,7 @@
     Forwards,
     StreamsTakenUp,
     ConnectionsAccepted,
+    SurgeRefusals,
 };
 
 /// Histograms for each workspace and data class.
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -78,6 +78,7 @@
 #include "plantainswitch/routing/updatelog.h"
 #include "plantainswitch/routing/upstreamnotices.h"
 #include "plantainswitch/routing/upstreamstate.h"
+#include "plantainswitch/routing/workspaceusage.h"
 #include "plantainswitch/upstreams/retrybudget.h"
 #include "plantainswitch/upstreams/sse.h"
 #include "plantainswitch/upstreams/suspects.h"
--- a/include/plantainswitch/routing/admission.h
+++ b/include/plantainswitch/routing/admission.h
@@ -20,10 +20,21 @@
     std::uint32_t priority = 0;
     /// Running requests of the service, as a share of its upstreams' total concurrency.
     double occupancy = 0.0;
-    /// Hash by which the retry times of rejected callers are spread.
+    /// Hash of the attempt, by which the retry times of rejected callers are spread and the excess
+    /// of a surging workspace is told from its usual requests.
     std::uint64_t jitterSeed = 0;
+    /// Current rate of the workspace in multiples of its usual rate; 1 if it does not surge.
+    double surge = 1.0;
+    /// Expected time to the first token if nothing else ran or waited at the upstream.
+    Milliseconds unqueuedDelay{0};
 };
 
+/// Lower bound of the delay with which the excess of a surging workspace is admitted, in multiples
+/// of its delay without a queue. At the occupancy from which anything is rejected, requests beside
+/// it alone cause such a delay: with a bound of 1 the excess would be rejected while capacity is
+/// left.
+inline constexpr double surgeFloor = 1.25;
+
 /// Settings of admission control under overload.
 struct AdmissionPolicy
 {
@@ -58,7 +69,13 @@
 
 /// Decides whether a request is dispatched. Under overload, a queue longer than callers wait makes
 /// every request late; rejecting the requests that would be late keeps the queue short, starting
-/// with the least urgent priorities.
+/// with the excess of surging workspaces and the least urgent priorities.
+///
+/// Of a workspace that sends \a surge times its usual requests, one in \a surge is decided like
+/// those of others. For the rest, its excess, the admitted delay is divided by the surge, but not
+/// below surgeFloor times the delay without a queue. Repeats of rejected requests raise the surge
+/// by as much as the rate, so that the number per second that is decided like those of others
+/// stays.
 [[nodiscard]] AdmissionDecision admit(const AdmissionRequest &request,
                                       const AdmissionPolicy &policy);
 
--- a/include/plantainswitch/routing/selection.h
+++ b/include/plantainswitch/routing/selection.h
@@ -87,6 +87,8 @@
     double expectedDelay = 0.0;
     /// Part of expectedDelay by which the upstream was recently slower than estimated.
     double extraDelay = 0.0;
+    /// Part of expectedDelay that is the request's own: without what runs or waits at the upstream.
+    double unqueuedDelay = 0.0;
     /// expectedDelay plus all penalties; the upstream with the lowest cost is selected.
     double cost = 0.0;
     /// Prompt tokens that the engine has to prefill.
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -39,6 +39,7 @@
     std::string_view{"forwards_total"},
     std::string_view{"streams_taken_up_total"},
     std::string_view{"connections_accepted_total"},
+    std::string_view{"surge_refusals_total"},
 };
 constexpr std::array controlNames{
     std::string_view{"swim"},          std::string_view{"leaving"},
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -18,15 +18,31 @@
 /// retry first.
 constexpr double rankDelay = 0.5;
 
+/// \returns whether the request is one of those by which its workspace exceeds its usual rate.
+bool isExcess(const AdmissionRequest &request)
+{
+    // Other bits than those of the retry time, which would else be shorter for the excess.
+    constexpr unsigned shift = 32;
+    constexpr double steps = 65536.0;
+    const double draw = static_cast<double>((request.jitterSeed >> shift) & 0xFFFFU) / steps;
+    return request.surge > 1.0 && draw * request.surge >= 1.0;
+}
+
 double admittedDelay(const AdmissionRequest &request, const AdmissionPolicy &policy)
 {
     const double objectives =
         std::max(policy.minObjectives,
                  policy.maxObjectives * std::pow(policy.priorityDecay, request.priority));
-    return objectives * static_cast<double>(request.objective.count());
+    const double usual = objectives * static_cast<double>(request.objective.count());
+    if (!isExcess(request)) {
+        return usual;
+    }
+    const double floor = surgeFloor * static_cast<double>(request.unqueuedDelay.count());
+    return std::min(usual, std::max(usual / request.surge, floor));
 }
 
 /// \returns the time in which the queue shrinks to the objective, multiplied by 1 to 2 as jitter.
+/// A surge does not lengthen it: its callers are already rejected more often.
 Milliseconds retryAfter(const AdmissionRequest &request)
 {
     constexpr std::uint64_t steps = 1024;
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -233,6 +233,9 @@
         (selection.uncachedTokens + state.ownPendingPrefill + state.peersPendingPrefill)
         / policy.performance.prefillRate;
     selection.extraDelay = extraDelayOf(state.health, now);
+    selection.unqueuedDelay = (hasPrompt ? policy.performance.baseDelay : 0.0)
+                              + selection.uncachedTokens / policy.performance.prefillRate
+                              + transferDelay(selection, policy);
     selection.expectedDelay = (hasPrompt ? policy.performance.baseDelay : 0.0) + prefill
                               + transferDelay(selection, policy) + queueDelay(state, policy)
                               + selection.extraDelay;
@@ -248,9 +251,10 @@
     selection.transferredTokens =
         selection.transferSource ? std::min(shared, cached[*selection.transferSource]) : 0.0;
     selection.uncachedTokens += shared - selection.transferredTokens;
-    selection.expectedDelay +=
-        (shared - selection.transferredTokens) / policy.performance.prefillRate
-        + transferDelay(selection, policy) - before;
+    const double added = (shared - selection.transferredTokens) / policy.performance.prefillRate
+                         + transferDelay(selection, policy) - before;
+    selection.expectedDelay += added;
+    selection.unqueuedDelay += added;
 }
 
 /// In order of preference: a class is used only if no candidate is in a better one.
