--- a/include/plantainswitch/routing/workspaceusage.h
+++ b/include/plantainswitch/routing/workspaceusage.h
@@ -122,6 +122,8 @@
         double allUsual = 0.0;
     };
 
+    /// \returns the number of requests that are expected without a surge.
+    [[nodiscard]] static double expectedIn(const Comparison &sums);
     static void advance(OwnRate &rate, TimePoint now);
     static void count(std::optional<OwnRate> &rate, TimePoint now);
     /// \returns the rates of an own workspace; nothing until its usual rate is known.
@@ -132,8 +134,13 @@
     /// Makes room for one more workspace.
     void evictOldest();
     void chooseReported(TimePoint now);
-    [[nodiscard]] Comparison compare(const Workspace &workspace, std::uint64_t key, TimePoint now,
-                                     bool isWeightedByAge) const;
+    /// Which routers' rates are summed, and whether the recent ones weigh more.
+    enum class Scope : std::uint8_t { FleetNow, PeersNow, FleetUsual };
+    [[nodiscard]] Comparison compare(const Workspace &workspace, std::uint64_t key, Scope scope,
+                                     TimePoint now) const;
+    /// \returns whether the other routers' reports hint at a surge, though not significantly.
+    [[nodiscard]] bool isSuspected(const Workspace &workspace, std::uint64_t key,
+                                   TimePoint now) const;
 
     std::unordered_map<std::uint64_t, Workspace> workspaces;
     std::optional<OwnRate> ownTotal;
--- a/src/routing/workspaceusage.cpp
+++ b/src/routing/workspaceusage.cpp
@@ -29,8 +29,11 @@
 constexpr std::size_t maxWorkspaces = 4096;
 /// Age up to which a reported rate counts fully, the interval between reports; beyond it the weight
 /// decays with this time constant, because reports from other data centres are up to 5 s old.
-constexpr double freshSeconds = 0.5;
-constexpr double stalenessSeconds = 0.5;
+constexpr double freshSeconds = 0.6;
+constexpr double stalenessSeconds = 0.3;
+/// Age from which the weight is below 1 % and the rate is left out. At 300 routers and 2,000
+/// workspaces that leaves one in twenty entries to look at.
+constexpr Seconds staleAge{2};
 /// Added to the expected number of requests: a workspace that is usually idle does not surge by its
 /// first requests.
 constexpr double expectedMargin = 0.5;
@@ -39,6 +42,8 @@
 constexpr double surgeLogProbability = -13.8;
 /// The same for this router's own count, 1e-3. It only decides which workspaces are reported first.
 constexpr double ownLogProbability = -6.9;
+/// The same for the reports of the other routers, 5 %, from which all report a workspace at once.
+constexpr double suspicionLogProbability = -3.0;
 /// Places in a report for surging workspaces, and after them for the largest ones.
 constexpr std::size_t surgingPlaces = 4;
 constexpr std::size_t largePlaces = 2;
@@ -174,7 +179,7 @@
 }
 
 WorkspaceUsage::Comparison WorkspaceUsage::compare(const Workspace &workspace, std::uint64_t key,
-                                                   TimePoint now, bool isWeightedByAge) const
+                                                   Scope scope, TimePoint now) const
 {
     Comparison sums;
     const auto add = [&sums](const WorkspaceUse &use, const WorkspaceUse &all, double weight) {
@@ -185,32 +190,47 @@
     };
     const auto ownUse = useOf(key, workspace.own, now);
     const auto ownAll = useOf(allWorkspaces, this->ownTotal, now);
-    if (ownUse && ownAll) {
+    if (scope != Scope::PeersNow && ownUse && ownAll) {
         add(*ownUse, *ownAll, 1.0);
     }
+    const Duration maxAge = scope == Scope::FleetUsual ? reportExpiry : staleAge;
     for (const PeerUse &peer : workspace.peers) {
-        const auto all = this->peerTotals.find(peer.router);
         const Duration age = now - peer.receivedAt;
-        if (age < reportExpiry && all != this->peerTotals.end()) {
-            add(peer.use, all->second.use, isWeightedByAge ? freshness(age) : 1.0);
+        if (age >= maxAge) {
+            continue;
+        }
+        const auto all = this->peerTotals.find(peer.router);
+        if (all != this->peerTotals.end()) {
+            add(peer.use, all->second.use, scope == Scope::FleetUsual ? 1.0 : freshness(age));
         }
     }
     return sums;
 }
 
-double WorkspaceUsage::surge(std::uint64_t workspace, TimePoint now) const
+double WorkspaceUsage::expectedIn(const Comparison &sums)
 {
-    const auto found = this->workspaces.find(workspace);
-    if (found == this->workspaces.end()) {
-        return 1.0;
-    }
-    const Comparison sums = this->compare(found->second, workspace, now, true);
     const double othersCurrent = std::max(0.0, sums.allCurrent - sums.current);
     const double othersUsual = std::max(0.0, sums.allUsual - sums.usual);
     // A decrease of the others makes no surge of a rate that stays.
     const double increase =
         std::max(1.0, (othersCurrent + expectedMargin) / (othersUsual + expectedMargin));
-    const double expected = increase * sums.usual + expectedMargin;
+    return increase * sums.usual + expectedMargin;
+}
+
+bool WorkspaceUsage::isSuspected(const Workspace &workspace, std::uint64_t key, TimePoint now) const
+{
+    const Comparison sums = this->compare(workspace, key, Scope::PeersNow, now);
+    return logProbability(sums.current, expectedIn(sums)) <= suspicionLogProbability;
+}
+
+double WorkspaceUsage::surge(std::uint64_t workspace, TimePoint now) const
+{
+    const auto found = this->workspaces.find(workspace);
+    if (found == this->workspaces.end()) {
+        return 1.0;
+    }
+    const Comparison sums = this->compare(found->second, workspace, Scope::FleetNow, now);
+    const double expected = expectedIn(sums);
     if (logProbability(sums.current, expected) > surgeLogProbability) {
         return 1.0;
     }
@@ -222,7 +242,7 @@
     const auto found = this->workspaces.find(workspace);
     const Comparison sums = found == this->workspaces.end()
                                 ? Comparison{}
-                                : this->compare(found->second, workspace, now, false);
+                                : this->compare(found->second, workspace, Scope::FleetUsual, now);
     if (sums.usual <= 0.0 || sums.allUsual <= 0.0) {
         return 1.0 / static_cast<double>(std::max<std::size_t>(1, this->workspaces.size()));
     }
@@ -325,12 +345,14 @@
             continue;
         }
         // Most routers' own counts are noise. If their highest counts were reported first, the sum
-        // of the reports would be too high; a surge in the whole fleet, or one that is significant
+        // of the reports would be too high; a surge that others hint at, or one that is significant
         // here, does not select by noise.
         const bool isSignificant =
             logProbability(use->currentPerSecond, use->usualPerSecond + expectedMargin)
             <= ownLogProbability;
-        (workspace.own->isSurging || isSignificant ? surging : others).push_back(*use);
+        const bool isFirst =
+            workspace.own->isSurging || isSignificant || this->isSuspected(workspace, key, now);
+        (isFirst ? surging : others).push_back(*use);
     }
     std::ranges::sort(surging, std::greater{}, &WorkspaceUse::currentPerSecond);
     const std::size_t first = std::min(surging.size(), surgingPlaces);
--- a/tests/gatewaysettings.cpp
+++ b/tests/gatewaysettings.cpp
@@ -70,3 +70,13 @@
     CHECK_FALSE(this->parse(R"(, "areas": {"hall-a": 3}, "coldStart": {"factor": "x"})"));
     CHECK(this->faults.size() == 2);
 }
+
+// Guards against a minimum below 1, with which every workspace would surge.
+TEST_CASE_METHOD(GatewaySettingsFixture, "gatewaySettings_fairness_isTakenAndChecked", "[settings]")
+{
+    const auto settings = this->parse(R"(, "fairness": {"enabled": false, "minSurge": 2})");
+    REQUIRE(settings);
+    CHECK_FALSE(settings->fairness.enabled);
+    CHECK(settings->fairness.minSurge == Approx(2.0));
+    CHECK_FALSE(this->parse(R"(, "fairness": {"minSurge": 0.9})"));
+}
