--- a/src/routing/workspaceusage.cpp
+++ b/src/routing/workspaceusage.cpp
@@ -17,7 +17,7 @@
 constexpr double fullBucketsSeconds = 1.0;
 /// Time constant of the usual rate.
 constexpr double usualSeconds = 30.0;
-/// The same during a surge. A surge of 6 s at 7.5 times the usual rate raises it by a third, and a
+/// The same during a surge. A surge of 6 s at 7.5 times the usual rate raises it by 30 %, and a
 /// lasting change becomes usual within some minutes.
 constexpr double surgingUsualSeconds = 120.0;
 /// Time from the first request after which a usual rate is taken for known.
