--- a/tests/workspaceusage.cpp
+++ b/tests/workspaceusage.cpp
@@ -75,7 +75,7 @@
     }
 
     /// \returns the number of routers at which the workspace surges.
-    std::size_t surgingAt(std::size_t workspace) const
+    [[nodiscard]] std::size_t surgingAt(std::size_t workspace) const
     {
         return static_cast<std::size_t>(
             std::ranges::count_if(this->routers, [&](const WorkspaceUsage &usage) {
