--- a/gateway/gatewaycontention.cpp
+++ b/gateway/gatewaycontention.cpp
@@ -65,9 +65,4 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(held));
 }
 
-double GatewayState::usualShareOf(std::string_view /*workspace*/) const
-{
-    return 0.0;
-}
-
 } // namespace plantainswitch::gateway
