--- a/tests/slotqueue.cpp
+++ b/tests/slotqueue.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <limits>
+#include <set>
 
 #include <catch2/catch.hpp>
 
--- a/tests/slotqueuemodel.cpp
+++ b/tests/slotqueuemodel.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdlib>
 #include <map>
