--- a/tests/slotqueue.cpp
+++ b/tests/slotqueue.cpp
@@ -26,7 +26,6 @@
 
     SlotQueueVerdict ask(std::uint64_t id, SlotQueueRequest request = {})
     {
-        request.router = request.router.empty() ? "a" : request.router;
         request.requestId = id;
         request.untilDeadline = std::max(request.untilDeadline, Milliseconds{1000});
         this->reply = this->queue.request(request, this->limits, 0, this->now);
@@ -53,7 +52,8 @@
     static SlotQueueRequest inTime(std::uint64_t workspace = 1, std::uint32_t priority = 0,
                                    Milliseconds untilObjective = Milliseconds{150})
     {
-        return {.workspace = workspace,
+        return {.router = "a",
+                .workspace = workspace,
                 .priority = priority,
                 .untilObjective = untilObjective,
                 .maxWait = Milliseconds{900}};
@@ -94,7 +94,8 @@
     // Guards against requests that wait in vain, and against denied ones that all return at once.
     std::set<std::int64_t> retries;
     for (std::uint64_t id = 10; id < 20; ++id) {
-        CHECK(this->ask(id, {.untilObjective = Milliseconds{150}}) == SlotQueueVerdict::Denied);
+        CHECK(this->ask(id, {.router = "a", .untilObjective = Milliseconds{150}})
+              == SlotQueueVerdict::Denied);
         CHECK(this->reply.expectedWait == Milliseconds{3});
         CHECK(this->reply.retryAfter >= minSlotRetryAfter);
         CHECK(this->reply.retryAfter <= Milliseconds{333});
