--- a/gateway/fleetupdates.cpp
+++ b/gateway/fleetupdates.cpp
@@ -86,6 +86,22 @@
     }
 }
 
+void appendServiceNotices(wire::RouterNews &message, const GatewayState &gateway, TimePoint now)
+{
+    for (const BrittleNotice &notice : gateway.brittleServices.notices(now)) {
+        wire::BrittleService *const entry = message.add_brittle();
+        entry->set_service(notice.service);
+        entry->set_max_rejections(notice.maxRejections);
+        entry->set_ago_ms(millisecondsSince(notice.announcedAt, now));
+    }
+    const Seconds retention = gateway.settings.contention.retention;
+    for (const ContentionNotice &notice : gateway.contendedServices.notices(retention, now)) {
+        wire::ContendedService *const entry = message.add_contended();
+        entry->set_service(notice.service);
+        entry->set_ago_ms(millisecondsSince(notice.observedAt, now));
+    }
+}
+
 } // namespace
 
 void FleetGossip::onUpdateMessage(const wire::RouterNews &message, const Endpoint &from)
@@ -337,18 +353,7 @@
             message.add_unreachable_services(hashOf(service));
         }
     }
-    for (const BrittleNotice &notice : this->gateway.brittleServices.notices(now)) {
-        wire::BrittleService *const entry = message.add_brittle();
-        entry->set_service(notice.service);
-        entry->set_max_rejections(notice.maxRejections);
-        entry->set_ago_ms(millisecondsSince(notice.announcedAt, now));
-    }
-    const Seconds retention = this->gateway.settings.contention.retention;
-    for (const ContentionNotice &notice : this->gateway.contendedServices.notices(retention, now)) {
-        wire::ContendedService *const entry = message.add_contended();
-        entry->set_service(notice.service);
-        entry->set_ago_ms(millisecondsSince(notice.observedAt, now));
-    }
+    appendServiceNotices(message, this->gateway, now);
     message.set_known_routers(static_cast<std::uint32_t>(this->contacts.aliveCount(now)));
     for (const PeerLoad &load : update.loads) {
         wire::ReplicaLoad *const entry = message.add_loads();
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -86,14 +86,8 @@
     }
     const auto choice = selectUpstream(candidates, choiceRequest,
                                        this->gateway.upstreams.prefixIndex, policy, this->now());
-    // An ejected upstream is the last choice, also if the coordinators of the others let requests
-    // wait.
-    const bool isAskingForSlots =
-        !choice || isEjected(candidates[choice->index]->health, this->now());
-    if (isAskingForSlots && this->requestLastSlot()) {
-        return;
-    }
-    if (this->forwardForLackOfReach(candidates, choice)) {
+    if (this->waitForDeniedSlot(candidates, choice)
+        || this->forwardForLackOfReach(candidates, choice)) {
         return;
     }
     if (!choice) {
@@ -104,17 +98,24 @@
         || (isConstrained && !this->passLoadBound(*choice, *candidates[choice->index]))) {
         return;
     }
-    Selection placement{*choice, candidates[choice->index]->replica.id, {}, {}};
-    if (choice->transferSource) {
-        const Replica &donor = candidates[*choice->transferSource]->replica;
+    this->dispatchWithGrant(candidates, *choice);
+}
+
+void RequestHandler::dispatchWithGrant(std::span<UpstreamState *const> candidates,
+                                       const UpstreamSelection &choice)
+{
+    const UpstreamState &target = *candidates[choice.index];
+    Selection placement{choice, target.replica.id, {}, {}};
+    if (choice.transferSource) {
+        const Replica &donor = candidates[*choice.transferSource]->replica;
         placement.donorId = donor.id;
         placement.copyFrom = donor.endpoint;
     }
-    if (this->usesSlotQueue(*candidates[choice->index])) {
+    if (this->usesSlotQueue(target)) {
         this->requestSlot(std::move(placement), firstGrantWait(this->grantTimes()));
         return;
     }
-    if (!this->needsGrant(*candidates[choice->index])) {
+    if (!this->needsGrant(target)) {
         this->dispatchTo(placement);
         return;
     }
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -119,6 +119,9 @@
     /// it, and others serve other routers. \returns whether it was forwarded.
     bool forwardForLackOfReach(std::span<UpstreamState *const> candidates,
                                const std::optional<UpstreamSelection> &choice);
+    /// Dispatches the request to the selected upstream, after asking its coordinator if need be.
+    void dispatchWithGrant(std::span<UpstreamState *const> candidates,
+                           const UpstreamSelection &choice);
     /// \returns where the request may be processed.
     [[nodiscard]] PlacementConstraints placementConstraints() const;
     /// \returns whether \a upstream is still there, accepts requests and is permitted.
@@ -156,9 +159,11 @@
     /// Sends the request without a slot if this router's share allows it, because the upstream's
     /// coordinator does not respond; otherwise asks the next one.
     void dispatchUncoordinated(const Selection &placement, UpstreamState &target);
-    /// Asks the coordinator with the shortest wait again, with all the time that is left, or
-    /// refuses the request if that was done. \returns false if no coordinator has denied it.
-    bool requestLastSlot();
+    /// If coordinators have denied the request and no good upstream is left to ask: asks the one
+    /// with the shortest wait again, with all the time that is left, or refuses the request.
+    /// \returns whether it did either.
+    bool waitForDeniedSlot(std::span<UpstreamState *const> candidates,
+                           const std::optional<UpstreamSelection> &choice);
     void refuseForSlots();
     /// Records whether a response shows that the slots of the service do not suffice.
     void recordContention();
--- a/gateway/gatewayrequestslots.cpp
+++ b/gateway/gatewayrequestslots.cpp
@@ -122,25 +122,32 @@
     this->selectAndDispatch();
 }
 
-bool RequestHandler::requestLastSlot()
+bool RequestHandler::waitForDeniedSlot(std::span<UpstreamState *const> candidates,
+                                       const std::optional<UpstreamSelection> &choice)
 {
-    if (this->grantSequence.denials.empty()) {
+    // An ejected upstream is the last choice, also if the coordinators of the others let requests
+    // wait.
+    const bool isLastChoice = !choice || isEjected(candidates[choice->index]->health, this->now());
+    if (this->grantSequence.denials.empty() || !isLastChoice) {
         return false;
     }
     const auto key = lastUpstreamToAsk(this->grantSequence);
     const UpstreamState *const known = key ? this->gateway.upstreams.findKey(*key) : nullptr;
     const auto target =
         known == nullptr ? nullptr : this->gateway.upstreams.find(known->replica.id);
-    if (!this->isUsable(target)) {
-        this->refuseForSlots();
+    if (this->isUsable(target)) {
+        this->grantSequence.isExhausted = true;
+        Selection placement;
+        placement.upstreamId = target->replica.id;
+        placement.choice.extraDelay = extraDelayOf(target->health, this->now());
+        placement.choice.expectedDelay = placement.choice.extraDelay;
+        this->requestSlot(std::move(placement), this->remainingTime());
         return true;
     }
-    this->grantSequence.isExhausted = true;
-    Selection placement;
-    placement.upstreamId = target->replica.id;
-    placement.choice.extraDelay = extraDelayOf(target->health, this->now());
-    placement.choice.expectedDelay = placement.choice.extraDelay;
-    this->requestSlot(std::move(placement), this->remainingTime());
+    if (choice) {
+        return false;
+    }
+    this->refuseForSlots();
     return true;
 }
 
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -96,6 +96,27 @@
     }
 }
 
+/// Appends which services are cut off, brittle or contended.
+void appendServiceStates(std::string &page, const GatewayState &state,
+                         const std::map<std::string, ServiceConditions> &services)
+{
+    appendType(page, "service_cut_off");
+    for (const auto &[name, reach] : state.reach) {
+        appendSample(page, "service_cut_off", fmt::format("service=\"{}\"", name),
+                     reach.wasCutOff ? 1.0 : 0.0);
+    }
+    appendType(page, "service_brittle");
+    for (const auto &[name, service] : services) {
+        appendSample(page, "service_brittle", fmt::format("service=\"{}\"", name),
+                     state.isBrittle(name) ? 1.0 : 0.0);
+    }
+    appendType(page, "service_contended");
+    for (const auto &[name, service] : services) {
+        appendSample(page, "service_contended", fmt::format("service=\"{}\"", name),
+                     state.isContended(name) ? 1.0 : 0.0);
+    }
+}
+
 /// Appends the slot queues of the contended upstreams that this router coordinates.
 void appendSlotQueues(std::string &page, const GatewayState &state)
 {
@@ -173,21 +194,7 @@
         appendSample(page, "upstreams", labels("backing-off"),
                      static_cast<double>(service.backingOff));
     }
-    appendType(page, "service_cut_off");
-    for (const auto &[name, reach] : state.reach) {
-        appendSample(page, "service_cut_off", fmt::format("service=\"{}\"", name),
-                     reach.wasCutOff ? 1.0 : 0.0);
-    }
-    appendType(page, "service_brittle");
-    for (const auto &[name, service] : services) {
-        appendSample(page, "service_brittle", fmt::format("service=\"{}\"", name),
-                     state.isBrittle(name) ? 1.0 : 0.0);
-    }
-    appendType(page, "service_contended");
-    for (const auto &[name, service] : services) {
-        appendSample(page, "service_contended", fmt::format("service=\"{}\"", name),
-                     state.isContended(name) ? 1.0 : 0.0);
-    }
+    appendServiceStates(page, state, services);
     appendSlotQueues(page, state);
     appendGauge(page, "abandoned_grants", static_cast<double>(state.fleet->abandonedGrantCount()));
     appendGauge(page, "forwarded_running", static_cast<double>(state.forwardedRunning));
