--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -22,6 +22,7 @@
 class ExplainTable;
 class FleetRetryBudget;
 class ShardCoordinator;
+class SlotOrder;
 class SlotQueue;
 class LimitTable;
 class LineBuffer;
@@ -41,6 +42,7 @@
 class UpstreamNotices;
 class UpstreamTable;
 class WorkQueue;
+class WorkspaceUsage;
 
 template<typename Key, typename Value>
 class SharedMap;
@@ -113,6 +115,8 @@
 struct Vm;
 struct VmList;
 struct Workspace;
+struct WorkspaceSurge;
+struct WorkspaceUse;
 
 enum class ErrorKind : std::uint8_t;
 enum class Event : std::uint16_t;
