Slowdown of upstreams, learned from times to first token

Cause: a third of a service's engines is 1.3 times slower, and no router sees that alone. Change: UpstreamSpeeds, reports in updates, the factor in selections, setting learning, events 525 and 526, gauge upstream_slowdown.

--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -286,6 +286,7 @@
             update.origins.clear();
         }
         wire::GatewayDatagram datagram = this->encode(update);
+        this->appendSpeedReports(*datagram.mutable_news(), group.lastSent);
         if (this->sequence % performanceUpdatePeriod == 1) {
             this->appendPerformanceReports(*datagram.mutable_news());
         }
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -130,6 +130,11 @@
     /// Applies the performance estimates of another router.
     void applyPerformanceReports(const wire::RouterNews &message, TimePoint now);
     void appendPerformanceReports(wire::RouterNews &message) const;
+    /// Applies another router's samples of upstreams' speeds.
+    void applySpeedReports(const wire::RouterNews &message, TimePoint now);
+    /// Appends this router's samples to the first update in each second.
+    /// \param lastSent when the receivers were last sent an update
+    void appendSpeedReports(wire::RouterNews &message, TimePoint lastSent) const;
     [[nodiscard]] std::uint64_t configVersion() const;
     /// Applies the crash reports of another router.
     void applyCrashUpdate(const wire::RouterNews &message, TimePoint now);
--- a/gateway/fleetupdates.cpp
+++ b/gateway/fleetupdates.cpp
@@ -130,6 +130,7 @@
         }
     }
     this->applyPerformanceReports(message, now);
+    this->applySpeedReports(message, now);
     this->applyCrashUpdate(message, now);
     for (const wire::BrittleService &entry : message.brittle()) {
         this->gateway.applyBrittleNotice(
@@ -266,6 +267,7 @@
         this->appendRouterAddresses(*datagram.mutable_news());
     }
     this->appendPerformanceReports(*datagram.mutable_news());
+    this->appendSpeedReports(*datagram.mutable_news(), {});
     this->contacts.recordSent(joining, now);
     this->sendTo(joining, datagram);
 }
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -369,6 +369,7 @@
     }
     this->state.upstreams.closeIdle();
     this->performanceLogger.update(this->state);
+    this->state.refreshSpeeds();
     if (this->state.replicaDirectory.hasMissing()) {
         this->applyReplicaEvents(this->state.replicaDirectory.removeExpired(now));
     }
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -372,6 +372,8 @@
     state.ownPendingPrefill += this->pendingPrefillTokens;
     this->expectedDelay = choice.expectedDelay - choice.extraDelay;
     this->extraDelay = choice.extraDelay;
+    // The time of a transfer depends on another upstream as well.
+    this->serviceDelay = choice.transferredTokens > 0.0 ? 0.0 : choice.serviceDelay;
     const std::size_t crashes = crashCountOf(this->suspects, this->gateway.crashQuarantine);
     const std::optional<std::uint64_t> resumeAfter = this->lastReceivedEvent();
     logEvent(Event::RequestPlaced,
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -273,6 +273,8 @@
     /// Expected time to the first byte in milliseconds, without the upstream's recent extra delay.
     double expectedDelay = 0.0;
     double extraDelay = 0.0;
+    /// The same for an upstream of the service's mean speed; 0 if it is not to be compared.
+    double serviceDelay = 0.0;
     /// The work before the first byte, for the estimator. Its delay is set when the first byte
     /// arrives.
     FirstByteSample firstByteSample;
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -107,6 +107,10 @@
     if (!this->prefixHashes.empty() && !this->isFirstPrefill) {
         this->firstByteSample.delay = delay;
         this->gateway.estimators[this->service].recordFirstByte(this->firstByteSample);
+        if (this->serviceDelay > 0.0) {
+            const std::chrono::duration<double, std::milli> observed = delay;
+            this->gateway.recordSpeed(*this->upstream, observed.count() / this->serviceDelay);
+        }
     }
     if (this->timeToFirstByte == Duration{0}) {
         this->timeToFirstByte = this->now() - this->incoming.receivedAt;
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -86,6 +86,14 @@
     fields.finish();
 }
 
+void readLearning(FieldReader &parent, LearningSettings &learning, std::vector<Fault> &faults)
+{
+    FieldReader fields(parent.child("learning"), parent.pathOf("learning"), faults);
+    fields.read("speeds", learning.speeds);
+    fields.read("limits", learning.limits);
+    fields.finish();
+}
+
 void readColdStart(FieldReader &parent, GatewaySettings &settings, std::vector<Fault> &faults)
 {
     const nlohmann::json &json = parent.child("coldStart");
@@ -131,6 +139,7 @@
     readChoice(fields, settings.choice, faults);
     readAdmission(fields, settings.admission, faults);
     readMechanisms(fields, settings.mechanisms, faults);
+    readLearning(fields, settings.learning, faults);
     readColdStart(fields, settings, faults);
     readAreas(fields, settings.areas, faults);
     fields.read("evacuations", settings.followsEvacuations);
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -37,6 +37,15 @@
     bool brittleLimits = true;
 };
 
+/// What is learned of single upstreams.
+struct LearningSettings
+{
+    /// How much slower an upstream is than its service.
+    bool speeds = true;
+    /// How many concurrent requests it runs well.
+    bool limits = true;
+};
+
 /// The settings of a gateway, read from one JSON file.
 struct GatewaySettings
 {
@@ -57,6 +66,7 @@
     SelectionPolicy choice;
     AdmissionPolicy admission;
     Mechanisms mechanisms;
+    LearningSettings learning;
     /// How far requests to cold upstreams may exceed what these bear; nothing if they are not
     /// limited.
     std::optional<ColdStartTolerance> coldStart;
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -21,6 +21,7 @@
 #include "plantainswitch/routing/serviceversions.h"
 #include "plantainswitch/routing/streamorigin.h"
 #include "plantainswitch/routing/updatelog.h"
+#include "plantainswitch/routing/upstreamspeed.h"
 
 #include "dialect.h"
 #include "gatewaysettings.h"
@@ -131,6 +132,8 @@
     PeerLoads peerLoads;
     /// Estimators of the upstreams' performance, by name of the service.
     std::map<std::string, ServiceEstimator> estimators;
+    /// How the speeds of a service's upstreams compare, by name of the service.
+    std::map<std::string, UpstreamSpeeds> speeds;
     FleetRetryBudget retryBudgets;
     /// Whether this router reaches the upstreams, by name of the service.
     std::map<std::string, ServiceReach> reach;
@@ -200,6 +203,11 @@
     void recordConfirmation(std::uint64_t revision, TimePoint now);
     /// \returns the newest revision in any response of the store.
     [[nodiscard]] std::uint64_t latestRevision() const;
+    /// Records an upstream's observed time to first token by the one that its service's estimates
+    /// give.
+    void recordSpeed(const UpstreamState &upstream, double ratio);
+    /// Copies the learned slowdowns into the upstreams' states, and logs changes.
+    void refreshSpeeds();
     /// Copies the other routers' loads into the upstreams' states.
     void refreshPeerLoads();
     bool peerLoadsChanged = false;
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -95,6 +95,21 @@
     }
 }
 
+/// Appends the learned slowdowns other than 1, of maxGaugedUpstreams upstreams at most.
+void appendSlowdowns(std::string &page, const GatewayState &state)
+{
+    constexpr std::size_t maxGaugedUpstreams = 200;
+    std::size_t count = 0;
+    appendType(page, "upstream_slowdown");
+    for (const auto &[id, upstream] : state.upstreams.all()) {
+        if (upstream->slowdown != 1.0 && count < maxGaugedUpstreams) {
+            ++count;
+            appendSample(page, "upstream_slowdown", fmt::format("upstream=\"{}\"", id),
+                         upstream->slowdown);
+        }
+    }
+}
+
 /// Appends how recent the knowledge of each kind of the store's objects is.
 void appendStoreSync(std::string &page, const GatewayState &state)
 {
@@ -171,6 +186,7 @@
         appendSample(page, "running", fmt::format("service=\"{}\"", name), service.running);
     }
     appendPerformance(page, state);
+    appendSlowdowns(page, state);
     appendType(page, "retries_left");
     for (const auto &[name, service] : services) {
         appendSample(page, "retries_left", fmt::format("service=\"{}\"", name),
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -95,6 +95,8 @@
     ServicePartlyReached = 520,
     BrittleRoomReduced = 521,
     BrittleRunAbandoned = 522,
+    LimitChanged = 525,
+    SpeedChanged = 526,
     UpstreamCrashed = 550,
     RequestQuarantined = 551,
     CrashReported = 552,
--- a/include/plantainswitch/routing/upstreamstate.h
+++ b/include/plantainswitch/routing/upstreamstate.h
@@ -39,6 +39,10 @@
     TimePoint permitBlockedUntil;
     /// Requests of this router sent without a permit, because the coordinator did not respond.
     PermitWindow unpermitted;
+    /// How much slower it is than its service's mean, by the routers' samples; 1 without evidence.
+    double slowdown = 1.0;
+    /// The one that was last logged.
+    double loggedSlowdown = 1.0;
     /// It has announced in a response that it is draining.
     bool announcedDraining = false;
     /// Until when it wants no requests from this router.
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -90,6 +90,8 @@
     EventRow{Event::ServicePartlyReached, "service-partly-reached", Severity::Warning},
     EventRow{Event::BrittleRoomReduced, "brittle-room-reduced", Severity::Warning},
     EventRow{Event::BrittleRunAbandoned, "brittle-run-abandoned", Severity::Info},
+    EventRow{Event::LimitChanged, "limit-changed", Severity::Info},
+    EventRow{Event::SpeedChanged, "speed-changed", Severity::Info},
     EventRow{Event::UpstreamCrashed, "upstream-crashed", Severity::Warning},
     EventRow{Event::RequestQuarantined, "request-quarantined", Severity::Error},
     EventRow{Event::CrashReported, "crash-reported", Severity::Info},
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -233,14 +233,17 @@
         (selection.uncachedTokens + state.ownPendingPrefill + state.peersPendingPrefill)
         / policy.performance.prefillRate;
     selection.extraDelay = extraDelayOf(state.health, now);
-    selection.expectedDelay = (hasPrompt ? policy.performance.baseDelay : 0.0) + prefill
-                              + transferDelay(selection, policy) + queueDelay(state, policy)
+    const double ownWork =
+        (hasPrompt ? policy.performance.baseDelay : 0.0) + prefill + queueDelay(state, policy);
+    selection.serviceDelay = ownWork + transferDelay(selection, policy);
+    selection.expectedDelay = state.slowdown * ownWork + transferDelay(selection, policy)
                               + selection.extraDelay;
 }
 
 /// Adds the shared prefix to the estimate of the home. It was compared with the others as if it had
 /// the shared prefix cached, so that all routers select it; its actual work is the whole prompt.
-void addFirstPrefill(UpstreamSelection &selection, const std::vector<double> &cached,
+void addFirstPrefill(UpstreamSelection &selection, const UpstreamState &state,
+                     const std::vector<double> &cached,
                      const SelectionRequest &request, const SelectionPolicy &policy)
 {
     const double shared = sharedTokensOf(*request.prompt);
@@ -248,9 +251,11 @@
     selection.transferredTokens =
         selection.transferSource ? std::min(shared, cached[*selection.transferSource]) : 0.0;
     selection.uncachedTokens += shared - selection.transferredTokens;
-    selection.expectedDelay +=
-        (shared - selection.transferredTokens) / policy.performance.prefillRate
-        + transferDelay(selection, policy) - before;
+    const double prefill =
+        (shared - selection.transferredTokens) / policy.performance.prefillRate;
+    const double transfer = transferDelay(selection, policy) - before;
+    selection.expectedDelay += state.slowdown * prefill + transfer;
+    selection.serviceDelay += prefill + transfer;
 }
 
 /// In order of preference: a class is used only if no candidate is in a better one.
@@ -397,7 +402,7 @@
     }
     if (best) {
         if (best->isFirstPrefill) {
-            addFirstPrefill(*best, comparison.cached, request, policy);
+            addFirstPrefill(*best, *candidates[best->index], comparison.cached, request, policy);
         }
         best->ejectedCount = ejected;
         best->overBoundCount = overBound;
--- a/tests/gatewaysettings.cpp
+++ b/tests/gatewaysettings.cpp
@@ -70,3 +70,16 @@
     CHECK_FALSE(this->parse(R"(, "areas": {"hall-a": 3}, "coldStart": {"factor": "x"})"));
     CHECK(this->faults.size() == 2);
 }
+
+TEST_CASE_METHOD(GatewaySettingsFixture, "gatewaySettings_learning_isOnUnlessSwitchedOff",
+                 "[settings]")
+{
+    CHECK(this->parse("")->learning.speeds);
+    CHECK(this->parse("")->learning.limits);
+    const auto settings = this->parse(R"(, "learning": {"speeds": false})");
+    REQUIRE(settings);
+    CHECK_FALSE(settings->learning.speeds);
+    CHECK(settings->learning.limits);
+    CHECK_FALSE(this->parse(R"(, "learning": {"limits": 2, "unknown": true})"));
+    CHECK(this->faults.size() == 2);
+}
--- a/tests/upstreamselection.cpp
+++ b/tests/upstreamselection.cpp
@@ -586,3 +586,29 @@
     CHECK_FALSE(isReachLimited(this->pointers, this->clock.now()));
     CHECK(unreachableCount(this->pointers, this->clock.now()) == 5);
 }
+
+TEST_CASE_METHOD(UpstreamChoiceFixture, "choice_slowUpstream_isUsedOnceOthersAreBusier",
+                 "[routing]")
+{
+    // Guards against a slow upstream that gets as much as the others, and against one that is
+    // starved although the others are busier by more than it is slower.
+    this->addEngines(2);
+    this->policy.promptlessJitter = 0.0;
+    this->policy.performance.delayPerRunning = 5.0;
+    this->pointers[0]->slowdown = 2.0;
+    const auto select = [this] {
+        return selectUpstream(this->pointers, {"hall-a", 1, nullptr, {}, {}}, this->memory,
+                              this->policy, this->clock.now());
+    };
+    this->pointers[0]->ownRunning = 8;
+    this->pointers[1]->ownRunning = 10;
+    const auto busy = select();
+    REQUIRE(busy);
+    CHECK(busy->index == 1);
+    CHECK(busy->serviceDelay == Approx(busy->expectedDelay));
+    this->pointers[1]->ownRunning = 18;
+    const auto busier = select();
+    REQUIRE(busier);
+    CHECK(busier->index == 0);
+    CHECK(busier->expectedDelay == Approx(2.0 * busier->serviceDelay));
+}
