--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -297,6 +297,7 @@
             != group.lastSent.time_since_epoch() / usageReportInterval) {
             this->appendWorkspaceUse(*datagram.mutable_news(), now);
         }
+        this->appendSpeedReports(*datagram.mutable_news(), group.lastSent);
         if (this->sequence % performanceUpdatePeriod == 1) {
             this->appendPerformanceReports(*datagram.mutable_news());
         }
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -107,6 +107,14 @@
     policy.retention = Seconds{static_cast<std::int64_t>(retention)};
 }
 
+void readLearning(FieldReader &parent, LearningSettings &learning, std::vector<Fault> &faults)
+{
+    FieldReader fields(parent.child("learning"), parent.pathOf("learning"), faults);
+    fields.read("speeds", learning.speeds);
+    fields.read("limits", learning.limits);
+    fields.finish();
+}
+
 void readColdStart(FieldReader &parent, GatewaySettings &settings, std::vector<Fault> &faults)
 {
     const nlohmann::json &json = parent.child("coldStart");
@@ -154,6 +162,7 @@
     readFairness(fields, settings.fairness, faults);
     readMechanisms(fields, settings.mechanisms, faults);
     readContention(fields, settings.contention, faults);
+    readLearning(fields, settings.learning, faults);
     readColdStart(fields, settings, faults);
     readAreas(fields, settings.areas, faults);
     fields.read("evacuations", settings.followsEvacuations);
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -48,6 +48,15 @@
     double minSurge = unusualSurge;
 };
 
+/// What is learned of single upstreams.
+struct LearningSettings
+{
+    /// How much slower an upstream is than its service.
+    bool speeds = true;
+    /// How many concurrent requests it runs well.
+    bool limits = true;
+};
+
 /// The settings of a gateway, read from one JSON file.
 struct GatewaySettings
 {
@@ -70,6 +79,7 @@
     FairnessPolicy fairness;
     Mechanisms mechanisms;
     ContentionPolicy contention;
+    LearningSettings learning;
     /// How far requests to cold upstreams may exceed what these bear; nothing if they are not
     /// limited.
     std::optional<ColdStartTolerance> coldStart;
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -22,6 +22,7 @@
 #include "plantainswitch/routing/serviceversions.h"
 #include "plantainswitch/routing/streamorigin.h"
 #include "plantainswitch/routing/updatelog.h"
+#include "plantainswitch/routing/upstreamspeed.h"
 #include "plantainswitch/routing/workspaceusage.h"
 
 #include "dialect.h"
@@ -155,6 +156,8 @@
     std::map<std::string, ServiceEstimator> estimators;
     /// Rates of the workspaces' requests over the fleet.
     WorkspaceUsage workspaceUsage;
+    /// How the speeds of a service's upstreams compare, by name of the service.
+    std::map<std::string, UpstreamSpeeds> speeds;
     FleetRetryBudget retryBudgets;
     /// Whether this router reaches the upstreams, by name of the service.
     std::map<std::string, ServiceReach> reach;
@@ -225,6 +228,11 @@
     void recordConfirmation(std::uint64_t revision, TimePoint now);
     /// \returns the newest revision in any response of the store.
     [[nodiscard]] std::uint64_t latestRevision() const;
+    /// Records an upstream's observed time to first token by the one that its service's estimates
+    /// give.
+    void recordSpeed(const UpstreamState &upstream, double ratio);
+    /// Copies the learned slowdowns into the upstreams' states, and logs changes.
+    void refreshSpeeds();
     /// Copies the other routers' loads into the upstreams' states.
     void refreshPeerLoads();
     bool peerLoadsChanged = false;
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -138,6 +138,21 @@
            [](const SlotQueueGauge &queue) { return queue.slowdownPercent; });
 }
 
+/// Appends the learned slowdowns other than 1, of maxGaugedUpstreams upstreams at most.
+void appendSlowdowns(std::string &page, const GatewayState &state)
+{
+    constexpr std::size_t maxGaugedUpstreams = 200;
+    std::size_t count = 0;
+    appendType(page, "upstream_slowdown");
+    for (const auto &[id, upstream] : state.upstreams.all()) {
+        if (upstream->slowdown != 1.0 && count < maxGaugedUpstreams) {
+            ++count;
+            appendSample(page, "upstream_slowdown", fmt::format("upstream=\"{}\"", id),
+                         upstream->slowdown);
+        }
+    }
+}
+
 /// Appends how recent the knowledge of each kind of the store's objects is.
 void appendStoreSync(std::string &page, const GatewayState &state)
 {
@@ -227,6 +242,7 @@
     }
     appendPerformance(page, state);
     appendSurges(page, state);
+    appendSlowdowns(page, state);
     appendType(page, "retries_left");
     for (const auto &[name, service] : services) {
         appendSample(page, "retries_left", fmt::format("service=\"{}\"", name),
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -99,6 +99,8 @@
     BrittleRunAbandoned = 522,
     ServiceContended = 523,
     ServiceUncontended = 524,
+    LimitChanged = 525,
+    SpeedChanged = 526,
     UpstreamCrashed = 550,
     RequestQuarantined = 551,
     CrashReported = 552,
--- a/include/plantainswitch/routing/upstreamstate.h
+++ b/include/plantainswitch/routing/upstreamstate.h
@@ -47,6 +47,10 @@
     TimePoint queueWaitUntil;
     /// Concurrency limit that a coordinator last stated; 0 if none.
     double learnedLimit = 0.0;
+    /// How much slower it is than its service's mean, by the routers' samples; 1 without evidence.
+    double slowdown = 1.0;
+    /// The one that was last logged.
+    double loggedSlowdown = 1.0;
     /// It has announced in a response that it is draining.
     bool announcedDraining = false;
     /// Until when it wants no requests from this router.
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -94,6 +94,8 @@
     EventRow{Event::BrittleRunAbandoned, "brittle-run-abandoned", Severity::Info},
     EventRow{Event::ServiceContended, "service-contended", Severity::Warning},
     EventRow{Event::ServiceUncontended, "service-uncontended", Severity::Info},
+    EventRow{Event::LimitChanged, "limit-changed", Severity::Info},
+    EventRow{Event::SpeedChanged, "speed-changed", Severity::Info},
     EventRow{Event::UpstreamCrashed, "upstream-crashed", Severity::Warning},
     EventRow{Event::RequestQuarantined, "request-quarantined", Severity::Error},
     EventRow{Event::CrashReported, "crash-reported", Severity::Info},
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -237,28 +237,33 @@
         (selection.uncachedTokens + state.ownPendingPrefill + state.peersPendingPrefill)
         / policy.performance.prefillRate;
     selection.extraDelay = extraDelayOf(state.health, now);
-    selection.unqueuedDelay = (hasPrompt ? policy.performance.baseDelay : 0.0)
-                              + selection.uncachedTokens / policy.performance.prefillRate
-                              + transferDelay(selection, policy);
-    selection.expectedDelay = (hasPrompt ? policy.performance.baseDelay : 0.0) + prefill
-                              + transferDelay(selection, policy) + queueDelay(state, policy, now)
-                              + selection.extraDelay;
+    const double base = hasPrompt ? policy.performance.baseDelay : 0.0;
+    const double transfer = transferDelay(selection, policy);
+    const double ownWork = base + prefill + queueDelay(state, policy, now);
+    selection.unqueuedDelay =
+        state.slowdown * (base + selection.uncachedTokens / policy.performance.prefillRate)
+        + transfer;
+    selection.serviceDelay = ownWork + transfer;
+    selection.expectedDelay = state.slowdown * ownWork + transfer + selection.extraDelay;
 }
 
 /// Adds the shared prefix to the estimate of the home. It was compared with the others as if it had
 /// the shared prefix cached, so that all routers select it; its actual work is the whole prompt.
-void addFirstPrefill(UpstreamSelection &selection, const std::vector<double> &cached,
-                     const SelectionRequest &request, const SelectionPolicy &policy)
+void addFirstPrefill(UpstreamSelection &selection, const UpstreamState &state,
+                     const std::vector<double> &cached, const SelectionRequest &request,
+                     const SelectionPolicy &policy)
 {
     const double shared = sharedTokensOf(*request.prompt);
     const double before = transferDelay(selection, policy);
     selection.transferredTokens =
         selection.transferSource ? std::min(shared, cached[*selection.transferSource]) : 0.0;
     selection.uncachedTokens += shared - selection.transferredTokens;
-    const double added = (shared - selection.transferredTokens) / policy.performance.prefillRate
-                         + transferDelay(selection, policy) - before;
+    const double prefill = (shared - selection.transferredTokens) / policy.performance.prefillRate;
+    const double transfer = transferDelay(selection, policy) - before;
+    const double added = state.slowdown * prefill + transfer;
     selection.expectedDelay += added;
     selection.unqueuedDelay += added;
+    selection.serviceDelay += prefill + transfer;
 }
 
 /// In order of preference: a class is used only if no candidate is in a better one.
@@ -405,7 +410,7 @@
     }
     if (best) {
         if (best->isFirstPrefill) {
-            addFirstPrefill(*best, comparison.cached, request, policy);
+            addFirstPrefill(*best, *candidates[best->index], comparison.cached, request, policy);
         }
         best->ejectedCount = ejected;
         best->overBoundCount = overBound;
--- a/tests/gatewaysettings.cpp
+++ b/tests/gatewaysettings.cpp
@@ -99,3 +99,16 @@
     CHECK(settings->fairness.minSurge == Approx(2.0));
     CHECK_FALSE(this->parse(R"(, "fairness": {"minSurge": 0.9})"));
 }
+
+TEST_CASE_METHOD(GatewaySettingsFixture, "gatewaySettings_learning_isOnUnlessSwitchedOff",
+                 "[settings]")
+{
+    CHECK(this->parse("")->learning.speeds);
+    CHECK(this->parse("")->learning.limits);
+    const auto settings = this->parse(R"(, "learning": {"speeds": false})");
+    REQUIRE(settings);
+    CHECK_FALSE(settings->learning.speeds);
+    CHECK(settings->learning.limits);
+    CHECK_FALSE(this->parse(R"(, "learning": {"limits": 2, "unknown": true})"));
+    CHECK(this->faults.size() == 2);
+}
