Slot queue: ends late grants at their coordinator

A reply to a request that had ended, by a lost end or by a repeated question that crossed the denial, was ignored: the coordinator kept the slot until the next reconciliation, and for good at its own router. The router now sends an end to the sender of such a grant, ends it at its own coordinator, withdraws a repeated question on a denial, and reconciles its own grants at each tick.

--- a/gateway/fleetcoordination.cpp
+++ b/gateway/fleetcoordination.cpp
@@ -144,15 +144,14 @@
     this->sendTo(from, datagram);
 }
 
-void FleetGossip::onReply(const wire::EngineReply &message)
+void FleetGossip::onReply(const wire::EngineReply &message, const Endpoint &from)
 {
     if (this->slots.onReply(decodeQueueReply(message))) {
         return;
     }
     const auto found = this->pendingGrantRequests.find(message.number());
     if (found == this->pendingGrantRequests.end()) {
-        // Too late: the request was dispatched without the grant, or has ended.
-        this->releaseGrant(message.life(), message.number());
+        this->onUnknownReply(message, from);
         return;
     }
     const auto callback = std::move(found->second.done);
@@ -166,6 +165,20 @@
                               Milliseconds{message.cold_ms()}});
 }
 
+void FleetGossip::onUnknownReply(const wire::EngineReply &message, const Endpoint &from)
+{
+    if (this->grantors.contains(message.number())) {
+        // Too late: the request was dispatched without the grant.
+        this->releaseGrant(message.life(), message.number());
+        return;
+    }
+    if (message.granted() || message.queued()) {
+        // The message that ended the request was lost, or a repeated question has crossed the
+        // denial.
+        this->sendTo(from, encodeEnd(message.number(), message.life(), {}));
+    }
+}
+
 void FleetGossip::onEnd(const wire::EngineEnd &message, const Endpoint &from)
 {
     if (!message.rejected() && !message.has_stated_load()) {
--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -240,7 +240,7 @@
         this->onAsk(datagram.ask(), from);
         break;
     case wire::GatewayDatagram::kReply:
-        this->onReply(datagram.reply());
+        this->onReply(datagram.reply(), from);
         break;
     case wire::GatewayDatagram::kEnd:
         this->onEnd(datagram.end(), from);
@@ -325,6 +325,7 @@
     const TimePoint now = this->gateway.clock.now();
     this->contacts.removeUnresponsive(now);
     this->coordinator.removeIdleEngines(now);
+    this->reconcileOwnSlots();
     this->slotQueues.removeIdle();
     this->gateway.endContention();
     this->originExchange.tick();
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -120,7 +120,13 @@
     void onQueueAsk(const wire::EngineAsk &message, const Endpoint &from);
     /// Sends the end of a request's wait to its router.
     void sendQueueReply(const std::string &router, const QueueReply &reply);
-    void onReply(const wire::EngineReply &message);
+    void onReply(const wire::EngineReply &message, const Endpoint &from);
+    /// Ends what a coordinator holds for a request that has ended here.
+    void onUnknownReply(const wire::EngineReply &message, const Endpoint &from);
+    /// Handles the end of a wait at this router's own coordinator.
+    void onOwnQueueReply(const QueueReply &reply);
+    /// Revokes the grants of this router's own coordinator whose requests have ended here.
+    void reconcileOwnSlots();
     void onEnd(const wire::EngineEnd &message, const Endpoint &from);
     void onGrantEnd(const wire::EngineEnd &message, const Endpoint &from);
     /// Records a response of a brittle engine that this router coordinates.
--- a/gateway/fleetslotqueue.cpp
+++ b/gateway/fleetslotqueue.cpp
@@ -1,3 +1,5 @@
+#include <vector>
+
 #include <asio/post.hpp>
 
 #include "fleetgossip.h"
@@ -26,7 +28,27 @@
         return;
     }
     // Not at once: the request whose end has freed the slot is still being handled.
-    asio::post(this->gateway.context, [this, reply] { this->slots.onReply(reply); });
+    asio::post(this->gateway.context, [this, reply] { this->onOwnQueueReply(reply); });
+}
+
+void FleetGossip::onOwnQueueReply(const QueueReply &reply)
+{
+    if (!this->slots.onReply(reply) && reply.state.verdict != SlotQueueVerdict::Denied) {
+        this->slotQueues.end(toText(this->gateway.settings.peerDatagrams), reply.requestId,
+                             reply.incarnation, {});
+    }
+}
+
+void FleetGossip::reconcileOwnSlots()
+{
+    std::vector<PeerLoad> loads;
+    for (const auto &[id, state] : this->gateway.upstreams.all()) {
+        PeerLoad load;
+        load.incarnation = incarnationOf(state->replica);
+        load.running = state->ownRunning;
+        loads.push_back(load);
+    }
+    this->slotQueues.reconcile(toText(this->gateway.settings.peerDatagrams), loads);
 }
 
 } // namespace plantainswitch::gateway
--- a/gateway/slotqueueclient.cpp
+++ b/gateway/slotqueueclient.cpp
@@ -74,7 +74,12 @@
     }
     const Pending pending = std::move(found->second);
     this->pendingAsks.erase(found);
-    if (reply.state.verdict == SlotQueueVerdict::Granted) {
+    const bool isGranted = reply.state.verdict == SlotQueueVerdict::Granted;
+    if (!isGranted && pending.queuedAt && pending.isAwaitingReply) {
+        // The denial may have crossed the repeated question, which asks anew.
+        this->sendEnd(reply.requestId, {pending.coordinator, pending.ask.incarnation}, {});
+    }
+    if (isGranted) {
         this->grants.emplace(reply.requestId, Grant{pending.coordinator, pending.ask.incarnation});
         this->logLeft(pending, "granted");
     } else {
