--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -154,7 +154,7 @@
     void appendWorkspaceUse(wire::RouterNews &message, TimePoint now);
     /// Applies another router's samples of upstreams' speeds.
     void applySpeedReports(const wire::RouterNews &message, TimePoint now);
-    /// Appends this router's samples to the first update in each second.
+    /// Appends this router's samples to the first update in each report interval.
     /// \param lastSent when the receivers were last sent an update
     void appendSpeedReports(wire::RouterNews &message, TimePoint lastSent) const;
     [[nodiscard]] std::uint64_t configVersion() const;
--- a/gateway/gatewayspeeds.cpp
+++ b/gateway/gatewayspeeds.cpp
@@ -13,7 +13,7 @@
 /// Number of upstreams in one update whose speed it reports; 22 bytes each.
 constexpr std::size_t maxSpeedReports = 12;
 /// Interval of the reports to one router.
-constexpr Seconds speedReportInterval{1};
+constexpr Seconds speedReportInterval{2};
 /// Change of a slowdown, as a logarithm, that is logged.
 constexpr double minLoggedChange = 0.1;
 
