Slot queue: a repeated question goes to the present coordinator

A request that waited at a coordinator which then stopped or was lost repeated its question there and was taken for unanswered. The router now looks the coordinator up before the repeat, and withdraws the request from the old one.

--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -65,7 +65,8 @@
     , slots(gateway, this->slotQueues,
             [this](const Endpoint &address, const wire::GatewayDatagram &datagram) {
                 this->sendTo(address, datagram);
-            })
+            },
+            [this](std::uint64_t upstream) { return this->coordinatorOf(upstream); })
 {}
 
 void FleetGossip::start()
--- a/gateway/fleetslotqueue.cpp
+++ b/gateway/fleetslotqueue.cpp
@@ -8,8 +8,7 @@
 
 void FleetGossip::requestSlot(QueueAsk ask, std::string attempt, SlotQueueClient::Done done)
 {
-    const std::optional<Endpoint> coordinator = this->coordinatorOf(ask.upstream);
-    this->slots.ask(std::move(ask), std::move(attempt), coordinator, std::move(done));
+    this->slots.ask(std::move(ask), std::move(attempt), std::move(done));
 }
 
 void FleetGossip::onQueueAsk(const wire::EngineAsk &message, const Endpoint &from)
--- a/gateway/slotqueueclient.cpp
+++ b/gateway/slotqueueclient.cpp
@@ -11,15 +11,17 @@
 
 namespace plantainswitch::gateway {
 
-SlotQueueClient::SlotQueueClient(GatewayState &gateway, SlotQueueCoordinator &own, Sender send)
+SlotQueueClient::SlotQueueClient(GatewayState &gateway, SlotQueueCoordinator &own, Sender send,
+                                 Locator locate)
     : gateway(gateway)
     , own(own)
     , send(std::move(send))
+    , locate(std::move(locate))
 {}
 
-void SlotQueueClient::ask(QueueAsk ask, std::string attempt, std::optional<Endpoint> coordinator,
-                          Done done)
+void SlotQueueClient::ask(QueueAsk ask, std::string attempt, Done done)
 {
+    std::optional<Endpoint> coordinator = this->locate(ask.upstream);
     ask.request.router = toText(this->gateway.settings.peerDatagrams);
     const std::uint64_t requestId = ask.request.requestId;
     Pending pending{std::move(ask),
@@ -140,6 +142,7 @@
     }
     if (this->gateway.clock.now() < this->waitEnd(pending)) {
         // The grant may have been lost, or the coordinator.
+        this->followCoordinator(requestId);
         this->sendAsk(requestId);
         return;
     }
@@ -151,6 +154,17 @@
     this->giveUp(requestId, "expired", reply);
 }
 
+void SlotQueueClient::followCoordinator(std::uint64_t requestId)
+{
+    Pending &pending = this->pendingAsks.at(requestId);
+    std::optional<Endpoint> current = this->locate(pending.ask.upstream);
+    if (current == pending.coordinator) {
+        return;
+    }
+    this->sendEnd(requestId, {pending.coordinator, pending.ask.incarnation}, {});
+    pending.coordinator = std::move(current);
+}
+
 void SlotQueueClient::giveUp(std::uint64_t requestId, std::string_view outcome,
                              const std::optional<QueueReply> &reply)
 {
--- a/gateway/slotqueueclient.h
+++ b/gateway/slotqueueclient.h
@@ -25,16 +25,17 @@
 {
 public:
     using Sender = std::function<void(const Endpoint &, const wire::GatewayDatagram &)>;
+    /// \returns the coordinator of an upstream; nothing if it is this router.
+    using Locator = std::function<std::optional<Endpoint>(std::uint64_t upstream)>;
     /// Called with the grant or the denial; with nothing if the coordinator does not respond.
     using Done = std::function<void(const std::optional<QueueReply> &)>;
 
     /// \param own coordinates the upstreams of which this router is the coordinator
-    SlotQueueClient(GatewayState &gateway, SlotQueueCoordinator &own, Sender send);
+    SlotQueueClient(GatewayState &gateway, SlotQueueCoordinator &own, Sender send, Locator locate);
 
     /// Asks for a slot. \a done is called once, unless end() is called before.
     /// \param attempt the caller's id, for the log
-    /// \param coordinator nothing if it is this router
-    void ask(QueueAsk ask, std::string attempt, std::optional<Endpoint> coordinator, Done done);
+    void ask(QueueAsk ask, std::string attempt, Done done);
     /// Ends a grant, or withdraws a request that waits. \returns false if the request is unknown.
     bool end(std::uint64_t requestId, const GrantRelease &release);
     /// Handles a coordinator's reply. \returns false if the request is unknown: the coordinator must
@@ -68,6 +69,9 @@
     void onQueued(Pending &pending, const QueueReply &reply);
     void armTimer(std::uint64_t requestId, Duration wait);
     void onTimer(std::uint64_t requestId);
+    /// Withdraws a waiting request from a coordinator that no longer is the upstream's, which stops
+    /// or was lost, so that it can ask the present one.
+    void followCoordinator(std::uint64_t requestId);
     /// Withdraws a pending request and calls its \a done.
     void giveUp(std::uint64_t requestId, std::string_view outcome,
                 const std::optional<QueueReply> &reply);
@@ -77,6 +81,7 @@
     GatewayState &gateway;
     SlotQueueCoordinator &own;
     Sender send;
+    Locator locate;
     std::unordered_map<std::uint64_t, Pending> pendingAsks;
     std::unordered_map<std::uint64_t, Grant> grants;
 };
