Contention: routers announce only the signs that they saw

Each hop of a relayed notice moved the sign later by the time of the transfer, so that routers could keep a service contended without a new sign. All routers hear each other directly. Notices older than the own retention are ignored; they were recorded and ended again at each update, with event 524 each time.

--- a/gateway/gatewaycontention.cpp
+++ b/gateway/gatewaycontention.cpp
@@ -45,7 +45,7 @@
 {
     const ContentionPolicy &policy = this->settings.contention;
     if (policy.enabled
-        && this->contendedServices.recordSign(notice, policy.retention, this->clock.now())) {
+        && this->contendedServices.applyNotice(notice, policy.retention, this->clock.now())) {
         logEvent(Event::ServiceContended,
                  {{"service", formatHash(notice.service)}, {"from", std::string(source)}});
     }
--- a/include/plantainswitch/routing/contendedservices.h
+++ b/include/plantainswitch/routing/contendedservices.h
@@ -60,18 +60,25 @@
 class ContendedServices
 {
 public:
-    /// Applies a sign seen by this router or another one. \returns whether the service is contended
-    /// since then.
+    /// Applies a sign that this router has seen. \returns whether the service is contended since
+    /// then.
     bool recordSign(const ContentionNotice &notice, Duration retention, TimePoint now);
+    /// Applies a sign that another router has seen. One older than \a retention is ignored.
+    /// \returns whether the service is contended since then.
+    bool applyNotice(const ContentionNotice &notice, Duration retention, TimePoint now);
     [[nodiscard]] bool isContended(std::uint64_t service, Duration retention, TimePoint now) const;
     /// Forgets the services without a sign for \a retention. \returns them.
     std::vector<std::uint64_t> removeEnded(Duration retention, TimePoint now);
-    /// \returns the last sign of each contended service, for other routers.
+    /// \returns the last sign of each contended service that this router has seen itself, for other
+    /// routers. Those of others are not passed on: each hop would add the time of the transfer to
+    /// the observation, so that the notices would renew themselves.
     [[nodiscard]] std::vector<ContentionNotice> notices(Duration retention, TimePoint now) const;
 
 private:
-    /// When a sign was last seen, by service.
+    /// When a sign was last seen by any router, by service.
     std::unordered_map<std::uint64_t, TimePoint> lastSigns;
+    /// When this router last saw one itself.
+    std::unordered_map<std::uint64_t, TimePoint> ownSigns;
 };
 
 /// \returns how many requests per permitWindow a router may send to a contended upstream while the
--- a/src/routing/contendedservices.cpp
+++ b/src/routing/contendedservices.cpp
@@ -33,6 +33,17 @@
 bool ContendedServices::recordSign(const ContentionNotice &notice, Duration retention,
                                    TimePoint now)
 {
+    TimePoint &last = this->ownSigns[notice.service];
+    last = std::max(last, notice.observedAt);
+    return this->applyNotice(notice, retention, now);
+}
+
+bool ContendedServices::applyNotice(const ContentionNotice &notice, Duration retention,
+                                    TimePoint now)
+{
+    if (now - notice.observedAt >= retention) {
+        return false;
+    }
     const bool wasContended = this->isContended(notice.service, retention, now);
     TimePoint &last = this->lastSigns[notice.service];
     last = std::max(last, notice.observedAt);
@@ -47,6 +58,8 @@
 
 std::vector<std::uint64_t> ContendedServices::removeEnded(Duration retention, TimePoint now)
 {
+    std::erase_if(this->ownSigns,
+                  [&](const auto &entry) { return now - entry.second >= retention; });
     std::vector<std::uint64_t> ended;
     std::erase_if(this->lastSigns, [&](const auto &entry) {
         if (now - entry.second < retention) {
@@ -61,7 +74,7 @@
 std::vector<ContentionNotice> ContendedServices::notices(Duration retention, TimePoint now) const
 {
     std::vector<ContentionNotice> notices;
-    for (const auto &[service, observedAt] : this->lastSigns) {
+    for (const auto &[service, observedAt] : this->ownSigns) {
         if (now - observedAt < retention) {
             notices.push_back({service, observedAt});
         }
--- a/tests/contendedservices.cpp
+++ b/tests/contendedservices.cpp
@@ -57,10 +57,15 @@
     REQUIRE(notices.size() == 1);
     CHECK(notices.front().observedAt == seen);
     ContendedServices other;
-    CHECK(other.recordSign(notices.front(), retention, this->clock.now()));
+    CHECK(other.applyNotice(notices.front(), retention, this->clock.now()));
+    CHECK(other.notices(retention, this->clock.now()).empty());
     this->clock.advance(Seconds{4});
     CHECK_FALSE(other.isContended(service, retention, this->clock.now()));
-    CHECK_FALSE(other.recordSign(notices.front(), retention, this->clock.now()));
+    CHECK_FALSE(other.applyNotice(notices.front(), retention, this->clock.now()));
+    CHECK(other.removeEnded(retention, this->clock.now()).size() == 1);
+    // A notice that has expired does not start the contention, and so does not end it again.
+    CHECK_FALSE(other.applyNotice(notices.front(), retention, this->clock.now()));
+    CHECK(other.removeEnded(retention, this->clock.now()).empty());
 }
 
 TEST_CASE("contentionSign_rejectionForOtherReasons_doesNotCount", "[contention]")
