--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -67,6 +67,7 @@
                 this->sendTo(address, datagram);
             },
             [this](std::uint64_t upstream) { return this->coordinatorOf(upstream); })
+    , lastRequestId(hashOf(fmt::format("{}", incarnation)))
 {}
 
 void FleetGossip::start()
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -189,7 +189,9 @@
     EngineCoordinator coordinator;
     SlotQueueCoordinator slotQueues;
     SlotQueueClient slots;
-    std::uint64_t lastRequestId = 0;
+    /// Starts at a value of the incarnation's own, because coordinators may still hold grants of an
+    /// earlier one.
+    std::uint64_t lastRequestId;
     std::unordered_map<std::uint64_t, PendingAsk> pendingGrantRequests;
     /// Address of the coordinator that granted each request. Another router may be the coordinator
     /// by the time the request ends.
