Slot queue: cold upstreams grant permits only, also to waiting requests

An upstream that restarted under its id got the requests that waited for its slots without permits, and a request that was denied because the upstream was cold never asked for the permit. The coordinator now denies what waits, and the router returns a slot of a cold upstream and asks for a permit.

--- a/gateway/gatewayrequestslots.cpp
+++ b/gateway/gatewayrequestslots.cpp
@@ -95,12 +95,17 @@
         reply->state.running - std::min(reply->state.running, target->ownRunning);
     target->queueWait = isGranted ? Milliseconds{0} : reply->state.expectedWait;
     target->queueWaitUntil = this->now() + queueWaitRetention;
+    if (this->gateway.isLimitedAsCold(*target)) {
+        this->requestPermitInstead(*target);
+        return;
+    }
     if (isGranted) {
         // The wait is over.
         placement.choice.expectedDelay = placement.choice.extraDelay;
         this->dispatchTo(placement);
         return;
     }
+    // Not all routers limit the requests to a cold upstream. One that does not is denied only.
     const bool needsPermit = reply->coldFor.count() > 0;
     recordDenial(this->grantSequence,
                  {hashOf(target->replica.id),
@@ -109,6 +114,18 @@
     this->selectAndDispatch();
 }
 
+void RequestHandler::requestPermitInstead(const UpstreamState &target)
+{
+    this->releaseGrant();
+    // The upstream may be selected again: while it is cold, usesSlotQueue() is false for it, so that
+    // its coordinator is asked for a permit and not for a slot again.
+    std::erase_if(this->grantSequence.denials,
+                  [key = hashOf(target.replica.id)](const GrantDenial &denial) {
+                      return denial.upstream == key;
+                  });
+    this->selectAndDispatch();
+}
+
 void RequestHandler::dispatchUncoordinated(const Selection &placement, UpstreamState &target)
 {
     const std::uint32_t share = contendedUncoordinatedShare(
--- a/gateway/slotqueuecoordinator.cpp
+++ b/gateway/slotqueuecoordinator.cpp
@@ -1,6 +1,7 @@
 #include "slotqueuecoordinator.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "plantainswitch/base/hash.h"
 #include "plantainswitch/routing/enginecoordinator.h"
@@ -34,6 +35,8 @@
     reply.coldFor = this->coldFor(ask.upstream);
     if (reply.coldFor.count() > 0) {
         // The router learns from the reply that it needs a permit instead.
+        upstream.queue.end(ask.request.router, ask.request.requestId, now, GrantEnd::Unused);
+        upstream.waiting.erase({ask.request.router, ask.request.requestId});
         reply.state.verdict = SlotQueueVerdict::Denied;
         reply.state.running = static_cast<std::uint32_t>(upstream.queue.grantedCount());
         return reply;
@@ -41,6 +44,9 @@
     this->grantWaiting(ask.upstream, upstream);
     const SlotQueueLimits limits = this->limitsOf(ask.upstream, upstream);
     reply.state = upstream.queue.request(ask.request, limits, this->unknownRunning(upstream), now);
+    if (reply.state.verdict == SlotQueueVerdict::Queued) {
+        upstream.waiting.emplace(ask.request.router, ask.request.requestId);
+    }
     this->recordContention(ask.upstream, upstream, reply.state.verdict == SlotQueueVerdict::Denied);
     this->armTimer();
     return reply;
@@ -152,21 +158,41 @@
         upstream->slowdownPercent = release.load->slowdownPercent;
     }
     upstream->queue.end(router, requestId, now, release.end);
+    upstream->waiting.erase({router, requestId});
     this->grantWaiting(this->upstreamOf.at(incarnation), *upstream);
     this->armTimer();
 }
 
+void SlotQueueCoordinator::denyWaiting(Upstream &upstream, Milliseconds coldFor)
+{
+    const TimePoint now = this->gateway.clock.now();
+    for (const auto &[router, requestId] : std::exchange(upstream.waiting, {})) {
+        upstream.queue.end(router, requestId, now, GrantEnd::Unused);
+        QueueReply reply = this->makeReply(requestId, upstream);
+        reply.coldFor = coldFor;
+        reply.state.verdict = SlotQueueVerdict::Denied;
+        reply.state.running = static_cast<std::uint32_t>(upstream.queue.grantedCount());
+        this->send(router, reply);
+    }
+}
+
 void SlotQueueCoordinator::grantWaiting(std::uint64_t key, Upstream &upstream)
 {
+    if (const Milliseconds coldFor = this->coldFor(key); coldFor.count() > 0) {
+        this->denyWaiting(upstream, coldFor);
+        return;
+    }
     const std::vector<SlotGrant> grants = upstream.queue.grantWaiting(
         this->limitsOf(key, upstream), this->unknownRunning(upstream), this->gateway.clock.now());
     for (const SlotGrant &grant : grants) {
+        upstream.waiting.erase({grant.router, grant.requestId});
         QueueReply reply = this->makeReply(grant.requestId, upstream);
         reply.state.verdict = SlotQueueVerdict::Granted;
         reply.state.running = grant.running;
         this->send(grant.router, reply);
     }
     for (const SlotDrop &drop : upstream.queue.takeDropped()) {
+        upstream.waiting.erase({drop.router, drop.requestId});
         QueueReply reply = this->makeReply(drop.requestId, upstream);
         reply.state.verdict = SlotQueueVerdict::Denied;
         reply.state.expectedWait = drop.waited;
@@ -237,6 +263,8 @@
     for (auto &[key, upstream] : this->upstreams) {
         upstream.queue.releaseRouter(router, this->gateway.clock.now());
         upstream.unknownOfRouters.erase(router);
+        std::erase_if(upstream.waiting,
+                      [&router](const auto &request) { return request.first == router; });
         this->grantWaiting(key, upstream);
     }
     this->armTimer();
--- a/gateway/slotqueuecoordinator.h
+++ b/gateway/slotqueuecoordinator.h
@@ -5,8 +5,10 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <asio/steady_timer.hpp>
@@ -68,6 +70,8 @@
     struct Upstream
     {
         SlotQueue queue;
+        /// Router and id of each request that waits in the queue.
+        std::set<std::pair<std::string, std::uint64_t>> waiting;
         std::uint64_t incarnation = 0;
         /// As the last router stated them that asked; 0 if it did not.
         std::uint32_t slots = 0;
@@ -92,6 +96,9 @@
     void recordOwnRunning(Upstream &upstream, const QueueAsk &ask);
     /// Records a sign of contention if the queue is as long as an upstream's would be.
     void recordContention(std::uint64_t key, const Upstream &upstream, bool wasDenied);
+    /// Denies all waiting requests, because the upstream is cold for \a coldFor: from then on each
+    /// of them needs a permit.
+    void denyWaiting(Upstream &upstream, Milliseconds coldFor);
     /// Grants the waiting requests whose turn has come, and notifies the routers of all whose wait
     /// has ended.
     void grantWaiting(std::uint64_t key, Upstream &upstream);
