Slot queue: a new incarnation starts with new figures

Hold times of an earlier incarnation stayed in the queue. A denial for the deadline at an idle upstream counted as a sign of contention, which renewed the contention of a service with free slots.

--- a/gateway/slotqueuecoordinator.cpp
+++ b/gateway/slotqueuecoordinator.cpp
@@ -26,6 +26,8 @@
     const TimePoint now = this->gateway.clock.now();
     Upstream &upstream = this->upstreams[ask.upstream];
     upstream.lastRequest = now;
+    upstream.hasOldFigures |= !this->upstreamOf.contains(ask.incarnation);
+    this->discardOldFigures(upstream);
     upstream.incarnation = ask.incarnation;
     upstream.slots = ask.slots;
     upstream.receivedLimit = ask.learnedLimit;
@@ -52,6 +54,19 @@
     return reply;
 }
 
+void SlotQueueCoordinator::discardOldFigures(Upstream &upstream)
+{
+    if (!upstream.hasOldFigures || upstream.queue.grantedCount() > 0
+        || upstream.queue.waitingCount() > 0) {
+        return;
+    }
+    upstream.queue = SlotQueue();
+    upstream.statedUnknown = {};
+    upstream.unknownOfRouters.clear();
+    upstream.slowdownPercent = 0;
+    upstream.hasOldFigures = false;
+}
+
 QueueReply SlotQueueCoordinator::makeReply(std::uint64_t requestId, const Upstream &upstream) const
 {
     QueueReply reply;
@@ -78,7 +93,11 @@
     const UpstreamState *const state = this->gateway.upstreams.findKey(key);
     const bool isFull =
         static_cast<double>(upstream.queue.waitingCount()) >= this->slotsOf(key, upstream);
-    if (state != nullptr && (wasDenied || isFull)) {
+    // A denial for the deadline alone says nothing about the slots.
+    const bool isBusy =
+        static_cast<double>(upstream.queue.grantedCount() + this->unknownRunning(upstream))
+        >= this->slotsOf(key, upstream);
+    if (state != nullptr && ((wasDenied && isBusy) || isFull)) {
         this->gateway.recordContention(state->replica.service);
     }
 }
--- a/gateway/slotqueuecoordinator.h
+++ b/gateway/slotqueuecoordinator.h
@@ -73,6 +73,8 @@
         /// Router and id of each request that waits in the queue.
         std::set<std::pair<std::string, std::uint64_t>> waiting;
         std::uint64_t incarnation = 0;
+        /// The queue has observed hold times of an earlier incarnation.
+        bool hasOldFigures = false;
         /// As the last router stated them that asked; 0 if it did not.
         std::uint32_t slots = 0;
         /// Concurrency limit that a router received from an earlier coordinator; 0 if none.
@@ -93,8 +95,11 @@
     [[nodiscard]] Upstream *findIncarnation(std::uint64_t incarnation);
     /// \returns how much longer requests to the upstream need a permit because it is cold.
     [[nodiscard]] Milliseconds coldFor(std::uint64_t key) const;
+    /// Starts a new queue for a new incarnation, as soon as the old one is empty.
+    static void discardOldFigures(Upstream &upstream);
     void recordOwnRunning(Upstream &upstream, const QueueAsk &ask);
-    /// Records a sign of contention if the queue is as long as an upstream's would be.
+    /// Records a sign of contention if a request was denied while the slots were taken, or the queue
+    /// is as long as an upstream's would be.
     void recordContention(std::uint64_t key, const Upstream &upstream, bool wasDenied);
     /// Denies all waiting requests, because the upstream is cold for \a coldFor: from then on each
     /// of them needs a permit.
