Slot queue: old loads of streamed responses are not reported

The load is in the head of a response but was reported at its end, as if it were current. It is reported only up to 5 ms after the head arrived.

--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -309,6 +309,7 @@
     /// The upstream may have cached more of the prompt than this router knows.
     bool isFirstPrefill = false;
     TimePoint sentAt;
+    TimePoint headReceivedAt;
     TimePoint firstByteAt;
     /// The request was sent to the current upstream, which has not responded completely.
     bool isRunning = false;
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -46,7 +46,8 @@
         return false;
     }
     this->headReceived = true;
-    this->upstream->lastReceived = this->now();
+    this->headReceivedAt = this->now();
+    this->upstream->lastReceived = this->headReceivedAt;
     this->gateway.recordContact(*this->reach);
     this->gateway.crashQuarantine.recordResponse(incarnationOf(this->upstream->replica),
                                                  this->sentAt);
--- a/gateway/gatewayrequestslots.cpp
+++ b/gateway/gatewayrequestslots.cpp
@@ -12,6 +12,8 @@
 
 /// Time for which routers compare upstreams by the wait that a coordinator stated.
 constexpr Milliseconds queueWaitRetention{150};
+/// Time after which the load in the head of a response is no longer reported.
+constexpr Milliseconds maxLoadAge{5};
 /// Retry-After if no coordinator stated one: a few times the time that a small service takes.
 constexpr Milliseconds slotRetryAfter{200};
 
@@ -190,8 +192,9 @@
     if (!hasResponded || !this->response.notExecuted) {
         release.end = end;
     }
-    // A response that was read late states an old load.
-    const bool isLate = this->gateway.loopMonitor.lateness() > grantArrivalTime;
+    // A response that was read late states an old load, and so does one with a long body.
+    const bool isLate = this->gateway.loopMonitor.lateness() > grantArrivalTime
+                        || this->now() - this->headReceivedAt > maxLoadAge;
     if (hasResponded && this->response.load && !isLate) {
         const ReportedLoad &load = *this->response.load;
         release.load = StatedLoad{load.running + load.waiting, load.slowdownPercent};
