--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -65,7 +65,9 @@
     , slots(gateway, this->slotQueues,
             [this](const Endpoint &address, const wire::GatewayDatagram &datagram) {
                 this->sendTo(address, datagram);
-            })
+            },
+            [this](std::uint64_t upstream) { return this->coordinatorOf(upstream); })
+    , lastRequestId(hashOf(fmt::format("{}", incarnation)))
 {}
 
 void FleetGossip::start()
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -156,6 +156,8 @@
     /// Asks the upstream's coordinator for a slot.
     void requestSlot(Selection placement, Milliseconds maxWait);
     void onQueueReply(Selection placement, const std::optional<QueueReply> &reply);
+    /// Returns what the coordinator granted at an upstream that has become cold, and selects anew.
+    void requestPermitInstead(const UpstreamState &target);
     /// Sends the request without a slot if this router's share allows it, because the upstream's
     /// coordinator does not respond; otherwise asks the next one.
     void dispatchUncoordinated(const Selection &placement, UpstreamState &target);
@@ -314,6 +316,7 @@
     /// The upstream may have cached more of the prompt than this router knows.
     bool isFirstPrefill = false;
     TimePoint sentAt;
+    TimePoint headReceivedAt;
     TimePoint firstByteAt;
     /// The request was sent to the current upstream, which has not responded completely.
     bool isRunning = false;
--- a/gateway/gatewayrequestslots.cpp
+++ b/gateway/gatewayrequestslots.cpp
@@ -12,6 +12,8 @@
 
 /// Time for which routers compare upstreams by the wait that a coordinator stated.
 constexpr Milliseconds queueWaitRetention{150};
+/// Time after which the load in the head of a response is no longer reported.
+constexpr Milliseconds maxLoadAge{5};
 /// Retry-After if no coordinator stated one: a few times the time that a small service takes.
 constexpr Milliseconds slotRetryAfter{200};
 
@@ -95,12 +97,17 @@
         reply->state.running - std::min(reply->state.running, target->ownRunning);
     target->queueWait = isGranted ? Milliseconds{0} : reply->state.expectedWait;
     target->queueWaitUntil = this->now() + queueWaitRetention;
+    if (this->gateway.isLimitedAsCold(*target)) {
+        this->requestPermitInstead(*target);
+        return;
+    }
     if (isGranted) {
         // The wait is over.
         placement.choice.expectedDelay = placement.choice.extraDelay;
         this->dispatchTo(placement);
         return;
     }
+    // Not all routers limit the requests to a cold upstream. One that does not is denied only.
     const bool needsPermit = reply->coldFor.count() > 0;
     recordDenial(this->grantSequence,
                  {hashOf(target->replica.id),
@@ -109,6 +116,18 @@
     this->selectAndDispatch();
 }
 
+void RequestHandler::requestPermitInstead(const UpstreamState &target)
+{
+    this->releaseGrant();
+    // The upstream may be selected again: while it is cold, usesSlotQueue() is false for it, so that
+    // its coordinator is asked for a permit and not for a slot again.
+    std::erase_if(this->grantSequence.denials,
+                  [key = hashOf(target.replica.id)](const GrantDenial &denial) {
+                      return denial.upstream == key;
+                  });
+    this->selectAndDispatch();
+}
+
 void RequestHandler::dispatchUncoordinated(const Selection &placement, UpstreamState &target)
 {
     const std::uint32_t share = contendedUncoordinatedShare(
@@ -180,8 +199,9 @@
     if (!hasResponded || !this->response.notExecuted) {
         release.end = end;
     }
-    // A response that was read late states an old load.
-    const bool isLate = this->gateway.loopMonitor.lateness() > grantArrivalTime;
+    // A response that was read late states an old load, and so does one with a long body.
+    const bool isLate = this->gateway.loopMonitor.lateness() > grantArrivalTime
+                        || this->now() - this->headReceivedAt > maxLoadAge;
     if (hasResponded && this->response.load && !isLate) {
         const ReportedLoad &load = *this->response.load;
         release.load = StatedLoad{load.running + load.waiting, load.slowdownPercent};
