Slot queue: a learned hold time no longer blocks an idle upstream

Cause: after runs of 2 s, requests with a deadline of 1 s were denied before looking at room, and the mean changed only when grants ended. Time-outs counted as hold times. Change: an upstream without any known request grants every request whose deadline has not passed. After 3 s without an end (at least twice the mean) the mean ages towards the assumed hold time. Abandoned runs count up to 4 assumed hold times, or the mean if it is higher.

--- a/include/plantainswitch/routing/slotqueue.h
+++ b/include/plantainswitch/routing/slotqueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -152,7 +153,7 @@
     [[nodiscard]] std::vector<SlotGrant> grantWaiting(const SlotQueueLimits &limits,
                                                       std::uint32_t unknownRunning, TimePoint now);
     /// \returns the requests that were removed without a grant since the last call.
-    [[nodiscard]] std::vector<SlotDrop> takeDropped();
+    [[nodiscard]] std::vector<SlotDrop> takeDropped() { return std::exchange(this->dropped, {}); }
     /// Removes the grants and the waiting requests of a router that is lost.
     void releaseRouter(const std::string &router, TimePoint now);
     /// Revokes the oldest grants of \a router in excess of the \a reported ones, if they are older
@@ -170,7 +171,15 @@
     /// \returns the share of the slots that requests in time have used lately, 0 to 1.
     [[nodiscard]] double onTimeUse() const noexcept { return this->use; }
     /// \returns when the next waiting request expires or becomes late; nothing if none waits.
-    [[nodiscard]] std::optional<TimePoint> nextChange() const noexcept;
+    [[nodiscard]] std::optional<TimePoint> nextChange() const noexcept
+    {
+        if (this->byExpiry.empty()) {
+            return std::nullopt;
+        }
+        const TimePoint expiry = this->byExpiry.begin()->first;
+        return this->byLatestStart.empty() ? expiry
+                                           : std::min(expiry, this->byLatestStart.begin()->first);
+    }
 
 private:
     using Key = std::pair<std::string, std::uint64_t>;
@@ -205,6 +214,10 @@
         std::uint32_t samples = 0;
         double mean = 0.0;
         double variance = 0.0;
+        /// What the mean ages towards.
+        double assumed = 0.0;
+        TimePoint endedAt;
+        TimePoint agedAt;
     };
 
     /// The state of the upstream that one call sees. Times in milliseconds.
@@ -231,7 +244,10 @@
 
     [[nodiscard]] View viewOf(const SlotQueueLimits &limits, std::uint32_t unknownRunning,
                               TimePoint now);
-    [[nodiscard]] bool hasRoom(const View &view) const noexcept;
+    [[nodiscard]] bool hasRoom(const View &view) const noexcept
+    {
+        return this->grants.size() + view.unknown < view.capacity;
+    }
     [[nodiscard]] Decision decide(const SlotQueueRequest &request, double weight,
                                   const View &view) const;
     [[nodiscard]] Decision decideLate(double longest, const View &view) const;
@@ -251,11 +267,19 @@
     /// Removes the late requests that can't be expected to get a slot before they expire.
     void removeHopeless(const View &view);
     void makeLate(std::uint64_t number);
-    [[nodiscard]] std::optional<std::uint64_t> next() const;
+    [[nodiscard]] std::optional<std::uint64_t> next() const
+    {
+        if (!this->order.empty()) {
+            return this->order.next();
+        }
+        return this->late.empty() ? std::nullopt : std::optional{*this->late.begin()};
+    }
     void advanceUse(TimePoint now) noexcept;
     void updateUseLevel() noexcept;
     void forget(std::map<Key, Grant>::iterator grant) noexcept;
-    void recordHoldTime(double time) noexcept;
+    /// Moves the mean towards the stated hold time when no run has ended for some time.
+    void ageHoldTime(double stated, TimePoint now) noexcept;
+    void recordHoldTime(double time, TimePoint now) noexcept;
 
     std::map<Key, Grant> grants;
     std::size_t onTimeGrants = 0;
--- a/src/routing/slotqueue.cpp
+++ b/src/routing/slotqueue.cpp
@@ -21,6 +21,13 @@
 /// In the load model at twice the load, 0.035 of the responses were late with 1, 0.026 with 1.5 and
 /// 0.019 with 2; at 0.9 of the load, the share in time was 0.955, 0.952 and 0.950.
 constexpr double holdTimeDeviations = 1.5;
+/// Time without an end after which the mean hold time ages; at least twice the mean, since long
+/// runs end rarely.
+constexpr double holdAgeingDelay = 3000.0;
+constexpr double holdAgeingTime = 3000.0;
+/// Bound of an abandoned run's time, in assumed hold times, unless the mean is higher: a time-out
+/// tells how long its router waits and not how long the upstream works.
+constexpr double maxAbandonedHold = 4.0;
 /// Time over which the use of the slots is averaged, in the order of the time that late requests
 /// can wait. Over 250 ms, a burst of that length counted as lasting overload.
 constexpr double useAveragingTime = 800.0;
@@ -138,8 +145,11 @@
     this->advanceUse(now);
     this->forget(found);
     this->lastProgress = now;
-    if (reason != GrantEnd::Unused) {
-        this->recordHoldTime(toReal(run.runTime));
+    if (reason == GrantEnd::Responded) {
+        this->recordHoldTime(toReal(run.runTime), now);
+    } else if (reason == GrantEnd::Abandoned) {
+        const double most = std::max(this->holds.mean, maxAbandonedHold * this->holds.assumed);
+        this->recordHoldTime(std::min(toReal(run.runTime), most), now);
     }
     return reason == GrantEnd::Responded ? std::optional{run} : std::nullopt;
 }
@@ -169,11 +179,6 @@
     return granted;
 }
 
-std::vector<SlotDrop> SlotQueue::takeDropped()
-{
-    return std::exchange(this->dropped, {});
-}
-
 void SlotQueue::releaseRouter(const std::string &router, TimePoint now)
 {
     this->advanceUse(now);
@@ -227,16 +232,6 @@
     return this->holds.samples == 0 ? std::nullopt : std::optional{toDuration(this->holds.mean)};
 }
 
-std::optional<TimePoint> SlotQueue::nextChange() const noexcept
-{
-    if (this->byExpiry.empty()) {
-        return std::nullopt;
-    }
-    const TimePoint expiry = this->byExpiry.begin()->first;
-    return this->byLatestStart.empty() ? expiry
-                                       : std::min(expiry, this->byLatestStart.begin()->first);
-}
-
 SlotQueue::View SlotQueue::viewOf(const SlotQueueLimits &limits, std::uint32_t unknownRunning,
                                   TimePoint now)
 {
@@ -245,10 +240,9 @@
     view.capacity = capacityOf(limits);
     view.unknown = unknownRunning;
     view.now = now;
-    const double stated = toReal(limits.holdTime);
+    this->ageHoldTime(toReal(limits.holdTime), now);
     view.hold =
-        this->holds.samples > 0 ? this->holds.mean : (stated > 0.0 ? stated : defaultHoldTime);
-    view.hold = std::max(view.hold, minHoldTime);
+        std::max(this->holds.samples > 0 ? this->holds.mean : this->holds.assumed, minHoldTime);
     // While an upstream stalls no run ends, and the mean doesn't tell.
     const double silence = this->grants.empty() ? 0.0 : toReal(now - this->lastProgress);
     const std::uint32_t left = unknownRunning < view.capacity ? view.capacity - unknownRunning : 1;
@@ -259,17 +253,17 @@
     return view;
 }
 
-bool SlotQueue::hasRoom(const View &view) const noexcept
-{
-    return this->grants.size() + view.unknown < view.capacity;
-}
-
 SlotQueue::Decision SlotQueue::decide(const SlotQueueRequest &request, double weight,
                                       const View &view) const
 {
     const double untilObjective = toReal(request.untilObjective);
     const double untilLastStart = toReal(request.untilDeadline) - view.hold;
     const double longest = std::min(toReal(request.maxWait), untilLastStart);
+    // A run tells the hold time. A mean that is too long would otherwise deny all requests.
+    const bool isIdle = this->grants.empty() && view.unknown == 0 && this->waiting.empty();
+    if (isIdle && request.untilDeadline > Milliseconds{0}) {
+        return {SlotQueueVerdict::Granted, untilObjective < view.hold, 0.0, 0.0};
+    }
     if (untilLastStart < 0.0) {
         return {SlotQueueVerdict::Denied, true, this->waitLate(0, view), 0.0};
     }
@@ -394,14 +388,6 @@
     this->waiting.emplace(number, std::move(queued));
 }
 
-std::optional<std::uint64_t> SlotQueue::next() const
-{
-    if (!this->order.empty()) {
-        return this->order.next();
-    }
-    return this->late.empty() ? std::nullopt : std::optional{*this->late.begin()};
-}
-
 void SlotQueue::recordWait(const Waiting &request, TimePoint now)
 {
     if (request.predictedWait > 0.0) {
@@ -504,8 +490,23 @@
     this->updateUseLevel();
 }
 
-void SlotQueue::recordHoldTime(double time) noexcept
+void SlotQueue::ageHoldTime(double stated, TimePoint now) noexcept
+{
+    HoldTimes &holds = this->holds;
+    holds.assumed = stated > 0.0 ? stated : defaultHoldTime;
+    const double delay = std::max(holdAgeingDelay, 2.0 * holds.mean);
+    const TimePoint start = std::max(holds.agedAt, holds.endedAt + toDuration(delay));
+    if (holds.samples > 0 && now > start) {
+        const double kept = std::exp(-toReal(now - start) / holdAgeingTime);
+        holds.mean = holds.assumed + kept * (holds.mean - holds.assumed);
+        holds.variance *= kept;
+        holds.agedAt = now;
+    }
+}
+
+void SlotQueue::recordHoldTime(double time, TimePoint now) noexcept
 {
+    this->holds.endedAt = now;
     HoldTimes &holds = this->holds;
     holds.samples = std::min(holds.samples + 1, holdTimeSamples);
     const double share = 1.0 / holds.samples;
--- a/tests/slotqueue.cpp
+++ b/tests/slotqueue.cpp
@@ -196,3 +196,36 @@
         this->queue.grantWaiting(this->limits, std::numeric_limits<std::uint32_t>::max(), this->now)
             .empty());
 }
+
+TEST_CASE_METHOD(SlotQueueFixture, "slotQueue_longRunsEnded_shortDeadlinesAreServed", "[routing]")
+{
+    // Guards against a queue that denies all requests for ever since a few runs were long.
+    this->limits.slots = 16.0;
+    SlotQueueRequest slow = inTime();
+    slow.untilDeadline = Seconds{10};
+    for (std::uint64_t id = 10; id < 24; ++id) {
+        REQUIRE(this->ask(id, slow) == SlotQueueVerdict::Granted);
+    }
+    this->now += Seconds{2};
+    for (std::uint64_t id = 10; id < 24; ++id) {
+        this->queue.end("a", id, this->now);
+    }
+    this->queue.releaseRouter("f", this->now);
+    CHECK(this->queue.holdTime() > Duration{Seconds{1}});
+    CHECK(this->ask(30, inTime()) == SlotQueueVerdict::Granted);
+    CHECK(this->ask(31, inTime()) == SlotQueueVerdict::Denied);
+    this->now += Seconds{20};
+    CHECK(this->ask(32, inTime()) == SlotQueueVerdict::Granted);
+    CHECK(this->queue.holdTime() < Duration{Milliseconds{100}});
+}
+
+TEST_CASE_METHOD(SlotQueueFixture, "slotQueue_runsTimeOut_holdTimeStaysBounded", "[routing]")
+{
+    // Guards against time-outs that are taken for the time that the upstream works.
+    this->ask(10, inTime());
+    this->now += Seconds{1};
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        this->queue.end("f", id, this->now, GrantEnd::Abandoned);
+    }
+    CHECK(this->queue.holdTime() <= Duration{Milliseconds{36}});
+}
