--- a/include/plantainswitch/routing/slotqueue.h
+++ b/include/plantainswitch/routing/slotqueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -92,7 +93,8 @@
 enum class SlotDropReason : std::uint8_t {
     /// The longest wait or the last time to start before the deadline has passed.
     Expired,
-    /// The request has become late, and others that can meet their objective use the slots.
+    /// The request is late and can't be expected to get a slot before it expires: too many are
+    /// ahead for what the requests in time leave of the slots.
     Late,
 };
 
@@ -151,7 +153,7 @@
     [[nodiscard]] std::vector<SlotGrant> grantWaiting(const SlotQueueLimits &limits,
                                                       std::uint32_t unknownRunning, TimePoint now);
     /// \returns the requests that were removed without a grant since the last call.
-    [[nodiscard]] std::vector<SlotDrop> takeDropped();
+    [[nodiscard]] std::vector<SlotDrop> takeDropped() { return std::exchange(this->dropped, {}); }
     /// Removes the grants and the waiting requests of a router that is lost.
     void releaseRouter(const std::string &router, TimePoint now);
     /// Revokes the oldest grants of \a router in excess of the \a reported ones, if they are older
@@ -169,7 +171,15 @@
     /// \returns the share of the slots that requests in time have used lately, 0 to 1.
     [[nodiscard]] double onTimeUse() const noexcept { return this->use; }
     /// \returns when the next waiting request expires or becomes late; nothing if none waits.
-    [[nodiscard]] std::optional<TimePoint> nextChange() const noexcept;
+    [[nodiscard]] std::optional<TimePoint> nextChange() const noexcept
+    {
+        if (this->byExpiry.empty()) {
+            return std::nullopt;
+        }
+        const TimePoint expiry = this->byExpiry.begin()->first;
+        return this->byLatestStart.empty() ? expiry
+                                           : std::min(expiry, this->byLatestStart.begin()->first);
+    }
 
 private:
     using Key = std::pair<std::string, std::uint64_t>;
@@ -204,6 +214,10 @@
         std::uint32_t samples = 0;
         double mean = 0.0;
         double variance = 0.0;
+        /// What the mean ages towards.
+        double assumed = 0.0;
+        TimePoint endedAt;
+        TimePoint agedAt;
     };
 
     /// The state of the upstream that one call sees. Times in milliseconds.
@@ -230,29 +244,67 @@
 
     [[nodiscard]] View viewOf(const SlotQueueLimits &limits, std::uint32_t unknownRunning,
                               TimePoint now);
-    [[nodiscard]] bool hasRoom(const View &view) const noexcept;
+    [[nodiscard]] bool hasRoom(const View &view) const noexcept
+    {
+        return this->grants.size() + view.unknown < view.capacity;
+    }
     [[nodiscard]] Decision decide(const SlotQueueRequest &request, double weight,
                                   const View &view) const;
     [[nodiscard]] Decision decideLate(double longest, const View &view) const;
     [[nodiscard]] std::optional<SlotQueueReply> stateOf(const Key &key, const View &view) const;
     [[nodiscard]] double waitOnTime(std::uint64_t workspace, double weight, const SlotRank &rank,
-                                    const View &view) const;
-    [[nodiscard]] double waitLate(std::size_t ahead, const View &view) const noexcept;
+                                    const View &view) const
+    {
+        return view.interval * this->order.expectedTurns(workspace, weight, rank);
+    }
+    [[nodiscard]] double waitLate(std::size_t lateAhead, const View &view) const noexcept;
     [[nodiscard]] double waitAllowed(double untilObjective, const View &view) const noexcept;
 
     void grant(const Key &key, bool isOnTime, const View &view);
     void enqueue(const SlotQueueRequest &request, double weight, const Decision &decision,
                  const View &view);
     void recordWait(const Waiting &request, TimePoint now);
-    void remove(std::uint64_t number);
+    void remove(std::uint64_t number)
+    {
+        const auto found = this->waiting.find(number);
+        if (!found->second.isLate) {
+            this->makeLate(number);
+        }
+        this->late.erase(number);
+        this->byExpiry.erase({found->second.expiresAt, number});
+        this->numbers.erase(found->second.key);
+        this->waiting.erase(found);
+    }
     void drop(std::uint64_t number, SlotDropReason reason, const View &view);
     void removeOverdue(const View &view);
+    /// Removes the late requests that can't be expected to get a slot before they expire.
+    void removeHopeless(const View &view);
     void makeLate(std::uint64_t number);
-    [[nodiscard]] std::optional<std::uint64_t> next() const;
+    [[nodiscard]] std::optional<std::uint64_t> next() const
+    {
+        if (!this->order.empty()) {
+            return this->order.next();
+        }
+        return this->late.empty() ? std::nullopt : std::optional{*this->late.begin()};
+    }
     void advanceUse(TimePoint now) noexcept;
-    void updateUseLevel() noexcept;
-    void forget(std::map<Key, Grant>::iterator grant) noexcept;
-    void recordHoldTime(double time) noexcept;
+    void averageUse(TimePoint now) noexcept;
+    void updateUseLevel() noexcept
+    {
+        const double used = static_cast<double>(this->onTimeGrants + this->lastUnknown);
+        this->useLevel = std::min(used / this->lastCapacity, 1.0);
+    }
+    void forget(std::map<Key, Grant>::iterator grant) noexcept
+    {
+        if (grant->second.isOnTime) {
+            --this->onTimeGrants;
+        }
+        this->grants.erase(grant);
+        this->updateUseLevel();
+    }
+    /// Moves the mean towards the stated hold time when no run has ended for some time.
+    void ageHoldTime(double stated, TimePoint now) noexcept;
+    void recordHoldTime(double time, TimePoint now) noexcept;
 
     std::map<Key, Grant> grants;
     std::size_t onTimeGrants = 0;
@@ -266,6 +318,7 @@
     Timeline byLatestStart;
     Timeline byExpiry;
     std::vector<SlotDrop> dropped;
+    TimePoint prospectsCheckedAt;
     HoldTimes holds;
     TimePoint lastProgress;
     /// Time-weighted mean of useLevel.
@@ -274,6 +327,7 @@
     TimePoint useUpdatedAt;
     std::uint32_t lastCapacity = 1;
     std::uint32_t lastUnknown = 0;
+    TimePoint unknownUntil;
 };
 
 } // namespace plantainswitch
--- a/src/routing/slotqueue.cpp
+++ b/src/routing/slotqueue.cpp
@@ -21,13 +21,26 @@
 /// In the load model at twice the load, 0.035 of the responses were late with 1, 0.026 with 1.5 and
 /// 0.019 with 2; at 0.9 of the load, the share in time was 0.955, 0.952 and 0.950.
 constexpr double holdTimeDeviations = 1.5;
-/// Time over which the use of the slots is averaged.
-constexpr double useAveragingTime = 250.0;
-/// Use of the slots by requests in time from which late requests are denied. Less than a slot in
-/// twenty is left then, and its late run delays those in time.
-constexpr double fullUse = 0.95;
-/// Use from which late requests that wait already are removed.
-constexpr double fullUseForWaiting = 0.98;
+/// Time without an end after which the mean hold time ages; at least twice the mean, since long
+/// runs end rarely.
+constexpr double holdAgeingDelay = 3000.0;
+constexpr double holdAgeingTime = 3000.0;
+/// Bound of an abandoned run's time, in assumed hold times, unless the mean is higher: a time-out
+/// tells how long its router waits and not how long the upstream works.
+constexpr double maxAbandonedHold = 4.0;
+/// Time over which the use of the slots is averaged, in the order of the time that late requests
+/// can wait. Over 250 ms, a burst of that length counted as lasting overload.
+constexpr double useAveragingTime = 800.0;
+/// Time for which unknown requests count as running after the call that stated them, as long as
+/// the coordinator counts them.
+constexpr Milliseconds unknownRetention{200};
+/// Lower bound of the share of the slots that is expected to be left to late requests.
+constexpr double minSpareShare = 0.05;
+/// Ratio of the expected wait of a late request to the time left, from which it is removed. At 1,
+/// the estimate's variation removed 0.2 of all requests after a wait at twice the load, at 2 0.13.
+constexpr double hopelessWaitRatio = 2.0;
+/// Time between two checks of the late requests' prospects, which look at each of them.
+constexpr Milliseconds prospectInterval{10};
 constexpr double maxCapacity = 1e6;
 constexpr Milliseconds maxRequestTime = std::chrono::hours{24};
 /// Share of the wait that would still do, up to which a request is queued. Requests that arrive
@@ -135,8 +148,11 @@
     this->advanceUse(now);
     this->forget(found);
     this->lastProgress = now;
-    if (reason != GrantEnd::Unused) {
-        this->recordHoldTime(toReal(run.runTime));
+    if (reason == GrantEnd::Responded) {
+        this->recordHoldTime(toReal(run.runTime), now);
+    } else if (reason == GrantEnd::Abandoned) {
+        const double most = std::max(this->holds.mean, maxAbandonedHold * this->holds.assumed);
+        this->recordHoldTime(std::min(toReal(run.runTime), most), now);
     }
     return reason == GrantEnd::Responded ? std::optional{run} : std::nullopt;
 }
@@ -166,11 +182,6 @@
     return granted;
 }
 
-std::vector<SlotDrop> SlotQueue::takeDropped()
-{
-    return std::exchange(this->dropped, {});
-}
-
 void SlotQueue::releaseRouter(const std::string &router, TimePoint now)
 {
     this->advanceUse(now);
@@ -224,16 +235,6 @@
     return this->holds.samples == 0 ? std::nullopt : std::optional{toDuration(this->holds.mean)};
 }
 
-std::optional<TimePoint> SlotQueue::nextChange() const noexcept
-{
-    if (this->byExpiry.empty()) {
-        return std::nullopt;
-    }
-    const TimePoint expiry = this->byExpiry.begin()->first;
-    return this->byLatestStart.empty() ? expiry
-                                       : std::min(expiry, this->byLatestStart.begin()->first);
-}
-
 SlotQueue::View SlotQueue::viewOf(const SlotQueueLimits &limits, std::uint32_t unknownRunning,
                                   TimePoint now)
 {
@@ -242,31 +243,31 @@
     view.capacity = capacityOf(limits);
     view.unknown = unknownRunning;
     view.now = now;
-    const double stated = toReal(limits.holdTime);
+    this->ageHoldTime(toReal(limits.holdTime), now);
     view.hold =
-        this->holds.samples > 0 ? this->holds.mean : (stated > 0.0 ? stated : defaultHoldTime);
-    view.hold = std::max(view.hold, minHoldTime);
+        std::max(this->holds.samples > 0 ? this->holds.mean : this->holds.assumed, minHoldTime);
     // While an upstream stalls no run ends, and the mean doesn't tell.
     const double silence = this->grants.empty() ? 0.0 : toReal(now - this->lastProgress);
     const std::uint32_t left = unknownRunning < view.capacity ? view.capacity - unknownRunning : 1;
     view.interval = std::max(view.hold, silence) / left;
     this->lastCapacity = view.capacity;
     this->lastUnknown = unknownRunning;
+    this->unknownUntil = now + unknownRetention;
     this->updateUseLevel();
     return view;
 }
 
-bool SlotQueue::hasRoom(const View &view) const noexcept
-{
-    return this->grants.size() + view.unknown < view.capacity;
-}
-
 SlotQueue::Decision SlotQueue::decide(const SlotQueueRequest &request, double weight,
                                       const View &view) const
 {
     const double untilObjective = toReal(request.untilObjective);
     const double untilLastStart = toReal(request.untilDeadline) - view.hold;
     const double longest = std::min(toReal(request.maxWait), untilLastStart);
+    // A run tells the hold time. A mean that is too long would otherwise deny all requests.
+    const bool isIdle = this->grants.empty() && view.unknown == 0 && this->waiting.empty();
+    if (isIdle && request.untilDeadline > Milliseconds{0}) {
+        return {SlotQueueVerdict::Granted, untilObjective < view.hold, 0.0, 0.0};
+    }
     if (untilLastStart < 0.0) {
         return {SlotQueueVerdict::Denied, true, this->waitLate(0, view), 0.0};
     }
@@ -295,13 +296,10 @@
 SlotQueue::Decision SlotQueue::decideLate(double longest, const View &view) const
 {
     const double drain = view.interval * static_cast<double>(this->waiting.size() + 1);
-    if (this->use >= fullUse) {
-        return {SlotQueueVerdict::Denied, true, drain, 0.0};
-    }
     if (this->hasRoom(view) && this->waiting.empty()) {
         return {SlotQueueVerdict::Granted, true, 0.0, 0.0};
     }
-    const double wait = this->waitLate(this->waiting.size(), view);
+    const double wait = this->waitLate(this->late.size(), view);
     if (wait > longest || this->waiting.size() >= maxSlotQueueLength) {
         return {SlotQueueVerdict::Denied, true, drain, 0.0};
     }
@@ -325,8 +323,7 @@
     double wait = 0.0;
     if (request.isLate) {
         const auto lateAhead = std::distance(this->late.begin(), this->late.find(number->second));
-        wait = this->waitLate(
-            this->waiting.size() - this->late.size() + static_cast<std::size_t>(lateAhead), view);
+        wait = this->waitLate(static_cast<std::size_t>(lateAhead), view);
     } else {
         wait = this->waitOnTime(request.workspace, request.weight, request.rank, view);
     }
@@ -334,16 +331,12 @@
     return reply;
 }
 
-double SlotQueue::waitOnTime(std::uint64_t workspace, double weight, const SlotRank &rank,
-                             const View &view) const
-{
-    return view.interval * this->order.expectedTurns(workspace, weight, rank);
-}
-
-double SlotQueue::waitLate(std::size_t ahead, const View &view) const noexcept
+double SlotQueue::waitLate(std::size_t lateAhead, const View &view) const noexcept
 {
-    const double spare = 1.0 - std::min(this->use, fullUseForWaiting);
-    return view.interval * static_cast<double>(ahead + 1) / spare;
+    const double spare = std::max(1.0 - this->use, minSpareShare);
+    // All slots serve the waiting requests in time; those that arrive later leave the spare share.
+    return view.interval
+           * (static_cast<double>(this->order.size()) + static_cast<double>(lateAhead + 1) / spare);
 }
 
 double SlotQueue::waitAllowed(double untilObjective, const View &view) const noexcept
@@ -393,14 +386,6 @@
     this->waiting.emplace(number, std::move(queued));
 }
 
-std::optional<std::uint64_t> SlotQueue::next() const
-{
-    if (!this->order.empty()) {
-        return this->order.next();
-    }
-    return this->late.empty() ? std::nullopt : std::optional{*this->late.begin()};
-}
-
 void SlotQueue::recordWait(const Waiting &request, TimePoint now)
 {
     if (request.predictedWait > 0.0) {
@@ -409,18 +394,6 @@
     }
 }
 
-void SlotQueue::remove(std::uint64_t number)
-{
-    const auto found = this->waiting.find(number);
-    if (!found->second.isLate) {
-        this->makeLate(number);
-    }
-    this->late.erase(number);
-    this->byExpiry.erase({found->second.expiresAt, number});
-    this->numbers.erase(found->second.key);
-    this->waiting.erase(found);
-}
-
 void SlotQueue::drop(std::uint64_t number, SlotDropReason reason, const View &view)
 {
     const Waiting request = this->waiting.at(number);
@@ -446,8 +419,26 @@
         this->recordWait(this->waiting.at(number), view.now);
         this->makeLate(number);
     }
-    while (this->use >= fullUseForWaiting && !this->late.empty()) {
-        this->drop(*this->late.begin(), SlotDropReason::Late, view);
+    if (view.now - this->prospectsCheckedAt >= prospectInterval) {
+        this->prospectsCheckedAt = view.now;
+        this->removeHopeless(view);
+    }
+}
+
+void SlotQueue::removeHopeless(const View &view)
+{
+    std::vector<std::uint64_t> hopeless;
+    std::size_t ahead = 0;
+    for (const std::uint64_t number : this->late) {
+        const double left = toReal(this->waiting.at(number).expiresAt - view.now);
+        if (this->waitLate(ahead, view) > left * hopelessWaitRatio) {
+            hopeless.push_back(number);
+        } else {
+            ++ahead;
+        }
+    }
+    for (const std::uint64_t number : hopeless) {
+        this->drop(number, SlotDropReason::Late, view);
     }
 }
 
@@ -461,6 +452,16 @@
 }
 
 void SlotQueue::advanceUse(TimePoint now) noexcept
+{
+    if (this->lastUnknown > 0 && this->unknownUntil < now) {
+        this->averageUse(this->unknownUntil);
+        this->lastUnknown = 0;
+        this->updateUseLevel();
+    }
+    this->averageUse(now);
+}
+
+void SlotQueue::averageUse(TimePoint now) noexcept
 {
     const double passed = toReal(now - this->useUpdatedAt);
     if (passed > 0.0) {
@@ -470,23 +471,23 @@
     }
 }
 
-void SlotQueue::updateUseLevel() noexcept
+void SlotQueue::ageHoldTime(double stated, TimePoint now) noexcept
 {
-    const double used = static_cast<double>(this->onTimeGrants + this->lastUnknown);
-    this->useLevel = std::min(used / this->lastCapacity, 1.0);
-}
-
-void SlotQueue::forget(std::map<Key, Grant>::iterator grant) noexcept
-{
-    if (grant->second.isOnTime) {
-        --this->onTimeGrants;
+    HoldTimes &holds = this->holds;
+    holds.assumed = stated > 0.0 ? stated : defaultHoldTime;
+    const double delay = std::max(holdAgeingDelay, 2.0 * holds.mean);
+    const TimePoint start = std::max(holds.agedAt, holds.endedAt + toDuration(delay));
+    if (holds.samples > 0 && now > start) {
+        const double kept = std::exp(-toReal(now - start) / holdAgeingTime);
+        holds.mean = holds.assumed + kept * (holds.mean - holds.assumed);
+        holds.variance *= kept;
+        holds.agedAt = now;
     }
-    this->grants.erase(grant);
-    this->updateUseLevel();
 }
 
-void SlotQueue::recordHoldTime(double time) noexcept
+void SlotQueue::recordHoldTime(double time, TimePoint now) noexcept
 {
+    this->holds.endedAt = now;
     HoldTimes &holds = this->holds;
     holds.samples = std::min(holds.samples + 1, holdTimeSamples);
     const double share = 1.0 / holds.samples;
