Slot queue: the cost of a request no longer grows with idle workspaces

Change: flows with waiting requests are kept in the order of their start times, and passed flows are removed once per as many grants as there are flows.

--- a/include/plantainswitch/routing/slotorder.h
+++ b/include/plantainswitch/routing/slotorder.h
@@ -59,9 +59,17 @@
     Flow &activate(std::uint64_t workspace, double weight);
     /// \returns the lowest start time of a workspace with this weight.
     [[nodiscard]] double firstTag(double weight) const noexcept;
+    /// Adds a workspace to the flows with waiting requests, if it has any.
+    void link(std::uint64_t workspace, const Flow &flow);
+    /// Must come before any change of the start time or the waiting requests.
+    void unlink(std::uint64_t workspace, const Flow &flow);
     void removePassedFlows();
 
     std::unordered_map<std::uint64_t, Flow> flows;
+    /// Those with waiting requests: start time, number of the next request, workspace.
+    std::set<std::tuple<double, std::uint64_t, std::uint64_t>> waitingFlows;
+    /// Flows are looked through once per as many grants, which bounds the mean cost of a grant.
+    std::size_t chargesSinceRemoval = 0;
     std::size_t length = 0;
     /// Highest virtual start time of a granted request.
     double virtualTime = 0.0;
--- a/src/routing/slotorder.cpp
+++ b/src/routing/slotorder.cpp
@@ -37,21 +37,32 @@
 
 void SlotOrder::insert(std::uint64_t workspace, double weight, const SlotRank &rank)
 {
-    this->activate(workspace, weight).waiting.insert(rank);
+    Flow &flow = this->activate(workspace, weight);
+    this->unlink(workspace, flow);
+    flow.waiting.insert(rank);
+    this->link(workspace, flow);
     ++this->length;
 }
 
 void SlotOrder::erase(std::uint64_t workspace, const SlotRank &rank)
 {
-    this->length -= this->flows.at(workspace).waiting.erase(rank);
+    Flow &flow = this->flows.at(workspace);
+    this->unlink(workspace, flow);
+    this->length -= flow.waiting.erase(rank);
+    this->link(workspace, flow);
 }
 
 void SlotOrder::charge(std::uint64_t workspace, double weight)
 {
     Flow &flow = this->activate(workspace, weight);
+    this->unlink(workspace, flow);
     this->virtualTime = std::max(this->virtualTime, flow.startTag);
     flow.startTag += 1.0 / flow.weight;
-    this->removePassedFlows();
+    this->link(workspace, flow);
+    if (++this->chargesSinceRemoval >= this->flows.size()) {
+        this->chargesSinceRemoval = 0;
+        this->removePassedFlows();
+    }
 }
 
 void SlotOrder::recordWait(std::uint64_t workspace, double ratio)
@@ -64,16 +75,8 @@
 
 std::optional<std::uint64_t> SlotOrder::next() const
 {
-    const auto rank = [](const Flow &flow) {
-        return std::pair{flow.startTag, std::get<2>(*flow.waiting.begin())};
-    };
-    const Flow *best = nullptr;
-    for (const auto &[workspace, flow] : this->flows) {
-        if (!flow.waiting.empty() && (best == nullptr || rank(flow) < rank(*best))) {
-            best = &flow;
-        }
-    }
-    return best == nullptr ? std::nullopt : std::optional{rank(*best).second};
+    return this->waitingFlows.empty() ? std::nullopt
+                                      : std::optional{std::get<1>(*this->waitingFlows.begin())};
 }
 
 double SlotOrder::expectedTurns(std::uint64_t workspace, double weight, const SlotRank &rank) const
@@ -87,8 +90,12 @@
         ownTag = (flow.waiting.empty() ? std::max(flow.startTag, ownTag) : flow.startTag)
                  + ahead / weight;
     }
-    for (const auto &[id, flow] : this->flows) {
-        if (id != workspace && !flow.waiting.empty() && flow.startTag <= ownTag) {
+    for (const auto &[startTag, number, id] : this->waitingFlows) {
+        if (startTag > ownTag) {
+            break;
+        }
+        if (id != workspace) {
+            const Flow &flow = this->flows.at(id);
             const double earlier = std::floor((ownTag - flow.startTag) * flow.weight) + 1.0;
             ahead += std::min(earlier, static_cast<double>(flow.waiting.size()));
         }
@@ -115,6 +122,20 @@
     return flow;
 }
 
+void SlotOrder::link(std::uint64_t workspace, const Flow &flow)
+{
+    if (!flow.waiting.empty()) {
+        this->waitingFlows.emplace(flow.startTag, std::get<2>(*flow.waiting.begin()), workspace);
+    }
+}
+
+void SlotOrder::unlink(std::uint64_t workspace, const Flow &flow)
+{
+    if (!flow.waiting.empty()) {
+        this->waitingFlows.erase({flow.startTag, std::get<2>(*flow.waiting.begin()), workspace});
+    }
+}
+
 double SlotOrder::firstTag(double weight) const noexcept
 {
     return this->virtualTime - burstCredit / weight;
