Slot queue: less work per request

The hold time of a service, which merges the reports of all routers, was calculated several times per request, and is now kept for 100 ms. Surges are calculated only at an occupancy at which they have an effect, and without denials the selection does not look for denied upstreams.

--- a/gateway/gatewaycontention.cpp
+++ b/gateway/gatewaycontention.cpp
@@ -8,6 +8,14 @@
 
 namespace plantainswitch::gateway {
 
+namespace {
+
+/// Time after which a service's hold time is calculated anew. The calculation merges the reports of
+/// all routers, and is needed several times for each request.
+constexpr Milliseconds holdTimeInterval{100};
+
+} // namespace
+
 bool GatewayState::isSmall(const std::string &service) const
 {
     std::vector<std::uint32_t> slots;
@@ -61,8 +69,16 @@
 
 Duration GatewayState::slotHoldTime(const std::string &service)
 {
-    const double held = this->estimators[service].performance(this->clock.now()).slotHoldTime;
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(held));
+    const TimePoint now = this->clock.now();
+    const auto [found, isNew] = this->slotHoldTimes.try_emplace(service);
+    SlotHoldTime &cached = found->second;
+    if (isNew || now - cached.calculatedAt >= holdTimeInterval) {
+        const double held = this->estimators[service].performance(now).slotHoldTime;
+        cached.time = std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::milli>(held));
+        cached.calculatedAt = now;
+    }
+    return cached.time;
 }
 
 } // namespace plantainswitch::gateway
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -223,10 +223,14 @@
     admissionRequest.priority = this->rank;
     admissionRequest.occupancy = choice.occupancy;
     admissionRequest.jitterSeed = hashOf(this->request->attemptId);
-    admissionRequest.surge = this->gateway.surgeOf(this->workspace);
+    const AdmissionPolicy &policy = this->gateway.settings.admission;
+    // Below this occupancy every request is admitted, and the surge costs sums over all routers.
+    if (policy.enabled && choice.occupancy >= policy.minOccupancy) {
+        admissionRequest.surge = this->gateway.surgeOf(this->workspace);
+    }
     admissionRequest.unqueuedDelay = Milliseconds{static_cast<std::int64_t>(choice.unqueuedDelay)};
     const AdmissionDecision admittance =
-        plantainswitch::admit(admissionRequest, this->gateway.settings.admission);
+        plantainswitch::admit(admissionRequest, policy);
     if (admittance.verdict == AdmissionVerdict::Admitted) {
         return true;
     }
--- a/gateway/gatewayrequestslots.cpp
+++ b/gateway/gatewayrequestslots.cpp
@@ -34,6 +34,9 @@
 RequestHandler::excludedUpstreams(std::span<UpstreamState *const> candidates) const
 {
     std::vector<std::string> excluded = this->triedUpstreams;
+    if (this->grantSequence.denials.empty()) {
+        return excluded;
+    }
     for (const UpstreamState *const candidate : candidates) {
         if (wasDenied(this->grantSequence, hashOf(candidate->replica.id))) {
             excluded.push_back(candidate->replica.id);
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 #include <asio/io_context.hpp>
 
@@ -70,6 +71,13 @@
     std::optional<TimePoint> callStartedAt;
 };
 
+/// Time for which the requests of a service hold their slots.
+struct SlotHoldTime
+{
+    Duration time{0};
+    TimePoint calculatedAt;
+};
+
 /// State shared by the parts of a gateway. Only used on the event loop's thread.
 struct GatewayState
 {
@@ -129,7 +137,7 @@
     void applyContentionNotice(const ContentionNotice &notice, std::string_view source);
     /// Logs the services that are no longer contended.
     void endContention();
-    /// \returns the mean time for which a request of the service holds its slot.
+    /// \returns the mean time for which a request of the service holds its slot, up to 100 ms old.
     [[nodiscard]] Duration slotHoldTime(const std::string &service);
     /// \returns the usual share of a workspace of all requests of the fleet; 0 if not known.
     [[nodiscard]] double usualShareOf(std::string_view workspace) const;
@@ -171,6 +179,8 @@
     CrashQuarantine crashQuarantine;
     BrittleServices brittleServices;
     ContendedServices contendedServices;
+    /// By service.
+    std::unordered_map<std::string, SlotHoldTime> slotHoldTimes;
     /// Where the streams of callers began.
     StreamOriginTable streamOrigins;
     ServiceVersions serviceVersions;
