Slot queue: forgets incarnations by time, and reports all drops

Old incarnations stayed while the queue was in use, which is always under contention. Requests that were dropped during another request were reported only with the next grant.

--- a/gateway/slotqueuecoordinator.cpp
+++ b/gateway/slotqueuecoordinator.cpp
@@ -31,7 +31,7 @@
     upstream.incarnation = ask.incarnation;
     upstream.slots = ask.slots;
     upstream.receivedLimit = ask.learnedLimit;
-    this->upstreamOf[ask.incarnation] = ask.upstream;
+    this->upstreamOf[ask.incarnation] = {ask.upstream, now};
     this->recordOwnRunning(upstream, ask);
     QueueReply reply = this->makeReply(ask.request.requestId, upstream);
     reply.coldFor = this->coldFor(ask.upstream);
@@ -46,6 +46,7 @@
     this->grantWaiting(ask.upstream, upstream);
     const SlotQueueLimits limits = this->limitsOf(ask.upstream, upstream);
     reply.state = upstream.queue.request(ask.request, limits, this->unknownRunning(upstream), now);
+    this->sendDropped(upstream);
     if (reply.state.verdict == SlotQueueVerdict::Queued) {
         upstream.waiting.emplace(ask.request.router, ask.request.requestId);
     }
@@ -158,7 +159,7 @@
     if (key == this->upstreamOf.end()) {
         return nullptr;
     }
-    const auto found = this->upstreams.find(key->second);
+    const auto found = this->upstreams.find(key->second.upstream);
     return found == this->upstreams.end() ? nullptr : &found->second;
 }
 
@@ -178,7 +179,7 @@
     }
     upstream->queue.end(router, requestId, now, release.end);
     upstream->waiting.erase({router, requestId});
-    this->grantWaiting(this->upstreamOf.at(incarnation), *upstream);
+    this->grantWaiting(this->upstreamOf.at(incarnation).upstream, *upstream);
     this->armTimer();
 }
 
@@ -210,6 +211,11 @@
         reply.state.running = grant.running;
         this->send(grant.router, reply);
     }
+    this->sendDropped(upstream);
+}
+
+void SlotQueueCoordinator::sendDropped(Upstream &upstream)
+{
     for (const SlotDrop &drop : upstream.queue.takeDropped()) {
         upstream.waiting.erase({drop.router, drop.requestId});
         QueueReply reply = this->makeReply(drop.requestId, upstream);
@@ -269,7 +275,7 @@
         std::uint32_t running = 0;
         for (const PeerLoad &load : loads) {
             const auto named = this->upstreamOf.find(load.incarnation);
-            running += named != this->upstreamOf.end() && named->second == key ? load.running : 0;
+            running += named != this->upstreamOf.end() && named->second.upstream == key ? load.running : 0;
         }
         upstream.queue.reconcile(router, running, this->gateway.clock.now());
         this->grantWaiting(key, upstream);
@@ -303,12 +309,11 @@
                && now - entry.second.lastRequest > idleEngineRetention;
     });
     // An upstream that restarts often has had many incarnations.
-    std::erase_if(this->upstreamOf, [this](const auto &entry) {
-        const auto found = this->upstreams.find(entry.second);
+    std::erase_if(this->upstreamOf, [this, now](const auto &entry) {
+        const auto found = this->upstreams.find(entry.second.upstream);
         return found == this->upstreams.end()
                || (found->second.incarnation != entry.first
-                   && found->second.queue.grantedCount() == 0
-                   && found->second.queue.waitingCount() == 0);
+                   && now - entry.second.lastRequest > idleEngineRetention);
     });
 }
 
--- a/gateway/slotqueuecoordinator.h
+++ b/gateway/slotqueuecoordinator.h
@@ -67,6 +67,13 @@
         TimePoint statedAt;
     };
 
+    struct Incarnation
+    {
+        /// Hash of the upstream's id.
+        std::uint64_t upstream = 0;
+        TimePoint lastRequest;
+    };
+
     struct Upstream
     {
         SlotQueue queue;
@@ -107,6 +114,8 @@
     /// Grants the waiting requests whose turn has come, and notifies the routers of all whose wait
     /// has ended.
     void grantWaiting(std::uint64_t key, Upstream &upstream);
+    /// Notifies the routers of the requests that the queue has dropped.
+    void sendDropped(Upstream &upstream);
     [[nodiscard]] QueueReply makeReply(std::uint64_t requestId, const Upstream &upstream) const;
     void armTimer();
 
@@ -115,8 +124,8 @@
     asio::steady_timer timer;
     /// By hash of the upstream's id.
     std::unordered_map<std::uint64_t, Upstream> upstreams;
-    /// The upstream of each incarnation that routers have named.
-    std::unordered_map<std::uint64_t, std::uint64_t> upstreamOf;
+    /// What routers have named, by incarnation.
+    std::unordered_map<std::uint64_t, Incarnation> upstreamOf;
 };
 
 } // namespace plantainswitch::gateway
