--- a/src/routing/concurrencylimit.cpp
+++ b/src/routing/concurrencylimit.cpp
@@ -24,8 +24,7 @@
 /// again.
 constexpr double sufficientBlocks = 1.8;
 constexpr double staleBlocks = 1.2;
-/// Standard errors by which the throughput of a lower level must exceed that of the limit. With a
-/// dozen levels and a comparison every 300 ms, 2.5 lowered limits without cause every minute.
+/// Standard errors by which the throughput of a lower level must exceed that of the limit.
 constexpr double lowerSignificance = 2.5;
 /// Differences in the logarithm of throughput below this are not worth a probe.
 constexpr double minGain = 0.03;
--- a/src/routing/upstreamspeed.cpp
+++ b/src/routing/upstreamspeed.cpp
@@ -9,8 +9,7 @@
 
 namespace {
 
-/// Standard errors from which a difference is not taken for chance. 2.5 left 3% of 140 equal
-/// upstreams with a slowdown of 1.05 or more while their hosts were slow at times.
+/// Standard errors from which a difference is not taken for chance.
 constexpr double significance = 3.0;
 /// Samples of an upstream below which it has none to go by.
 constexpr double minSamples = 6.0;
