Join learned concurrency limits to the slot queues

Cause: the limits were learned by a class that nothing called. Change: each completed run at a contended upstream is recorded by its coordinator, the queue grants up to the limit, and routers carry it to the next coordinator.

--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -136,6 +136,7 @@
     append("slot_queue_unknown", [](const SlotQueueGauge &queue) { return queue.unknown; });
     append("slot_queue_slowdown_percent",
            [](const SlotQueueGauge &queue) { return queue.slowdownPercent; });
+    append("slot_queue_limit", [](const SlotQueueGauge &queue) { return queue.limit; });
 }
 
 /// Appends the learned slowdowns other than 1, of maxGaugedUpstreams upstreams at most.
--- a/gateway/slotqueuecoordinator.cpp
+++ b/gateway/slotqueuecoordinator.cpp
@@ -1,9 +1,13 @@
 #include "slotqueuecoordinator.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "plantainswitch/base/hash.h"
+#include "plantainswitch/observe/event.h"
 #include "plantainswitch/routing/enginecoordinator.h"
 
 namespace plantainswitch::gateway {
@@ -12,6 +16,8 @@
 
 /// Shortest time between two runs of the timer.
 constexpr Milliseconds minTimerInterval{1};
+/// Change of an upstream's concurrency limit that is logged.
+constexpr double minLoggedLimitChange = 0.5;
 
 } // namespace
 
@@ -30,7 +36,10 @@
     this->discardOldFigures(upstream);
     upstream.incarnation = ask.incarnation;
     upstream.slots = ask.slots;
-    upstream.receivedLimit = ask.learnedLimit;
+    upstream.key = ask.upstream;
+    if (ask.learnedLimit > 0.0 && this->limits.find(ask.incarnation) == nullptr) {
+        this->limits.adopt(ask.incarnation, ask.learnedLimit, now);
+    }
     this->upstreamOf[ask.incarnation] = {ask.upstream, now};
     this->recordOwnRunning(upstream, ask);
     QueueReply reply = this->makeReply(ask.request.requestId, upstream);
@@ -65,6 +74,7 @@
     upstream.statedUnknown = {};
     upstream.unknownOfRouters.clear();
     upstream.slowdownPercent = 0;
+    upstream.loggedLimit = 0.0;
     upstream.hasOldFigures = false;
 }
 
@@ -73,7 +83,7 @@
     QueueReply reply;
     reply.requestId = requestId;
     reply.incarnation = upstream.incarnation;
-    reply.learnedLimit = learnedLimitOf(upstream);
+    reply.learnedLimit = this->learnedLimitOf(upstream);
     return reply;
 }
 
@@ -93,11 +103,11 @@
 {
     const UpstreamState *const state = this->gateway.upstreams.findKey(key);
     const bool isFull =
-        static_cast<double>(upstream.queue.waitingCount()) >= this->slotsOf(key, upstream);
+        static_cast<double>(upstream.queue.waitingCount()) >= this->slotsOf(upstream);
     // A denial for the deadline alone says nothing about the slots.
     const bool isBusy =
         static_cast<double>(upstream.queue.grantedCount() + this->unknownRunning(upstream))
-        >= this->slotsOf(key, upstream);
+        >= this->slotsOf(upstream);
     if (state != nullptr && ((wasDenied && isBusy) || isFull)) {
         this->gateway.recordContention(state->replica.service);
     }
@@ -112,26 +122,58 @@
     return state->cold.remaining(this->gateway.clock.now());
 }
 
-double SlotQueueCoordinator::learnedLimitOf(const Upstream & /*upstream*/)
+double SlotQueueCoordinator::statedSlotsOf(const Upstream &upstream) const
 {
-    return 0.0;
+    const UpstreamState *const state = this->gateway.upstreams.findKey(upstream.key);
+    const std::uint32_t known = state == nullptr ? 0 : plantainswitch::slotsOf(*state);
+    return std::max(1U, known > 0 ? known : upstream.slots);
 }
 
-double SlotQueueCoordinator::slotsOf(std::uint64_t key, const Upstream &upstream) const
+double SlotQueueCoordinator::learnedLimitOf(const Upstream &upstream) const
 {
-    const double limit = learnedLimitOf(upstream);
-    if (limit > 0.0) {
-        return limit;
+    if (!this->gateway.settings.learning.limits) {
+        return 0.0;
     }
-    const UpstreamState *const state = this->gateway.upstreams.findKey(key);
-    const std::uint32_t known = state == nullptr ? 0 : plantainswitch::slotsOf(*state);
-    return std::max(1U, known > 0 ? known : upstream.slots);
+    const double slots = this->statedSlotsOf(upstream);
+    const double limit = this->limits.limit(upstream.incarnation, slots, this->gateway.clock.now());
+    return limit < slots ? limit : 0.0;
+}
+
+double SlotQueueCoordinator::slotsOf(const Upstream &upstream) const
+{
+    const double limit = this->learnedLimitOf(upstream);
+    return limit > 0.0 ? limit : this->statedSlotsOf(upstream);
+}
+
+void SlotQueueCoordinator::recordRun(Upstream &upstream, const SlotRun &run)
+{
+    if (!this->gateway.settings.learning.limits) {
+        return;
+    }
+    const TimePoint now = this->gateway.clock.now();
+    const double slots = this->statedSlotsOf(upstream);
+    // What is granted beyond the limit waits at the upstream or is on its way.
+    const double concurrency = std::min(run.concurrency, this->slotsOf(upstream));
+    this->limits.record(upstream.incarnation, concurrency, run.runTime, slots, now);
+    const ConcurrencyLimit *const known = this->limits.find(upstream.incarnation);
+    const double settled = known == nullptr ? slots : known->settledLimit(slots, now);
+    const double logged = upstream.loggedLimit > 0.0 ? upstream.loggedLimit : slots;
+    if (std::abs(settled - logged) < minLoggedLimitChange) {
+        return;
+    }
+    upstream.loggedLimit = settled;
+    const UpstreamState *const state = this->gateway.upstreams.findKey(upstream.key);
+    logEvent(Event::LimitChanged,
+             {{"upstream", state == nullptr ? formatHash(upstream.key) : state->replica.id},
+              {"limit", fmt::format("{:.1f}", settled)},
+              {"slots", fmt::format("{:.0f}", slots)},
+              {"run_ms", fmt::format("{:.1f}", known->runTimeAtLimit(now).value_or(0.0))}});
 }
 
 SlotQueueLimits SlotQueueCoordinator::limitsOf(std::uint64_t key, const Upstream &upstream) const
 {
     SlotQueueLimits limits;
-    limits.slots = this->slotsOf(key, upstream);
+    limits.slots = this->slotsOf(upstream);
     limits.margin = std::max(1.0, this->gateway.settings.contention.marginShare * limits.slots);
     if (const UpstreamState *const state = this->gateway.upstreams.findKey(key)) {
         limits.holdTime = std::chrono::duration_cast<Milliseconds>(
@@ -177,7 +219,10 @@
         upstream->statedUnknown = {release.load->held - std::min(release.load->held, granted), now};
         upstream->slowdownPercent = release.load->slowdownPercent;
     }
-    upstream->queue.end(router, requestId, now, release.end);
+    const auto run = upstream->queue.end(router, requestId, now, release.end);
+    if (run && incarnation == upstream->incarnation) {
+        this->recordRun(*upstream, *run);
+    }
     upstream->waiting.erase({router, requestId});
     this->grantWaiting(this->upstreamOf.at(incarnation).upstream, *upstream);
     this->armTimer();
@@ -275,7 +320,8 @@
         std::uint32_t running = 0;
         for (const PeerLoad &load : loads) {
             const auto named = this->upstreamOf.find(load.incarnation);
-            running += named != this->upstreamOf.end() && named->second.upstream == key ? load.running : 0;
+            running +=
+                named != this->upstreamOf.end() && named->second.upstream == key ? load.running : 0;
         }
         upstream.queue.reconcile(router, running, this->gateway.clock.now());
         this->grantWaiting(key, upstream);
@@ -298,6 +344,7 @@
 void SlotQueueCoordinator::removeIdle()
 {
     const TimePoint now = this->gateway.clock.now();
+    this->limits.removeIdle(now);
     for (auto &[key, upstream] : this->upstreams) {
         std::erase_if(upstream.unknownOfRouters, [now](const auto &entry) {
             return now - entry.second.statedAt >= unknownRunningRetention;
@@ -324,7 +371,8 @@
         const UpstreamState *const state = this->gateway.upstreams.findKey(key);
         gauges.push_back({state == nullptr ? formatHash(key) : state->replica.id,
                           upstream.queue.waitingCount(), upstream.queue.grantedCount(),
-                          this->unknownRunning(upstream), upstream.slowdownPercent});
+                          this->unknownRunning(upstream), upstream.slowdownPercent,
+                          this->slotsOf(upstream)});
     }
     return gauges;
 }
--- a/gateway/slotqueuecoordinator.h
+++ b/gateway/slotqueuecoordinator.h
@@ -13,6 +13,7 @@
 
 #include <asio/steady_timer.hpp>
 
+#include "plantainswitch/routing/concurrencylimit.h"
 #include "plantainswitch/routing/peerloads.h"
 #include "plantainswitch/routing/slotqueue.h"
 
@@ -35,6 +36,8 @@
     std::uint32_t unknown = 0;
     /// As the upstream last stated it; 0 if it did not.
     std::uint32_t slowdownPercent = 0;
+    /// Requests that the upstream is found to run well at once; its slots without evidence.
+    double limit = 0.0;
 };
 
 /// The slot queues of the contended upstreams that this router coordinates.
@@ -76,6 +79,8 @@
 
     struct Upstream
     {
+        /// Hash of the upstream's id.
+        std::uint64_t key = 0;
         SlotQueue queue;
         /// Router and id of each request that waits in the queue.
         std::set<std::pair<std::string, std::uint64_t>> waiting;
@@ -84,19 +89,23 @@
         bool hasOldFigures = false;
         /// As the last router stated them that asked; 0 if it did not.
         std::uint32_t slots = 0;
-        /// Concurrency limit that a router received from an earlier coordinator; 0 if none.
-        double receivedLimit = 0.0;
         TimePoint lastRequest;
         /// By the upstream's own statement, and by those of the routers.
         UnknownCount statedUnknown;
         std::map<std::string, UnknownCount> unknownOfRouters;
         std::uint32_t slowdownPercent = 0;
+        /// The limit that was last logged; 0 if none was.
+        double loggedLimit = 0.0;
     };
 
-    /// \returns the concurrency limit of the upstream; 0 if none was learned.
-    [[nodiscard]] static double learnedLimitOf(const Upstream &upstream);
+    /// \returns the concurrency limit of the upstream, if it is below its slots; 0 otherwise.
+    [[nodiscard]] double learnedLimitOf(const Upstream &upstream) const;
+    /// \returns the slots that the upstream states, at least 1.
+    [[nodiscard]] double statedSlotsOf(const Upstream &upstream) const;
+    /// Learns from a completed run, and logs a change of the limit.
+    void recordRun(Upstream &upstream, const SlotRun &run);
     /// \returns the number of requests that the upstream runs well at once.
-    [[nodiscard]] double slotsOf(std::uint64_t key, const Upstream &upstream) const;
+    [[nodiscard]] double slotsOf(const Upstream &upstream) const;
     [[nodiscard]] SlotQueueLimits limitsOf(std::uint64_t key, const Upstream &upstream) const;
     [[nodiscard]] std::uint32_t unknownRunning(const Upstream &upstream) const;
     [[nodiscard]] Upstream *findIncarnation(std::uint64_t incarnation);
@@ -105,8 +114,8 @@
     /// Starts a new queue for a new incarnation, as soon as the old one is empty.
     static void discardOldFigures(Upstream &upstream);
     void recordOwnRunning(Upstream &upstream, const QueueAsk &ask);
-    /// Records a sign of contention if a request was denied while the slots were taken, or the queue
-    /// is as long as an upstream's would be.
+    /// Records a sign of contention if a request was denied while the slots were taken, or the
+    /// queue is as long as an upstream's would be.
     void recordContention(std::uint64_t key, const Upstream &upstream, bool wasDenied);
     /// Denies all waiting requests, because the upstream is cold for \a coldFor: from then on each
     /// of them needs a permit.
@@ -126,6 +135,7 @@
     std::unordered_map<std::uint64_t, Upstream> upstreams;
     /// What routers have named, by incarnation.
     std::unordered_map<std::uint64_t, Incarnation> upstreamOf;
+    ConcurrencyLimits limits;
 };
 
 } // namespace plantainswitch::gateway
