--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -67,7 +67,7 @@
                 this->sendTo(address, datagram);
             },
             [this](std::uint64_t upstream) { return this->coordinatorOf(upstream); })
-    , lastRequestId(hashOf(fmt::format("{}", incarnation)))
+    , lastRequestId(hashOf(std::to_string(incarnation)))
 {}
 
 void FleetGossip::start()
