Bound what routers send each other of usage and speeds

Cause: reports of use by workspace and of upstreams' speeds took 30 kB a second and router at 73 routers by calculation, more at 300. Change: their intervals grow with the fleet, to at most 12 and 6 kB a second. Calculated from the sizes of the messages, not measured.

--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Least interval between two reports of workspaces' use to one router, for each router of the
+/// fleet. A report has 167 bytes, so that a router sends at most 12 kB per second of them.
+constexpr Milliseconds usageIntervalPerRouter{14};
 /// Delay before an update that others wait for, so that simultaneous changes are sent together.
 constexpr Milliseconds broadcastDelay{20};
 /// Every eighth update carries addresses of other routers, for receivers that lack some.
@@ -63,11 +66,12 @@
     , coordinator(ServicePerformance{}.prefillRate)
     , slotQueues(gateway, [this](const std::string &router,
                                  const QueueReply &reply) { this->sendQueueReply(router, reply); })
-    , slots(gateway, this->slotQueues,
-            [this](const Endpoint &address, const wire::GatewayDatagram &datagram) {
-                this->sendTo(address, datagram);
-            },
-            [this](std::uint64_t upstream) { return this->coordinatorOf(upstream); })
+    , slots(
+          gateway, this->slotQueues,
+          [this](const Endpoint &address, const wire::GatewayDatagram &datagram) {
+              this->sendTo(address, datagram);
+          },
+          [this](std::uint64_t upstream) { return this->coordinatorOf(upstream); })
     , lastRequestId(hashOf(std::to_string(incarnation)))
 {}
 
@@ -296,11 +300,13 @@
         }
         wire::GatewayDatagram datagram = this->encode(update);
         // The first update to this group in each interval, whatever its rhythm.
-        if (now.time_since_epoch() / usageReportInterval
-            != group.lastSent.time_since_epoch() / usageReportInterval) {
+        const Duration usageInterval =
+            std::max<Duration>(usageReportInterval, alive * usageIntervalPerRouter);
+        if (now.time_since_epoch() / usageInterval
+            != group.lastSent.time_since_epoch() / usageInterval) {
             this->appendWorkspaceUse(*datagram.mutable_news(), now);
         }
-        this->appendSpeedReports(*datagram.mutable_news(), group.lastSent);
+        this->appendSpeedReports(*datagram.mutable_news(), group.lastSent, alive);
         if (this->sequence % performanceUpdatePeriod == 1) {
             this->appendPerformanceReports(*datagram.mutable_news());
         }
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -156,7 +156,9 @@
     void applySpeedReports(const wire::RouterNews &message, TimePoint now);
     /// Appends this router's samples to the first update in each report interval.
     /// \param lastSent when the receivers were last sent an update
-    void appendSpeedReports(wire::RouterNews &message, TimePoint lastSent) const;
+    /// \param routers number of the fleet's routers, with which the interval grows
+    void appendSpeedReports(wire::RouterNews &message, TimePoint lastSent,
+                            std::size_t routers) const;
     [[nodiscard]] std::uint64_t configVersion() const;
     /// Applies the crash reports of another router.
     void applyCrashUpdate(const wire::RouterNews &message, TimePoint now);
--- a/gateway/fleetupdates.cpp
+++ b/gateway/fleetupdates.cpp
@@ -288,7 +288,7 @@
         this->appendRouterAddresses(*datagram.mutable_news());
     }
     this->appendPerformanceReports(*datagram.mutable_news());
-    this->appendSpeedReports(*datagram.mutable_news(), {});
+    this->appendSpeedReports(*datagram.mutable_news(), {}, 1);
     this->contacts.recordSent(joining, now);
     this->sendTo(joining, datagram);
 }
--- a/gateway/gatewayspeeds.cpp
+++ b/gateway/gatewayspeeds.cpp
@@ -1,5 +1,6 @@
 #include "fleetgossip.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include <fmt/format.h>
@@ -12,15 +13,17 @@
 
 /// Number of upstreams in one update whose speed it reports; 22 bytes each.
 constexpr std::size_t maxSpeedReports = 12;
-/// Interval of the reports to one router.
+/// Least interval of the reports to one router, and the same for each router of the fleet: 12
+/// reports have 264 bytes, so that a router sends at most 6 kB per second of them.
 constexpr Seconds speedReportInterval{2};
+constexpr Milliseconds speedIntervalPerRouter{44};
 /// Change of a slowdown, as a logarithm, that is logged.
 constexpr double minLoggedChange = 0.1;
 
-/// \returns the begin of the interval that contains \a time.
-TimePoint intervalOf(TimePoint time)
+/// \returns the begin of the interval of that length that contains \a time.
+TimePoint intervalOf(TimePoint time, Duration length)
 {
-    return TimePoint{time.time_since_epoch() / speedReportInterval * speedReportInterval};
+    return TimePoint{time.time_since_epoch() / length * length};
 }
 
 } // namespace
@@ -70,11 +73,14 @@
     }
 }
 
-void FleetGossip::appendSpeedReports(wire::RouterNews &message, TimePoint lastSent) const
+void FleetGossip::appendSpeedReports(wire::RouterNews &message, TimePoint lastSent,
+                                     std::size_t routers) const
 {
     const TimePoint now = this->gateway.clock.now();
-    const TimePoint since = intervalOf(lastSent);
-    if (since == intervalOf(now)) {
+    const Duration length =
+        std::max<Duration>(speedReportInterval, routers * speedIntervalPerRouter);
+    const TimePoint since = intervalOf(lastSent, length);
+    if (since == intervalOf(now, length)) {
         return;
     }
     for (auto &[service, speeds] : this->gateway.speeds) {
