Grant as many requests beyond the slots as there are slots; limits are learned only where settings ask

Cause: between a release and the arrival of the next request a slot of a small upstream is idle for about as long as it runs a request, on VMs of an eighth of a core. Change: the default margin is 1 in place of 0.5 slots a slot.

--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -53,8 +53,9 @@
 {
     /// How much slower an upstream is than its service.
     bool speeds = true;
-    /// How many concurrent requests it runs well.
-    bool limits = true;
+    /// How many concurrent requests it runs well. Learning it costs a contended upstream up to 2 %
+    /// of its throughput.
+    bool limits = false;
 };
 
 /// The settings of a gateway, read from one JSON file.
--- a/include/plantainswitch/routing/contendedservices.h
+++ b/include/plantainswitch/routing/contendedservices.h
@@ -27,7 +27,7 @@
     /// Time after the last sign for which a service stays contended.
     Seconds retention{10};
     /// Requests granted beyond the slots of an upstream, as a share of these; at least 1.
-    double marginShare = 0.5;
+    double marginShare = 1.0;
 };
 
 /// What an upstream states in a response, as far as it shows contention.
--- a/tests/gatewaycontention.cpp
+++ b/tests/gatewaycontention.cpp
@@ -27,7 +27,8 @@
 
 constexpr std::size_t routerCount = 5;
 constexpr int slots = 4;
-/// Slots and margin, by the defaults of the settings.
+constexpr double marginShare = 0.5;
+/// Slots and margin.
 constexpr int maxGrants = 6;
 
 class TestedRouter : public GatewayFixture
@@ -83,6 +84,7 @@
             this->routers.push_back(std::make_unique<TestedRouter>());
             this->routers[i]->changeSettings([i, datagrams](GatewaySettings &settings) {
                 settings.id = fmt::format("router-{}", i);
+                settings.contention.marginShare = marginShare;
                 settings.peerDatagrams = {fmt::format("127.0.0.{}", i + 1), datagrams};
                 settings.seeds = {{"127.0.0.1", datagrams}, {"127.0.0.2", datagrams}};
             });
--- a/tests/gatewaysettings.cpp
+++ b/tests/gatewaysettings.cpp
@@ -78,7 +78,7 @@
     REQUIRE(defaults);
     CHECK(defaults->contention.enabled);
     CHECK(defaults->contention.retention == Seconds{10});
-    CHECK(defaults->contention.marginShare == Approx(0.5));
+    CHECK(defaults->contention.marginShare == Approx(1.0));
     const auto settings = this->parse(
         R"(, "contention": {"enabled": false, "retentionSeconds": 60, "marginShare": 0})");
     REQUIRE(settings);
@@ -100,12 +100,11 @@
     CHECK_FALSE(this->parse(R"(, "fairness": {"minSurge": 0.9})"));
 }
 
-TEST_CASE_METHOD(GatewaySettingsFixture, "gatewaySettings_learning_isOnUnlessSwitchedOff",
-                 "[settings]")
+TEST_CASE_METHOD(GatewaySettingsFixture, "gatewaySettings_learning_isTakenAndChecked", "[settings]")
 {
     CHECK(this->parse("")->learning.speeds);
-    CHECK(this->parse("")->learning.limits);
-    const auto settings = this->parse(R"(, "learning": {"speeds": false})");
+    CHECK_FALSE(this->parse("")->learning.limits);
+    const auto settings = this->parse(R"(, "learning": {"speeds": false, "limits": true})");
     REQUIRE(settings);
     CHECK_FALSE(settings->learning.speeds);
     CHECK(settings->learning.limits);
