--- a/gateway/gatewaycontention.cpp
+++ b/gateway/gatewaycontention.cpp
@@ -74,8 +74,8 @@
     SlotHoldTime &cached = found->second;
     if (isNew || now - cached.calculatedAt >= holdTimeInterval) {
         const double held = this->estimators[service].performance(now).slotHoldTime;
-        cached.time = std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double, std::milli>(held));
+        cached.time =
+            std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(held));
         cached.calculatedAt = now;
     }
     return cached.time;
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -230,8 +230,7 @@
         admissionRequest.surge = this->gateway.surgeOf(this->workspace);
     }
     admissionRequest.unqueuedDelay = Milliseconds{static_cast<std::int64_t>(choice.unqueuedDelay)};
-    const AdmissionDecision admittance =
-        plantainswitch::admit(admissionRequest, policy);
+    const AdmissionDecision admittance = plantainswitch::admit(admissionRequest, policy);
     if (admittance.verdict == AdmissionVerdict::Admitted) {
         return true;
     }
--- a/gateway/gatewayrequestslots.cpp
+++ b/gateway/gatewayrequestslots.cpp
@@ -122,8 +122,8 @@
 void RequestHandler::requestPermitInstead(const UpstreamState &target)
 {
     this->releaseGrant();
-    // The upstream may be selected again: while it is cold, usesSlotQueue() is false for it, so that
-    // its coordinator is asked for a permit and not for a slot again.
+    // The upstream may be selected again: while it is cold, usesSlotQueue() is false for it, so
+    // that its coordinator is asked for a permit and not for a slot again.
     std::erase_if(this->grantSequence.denials,
                   [key = hashOf(target.replica.id)](const GrantDenial &denial) {
                       return denial.upstream == key;
--- a/gateway/slotqueueclient.h
+++ b/gateway/slotqueueclient.h
@@ -38,8 +38,8 @@
     void ask(QueueAsk ask, std::string attempt, Done done);
     /// Ends a grant, or withdraws a request that waits. \returns false if the request is unknown.
     bool end(std::uint64_t requestId, const GrantRelease &release);
-    /// Handles a coordinator's reply. \returns false if the request is unknown: the coordinator must
-    /// then be told to end what it granted or queued.
+    /// Handles a coordinator's reply. \returns false if the request is unknown: the coordinator
+    /// must then be told to end what it granted or queued.
     bool onReply(const QueueReply &reply);
 
 private:
