--- a/tests/gatewaycontention.cpp
+++ b/tests/gatewaycontention.cpp
@@ -347,6 +347,8 @@
     SlotProtocolFixture()
         : socket(this->context, {asio::ip::make_address("127.0.0.1"), 0})
     {
+        this->changeSettings(
+            [](GatewaySettings &settings) { settings.contention.marginShare = marginShare; });
         this->addUpstream("plain-0", "plain", [](ServerConnection &) {});
         this->start();
         this->socket.non_blocking(true);
