Comments and local names of slot queues and their tests in the field's words

Cause: added lines used words that CONTRIBUTING.md asks to replace. Change: comments and three local names only.

--- a/gateway/gatewaycontention.cpp
+++ b/gateway/gatewaycontention.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Time after which a service's hold time is calculated anew. The calculation merges the reports of
-/// all routers, and is needed several times for each request.
+/// Time after which a service's hold time is calculated again. The calculation merges the reports
+/// of all routers, and is needed several times for each request.
 constexpr Milliseconds holdTimeInterval{100};
 
 } // namespace
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -156,7 +156,7 @@
     /// Asks the upstream's coordinator for a slot.
     void requestSlot(Selection placement, Milliseconds maxWait);
     void onQueueReply(Selection placement, const std::optional<QueueReply> &reply);
-    /// Returns what the coordinator granted at an upstream that has become cold, and selects anew.
+    /// Returns what the coordinator granted at an upstream that has become cold, and selects again.
     void requestPermitInstead(const UpstreamState &target);
     /// Sends the request without a slot if this router's share allows it, because the upstream's
     /// coordinator does not respond; otherwise asks the next one.
--- a/gateway/slotqueueclient.cpp
+++ b/gateway/slotqueueclient.cpp
@@ -78,7 +78,7 @@
     this->pendingAsks.erase(found);
     const bool isGranted = reply.state.verdict == SlotQueueVerdict::Granted;
     if (!isGranted && pending.queuedAt && pending.isAwaitingReply) {
-        // The denial may have crossed the repeated question, which asks anew.
+        // The denial may have crossed the repeated question, which asks again.
         this->sendEnd(reply.requestId, {pending.coordinator, pending.ask.incarnation}, {});
     }
     if (isGranted) {
@@ -125,7 +125,7 @@
     timer.expires_after(wait);
     timer.async_wait([this, requestId, expiry = timer.expiry()](const asio::error_code &error) {
         const auto found = this->pendingAsks.find(requestId);
-        // A timer that was set anew may already have completed.
+        // A timer that was set again may already have completed.
         if (!error && found != this->pendingAsks.end() && found->second.timer->expiry() == expiry) {
             this->onTimer(requestId);
         }
--- a/gateway/slotqueueclient.h
+++ b/gateway/slotqueueclient.h
@@ -39,7 +39,7 @@
     /// Ends a grant, or withdraws a request that waits. \returns false if the request is unknown.
     bool end(std::uint64_t requestId, const GrantRelease &release);
     /// Handles a coordinator's reply. \returns false if the request is unknown: the coordinator
-    /// must then be told to end what it granted or queued.
+    /// must then be sent the end of what it granted or queued.
     bool onReply(const QueueReply &reply);
 
 private:
@@ -51,7 +51,7 @@
         Done done;
         std::unique_ptr<asio::steady_timer> timer;
         TimePoint askedAt;
-        /// When the request was first told to wait.
+        /// When the first reply queued the request.
         std::optional<TimePoint> queuedAt;
         /// A reply to the last message is expected.
         bool isAwaitingReply = false;
--- a/gateway/slotqueuecoordinator.h
+++ b/gateway/slotqueuecoordinator.h
@@ -23,7 +23,7 @@
 namespace plantainswitch::gateway {
 
 /// Time for which requests at an upstream without a grant are counted, by what the upstream or
-/// their router stated. Long enough for the next response to state it anew.
+/// their router stated. Long enough for the next response to state it again.
 inline constexpr Milliseconds unknownRunningRetention{200};
 
 /// What a coordinator knows of one contended upstream, for the gauges.
--- a/include/plantainswitch/routing/admission.h
+++ b/include/plantainswitch/routing/admission.h
@@ -21,7 +21,7 @@
     /// Running requests of the service, as a share of its upstreams' total concurrency.
     double occupancy = 0.0;
     /// Hash of the attempt, by which the retry times of rejected callers are spread and the excess
-    /// of a surging workspace is told from its usual requests.
+    /// of a surging workspace is distinguished from its usual requests.
     std::uint64_t jitterSeed = 0;
     /// Current rate of the workspace in multiples of its usual rate; 1 if it does not surge.
     double surge = 1.0;
--- a/include/plantainswitch/routing/slotqueue.h
+++ b/include/plantainswitch/routing/slotqueue.h
@@ -231,7 +231,7 @@
         double interval = 0.0;
     };
 
-    /// What a request is told, before it takes effect.
+    /// The reply to a request, before it takes effect.
     struct Decision
     {
         SlotQueueVerdict verdict = SlotQueueVerdict::Denied;
--- a/include/plantainswitch/routing/upstreamspeed.h
+++ b/include/plantainswitch/routing/upstreamspeed.h
@@ -56,7 +56,7 @@
     [[nodiscard]] double slowdown(std::uint64_t incarnation, TimePoint now) const;
     /// \returns the decayed number of samples of all routers on the upstream.
     [[nodiscard]] double samples(std::uint64_t incarnation, TimePoint now) const;
-    /// Forgets upstreams without samples in the last minutes, and estimates anew how much the
+    /// Forgets upstreams without samples in the last minutes, and estimates again how much the
     /// upstreams differ. To be called several times per second.
     void refresh(TimePoint now);
     /// Forgets an incarnation that has ended.
--- a/src/routing/slotqueue.cpp
+++ b/src/routing/slotqueue.cpp
@@ -26,7 +26,7 @@
 constexpr double holdAgeingDelay = 3000.0;
 constexpr double holdAgeingTime = 3000.0;
 /// Bound of an abandoned run's time, in assumed hold times, unless the mean is higher: a time-out
-/// tells how long its router waits and not how long the upstream works.
+/// states how long its router waits and not how long the upstream works.
 constexpr double maxAbandonedHold = 4.0;
 /// Time over which the use of the slots is averaged, in the order of the time that late requests
 /// can wait. Over 250 ms, a burst of that length counted as lasting overload.
@@ -246,10 +246,10 @@
     this->ageHoldTime(toReal(limits.holdTime), now);
     view.hold =
         std::max(this->holds.samples > 0 ? this->holds.mean : this->holds.assumed, minHoldTime);
-    // While an upstream stalls no run ends, and the mean doesn't tell.
-    const double silence = this->grants.empty() ? 0.0 : toReal(now - this->lastProgress);
+    // While an upstream stalls no run ends, and the mean is out of date.
+    const double sinceProgress = this->grants.empty() ? 0.0 : toReal(now - this->lastProgress);
     const std::uint32_t left = unknownRunning < view.capacity ? view.capacity - unknownRunning : 1;
-    view.interval = std::max(view.hold, silence) / left;
+    view.interval = std::max(view.hold, sinceProgress) / left;
     this->lastCapacity = view.capacity;
     this->lastUnknown = unknownRunning;
     this->unknownUntil = now + unknownRetention;
@@ -263,7 +263,7 @@
     const double untilObjective = toReal(request.untilObjective);
     const double untilLastStart = toReal(request.untilDeadline) - view.hold;
     const double longest = std::min(toReal(request.maxWait), untilLastStart);
-    // A run tells the hold time. A mean that is too long would otherwise deny all requests.
+    // A run shows the hold time. A mean that is too long would otherwise deny all requests.
     const bool isIdle = this->grants.empty() && view.unknown == 0 && this->waiting.empty();
     if (isIdle && request.untilDeadline > Milliseconds{0}) {
         return {SlotQueueVerdict::Granted, untilObjective < view.hold, 0.0, 0.0};
--- a/tests/contendedservices.cpp
+++ b/tests/contendedservices.cpp
@@ -132,7 +132,7 @@
 
 TEST_CASE("grantSequence_noCoordinatorResponds_asksNoneAgain", "[contention]")
 {
-    // Guards against a request that spends its time on coordinators that are gone.
+    // Guards against a request that spends its time on coordinators that have failed.
     GrantSequence sequence;
     recordDenial(sequence, {1, std::nullopt, Milliseconds{0}});
     CHECK_FALSE(lastUpstreamToAsk(sequence));
--- a/tests/gatewaycontention.cpp
+++ b/tests/gatewaycontention.cpp
@@ -280,12 +280,12 @@
     this->makeContended();
     this->fill();
     this->callInBackground(1);
-    TestedRouter &keeper = this->coordinator();
-    REQUIRE(TestedRouter::eventually([&keeper] { return keeper.queue().waiting == 1; }));
+    TestedRouter &coordinator = this->coordinator();
+    REQUIRE(TestedRouter::eventually([&coordinator] { return coordinator.queue().waiting == 1; }));
     CHECK(this->heldNow() == maxGrants);
     this->open();
     CHECK(this->finishCalls(200) == maxGrants + 1);
-    CHECK(TestedRouter::eventually([&keeper] { return keeper.queue().granted == 0; }));
+    CHECK(TestedRouter::eventually([&coordinator] { return coordinator.queue().granted == 0; }));
 }
 
 TEST_CASE_METHOD(GatewayContentionFixture,
@@ -295,13 +295,14 @@
     this->start();
     this->makeContended();
     this->fill();
-    TestedRouter &keeper = this->coordinator();
+    TestedRouter &coordinator = this->coordinator();
     {
         asio::ip::tcp::socket caller = this->routers[1]->connectCaller();
         asio::write(caller, asio::buffer(TestedRouter::makeRequest("/safe/x", "gone")));
-        REQUIRE(TestedRouter::eventually([&keeper] { return keeper.queue().waiting == 1; }));
+        REQUIRE(
+            TestedRouter::eventually([&coordinator] { return coordinator.queue().waiting == 1; }));
     }
-    CHECK(TestedRouter::eventually([&keeper] { return keeper.queue().waiting == 0; }));
+    CHECK(TestedRouter::eventually([&coordinator] { return coordinator.queue().waiting == 0; }));
     this->open();
     CHECK(this->finishCalls(200) == maxGrants);
     CHECK(this->runs.count("gone") == 0);
@@ -310,21 +311,22 @@
 TEST_CASE_METHOD(GatewayContentionFixture, "contendedService_coordinatorFreezes_serviceGoesOn",
                  "[gateway]")
 {
-    // Guards against requests that wait for a coordinator that is gone, or run twice because of it.
+    // Guards against requests that wait for a coordinator that has failed, or run twice because of
+    // it.
     this->start();
     this->makeContended();
     this->fill();
     this->callInBackground(1, "/once/x");
-    TestedRouter &keeper = this->coordinator();
-    REQUIRE(TestedRouter::eventually([&keeper] { return keeper.queue().waiting == 1; }));
+    TestedRouter &coordinator = this->coordinator();
+    REQUIRE(TestedRouter::eventually([&coordinator] { return coordinator.queue().waiting == 1; }));
     std::promise<void> thaw;
-    keeper.gateway->post([&thaw] { thaw.get_future().wait(); });
+    coordinator.gateway->post([&thaw] { thaw.get_future().wait(); });
     this->open();
     // The upstream serves again while the coordinator is frozen.
     std::size_t next = 0;
-    CHECK(TestedRouter::eventually([this, &keeper, &next] {
+    CHECK(TestedRouter::eventually([this, &coordinator, &next] {
         TestedRouter &router = *this->routers[next++ % routerCount];
-        return &router != &keeper
+        return &router != &coordinator
                && router.call(TestedRouter::makeRequest("/once/x", fmt::format("f{}", next))).status
                       == 200;
     }));
--- a/tests/gatewayusage.cpp
+++ b/tests/gatewayusage.cpp
@@ -16,13 +16,13 @@
 {
     this->start();
     wire::GatewayDatagram datagram;
-    wire::RouterNews &news = *datagram.mutable_news();
-    news.set_id("router-1");
-    news.set_incarnation(1);
-    news.set_sequence(1);
+    wire::RouterNews &update = *datagram.mutable_news();
+    update.set_id("router-1");
+    update.set_incarnation(1);
+    update.set_sequence(1);
     for (const auto &[workspace, current, usual] :
          {std::tuple{allWorkspaces, 200.0F, 100.0F}, std::tuple{hashOf("alpha"), 150.0F, 20.0F}}) {
-        wire::WorkspaceUse *const entry = news.add_workspace_use();
+        wire::WorkspaceUse *const entry = update.add_workspace_use();
         entry->set_workspace(workspace);
         entry->set_current_per_second(current);
         entry->set_usual_per_second(usual);
