Separate the decisions on where a request goes from their side effects

Cause: what selects an upstream, admits a request and names the reason of a refusal was part of RequestHandler, between calls that take permits, count and log, so that nothing else could ask for the decision.

Change: gateway/placementdecision holds these decisions as free functions over the gateway's state, the request and the candidates. RequestHandler calls them in the same order with the same inputs. The hash of the attempt's id is calculated once per selection instead of twice.

The time per request was not measured.

--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// Retry-After of a request for which all permitted upstreams have their share of the load: about
-/// the time that a request takes.
-constexpr Milliseconds shareRetryAfter{400};
 /// How long after one router has announced that an engine caches a prefix other routers do not
 /// announce it again. A third of the time for which the announcement is believed.
 constexpr Duration prefixAnnounceInterval = cacheResidency / 3;
@@ -61,31 +58,19 @@
         return;
     }
     this->gateway.refreshPeerLoads();
-    const PlacementConstraints constraints = this->placementConstraints();
-    std::span<UpstreamState *const> candidates = this->gateway.upstreams.ofService(this->service);
-    std::vector<UpstreamState *> permitted;
-    SelectionPolicy policy = this->gateway.settings.choice;
-    const bool isConstrained = !isUnconstrained(constraints);
-    this->hasNoPermittedPlace = false;
-    if (isConstrained || this->stream.binding != BindingState::Free) {
-        permitted = this->permittedCandidates();
-        this->hasNoPermittedPlace = permitted.empty() && !candidates.empty()
-                                    && permittedUpstreams(candidates, constraints).empty();
-        policy.loadBoundFactor *= relativeMeanLoad(candidates, permitted);
-        candidates = permitted;
-    }
+    const PlacementRequest placement = this->placementRequest();
+    const CandidateSet set = candidatesFor(this->gateway.upstreams.ofService(this->service),
+                                           placement.constraints, this->stream);
+    this->hasNoPermittedPlace = set.hasNoPermittedPlace;
+    const std::span<UpstreamState *const> candidates = set.upstreams;
     const std::vector<std::string> excluded = this->excludedUpstreams(candidates);
-    const SelectionRequest choiceRequest{this->gateway.settings.dataCentre,
-                                         hashOf(this->request->attemptId),
-                                         this->request->prompt ? &*this->request->prompt : nullptr,
-                                         this->prefixHashes,
-                                         excluded,
-                                         this->gateway.isBrittle(this->service)};
-    if (this->gateway.settings.mechanisms.estimates) {
-        policy.performance = this->gateway.estimators[this->service].performance(this->now());
-    }
-    const auto choice = selectUpstream(candidates, choiceRequest,
-                                       this->gateway.upstreams.prefixIndex, policy, this->now());
+    const ServiceEstimator *const estimator = this->gateway.settings.mechanisms.estimates
+                                                  ? &this->gateway.estimators[this->service]
+                                                  : nullptr;
+    const auto choice = selectUpstream(
+        candidates, selectionRequestFor(this->gateway, placement, excluded),
+        this->gateway.upstreams.prefixIndex,
+        selectionPolicyFor(this->gateway.settings, estimator, set, this->now()), this->now());
     if (this->waitForDeniedSlot(candidates, choice)
         || this->forwardForLackOfReach(candidates, choice)) {
         return;
@@ -94,14 +79,15 @@
         this->fail();
         return;
     }
-    if (!this->passAdmissionControl(*choice)
-        || (isConstrained && !this->passLoadBound(*choice, *candidates[choice->index]))) {
+    if (!this->passAdmissionControl(placement, *choice)
+        || (set.isConstrained && !this->passLoadBound(*choice, *candidates[choice->index]))) {
         return;
     }
-    this->dispatchWithGrant(candidates, *choice);
+    this->dispatchWithGrant(placement, candidates, *choice);
 }
 
-void RequestHandler::dispatchWithGrant(std::span<UpstreamState *const> candidates,
+void RequestHandler::dispatchWithGrant(const PlacementRequest &request,
+                                       std::span<UpstreamState *const> candidates,
                                        const UpstreamSelection &choice)
 {
     const UpstreamState &target = *candidates[choice.index];
@@ -111,11 +97,11 @@
         placement.donorId = donor.id;
         placement.copyFrom = donor.endpoint;
     }
-    if (this->usesSlotQueue(target)) {
+    if (usesSlotQueue(this->gateway, request, target)) {
         this->requestSlot(std::move(placement), firstGrantWait(this->grantTimes()));
         return;
     }
-    if (!this->needsGrant(target)) {
+    if (!needsGrant(this->gateway, request, target, this->coordinatorRejections)) {
         this->dispatchTo(placement);
         return;
     }
@@ -125,19 +111,25 @@
 bool RequestHandler::forwardForLackOfReach(std::span<UpstreamState *const> candidates,
                                            const std::optional<UpstreamSelection> &choice)
 {
-    if (!choice) {
-        const bool isUnreachable =
-            this->connectFailures > 0 || unreachableCount(candidates, this->now()) > 0;
-        return isUnreachable && this->forward("unreachable");
-    }
-    return choice->isOverBound && isReachLimited(candidates, this->now())
-           && this->forward("limited reach");
+    const auto why = lackOfReach(candidates, choice, this->connectFailures, this->now());
+    return why && this->forward(*why);
 }
 
 PlacementConstraints RequestHandler::placementConstraints() const
 {
-    return {this->gateway.settings.areas, this->gateway.evacuations.dataCentres, this->route->homes,
-            this->workspaceHomes};
+    return placementConstraintsFor(this->gateway, *this->route, this->workspaceHomes);
+}
+
+PlacementRequest RequestHandler::placementRequest() const
+{
+    return {*this->route,
+            this->service,
+            this->workspace,
+            hashOf(this->request->attemptId),
+            this->request->prompt ? &*this->request->prompt : nullptr,
+            this->prefixHashes,
+            this->rank,
+            this->placementConstraints()};
 }
 
 bool RequestHandler::isUsable(const std::shared_ptr<UpstreamState> &upstream) const
@@ -147,13 +139,6 @@
            && isPermitted(upstream->replica.dataCentre, this->placementConstraints());
 }
 
-bool RequestHandler::needsGrant(const UpstreamState &upstream) const
-{
-    return this->gateway.isLimitedAsCold(upstream) || this->gateway.isBrittle(this->service)
-           || (this->gateway.settings.mechanisms.exactCounts && !this->prefixHashes.empty()
-               && this->coordinatorRejections < maxLoadRejections);
-}
-
 bool RequestHandler::mayDispatchUnpermitted(UpstreamState &upstream) const
 {
     if (this->gateway.isBrittle(upstream.replica.service)) {
@@ -187,50 +172,18 @@
               {"wait_ms", std::to_string(wait.count())}});
 }
 
-std::optional<Milliseconds> RequestHandler::shortestPermitWait() const
-{
-    std::optional<Milliseconds> shortest;
-    for (const UpstreamState *const upstream : this->gateway.upstreams.ofService(this->service)) {
-        const Duration wait = upstream->permitBlockedUntil - this->now();
-        if (wait > Duration{0}) {
-            const auto rounded = std::chrono::ceil<Milliseconds>(wait);
-            shortest = std::min(rounded, shortest.value_or(rounded));
-        }
-    }
-    return shortest;
-}
-
-std::optional<Milliseconds> RequestHandler::timeToFirstBackoffEnd() const
-{
-    return plantainswitch::timeToFirstBackoffEnd(this->permittedCandidates(), this->now());
-}
-
-bool RequestHandler::passAdmissionControl(const UpstreamSelection &choice)
+bool RequestHandler::passAdmissionControl(const PlacementRequest &request,
+                                          const UpstreamSelection &choice)
 {
     // A request that may have been executed cannot be refused as not executed.
     if (this->prefixHashes.empty() || this->possibleExecutions > 0 || this->responseStarted) {
         return true;
     }
-    AdmissionRequest admissionRequest;
-    admissionRequest.expectedDelay = Milliseconds{static_cast<std::int64_t>(choice.expectedDelay)};
-    admissionRequest.remainingTimeout = this->remainingTime();
-    if (this->route->firstEventTimeout.count() > 0) {
-        const Duration waited = this->now() - this->incoming.receivedAt;
-        admissionRequest.remainingTimeout = std::min(
-            admissionRequest.remainingTimeout,
-            std::chrono::duration_cast<Milliseconds>(this->route->firstEventTimeout - waited));
-    }
-    admissionRequest.objective = this->route->objective;
-    admissionRequest.priority = this->rank;
-    admissionRequest.occupancy = choice.occupancy;
-    admissionRequest.jitterSeed = hashOf(this->request->attemptId);
-    const AdmissionPolicy &policy = this->gateway.settings.admission;
-    // Below this occupancy every request is admitted, and the surge costs sums over all routers.
-    if (policy.enabled && choice.occupancy >= policy.minOccupancy) {
-        admissionRequest.surge = this->gateway.surgeOf(this->workspace);
-    }
-    admissionRequest.unqueuedDelay = Milliseconds{static_cast<std::int64_t>(choice.unqueuedDelay)};
-    const AdmissionDecision admittance = plantainswitch::admit(admissionRequest, policy);
+    const AdmissionRequest admissionRequest =
+        admissionRequestFor(this->gateway, request, choice,
+                            {this->remainingTime(), this->now() - this->incoming.receivedAt});
+    const AdmissionDecision admittance =
+        plantainswitch::admit(admissionRequest, this->gateway.settings.admission);
     if (admittance.verdict == AdmissionVerdict::Admitted) {
         return true;
     }
@@ -251,13 +204,11 @@
 
 bool RequestHandler::passLoadBound(const UpstreamSelection &choice, const UpstreamState &upstream)
 {
-    const bool isWithinBound = runningAt(upstream) + 1.0 <= choice.loadBound;
-    if (isWithinBound || this->prefixHashes.empty() || this->possibleExecutions > 0
-        || this->responseStarted) {
+    if (isWithinLoadBound(choice, upstream) || this->prefixHashes.empty()
+        || this->possibleExecutions > 0 || this->responseStarted) {
         return true;
     }
-    this->refuse(ErrorKind::Overloaded, "the permitted upstreams have their share of the load",
-                 shareRetryAfter);
+    this->refuse(loadBoundRefusal());
     return false;
 }
 
--- a/gateway/gatewayrequestforward.cpp
+++ b/gateway/gatewayrequestforward.cpp
@@ -29,13 +29,8 @@
     if (!isAllowed) {
         return false;
     }
-    const PlacementConstraints constraints = this->placementConstraints();
-    const ForwardQuery query{hashOf(this->service), hashOf(this->request->attemptId),
-                             [&constraints](const std::string &dataCentre) {
-                                 return isPermitted(dataCentre, constraints);
-                             },
-                             this->forwardHosts};
-    const auto target = this->gateway.fleet->forwardTarget(query);
+    const auto target =
+        forwardTargetFor(this->gateway, this->placementRequest(), this->forwardHosts);
     if (!target) {
         return false;
     }
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -24,14 +24,6 @@
 /// Multiple of the longest pause that callers accept within a stream, after which the stream is
 /// resumed on another upstream.
 constexpr double stallPauseFactor = 1.5;
-/// Retry-After of a request that no upstream could take: about the time after which an ejected
-/// upstream is tried again.
-constexpr Milliseconds defaultRetryAfter{400};
-/// Shortest Retry-After of a quarantined request.
-constexpr Milliseconds minQuarantineRetryAfter{200};
-/// Retry-After of a request that no permitted data centre can process. Evacuations and changes of
-/// homes last seconds at least.
-constexpr Milliseconds noPlaceRetryAfter{1000};
 
 } // namespace
 
@@ -196,9 +188,8 @@
         this->fail();
         return;
     }
-    const Milliseconds wait = this->gateway.crashQuarantine.timeToTrial(key, this->now());
     this->refuse(ErrorKind::Quarantined, "upstreams crashed on it",
-                 std::max(wait, minQuarantineRetryAfter));
+                 quarantineRetryAfter(this->gateway.crashQuarantine, key, this->now()));
 }
 
 void RequestHandler::recordUnansweredRun(RunEnd end)
@@ -395,26 +386,20 @@
                      isDeadlineReached ? "no answer in time" : "the upstream failed");
     } else if (isDeadlineReached) {
         this->refuse(ErrorKind::QueueExpired, "no upstream took it in time");
-    } else if (this->hasNoPermittedPlace) {
-        this->refuse(ErrorKind::NoPermittedPlace, "no permitted data centre", noPlaceRetryAfter);
-    } else if (this->isVersionGone()) {
-        this->refuse(ErrorKind::VersionUnavailable, "no upstream of the stream's version is left",
-                     beginAnewRetryAfter);
-    } else if (const auto backoff = this->timeToFirstBackoffEnd()) {
-        this->refuse(ErrorKind::Overloaded, "all upstreams back off", backoff);
-    } else if (this->gateway.isBrittle(this->service) && this->connectFailures == 0) {
-        this->refuse(ErrorKind::Overloaded, "the brittle upstreams have no room",
-                     defaultRetryAfter);
-    } else if (this->rejections > 0) {
-        this->refuse(ErrorKind::Overloaded, "upstreams turned it away", defaultRetryAfter);
-    } else if (const auto wait = this->shortestPermitWait()) {
-        this->refuse(ErrorKind::Overloaded, "the upstreams left are cold", wait);
     } else {
-        this->refuse(ErrorKind::UpstreamUnreachable, "no upstream could be reached",
-                     defaultRetryAfter);
+        this->refuse(refusalWithoutUpstream(this->gateway, this->placementRequest(),
+                                            {this->gateway.upstreams.ofService(this->service),
+                                             this->stream, this->hasNoPermittedPlace,
+                                             this->connectFailures, this->rejections},
+                                            this->now()));
     }
 }
 
+void RequestHandler::refuse(const Refusal &refusal)
+{
+    this->refuse(refusal.kind, refusal.why, refusal.retryAfter);
+}
+
 void RequestHandler::refuse(ErrorKind kind, std::string_view why,
                             std::optional<Milliseconds> retryAfter)
 {
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -16,6 +16,7 @@
 #include "fleetgossip.h"
 #include "forwarding.h"
 #include "gatewaystate.h"
+#include "placementdecision.h"
 #include "trialstore.h"
 
 namespace plantainswitch::gateway {
@@ -27,6 +28,10 @@
 /// updates, by which a failed one is replaced.
 inline constexpr Milliseconds silentCoordinatorBlock{300};
 
+/// Retry-After of a request that no upstream could take: about the time after which an ejected
+/// upstream is tried again.
+inline constexpr Milliseconds defaultRetryAfter{400};
+
 /// Retry-After of a stream that can't go on; its caller may begin it anew at once.
 inline constexpr Milliseconds beginAnewRetryAfter{50};
 
@@ -95,11 +100,6 @@
     void recordStreamEvents();
     /// Records, and reports to the other routers, that the stream began at its version.
     void announceOrigin();
-    /// \returns whether every upstream at which the stream may go on is draining, or gone.
-    [[nodiscard]] bool isVersionGone() const;
-    /// \returns the upstreams of the service in permitted data centres at which the stream may go
-    /// on, if it has begun.
-    [[nodiscard]] std::vector<UpstreamState *> permittedCandidates() const;
     /// Refuses the request if one of its suspects is quarantined for crashing upstreams, or asks
     /// for a trial. \returns whether it may be sent.
     bool passQuarantine();
@@ -120,25 +120,22 @@
     bool forwardForLackOfReach(std::span<UpstreamState *const> candidates,
                                const std::optional<UpstreamSelection> &choice);
     /// Dispatches the request to the selected upstream, after asking its coordinator if need be.
-    void dispatchWithGrant(std::span<UpstreamState *const> candidates,
+    void dispatchWithGrant(const PlacementRequest &request,
+                           std::span<UpstreamState *const> candidates,
                            const UpstreamSelection &choice);
     /// \returns where the request may be processed.
     [[nodiscard]] PlacementConstraints placementConstraints() const;
+    /// \returns what of the request decides where it is sent; valid while the handler is.
+    [[nodiscard]] PlacementRequest placementRequest() const;
     /// \returns whether \a upstream is still there, accepts requests and is permitted.
     [[nodiscard]] bool isUsable(const std::shared_ptr<UpstreamState> &upstream) const;
-    /// \returns whether a request to \a upstream needs a grant of its coordinator.
-    [[nodiscard]] bool needsGrant(const UpstreamState &upstream) const;
     /// \returns whether the request may be sent to \a upstream although its coordinator does not
     /// respond.
     [[nodiscard]] bool mayDispatchUnpermitted(UpstreamState &upstream) const;
     /// Records that the coordinator gave no permit for \a upstream.
     void recordPermitDenied(UpstreamState &upstream, Milliseconds wait);
-    /// \returns the time until an upstream of the service may get a permit, if it has none now.
-    [[nodiscard]] std::optional<Milliseconds> shortestPermitWait() const;
-    /// \returns the time until a permitted upstream accepts requests again, if all back off.
-    [[nodiscard]] std::optional<Milliseconds> timeToFirstBackoffEnd() const;
     /// Refuses the request if the service is overloaded. \returns whether it was admitted.
-    bool passAdmissionControl(const UpstreamSelection &choice);
+    bool passAdmissionControl(const PlacementRequest &request, const UpstreamSelection &choice);
     /// Refuses the request if even the selected one of the permitted upstreams has its share of the
     /// service's load. \returns whether it was admitted.
     bool passLoadBound(const UpstreamSelection &choice, const UpstreamState &upstream);
@@ -146,8 +143,6 @@
     void requestGrant(Selection placement);
     void onCoordinatorReply(Selection placement,
                             const std::optional<EngineGrantReply> &keeperAnswer);
-    /// \returns whether a request to \a upstream needs a slot of its coordinator's queue.
-    [[nodiscard]] bool usesSlotQueue(const UpstreamState &upstream) const;
     [[nodiscard]] GrantTimes grantTimes() const;
     /// \returns the upstreams that were tried, and those among \a candidates whose coordinators
     /// have denied the request since.
@@ -257,6 +252,7 @@
     void fail();
     void refuse(ErrorKind kind, std::string_view why,
                 std::optional<Milliseconds> retryAfter = std::nullopt);
+    void refuse(const Refusal &refusal);
     void finish(std::string_view outcome);
     [[nodiscard]] TimePoint now() const { return this->gateway.clock.now(); }
     [[nodiscard]] Milliseconds remainingTime() const;
--- a/gateway/gatewayrequestslots.cpp
+++ b/gateway/gatewayrequestslots.cpp
@@ -19,12 +19,6 @@
 
 } // namespace
 
-bool RequestHandler::usesSlotQueue(const UpstreamState &upstream) const
-{
-    return !this->request->prompt && this->gateway.isContended(this->service)
-           && !this->gateway.isLimitedAsCold(upstream);
-}
-
 GrantTimes RequestHandler::grantTimes() const
 {
     return {this->route->objective, this->remainingTime()};
--- a/gateway/gatewayrequeststream.cpp
+++ b/gateway/gatewayrequeststream.cpp
@@ -1,7 +1,5 @@
 #include "gatewayrequesthandler.h"
 
-#include <algorithm>
-
 #include "plantainswitch/base/hash.h"
 #include "plantainswitch/observe/event.h"
 
@@ -94,24 +92,4 @@
         {this->stream.key, this->stream.version, this->now() + originRetention(budget)});
 }
 
-bool RequestHandler::isVersionGone() const
-{
-    if (this->stream.binding != BindingState::Bound) {
-        return false;
-    }
-    const std::vector<UpstreamState *> candidates = this->permittedCandidates();
-    return std::all_of(candidates.begin(), candidates.end(),
-                       [](const UpstreamState *upstream) { return isDraining(*upstream); });
-}
-
-std::vector<UpstreamState *> RequestHandler::permittedCandidates() const
-{
-    std::vector<UpstreamState *> candidates = permittedUpstreams(
-        this->gateway.upstreams.ofService(this->service), this->placementConstraints());
-    std::erase_if(candidates, [this](const UpstreamState *upstream) {
-        return !isPermitted(this->stream, upstream->replica);
-    });
-    return candidates;
-}
-
 } // namespace plantainswitch::gateway
