plantainctl where: ask a router where a request would go now, and why

Cause: where a request goes could be seen only after it was sent, from logs.

Change: POST /where beside /metrics answers by the decisions of gateway/placementdecision, over copies of the service's upstreams and of its reach, so that trial requests and loads of other routers stay untouched; steps that would change state are listed in notApplied. evaluateCandidates() gives what selectUpstream() compares. Internal listeners accept bodies of up to 64 KiB, before none. plantainctl where prints the reply as a table or as JSON.

Conclusion: the first attempt of a request is predicted where no coordinator denies it. Denials of coordinators, quarantines of whole requests and streams that are taken up are not predicted.

--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -3,6 +3,7 @@
 #include <boost/program_options.hpp>
 
 #include "commands.h"
+#include "where.h"
 
 namespace {
 
@@ -22,6 +23,10 @@
   explain REQUEST [LOG...]
                        how routers handled a request and what they knew at that time, from
                        their log files, or from standard input without LOG
+  where --router HOST:PORT --route NAME [--workspace NAME] [--key KEY] [--prompt FILE] [--json]
+                       where that router of the users' platform would send a request now, and
+                       why; KEY is the attempt's id, FILE has the prompt's parts as callers send
+                       them
 
 Exit codes: 0 done, 1 failed, 2 bad input, 3 version conflict, 4 not found, 5 outcome unknown (the
 write may have taken effect).
@@ -52,6 +57,19 @@
     return deleteEntry(platform, key, variables["if-version"].as<std::uint64_t>(), output);
 }
 
+std::string textOf(const options::variables_map &variables, const char *name)
+{
+    return variables.count(name) > 0 ? variables[name].as<std::string>() : std::string();
+}
+
+int runWhere(const options::variables_map &variables, OutputFormat output)
+{
+    const WhereOptions options{textOf(variables, "router"), textOf(variables, "route"),
+                               textOf(variables, "workspace"), textOf(variables, "key"),
+                               textOf(variables, "prompt")};
+    return showWhere(options, variables.count("json") > 0 ? OutputFormat::Json : output);
+}
+
 int runCommand(const options::variables_map &variables)
 {
     const auto arguments = variables["words"].as<std::vector<std::string>>();
@@ -69,6 +87,13 @@
         }
         return explainRequest(arguments[1], {arguments.begin() + 2, arguments.end()});
     }
+    if (command == "where") {
+        if (arguments.size() > 1) {
+            std::cerr << "where takes options only\n";
+            return exitBadInput;
+        }
+        return runWhere(variables, output);
+    }
     BlockingPlatformClient platform(variables["platform"].as<std::string>());
     if (command == "list") {
         return listEntries(platform, output);
@@ -92,7 +117,7 @@
     return exitBadInput;
 }
 
-int run(int argc, char **argv)
+options::options_description describeOptions()
 {
     options::options_description description("Options");
     description.add_options()("help", "show this text")(
@@ -102,7 +127,18 @@
         "if-version", options::value<std::uint64_t>(),
         "stored version that delete requires")("show-token", "get prints a workspace's token")(
         "output", options::value<std::string>()->default_value("table"),
-        "output format: json or table");
+        "output format: json or table")("json", "where prints the JSON object")(
+        "router", options::value<std::string>(), "where: control or readiness address of a router")(
+        "route", options::value<std::string>(), "where: name of the route")(
+        "workspace", options::value<std::string>(), "where: name of the workspace")(
+        "key", options::value<std::string>(), "where: id of the attempt")(
+        "prompt", options::value<std::string>(), "where: file with the parts of the prompt");
+    return description;
+}
+
+int run(int argc, char **argv)
+{
+    const options::options_description description = describeOptions();
     options::positional_options_description positions;
     positions.add("words", -1);
     options::variables_map variables;
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -152,6 +152,9 @@
     /// Decodes a caller's request. \returns nothing if it cannot be served, with \a reason set.
     [[nodiscard]] virtual std::optional<CallerRequest> parseRequest(const MessageHead &head,
                                                                     Reason &reason) const = 0;
+    /// Decodes the parts of a prompt, in the form in which callers send them. \returns nothing if
+    /// they are malformed.
+    [[nodiscard]] virtual std::optional<Prompt> parsePrompt(std::string_view parts) const = 0;
     /// \returns the head of \a request to send to the upstream.
     [[nodiscard]] virtual std::string serializeRequest(const CallerRequest &request,
                                                        const DispatchContext &handover) const = 0;
--- a/gateway/gatewayconnections.cpp
+++ b/gateway/gatewayconnections.cpp
@@ -4,6 +4,7 @@
 
 #include "gauges.h"
 #include "storeview.h"
+#include "wherequery.h"
 
 namespace plantainswitch::gateway {
 
@@ -29,7 +30,7 @@
     acceptor.start([this, &handlers](asio::ip::tcp::socket socket) {
         CallerLimits limits;
         limits.maxHeaderBytes = maxInternalHeadBytes;
-        limits.maxBodyBytes = 0;
+        limits.maxBodyBytes = maxWhereQueryBytes;
         if (&handlers == &this->peerHandlers && this->state.routingTable) {
             // A forwarded request has some fields more than its caller sent.
             limits = this->state.routingTable->config().limits;
@@ -76,6 +77,11 @@
             this->state.metrics.render(this->state.clock.now()) + renderGauges(this->state), false);
         return;
     }
+    if (incoming.head.target == wherePath && incoming.head.method == "POST") {
+        const WhereReply reply = answerWhereQuery(this->state, incoming.body);
+        caller->respond(reply.status, {{"Content-Type", "application/json"}}, reply.body, false);
+        return;
+    }
     if (const auto query = parseStoreViewQuery(incoming.head.target)) {
         const std::uint64_t version =
             this->state.routingTable ? this->state.routingTable->config().version : 0;
--- a/include/plantainswitch/routing/selection.h
+++ b/include/plantainswitch/routing/selection.h
@@ -5,6 +5,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "plantainswitch/base/clock.h"
 #include "plantainswitch/routing/prefixindex.h"
@@ -121,6 +122,18 @@
     double occupancy = 0.0;
 };
 
+/// Whether an upstream can be selected, in order of preference: a class is used only if no
+/// candidate is in a better one.
+enum class Eligibility : std::uint8_t { Good, OverBound, Ejected, Unreachable, Unusable };
+
+/// How one candidate compares.
+struct CandidateEvaluation
+{
+    Eligibility eligibility = Eligibility::Unusable;
+    /// Its estimates and its load bound; the counts over all candidates are not set.
+    UpstreamSelection selection;
+};
+
 /// \returns how many of \a upstreams this router cannot connect to.
 [[nodiscard]] std::size_t unreachableCount(std::span<UpstreamState *const> upstreams,
                                            TimePoint now);
@@ -136,4 +149,9 @@
 selectUpstream(std::span<UpstreamState *const> candidates, const SelectionRequest &request,
                const PrefixIndex &memory, const SelectionPolicy &policy, TimePoint now);
 
+/// \returns what selectUpstream() compares, for each candidate.
+[[nodiscard]] std::vector<CandidateEvaluation>
+evaluateCandidates(std::span<UpstreamState *const> candidates, const SelectionRequest &request,
+                   const PrefixIndex &memory, const SelectionPolicy &policy, TimePoint now);
+
 } // namespace plantainswitch
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -266,9 +266,6 @@
     selection.serviceDelay += prefill + transfer;
 }
 
-/// In order of preference: a class is used only if no candidate is in a better one.
-enum class Eligibility : std::uint8_t { Good, OverBound, Ejected, Unreachable, Unusable };
-
 Eligibility eligibilityOf(const UpstreamState &state, const SelectionRequest &request,
                           const CandidateStatistics &statistics, TimePoint now)
 {
@@ -423,4 +420,24 @@
     return best;
 }
 
+std::vector<CandidateEvaluation> evaluateCandidates(std::span<UpstreamState *const> candidates,
+                                                    const SelectionRequest &request,
+                                                    const PrefixIndex &memory,
+                                                    const SelectionPolicy &policy, TimePoint now)
+{
+    const Comparison comparison = prepare(candidates, request, memory, policy, now);
+    std::vector<CandidateEvaluation> evaluations;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const UpstreamState &state = *candidates[i];
+        UpstreamSelection selection = evaluate(i, state, comparison, request, policy, now);
+        if (selection.isFirstPrefill) {
+            addFirstPrefill(selection, state, comparison.cached, request, policy);
+        }
+        selection.loadBound = comparison.statistics.bound;
+        evaluations.push_back(
+            {eligibilityOf(state, request, comparison.statistics, now), selection});
+    }
+    return evaluations;
+}
+
 } // namespace plantainswitch
