Apply a slot queue's reply only if it comes from the coordinator that was asked last

Cause: a router matched replies by the id of the request alone. After a coordinator had stopped, its late grant was taken for one of its successor, to which the router had repeated the request. The successor did not count the run, and the end of the grant went to the wrong router.

Change: EngineReply states the sender's id and incarnation in two new fields, and a router compares them with what the coordinator's updates state. Without the fields, as in earlier versions, the address is compared. What another router granted or queued is returned to it with EngineEnd, unless it is an earlier process at the address of the present coordinator: there the message would end the request's present slot.

Conclusion: a grant counts at the router that gave it, or not at all. A late grant of a coordinator that a request has left and come back to is still applied.

--- a/gateway/fleetcoordination.cpp
+++ b/gateway/fleetcoordination.cpp
@@ -146,7 +146,7 @@
 
 void FleetGossip::onReply(const wire::EngineReply &message, const Endpoint &from)
 {
-    if (this->slots.onReply(decodeQueueReply(message))) {
+    if (this->slots.onReply(decodeQueueReply(message), senderOf(message, from))) {
         return;
     }
     const auto found = this->pendingGrantRequests.find(message.number());
--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -71,7 +71,7 @@
           [this](const Endpoint &address, const wire::GatewayDatagram &datagram) {
               this->sendTo(address, datagram);
           },
-          [this](std::uint64_t upstream) { return this->coordinatorOf(upstream); })
+          [this](std::uint64_t upstream) { return this->slotCoordinatorOf(upstream); })
     , lastRequestId(hashOf(std::to_string(incarnation)))
 {}
 
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -177,6 +177,9 @@
                                                       std::uint64_t revision) const;
     /// \returns the address of the engine's coordinator; nothing if it is this router.
     [[nodiscard]] std::optional<Endpoint> coordinatorOf(std::uint64_t upstream) const;
+    /// \returns the same with the identity that its updates state.
+    [[nodiscard]] std::optional<RouterIdentity> slotCoordinatorOf(std::uint64_t upstream) const;
+    [[nodiscard]] RouterIdentity ownIdentity() const;
     void tick();
     void broadcast(BroadcastScope scope);
     /// \returns an update for a router that was last sent one at \a since.
--- a/gateway/fleetupdates.cpp
+++ b/gateway/fleetupdates.cpp
@@ -48,6 +48,7 @@
 void recordState(RouterContact &contact, const wire::RouterNews &message, TimePoint now)
 {
     contact.id = message.id();
+    contact.incarnation = message.incarnation();
     contact.dataCentre = message.place();
     contact.configVersion = message.config_version();
     contact.aliveRouters = message.known_routers();
--- a/gateway/slotmessages.cpp
+++ b/gateway/slotmessages.cpp
@@ -16,6 +16,15 @@
 
 } // namespace
 
+bool isFrom(const RouterIdentity &asked, const RouterIdentity &sender)
+{
+    const bool isStated = asked.incarnation != 0 && sender.incarnation != 0;
+    if (isStated && asked.id == sender.id && asked.incarnation == sender.incarnation) {
+        return true;
+    }
+    return asked.address == sender.address && (!isStated || sender.incarnation > asked.incarnation);
+}
+
 std::uint32_t millisecondsOf(Duration span)
 {
     constexpr Milliseconds::rep most = std::numeric_limits<std::uint32_t>::max();
@@ -42,7 +51,7 @@
     return datagram;
 }
 
-wire::GatewayDatagram encode(const QueueReply &reply)
+wire::GatewayDatagram encode(const QueueReply &reply, const RouterIdentity &sender)
 {
     wire::GatewayDatagram datagram;
     wire::EngineReply &message = *datagram.mutable_reply();
@@ -55,6 +64,8 @@
     message.set_retry_after_ms(millisecondsOf(reply.state.retryAfter));
     message.set_cold_ms(millisecondsOf(reply.coldFor));
     message.set_learned_limit(static_cast<float>(reply.learnedLimit));
+    message.set_router(sender.id);
+    message.set_router_incarnation(sender.incarnation);
     return datagram;
 }
 
@@ -115,6 +126,11 @@
     return reply;
 }
 
+RouterIdentity senderOf(const wire::EngineReply &message, const Endpoint &address)
+{
+    return {address, message.router(), message.router_incarnation()};
+}
+
 GrantRelease decodeRelease(const wire::EngineEnd &message)
 {
     GrantRelease release;
--- a/gateway/slotmessages.h
+++ b/gateway/slotmessages.h
@@ -4,6 +4,7 @@
 
 #include "peer.pb.h"
 
+#include "plantainswitch/membership/vm.h"
 #include "plantainswitch/routing/enginegrant.h"
 #include "plantainswitch/routing/slotqueue.h"
 
@@ -30,6 +31,20 @@
     std::uint32_t ownRunning = 0;
 };
 
+/// A process of a router, as the sender or receiver of messages.
+struct RouterIdentity
+{
+    Endpoint address;
+    /// Hash of its id. Valid unless the incarnation is 0.
+    std::uint64_t id = 0;
+    /// 0 if not known: routers of earlier versions do not state it.
+    std::uint64_t incarnation = 0;
+};
+
+/// \returns whether a message of \a sender comes from the router that was \a asked. A newer process
+/// at the same address has received the question in its place.
+[[nodiscard]] bool isFrom(const RouterIdentity &asked, const RouterIdentity &sender);
+
 /// The coordinator's reply, or the end of a request's wait.
 struct QueueReply
 {
@@ -43,7 +58,7 @@
 };
 
 [[nodiscard]] wire::GatewayDatagram encode(const QueueAsk &ask);
-[[nodiscard]] wire::GatewayDatagram encode(const QueueReply &reply);
+[[nodiscard]] wire::GatewayDatagram encode(const QueueReply &reply, const RouterIdentity &sender);
 /// \returns the message that a granted or waiting request has ended.
 [[nodiscard]] wire::GatewayDatagram encodeEnd(std::uint64_t requestId, std::uint64_t incarnation,
                                               const GrantRelease &release);
@@ -51,6 +66,8 @@
 [[nodiscard]] bool isQueueAsk(const wire::EngineAsk &message);
 [[nodiscard]] QueueAsk decodeQueueAsk(const wire::EngineAsk &message);
 [[nodiscard]] QueueReply decodeQueueReply(const wire::EngineReply &message);
+/// \returns who has sent a coordinator's reply, which arrived from \a address.
+[[nodiscard]] RouterIdentity senderOf(const wire::EngineReply &message, const Endpoint &address);
 /// \returns how a grant ends, as its router states it.
 [[nodiscard]] GrantRelease decodeRelease(const wire::EngineEnd &message);
 /// \returns \a span as the field of a message holds it, rounded up.
--- a/gateway/slotqueueclient.cpp
+++ b/gateway/slotqueueclient.cpp
@@ -11,6 +11,23 @@
 
 namespace plantainswitch::gateway {
 
+namespace {
+
+bool isSameRouter(const std::optional<RouterIdentity> &asked,
+                  const std::optional<RouterIdentity> &sender)
+{
+    return asked && sender ? isFrom(*asked, *sender) : !asked && !sender;
+}
+
+/// \returns whether messages to the two routers go to the same address.
+bool haveSameAddress(const std::optional<RouterIdentity> &left,
+                     const std::optional<RouterIdentity> &right)
+{
+    return left && right && left->address == right->address;
+}
+
+} // namespace
+
 SlotQueueClient::SlotQueueClient(GatewayState &gateway, SlotQueueCoordinator &own, Sender send,
                                  Locator locate)
     : gateway(gateway)
@@ -21,7 +38,7 @@
 
 void SlotQueueClient::ask(QueueAsk ask, std::string attempt, Done done)
 {
-    std::optional<Endpoint> coordinator = this->locate(ask.upstream);
+    std::optional<RouterIdentity> coordinator = this->locate(ask.upstream);
     ask.request.router = toText(this->gateway.settings.peerDatagrams);
     const std::uint64_t requestId = ask.request.requestId;
     Pending pending{std::move(ask),
@@ -56,20 +73,29 @@
     pending.isAwaitingReply = true;
     this->armTimer(requestId, coordinatorTimeout);
     if (!pending.coordinator) {
-        this->onReply(this->own.request(message));
+        this->onReply(this->own.request(message), std::nullopt);
         return;
     }
     this->gateway.metrics.count(Counter::SlotAsks);
-    this->send(*pending.coordinator, encode(message));
+    this->send(pending.coordinator->address, encode(message));
 }
 
-bool SlotQueueClient::onReply(const QueueReply &reply)
+bool SlotQueueClient::onReply(const QueueReply &reply, const std::optional<RouterIdentity> &sender)
 {
     const auto found = this->pendingAsks.find(reply.requestId);
     if (found == this->pendingAsks.end()) {
+        const auto granted = this->grants.find(reply.requestId);
         // A reply to a repeated question may cross the grant.
-        return this->grants.contains(reply.requestId);
+        if (granted != this->grants.end() && !isSameRouter(granted->second.coordinator, sender)) {
+            this->returnSlot(reply, granted->second.coordinator, sender);
+        }
+        return granted != this->grants.end();
     }
+    if (!isSameRouter(found->second.coordinator, sender)) {
+        this->returnSlot(reply, found->second.coordinator, sender);
+        return true;
+    }
+    found->second.coordinator = sender;
     if (reply.state.verdict == SlotQueueVerdict::Queued) {
         this->onQueued(found->second, reply);
         return true;
@@ -94,6 +120,17 @@
     return true;
 }
 
+void SlotQueueClient::returnSlot(const QueueReply &reply,
+                                 const std::optional<RouterIdentity> &asked,
+                                 const std::optional<RouterIdentity> &sender)
+{
+    // The process at the address of the asked router would end the request's present slot. An
+    // earlier process there has lost its queue.
+    if (reply.state.verdict != SlotQueueVerdict::Denied && !haveSameAddress(asked, sender)) {
+        this->sendEnd(reply.requestId, {sender, reply.incarnation}, {});
+    }
+}
+
 void SlotQueueClient::onQueued(Pending &pending, const QueueReply &reply)
 {
     const TimePoint now = this->gateway.clock.now();
@@ -157,11 +194,15 @@
 void SlotQueueClient::followCoordinator(std::uint64_t requestId)
 {
     Pending &pending = this->pendingAsks.at(requestId);
-    std::optional<Endpoint> current = this->locate(pending.ask.upstream);
-    if (current == pending.coordinator) {
+    std::optional<RouterIdentity> current = this->locate(pending.ask.upstream);
+    if (isSameRouter(current, pending.coordinator)) {
         return;
     }
-    this->sendEnd(requestId, {pending.coordinator, pending.ask.incarnation}, {});
+    // A new process at the same address knows nothing of the request, and could receive its end
+    // after the question that follows.
+    if (!haveSameAddress(current, pending.coordinator)) {
+        this->sendEnd(requestId, {pending.coordinator, pending.ask.incarnation}, {});
+    }
     pending.coordinator = std::move(current);
 }
 
@@ -205,7 +246,7 @@
                       release);
         return;
     }
-    this->send(*grant.coordinator, encodeEnd(requestId, grant.incarnation, release));
+    this->send(grant.coordinator->address, encodeEnd(requestId, grant.incarnation, release));
 }
 
 void SlotQueueClient::logLeft(const Pending &pending, std::string_view outcome) const
--- a/gateway/slotqueueclient.h
+++ b/gateway/slotqueueclient.h
@@ -26,7 +26,7 @@
 public:
     using Sender = std::function<void(const Endpoint &, const wire::GatewayDatagram &)>;
     /// \returns the coordinator of an upstream; nothing if it is this router.
-    using Locator = std::function<std::optional<Endpoint>(std::uint64_t upstream)>;
+    using Locator = std::function<std::optional<RouterIdentity>(std::uint64_t upstream)>;
     /// Called with the grant or the denial; with nothing if the coordinator does not respond.
     using Done = std::function<void(const std::optional<QueueReply> &)>;
 
@@ -38,16 +38,18 @@
     void ask(QueueAsk ask, std::string attempt, Done done);
     /// Ends a grant, or withdraws a request that waits. \returns false if the request is unknown.
     bool end(std::uint64_t requestId, const GrantRelease &release);
-    /// Handles a coordinator's reply. \returns false if the request is unknown: the coordinator
-    /// must then be sent the end of what it granted or queued.
-    bool onReply(const QueueReply &reply);
+    /// Handles a coordinator's reply. If it is not the one that the request was last sent to, what
+    /// it granted or queued is returned to it. \returns false if the request is unknown: the
+    /// coordinator must then be sent the end of what it granted or queued.
+    /// \param sender nothing if it is this router
+    bool onReply(const QueueReply &reply, const std::optional<RouterIdentity> &sender);
 
 private:
     struct Pending
     {
         QueueAsk ask;
         std::string attempt;
-        std::optional<Endpoint> coordinator;
+        std::optional<RouterIdentity> coordinator;
         Done done;
         std::unique_ptr<asio::steady_timer> timer;
         TimePoint askedAt;
@@ -59,13 +61,16 @@
 
     struct Grant
     {
-        std::optional<Endpoint> coordinator;
+        std::optional<RouterIdentity> coordinator;
         std::uint64_t incarnation = 0;
     };
 
     /// Sends a pending request with the times that are left.
     void sendAsk(std::uint64_t requestId);
     void sendEnd(std::uint64_t requestId, const Grant &grant, const GrantRelease &release);
+    /// Ends what another router than the \a asked one has granted or queued.
+    void returnSlot(const QueueReply &reply, const std::optional<RouterIdentity> &asked,
+                    const std::optional<RouterIdentity> &sender);
     void onQueued(Pending &pending, const QueueReply &reply);
     void armTimer(std::uint64_t requestId, Duration wait);
     void onTimer(std::uint64_t requestId);
--- a/include/plantainswitch/routing/routercontacts.h
+++ b/include/plantainswitch/routing/routercontacts.h
@@ -79,6 +79,8 @@
 struct RouterContact
 {
     std::string id;
+    /// Start time of the process.
+    std::uint64_t incarnation = 0;
     /// Data centre.
     std::string dataCentre;
     /// When an update last arrived from there; before the first one, when the address was added.
@@ -162,6 +164,12 @@
     /// Removes addresses without updates for contactRetention.
     void removeUnresponsive(TimePoint now);
 
+    /// \returns what is known of the router at \a address, or nullptr.
+    [[nodiscard]] const RouterContact *find(const Endpoint &address) const
+    {
+        const auto found = this->contacts.find(address);
+        return found == this->contacts.end() ? nullptr : &found->second;
+    }
     [[nodiscard]] std::size_t size() const noexcept { return this->contacts.size(); }
     /// \returns the number of other routers that are alive.
     [[nodiscard]] std::size_t aliveCount(TimePoint now) const;
