Bind a slot queue to one incarnation of its upstream

Cause: after a restart of an upstream, its queue kept the grants, hold times, late share, slowdown and reported load of the former process until it was empty, which under load it hardly ever is. Runs of a process that no longer existed took slots of the new one.

Change: the first question for another incarnation starts a new queue. Incarnations are hashes and have no order, so the one that is named last for the first time counts as the newer one; where that is wrong, the coordinator's own list corrects it after 5 s. A router applies no reply for an incarnation that its list no longer shows, and states no load or limit of another incarnation in a question.

Measured: the new case fails on the code before (the first request of the new incarnation waits behind 2 grants of the former one).

Conclusion: no field of the protocol is needed, so that questions of earlier versions are bound alike.

--- a/gateway/gatewayrequestslots.cpp
+++ b/gateway/gatewayrequestslots.cpp
@@ -84,7 +84,9 @@
     if (!isGranted) {
         this->grantId = 0;
     }
-    if (!this->isUsable(target) || this->remainingTime() < minRemainingTime) {
+    // The reply says nothing about a process that was started since the question.
+    const bool isReplaced = target && incarnationOf(target->replica) != this->grantedIncarnation;
+    if (!this->isUsable(target) || isReplaced || this->remainingTime() < minRemainingTime) {
         this->releaseGrant();
         this->selectAndDispatch();
         return;
--- a/gateway/slotqueueclient.cpp
+++ b/gateway/slotqueueclient.cpp
@@ -65,7 +65,8 @@
     reduce(message.request.untilObjective, Milliseconds{0});
     reduce(message.request.untilDeadline, Milliseconds{0});
     reduce(message.request.maxWait, Milliseconds{1});
-    if (const UpstreamState *const upstream = this->gateway.upstreams.findKey(message.upstream)) {
+    if (const UpstreamState *const upstream =
+            this->gateway.upstreams.findIncarnation(message.incarnation)) {
         message.ownRunning = upstream->ownRunning;
         message.slots = slotsOf(*upstream);
         message.learnedLimit = upstream->learnedLimit;
--- a/gateway/slotqueuecoordinator.cpp
+++ b/gateway/slotqueuecoordinator.cpp
@@ -18,6 +18,18 @@
 constexpr Milliseconds minTimerInterval{1};
 /// Change of an upstream's concurrency limit that is logged.
 constexpr double minLoggedLimitChange = 0.5;
+/// Time for which a queue stays bound to an incarnation that this router's list does not show. The
+/// list is usually up to date within a second.
+constexpr Milliseconds listDelay{5000};
+
+/// \returns when to repeat a request that was denied because its upstream has restarted. It differs
+/// between requests, so that they do not all return at once.
+Milliseconds restartRetryAfter(const std::string &router, std::uint64_t requestId)
+{
+    constexpr auto spread = static_cast<std::uint64_t>(minSlotRetryAfter.count());
+    return minSlotRetryAfter
+           + Milliseconds{static_cast<std::int64_t>(hashOf(router, requestId) % spread)};
+}
 
 } // namespace
 
@@ -32,15 +44,16 @@
     const TimePoint now = this->gateway.clock.now();
     Upstream &upstream = this->upstreams[ask.upstream];
     upstream.lastRequest = now;
-    upstream.hasOldFigures |= !this->upstreamOf.contains(ask.incarnation);
-    this->discardOldFigures(upstream);
-    upstream.incarnation = ask.incarnation;
-    upstream.slots = ask.slots;
     upstream.key = ask.upstream;
+    const bool isCurrent = this->bind(upstream, ask.incarnation);
+    this->upstreamOf[ask.incarnation] = {ask.upstream, now};
+    if (!isCurrent) {
+        return this->denyOutdated(ask, upstream);
+    }
+    upstream.slots = ask.slots;
     if (ask.learnedLimit > 0.0 && this->limits.find(ask.incarnation) == nullptr) {
         this->limits.adopt(ask.incarnation, ask.learnedLimit, now);
     }
-    this->upstreamOf[ask.incarnation] = {ask.upstream, now};
     this->recordOwnRunning(upstream, ask);
     QueueReply reply = this->makeReply(ask.request.requestId, upstream);
     reply.coldFor = this->coldFor(ask.upstream);
@@ -64,18 +77,45 @@
     return reply;
 }
 
-void SlotQueueCoordinator::discardOldFigures(Upstream &upstream)
+bool SlotQueueCoordinator::isNewer(std::uint64_t incarnation, const Upstream &upstream) const
 {
-    if (!upstream.hasOldFigures || upstream.queue.grantedCount() > 0
-        || upstream.queue.waitingCount() > 0) {
-        return;
+    if (!this->upstreamOf.contains(incarnation)) {
+        return true;
+    }
+    // Routers that learn late of a restart go on asking for the former incarnation. If such a
+    // question was the first one here, the list corrects it.
+    const UpstreamState *const listed = this->gateway.upstreams.findKey(upstream.key);
+    return listed != nullptr && incarnationOf(listed->replica) == incarnation
+           && this->gateway.clock.now() - upstream.startedAt >= listDelay;
+}
+
+bool SlotQueueCoordinator::bind(Upstream &upstream, std::uint64_t incarnation)
+{
+    if (upstream.incarnation == incarnation) {
+        return true;
     }
-    upstream.queue = SlotQueue();
-    upstream.statedUnknown = {};
-    upstream.unknownOfRouters.clear();
-    upstream.slowdownPercent = 0;
-    upstream.loggedLimit = 0.0;
-    upstream.hasOldFigures = false;
+    if (upstream.incarnation != 0 && !this->isNewer(incarnation, upstream)) {
+        return false;
+    }
+    this->denyWaiting(upstream, Milliseconds{0});
+    Upstream restarted;
+    restarted.key = upstream.key;
+    restarted.incarnation = incarnation;
+    restarted.startedAt = restarted.lastRequest = this->gateway.clock.now();
+    upstream = std::move(restarted);
+    return true;
+}
+
+QueueReply SlotQueueCoordinator::denyOutdated(const QueueAsk &ask, const Upstream &upstream) const
+{
+    QueueReply reply = this->makeReply(ask.request.requestId, upstream);
+    reply.incarnation = ask.incarnation;
+    // A figure of the present incarnation.
+    reply.learnedLimit = 0.0;
+    // Other upstreams come first: nothing is granted until the router learns of the restart.
+    reply.state.expectedWait = ask.request.untilDeadline;
+    reply.state.retryAfter = restartRetryAfter(ask.request.router, ask.request.requestId);
+    return reply;
 }
 
 QueueReply SlotQueueCoordinator::makeReply(std::uint64_t requestId, const Upstream &upstream) const
@@ -202,7 +242,9 @@
         return nullptr;
     }
     const auto found = this->upstreams.find(key->second.upstream);
-    return found == this->upstreams.end() ? nullptr : &found->second;
+    const bool isCurrent =
+        found != this->upstreams.end() && found->second.incarnation == incarnation;
+    return isCurrent ? &found->second : nullptr;
 }
 
 void SlotQueueCoordinator::end(const std::string &router, std::uint64_t requestId,
@@ -220,7 +262,7 @@
         upstream->slowdownPercent = release.load->slowdownPercent;
     }
     const auto run = upstream->queue.end(router, requestId, now, release.end);
-    if (run && incarnation == upstream->incarnation) {
+    if (run) {
         this->recordRun(*upstream, *run);
     }
     upstream->waiting.erase({router, requestId});
@@ -237,6 +279,9 @@
         reply.coldFor = coldFor;
         reply.state.verdict = SlotQueueVerdict::Denied;
         reply.state.running = static_cast<std::uint32_t>(upstream.queue.grantedCount());
+        if (coldFor.count() == 0) {
+            reply.state.retryAfter = restartRetryAfter(router, requestId);
+        }
         this->send(router, reply);
     }
 }
@@ -319,9 +364,7 @@
         }
         std::uint32_t running = 0;
         for (const PeerLoad &load : loads) {
-            const auto named = this->upstreamOf.find(load.incarnation);
-            running +=
-                named != this->upstreamOf.end() && named->second.upstream == key ? load.running : 0;
+            running += load.incarnation == upstream.incarnation ? load.running : 0;
         }
         upstream.queue.reconcile(router, running, this->gateway.clock.now());
         this->grantWaiting(key, upstream);
--- a/gateway/slotqueuecoordinator.h
+++ b/gateway/slotqueuecoordinator.h
@@ -84,9 +84,10 @@
         SlotQueue queue;
         /// Router and id of each request that waits in the queue.
         std::set<std::pair<std::string, std::uint64_t>> waiting;
+        /// The one that the queue and all figures belong to; 0 before the first question.
         std::uint64_t incarnation = 0;
-        /// The queue has observed hold times of an earlier incarnation.
-        bool hasOldFigures = false;
+        /// When the queue was started for it.
+        TimePoint startedAt;
         /// As the last router stated them that asked; 0 if it did not.
         std::uint32_t slots = 0;
         TimePoint lastRequest;
@@ -108,17 +109,23 @@
     [[nodiscard]] double slotsOf(const Upstream &upstream) const;
     [[nodiscard]] SlotQueueLimits limitsOf(std::uint64_t key, const Upstream &upstream) const;
     [[nodiscard]] std::uint32_t unknownRunning(const Upstream &upstream) const;
+    /// \returns the upstream whose queue belongs to \a incarnation, or nullptr.
     [[nodiscard]] Upstream *findIncarnation(std::uint64_t incarnation);
     /// \returns how much longer requests to the upstream need a permit because it is cold.
     [[nodiscard]] Milliseconds coldFor(std::uint64_t key) const;
-    /// Starts a new queue for a new incarnation, as soon as the old one is empty.
-    static void discardOldFigures(Upstream &upstream);
+    /// \returns whether \a incarnation has begun after the one that the queue belongs to.
+    [[nodiscard]] bool isNewer(std::uint64_t incarnation, const Upstream &upstream) const;
+    /// Starts a new queue if \a incarnation is newer than the queue's. \returns whether the queue
+    /// belongs to it.
+    bool bind(Upstream &upstream, std::uint64_t incarnation);
+    /// Denies a request for an incarnation that has ended.
+    [[nodiscard]] QueueReply denyOutdated(const QueueAsk &ask, const Upstream &upstream) const;
     void recordOwnRunning(Upstream &upstream, const QueueAsk &ask);
     /// Records a sign of contention if a request was denied while the slots were taken, or the
     /// queue is as long as an upstream's would be.
     void recordContention(std::uint64_t key, const Upstream &upstream, bool wasDenied);
     /// Denies all waiting requests, because the upstream is cold for \a coldFor: from then on each
-    /// of them needs a permit.
+    /// of them needs a permit. If that is 0, the upstream has restarted.
     void denyWaiting(Upstream &upstream, Milliseconds coldFor);
     /// Grants the waiting requests whose turn has come, and notifies the routers of all whose wait
     /// has ended.
--- a/tests/slotcoordination.cpp
+++ b/tests/slotcoordination.cpp
@@ -52,6 +52,34 @@
         }
     }
 
+    /// Asks the coordinator for another router.
+    QueueReply askOwn(std::uint64_t request, std::uint64_t incarnation)
+    {
+        QueueAsk ask;
+        ask.request.router = "127.0.0.3:1";
+        ask.request.requestId = request;
+        ask.request.untilObjective = ask.request.untilDeadline = ask.request.maxWait = Seconds{4};
+        ask.upstream = hashOf("plain-0");
+        ask.incarnation = incarnation;
+        ask.slots = 1;
+        return this->own.request(ask);
+    }
+
+    /// Takes the slot of an incarnation and its margin by requests 1 and 2, and lets request 3
+    /// wait.
+    void fill(std::uint64_t incarnation)
+    {
+        CHECK(this->askOwn(1, incarnation).state.verdict == SlotQueueVerdict::Granted);
+        CHECK(this->askOwn(2, incarnation).state.verdict == SlotQueueVerdict::Granted);
+        CHECK(this->askOwn(3, incarnation).state.verdict == SlotQueueVerdict::Queued);
+    }
+
+    void endOwn(std::uint64_t request, std::uint64_t incarnation)
+    {
+        this->own.end("127.0.0.3:1", request, incarnation,
+                      {GrantEnd::Responded, Duration{0}, StatedLoad{9, 250}});
+    }
+
     /// \returns whether the message with the \a index is the end of request 7, to \a receiver.
     [[nodiscard]] bool isEnd(std::size_t index, const RouterIdentity &receiver) const
     {
@@ -64,7 +92,11 @@
     ManualClock clock;
     platform::PlatformDialect dialect;
     GatewayState state{this->context, this->clock, this->dialect, GatewaySettings{}};
-    SlotQueueCoordinator own{this->state, [](const std::string &, const QueueReply &) {}};
+    SlotQueueCoordinator own{this->state, [this](const std::string &, const QueueReply &reply) {
+                                 this->replies.push_back(reply);
+                             }};
+    /// The ends of waits that the coordinator has sent.
+    std::vector<QueueReply> replies;
     RouterIdentity first{{"127.0.0.1", 1}, hashOf("router-1"), 5};
     RouterIdentity second{{"127.0.0.2", 1}, hashOf("router-2"), 5};
     std::optional<RouterIdentity> current = this->first;
@@ -134,3 +166,29 @@
     CHECK(this->reply(SlotQueueVerdict::Granted, {this->first.address}));
     CHECK(this->isGranted);
 }
+
+TEST_CASE_METHOD(SlotCoordinationFixture, "slotQueue_newIncarnationAsks_startsAnew", "[gateway]")
+{
+    // Guards against slots of a restarted upstream that runs of its former process still take, and
+    // against figures of that process.
+    this->fill(11);
+    const QueueReply reply = this->askOwn(4, 12);
+    CHECK(reply.state.verdict == SlotQueueVerdict::Granted);
+    CHECK(reply.state.running == 1);
+    REQUIRE(this->replies.size() == 1);
+    CHECK(this->replies.front().requestId == 3);
+    CHECK(this->replies.front().incarnation == 11);
+    CHECK(this->replies.front().state.verdict == SlotQueueVerdict::Denied);
+    CHECK(this->replies.front().state.retryAfter >= minSlotRetryAfter);
+    this->endOwn(1, 11);
+    // A router that does not know of the restart yet.
+    const QueueReply outdated = this->askOwn(5, 11);
+    CHECK(outdated.state.verdict == SlotQueueVerdict::Denied);
+    CHECK(outdated.state.retryAfter >= minSlotRetryAfter);
+    this->own.reconcile("127.0.0.3:1", {{11, 1, 0}});
+    const SlotQueueGauge gauge = this->own.gauges().front();
+    CHECK(gauge.granted == 1);
+    CHECK(gauge.waiting == 0);
+    CHECK(gauge.unknown == 0);
+    CHECK(gauge.slowdownPercent == 0);
+}
