Report a load only with the end of the grant whose upstream stated it

Cause: the end of a grant carried the load of the last response whenever the request had an upstream that had responded. That it was the upstream of the grant followed only from the order in which an attempt is given up and the next one asks.

Change: the load is reported only if the incarnation that responded is the one of the grant.

The tests of slot queues, contention, grants and admission pass (9 programs).

Conclusion: the condition no longer depends on that order.

--- a/gateway/gatewayrequestslots.cpp
+++ b/gateway/gatewayrequestslots.cpp
@@ -204,10 +204,13 @@
     if (!hasResponded || !this->response.notExecuted) {
         release.end = end;
     }
+    // Only of the upstream that the grant is for: an attempt at another one has ended before.
+    const bool isOfGrant =
+        hasResponded && incarnationOf(this->upstream->replica) == this->grantedIncarnation;
     // A response that was read late states an old load, and so does one with a long body.
     const bool isLate = this->gateway.loopMonitor.lateness() > grantArrivalTime
                         || this->now() - this->headReceivedAt > maxLoadAge;
-    if (hasResponded && this->response.load && !isLate) {
+    if (isOfGrant && this->response.load && !isLate) {
         const ReportedLoad &load = *this->response.load;
         release.load = StatedLoad{load.running + load.waiting, load.slowdownPercent};
     }
