Test grants that arrive too late, and requests that wait at an upstream that becomes cold

Cause: nothing guarded the return of a grant, or of a place in a queue, that reaches a router after the request has left it, nor the denial with cold_ms of the requests that wait at an upstream that has become cold.

Change: a case each, the first with a real router and datagrams, the second at the coordinator.

Conclusion: tests only; no fault was found.

--- a/tests/gatewaycontention.cpp
+++ b/tests/gatewaycontention.cpp
@@ -387,8 +387,9 @@
         this->send(datagram);
     }
 
-    /// Waits for the next reply to \a number.
-    wire::EngineReply reply(std::uint64_t number)
+    /// Waits for the next datagram that \a isExpected holds for.
+    template<typename Condition>
+    wire::GatewayDatagram receive(Condition isExpected)
     {
         wire::GatewayDatagram datagram;
         std::array<char, 65536> buffer{};
@@ -396,10 +397,20 @@
             asio::error_code error;
             const std::size_t size = this->socket.receive(asio::buffer(buffer), 0, error);
             return !error && datagram.ParseFromArray(buffer.data(), static_cast<int>(size))
-                   && datagram.has_reply() && datagram.reply().number() == number;
+                   && isExpected(datagram);
         });
         REQUIRE(isReceived);
-        return datagram.reply();
+        return datagram;
+    }
+
+    /// Waits for the next reply to \a number.
+    wire::EngineReply reply(std::uint64_t number)
+    {
+        return this
+            ->receive([number](const auto &datagram) {
+                return datagram.has_reply() && datagram.reply().number() == number;
+            })
+            .reply();
     }
 
     static constexpr std::uint64_t incarnation = 77;
@@ -456,3 +467,29 @@
     CHECK(reply.granted());
     CHECK_FALSE(reply.queued());
 }
+
+TEST_CASE_METHOD(SlotProtocolFixture, "slotReply_requestHasLeftTheQueue_grantIsReturned",
+                 "[gateway]")
+{
+    // Guards against slots that stay taken by requests that have left their router before the
+    // grant arrived.
+    const auto sendReply = [this](std::uint64_t number, bool isGranted, bool isQueued) {
+        wire::GatewayDatagram datagram;
+        datagram.mutable_reply()->set_number(number);
+        datagram.mutable_reply()->set_life(incarnation);
+        datagram.mutable_reply()->set_granted(isGranted);
+        datagram.mutable_reply()->set_queued(isQueued);
+        this->send(datagram);
+    };
+    sendReply(1, false, false);
+    sendReply(2, true, false);
+    sendReply(3, false, true);
+    for (const std::uint64_t number : {2U, 3U}) {
+        const wire::EngineEnd end =
+            this->receive([](const auto &datagram) { return datagram.has_end(); }).end();
+        CHECK(end.number() == number);
+        CHECK(end.life() == incarnation);
+        CHECK_FALSE(end.responded());
+        CHECK_FALSE(end.has_upstream_load());
+    }
+}
--- a/tests/slotcoordination.cpp
+++ b/tests/slotcoordination.cpp
@@ -1,3 +1,4 @@
+#include <memory>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -192,3 +193,30 @@
     CHECK(gauge.unknown == 0);
     CHECK(gauge.slowdownPercent == 0);
 }
+
+TEST_CASE_METHOD(SlotCoordinationFixture, "slotQueue_upstreamBecomesCold_waitingRequestsAreDenied",
+                 "[gateway]")
+{
+    // Guards against requests that wait for a slot while their upstream needs permits instead.
+    this->state.settings.coldStart = ColdStartTolerance{};
+    RoutingConfig config;
+    config.services.push_back({"plain", 0, std::nullopt, {Seconds{600}, 1.0}});
+    this->state.routingTable = std::make_shared<RoutingTable>(std::move(config));
+    Replica replica;
+    replica.id = "plain-0";
+    replica.service = "plain";
+    this->state.upstreams.apply({{ReplicaChange::Added, replica}});
+    const std::uint64_t incarnation = incarnationOf(replica);
+    this->fill(incarnation);
+    this->state.upstreams.find("plain-0")->cold.presume(Seconds{600}, this->clock.now());
+    this->endOwn(1, incarnation);
+    REQUIRE(this->replies.size() == 1);
+    CHECK(this->replies.front().requestId == 3);
+    CHECK(this->replies.front().state.verdict == SlotQueueVerdict::Denied);
+    CHECK(this->replies.front().coldFor == Seconds{600});
+    CHECK(this->own.gauges().front().waiting == 0);
+    const wire::GatewayDatagram datagram = encode(this->replies.front(), this->first);
+    CHECK(datagram.reply().cold_ms() == 600'000);
+    CHECK_FALSE(datagram.reply().granted());
+    CHECK_FALSE(datagram.reply().queued());
+}
