--- a/tests/slotcoordination.cpp
+++ b/tests/slotcoordination.cpp
@@ -66,6 +66,17 @@
         return this->own.request(ask);
     }
 
+    /// Adds "plain-0" to the list of upstreams. \returns its incarnation.
+    std::uint64_t addUpstream()
+    {
+        Replica replica;
+        replica.id = "plain-0";
+        replica.service = "plain";
+        replica.maxConcurrency = 1;
+        this->state.upstreams.apply({{ReplicaChange::Added, replica}});
+        return incarnationOf(replica);
+    }
+
     /// Takes the slot of an incarnation and its margin by requests 1 and 2, and lets request 3
     /// wait.
     void fill(std::uint64_t incarnation)
@@ -194,6 +205,21 @@
     CHECK(gauge.slowdownPercent == 0);
 }
 
+TEST_CASE_METHOD(SlotCoordinationFixture, "slotQueue_formerIncarnationAsksLate_listCorrectsIt",
+                 "[gateway]")
+{
+    // Guards against a queue that stays with a former incarnation for good, because a router that
+    // learned late of the restart has asked for it.
+    const std::uint64_t listed = this->addUpstream();
+    constexpr std::uint64_t former = 11;
+    CHECK(this->askOwn(1, listed).state.verdict == SlotQueueVerdict::Granted);
+    CHECK(this->askOwn(2, former).state.verdict == SlotQueueVerdict::Granted);
+    CHECK(this->askOwn(3, listed).state.verdict == SlotQueueVerdict::Denied);
+    this->clock.advance(Seconds{5});
+    CHECK(this->askOwn(3, listed).state.verdict == SlotQueueVerdict::Granted);
+    CHECK(this->askOwn(4, former).state.verdict == SlotQueueVerdict::Denied);
+}
+
 TEST_CASE_METHOD(SlotCoordinationFixture, "slotQueue_upstreamBecomesCold_waitingRequestsAreDenied",
                  "[gateway]")
 {
@@ -202,11 +228,7 @@
     RoutingConfig config;
     config.services.push_back({"plain", 0, std::nullopt, {Seconds{600}, 1.0}});
     this->state.routingTable = std::make_shared<RoutingTable>(std::move(config));
-    Replica replica;
-    replica.id = "plain-0";
-    replica.service = "plain";
-    this->state.upstreams.apply({{ReplicaChange::Added, replica}});
-    const std::uint64_t incarnation = incarnationOf(replica);
+    const std::uint64_t incarnation = this->addUpstream();
     this->fill(incarnation);
     this->state.upstreams.find("plain-0")->cold.presume(Seconds{600}, this->clock.now());
     this->endOwn(1, incarnation);
