Watch a duplicate of libcurl's descriptors, so that another one is never deregistered

Only programs with several threads were affected.

Change: the client registers a duplicate that it owns, and closes it after it is deregistered.

--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -9,6 +9,8 @@
 #include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
 #include <curl/curl.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 namespace plantainswitch::net {
 
@@ -71,9 +73,17 @@
 private:
     struct Socket
     {
-        explicit Socket(asio::io_context &context, curl_socket_t fd)
-            : descriptor(context, fd)
+        /// \param duplicate owned by the socket. If a transfer is cancelled while it connects,
+        /// libcurl closes its descriptor before it reports the removal; meanwhile another thread
+        /// may have opened one with the same number, whose registration would be removed instead.
+        Socket(asio::io_context &context, int duplicate)
+            : descriptor(context, duplicate)
         {}
+        void close()
+        {
+            this->pollEvents = 0;
+            ::close(this->descriptor.release());
+        }
         asio::posix::stream_descriptor descriptor;
         int pollEvents = 0;
         bool reading = false;
@@ -280,7 +290,7 @@
     curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, nullptr);
     curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, nullptr);
     for (const auto &[fd, socket] : this->sockets) {
-        socket->descriptor.release();
+        socket->close();
     }
     curl_multi_cleanup(this->multi);
 }
@@ -311,15 +321,18 @@
     const auto found = state->sockets.find(fd);
     if (what == CURL_POLL_REMOVE) {
         if (found != state->sockets.end()) {
-            found->second->pollEvents = 0;
-            found->second->descriptor.release();
+            found->second->close();
             state->sockets.erase(found);
         }
         return 0;
     }
     SocketPointer socket;
     if (found == state->sockets.end()) {
-        socket = std::make_shared<Socket>(state->context, fd);
+        const int duplicate = ::fcntl(fd, F_DUPFD_CLOEXEC, 0);
+        if (duplicate < 0) {
+            return -1;
+        }
+        socket = std::make_shared<Socket>(state->context, duplicate);
         state->sockets.emplace(fd, socket);
     } else {
         socket = found->second;
