Simplify the slot queue's coordinator; terms and comments

Cause: a read-through. The coordinator passed an upstream's key beside the upstream that has it, built the same denial four times and had its own spread of Retry-After beside the queue's; the placement query repeated how other routers' loads are applied; placementdecision.cpp included the header that includes its own. Comments told trials, and some words were not the field's.

Change: one parameter, makeDenial(), slotRetryAfter() and applyPeerLoad(); the constants of refusals stand beside Refusal.

Measured: the tests of slot queues, contention, usage, speeds, places and queries pass. No check changed; in gatewaycontention an attempt's id is renamed.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -39,12 +39,17 @@
     }
     this->peerLoadsChanged = false;
     for (const auto &[id, upstream] : this->upstreams.all()) {
-        const PeerLoads::Total load = this->peerLoads.totalAt(incarnationOf(upstream->replica));
-        upstream->peersRunning = load.running;
-        upstream->peersPendingPrefill = load.pendingPrefillTokens;
+        this->applyPeerLoad(*upstream);
     }
 }
 
+void GatewayState::applyPeerLoad(UpstreamState &upstream) const
+{
+    const PeerLoads::Total load = this->peerLoads.totalAt(incarnationOf(upstream.replica));
+    upstream.peersRunning = load.running;
+    upstream.peersPendingPrefill = load.pendingPrefillTokens;
+}
+
 void GatewayState::recordConfirmation(std::uint64_t revision, TimePoint now)
 {
     for (auto &[kind, known] : this->syncStates) {
--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -93,9 +93,9 @@
     const UpstreamState &target = *candidates[choice.index];
     Selection placement{choice, target.replica.id, {}, {}};
     if (choice.transferSource) {
-        const Replica &donor = candidates[*choice.transferSource]->replica;
-        placement.donorId = donor.id;
-        placement.copyFrom = donor.endpoint;
+        const Replica &source = candidates[*choice.transferSource]->replica;
+        placement.donorId = source.id;
+        placement.copyFrom = source.endpoint;
     }
     if (usesSlotQueue(this->gateway, request, target)) {
         this->requestSlot(std::move(placement), firstGrantWait(this->grantTimes()));
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -28,13 +28,6 @@
 /// updates, by which a failed one is replaced.
 inline constexpr Milliseconds silentCoordinatorBlock{300};
 
-/// Retry-After of a request that no upstream could take: about the time after which an ejected
-/// upstream is tried again.
-inline constexpr Milliseconds defaultRetryAfter{400};
-
-/// Retry-After of a stream that can't go on; its caller may begin it anew at once.
-inline constexpr Milliseconds beginAnewRetryAfter{50};
-
 /// One request of a caller, from admission and the choice of an upstream to the end of the
 /// response.
 class RequestHandler : public std::enable_shared_from_this<RequestHandler>
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -53,8 +53,8 @@
 {
     /// How much slower an upstream is than its service.
     bool speeds = true;
-    /// How many concurrent requests it runs well. Learning it costs a contended upstream up to 2 %
-    /// of its throughput.
+    /// How many concurrent requests it runs well. Learning it costs a contended upstream some of
+    /// its throughput.
     bool limits = false;
 };
 
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -245,6 +245,8 @@
     void refreshSpeeds();
     /// Copies the other routers' loads into the upstreams' states.
     void refreshPeerLoads();
+    /// Copies the other routers' load of one upstream into its state.
+    void applyPeerLoad(UpstreamState &upstream) const;
     bool peerLoadsChanged = false;
 
 private:
--- a/gateway/placementdecision.cpp
+++ b/gateway/placementdecision.cpp
@@ -5,7 +5,6 @@
 #include "plantainswitch/base/hash.h"
 
 #include "fleetgossip.h"
-#include "gatewayrequesthandler.h"
 
 namespace plantainswitch::gateway {
 
@@ -20,7 +19,7 @@
 /// Shortest Retry-After of a quarantined request.
 constexpr Milliseconds minQuarantineRetryAfter{200};
 
-/// \returns whether every upstream at which the stream may go on is draining, or gone.
+/// \returns whether every upstream at which the stream may go on is draining, or removed.
 bool isVersionGone(const PlacementRequest &request, const FailedPlacement &failed)
 {
     if (failed.stream.binding != BindingState::Bound) {
--- a/gateway/placementdecision.h
+++ b/gateway/placementdecision.h
@@ -16,6 +16,13 @@
 
 namespace plantainswitch::gateway {
 
+/// Retry-After of a request that no upstream could take: about the time after which an ejected
+/// upstream is tried again.
+inline constexpr Milliseconds defaultRetryAfter{400};
+
+/// Retry-After of a stream that can't go on; its caller may begin it anew at once.
+inline constexpr Milliseconds beginAnewRetryAfter{50};
+
 /// What of a request decides where it is sent. Refers to data of its owner.
 struct PlacementRequest
 {
@@ -90,7 +97,7 @@
 placementConstraintsFor(const GatewayState &gateway, const Route &route,
                         std::span<const std::string> workspaceHomes);
 /// \returns those of \a upstreams in permitted data centres at which the stream may go on, if it
-/// has begun.
+/// has started.
 [[nodiscard]] std::vector<UpstreamState *>
 permittedCandidates(std::span<UpstreamState *const> upstreams,
                     const PlacementConstraints &constraints, const StreamState &stream);
--- a/gateway/slotqueuecoordinator.cpp
+++ b/gateway/slotqueuecoordinator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include <fmt/format.h>
@@ -22,13 +23,10 @@
 /// list is usually up to date within a second.
 constexpr Milliseconds listDelay{5000};
 
-/// \returns when to repeat a request that was denied because its upstream has restarted. It differs
-/// between requests, so that they do not all return at once.
+/// \returns when to repeat a request that was denied because its upstream has restarted.
 Milliseconds restartRetryAfter(const std::string &router, std::uint64_t requestId)
 {
-    constexpr auto spread = static_cast<std::uint64_t>(minSlotRetryAfter.count());
-    return minSlotRetryAfter
-           + Milliseconds{static_cast<std::int64_t>(hashOf(router, requestId) % spread)};
+    return slotRetryAfter(0.0, std::numeric_limits<double>::infinity(), router, requestId);
 }
 
 } // namespace
@@ -55,24 +53,23 @@
         this->limits.adopt(ask.incarnation, ask.learnedLimit, now);
     }
     this->recordOwnRunning(upstream, ask);
-    QueueReply reply = this->makeReply(ask.request.requestId, upstream);
-    reply.coldFor = this->coldFor(ask.upstream);
-    if (reply.coldFor.count() > 0) {
+    if (const Milliseconds coldFor = this->coldFor(upstream); coldFor.count() > 0) {
         // The router learns from the reply that it needs a permit instead.
         upstream.queue.end(ask.request.router, ask.request.requestId, now, GrantEnd::Unused);
         upstream.waiting.erase({ask.request.router, ask.request.requestId});
-        reply.state.verdict = SlotQueueVerdict::Denied;
-        reply.state.running = static_cast<std::uint32_t>(upstream.queue.grantedCount());
+        QueueReply reply = this->makeDenial(ask.request.requestId, upstream);
+        reply.coldFor = coldFor;
         return reply;
     }
-    this->grantWaiting(ask.upstream, upstream);
-    const SlotQueueLimits limits = this->limitsOf(ask.upstream, upstream);
+    this->grantWaiting(upstream);
+    QueueReply reply = this->makeReply(ask.request.requestId, upstream);
+    const SlotQueueLimits limits = this->limitsOf(upstream);
     reply.state = upstream.queue.request(ask.request, limits, this->unknownRunning(upstream), now);
     this->sendDropped(upstream);
     if (reply.state.verdict == SlotQueueVerdict::Queued) {
         upstream.waiting.emplace(ask.request.router, ask.request.requestId);
     }
-    this->recordContention(ask.upstream, upstream, reply.state.verdict == SlotQueueVerdict::Denied);
+    this->recordContention(upstream, reply.state.verdict == SlotQueueVerdict::Denied);
     this->armTimer();
     return reply;
 }
@@ -127,6 +124,14 @@
     return reply;
 }
 
+QueueReply SlotQueueCoordinator::makeDenial(std::uint64_t requestId, const Upstream &upstream) const
+{
+    QueueReply reply = this->makeReply(requestId, upstream);
+    reply.state.verdict = SlotQueueVerdict::Denied;
+    reply.state.running = static_cast<std::uint32_t>(upstream.queue.grantedCount());
+    return reply;
+}
+
 void SlotQueueCoordinator::recordOwnRunning(Upstream &upstream, const QueueAsk &ask)
 {
     const auto granted = static_cast<std::uint32_t>(upstream.queue.grantedTo(ask.request.router));
@@ -138,10 +143,9 @@
                                                      this->gateway.clock.now()};
 }
 
-void SlotQueueCoordinator::recordContention(std::uint64_t key, const Upstream &upstream,
-                                            bool wasDenied)
+void SlotQueueCoordinator::recordContention(const Upstream &upstream, bool wasDenied)
 {
-    const UpstreamState *const state = this->gateway.upstreams.findKey(key);
+    const UpstreamState *const state = this->gateway.upstreams.findKey(upstream.key);
     const bool isFull =
         static_cast<double>(upstream.queue.waitingCount()) >= this->slotsOf(upstream);
     // A denial for the deadline alone says nothing about the slots.
@@ -153,9 +157,9 @@
     }
 }
 
-Milliseconds SlotQueueCoordinator::coldFor(std::uint64_t key) const
+Milliseconds SlotQueueCoordinator::coldFor(const Upstream &upstream) const
 {
-    const UpstreamState *const state = this->gateway.upstreams.findKey(key);
+    const UpstreamState *const state = this->gateway.upstreams.findKey(upstream.key);
     if (state == nullptr || !this->gateway.isLimitedAsCold(*state)) {
         return Milliseconds{0};
     }
@@ -210,12 +214,12 @@
               {"run_ms", fmt::format("{:.1f}", known->runTimeAtLimit(now).value_or(0.0))}});
 }
 
-SlotQueueLimits SlotQueueCoordinator::limitsOf(std::uint64_t key, const Upstream &upstream) const
+SlotQueueLimits SlotQueueCoordinator::limitsOf(const Upstream &upstream) const
 {
     SlotQueueLimits limits;
     limits.slots = this->slotsOf(upstream);
     limits.margin = std::max(1.0, this->gateway.settings.contention.marginShare * limits.slots);
-    if (const UpstreamState *const state = this->gateway.upstreams.findKey(key)) {
+    if (const UpstreamState *const state = this->gateway.upstreams.findKey(upstream.key)) {
         limits.holdTime = std::chrono::duration_cast<Milliseconds>(
             this->gateway.slotHoldTime(state->replica.service));
     }
@@ -266,7 +270,7 @@
         this->recordRun(*upstream, *run);
     }
     upstream->waiting.erase({router, requestId});
-    this->grantWaiting(this->upstreamOf.at(incarnation).upstream, *upstream);
+    this->grantWaiting(*upstream);
     this->armTimer();
 }
 
@@ -275,10 +279,8 @@
     const TimePoint now = this->gateway.clock.now();
     for (const auto &[router, requestId] : std::exchange(upstream.waiting, {})) {
         upstream.queue.end(router, requestId, now, GrantEnd::Unused);
-        QueueReply reply = this->makeReply(requestId, upstream);
+        QueueReply reply = this->makeDenial(requestId, upstream);
         reply.coldFor = coldFor;
-        reply.state.verdict = SlotQueueVerdict::Denied;
-        reply.state.running = static_cast<std::uint32_t>(upstream.queue.grantedCount());
         if (coldFor.count() == 0) {
             reply.state.retryAfter = restartRetryAfter(router, requestId);
         }
@@ -286,14 +288,14 @@
     }
 }
 
-void SlotQueueCoordinator::grantWaiting(std::uint64_t key, Upstream &upstream)
+void SlotQueueCoordinator::grantWaiting(Upstream &upstream)
 {
-    if (const Milliseconds coldFor = this->coldFor(key); coldFor.count() > 0) {
+    if (const Milliseconds coldFor = this->coldFor(upstream); coldFor.count() > 0) {
         this->denyWaiting(upstream, coldFor);
         return;
     }
     const std::vector<SlotGrant> grants = upstream.queue.grantWaiting(
-        this->limitsOf(key, upstream), this->unknownRunning(upstream), this->gateway.clock.now());
+        this->limitsOf(upstream), this->unknownRunning(upstream), this->gateway.clock.now());
     for (const SlotGrant &grant : grants) {
         upstream.waiting.erase({grant.router, grant.requestId});
         QueueReply reply = this->makeReply(grant.requestId, upstream);
@@ -308,11 +310,9 @@
 {
     for (const SlotDrop &drop : upstream.queue.takeDropped()) {
         upstream.waiting.erase({drop.router, drop.requestId});
-        QueueReply reply = this->makeReply(drop.requestId, upstream);
-        reply.state.verdict = SlotQueueVerdict::Denied;
+        QueueReply reply = this->makeDenial(drop.requestId, upstream);
         reply.state.expectedWait = drop.waited;
         reply.state.retryAfter = drop.retryAfter;
-        reply.state.running = static_cast<std::uint32_t>(upstream.queue.grantedCount());
         this->send(drop.router, reply);
     }
 }
@@ -349,7 +349,7 @@
         }
         for (auto &[key, upstream] : this->upstreams) {
             if (upstream.queue.waitingCount() > 0) {
-                this->grantWaiting(key, upstream);
+                this->grantWaiting(upstream);
             }
         }
         this->armTimer();
@@ -367,7 +367,7 @@
             running += load.incarnation == upstream.incarnation ? load.running : 0;
         }
         upstream.queue.reconcile(router, running, this->gateway.clock.now());
-        this->grantWaiting(key, upstream);
+        this->grantWaiting(upstream);
     }
     this->armTimer();
 }
@@ -379,7 +379,7 @@
         upstream.unknownOfRouters.erase(router);
         std::erase_if(upstream.waiting,
                       [&router](const auto &request) { return request.first == router; });
-        this->grantWaiting(key, upstream);
+        this->grantWaiting(upstream);
     }
     this->armTimer();
 }
@@ -411,7 +411,7 @@
 {
     std::vector<SlotQueueGauge> gauges;
     for (const auto &[key, upstream] : this->upstreams) {
-        const UpstreamState *const state = this->gateway.upstreams.findKey(key);
+        const UpstreamState *const state = this->gateway.upstreams.findKey(upstream.key);
         gauges.push_back({state == nullptr ? formatHash(key) : state->replica.id,
                           upstream.queue.waitingCount(), upstream.queue.grantedCount(),
                           this->unknownRunning(upstream), upstream.slowdownPercent,
--- a/gateway/slotqueuecoordinator.h
+++ b/gateway/slotqueuecoordinator.h
@@ -107,13 +107,13 @@
     void recordRun(Upstream &upstream, const SlotRun &run);
     /// \returns the number of requests that the upstream runs well at once.
     [[nodiscard]] double slotsOf(const Upstream &upstream) const;
-    [[nodiscard]] SlotQueueLimits limitsOf(std::uint64_t key, const Upstream &upstream) const;
+    [[nodiscard]] SlotQueueLimits limitsOf(const Upstream &upstream) const;
     [[nodiscard]] std::uint32_t unknownRunning(const Upstream &upstream) const;
     /// \returns the upstream whose queue belongs to \a incarnation, or nullptr.
     [[nodiscard]] Upstream *findIncarnation(std::uint64_t incarnation);
     /// \returns how much longer requests to the upstream need a permit because it is cold.
-    [[nodiscard]] Milliseconds coldFor(std::uint64_t key) const;
-    /// \returns whether \a incarnation has begun after the one that the queue belongs to.
+    [[nodiscard]] Milliseconds coldFor(const Upstream &upstream) const;
+    /// \returns whether \a incarnation was started after the one that the queue belongs to.
     [[nodiscard]] bool isNewer(std::uint64_t incarnation, const Upstream &upstream) const;
     /// Starts a new queue if \a incarnation is newer than the queue's. \returns whether the queue
     /// belongs to it.
@@ -123,16 +123,17 @@
     void recordOwnRunning(Upstream &upstream, const QueueAsk &ask);
     /// Records a sign of contention if a request was denied while the slots were taken, or the
     /// queue is as long as an upstream's would be.
-    void recordContention(std::uint64_t key, const Upstream &upstream, bool wasDenied);
+    void recordContention(const Upstream &upstream, bool wasDenied);
     /// Denies all waiting requests, because the upstream is cold for \a coldFor: from then on each
     /// of them needs a permit. If that is 0, the upstream has restarted.
     void denyWaiting(Upstream &upstream, Milliseconds coldFor);
     /// Grants the waiting requests whose turn has come, and notifies the routers of all whose wait
     /// has ended.
-    void grantWaiting(std::uint64_t key, Upstream &upstream);
+    void grantWaiting(Upstream &upstream);
     /// Notifies the routers of the requests that the queue has dropped.
     void sendDropped(Upstream &upstream);
     [[nodiscard]] QueueReply makeReply(std::uint64_t requestId, const Upstream &upstream) const;
+    [[nodiscard]] QueueReply makeDenial(std::uint64_t requestId, const Upstream &upstream) const;
     void armTimer();
 
     GatewayState &gateway;
--- a/gateway/wherequery.cpp
+++ b/gateway/wherequery.cpp
@@ -87,10 +87,7 @@
         for (const UpstreamState *const upstream : gateway.upstreams.ofService(service)) {
             UpstreamState &copy = this->states.emplace_back(*upstream);
             if (gateway.peerLoadsChanged) {
-                const PeerLoads::Total load =
-                    gateway.peerLoads.totalAt(incarnationOf(copy.replica));
-                copy.peersRunning = load.running;
-                copy.peersPendingPrefill = load.pendingPrefillTokens;
+                gateway.applyPeerLoad(copy);
             }
             this->pointers.push_back(&copy);
         }
--- a/include/plantainswitch/routing/slotqueue.h
+++ b/include/plantainswitch/routing/slotqueue.h
@@ -66,6 +66,12 @@
     std::uint32_t running = 0;
 };
 
+/// \returns the time after which to repeat a denied request, different for each request.
+/// \param excess time by which the wait must fall, in milliseconds
+/// \param untilDeadline milliseconds; infinite if not known
+[[nodiscard]] Milliseconds slotRetryAfter(double excess, double untilDeadline,
+                                          const std::string &router, std::uint64_t requestId);
+
 /// What an upstream can run, passed with each call because it changes.
 struct SlotQueueLimits
 {
--- a/src/routing/slotorder.cpp
+++ b/src/routing/slotorder.cpp
@@ -9,9 +9,8 @@
 
 namespace {
 
-/// Requests that a workspace may be behind its share. In the load model with a surge of 7.5, the
-/// other workspaces kept 0.88 of their requests in time without credit, 0.949 with 8 and 0.92 with
-/// 16 (worst of 50 seeds).
+/// Requests that a workspace may be behind its share. Without credit, its bursts wait behind those
+/// of a surging workspace; with much, an idle workspace delays the others by its burst.
 constexpr double burstCredit = 8.0;
 constexpr double usualWeightSmoothing = 0.05;
 /// Lower bound of a weight, in usual weights. Without it, a workspace that hardly ever sent
--- a/src/routing/slotqueue.cpp
+++ b/src/routing/slotqueue.cpp
@@ -14,12 +14,11 @@
 /// Assumed before a hold time was observed or stated.
 constexpr double defaultHoldTime = 50.0;
 constexpr double minHoldTime = 1.0;
-/// Samples over which hold times are averaged: at 170 ends per second, a change of the upstream's
-/// speed shows within a tenth of a second, and the mean varies by a tenth.
+/// Samples over which hold times are averaged. More would follow a change of the upstream's speed
+/// later, fewer would let the mean vary with single runs.
 constexpr std::uint32_t holdTimeSamples = 16;
 /// Standard deviations of the hold time that are kept between the expected start and the objective.
-/// In the load model at twice the load, 0.035 of the responses were late with 1, 0.026 with 1.5 and
-/// 0.019 with 2; at 0.9 of the load, the share in time was 0.955, 0.952 and 0.950.
+/// More of them make fewer responses late and deny more requests that would have been in time.
 constexpr double holdTimeDeviations = 1.5;
 /// Time without an end after which the mean hold time ages; at least twice the mean, since long
 /// runs end rarely.
@@ -29,7 +28,7 @@
 /// states how long its router waits and not how long the upstream works.
 constexpr double maxAbandonedHold = 4.0;
 /// Time over which the use of the slots is averaged, in the order of the time that late requests
-/// can wait. Over 250 ms, a burst of that length counted as lasting overload.
+/// can wait. A shorter time takes a burst for lasting overload.
 constexpr double useAveragingTime = 800.0;
 /// Time for which unknown requests count as running after the call that stated them, as long as
 /// the coordinator counts them.
@@ -37,15 +36,15 @@
 /// Lower bound of the share of the slots that is expected to be left to late requests.
 constexpr double minSpareShare = 0.05;
 /// Ratio of the expected wait of a late request to the time left, from which it is removed. At 1,
-/// the estimate's variation removed 0.2 of all requests after a wait at twice the load, at 2 0.13.
+/// the estimate's variation alone would remove requests that have waited.
 constexpr double hopelessWaitRatio = 2.0;
 /// Time between two checks of the late requests' prospects, which look at each of them.
 constexpr Milliseconds prospectInterval{10};
 constexpr double maxCapacity = 1e6;
 constexpr Milliseconds maxRequestTime = std::chrono::hours{24};
 /// Share of the wait that would still do, up to which a request is queued. Requests that arrive
-/// later with less time left overtake it: without a reserve, up to 0.2 of all requests became late
-/// in the queue under overload, and were denied only then.
+/// later with less time left overtake it: without a reserve, requests become late in the queue
+/// under overload, and are denied only then.
 constexpr double entryShare = 0.8;
 /// Share of the time until the deadline that callers wait before they repeat a request.
 constexpr double maxRetryShare = 1.0 / 3.0;
@@ -74,18 +73,6 @@
     return static_cast<std::uint32_t>(std::clamp(slots + margin, 1.0, maxCapacity));
 }
 
-/// \returns the time after which to retry, when the wait must fall by \a excess milliseconds.
-Milliseconds retryAfter(double excess, double untilDeadline, const std::string &router,
-                        std::uint64_t requestId)
-{
-    constexpr double shortest = toReal(minSlotRetryAfter);
-    // The spread must remain where the bound cuts the time, or else all would return at once.
-    const double longest = std::max(untilDeadline * maxRetryShare, shortest);
-    const double base = std::clamp(excess, shortest, std::max(shortest, longest / 2.0));
-    const double spread = 1.0 + std::ldexp(static_cast<double>(hashOf(router, requestId)), -64);
-    return Milliseconds{static_cast<std::int64_t>(std::min(base * spread, longest))};
-}
-
 /// Times of a damaged message must not overflow.
 SlotQueueRequest withValidTimes(SlotQueueRequest request)
 {
@@ -97,6 +84,17 @@
 
 } // namespace
 
+Milliseconds slotRetryAfter(double excess, double untilDeadline, const std::string &router,
+                            std::uint64_t requestId)
+{
+    constexpr double shortest = toReal(minSlotRetryAfter);
+    // The spread must remain where the bound cuts the time, or else all would return at once.
+    const double longest = std::max(untilDeadline * maxRetryShare, shortest);
+    const double base = std::clamp(excess, shortest, std::max(shortest, longest / 2.0));
+    const double spread = 1.0 + std::ldexp(static_cast<double>(hashOf(router, requestId)), -64);
+    return Milliseconds{static_cast<std::int64_t>(std::min(base * spread, longest))};
+}
+
 SlotQueueReply SlotQueue::request(const SlotQueueRequest &asked, const SlotQueueLimits &limits,
                                   std::uint32_t unknownRunning, TimePoint now)
 {
@@ -124,8 +122,8 @@
         this->enqueue(request, weight, decision, view);
         break;
     case SlotQueueVerdict::Denied:
-        reply.retryAfter = retryAfter(decision.wait - decision.acceptable,
-                                      toReal(request.untilDeadline), key.first, key.second);
+        reply.retryAfter = slotRetryAfter(decision.wait - decision.acceptable,
+                                          toReal(request.untilDeadline), key.first, key.second);
         break;
     }
     reply.running = static_cast<std::uint32_t>(this->grants.size()) + unknownRunning;
@@ -404,8 +402,8 @@
         this->dropped.push_back(
             {request.key.first, request.key.second, reason,
              std::chrono::duration_cast<Milliseconds>(view.now - request.arrivedAt),
-             retryAfter(drain, toReal(request.deadline - view.now), request.key.first,
-                        request.key.second)});
+             slotRetryAfter(drain, toReal(request.deadline - view.now), request.key.first,
+                            request.key.second)});
     }
 }
 
--- a/src/routing/upstreamspeed.cpp
+++ b/src/routing/upstreamspeed.cpp
@@ -21,8 +21,7 @@
 constexpr double maxVarianceBlocks = 400.0;
 constexpr double minVariance = 0.02;
 /// Factor by which chance may exceed its measured variance: slow periods that recur every few
-/// seconds are correlated over more than one block. 1 took those of 140 equal upstreams for
-/// differences of 5% or more in 3% of the time.
+/// seconds are correlated over more than one block, and look like differences of equal upstreams.
 constexpr double chanceMargin = 2.0;
 /// Weight of a new estimate of the spread, and the spread below which there is none.
 constexpr double spreadWeight = 0.1;
--- a/src/routing/workspaceusage.cpp
+++ b/src/routing/workspaceusage.cpp
@@ -17,8 +17,8 @@
 constexpr double fullBucketsSeconds = 1.0;
 /// Time constant of the usual rate.
 constexpr double usualSeconds = 30.0;
-/// The same during a surge. A surge of 6 s at 7.5 times the usual rate raises it by 30 %, and a
-/// lasting change becomes usual within some minutes.
+/// The same during a surge, so that a surge of seconds raises the usual rate little, and a lasting
+/// change becomes usual within some minutes.
 constexpr double surgingUsualSeconds = 120.0;
 /// Time from the first request after which a usual rate is taken for known.
 constexpr Seconds learningTime{10};
@@ -31,8 +31,8 @@
 /// decays with this time constant, because reports from other data centres are up to 5 s old.
 constexpr double freshSeconds = 0.6;
 constexpr double stalenessSeconds = 0.3;
-/// Age from which the weight is below 1 % and the rate is left out. At 300 routers and 2,000
-/// workspaces that leaves one in twenty entries to look at.
+/// Age from which the weight is below 1 % and the rate is left out, which spares most entries of a
+/// large fleet the calculation.
 constexpr Seconds staleAge{2};
 /// Added to the expected number of requests: a workspace that is usually idle does not surge by its
 /// first requests.
--- a/tests/gatewaycontention.cpp
+++ b/tests/gatewaycontention.cpp
@@ -298,14 +298,14 @@
     TestedRouter &coordinator = this->coordinator();
     {
         asio::ip::tcp::socket caller = this->routers[1]->connectCaller();
-        asio::write(caller, asio::buffer(TestedRouter::makeRequest("/safe/x", "gone")));
+        asio::write(caller, asio::buffer(TestedRouter::makeRequest("/safe/x", "left")));
         REQUIRE(
             TestedRouter::eventually([&coordinator] { return coordinator.queue().waiting == 1; }));
     }
     CHECK(TestedRouter::eventually([&coordinator] { return coordinator.queue().waiting == 0; }));
     this->open();
     CHECK(this->finishCalls(200) == maxGrants);
-    CHECK(this->runs.count("gone") == 0);
+    CHECK(this->runs.count("left") == 0);
 }
 
 TEST_CASE_METHOD(GatewayContentionFixture, "contendedService_coordinatorFreezes_serviceGoesOn",
--- a/tests/slotqueuemodel.cpp
+++ b/tests/slotqueuemodel.cpp
@@ -24,7 +24,7 @@
 constexpr Milliseconds deadline{1000};
 constexpr std::uint64_t workspaces = 24;
 constexpr Seconds phaseLength{6};
-/// Alternately calm and changed. In a single phase, chance alone moves the share in time by 0.06.
+/// Alternately calm and changed. In a single phase, chance alone would move the share in time.
 constexpr int phases = 10;
 
 double toReal(Duration time)
@@ -367,7 +367,7 @@
 TEST_CASE("slotQueueModel_bursts_nearlyAllAreServed", "[routing]")
 {
     // Guards against refusals in a burst of requests that could be served before their deadline.
-    // The mean load with bursts of 200 ms is 0.88. With 300 ms it is 1.02, more than the slots run.
+    // With bursts of 300 ms the mean load is more than the slots run.
     const auto [length, least] =
         GENERATE(std::pair{Milliseconds{200}, 0.97}, std::pair{Milliseconds{300}, 0.9});
     const SlotQueueModelOptions options{0.6, 2.0, 1.0, objective, length};
--- a/tests/workspaceusage.cpp
+++ b/tests/workspaceusage.cpp
@@ -232,7 +232,7 @@
     CHECK(fleet.surgingAt(1) >= routerCount * 9 / 10);
 }
 
-// Guards against reports that outgrow what the design page states, and against unbounded state.
+// Guards against reports that grow with the number of workspaces, and against unbounded state.
 TEST_CASE("workspaceUsage_manyWorkspaces_reportAndStateAreBounded", "[routing]")
 {
     const std::size_t workspaces = GENERATE(std::size_t{24}, std::size_t{2000}, std::size_t{6000});
