--- a/review/lab/lab.hh
+++ b/review/lab/lab.hh
@@ -640,6 +640,8 @@
     std::string version = "v1";
     int slots = 6;
     Responder responder;
+    /// Serves a whole channel in place of `responder`, if set.
+    std::function<void(Channel &)> channelHandler;
 
     bool start(Store &store, const std::string &ip)
     {
@@ -681,7 +683,11 @@
             const std::lock_guard lock(this->mutex);
             this->open.insert(channel.fd);
         }
-        this->serveRequests(channel);
+        if (this->channelHandler) {
+            this->channelHandler(channel);
+        } else {
+            this->serveRequests(channel);
+        }
         const std::lock_guard lock(this->mutex);
         this->open.erase(channel.fd);
     }
