--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,115 +1,98 @@
-// Replicas read slowly for some seconds while clients send bodies that the limits allow. Does a
-// router stay within its memory? The script does what the platform does to a process that exceeds
-// `memoryMb`: it kills it and starts it again.
+// A release is under way: one replica of the old software version is left. It falls silent for a
+// second while a router is being stopped. Do its streams end whole?
 #include "lab/lab.hh"
 
 using namespace lab;
 
 namespace {
 
-constexpr long memoryMb = 260;
-constexpr std::int64_t restartDelayMs = 500;
-constexpr int replicaCount = 3;
-/// Within `maxBodyBytes`, 4,194,304.
-constexpr std::size_t bodyBytes = 3'900'000;
-constexpr int clientsPerRouter = 90;
-/// Requests a second at each router: 250 Mbit/s of a link's 1,000.
-constexpr double perSecond = 8.0;
-constexpr std::int64_t slowMs = 9000;
-/// What a slow replica reads from one channel.
-constexpr std::size_t slowBytesPerSecond = 100'000;
-constexpr int waves = 4;
-constexpr std::int64_t wavePauseMs = 19'000;
-constexpr int budgetMs = 15'000;
+constexpr int streamsPerRouter = 20;
+constexpr int eventCount = 70;
+constexpr std::int64_t eventIntervalMs = 60;
+/// "A sound replica may fall silent for a second or so and go on".
+constexpr std::int64_t silenceMs = 1000;
+constexpr std::int64_t budgetMs = 15'000;
 
-std::atomic<bool> isSlow = false;
-std::atomic<bool> stopping = false;
-std::mutex mutex;
-std::map<int, int> statuses;
-
-struct Watch
+struct Stream
 {
-    int kills = 0;
-    long peakKb = 0;
-    int otherEnds = 0;
+    std::string router;
+    std::string replica;
+    int runs = 0;
+    bool whole = false;
+    int status = 0;
+    std::size_t events = 0;
+    std::int64_t endedAt = 0;
 };
 
-/// Reads requests at the speed of the moment and answers them.
-void serveChannel(const std::string &id, Channel &channel)
+std::mutex mutex;
+std::map<std::string, Stream> streams;
+std::atomic<std::int64_t> silentUntil = 0;
+
+std::string chunk(const std::string &bytes)
 {
-    while (true) {
-        std::optional<Head> head = channel.readHead(nowMs() + 120'000);
-        if (!head) {
-            return;
-        }
-        std::size_t left = std::strtoul(head->get("Content-Length").c_str(), nullptr, 10);
-        left -= std::min(left, channel.buffer.size());
-        channel.buffer.clear();
-        char bytes[65536];
-        while (left > 0) {
-            const std::size_t size = isSlow ? 2000 : sizeof bytes;
-            const ssize_t count = recv(channel.fd, bytes, std::min(size, left), 0);
-            if (count <= 0) {
-                return;
-            }
-            left -= static_cast<std::size_t>(count);
-            if (isSlow) {
-                sleepMs(static_cast<std::int64_t>(1000 * size / slowBytesPerSecond));
-            }
-        }
-        const std::string attempt = head->get("X-Attempt-Id");
-        note("%s runs %s", id.c_str(), attempt.c_str());
-        sleepMs(20);
-        if (!channel.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Stamp: s."
-                          + id + "\r\nContent-Length: 2\r\n\r\nok")) {
-            return;
-        }
-    }
+    return format("%zx\r\n", bytes.size()) + bytes + "\r\n";
 }
 
-void sendRequests(const Router &router, int number)
+bool serve(Replica &replica, const Request &request, Channel &channel)
 {
-    unsigned seed = static_cast<unsigned>(number) + 1;
-    static const std::string body(bodyBytes, 'x');
-    for (int count = 0; !stopping; ++count) {
-        const double share = (rand_r(&seed) % 1000 + 1) / 1001.0;
-        const auto wait = static_cast<std::int64_t>(2000.0 * share * clientsPerRouter / perSecond);
-        for (std::int64_t slept = 0; slept < wait && !stopping; slept += 50) {
-            sleepMs(50);
+    const std::string after = request.head.get("Last-Event-Id");
+    const int first = after.empty() ? 1 : std::atoi(after.c_str()) + 1;
+    {
+        const std::lock_guard lock(mutex);
+        Stream &stream = streams[request.id()];
+        stream.replica = replica.id;
+        ++stream.runs;
+        note("%s runs %s from event %d", replica.id.c_str(), request.id().c_str(), first);
+    }
+    channel.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.id()
+                 + "\r\nX-Server-Stamp: " + replica.stamp()
+                 + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const bool mayFallSilent = replica.version == "v1";
+    for (int i = first; i <= eventCount; ++i) {
+        sleepMs(eventIntervalMs);
+        while (mayFallSilent && nowMs() < silentUntil) {
+            sleepMs(2);
         }
-        const std::string id = format("%d-%d", number, count);
-        const auto channel = Channel::connect(router.front);
-        Answer answer;
-        if (channel && channel->send(clientRequest("POST", "/doc/1", id, budgetMs, body))) {
-            answer = readAnswer(*channel, nowMs() + budgetMs);
+        const std::string event =
+            format("id: %d\ndata: event %d of %s\n\n", i, i, request.id().c_str());
+        if (!channel.send(chunk(event))) {
+            note("%s: the router has closed the channel of %s", replica.id.c_str(),
+                 request.id().c_str());
+            return false;
         }
-        const std::lock_guard lock(mutex);
-        ++statuses[answer.status];
-        note("client: %s answered %d", id.c_str(), answer.status);
     }
+    note("%s has ended %s", replica.id.c_str(), request.id().c_str());
+    return channel.send("0\r\n\r\n");
 }
 
-/// The platform: ends a process over its memory, and starts it again.
-void watchMemory(Router &router, Watch &watch)
+void readStream(const Router &router, int number)
 {
-    while (!stopping) {
-        sleepMs(5);
-        const long residentKb = router.residentKb();
-        watch.peakKb = std::max(watch.peakKb, residentKb);
-        if (residentKb > memoryMb * 1024) {
-            note("platform: %s holds %ld MB, over its %ld: killed", router.name.c_str(),
-                 residentKb / 1024, memoryMb);
-            ++watch.kills;
-            router.stop();
-            sleepMs(restartDelayMs);
-            router.start();
-        } else if (const auto end = router.ended()) {
-            note("platform: %s ended by itself: %s", router.name.c_str(), end->c_str());
-            ++watch.otherEnds;
-            sleepMs(restartDelayMs);
-            router.start();
-        }
+    const std::string id = format("%s-s%d", router.name.c_str(), number);
+    const std::string head =
+        "POST /sum/1 HTTP/1.1\r\nHost: " + hostName + "\r\nX-Attempt-Id: " + id
+        + "\r\nX-Time-Budget: " + std::to_string(budgetMs) + "\r\nAuthorization: Bearer " + apiKey
+        + "\r\nX-Model: m\r\nX-Token-Count: 713,210\r\nX-Prompt-Prefix: 5c1e07a2:103,"
+        + format("%x:500,%x:110", 0x91bd0000 + number % 4, 0xe4400000 + number)
+        + "\r\nContent-Length: 4\r\n\r\nbody";
+    const auto channel = Channel::connect(router.front);
+    Answer answer;
+    if (channel && channel->send(head)) {
+        answer = readAnswer(*channel, nowMs() + budgetMs);
     }
+    std::size_t events = 0;
+    for (auto at = answer.body.find("id: "); at != std::string::npos;
+         at = answer.body.find("id: ", at + 1)) {
+        ++events;
+    }
+    const std::lock_guard lock(mutex);
+    Stream &stream = streams[id];
+    stream.router = router.name;
+    stream.status = answer.status;
+    stream.whole = answer.whole && events == eventCount;
+    stream.events = events;
+    stream.endedAt = nowMs();
+    note("client: %s status %d, %zu of %d events, %s", id.c_str(), answer.status, events,
+         eventCount, stream.whole ? "whole" : "the channel ended without the rest");
 }
 
 } // namespace
@@ -118,51 +101,51 @@
 {
     openRecord(count, arguments);
     Deployment deployment;
-    deployment.store.put(
-        "config", "main",
-        manifest(7, {plainRoute("r-doc", "/doc/", "idempotent", "app", budgetMs, 10'000, 2)},
-                 {"app"}));
-    for (int i = 0; i < replicaCount; ++i) {
-        Replica &replica = deployment.addReplica(format("i-%d", i), "app", 48, Responder());
-        replica.channelHandler = [id = replica.id](Channel &channel) { serveChannel(id, channel); };
-    }
+    Json route = plainRoute("r-sum", "/sum/", "streaming", "llm", budgetMs, 200, 2);
+    route["resumable"] = true;
+    route["gapGoalMs"] = 200;
+    deployment.store.put("config", "main", manifest(7, {route}, {"llm"}));
+    deployment.addReplica("i-old", "llm", 48, serve, "v1");
+    deployment.addReplica("i-new", "llm", 48, serve, "v2");
     if (!deployment.startRouters(2)) {
         finish(deployment, couldNotRun, "the routers didn't become ready");
     }
-    std::vector<Watch> watches(2);
-    std::vector<std::thread> threads;
-    for (std::size_t i = 0; i < 2; ++i) {
-        threads.emplace_back([&, i] { watchMemory(*deployment.routers[i], watches[i]); });
-        for (int client = 0; client < clientsPerRouter; ++client) {
-            threads.emplace_back([&, i, client] {
-                sendRequests(*deployment.routers[i], static_cast<int>(i) * 1000 + client);
-            });
+    std::vector<std::thread> clients;
+    for (int i = 0; i < streamsPerRouter; ++i) {
+        for (const auto &router : deployment.routers) {
+            clients.emplace_back([&router, i] { readStream(*router, i); });
         }
     }
-    sleepMs(6000);
-    for (int wave = 0; wave < waves; ++wave) {
-        isSlow = hasTrouble();
-        note("replicas read slowly: %s", isSlow ? "yes" : "no");
-        sleepMs(slowMs);
-        isSlow = false;
-        note("replicas read at full speed");
-        sleepMs(wavePauseMs - slowMs);
+    sleepMs(1000);
+    Router &stopped = *deployment.routers.front();
+    stopped.kill(SIGTERM);
+    const std::int64_t signalledAt = nowMs();
+    note("SIGTERM to %s", stopped.name.c_str());
+    sleepMs(500);
+    if (hasTrouble()) {
+        silentUntil = nowMs() + silenceMs;
+        note("i-old falls silent for %lld ms", static_cast<long long>(silenceMs));
     }
-    stopping = true;
-    for (std::thread &thread : threads) {
-        thread.join();
+    for (std::thread &client : clients) {
+        client.join();
     }
-    std::string answers;
-    for (const auto &[status, number] : statuses) {
-        answers += format(" %d: %d;", status, number);
+    int atOld = 0;
+    int cut = 0;
+    int cutElsewhere = 0;
+    int newWhole = 0;
+    for (const auto &[id, stream] : streams) {
+        const bool isOld = stream.replica == "i-old";
+        atOld += isOld && stream.router == stopped.name ? 1 : 0;
+        newWhole += !isOld && stream.whole ? 1 : 0;
+        if (isOld && !stream.whole) {
+            (stream.router == stopped.name ? cut : cutElsewhere) += 1;
+            note("LOST: %s, %zu events, ended %lld ms after the SIGTERM", id.c_str(), stream.events,
+                 static_cast<long long>(stream.endedAt - signalledAt));
+        }
     }
     const std::string text = format(
-        "killed for memory: router 1 %d times, router 2 %d times; peaks %ld and %ld MB of %ld; "
-        "other ends %d; answers%s",
-        watches[0].kills, watches[1].kills, watches[0].peakKb / 1024, watches[1].peakKb / 1024,
-        memoryMb, watches[0].otherEnds + watches[1].otherEnds, answers.c_str());
-    const bool isBroken = std::all_of(watches.begin(), watches.end(), [](const Watch &watch) {
-        return watch.kills + watch.otherEnds >= 3;
-    });
-    finish(deployment, isBroken ? ruleBroken : ruleHeld, text);
+        "%d of the %d streams that the stopped router had passed on to i-old ended without a "
+        "complete answer (and %d at the other router); %d streams of i-new are whole",
+        cut, atOld, cutElsewhere, newWhole);
+    finish(deployment, atOld == 0 ? couldNotRun : cut > 0 ? ruleBroken : ruleHeld, text);
 }
--- a/review/lab/lab.hh
+++ b/review/lab/lab.hh
@@ -732,6 +732,48 @@
 
 // ---------------------------------------------------------------- routers
 
+/// Runs work on one thread that lives as long as this process. Router processes are started there,
+/// because PR_SET_PDEATHSIG ends them with the thread that started them.
+class Starter
+{
+public:
+    static Starter &instance()
+    {
+        static Starter *const only = new Starter;
+        return *only;
+    }
+    void run(const std::function<void()> &work)
+    {
+        std::unique_lock lock(this->mutex);
+        this->wake.wait(lock, [this] { return this->work == nullptr; });
+        bool isDone = false;
+        this->work = &work;
+        this->done = &isDone;
+        this->wake.notify_all();
+        this->wake.wait(lock, [&isDone] { return isDone; });
+    }
+
+private:
+    Starter()
+    {
+        std::thread([this] {
+            std::unique_lock lock(this->mutex);
+            while (true) {
+                this->wake.wait(lock, [this] { return this->work != nullptr; });
+                (*this->work)();
+                *this->done = true;
+                this->work = nullptr;
+                this->wake.notify_all();
+            }
+        }).detach();
+    }
+
+    std::mutex mutex;
+    std::condition_variable wake;
+    const std::function<void()> *work = nullptr;
+    bool *done = nullptr;
+};
+
 /// A router process, started with the command of the deploy file.
 class Router
 {
@@ -782,7 +824,12 @@
     }
     void start()
     {
-        this->pid = fork();
+        Starter::instance().run([this] { this->fork(); });
+        note("router %s started, pid %d", this->name.c_str(), this->pid);
+    }
+    void fork()
+    {
+        this->pid = ::fork();
         if (this->pid == 0) {
             prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int out = open(this->log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
@@ -793,7 +840,6 @@
                   "PLANTAINSWITCH_BOOT", static_cast<char *>(nullptr));
             _exit(127);
         }
-        note("router %s started, pid %d", this->name.c_str(), this->pid);
     }
     bool isReady() const
     {
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -6,7 +6,7 @@
     echo "not built: $program or target/plantaind"
     exit 2
 fi
-timeout -k 5 115 "$program" "review/$1"
+timeout -s KILL 115 "$program" "review/$1"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
