review: a stream that is taken up after restarts goes on at another version

Cause: a router without a stream's origin takes the only version listed in the last 5 s for the one that began it.

--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,114 +1,140 @@
-// Replicas read slowly for some seconds while clients send bodies that the limits allow. Does a
-// router stay within its memory? The script does what the platform does to a process that exceeds
-// `memoryMb`: it kills it and starts it again.
+// Two software versions of a service serve side by side while the routers are stopped and started in
+// turn. Clients whose streams the stops cut off take them up at the routers that are back: do these
+// streams go on?
 #include "lab/lab.hh"
 
 using namespace lab;
 
 namespace {
 
-constexpr long memoryMb = 260;
-constexpr std::int64_t restartDelayMs = 500;
-constexpr int replicaCount = 3;
-/// Within `maxBodyBytes`, 4,194,304.
-constexpr std::size_t bodyBytes = 3'900'000;
-constexpr int clientsPerRouter = 90;
-/// Requests a second at each router: 250 Mbit/s of a link's 1,000.
-constexpr double perSecond = 8.0;
-constexpr std::int64_t slowMs = 9000;
-/// What a slow replica reads from one channel.
-constexpr std::size_t slowBytesPerSecond = 100'000;
-constexpr int waves = 4;
-constexpr std::int64_t wavePauseMs = 19'000;
-constexpr int budgetMs = 15'000;
+constexpr int streamCount = 24;
+constexpr int eventCount = 100;
+constexpr std::int64_t eventIntervalMs = 130;
+constexpr std::int64_t budgetMs = 15'000;
+constexpr int newStreamCount = 24;
+constexpr std::size_t routerCount = 3;
+/// `roll_term`, x = 1, gap_s = 1.3: one router each 1.3 s.
+constexpr std::int64_t rollGapMs = 1300;
+constexpr std::int64_t restartDelayMs = 200;
+
+struct Stream
+{
+    int firstStatus = 0;
+    std::size_t firstEvents = 0;
+    bool wasCut = false;
+    int resumedStatus = 0;
+    std::size_t resumedEvents = 0;
+    bool whole = false;
+    std::set<std::string> versions;
+};
 
-std::atomic<bool> isSlow = false;
-std::atomic<bool> stopping = false;
 std::mutex mutex;
-std::map<int, int> statuses;
+std::map<std::string, Stream> streams;
+std::map<std::string, std::string> original;
 
-struct Watch
+std::string chunk(const std::string &bytes)
 {
-    int kills = 0;
-    long peakKb = 0;
-    int otherEnds = 0;
-};
+    return format("%zx\r\n", bytes.size()) + bytes + "\r\n";
+}
 
-/// Reads requests at the speed of the moment and answers them.
-void serveChannel(const std::string &id, Channel &channel)
+bool serve(Replica &replica, const Request &request, Channel &channel)
 {
-    while (true) {
-        std::optional<Head> head = channel.readHead(nowMs() + 120'000);
-        if (!head) {
-            return;
-        }
-        std::size_t left = std::strtoul(head->get("Content-Length").c_str(), nullptr, 10);
-        left -= std::min(left, channel.buffer.size());
-        channel.buffer.clear();
-        char bytes[65536];
-        while (left > 0) {
-            const std::size_t size = isSlow ? 2000 : sizeof bytes;
-            const ssize_t count = recv(channel.fd, bytes, std::min(size, left), 0);
-            if (count <= 0) {
-                return;
-            }
-            left -= static_cast<std::size_t>(count);
-            if (isSlow) {
-                sleepMs(static_cast<std::int64_t>(1000 * size / slowBytesPerSecond));
-            }
-        }
-        const std::string attempt = head->get("X-Attempt-Id");
-        note("%s runs %s", id.c_str(), attempt.c_str());
-        sleepMs(20);
-        if (!channel.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Stamp: s."
-                          + id + "\r\nContent-Length: 2\r\n\r\nok")) {
-            return;
+    const std::string after = request.head.get("Last-Event-Id");
+    const int first = after.empty() ? 1 : std::atoi(after.c_str()) + 1;
+    const std::string resumes = request.head.get("Resumes");
+    const std::string id = resumes.empty() ? request.id() : resumes;
+    note("%s (%s) runs %s from event %d", replica.id.c_str(), replica.version.c_str(),
+         request.id().c_str(), first);
+    {
+        const std::lock_guard lock(mutex);
+        streams[id].versions.insert(replica.version);
+    }
+    channel.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.id()
+                 + "\r\nX-Server-Stamp: " + replica.stamp()
+                 + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const int last = id.starts_with("new") ? 3 : eventCount;
+    for (int i = first; i <= last; ++i) {
+        sleepMs(eventIntervalMs);
+        if (!channel.send(chunk(format("id: %d\ndata: event %d of %s\n\n", i, i, id.c_str())))) {
+            return false;
         }
     }
+    return channel.send("0\r\n\r\n");
 }
 
-void sendRequests(const Router &router, int number)
+std::string streamRequest(const std::string &id, int number, std::int64_t budget,
+                          const std::string &more)
 {
-    unsigned seed = static_cast<unsigned>(number) + 1;
-    static const std::string body(bodyBytes, 'x');
-    for (int count = 0; !stopping; ++count) {
-        const double share = (rand_r(&seed) % 1000 + 1) / 1001.0;
-        const auto wait = static_cast<std::int64_t>(2000.0 * share * clientsPerRouter / perSecond);
-        for (std::int64_t slept = 0; slept < wait && !stopping; slept += 50) {
-            sleepMs(50);
-        }
-        const std::string id = format("%d-%d", number, count);
-        const auto channel = Channel::connect(router.front);
-        Answer answer;
-        if (channel && channel->send(clientRequest("POST", "/doc/1", id, budgetMs, body))) {
-            answer = readAnswer(*channel, nowMs() + budgetMs);
-        }
-        const std::lock_guard lock(mutex);
-        ++statuses[answer.status];
-        note("client: %s answered %d", id.c_str(), answer.status);
+    return "POST /sum/1 HTTP/1.1\r\nHost: " + hostName + "\r\nX-Attempt-Id: " + id
+           + "\r\nX-Time-Budget: " + std::to_string(budget) + "\r\nAuthorization: Bearer " + apiKey
+           + "\r\nX-Model: m\r\nX-Token-Count: 713,300\r\nX-Prompt-Prefix: 5c1e07a2:103,"
+           + format("%x:500,%x:110", 0x91bd0000 + number, 0xe4400000 + number) + "\r\n" + more
+           + "Content-Length: 4\r\n\r\nbody";
+}
+
+std::size_t eventsIn(const std::string &body)
+{
+    std::size_t count = 0;
+    for (auto at = body.find("id: "); at != std::string::npos; at = body.find("id: ", at + 1)) {
+        ++count;
     }
+    return count;
+}
+
+Answer call(const Address &front, const std::string &bytes, std::int64_t waitMs)
+{
+    const auto channel = Channel::connect(front);
+    return channel && channel->send(bytes) ? readAnswer(*channel, nowMs() + waitMs) : Answer();
 }
 
-/// The platform: ends a process over its memory, and starts it again.
-void watchMemory(Router &router, Watch &watch)
+/// A client that takes its stream up once at another router after a broken channel.
+void readStream(const Deployment &deployment, int number)
 {
-    while (!stopping) {
+    const std::string id = format("s%d", number);
+    const std::int64_t begun = nowMs();
+    // All streams are at the router that is stopped last.
+    const Answer first = call(deployment.routers.back()->front,
+                              streamRequest(id, number, budgetMs, ""), budgetMs);
+    Stream result;
+    result.firstStatus = first.status;
+    result.firstEvents = eventsIn(first.body);
+    result.whole = first.whole && result.firstEvents == eventCount;
+    result.wasCut = first.status == 200 && !first.whole && result.firstEvents > 0;
+    note("client: %s status %d, %zu events, %s", id.c_str(), first.status, result.firstEvents,
+         result.whole ? "whole" : "cut");
+    if (result.wasCut) {
+        const std::int64_t left = budgetMs - (nowMs() - begun);
+        const Answer second =
+            call(deployment.routers[static_cast<std::size_t>(number) % (routerCount - 1)]->front,
+                 streamRequest(id + "-again", number, left,
+                               format("Last-Event-Id: %zu\r\nResumes: %s\r\n", result.firstEvents,
+                                      id.c_str())),
+                 left);
+        result.resumedStatus = second.status;
+        result.resumedEvents = eventsIn(second.body);
+        result.whole = second.whole && result.firstEvents + result.resumedEvents == eventCount;
+        note("client: %s taken up after event %zu: status %d, %zu events", id.c_str(),
+             result.firstEvents, second.status, result.resumedEvents);
+    }
+    const std::lock_guard lock(mutex);
+    result.versions = streams[id].versions;
+    streams[id] = result;
+}
+
+/// As an operator does it: SIGTERM, and a new process once the old one has ended.
+void stopAndStart(Router &router, bool awaitsReady)
+{
+    router.kill(SIGTERM);
+    note("SIGTERM to %s", router.name.c_str());
+    while (!router.ended()) {
         sleepMs(5);
-        const long residentKb = router.residentKb();
-        watch.peakKb = std::max(watch.peakKb, residentKb);
-        if (residentKb > memoryMb * 1024) {
-            note("platform: %s holds %ld MB, over its %ld: killed", router.name.c_str(),
-                 residentKb / 1024, memoryMb);
-            ++watch.kills;
-            router.stop();
-            sleepMs(restartDelayMs);
-            router.start();
-        } else if (const auto end = router.ended()) {
-            note("platform: %s ended by itself: %s", router.name.c_str(), end->c_str());
-            ++watch.otherEnds;
-            sleepMs(restartDelayMs);
-            router.start();
-        }
+    }
+    note("%s has ended", router.name.c_str());
+    sleepMs(restartDelayMs);
+    router.start();
+    if (awaitsReady) {
+        router.awaitReady();
+        note("%s is ready again", router.name.c_str());
     }
 }
 
@@ -118,51 +144,64 @@
 {
     openRecord(count, arguments);
     Deployment deployment;
-    deployment.store.put(
-        "config", "main",
-        manifest(7, {plainRoute("r-doc", "/doc/", "idempotent", "app", budgetMs, 10'000, 2)},
-                 {"app"}));
-    for (int i = 0; i < replicaCount; ++i) {
-        Replica &replica = deployment.addReplica(format("i-%d", i), "app", 48, Responder());
-        replica.channelHandler = [id = replica.id](Channel &channel) { serveChannel(id, channel); };
+    Json route = plainRoute("r-sum", "/sum/", "streaming", "llm", budgetMs, 200, 2);
+    route["resumable"] = true;
+    route["gapGoalMs"] = 200;
+    deployment.store.put("config", "main", manifest(7, {route}, {"llm"}));
+    for (int i = 0; i < 4; ++i) {
+        deployment.addReplica(format("i-%d", i), "llm", 48, serve, i < 2 ? "v1" : "v2");
     }
-    if (!deployment.startRouters(2)) {
+    if (!deployment.startRouters(routerCount)) {
         finish(deployment, couldNotRun, "the routers didn't become ready");
     }
-    std::vector<Watch> watches(2);
-    std::vector<std::thread> threads;
-    for (std::size_t i = 0; i < 2; ++i) {
-        threads.emplace_back([&, i] { watchMemory(*deployment.routers[i], watches[i]); });
-        for (int client = 0; client < clientsPerRouter; ++client) {
-            threads.emplace_back([&, i, client] {
-                sendRequests(*deployment.routers[i], static_cast<int>(i) * 1000 + client);
-            });
+    sleepMs(3000);
+    std::vector<std::thread> clients;
+    for (int i = 0; i < streamCount; ++i) {
+        clients.emplace_back([&deployment, i] { readStream(deployment, i); });
+    }
+    sleepMs(500);
+    std::vector<std::thread> operations;
+    for (std::size_t i = 0; i < routerCount; ++i) {
+        Router &router = *deployment.routers[i];
+        const bool isLast = i + 1 == routerCount;
+        if (isLast || hasTrouble()) {
+            operations.emplace_back([&router, isLast] { stopAndStart(router, !isLast); });
         }
+        sleepMs(isLast ? 0 : rollGapMs);
+    }
+    for (std::thread &operation : operations) {
+        operation.join();
     }
-    sleepMs(6000);
-    for (int wave = 0; wave < waves; ++wave) {
-        isSlow = hasTrouble();
-        note("replicas read slowly: %s", isSlow ? "yes" : "no");
-        sleepMs(slowMs);
-        isSlow = false;
-        note("replicas read at full speed");
-        sleepMs(wavePauseMs - slowMs);
+    int begun = 0;
+    std::vector<std::thread> newcomers;
+    for (int i = 0; i < newStreamCount; ++i) {
+        newcomers.emplace_back([&, i] {
+            const Answer answer = call(deployment.routers[static_cast<std::size_t>(i) % 2]->front,
+                                       streamRequest(format("new%d", i), 100 + i, 5000, ""), 5000);
+            const std::lock_guard lock(mutex);
+            begun += answer.status == 200 && eventsIn(answer.body) > 0 ? 1 : 0;
+        });
     }
-    stopping = true;
-    for (std::thread &thread : threads) {
+    for (std::thread &thread : newcomers) {
         thread.join();
     }
-    std::string answers;
-    for (const auto &[status, number] : statuses) {
-        answers += format(" %d: %d;", status, number);
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    int takenUp = 0;
+    int wentOn = 0;
+    int mixed = 0;
+    for (const auto &[id, stream] : streams) {
+        takenUp += stream.wasCut ? 1 : 0;
+        wentOn += stream.wasCut && stream.resumedEvents > 0 ? 1 : 0;
+        mixed += stream.versions.size() > 1 ? 1 : 0;
     }
-    const std::string text = format(
-        "killed for memory: router 1 %d times, router 2 %d times; peaks %ld and %ld MB of %ld; "
-        "other ends %d; answers%s",
-        watches[0].kills, watches[1].kills, watches[0].peakKb / 1024, watches[1].peakKb / 1024,
-        memoryMb, watches[0].otherEnds + watches[1].otherEnds, answers.c_str());
-    const bool isBroken = std::all_of(watches.begin(), watches.end(), [](const Watch &watch) {
-        return watch.kills + watch.otherEnds >= 3;
-    });
-    finish(deployment, isBroken ? ruleBroken : ruleHeld, text);
+    const bool isBroken = takenUp >= 12
+                          && static_cast<double>(wentOn) / takenUp
+                                 < 0.5 * static_cast<double>(begun) / newStreamCount;
+    const std::string text =
+        format("%d streams taken up, of which %d went on; %d of %d new streams began; %d streams "
+               "of two versions",
+               takenUp, wentOn, begun, newStreamCount, mixed);
+    finish(deployment, takenUp < 12 ? couldNotRun : isBroken ? ruleBroken : ruleHeld, text);
 }
