--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -15,7 +15,7 @@
 constexpr std::int64_t rollGapMs = 1300;
 constexpr std::int64_t restartDelayMs = 200;
 /// When the last replicas of v1 leave, after the SIGTERM to the last router.
-constexpr std::int64_t leaveMs = 2000;
+constexpr std::int64_t leaveMs = 1500;
 /// "More than two streams hold events from replicas of two software versions".
 constexpr int allowedStreams = 2;
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -9,3 +9,6 @@
     number=$(dirname "$source")
     g++ -std=c++20 -O1 -Wall -Wextra -pthread -I. "$source" -o "build/case$number"
 done
+for source in probes/*.cc; do
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread -I. "$source" -o "build/$(basename "$source" .cc)"
+done
