Bind streams of unknown origin by the store's record of versions, not by the list

Cause: without an origin, a router took the version that alone had been listed for 5 s for the one that began the stream. Upstreams serve on after their entry was removed, and streams last longer than 5 s. Event 420 (source=only-version) excluded a wrong origin, and the store's list was read after the caller's return, so that it was not stale: the rule itself was wrong.

Change: an object a service in the store (VersionRecord) names the version that began all streams which callers may still take up, or none if there were several. One router that is connected to the store writes it by conditional writes. A stream of unknown origin goes on only if the record, the router's list and the store's changes show the same version. The record names one again when no other was listed for twice the route's timeout, and the time for which a list may be unconfirmed. It outlives the routers, so that one version alone is known right after all were killed; before, for 5 s after each start nobody was let on. The setting firstStart writes it at once when no stream can have begun earlier.

--- a/gateway/dialect.cpp
+++ b/gateway/dialect.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr std::array kindNames{std::string_view{"routing"}, std::string_view{"replicas"},
-                               std::string_view{"routers"}, std::string_view{"evacuations"},
-                               std::string_view{"quarantines"}};
+constexpr std::array kindNames{std::string_view{"routing"},     std::string_view{"replicas"},
+                               std::string_view{"routers"},     std::string_view{"evacuations"},
+                               std::string_view{"quarantines"}, std::string_view{"versions"}};
 
 } // namespace
 
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -12,6 +12,7 @@
 #include "plantainswitch/routing/replica.h"
 #include "plantainswitch/routing/route.h"
 #include "plantainswitch/routing/trialrecord.h"
+#include "plantainswitch/routing/versionrecord.h"
 
 #include "http1.h"
 
@@ -97,7 +98,14 @@
 };
 
 /// Kinds of objects in the platform's store.
-enum class StoreObjectKind : std::uint8_t { Routing, Replicas, Routers, Evacuations, Quarantines };
+enum class StoreObjectKind : std::uint8_t {
+    Routing,
+    Replicas,
+    Routers,
+    Evacuations,
+    Quarantines,
+    Versions,
+};
 [[nodiscard]] std::string_view nameOf(StoreObjectKind kind) noexcept;
 
 /// How recent a list of the store's objects must be.
@@ -206,6 +214,11 @@
     /// \returns the body of the call that writes \a record, under the condition that the stored one
     /// has its revision; without a condition if that is 0.
     [[nodiscard]] virtual std::string serializeTrialRecord(const TrialRecord &record) const = 0;
+    /// Decodes the record of a service's versions. \returns nothing if it is malformed.
+    [[nodiscard]] virtual std::optional<VersionRecord>
+    parseVersionRecord(const StoreObject &item) const = 0;
+    /// \returns the body of the call that writes \a record, under the same condition.
+    [[nodiscard]] virtual std::string serializeVersionRecord(const VersionRecord &record) const = 0;
     [[nodiscard]] virtual std::optional<RouterEntry>
     parseRouterEntry(const StoreObject &item) const = 0;
     /// \returns the body of the call that registers this router.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -59,6 +59,16 @@
     }
 }
 
+Milliseconds GatewayState::takeUpTimeOf(std::string_view service) const
+{
+    const Milliseconds streams =
+        this->routingTable ? this->routingTable->takeUpTimeOf(service) : Milliseconds{0};
+    // Until its list is confirmed, a router begins streams at upstreams that have left.
+    return streams.count() == 0
+               ? streams
+               : streams + this->settings.maxCatchUpTime + this->settings.maxDrainTime;
+}
+
 std::uint64_t GatewayState::latestRevision() const
 {
     std::uint64_t newest = 0;
@@ -122,6 +132,7 @@
     , configFetch(this->state)
     , trialStore(this->state)
     , versionConfirmer(this->state)
+    , versionRecorder(this->state)
     , peerAcceptor(this->context, this->state.work)
 {
     this->state.fleet = &this->fleet;
@@ -382,6 +393,7 @@
     this->updateStoreConnection();
     this->dataCentreMonitor.update(now);
     this->checkFreshness(now);
+    this->updateVersionRecords();
     this->fetchStoreView();
     this->state.refreshSuspects();
     this->state.checkReach();
@@ -458,6 +470,7 @@
     this->evacuationFollower.stop();
     this->trialStore.stop();
     this->versionConfirmer.stop();
+    this->versionRecorder.stop();
     this->context.stop();
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "storeview.h"
 #include "trialstore.h"
 #include "versionconfirmer.h"
+#include "versionrecorder.h"
 
 namespace plantainswitch::gateway {
 
@@ -107,6 +108,7 @@
     void registerRouter();
     void discoverRouters();
     void updateStoreConnection();
+    void updateVersionRecords();
     /// Records that the list of upstreams was complete at \a at.
     void recordReplicasConfirmed(TimePoint at);
     /// Fetches newer upstreams and a newer configuration from other routers, each in a call of its
@@ -148,6 +150,7 @@
     StoreViewFetch configFetch;
     TrialStore trialStore;
     VersionConfirmer versionConfirmer;
+    VersionRecorder versionRecorder;
     ConnectionAcceptor peerAcceptor;
     CallerHandlers callerHandlers;
     CallerHandlers internalHandlers;
--- a/gateway/gatewayrequeststream.cpp
+++ b/gateway/gatewayrequeststream.cpp
@@ -37,7 +37,7 @@
     }
     const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
     this->gateway.versions->confirm(
-        this->service, this->now() - returnTimeOf(*this->route),
+        this->service, this->now() - this->gateway.takeUpTimeOf(this->service),
         [weak, asked = result.asked](std::optional<VersionKey> version) {
             const auto self = weak.lock();
             if (self && self->phase == Phase::Selecting) {
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -165,6 +165,7 @@
     readLearning(fields, settings.learning, faults);
     readColdStart(fields, settings, faults);
     readAreas(fields, settings.areas, faults);
+    fields.read("firstStart", settings.isFirstStart);
     fields.read("evacuations", settings.followsEvacuations);
     auto drain = static_cast<std::uint32_t>(settings.maxDrainTime.count());
     fields.read("drainMilliseconds", drain, 1, maxDrainMilliseconds);
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -84,6 +84,8 @@
     /// How far requests to cold upstreams may exceed what these bear; nothing if they are not
     /// limited.
     std::optional<ColdStartTolerance> coldStart;
+    /// The whole system starts for the first time: no stream began earlier.
+    bool isFirstStart = false;
     /// Whether the store's list of evacuated data centres is followed.
     bool followsEvacuations = false;
     AreaMap areas;
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -140,6 +140,9 @@
     void endContention();
     /// \returns the mean time for which a request of the service holds its slot, up to 100 ms old.
     [[nodiscard]] Duration slotHoldTime(const std::string &service);
+    /// \returns how long after a version of the service was last listed callers may still take up
+    /// streams that began at it; 0 if they may take up none.
+    [[nodiscard]] Milliseconds takeUpTimeOf(std::string_view service) const;
     /// \returns the usual share of a workspace of all requests of the fleet; 0 if not known.
     [[nodiscard]] double usualShareOf(std::string_view workspace) const;
 
--- a/gateway/gatewaystore.cpp
+++ b/gateway/gatewaystore.cpp
@@ -133,6 +133,7 @@
         this->updateStoreConnection();
         this->fleet.scheduleBroadcast();
     }
+    this->updateVersionRecords();
 }
 
 void Gateway::applyReplicaEvents(const std::vector<ReplicaEvent> &events)
@@ -229,6 +230,12 @@
     }
 }
 
+void Gateway::updateVersionRecords()
+{
+    this->versionRecorder.update(this->state.storeView.connected
+                                 && this->fleet.confirmerRank() == 0);
+}
+
 void Gateway::updateWatchRole()
 {
     const TimePoint now = this->state.clock.now();
--- a/gateway/versionconfirmer.cpp
+++ b/gateway/versionconfirmer.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "plantainswitch/base/hash.h"
+
 #include "fleetgossip.h"
 
 namespace plantainswitch::gateway {
@@ -36,7 +38,7 @@
 
 void VersionConfirmer::confirm(const std::string &service, TimePoint since, Handler done)
 {
-    const bool isOnly = this->gateway.serviceVersions.onlyVersionSince(service, since).has_value();
+    const bool isOnly = this->gateway.serviceVersions.onlySeenSince(service, since).has_value();
     if (!isOnly || this->waiting.size() >= maxWaiters) {
         done(std::nullopt);
         return;
@@ -57,14 +59,30 @@
 void VersionConfirmer::call()
 {
     this->calling = std::exchange(this->waiting, {});
+    this->gateway.metrics.count(Counter::PlatformCalls);
+    this->client.call(this->gateway.settings.store, "GET",
+                      this->gateway.dialect.listTarget(StoreObjectKind::Versions, {},
+                                                       ReadConsistency::Linearizable),
+                      {}, {callTimeout}, [this](const CallReply &reply) {
+                          const auto records = parseVersionRecords(this->gateway.dialect, reply);
+                          if (records && !records->empty()) {
+                              this->readChanges(*records);
+                          } else {
+                              this->finish({}, std::nullopt);
+                          }
+                      });
+}
+
+void VersionConfirmer::readChanges(const Records &records)
+{
     const std::uint64_t revision = this->gateway.fleet->latestRevision();
     this->gateway.metrics.count(Counter::PlatformCalls);
     this->client.call(
         this->gateway.settings.store, "GET",
         this->gateway.dialect.watchTarget(StoreObjectKind::Replicas, revision, watchWait), {},
-        {callTimeout}, [this](const CallReply &reply) {
+        {callTimeout}, [this, records](const CallReply &reply) {
             if (reply.status != statusGone) {
-                this->onReply(reply);
+                this->finish(records, parseUpstreams(this->gateway.dialect, reply));
                 return;
             }
             // No upstream has changed for longer than the store keeps changes.
@@ -72,20 +90,21 @@
             this->client.call(this->gateway.settings.store, "GET",
                               this->gateway.dialect.listTarget(StoreObjectKind::Replicas, {},
                                                                ReadConsistency::Linearizable),
-                              {}, {callTimeout},
-                              [this](const CallReply &list) { this->onReply(list); });
+                              {}, {callTimeout}, [this, records](const CallReply &list) {
+                                  this->finish(records,
+                                               parseUpstreams(this->gateway.dialect, list));
+                              });
         });
 }
 
-void VersionConfirmer::onReply(const CallReply &reply)
+void VersionConfirmer::finish(const Records &records, const std::optional<StoreResponse> &changes)
 {
-    const auto changes = parseUpstreams(this->gateway.dialect, reply);
     for (const Waiter &waiter : std::exchange(this->calling, {})) {
-        auto version = this->gateway.serviceVersions.onlyVersionSince(waiter.service, waiter.since);
-        if (version && (!changes || !this->agrees(*changes, waiter.service, *version))) {
-            version.reset();
-        }
-        waiter.done(version);
+        const auto seen = this->gateway.serviceVersions.onlySeenSince(waiter.service, waiter.since);
+        const auto record = records.find(hashOf(waiter.service));
+        const bool isOnly = seen && record != records.end() && record->second.only == seen
+                            && changes && this->agrees(*changes, waiter.service, *seen);
+        waiter.done(isOnly ? seen : std::nullopt);
     }
     if (!this->waiting.empty() && !this->client.isBusy()) {
         this->call();
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -73,6 +73,7 @@
     StreamTakenUp = 420,
     RequestQueued = 421,
     RequestQueueLeft = 422,
+    VersionsRecorded = 423,
     LimitReached = 450,
     UpstreamUnreachable = 500,
     UpstreamGarbage = 501,
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -84,6 +84,7 @@
 #include "plantainswitch/routing/upstreamnotices.h"
 #include "plantainswitch/routing/upstreamspeed.h"
 #include "plantainswitch/routing/upstreamstate.h"
+#include "plantainswitch/routing/versionrecord.h"
 #include "plantainswitch/routing/workspaceusage.h"
 #include "plantainswitch/upstreams/retrybudget.h"
 #include "plantainswitch/upstreams/sse.h"
--- a/include/plantainswitch/routing/route.h
+++ b/include/plantainswitch/routing/route.h
@@ -123,6 +123,9 @@
     [[nodiscard]] const RoutedWorkspace *findWorkspace(std::string_view key) const;
     /// \returns the service with that name, or nullptr.
     [[nodiscard]] const RoutedService *findService(std::string_view name) const;
+    /// \returns the longest time after a stream of the service began in which its caller may take
+    /// it up; 0 if no stream of the service may be taken up.
+    [[nodiscard]] Milliseconds takeUpTimeOf(std::string_view service) const;
 
 private:
     using ByPrefix = std::unordered_map<std::string, std::size_t>;
@@ -131,6 +134,7 @@
     std::unordered_map<std::string, ByPrefix> byHost;
     std::unordered_map<std::string, std::size_t> byKey;
     std::unordered_map<std::string, std::size_t> byService;
+    std::unordered_map<std::string, Milliseconds> takeUpTimes;
 };
 
 /// \returns the service to which the request with \a hash is routed by the route's weights; empty
--- a/include/plantainswitch/routing/serviceversions.h
+++ b/include/plantainswitch/routing/serviceversions.h
@@ -2,21 +2,19 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "plantainswitch/base/clock.h"
-#include "plantainswitch/routing/route.h"
 #include "plantainswitch/routing/streamorigin.h"
 
 namespace plantainswitch {
 
 /// The software versions of each service's upstreams over time, as this router's list showed them.
 ///
-/// A stream of unknown origin may go on at a version that was the only one of its service from the
-/// time returnTimeOf() before its caller came back until a moment after that, which the store has
-/// confirmed: the upstream that wrote its events was listed then. This requires that callers return
-/// within that time, and that an upstream of another version was listed for longer than the list
-/// may go unconfirmed; otherwise the stream needs its origin (StreamOriginTable).
+/// They show whether all streams that callers may still take up began at one version
+/// (VersionRecord). Upstreams serve on after their entry was removed, so that a version counts for
+/// as long as its streams may last, not only while it is listed.
 class ServiceVersions
 {
 public:
@@ -25,9 +23,15 @@
     /// Records the list as it is at \a now.
     void update(const std::map<std::string, Replica> &listed, TimePoint now);
     /// \returns the version of all upstreams of \a service that were listed since \a since, if
-    /// there was one only and the list was complete.
+    /// there was one only and no change was missed.
     [[nodiscard]] std::optional<VersionKey> onlyVersionSince(const std::string &service,
                                                              TimePoint since) const;
+    /// \returns the only version of \a service that this router saw listed since \a since. Others
+    /// may have been listed at times in which it did not follow the list.
+    [[nodiscard]] std::optional<VersionKey> onlySeenSince(const std::string &service,
+                                                          TimePoint since) const;
+    /// \returns the versions of the upstreams of \a service that are listed.
+    [[nodiscard]] std::set<VersionKey> listedOf(const std::string &service) const;
 
 private:
     std::optional<TimePoint> completeSince;
@@ -35,9 +39,4 @@
     std::map<std::string, std::map<VersionKey, TimePoint>> lastListed;
 };
 
-/// \returns the time within which callers of the route come back after their stream was cut: they
-/// notice a silent connection after the longest gap that they accept, and may then meet a router
-/// that is down.
-[[nodiscard]] Milliseconds returnTimeOf(const Route &route) noexcept;
-
 } // namespace plantainswitch
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -68,6 +68,7 @@
     EventRow{Event::StreamTakenUp, "stream-taken-up", Severity::Info},
     EventRow{Event::RequestQueued, "request-queued", Severity::Debug},
     EventRow{Event::RequestQueueLeft, "request-queue-left", Severity::Debug},
+    EventRow{Event::VersionsRecorded, "versions-recorded", Severity::Info},
     EventRow{Event::LimitReached, "limit-reached", Severity::Debug},
     EventRow{Event::UpstreamUnreachable, "upstream-unreachable", Severity::Warning},
     EventRow{Event::UpstreamGarbage, "upstream-garbage", Severity::Error},
--- a/src/routing/route.cpp
+++ b/src/routing/route.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <cctype>
 
+#include "plantainswitch/routing/streamorigin.h"
+
 namespace plantainswitch {
 
 namespace {
@@ -38,6 +40,12 @@
     for (std::size_t i = 0; i < this->source.routes.size(); ++i) {
         const Route &route = this->source.routes[i];
         this->byHost[normalizedHost(route.host)].emplace(route.pathPrefix, i);
+        for (const WeightedService &target : route.services) {
+            if (route.resumable) {
+                Milliseconds &longest = this->takeUpTimes[target.service];
+                longest = std::max(longest, originRetention(route.timeout));
+            }
+        }
     }
     for (std::size_t i = 0; i < this->source.workspaces.size(); ++i) {
         for (const std::string &key : this->source.workspaces[i].keys) {
@@ -77,6 +85,12 @@
     return found == this->byService.end() ? nullptr : &this->source.services[found->second];
 }
 
+Milliseconds RoutingTable::takeUpTimeOf(std::string_view service) const
+{
+    const auto found = this->takeUpTimes.find(std::string(service));
+    return found == this->takeUpTimes.end() ? Milliseconds{0} : found->second;
+}
+
 std::string_view serviceOf(const Route &route, std::uint64_t hash) noexcept
 {
     std::uint64_t sum = 0;
--- a/src/routing/serviceversions.cpp
+++ b/src/routing/serviceversions.cpp
@@ -1,15 +1,11 @@
 #include "plantainswitch/routing/serviceversions.h"
 
-#include <set>
-
 namespace plantainswitch {
 
 namespace {
 
-/// How long a version is remembered after its last upstream has left.
-constexpr Seconds versionRetention{600};
-/// Time to notice that a router is down, and to connect to another one.
-constexpr Milliseconds reconnectTime{3000};
+/// How long a version is remembered after its last upstream has left: longer than any stream lasts.
+constexpr Seconds versionRetention{900};
 
 } // namespace
 
@@ -44,9 +40,16 @@
 
 std::optional<VersionKey> ServiceVersions::onlyVersionSince(const std::string &service,
                                                             TimePoint since) const
+{
+    const bool isComplete = this->completeSince && *this->completeSince <= since;
+    return isComplete ? this->onlySeenSince(service, since) : std::nullopt;
+}
+
+std::optional<VersionKey> ServiceVersions::onlySeenSince(const std::string &service,
+                                                         TimePoint since) const
 {
     const auto found = this->lastListed.find(service);
-    if (!this->completeSince || *this->completeSince > since || found == this->lastListed.end()) {
+    if (found == this->lastListed.end()) {
         return std::nullopt;
     }
     std::optional<VersionKey> only;
@@ -62,9 +65,19 @@
     return only;
 }
 
-Milliseconds returnTimeOf(const Route &route) noexcept
+std::set<VersionKey> ServiceVersions::listedOf(const std::string &service) const
 {
-    return route.firstEventTimeout + reconnectTime;
+    std::set<VersionKey> listed;
+    const auto found = this->lastListed.find(service);
+    if (found == this->lastListed.end()) {
+        return listed;
+    }
+    for (const auto &[version, last] : found->second) {
+        if (last == TimePoint::max()) {
+            listed.insert(version);
+        }
+    }
+    return listed;
 }
 
 } // namespace plantainswitch
--- a/tests/support/gatewayfixture.cpp
+++ b/tests/support/gatewayfixture.cpp
@@ -24,6 +24,7 @@
 constexpr std::chrono::milliseconds pollInterval{5};
 
 constexpr std::string_view trialRecordsPath = "/objects/plantain-quarantines";
+constexpr std::string_view versionRecordsPath = "/objects/plantain-versions";
 
 std::string makeRoutingDocument(std::uint64_t version)
 {
@@ -268,7 +269,11 @@
             continue;
         }
         if (target.starts_with(trialRecordsPath)) {
-            connection.send(this->serveTrialRecords(*request));
+            connection.send(this->serveRecords(*request, trialRecordsPath, this->trialRecords));
+            continue;
+        }
+        if (target.starts_with(versionRecordsPath)) {
+            connection.send(this->serveRecords(*request, versionRecordsPath, this->versionRecords));
             continue;
         }
         const bool isRouting = target.starts_with("/objects/config");
@@ -283,27 +288,27 @@
     }
 }
 
-std::string GatewayFixture::serveTrialRecords(const ReceivedRequest &request)
+std::string GatewayFixture::serveRecords(const ReceivedRequest &request, std::string_view kindPath,
+                                         StoredRecords &records)
 {
-    const std::lock_guard lock(this->trialMutex);
+    const std::lock_guard lock(this->recordMutex);
     const auto respond = [](int status, const std::string &body) {
         return fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}", status, body.size(),
                            body);
     };
-    const auto render = [this](const std::string &name) {
-        const auto &[trials, revision] = this->trialRecords.at(name);
-        return fmt::format(R"({{"metadata":{{"name":"{}","rev":{}}},"spec":{{"trials":{}}}}})",
-                           name, revision, trials);
+    const auto render = [&records](const std::string &name) {
+        const auto &[spec, revision] = records.at(name);
+        return fmt::format(R"({{"metadata":{{"name":"{}","rev":{}}},"spec":{}}})", name, revision,
+                           spec.dump());
     };
     const std::string path = request.head.target.substr(0, request.head.target.find('?'));
-    std::string name =
-        path.size() > trialRecordsPath.size() ? path.substr(trialRecordsPath.size() + 1) : "";
+    std::string name = path.size() > kindPath.size() ? path.substr(kindPath.size() + 1) : "";
     const bool hasBody = request.head.method == "POST" || request.head.method == "PUT";
     const nlohmann::json body =
         hasBody ? nlohmann::json::parse(request.body) : nlohmann::json::object();
     if (request.head.method == "GET" && name.empty()) {
         std::vector<std::string> items;
-        for (const auto &[key, record] : this->trialRecords) {
+        for (const auto &[key, record] : records) {
             items.push_back(render(key));
         }
         return respond(200, fmt::format(R"({{"items":[{}],"hasMore":false,"asOf":5}})",
@@ -312,10 +317,10 @@
     if (request.head.method == "POST") {
         name = body["metadata"]["name"];
     }
-    const auto stored = this->trialRecords.find(name);
-    const bool exists = stored != this->trialRecords.end();
+    const auto stored = records.find(name);
+    const bool exists = stored != records.end();
     if (request.head.method == "DELETE") {
-        this->trialRecords.erase(name);
+        records.erase(name);
         return respond(200, "{}");
     }
     if (!hasBody) {
@@ -328,21 +333,23 @@
     if (conflicts) {
         return respond(409, exists ? render(name) : "{}");
     }
-    this->trialRecords[name] = {body["spec"]["trials"], ++this->trialRevision};
+    records[name] = {body["spec"], ++this->recordRevision};
     return respond(200, render(name));
 }
 
 void GatewayFixture::setTrialRecord(const std::string &name, int trials)
 {
-    const std::lock_guard lock(this->trialMutex);
-    this->trialRecords[name] = {trials, ++this->trialRevision};
+    const std::lock_guard lock(this->recordMutex);
+    this->trialRecords[name] = {{{"trials", trials}}, ++this->recordRevision};
 }
 
 std::optional<int> GatewayFixture::storedTrials(const std::string &name)
 {
-    const std::lock_guard lock(this->trialMutex);
+    const std::lock_guard lock(this->recordMutex);
     const auto found = this->trialRecords.find(name);
-    return found == this->trialRecords.end() ? std::nullopt : std::optional(found->second.first);
+    return found == this->trialRecords.end()
+               ? std::nullopt
+               : std::optional(found->second.first["trials"].get<int>());
 }
 
 void GatewayFixture::start()
--- a/tests/support/gatewayfixture.h
+++ b/tests/support/gatewayfixture.h
@@ -13,6 +13,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <nlohmann/json.hpp>
 
 #include "gateway.h"
 #include "platformdialect.h"
@@ -179,19 +180,23 @@
     std::unique_ptr<Gateway> gateway;
 
 private:
+    /// Specification and revision of each record that routers keep in the store, by name.
+    using StoredRecords = std::map<std::string, std::pair<nlohmann::json, std::uint64_t>>;
+
     void stopGateway();
     void addEntry(const std::string &id, const std::string &service, const Endpoint &endpoint);
     void serveStore(ServerConnection &connection);
-    /// Serves a call on a record of a quarantined request, or on all of them.
-    std::string serveTrialRecords(const ReceivedRequest &request);
+    /// Serves a call on a record that routers keep in the store, or on all of its kind.
+    std::string serveRecords(const ReceivedRequest &request, std::string_view kindPath,
+                             StoredRecords &records);
 
     std::vector<std::unique_ptr<ScriptedServer>> upstreams;
     std::string replicaItems;
     std::string evacuationItems;
-    /// Trials and revision of each record of a quarantined request.
-    std::map<std::string, std::pair<int, std::uint64_t>> trialRecords;
-    std::uint64_t trialRevision = 5;
-    std::mutex trialMutex;
+    StoredRecords trialRecords;
+    StoredRecords versionRecords;
+    std::uint64_t recordRevision = 5;
+    std::mutex recordMutex;
     Milliseconds coldTime{0};
     std::string version = "v1";
     std::function<void(GatewaySettings &)> settingsChange;
--- a/tests/versionconfirmer.cpp
+++ b/tests/versionconfirmer.cpp
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include "plantainswitch/base/hash.h"
+
 #include "fleetgossip.h"
 #include "gatewayfixture.h"
 #include "versionconfirmer.h"
@@ -26,6 +28,7 @@
         this->state.serviceVersions.update({{replica.id, replica}}, longAgo);
         this->state.syncStates[StoreObjectKind::Replicas].revision = 7;
         this->state.fleet = &this->fleet;
+        this->records = recordOf(this->version);
     }
 
     static std::string entryOf(const std::string &id, const std::string &version)
@@ -35,14 +38,24 @@
                + R"("version":")" + version + R"(","slots":4,"state":"ready","sequence":1}})";
     }
 
+    /// \returns a list with the record that all streams began at \a only, or at any version.
+    [[nodiscard]] static std::string recordOf(std::optional<VersionKey> only)
+    {
+        return R"({"items":[{"metadata":{"name":")" + formatHash(hashOf("model"))
+               + R"(","rev":3},"spec":{"only":")" + (only ? formatHash(*only) : std::string())
+               + R"("}}],"hasMore":false,"asOf":9})";
+    }
+
     /// \returns the version that is confirmed if the store responds to a watch with \a changes, or
     /// with 410 if that is empty, and to a list with \a list.
     std::optional<VersionKey> confirm(const std::string &changes, const std::string &list)
     {
         const ScriptedServer store([&](ServerConnection &connection) {
             while (const auto request = connection.read()) {
+                const bool isRecords =
+                    request->head.target.find("plantain-versions") != std::string::npos;
                 const bool isWatch = request->head.target.find("watch=") != std::string::npos;
-                const std::string &body = isWatch ? changes : list;
+                const std::string &body = isRecords ? this->records : isWatch ? changes : list;
                 const std::string status = isWatch && changes.empty() ? "410 Gone" : "200 OK";
                 connection.send(fmt::format("HTTP/1.1 {}\r\nContent-Length: {}\r\n\r\n{}", status,
                                             body.size(), body));
@@ -68,6 +81,8 @@
     GatewayState state{this->context, this->clock, this->dialect, GatewaySettings{}};
     FleetGossip fleet{this->state, 1, [] {}};
     VersionKey version = 0;
+    /// The store's response to a list of the records of versions.
+    std::string records;
 };
 
 } // namespace
@@ -107,3 +122,19 @@
     CHECK_FALSE(this->confirm("", other));
     CHECK_FALSE(this->confirm("", R"({"items":[],"hasMore":true,"asOf":9})"));
 }
+
+TEST_CASE_METHOD(VersionConfirmerFixture, "versionConfirmer_recordStatesNoOnlyVersion_doesNot",
+                 "[gateway]")
+{
+    // Guards against a version whose upstreams left the list but may have begun streams: this
+    // router missed it, or they serve on.
+    const std::string unchanged = R"({"events":[],"asOf":9})";
+    this->records = recordOf(std::nullopt);
+    CHECK_FALSE(this->confirm(unchanged, ""));
+    this->records = recordOf(this->version + 1);
+    CHECK_FALSE(this->confirm(unchanged, ""));
+    this->records = R"({"items":[],"hasMore":false,"asOf":9})";
+    CHECK_FALSE(this->confirm(unchanged, ""));
+    this->records = "no list";
+    CHECK_FALSE(this->confirm(unchanged, ""));
+}
