Leave a silent upstream only for one that can go on

Cause: retry() released the running attempt and then selected another upstream.

If the request would fail after that, it is sent to the upstream that was left again. The same on related paths: a forwarded request is not given up without another router, and an upstream from which nothing is read because the caller is slow does not count as silent.

--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -1,6 +1,7 @@
 #include "gatewayrequesthandler.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -57,20 +58,11 @@
     if (isCutOff && this->forward("cut off")) {
         return;
     }
-    this->gateway.refreshPeerLoads();
-    const PlacementRequest placement = this->placementRequest();
-    const CandidateSet set = candidatesFor(this->gateway.upstreams.ofService(this->service),
-                                           placement.constraints, this->stream);
+    const CandidateChoice candidateChoice = this->chooseUpstream();
+    const CandidateSet &set = candidateChoice.set;
+    const auto &choice = candidateChoice.selected;
     this->hasNoPermittedPlace = set.hasNoPermittedPlace;
     const std::span<UpstreamState *const> candidates = set.upstreams;
-    const std::vector<std::string> excluded = this->excludedUpstreams(candidates);
-    const ServiceEstimator *const estimator = this->gateway.settings.mechanisms.estimates
-                                                  ? &this->gateway.estimators[this->service]
-                                                  : nullptr;
-    const auto choice = selectUpstream(
-        candidates, selectionRequestFor(this->gateway, placement, excluded),
-        this->gateway.upstreams.prefixIndex,
-        selectionPolicyFor(this->gateway.settings, estimator, set, this->now()), this->now());
     if (this->waitForDeniedSlot(candidates, choice)
         || this->forwardForLackOfReach(candidates, choice)) {
         return;
@@ -79,6 +71,7 @@
         this->fail();
         return;
     }
+    const PlacementRequest placement = this->placementRequest();
     if (!this->passAdmissionControl(placement, *choice)
         || (set.isConstrained && !this->passLoadBound(*choice, *candidates[choice->index]))) {
         return;
@@ -86,6 +79,65 @@
     this->dispatchWithGrant(placement, candidates, *choice);
 }
 
+RequestHandler::CandidateChoice RequestHandler::chooseUpstream()
+{
+    this->gateway.refreshPeerLoads();
+    const PlacementRequest placement = this->placementRequest();
+    CandidateChoice choice{candidatesFor(this->gateway.upstreams.ofService(this->service),
+                                         placement.constraints, this->stream),
+                           std::nullopt};
+    const std::vector<std::string> excluded = this->excludedUpstreams(choice.set.upstreams);
+    const ServiceEstimator *const estimator = this->gateway.settings.mechanisms.estimates
+                                                  ? &this->gateway.estimators[this->service]
+                                                  : nullptr;
+    choice.selected = selectUpstream(
+        choice.set.upstreams, selectionRequestFor(this->gateway, placement, excluded),
+        this->gateway.upstreams.prefixIndex,
+        selectionPolicyFor(this->gateway.settings, estimator, choice.set, this->now()),
+        this->now());
+    return choice;
+}
+
+bool RequestHandler::hasAlternative()
+{
+    const CandidateChoice choice = this->chooseUpstream();
+    return choice.selected
+           && !isEjected(choice.set.upstreams[choice.selected->index]->health, this->now());
+}
+
+bool RequestHandler::leaveUpstream(std::string_view why)
+{
+    if (!this->canRetry() || !this->hasAlternative()) {
+        return false;
+    }
+    const std::string left = this->upstream->replica.id;
+    if (!this->retry(why)) {
+        return false;
+    }
+    this->leftUpstream = left;
+    return true;
+}
+
+bool RequestHandler::returnToLeftUpstream()
+{
+    const std::string left = std::exchange(this->leftUpstream, {});
+    const bool mayReturn =
+        !left.empty() && this->remainingTime() >= minRemainingTime && !this->blockedBy()
+        && this->isUsable(this->gateway.upstreams.find(left))
+        && this->gateway.retryBudgets.tryWithdraw(this->service, this->gateway.routerCount(),
+                                                  this->now());
+    if (!mayReturn) {
+        return false;
+    }
+    this->releaseUpstream();
+    std::erase(this->triedUpstreams, left);
+    this->eventRelay.dropPartial();
+    this->logRetry("no other upstream");
+    this->gateway.metrics.count(Counter::Retries);
+    this->selectAndDispatch();
+    return true;
+}
+
 void RequestHandler::dispatchWithGrant(const PlacementRequest &request,
                                        std::span<UpstreamState *const> candidates,
                                        const UpstreamSelection &choice)
@@ -361,6 +413,8 @@
     this->isRunning = false;
     this->headReceived = false;
     this->firstByteReceived = false;
+    this->isSilenceRecorded = false;
+    this->isReadingPaused = false;
     this->responseBody.clear();
     this->bufferShare.clear();
     this->stream.currentVersion = versionKeyOf(target->replica);
--- a/gateway/gatewayrequestforward.cpp
+++ b/gateway/gatewayrequestforward.cpp
@@ -22,24 +22,30 @@
 } // namespace
 
 bool RequestHandler::forward(std::string_view why)
+{
+    const auto target = this->nextForwardTarget();
+    if (target) {
+        this->forwardTo(*target, why);
+    }
+    return target.has_value();
+}
+
+std::optional<Endpoint> RequestHandler::nextForwardTarget() const
 {
     const bool isAllowed = this->gateway.settings.mechanisms.forwarding && !this->forwarded
                            && this->forwardHosts.size() < maxForwards
                            && this->remainingTime() >= minRemainingTime;
-    if (!isAllowed) {
-        return false;
-    }
-    const auto target =
-        forwardTargetFor(this->gateway, this->placementRequest(), this->forwardHosts);
-    if (!target) {
-        return false;
-    }
+    return isAllowed ? forwardTargetFor(this->gateway, this->placementRequest(), this->forwardHosts)
+                     : std::nullopt;
+}
+
+void RequestHandler::forwardTo(const Endpoint &target, std::string_view why)
+{
     this->releaseUpstream();
-    this->forwardHosts.push_back(target->host);
+    this->forwardHosts.push_back(target.host);
     this->logForward(why);
     this->gateway.metrics.count(Counter::Forwards);
-    this->sendForwarded(*target);
-    return true;
+    this->sendForwarded(target);
 }
 
 void RequestHandler::sendForwarded(const Endpoint &target)
@@ -181,11 +187,19 @@
 
 void RequestHandler::onForwardTimeout()
 {
-    if (!this->headReceived && !this->forwardHosts.empty() && this->canRetry()) {
-        this->onForwardLost();
+    // Without another router the one that has the request may still respond.
+    const auto target =
+        !this->headReceived && this->canRetry() ? this->nextForwardTarget() : std::nullopt;
+    const bool mayRepeat = target
+                           && this->gateway.retryBudgets.tryWithdraw(
+                               this->service, this->gateway.routerCount(), this->now());
+    if (!mayRepeat) {
+        this->armTimer(this->deadline);
         return;
     }
-    this->armTimer(this->deadline);
+    this->possibleExecutions += 1;
+    this->connection->abort();
+    this->forwardTo(*target, "silent");
 }
 
 bool RequestHandler::acceptForwarded()
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -24,6 +24,8 @@
 /// Multiple of the longest pause that callers accept within a stream, after which the stream is
 /// resumed on another upstream.
 constexpr double stallPauseFactor = 1.5;
+/// Interval at which a request whose upstream is silent looks for another one.
+constexpr Milliseconds alternativeCheckInterval{100};
 
 } // namespace
 
@@ -271,6 +273,11 @@
         this->retryOrFail(UpstreamFault::ConnectionLost);
         return;
     }
+    if (this->isReadingPaused) {
+        // The caller is slow, and not the upstream.
+        this->armTimer(this->deadline);
+        return;
+    }
     const Duration silent = this->now() - this->sentAt;
     const bool isBusy =
         this->phase == Phase::AwaitingResponse
@@ -279,17 +286,17 @@
         this->armTimer(this->sentAt + maxBusyObjectives * this->route->objective);
         return;
     }
-    if (!isBusy) {
+    if (!isBusy && !std::exchange(this->isSilenceRecorded, true)) {
         this->recordUpstreamFault(UpstreamFault::TimedOut);
         this->gateway.recordContactFailure(this->upstream->replica,
                                            this->isRunning ? ContactFailure::NoResponse
                                                            : ContactFailure::ConnectFailed);
     }
-    if (this->canRetry() && this->retry(isBusy ? "busy" : "silent")) {
+    if (this->leaveUpstream(isBusy ? "busy" : "silent")) {
         return;
     }
-    // No retry is allowed. The response may still arrive before the deadline.
-    this->armTimer(this->deadline);
+    // The response may still arrive before the deadline, or another upstream become available.
+    this->armTimer(this->canRetry() ? this->now() + alternativeCheckInterval : this->deadline);
 }
 
 void RequestHandler::recordUpstreamFault(UpstreamFault fault)
@@ -372,6 +379,9 @@
 
 void RequestHandler::fail()
 {
+    if (this->returnToLeftUpstream()) {
+        return;
+    }
     if (this->failedResponse) {
         // An upstream's own error response tells the caller more than one of the router.
         this->forwardFailure();
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -66,6 +66,12 @@
         BufferShare share;
     };
 
+    struct CandidateChoice
+    {
+        CandidateSet set;
+        std::optional<UpstreamSelection> selected;
+    };
+
     /// A chosen upstream, independent of the list of candidates that it was chosen from.
     struct Selection
     {
@@ -108,6 +114,17 @@
     /// \returns whether an upstream may be selected.
     bool maySelect();
     void selectAndDispatch();
+    /// \returns the upstreams among which one is selected, and the selected one.
+    [[nodiscard]] CandidateChoice chooseUpstream();
+    /// \returns whether another upstream can take the request on. Until then the running attempt
+    /// must not be given up.
+    [[nodiscard]] bool hasAlternative();
+    /// Gives the running attempt up for one at another upstream, if there is one and the request
+    /// may be retried. \returns whether it did.
+    bool leaveUpstream(std::string_view why);
+    /// Sends the request to an upstream again that was left while it ran it, as no other one took
+    /// it. \returns whether there is such an upstream.
+    bool returnToLeftUpstream();
     /// Forwards the request if none of the upstreams that this router can connect to has room for
     /// it, and others serve other routers. \returns whether it was forwarded.
     bool forwardForLackOfReach(std::span<UpstreamState *const> candidates,
@@ -223,6 +240,9 @@
     /// Forwards the request to another router that reaches the service. \returns false if there is
     /// none, or no time is left.
     bool forward(std::string_view why);
+    /// \returns the next router to forward the request to, if there is one and time is left.
+    [[nodiscard]] std::optional<Endpoint> nextForwardTarget() const;
+    void forwardTo(const Endpoint &target, std::string_view why);
     void sendForwarded(const Endpoint &target);
     ResponseHandlers forwardHandlers();
     /// \returns false if the response belongs to another request.
@@ -279,6 +299,13 @@
     std::shared_ptr<UpstreamState> upstream;
     std::shared_ptr<UpstreamConnection> connection;
     std::vector<std::string> triedUpstreams;
+    /// The upstream that was last left while it ran the request; empty if none was, or if the
+    /// request was sent there again.
+    std::string leftUpstream;
+    /// The silence of the current upstream counts as its fault already.
+    bool isSilenceRecorded = false;
+    /// Nothing is read from the upstream until the caller has read what is queued for it.
+    bool isReadingPaused = false;
     /// Number of upstreams that may have executed the request.
     std::uint32_t possibleExecutions = 0;
     std::uint32_t connectFailures = 0;
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -211,6 +211,7 @@
         return true;
     }
     this->recordStreamEvents();
+    this->isSilenceRecorded = false;
     if (!this->responseStarted) {
         this->responseStarted = true;
         this->caller->startChunked(this->response.status, this->responseFields(),
@@ -221,6 +222,7 @@
     const std::size_t queued = this->caller->queuedBytes();
     if (queued > pauseThresholdBytes
         || !this->bufferShare.resize(this->eventRelay.partialSize() + queued)) {
+        this->isReadingPaused = true;
         this->connection->pauseReading();
     }
     return true;
@@ -231,6 +233,9 @@
     if (this->phase == Phase::Relaying && this->connection
         && this->caller->queuedBytes() < resumeThresholdBytes) {
         this->connection->resumeReading();
+        if (std::exchange(this->isReadingPaused, false)) {
+            this->armTimer(this->upstream ? this->silenceDeadline() : this->deadline);
+        }
     }
 }
 
--- a/tests/gatewaycutoff.cpp
+++ b/tests/gatewaycutoff.cpp
@@ -395,6 +395,27 @@
     CHECK(TestedGateway::eventually([&ended] { return ended == 1; }));
 }
 
+TEST_CASE_METHOD(GatewayCutOffFixture, "cutOff_onlyOtherRouterIsSlow_requestIsNotGivenUp",
+                 "[gateway]")
+{
+    // Guards against giving up a forwarded request that runs, when there is no other router.
+    static constexpr std::chrono::milliseconds workTime{600};
+    this->addUpstreams(
+        "model", 1, Cut::Refuses, [](ServerConnection &connection, const ReceivedRequest &request) {
+            if (!connection.waitForEnd(workTime)) {
+                connection.send(TestedGateway::makeStreamHead(request)
+                                + TestedGateway::makeChunk(TestedGateway::makeEvent(1))
+                                + "0\r\n\r\n");
+            }
+        });
+    this->start();
+    const ReceivedResponse answer =
+        this->cutOff.call(TestedGateway::makeRequest("/hasty/x", "slow"));
+    CHECK(answer.status == 200);
+    CHECK(answer.isComplete);
+    CHECK(this->runsOf("slow") == 1);
+}
+
 TEST_CASE_METHOD(GatewayCutOffFixture, "cutOff_largeBody_arrivesByteForByte", "[gateway]")
 {
     std::string body(90'000, 'x');
--- /dev/null
+++ b/tests/gatewaysilences.cpp
@@ -0,0 +1,144 @@
+#include <atomic>
+#include <thread>
+
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "gatewayfixture.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::gateway;
+
+namespace {
+
+/// Upstreams whose streams pause for longer than callers accept.
+class GatewaySilencesFixture : public GatewayFixture
+{
+protected:
+    /// Adds an engine that falls silent after the first event of a stream, and goes on.
+    void addPausing(const std::string &id)
+    {
+        this->addUpstream(id, "model", [this](ServerConnection &connection) {
+            while (const auto request = connection.read()) {
+                ++this->runs;
+                if (request->head.find("Last-Event-Id") == nullptr) {
+                    connection.send(makeStreamHead(*request) + makeChunk(makeEvent(1)));
+                    if (connection.waitForEnd(silence)) {
+                        return;
+                    }
+                } else {
+                    connection.send(makeStreamHead(*request));
+                }
+                connection.send(makeChunk(makeEvent(2)) + "0\r\n\r\n");
+            }
+        });
+    }
+
+    /// Adds an engine that rejects what it is asked to go on with, and never ends a new stream.
+    void addFull(const std::string &id)
+    {
+        this->addUpstream(id, "model", [this](ServerConnection &connection) {
+            while (const auto request = connection.read()) {
+                if (request->head.find("Last-Event-Id") != nullptr) {
+                    ++this->rejections;
+                    connection.send(makeResponse(*request, "", 503, "X-Not-Executed: 1\r\n"));
+                    continue;
+                }
+                connection.send(makeStreamHead(*request) + makeChunk(makeEvent(1)));
+                connection.waitForEnd();
+                return;
+            }
+        });
+    }
+
+    /// \returns whether \a response is a stream with both events, each once.
+    static bool isWhole(const ReceivedResponse &response)
+    {
+        return response.isComplete && response.body == makeEvent(1) + makeEvent(2);
+    }
+
+    /// Longer than the pause from which an upstream counts as silent, one and a half seconds.
+    static constexpr std::chrono::milliseconds silence{2200};
+    std::atomic<int> runs = 0;
+    std::atomic<int> rejections = 0;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(GatewaySilencesFixture, "silence_ofTheOnlyUpstream_streamGoesOn", "[gateway]")
+{
+    // Guards against giving up a run before another upstream can go on with it: the stream was cut
+    // although its upstream was sound.
+    this->addPausing("model-0");
+    this->start();
+    CHECK(isWhole(this->call(makeRequest("/stream/x", "a"))));
+    CHECK(this->runs == 1);
+}
+
+TEST_CASE_METHOD(GatewaySilencesFixture, "silence_otherUpstreamOfAnotherVersion_streamGoesOn",
+                 "[gateway]")
+{
+    // Guards against the same during a release, when the last upstream of a version falls silent.
+    this->addPausing("model-0");
+    this->setVersion("v2");
+    this->addPausing("model-1");
+    this->start();
+    CHECK(isWhole(this->call(makeRequest("/stream/x", "a"))));
+    CHECK(this->runs == 1);
+}
+
+TEST_CASE_METHOD(GatewaySilencesFixture, "silence_otherUpstreamRejects_streamGoesOnWhereItWas",
+                 "[gateway]")
+{
+    // Guards against a stream that is cut because the upstream for which it left a silent one has
+    // no room.
+    this->addPausing("model-0");
+    this->addFull("model-1");
+    this->start();
+    // Streams begin at either engine. Those of the second one have nowhere to go.
+    for (int i = 0; i < 20 && this->runs == 0; ++i) {
+        asio::ip::tcp::socket caller = this->connectCaller();
+        asio::write(caller, asio::buffer(makeRequest("/stream/x", "a" + std::to_string(i))));
+        std::string received;
+        asio::read_until(caller, asio::dynamic_buffer(received), "\n\n");
+        if (this->runs > 0) {
+            asio::error_code error;
+            asio::read_until(caller, asio::dynamic_buffer(received), "\r\n0\r\n\r\n", error);
+            CHECK_FALSE(error);
+            CHECK(received.find(makeEvent(2)) != std::string::npos);
+        }
+    }
+    REQUIRE(this->runs > 0);
+    CHECK(this->rejections > 0);
+}
+
+TEST_CASE_METHOD(GatewaySilencesFixture, "silence_causedByASlowCaller_isNoFaultOfTheUpstream",
+                 "[gateway]")
+{
+    // Guards against giving up a run from which the router reads nothing because its caller is
+    // slow.
+    // More than the buffers of all connections hold.
+    constexpr int eventCount = 400;
+    std::string large;
+    for (int i = 1; i <= eventCount; ++i) {
+        large += "id: " + std::to_string(i) + "\ndata: " + std::string(std::size_t{64} << 10, 'x')
+                 + "\n\n";
+    }
+    for (const std::string id : {"model-0", "model-1"}) {
+        this->addUpstream(id, "model", [this, &large](ServerConnection &connection) {
+            while (const auto request = connection.read()) {
+                ++this->runs;
+                connection.send(makeStreamHead(*request) + makeChunk(large) + "0\r\n\r\n");
+            }
+        });
+    }
+    this->start();
+    asio::ip::tcp::socket caller = this->connectCaller();
+    asio::write(caller, asio::buffer(makeRequest("/stream/x", "a")));
+    std::this_thread::sleep_for(silence);
+    const ReceivedResponse answer = readResponse(caller);
+    CHECK(answer.isComplete);
+    CHECK(answer.body == large);
+    CHECK(this->runs == 1);
+}
