Hand origins of streams over to routers that join, and at a stop

Cause: an origin was reported once, with the update after the stream's first event. Routers that joined later got the last two seconds of them, so that the knowledge died with the last router that had been there.

Change: a router passes the origins of its callers' incomplete streams on to each router that joins or comes back, and to all when it stops, before it cuts them. Origins state their owner; those of a failed owner are passed on by two others, chosen by rendezvous. The table has an index by owner, so that a join costs as much as is passed on. In large fleets a router elsewhere gets the origins that it is to hold.

--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -59,7 +59,7 @@
     , socket(gateway.context)
     , timer(gateway.context)
     , contacts(gateway.settings.id, gateway.settings.dataCentre)
-    , originExchange(gateway, this->contacts,
+    , originExchange(gateway, this->contacts, routerProcessOf(gateway.settings.id, incarnation),
                      [this](const Endpoint &address, const wire::GatewayDatagram &datagram) {
                          this->sendTo(address, datagram);
                      })
@@ -94,6 +94,11 @@
     this->tick();
 }
 
+void FleetGossip::passOnOrigins()
+{
+    this->originExchange.passOnAll();
+}
+
 void FleetGossip::stop()
 {
     this->stopped = true;
--- a/gateway/fleetgossip.h
+++ b/gateway/fleetgossip.h
@@ -33,6 +33,8 @@
     /// Opens the UDP socket, adds the seeds and starts to send updates. Throws if the address is
     /// not available.
     void start();
+    /// Passes on what only this router may know of its callers' streams, because it stops.
+    void passOnOrigins();
     /// Sends a last update that announces the stop to all routers, and closes the socket.
     void stop();
     /// Asks the coordinator of the engine in \a grantRequest for a grant. \a done is called once:
--- a/gateway/fleetupdates.cpp
+++ b/gateway/fleetupdates.cpp
@@ -292,6 +292,7 @@
     this->appendSpeedReports(*datagram.mutable_news(), {}, 1);
     this->contacts.recordSent(joining, now);
     this->sendTo(joining, datagram);
+    this->originExchange.passOnTo(joining);
 }
 
 RouterUpdate FleetGossip::updateSince(TimePoint since)
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -457,6 +457,8 @@
 
 void Gateway::forceStop()
 {
+    // Before the streams are cut: their callers return to other routers at once.
+    this->fleet.passOnOrigins();
     std::vector<std::shared_ptr<RequestHandler>> running;
     for (const auto &[id, exchange] : this->exchanges) {
         running.push_back(exchange);
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -376,6 +376,7 @@
         this->recordHoldTime();
     }
     this->releaseUpstream();
+    this->gateway.streamOrigins.complete(this->stream.key);
     this->caller->finishChunked();
     this->finish("whole");
 }
--- a/gateway/originexchange.cpp
+++ b/gateway/originexchange.cpp
@@ -16,16 +16,20 @@
     return static_cast<std::uint32_t>(std::max<Milliseconds::rep>(left.count(), 0));
 }
 
-/// Adds \a origins to \a groups, one group for each version.
+/// Origins in one datagram, about one Ethernet frame.
+constexpr std::size_t maxReportedAtOnce = 100;
+
+/// Adds \a origins to \a groups, one group for each version and owner.
 void appendOrigins(google::protobuf::RepeatedPtrField<wire::StreamOrigins> &groups,
                    const std::vector<StreamOrigin> &origins, TimePoint now)
 {
-    std::map<VersionKey, wire::StreamOrigins *> byVersion;
+    std::map<std::pair<VersionKey, RouterProcess>, wire::StreamOrigins *> byVersion;
     for (const StreamOrigin &origin : origins) {
-        wire::StreamOrigins *&group = byVersion[origin.version];
+        wire::StreamOrigins *&group = byVersion[{origin.version, origin.owner}];
         if (group == nullptr) {
             group = groups.Add();
             group->set_version(origin.version);
+            group->set_owner(origin.owner);
         }
         group->add_streams(origin.stream);
         group->add_left_ms(millisecondsLeft(origin, now));
@@ -34,15 +38,18 @@
 
 } // namespace
 
-OriginExchange::OriginExchange(GatewayState &gateway, const RouterContacts &contacts, Sender send)
+OriginExchange::OriginExchange(GatewayState &gateway, const RouterContacts &contacts,
+                               RouterProcess own, Sender send)
     : gateway(gateway)
     , contacts(contacts)
+    , own(own)
     , send(std::move(send))
 {}
 
-void OriginExchange::announce(const StreamOrigin &origin)
+void OriginExchange::announce(StreamOrigin origin)
 {
     const TimePoint now = this->gateway.clock.now();
+    origin.owner = this->own;
     this->gateway.streamOrigins.record(origin, now);
     this->gateway.updateLog.recordOrigin(origin, now);
     for (const Endpoint &holder : this->contacts.originHolders(origin.stream, now)) {
@@ -55,9 +62,35 @@
     const TimePoint now = this->gateway.clock.now();
     this->gateway.streamOrigins.removeExpired(now);
     for (const auto &[holder, origins] : std::exchange(this->unsent, {})) {
+        this->report(holder, origins);
+    }
+}
+
+void OriginExchange::passOnTo(const Endpoint &joining)
+{
+    this->report(joining, originsForJoining(this->gateway.streamOrigins, this->contacts, joining,
+                                            this->own, this->gateway.clock.now()));
+}
+
+void OriginExchange::passOnAll()
+{
+    for (const auto &[receiver, origins] : originsAtStop(
+             this->gateway.streamOrigins, this->contacts, this->own, this->gateway.clock.now())) {
+        this->report(receiver, origins);
+    }
+}
+
+void OriginExchange::report(const Endpoint &receiver, const std::vector<StreamOrigin> &origins)
+{
+    const TimePoint now = this->gateway.clock.now();
+    for (std::size_t first = 0; first < origins.size(); first += maxReportedAtOnce) {
+        const std::size_t last = std::min(first + maxReportedAtOnce, origins.size());
         wire::GatewayDatagram datagram;
-        appendOrigins(*datagram.mutable_origin_report()->mutable_origins(), origins, now);
-        this->send(holder, datagram);
+        appendOrigins(*datagram.mutable_origin_report()->mutable_origins(),
+                      {origins.begin() + static_cast<std::ptrdiff_t>(first),
+                       origins.begin() + static_cast<std::ptrdiff_t>(last)},
+                      now);
+        this->send(receiver, datagram);
     }
 }
 
@@ -123,8 +156,10 @@
     for (const wire::StreamOrigins &group : reported) {
         const int count = std::min(group.streams_size(), group.left_ms_size());
         for (int i = 0; i < count; ++i) {
-            this->gateway.streamOrigins.record(
-                {group.streams(i), group.version(), now + Milliseconds{group.left_ms(i)}}, now);
+            this->gateway.streamOrigins.record({group.streams(i), group.version(),
+                                                now + Milliseconds{group.left_ms(i)},
+                                                group.owner()},
+                                               now);
         }
     }
 }
--- a/gateway/originexchange.h
+++ b/gateway/originexchange.h
@@ -12,6 +12,7 @@
 
 #include "peer.pb.h"
 
+#include "plantainswitch/routing/originhandover.h"
 #include "plantainswitch/routing/originsearch.h"
 #include "plantainswitch/routing/routercontacts.h"
 
@@ -34,11 +35,18 @@
 public:
     using Sender = std::function<void(const Endpoint &, const wire::GatewayDatagram &)>;
 
-    OriginExchange(GatewayState &gateway, const RouterContacts &contacts, Sender send);
+    /// \param own the process of this router
+    OriginExchange(GatewayState &gateway, const RouterContacts &contacts, RouterProcess own,
+                   Sender send);
 
     /// Records the origin of a stream that a caller of this router has received events of, and
     /// reports it to the other routers.
-    void announce(const StreamOrigin &origin);
+    void announce(StreamOrigin origin);
+    /// Passes the origins of streams that callers may still take up on to a router that has just
+    /// started, or was out of reach.
+    void passOnTo(const Endpoint &joining);
+    /// Passes the origins of this router's callers' streams on, because it stops.
+    void passOnAll();
     /// Finds the origin of a stream. \a done is called once, within the time of maxOriginRounds.
     void find(StreamKey stream, std::function<void(const OriginResult &)> done);
     /// Sends the origins that were announced since the last call to the routers of other data
@@ -60,11 +68,14 @@
         std::unique_ptr<asio::steady_timer> timer;
     };
 
+    /// Sends \a origins in as many datagrams as they need.
+    void report(const Endpoint &receiver, const std::vector<StreamOrigin> &origins);
     void ask(std::uint64_t number);
     void finish(std::uint64_t number, std::optional<VersionKey> version);
 
     GatewayState &gateway;
     const RouterContacts &contacts;
+    RouterProcess own;
     Sender send;
     /// Origins that were not yet sent to the routers that keep copies.
     std::map<Endpoint, std::vector<StreamOrigin>> unsent;
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -58,6 +58,7 @@
 #include "plantainswitch/routing/grantsequence.h"
 #include "plantainswitch/routing/health.h"
 #include "plantainswitch/routing/leastsquares.h"
+#include "plantainswitch/routing/originhandover.h"
 #include "plantainswitch/routing/originsearch.h"
 #include "plantainswitch/routing/peerloads.h"
 #include "plantainswitch/routing/permitcoordinator.h"
--- a/include/plantainswitch/routing/routercontacts.h
+++ b/include/plantainswitch/routing/routercontacts.h
@@ -126,6 +126,29 @@
     std::vector<std::string> tried;
 };
 
+/// Which origins of streams a router is to keep.
+enum class OriginShare : std::uint8_t {
+    None,
+    /// Those that it is chosen to hold for another data centre.
+    Held,
+    /// All of its data centre, or of a small fleet.
+    All,
+};
+
+/// The live routers by which is decided what origins this one passes on to a router that joins. All
+/// but the processes are hashes of the routers' ids.
+struct OriginPeers
+{
+    std::uint64_t own = 0;
+    std::uint64_t joining = 0;
+    OriginShare joiningKeeps = OriginShare::None;
+    std::set<RouterProcess> alive;
+    /// Others that keep the same origins as this router.
+    std::vector<std::uint64_t> senders;
+    /// Others that hold copies for this data centre.
+    std::vector<std::uint64_t> holders;
+};
+
 /// State of the updates from the routers of another data centre.
 struct DataCentreContact
 {
@@ -232,6 +255,10 @@
     [[nodiscard]] std::vector<Endpoint> originHolders(StreamKey stream, TimePoint now) const;
     /// \returns the routers that may know the origin of a stream, wherever it began.
     [[nodiscard]] std::vector<Endpoint> originSources(StreamKey stream, TimePoint now) const;
+    /// \returns the routers by which is decided what is passed on to \a joining.
+    [[nodiscard]] OriginPeers originPeers(const Endpoint &joining, TimePoint now) const;
+    /// \returns the live routers that keep the origins of all streams of this data centre.
+    [[nodiscard]] std::vector<Endpoint> originReceivers(TimePoint now) const;
     /// \returns up to \a limit live routers, starting further on with each \a turn.
     [[nodiscard]] std::vector<Endpoint> aliveSubset(std::size_t limit, std::uint64_t turn,
                                                     TimePoint now) const;
@@ -246,6 +273,7 @@
         Milliseconds remoteTimeout{0};
     };
 
+    [[nodiscard]] static double scoreOf(std::uint64_t key, const std::string &id);
     [[nodiscard]] GossipIntervals gossipIntervals() const;
     [[nodiscard]] bool isLocal(const RouterContact &contact) const
     {
--- a/include/plantainswitch/routing/streamorigin.h
+++ b/include/plantainswitch/routing/streamorigin.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string_view>
@@ -17,6 +18,8 @@
 using StreamKey = std::uint64_t;
 /// Identifies a software version of a service's upstreams in the fleet.
 using VersionKey = std::uint64_t;
+/// Identifies a process of a router in the fleet.
+using RouterProcess = std::uint64_t;
 
 /// \param attempt the caller's attempt that received the stream's first event
 /// \returns the key of a stream. A caller that names an attempt of another workspace or service
@@ -27,6 +30,10 @@
 /// its own in each incarnation.
 [[nodiscard]] VersionKey versionKeyOf(const Replica &replica) noexcept;
 
+/// \returns the key of the process of a router that was started at \a incarnation.
+[[nodiscard]] RouterProcess routerProcessOf(std::string_view router,
+                                            std::uint64_t incarnation) noexcept;
+
 /// The software version at which a stream began.
 struct StreamOrigin
 {
@@ -34,6 +41,8 @@
     VersionKey version = 0;
     /// When no caller can take the stream up again.
     TimePoint expiresAt;
+    /// The router whose caller receives the stream, and which passes its origin on; 0 if not known.
+    RouterProcess owner = 0;
 };
 
 /// The origins of streams that this router began, and of those that others have reported.
@@ -50,6 +59,13 @@
     bool record(const StreamOrigin &origin, TimePoint now);
     /// \returns the origin of a stream, if it is known.
     [[nodiscard]] std::optional<StreamOrigin> find(StreamKey stream, TimePoint now) const;
+    /// Records that a caller of this router has received the whole stream. Its origin is kept, but
+    /// not passed on.
+    void complete(StreamKey stream);
+    /// \returns the origins of streams that are not complete, of the owners that \a isWanted
+    /// accepts.
+    [[nodiscard]] std::vector<StreamOrigin>
+    incompleteOf(const std::function<bool(RouterProcess)> &isWanted, TimePoint now) const;
     /// Removes the origins of streams that can't be taken up any more.
     void removeExpired(TimePoint now);
     [[nodiscard]] std::size_t size() const noexcept { return this->origins.size(); }
@@ -59,12 +75,26 @@
     {
         VersionKey version = 0;
         TimePoint expiresAt;
+        RouterProcess owner = 0;
         bool isContradicted = false;
+        bool isComplete = false;
+    };
+
+    /// The streams of one owner. Those that were removed, or have another owner now, are counted,
+    /// and removed once they are the larger part.
+    struct OwnedStreams
+    {
+        std::vector<StreamKey> streams;
+        std::size_t staleCount = 0;
     };
 
     void removeFirstExpiring();
+    void changeOwner(StreamKey stream, Entry &entry, RouterProcess owner);
+    /// Records that a stream is no longer one of \a owner's.
+    void disown(RouterProcess owner);
 
     std::unordered_map<StreamKey, Entry> origins;
+    std::unordered_map<RouterProcess, OwnedStreams> byOwner;
     /// Streams by the second before which they do not expire. An entry whose time was extended is
     /// in several of them.
     std::map<Seconds, std::vector<StreamKey>> byExpiry;
--- a/tests/gatewayversions.cpp
+++ b/tests/gatewayversions.cpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <future>
 #include <map>
+#include <mutex>
 #include <set>
 #include <thread>
 
@@ -121,10 +122,13 @@
 public:
     /// \param to where the router under test receives updates
     /// \param reports whether its updates carry \a known; it is asked for them otherwise
-    OriginPeer(const Endpoint &to, std::map<StreamKey, VersionKey> known, bool reports)
+    /// \param incarnation when its process was started
+    OriginPeer(const Endpoint &to, std::map<StreamKey, VersionKey> known, bool reports,
+               std::uint64_t incarnation = 1)
         : to(asio::ip::make_address(to.host), to.port)
         , known(std::move(known))
         , reports(reports)
+        , incarnation(incarnation)
         , thread([this] { this->run(); })
     {}
     ~OriginPeer()
@@ -135,9 +139,26 @@
     OriginPeer(const OriginPeer &) = delete;
     OriginPeer &operator=(const OriginPeer &) = delete;
 
+    /// \returns the origins that were reported to this router outside of updates.
+    std::map<StreamKey, VersionKey> reportedOrigins()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->reported;
+    }
+
     std::atomic<int> askCount = 0;
 
 private:
+    void recordReport(const wire::OriginReport &report)
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const wire::StreamOrigins &group : report.origins()) {
+            for (const StreamKey stream : group.streams()) {
+                this->reported[stream] = group.version();
+            }
+        }
+    }
+
     void run()
     {
         for (std::uint64_t sequence = 1; !this->isStopped; ++sequence) {
@@ -145,7 +166,7 @@
             wire::RouterNews &news = *datagram.mutable_news();
             news.set_id("router-2");
             news.set_place("hall-b");
-            news.set_incarnation(1);
+            news.set_incarnation(this->incarnation);
             news.set_sequence(sequence);
             news.set_keeps_origins(true);
             for (const auto &[stream, version] : this->known) {
@@ -154,6 +175,7 @@
                     origins->set_version(version);
                     origins->add_streams(stream);
                     origins->add_left_ms(keptTime);
+                    origins->set_owner(routerProcessOf("router-2", this->incarnation));
                 }
             }
             this->send(datagram);
@@ -169,9 +191,11 @@
             asio::ip::udp::endpoint from;
             const std::size_t size = this->socket.receive_from(asio::buffer(buffer), from);
             wire::GatewayDatagram received;
-            const bool isAsk = received.ParseFromArray(buffer.data(), static_cast<int>(size))
-                               && received.has_origin_ask();
-            if (!isAsk) {
+            const bool isParsed = received.ParseFromArray(buffer.data(), static_cast<int>(size));
+            if (isParsed && received.has_origin_report()) {
+                this->recordReport(received.origin_report());
+            }
+            if (!isParsed || !received.has_origin_ask()) {
                 continue;
             }
             ++this->askCount;
@@ -200,22 +224,17 @@
     asio::ip::udp::endpoint to;
     std::map<StreamKey, VersionKey> known;
     bool reports;
+    std::uint64_t incarnation;
+    std::mutex mutex;
+    std::map<StreamKey, VersionKey> reported;
     std::atomic<bool> isStopped = false;
     std::thread thread;
 };
 
-/// A router that other routers tell where streams began.
-class GatewayOriginFixture : public GatewayVersionsFixture
+/// A router that meets another one.
+class GatewayPeerFixture : public GatewayVersionsFixture
 {
 protected:
-    GatewayOriginFixture()
-    {
-        for (const std::string version : {"v1", "v2"}) {
-            this->addWaiting("model-0-" + version, version);
-            this->addWaiting("model-1-" + version, version);
-        }
-    }
-
     static StreamKey keyOf(int number)
     {
         return streamKeyOf("elsewhere" + std::to_string(number), "alpha", "model");
@@ -264,8 +283,109 @@
     }
 };
 
+/// A router that other routers tell where streams began.
+class GatewayOriginFixture : public GatewayPeerFixture
+{
+protected:
+    GatewayOriginFixture()
+    {
+        for (const std::string version : {"v1", "v2"}) {
+            this->addWaiting("model-0-" + version, version);
+            this->addWaiting("model-1-" + version, version);
+        }
+    }
+};
+
+/// A router whose callers receive streams that don't end.
+class GatewayHandoverFixture : public GatewayPeerFixture
+{
+protected:
+    GatewayHandoverFixture()
+    {
+        this->addWaiting("model-v1", "v1");
+        this->addWaiting("model-v2", "v2");
+    }
+
+    /// Begins streams at engines of both versions.
+    /// \returns the callers that receive them.
+    std::vector<asio::ip::tcp::socket> beginStreams()
+    {
+        std::vector<asio::ip::tcp::socket> callers;
+        for (int i = 0; i < streamCount; ++i) {
+            const std::string attempt = "running" + std::to_string(i);
+            callers.push_back(this->connectCaller());
+            asio::write(callers.back(), asio::buffer(makePromptlessRequest(attempt)));
+            std::string received;
+            asio::read_until(callers.back(), asio::dynamic_buffer(received), ";");
+            const bool isOfFirst = versionsIn(received).contains(versionName(0));
+            this->begun.emplace(streamKeyOf(attempt, "alpha", "model"),
+                                versionOf(isOfFirst ? 0 : 1));
+        }
+        return callers;
+    }
+
+    /// Waits until regular updates no longer carry the origins of the streams.
+    void waitUntilUpdatesEnd()
+    {
+        REQUIRE(eventually([this] {
+            std::promise<bool> isEmpty;
+            this->gateway->post([this, &isEmpty] {
+                isEmpty.set_value(
+                    this->gateway->sharedState().updateLog.originsSince({}, 1).empty());
+            });
+            return isEmpty.get_future().get();
+        }));
+    }
+
+    std::map<StreamKey, VersionKey> begun;
+};
+
 } // namespace
 
+TEST_CASE_METHOD(GatewayHandoverFixture, "versions_routerJoins_learnsWhereRunningStreamsBegan",
+                 "[gateway]")
+{
+    // Guards against streams that no router knows any more after all were restarted in turn.
+    this->start();
+    const std::vector<asio::ip::tcp::socket> callers = this->beginStreams();
+    this->waitUntilUpdatesEnd();
+    OriginPeer peer(this->gateway->datagramEndpoint(), {}, false);
+    CHECK(eventually([this, &peer] { return peer.reportedOrigins() == this->begun; }));
+}
+
+TEST_CASE_METHOD(GatewayOriginFixture, "versions_routerJoins_learnsWhereStreamsOfLostRoutersBegan",
+                 "[gateway]")
+{
+    // Guards against streams of a killed router that nobody knows once the others were restarted.
+    this->start();
+    {
+        const OriginPeer lost(this->gateway->datagramEndpoint(), originsElsewhere(), true);
+        this->waitForPeer();
+    }
+    REQUIRE(eventually([this] {
+        std::promise<bool> isGone;
+        this->gateway->post([this, &isGone] {
+            isGone.set_value(this->gateway->sharedState().peerLoads.routerCount() == 0);
+        });
+        return isGone.get_future().get();
+    }));
+    OriginPeer peer(this->gateway->datagramEndpoint(), {}, false, 2);
+    CHECK(eventually([&peer] { return peer.reportedOrigins() == originsElsewhere(); }));
+}
+
+TEST_CASE_METHOD(GatewayHandoverFixture, "versions_routerStops_passesOnWhereItsStreamsBegan",
+                 "[gateway]")
+{
+    // Guards against callers of a stopped router whose streams are refused everywhere else.
+    this->start();
+    OriginPeer peer(this->gateway->datagramEndpoint(), {}, false);
+    this->waitForPeer();
+    const std::vector<asio::ip::tcp::socket> callers = this->beginStreams();
+    CHECK(peer.reportedOrigins().empty());
+    this->gateway->post([this] { this->gateway->forceStop(); });
+    CHECK(eventually([this, &peer] { return peer.reportedOrigins() == this->begun; }));
+}
+
 TEST_CASE_METHOD(GatewayOriginFixture, "versions_originReportedByAnotherRouter_goesOnThere",
                  "[gateway]")
 {
--- a/tests/streamorigin.cpp
+++ b/tests/streamorigin.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "plantainswitch/routing/originhandover.h"
 #include "plantainswitch/routing/originsearch.h"
 #include "plantainswitch/routing/routercontacts.h"
 #include "plantainswitch/routing/streamorigin.h"
@@ -213,3 +214,92 @@
     this->contacts.recordReceived(addressOf(2), this->now).keepsOrigins = false;
     CHECK(this->contacts.originSources(5, this->now).size() == 2);
 }
+
+TEST_CASE_METHOD(OriginHoldersFixture, "originHandover_ownStreams_arePassedToRoutersThatJoin",
+                 "[routing]")
+{
+    this->addRouters(8, 4);
+    constexpr RouterProcess own = 77;
+    StreamOriginTable table;
+    const TimePoint expiry = this->now + Seconds{20};
+    table.record({1, 7, expiry, own}, this->now);
+    table.record({2, 7, expiry, own}, this->now);
+    table.record({3, 7, this->now + Seconds{1}, own}, this->now);
+    table.complete(2);
+    const TimePoint later = this->now + Milliseconds{1100};
+    for (std::size_t i = 1; i < 8; ++i) {
+        this->contacts.recordReceived(addressOf(i), later);
+    }
+    const auto passed = originsForJoining(table, this->contacts, addressOf(3), own, later);
+    REQUIRE(passed.size() == 1);
+    CHECK(passed.front().stream == 1);
+    CHECK(passed.front().owner == own);
+    CHECK(originsAtStop(table, this->contacts, own, later).size() == 7);
+}
+
+TEST_CASE_METHOD(OriginHoldersFixture, "originHandover_streamsOfAFailedRouter_arePassedByTwo",
+                 "[routing]")
+{
+    // Guards against origins of a killed router that nobody passes on, or everybody.
+    constexpr std::size_t routers = 8;
+    constexpr StreamKey streams = 200;
+    std::map<StreamKey, int> copies;
+    for (std::size_t self = 1; self < routers; ++self) {
+        RouterContacts known("router-" + std::to_string(self), "hall-0");
+        for (std::size_t i = 0; i < routers; ++i) {
+            RouterContact &contact = known.recordReceived(addressOf(i), this->now);
+            contact.id = "router-" + std::to_string(i);
+            contact.dataCentre = "hall-0";
+            contact.keepsOrigins = true;
+            contact.incarnation = 5;
+        }
+        known.recordReceived(addressOf(self), this->now).keepsOrigins = false;
+        StreamOriginTable table;
+        for (StreamKey stream = 1; stream <= streams; ++stream) {
+            // An earlier process of router 2 for one half, one that is alive for the other.
+            const std::uint64_t incarnation = stream % 2 == 0 ? 4 : 5;
+            table.record(
+                {stream, 7, this->now + Seconds{20}, routerProcessOf("router-2", incarnation)},
+                this->now);
+        }
+        for (const StreamOrigin &origin :
+             originsForJoining(table, known, addressOf(0), 99, this->now)) {
+            copies[origin.stream] += 1;
+        }
+    }
+    for (StreamKey stream = 1; stream <= streams; ++stream) {
+        CHECK(copies[stream] == (stream % 2 == 0 ? 2 : 0));
+    }
+}
+
+TEST_CASE_METHOD(OriginHoldersFixture, "originHandover_fullSizeFleet_staysSmall", "[routing]")
+{
+    // Guards against a joining router that is flooded with the origins of the whole fleet.
+    constexpr std::size_t routers = 1200;
+    constexpr std::size_t dataCentres = 23;
+    constexpr StreamKey streams = 200;
+    for (std::size_t i = 1; i < routers; ++i) {
+        const Endpoint address{"10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250),
+                               7};
+        RouterContact &contact = this->contacts.recordReceived(address, this->now);
+        contact.id = "router-" + std::to_string(i);
+        contact.dataCentre = "hall-" + std::to_string(i % dataCentres);
+        contact.keepsOrigins = true;
+    }
+    StreamOriginTable table;
+    for (StreamKey stream = 1; stream <= streams; ++stream) {
+        table.record({stream, 7, this->now + Seconds{20}, 77}, this->now);
+    }
+    std::size_t local = 0;
+    std::size_t remote = 0;
+    for (std::size_t i = 1; i < routers; ++i) {
+        const Endpoint joining{"10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250),
+                               7};
+        const std::size_t passed =
+            originsForJoining(table, this->contacts, joining, 77, this->now).size();
+        (i % dataCentres == 0 ? local : remote) += passed;
+    }
+    // Each router of the own data centre gets all, and each stream has two copies elsewhere.
+    CHECK(local == streams * (routers / dataCentres));
+    CHECK(remote == streams * originCopies);
+}
--- a/tests/streamoriginmodel.cpp
+++ b/tests/streamoriginmodel.cpp
@@ -117,6 +117,26 @@
     }
 }
 
+TEST_CASE_METHOD(StreamOriginModelFixture,
+                 "streamOrigins_routersRestartedInTurn_streamsOfTheLastGoOn", "[routing]")
+{
+    // Guards against origins that are forgotten with the last router that was there when they were
+    // reported.
+    for (const std::size_t routers : {6U, 30U}) {
+        for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+            StreamOriginOptions options = optionsOf(routers, seed);
+            options.killInterval = Milliseconds{0};
+            options.replaceInterval = Milliseconds{0};
+            options.crashInterval = Milliseconds{0};
+            options.rollAt = Milliseconds{8000};
+            options.rollGap = Milliseconds{routers > 10 ? 60 : 300};
+            options.maxEvents = 400;
+            options.originTime = Seconds{20};
+            check(seed, options);
+        }
+    }
+}
+
 TEST_CASE_METHOD(StreamOriginModelFixture, "streamOrigins_bindingIgnored_modelReportsMixedStreams",
                  "[routing]")
 {
--- a/tests/support/streamoriginmodel.h
+++ b/tests/support/streamoriginmodel.h
@@ -10,11 +10,13 @@
 #include <utility>
 #include <vector>
 
+#include "plantainswitch/routing/originhandover.h"
 #include "plantainswitch/routing/originsearch.h"
 #include "plantainswitch/routing/routercontacts.h"
 #include "plantainswitch/routing/serviceversions.h"
 #include "plantainswitch/routing/streamorigin.h"
 #include "plantainswitch/routing/updatelog.h"
+#include "plantainswitch/routing/versionrecord.h"
 
 #include "simulation.h"
 
@@ -25,11 +27,14 @@
 /// Time for which a router must have run without a kill to count as undisturbed.
 inline constexpr Milliseconds undisturbedTime{3000};
 inline constexpr Milliseconds eventInterval{40};
-inline constexpr int maxEvents = 60;
 inline constexpr int maxAttempts = 4;
 inline constexpr int maxReturns = 2;
-/// Time within which callers come back after their stream was cut, with some reserve.
-inline constexpr Milliseconds returnTime{1000};
+/// Time within which callers take streams up after these began, with some reserve.
+inline constexpr Milliseconds streamTime{5000};
+/// Time that a router looks back if the store's record is ignored.
+inline constexpr Milliseconds observedTime{1000};
+/// Longest time by which the list of the router that writes the store's record is behind.
+inline constexpr Milliseconds recorderDelay{100};
 
 struct StreamOriginOptions
 {
@@ -43,16 +48,37 @@
     /// Interval at which a share of the routers is killed.
     Milliseconds killInterval{6000};
     double killShare = 0.4;
+    /// When all routers but the last one are stopped in turn; 0: never. The last one is killed
+    /// after the others have been up for some time.
+    Milliseconds rollAt{0};
+    Milliseconds rollGap{300};
+    /// Whether routers pass on origins to those that join, and when they stop.
+    bool arePassedOn = true;
     /// Interval of crashes of upstreams; each is back after two seconds.
     Milliseconds crashInterval{1500};
     /// Interval at which an upstream is replaced by one of the next version.
     Milliseconds replaceInterval{700};
+    /// How long a replaced upstream serves on what it runs, although it is no longer listed.
+    Milliseconds lingerTime{0};
+    /// Interval at which a release begins that replaces all upstreams, at replaceInterval; 0: they
+    /// are replaced at random, by several versions.
+    Milliseconds releaseInterval{0};
     /// When the first upstream of another version starts.
     Milliseconds releaseAt{0};
     /// When the first data centre is cut off from the others, for six seconds; 0: never.
     Milliseconds cutAt{0};
     /// When all routers of the first data centre are killed; 0: never.
     Milliseconds killDataCentreAt{0};
+    /// Events of the longest stream.
+    int maxEvents = 60;
+    /// Time for which an origin is kept.
+    Seconds originTime{10};
+    /// Interval at which a router is cut off from the other routers and the store; 0: never.
+    Milliseconds isolationInterval{0};
+    Milliseconds isolationTime{3000};
+    /// Whether streams of unknown origin need the store's record, or what a router has seen within
+    /// observedTime is enough.
+    bool usesRecord = true;
     /// Whether callers name the attempt that began their stream.
     bool areStreamsNamed = true;
     /// Whether streams are bound to the version of their first event.
@@ -95,6 +121,9 @@
                 }
             });
         }
+        this->scheduleRoll();
+        this->repeat(this->options.releaseInterval, [this] { this->release += 1; });
+        this->repeat(this->options.isolationInterval, [this] { this->isolateRouter(); });
         this->runFor(modelDuration);
     }
 
@@ -120,6 +149,13 @@
         bool isRunning = true;
     };
 
+    /// The store's record of the service's versions.
+    struct ModelRecord
+    {
+        std::optional<VersionRecord> record;
+        std::uint64_t revision = 0;
+    };
+
     /// A new upstream in the place of another.
     struct ListChange
     {
@@ -144,7 +180,12 @@
         std::map<Endpoint, std::vector<StreamOrigin>> unsent;
         std::uint64_t incarnation = 0;
         bool isUp = true;
+        /// It is cut off from the other routers and the store, or was when it missed changes.
+        bool isIsolated = false;
         TimePoint startedAt;
+        bool isFirstStart = false;
+        /// A write of the store's record is on its way.
+        bool isRecording = false;
     };
 
     /// A caller and the stream that it receives.
@@ -179,7 +220,9 @@
         replica.id = "engine-" + std::to_string(this->nextReplica++);
         replica.service = "model";
         // Two or three versions serve at once, also an older one that comes back.
-        const std::size_t ahead = this->elapsed() < this->options.releaseAt ? 0 : this->below(2);
+        const bool isMixed = this->options.releaseInterval.count() == 0
+                             && this->elapsed() >= this->options.releaseAt;
+        const std::size_t ahead = isMixed ? this->below(2) : 0;
         replica.version = "v" + std::to_string(this->release + ahead);
         replica.dataCentre = dataCentreName(index % this->options.dataCentres);
         return replica;
@@ -202,6 +245,7 @@
         }
         router.incarnation = ++this->lastIncarnation;
         router.startedAt = this->now;
+        router.isFirstStart = this->now == this->start;
         return router;
     }
 
@@ -229,6 +273,9 @@
 
     [[nodiscard]] bool isCut(std::size_t from, std::size_t to) const
     {
+        if (this->routers[from]->isIsolated || this->routers[to]->isIsolated) {
+            return true;
+        }
         const Duration cutAt = this->options.cutAt;
         const bool isDuring =
             cutAt > Duration{0} && this->elapsed() >= cutAt && this->elapsed() < cutAt + Seconds{6};
@@ -264,6 +311,7 @@
         }
         router.origins.removeExpired(this->now);
         router.contacts.removeFailed(this->now);
+        this->updateRecord(index);
         for (const UpdateGroup &group :
              router.contacts.takeDueGroups(BroadcastScope::Due, this->now)) {
             const std::vector<StreamOrigin> origins =
@@ -282,18 +330,27 @@
     void report(std::size_t from, std::size_t to, const std::vector<StreamOrigin> &origins,
                 bool isUpdate)
     {
-        this->send(from, to, [this, from, origins, isUpdate](ModelRouter &receiver) {
-            if (isUpdate) {
-                RouterContact &contact =
-                    receiver.contacts.recordReceived(addressOf(from), this->now);
-                contact.id = "router-" + std::to_string(from);
-                contact.dataCentre = dataCentreName(from % this->options.dataCentres);
-                contact.keepsOrigins = true;
-            }
-            for (const StreamOrigin &origin : origins) {
-                receiver.origins.record(origin, this->now);
-            }
-        });
+        const std::uint64_t incarnation = this->routers[from]->incarnation;
+        this->send(
+            from, to, [this, from, to, origins, isUpdate, incarnation](ModelRouter &receiver) {
+                if (isUpdate) {
+                    const RouterContact *const before = receiver.contacts.find(addressOf(from));
+                    const bool isNew = before == nullptr || !before->isMember
+                                       || before->incarnation != incarnation;
+                    RouterContact &contact =
+                        receiver.contacts.recordReceived(addressOf(from), this->now);
+                    contact.incarnation = incarnation;
+                    contact.id = "router-" + std::to_string(from);
+                    contact.dataCentre = dataCentreName(from % this->options.dataCentres);
+                    contact.keepsOrigins = true;
+                    if (isNew) {
+                        this->onJoined(to, from);
+                    }
+                }
+                for (const StreamOrigin &origin : origins) {
+                    receiver.origins.record(origin, this->now);
+                }
+            });
     }
 
     void scheduleArrival()
@@ -304,7 +361,7 @@
                  [this] {
                      const auto caller = std::make_shared<ModelCaller>();
                      caller->dataCentre = this->below(this->options.dataCentres);
-                     caller->length = static_cast<int>(this->below(maxEvents)) + 2;
+                     caller->length = static_cast<int>(this->below(this->maxEvents())) + 2;
                      this->connect(caller);
                      this->scheduleArrival();
                  });
@@ -435,21 +492,25 @@
         bindTo(request->stream, std::nullopt);
         this->at(this->between(2, 20), [this, request] {
             const ModelRouter &router = *this->routers[request->router];
-            // In the partition the first data centre has no store either.
             if (!this->isRunning(*request)) {
                 return;
             }
-            if (this->isCut(request->router, 1)) {
+            if (this->hasNoStore(request->router)) {
                 request->caller->router.reset();
                 return;
             }
-            const auto only = router.versions.onlyVersionSince("model", this->now - returnTime);
+            const auto only =
+                this->options.usesRecord
+                    ? router.versions.onlySeenSince("model", this->now - this->takeUpTime())
+                    : router.versions.onlySeenSince("model", this->now - observedTime);
             const bool agrees =
                 std::all_of(this->changes.begin() + static_cast<std::ptrdiff_t>(router.revision),
                             this->changes.end(), [&only](const ListChange &change) {
                                 return only && versionKeyOf(change.replica) == *only;
                             });
-            if (only && agrees) {
+            const bool isRecorded = !this->options.usesRecord
+                                    || (this->stored.record && this->stored.record->only == only);
+            if (only && agrees && isRecorded) {
                 bindTo(request->stream, only);
                 this->dispatch(request);
             } else {
@@ -459,6 +520,129 @@
         });
     }
 
+    [[nodiscard]] std::uint64_t maxEvents() const
+    {
+        return static_cast<std::uint64_t>(this->options.maxEvents);
+    }
+
+    void scheduleRoll()
+    {
+        if (this->options.rollAt.count() == 0) {
+            return;
+        }
+        const std::size_t last = this->routers.size() - 1;
+        for (std::size_t i = 0; i < last; ++i) {
+            this->at(this->options.rollAt + static_cast<int>(i) * this->options.rollGap,
+                     [this, i] { this->stop(i); });
+        }
+        this->at(this->options.rollAt + static_cast<int>(last) * this->options.rollGap
+                     + undisturbedTime + restartTime,
+                 [this, last] { this->kill(last); });
+    }
+
+    /// Stops a router, which passes on where its streams began.
+    void stop(std::size_t index)
+    {
+        const ModelRouter &router = *this->routers[index];
+        if (this->options.arePassedOn && router.isUp) {
+            for (const auto &[receiver, origins] : originsAtStop(
+                     router.origins, router.contacts, this->processOf(index), this->now)) {
+                this->report(index, this->indexOf(receiver), origins, false);
+            }
+        }
+        this->kill(index);
+    }
+
+    [[nodiscard]] RouterProcess processOf(std::size_t index) const
+    {
+        return routerProcessOf("router-" + std::to_string(index),
+                               this->routers[index]->incarnation);
+    }
+
+    /// Handles the first update of a router that has started, as FleetGossip does.
+    void onJoined(std::size_t at, std::size_t joining)
+    {
+        const ModelRouter &router = *this->routers[at];
+        if (this->options.arePassedOn) {
+            this->report(at, joining,
+                         originsForJoining(router.origins, router.contacts, addressOf(joining),
+                                           this->processOf(at), this->now),
+                         false);
+        }
+    }
+
+    [[nodiscard]] Milliseconds takeUpTime() const { return streamTime + this->options.listDelay; }
+
+    [[nodiscard]] bool isRecorder(std::size_t index) const
+    {
+        for (std::size_t i = 0; i < this->routers.size(); ++i) {
+            if (this->routers[i]->isUp && !this->hasNoStore(i)) {
+                return i == index;
+            }
+        }
+        return false;
+    }
+
+    /// \returns whether the router does not reach the store. In a partition the first data centre
+    /// has none.
+    [[nodiscard]] bool hasNoStore(std::size_t index) const
+    {
+        const Duration cutAt = this->options.cutAt;
+        const bool isDuring =
+            cutAt > Duration{0} && this->elapsed() >= cutAt && this->elapsed() < cutAt + Seconds{6};
+        return this->routers[index]->isIsolated
+               || (isDuring && index % this->options.dataCentres == 0);
+    }
+
+    void isolateRouter()
+    {
+        const std::size_t index = this->below(this->routers.size());
+        const std::uint64_t incarnation = this->routers[index]->incarnation;
+        this->routers[index]->isIsolated = true;
+        this->at(this->options.isolationTime, [this, index, incarnation] {
+            ModelRouter &router = *this->routers[index];
+            if (router.incarnation != incarnation) {
+                return;
+            }
+            // Versions that joined and left meanwhile are not in the list that it gets now.
+            router.isIsolated = false;
+            for (; router.revision < this->changes.size(); ++router.revision) {
+                const ListChange &change = this->changes[router.revision];
+                router.list[change.index] = change.replica;
+            }
+            router.versions.restart(this->now);
+            this->updateVersions(router);
+        });
+    }
+
+    /// Writes the store's record, as VersionRecorder does.
+    void updateRecord(std::size_t index)
+    {
+        ModelRouter &router = *this->routers[index];
+        if (!this->isRecorder(index) || router.isRecording) {
+            return;
+        }
+        const ListedVersions seen{
+            router.versions.listedOf("model"),
+            router.versions.onlyVersionSince("model", this->now - this->takeUpTime()),
+            router.isFirstStart};
+        const auto next = nextVersionRecord(1, this->stored.record, seen);
+        if (!next) {
+            return;
+        }
+        router.isRecording = true;
+        const std::uint64_t incarnation = router.incarnation;
+        this->at(this->between(2, 20),
+                 [this, index, next, incarnation, revision = this->stored.revision] {
+                     if (this->stored.revision == revision) {
+                         this->stored = {next, revision + 1};
+                     }
+                     if (this->routers[index]->incarnation == incarnation) {
+                         this->routers[index]->isRecording = false;
+                     }
+                 });
+    }
+
     [[nodiscard]] bool isRunning(const ModelRequest &request) const
     {
         const ModelRouter &router = *this->routers[request.router];
@@ -506,13 +690,18 @@
                 return;
             }
             const ModelUpstream &upstream = this->upstreams[index];
-            if (!upstream.isRunning || upstream.replica.id != id) {
+            const auto lingering = this->lingering.find(id);
+            if (upstream.replica.id == id ? !upstream.isRunning
+                                          : lingering == this->lingering.end()) {
                 this->dispatch(request);
                 return;
             }
-            this->relay(*request, upstream.replica.version);
+            this->relay(*request,
+                        upstream.replica.id == id ? upstream.replica.version : lingering->second);
             if (request->caller->events < request->caller->length) {
                 this->scheduleEvent(request, index, id);
+            } else {
+                this->routers[request->router]->origins.complete(request->stream.key);
             }
         });
     }
@@ -523,7 +712,8 @@
         ModelRouter &router = *this->routers[request.router];
         if (recordEvents(request.stream)) {
             const StreamOrigin origin{request.stream.key, request.stream.version,
-                                      this->now + Seconds{10}};
+                                      this->now + this->options.originTime,
+                                      this->processOf(request.router)};
             router.origins.record(origin, this->now);
             router.log.recordOrigin(origin, this->now);
             for (const Endpoint &holder : router.contacts.originHolders(origin.stream, this->now)) {
@@ -584,12 +774,33 @@
         if (this->elapsed() < this->options.releaseAt) {
             return;
         }
-        this->release += this->chance(0.15) ? 1 : 0;
-        const std::size_t index = this->below(this->upstreams.size());
+        std::size_t index = 0;
+        if (this->options.releaseInterval.count() > 0) {
+            const std::string version = "v" + std::to_string(this->release);
+            const auto older = std::find_if(this->upstreams.begin(), this->upstreams.end(),
+                                            [&version](const ModelUpstream &upstream) {
+                                                return upstream.replica.version != version;
+                                            });
+            if (older == this->upstreams.end()) {
+                return;
+            }
+            index = static_cast<std::size_t>(older - this->upstreams.begin());
+        } else {
+            this->release += this->chance(0.15) ? 1 : 0;
+            index = this->below(this->upstreams.size());
+        }
+        const Replica replaced = this->upstreams[index].replica;
+        if (this->options.lingerTime.count() > 0 && this->upstreams[index].isRunning) {
+            this->lingering[replaced.id] = replaced.version;
+            this->at(this->options.lingerTime,
+                     [this, id = replaced.id] { this->lingering.erase(id); });
+        }
         this->upstreams[index].replica = this->makeReplica(index);
         this->changes.push_back({index, this->upstreams[index].replica});
         for (std::size_t i = 0; i < this->routers.size(); ++i) {
-            const auto delay = this->between(20, static_cast<int>(this->options.listDelay.count()));
+            const Milliseconds longest =
+                this->isRecorder(i) ? recorderDelay : this->options.listDelay;
+            const auto delay = this->between(20, static_cast<int>(longest.count()));
             this->at(delay, [this, i] { this->catchUp(*this->routers[i]); });
         }
     }
@@ -597,6 +808,9 @@
     /// Applies all changes of the list that the router does not know.
     void catchUp(ModelRouter &router)
     {
+        if (router.isIsolated) {
+            return;
+        }
         for (; router.revision < this->changes.size(); ++router.revision) {
             const ListChange &change = this->changes[router.revision];
             router.list[change.index] = change.replica;
@@ -615,6 +829,9 @@
 
     StreamOriginOptions options;
     std::vector<ListChange> changes;
+    ModelRecord stored;
+    /// Versions of replaced upstreams that serve on, by id.
+    std::map<std::string, std::string> lingering;
     std::vector<ModelUpstream> upstreams;
     std::vector<std::unique_ptr<ModelRouter>> routers;
     /// Callers that connected to each router since it was last killed.
