Begin the history of versions anew after each gap

What callers saw (report from other operators): a router that had been cut off or stood still for a few seconds sent streams of a version that had joined meanwhile to another one.

Cause: it can happen here. A version that joins and leaves between two lists is in neither; the router took its history for complete if the gap was shorter than 5 s, or if it was stopped by a signal, which only the detector of frozen VMs noticed.

Change: streams of unknown origin need the store's record already, which the routers in step write. For the router that writes it, each full list and each pause now begins the history anew, so that it names one version again only after a whole time without a gap.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -340,7 +340,6 @@
     const auto pause =
         this->pauseDetector.tick(now, this->state.clock.uptime(), now + tickInterval);
     if (pause && pause->frozen > tickInterval) {
-        this->state.serviceVersions.restart(now);
         // The monotonic clock did not advance during the freeze, so that confirmations are older
         // than they seem.
         this->routingFollower.relist();
@@ -348,6 +347,8 @@
         this->evacuationFollower.relist();
     }
     if (pause) {
+        // Versions that joined and left meanwhile were missed.
+        this->state.serviceVersions.restart(now);
         logEvent(Event::Paused, {{"frozen_ms", std::to_string(pause->frozen.count())},
                                  {"late_ms", std::to_string(pause->late.count())}});
     }
--- a/gateway/gatewaystore.cpp
+++ b/gateway/gatewaystore.cpp
@@ -89,6 +89,10 @@
     const bool isList = scope == UpdateScope::Snapshot;
     const TimePoint now = this->state.clock.now();
     this->recordReplicasConfirmed(now);
+    if (isList) {
+        // Versions that joined and left since the last update are not in the list.
+        this->state.serviceVersions.restart(now);
+    }
     std::vector<Replica> listed;
     std::vector<ReplicaEvent> events;
     const auto appendEvents = [&events](std::vector<ReplicaEvent> more) {
--- a/tests/streamoriginmodel.cpp
+++ b/tests/streamoriginmodel.cpp
@@ -32,6 +32,17 @@
         return options;
     }
 
+    /// The same while single routers miss what happens for seconds.
+    static StreamOriginOptions isolationOptions(std::uint64_t seed)
+    {
+        StreamOriginOptions options = restartOptions(seed);
+        options.areStreamsNamed = false;
+        options.killInterval = Milliseconds{4000};
+        options.killShare = 0.3;
+        options.isolationInterval = Milliseconds{700};
+        return options;
+    }
+
     static void check(std::uint64_t seed, const StreamOriginOptions &options)
     {
         StreamOriginModel model(seed, options);
@@ -143,6 +154,38 @@
     }
 }
 
+TEST_CASE_METHOD(StreamOriginModelFixture, "streamOrigins_routerOutOfStep_areNeverMixed",
+                 "[routing]")
+{
+    // Guards against a router that missed a version which joined and left while it was cut off.
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        StreamOriginModel model(seed, isolationOptions(seed));
+        model.run();
+        INFO("seed " << seed);
+        CHECK(model.mixedStreams() == 0);
+    }
+}
+
+TEST_CASE_METHOD(StreamOriginModelFixture, "streamOrigins_recordIgnored_modelReportsMixedStreams",
+                 "[routing]")
+{
+    // Guards against a model that can't see the two faults above.
+    std::size_t restarted = 0;
+    std::size_t outOfStep = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        for (const bool isIsolated : {false, true}) {
+            StreamOriginOptions options =
+                isIsolated ? isolationOptions(seed) : restartOptions(seed);
+            options.usesRecord = false;
+            StreamOriginModel model(seed, options);
+            model.run();
+            (isIsolated ? outOfStep : restarted) += model.mixedStreams();
+        }
+    }
+    CHECK(restarted > 12);
+    CHECK(outOfStep > 12);
+}
+
 TEST_CASE_METHOD(StreamOriginModelFixture,
                  "streamOrigins_routersRestartedInTurn_streamsOfTheLastGoOn", "[routing]")
 {
