Parse each object of the store by itself

Cause: lists and watches were parsed as one document, which fails as a whole; printing a nested value recurses once a level. Numbers beyond the range of their type were converted, which is undefined.

Change: base/jsontext.h divides a response without reading its values and without recursion; each object is parsed by itself, up to 64 levels.

Evidence: foreignentries; 17 odd objects beside sound ones in lists and watches, 14 unusable values, all kinds of objects, and a router before a store with three odd entries.

--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -6,6 +6,7 @@
 #include "plantainswitch/base/clock.h"
 #include "plantainswitch/base/error.h"
 #include "plantainswitch/base/hash.h"
+#include "plantainswitch/base/jsontext.h"
 #include "plantainswitch/base/lockorder.h"
 #include "plantainswitch/base/number.h"
 #include "plantainswitch/base/sharedmap.h"
--- a/net/platformclient.cpp
+++ b/net/platformclient.cpp
@@ -5,6 +5,7 @@
 #include <asio/ip/address.hpp>
 
 #include "plantainswitch/base/hash.h"
+#include "plantainswitch/base/jsontext.h"
 #include "plantainswitch/catalogue/parse.h"
 
 namespace plantainswitch::net {
@@ -113,16 +114,16 @@
 
 std::optional<PlatformChanges> parseChanges(std::string_view text)
 {
-    const auto json = parseDocument(text);
-    if (!json || !json->is_object() || !json->contains("version")
-        || !(*json)["version"].is_number_unsigned() || !json->contains("objects")
-        || !(*json)["objects"].is_array()) {
+    const auto members = membersOf(text);
+    const auto version = parseDocument(members ? valueOf(*members, "version") : "");
+    const auto objects = elementsOf(members ? valueOf(*members, "objects") : "");
+    if (!version || !version->is_number_unsigned() || !objects) {
         return std::nullopt;
     }
     PlatformChanges changes;
-    changes.version = (*json)["version"].get<std::uint64_t>();
-    for (const nlohmann::json &each : (*json)["objects"]) {
-        if (auto object = parseObject(each)) {
+    changes.version = version->get<std::uint64_t>();
+    for (const std::string_view each : *objects) {
+        if (auto object = parseObject(parseDocument(each).value_or(nullptr))) {
             changes.objects.push_back(std::move(*object));
         } else {
             ++changes.unreadable;
@@ -133,13 +134,13 @@
 
 std::optional<std::vector<Vm>> parseVmList(std::string_view text)
 {
-    const auto json = parseDocument(text);
-    if (!json || !json->is_array()) {
+    const auto lines = elementsOf(text);
+    if (!lines) {
         return std::nullopt;
     }
     std::vector<Vm> vms;
-    for (const nlohmann::json &each : *json) {
-        if (auto vm = parseVm(each)) {
+    for (const std::string_view each : *lines) {
+        if (auto vm = parseVm(parseDocument(each).value_or(nullptr))) {
             vms.push_back(std::move(*vm));
         }
     }
--- a/tests/support/gatewayfixture.h
+++ b/tests/support/gatewayfixture.h
@@ -127,6 +127,9 @@
     void editConfigSilently(std::uint64_t version) { this->routingVersion = version; }
     /// From now on the store responds to no watch, but still to lists.
     void ignoreWatches() { this->ignoresWatches = true; }
+    /// Adds an entry of another writer to the store's list of upstreams, as it is in the response.
+    /// Must be called before start().
+    void addStoreItem(const std::string &item);
     /// Sets the entries of evacuated data centres in the store, as JSON objects. Must be called
     /// before start().
     void setEvacuationItems(const std::string &items) { this->evacuationItems = items; }
