Record several versions at a first start, and read records again after a change

Cause, found by reading the change again: a system that starts for the first time amid a release wrote no record, as several versions were listed; once the older one had left, the other was recorded as the only one, although streams of the older one were running. And where several routers write records, one that remembered "several" did not see that another had since written "only one", and would not take that back when a further version joined.

Change: several versions are recorded, too; the first start ends 10 s after a router's own; and a router reads the records again whenever the versions that it sees listed have changed.

Evidence: versionRecord_firstStartAmidARelease_statesSeveral; the check that such a start writes nothing is replaced by it. The second part has no test of its own.

--- a/gateway/versionrecorder.cpp
+++ b/gateway/versionrecorder.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Milliseconds callTimeout{1000};
+/// How long after its start a router takes part in the first start of the system.
+constexpr Seconds firstStartTime{10};
 /// Pause after a call that failed.
 constexpr Milliseconds failurePause{500};
 
@@ -43,14 +45,15 @@
     if (isWaiting || !this->gateway.routingTable) {
         return;
     }
-    if (!this->stored) {
-        this->read();
-        return;
-    }
     for (const RoutedService &service : this->gateway.routingTable->config().services) {
         if (this->gateway.takeUpTimeOf(service.name).count() == 0) {
             continue;
         }
+        const auto listed = this->gateway.serviceVersions.listedOf(service.name);
+        if (!this->stored || this->listedWhenRead[service.name] != listed) {
+            this->read();
+            return;
+        }
         const std::uint64_t key = hashOf(service.name);
         const auto known = this->stored->find(key);
         const auto next = nextVersionRecord(
@@ -68,11 +71,15 @@
     const ServiceVersions &versions = this->gateway.serviceVersions;
     const TimePoint since = this->gateway.clock.now() - this->gateway.takeUpTimeOf(service);
     return {versions.listedOf(service), versions.onlyVersionSince(service, since),
-            this->gateway.settings.isFirstStart};
+            this->gateway.settings.isFirstStart
+                && this->gateway.clock.now() - this->startedAt < firstStartTime};
 }
 
 void VersionRecorder::read()
 {
+    for (const RoutedService &service : this->gateway.routingTable->config().services) {
+        this->listedWhenRead[service.name] = this->gateway.serviceVersions.listedOf(service.name);
+    }
     this->gateway.metrics.count(Counter::PlatformCalls);
     this->client.call(this->gateway.settings.store, "GET",
                       this->gateway.dialect.listTarget(StoreObjectKind::Versions, {},
--- a/gateway/versionrecorder.h
+++ b/gateway/versionrecorder.h
@@ -2,6 +2,8 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 
 #include "plantainswitch/routing/versionrecord.h"
 
@@ -23,6 +25,7 @@
     explicit VersionRecorder(GatewayState &gateway)
         : gateway(gateway)
         , client(gateway)
+        , startedAt(gateway.clock.now())
     {}
 
     /// Writes a record that has to change, one after the other.
@@ -40,6 +43,10 @@
     SequentialHttpClient client;
     /// The store's records; nothing until they are read.
     std::optional<std::map<std::uint64_t, VersionRecord>> stored;
+    /// The versions that were listed when the records were read. After a change they are read
+    /// again: another router may have changed them, too.
+    std::map<std::string, std::set<VersionKey>> listedWhenRead;
+    TimePoint startedAt;
     TimePoint pausedUntil;
 };
 
--- a/src/routing/versionrecord.cpp
+++ b/src/routing/versionrecord.cpp
@@ -15,8 +15,10 @@
         return holds ? std::nullopt : std::optional(next);
     }
     next.only = seen.settled;
-    if (!stored && seen.isFirstStart && seen.listed.size() == 1) {
-        next.only = *seen.listed.begin();
+    if (!stored && seen.isFirstStart) {
+        // Several versions are recorded, too: one of them may leave while its streams last.
+        next.only = seen.listed.size() == 1 ? std::optional(*seen.listed.begin()) : std::nullopt;
+        return next;
     }
     // Without a record every version is possible, so that one which states that is not needed.
     return next.only ? std::optional(next) : std::nullopt;
