Remember the upstream that a request leaves before it is retried

Cause, found by reading the change again: a retry may fail at once, without a coordinator's reply. The upstream that was left was remembered only after that, so that the request did not return to it.

Change: it is remembered first, and forgotten if the retry is not made. No test of its own; gatewaysilences passes.

--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -110,11 +110,12 @@
     if (!this->canRetry() || !this->hasAlternative()) {
         return false;
     }
-    const std::string left = this->upstream->replica.id;
+    // The retry may fail at once, and then returns.
+    const std::string before = std::exchange(this->leftUpstream, this->upstream->replica.id);
     if (!this->retry(why)) {
+        this->leftUpstream = before;
         return false;
     }
-    this->leftUpstream = left;
     return true;
 }
 
