--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -347,7 +347,7 @@
         this->evacuationFollower.relist();
     }
     if (pause) {
-        // Versions that joined and left meanwhile were missed.
+        // Versions that joined and left during the pause were missed.
         this->state.serviceVersions.restart(now);
         logEvent(Event::Paused, {{"frozen_ms", std::to_string(pause->frozen.count())},
                                  {"late_ms", std::to_string(pause->late.count())}});
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -66,6 +66,7 @@
         BufferShare share;
     };
 
+    /// The upstreams among which one was selected, and the selected one.
     struct CandidateChoice
     {
         CandidateSet set;
--- a/include/plantainswitch/routing/routercontacts.h
+++ b/include/plantainswitch/routing/routercontacts.h
@@ -129,7 +129,7 @@
 /// Which origins of streams a router is to keep.
 enum class OriginShare : std::uint8_t {
     None,
-    /// Those that it is chosen to hold for another data centre.
+    /// Those that it holds for another data centre.
     Held,
     /// All of its data centre, or of a small fleet.
     All,
--- a/tests/support/streamoriginmodel.h
+++ b/tests/support/streamoriginmodel.h
@@ -604,7 +604,7 @@
             if (router.incarnation != incarnation) {
                 return;
             }
-            // Versions that joined and left meanwhile are not in the list that it gets now.
+            // Versions that joined and left during the cut are not in the list.
             router.isIsolated = false;
             for (; router.revision < this->changes.size(); ++router.revision) {
                 const ListChange &change = this->changes[router.revision];
--- a/tests/versionrecord.cpp
+++ b/tests/versionrecord.cpp
@@ -62,7 +62,7 @@
 TEST_CASE_METHOD(VersionRecordFixture, "versionRecord_firstStartAmidARelease_statesSeveral",
                  "[routing]")
 {
-    // Guards against taking the version that is left for the only one once the other has gone.
+    // Guards against taking the version that is left for the only one once the other has left.
     const auto written = next(std::nullopt, {{7, 8}, std::nullopt, true});
     REQUIRE(written);
     CHECK_FALSE(written->only);
