Reject responses whose status line is none

Cause: http_parser reads a status of any number of digits up to 999, and without its strict checks most of the protocol's name as well. The scan before it looked at fields only. A status of 0 is neither a success nor a 5xx, so that the response was forwarded as the upstream's own.

Change: net/responsesyntax reads the status line: HTTP/1.x, one space, three digits from 100 to 599, a reason phrase without control characters or none. 101 is no response either, since no request asks for another protocol. The status that is passed on is the one that was checked. Everything else counts as an invalid response, so that what may be repeated is retried and an order gets 502.

--- a/gateway/http1.cpp
+++ b/gateway/http1.cpp
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 #include <http_parser.h>
 
+#include "responsesyntax.h"
+
 namespace plantainswitch::gateway {
 
 namespace {
@@ -12,22 +15,38 @@
 constexpr int noContent = 204;
 constexpr int notModified = 304;
 
-bool isTokenCharacter(unsigned char c) noexcept
+/// Calls \a read with each line of \a head, without its end, up to the final empty line.
+/// \returns whether \a read accepted them all, and each ends with CR LF and has no other CR.
+template<typename Read>
+bool readLines(std::string_view head, Read read)
 {
-    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
-    return std::isalnum(c) != 0 || others.find(static_cast<char>(c)) != std::string_view::npos;
+    while (!head.empty()) {
+        const std::size_t end = head.find('\n');
+        if (end == std::string_view::npos || end == 0 || head[end - 1] != '\r') {
+            return false;
+        }
+        const std::string_view line = head.substr(0, end - 1);
+        head.remove_prefix(end + 1);
+        if (line.empty()) {
+            return head.empty();
+        }
+        if (line.find('\r') != std::string_view::npos || !read(line)) {
+            return false;
+        }
+    }
+    return false;
 }
 
-bool isFieldLine(std::string_view line) noexcept
+/// Reads the head of a response. \returns whether it is one.
+bool readResponseHead(std::string_view head, net::ResponseSyntax &syntax)
 {
-    const std::size_t colon = line.find(':');
-    if (colon == 0 || colon == std::string_view::npos) {
-        return false;
-    }
-    const std::string_view name = line.substr(0, colon);
-    return std::all_of(name.begin(), name.end(), isTokenCharacter)
-           && std::none_of(line.begin(), line.end(),
-                           [](unsigned char c) { return (c < ' ' && c != '\t') || c == 0x7f; });
+    bool isFirst = true;
+    return readLines(head,
+                     [&](std::string_view line) {
+                         return std::exchange(isFirst, false) ? net::readStatusLine(line, syntax)
+                                                              : net::isFieldLine(line);
+                     })
+           && !isFirst;
 }
 
 } // namespace
@@ -46,6 +65,8 @@
     bool isHeadComplete = false;
     bool isComplete = false;
     bool expectsEmptyBody = false;
+    /// Responses only.
+    net::ResponseSyntax syntax;
     /// An informational (1xx) response, such as 100, that is followed by the final one.
     bool interim = false;
     /// Informational responses before the final one.
@@ -94,18 +115,21 @@
         }
         if (this->kind == MessageKind::Request) {
             this->head.method = http_method_str(static_cast<http_method>(this->parser.method));
-        } else {
-            this->head.status = static_cast<int>(this->parser.status_code);
+            this->events.onHead(std::move(this->head));
+            this->head = {};
+            return 0;
         }
-        const int status = this->head.status;
-        this->interim = status >= 100 && status < 200;
+        this->head.status = this->syntax.status;
+        this->interim = net::isInterim(this->syntax);
+        // These never have a body, even with a length.
+        const bool isEmptyStatus =
+            this->syntax.status == noContent || this->syntax.status == notModified;
+        const bool isEmpty = this->expectsEmptyBody || isEmptyStatus;
         if (!this->interim) {
             this->events.onHead(std::move(this->head));
         }
         this->head = {};
-        // These never have a body, even with a length.
-        const bool isEmptyStatus = status == noContent || status == notModified;
-        return this->expectsEmptyBody || isEmptyStatus ? 1 : 0;
+        return isEmpty ? 1 : 0;
     }
 };
 
@@ -137,25 +161,11 @@
 bool isUnambiguousHead(std::string_view head) noexcept
 {
     bool isFirst = true;
-    while (!head.empty()) {
-        const std::size_t end = head.find('\n');
-        if (end == std::string_view::npos || end == 0 || head[end - 1] != '\r') {
-            return false;
-        }
-        const std::string_view line = head.substr(0, end - 1);
-        head.remove_prefix(end + 1);
-        if (line.find('\r') != std::string_view::npos) {
-            return false;
-        }
-        if (line.empty()) {
-            return head.empty() && !isFirst;
-        }
-        if (!isFirst && !isFieldLine(line)) {
-            return false;
-        }
-        isFirst = false;
-    }
-    return false;
+    return readLines(head,
+                     [&isFirst](std::string_view line) {
+                         return std::exchange(isFirst, false) || net::isFieldLine(line);
+                     })
+           && !isFirst;
 }
 
 MessageParser::MessageParser(MessageKind kind, std::size_t largestHead, MessageHandlers events)
@@ -242,7 +252,11 @@
     if (size > this->maxHeadBytes) {
         return ParseState::HeadTooLarge;
     }
-    if (!isUnambiguousHead(std::string_view(this->buffered).substr(0, size))) {
+    const std::string_view head = std::string_view(this->buffered).substr(0, size);
+    const bool isValid = this->state->kind == MessageKind::Request
+                             ? isUnambiguousHead(head)
+                             : readResponseHead(head, this->state->syntax);
+    if (!isValid) {
         return ParseState::Malformed;
     }
     std::size_t consumed = 0;
--- a/gateway/upstreamconnection.cpp
+++ b/gateway/upstreamconnection.cpp
@@ -2,6 +2,8 @@
 
 #include <asio/ip/address.hpp>
 
+#include "responsesyntax.h"
+
 namespace plantainswitch::gateway {
 
 UpstreamConnection::UpstreamConnection(asio::io_context &context, const Clock &clock,
@@ -11,7 +13,7 @@
     , work(work)
     , connecting(context)
     , timer(context)
-    , parser(MessageKind::Response, maxResponseHeadBytes,
+    , parser(MessageKind::Response, net::maxResponseHeadBytes,
              {[this](MessageHead head) {
                   this->keepAlive = head.keepAlive;
                   // Copied because the handler may abort this connection.
--- a/gateway/upstreamconnection.h
+++ b/gateway/upstreamconnection.h
@@ -15,8 +15,6 @@
 
 namespace plantainswitch::gateway {
 
-/// Largest head of a response in bytes.
-inline constexpr std::size_t maxResponseHeadBytes = 64 << 10;
 /// Bytes of responses to other requests above which a connection is closed.
 inline constexpr std::size_t maxSkippedBytes = 4 << 20;
 
--- /dev/null
+++ b/net/responsesyntax.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace plantainswitch::net {
+
+/// Largest head of a response in bytes, with the informational responses before it.
+inline constexpr std::size_t maxResponseHeadBytes = 64 << 10;
+
+/// What the head of a response states. The functions below decide whether bytes are a response (RFC
+/// 9112): the libraries behind them accept more, such as a status of 000.
+struct ResponseSyntax
+{
+    int status = 0;
+};
+
+/// Reads a status line, given without its line end. \returns false if it is none of HTTP/1.x with a
+/// status that is defined for responses and was not excluded by the request.
+[[nodiscard]] bool readStatusLine(std::string_view line, ResponseSyntax &syntax) noexcept;
+/// \returns whether a line, given without its line end, is a header or trailer field.
+[[nodiscard]] bool isFieldLine(std::string_view line) noexcept;
+
+/// \returns whether the response is informational, and followed by another one.
+[[nodiscard]] bool isInterim(const ResponseSyntax &syntax) noexcept;
+
+} // namespace plantainswitch::net
--- /dev/null
+++ b/tests/gatewaybroken.cpp
@@ -0,0 +1,213 @@
+#include <atomic>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "gatewayfixture.h"
+#include "sequentialhttpclient.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::gateway;
+
+namespace {
+
+/// Upstreams whose first response is broken.
+class GatewayBrokenFixture : public GatewayFixture
+{
+protected:
+    using MakeBytes = std::function<std::string(const ReceivedRequest &)>;
+
+    /// Adds two upstreams of \a service. The first request of each attempt gets what \a makeBroken
+    /// returns, up to the end of its connection; others are served.
+    void addUpstreams(const std::string &service, const MakeBytes &makeBroken)
+    {
+        for (int i = 0; i < 2; ++i) {
+            this->addUpstream(service + "-" + std::to_string(i), service,
+                              [this, service, makeBroken](ServerConnection &connection) {
+                                  this->serve(connection, service, makeBroken);
+                              });
+        }
+    }
+
+    void serve(ServerConnection &connection, const std::string &service,
+               const MakeBytes &makeBroken)
+    {
+        while (const auto request = connection.read()) {
+            if (++this->requests == 1) {
+                connection.send(makeBroken(*request));
+                connection.close();
+                return;
+            }
+            connection.send(service == "model"
+                                ? makeStreamHead(*request) + makeChunk(makeEvent(1)) + "0\r\n\r\n"
+                                : makeResponse(*request, "served"));
+        }
+    }
+
+    static std::string attemptOf(const ReceivedRequest &request)
+    {
+        return *request.head.find("X-Attempt-Id");
+    }
+
+    /// \returns a signed response with a status line and fields of the test's choice.
+    static std::string makeHead(const ReceivedRequest &request, const std::string &statusLine,
+                                const std::string &fields)
+    {
+        return statusLine + "\r\nX-Attempt-Id: " + attemptOf(request)
+               + "\r\nX-Server-Stamp: stamp\r\n" + fields + "\r\n";
+    }
+
+    static std::vector<MakeBytes> brokenResponses()
+    {
+        const std::string length = "Content-Length: 6\r\n";
+        const std::string ok = "HTTP/1.1 200 OK";
+        return {
+            [=](const ReceivedRequest &request) {
+                return makeHead(request, "HTTP/1.1 000 OK", length) + "broken";
+            },
+            [=](const ReceivedRequest &request) {
+                return makeHead(request, "HTTP/1.1 700 OK", length) + "broken";
+            },
+            [=](const ReceivedRequest &request) {
+                return makeHead(request, ok, "X Field: v\r\n" + length) + "broken";
+            },
+            [=](const ReceivedRequest &request) {
+                return makeHead(request, ok, "X\x01: v\r\n" + length) + "broken";
+            },
+            // Ends within its head.
+            [=](const ReceivedRequest &request) {
+                const std::string head = makeHead(request, ok, length);
+                return head.substr(0, head.size() - 2);
+            },
+        };
+    }
+
+    /// \returns whether anything of an upstream's response was passed on.
+    static bool isFromUpstream(const ReceivedResponse &response)
+    {
+        return response.body.find("broken") != std::string::npos
+               || std::any_of(
+                   response.fields.begin(), response.fields.end(),
+                   [](const HeaderField &field) { return field.name == "X-Server-Stamp"; });
+    }
+
+    std::atomic<int> requests = 0;
+};
+
+/// Calls of a gateway to the store and to other routers.
+class StoreReplyFixture
+{
+protected:
+    StoreReplyFixture() { this->settings.id = "router-1"; }
+
+    CallReply callServer(const ScriptedServer::Script &script)
+    {
+        ScriptedServer server(script);
+        asio::io_context context;
+        GatewayState state(context, this->clock, this->dialect, this->settings);
+        SequentialHttpClient client(state);
+        CallReply reply;
+        client.call(server.endpoint(), "GET", "/objects", {}, {Milliseconds{20'000}, {}},
+                    [&reply, &context](CallReply received) {
+                        reply = std::move(received);
+                        context.stop();
+                    });
+        context.run_for(std::chrono::seconds(30));
+        return reply;
+    }
+
+    SystemClock clock;
+    platform::PlatformDialect dialect;
+    GatewaySettings settings;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(GatewayBrokenFixture, "brokenResponse_toOrder_isNeitherPassedOnNorRepeated",
+                 "[gateway]")
+{
+    // Guards against bytes that are no response but reach the caller as one, and against orders
+    // that are repeated although they may have run.
+    const std::size_t variant = GENERATE(range(std::size_t{0}, brokenResponses().size()));
+    INFO(variant);
+    this->addUpstreams("plain", brokenResponses()[variant]);
+    this->start();
+    const ReceivedResponse response = this->call(makeRequest("/once/x", "a1", "order"));
+    CHECK(response.status == 502);
+    CHECK_FALSE(isFromUpstream(response));
+    CHECK(this->requests == 1);
+}
+
+TEST_CASE_METHOD(GatewayBrokenFixture, "brokenResponse_toRepeatableRequest_isServedElsewhere",
+                 "[gateway]")
+{
+    // Guards against a broken response that ends a request which another upstream can serve.
+    const std::size_t variant = GENERATE(range(std::size_t{0}, brokenResponses().size()));
+    INFO(variant);
+    this->addUpstreams("plain", brokenResponses()[variant]);
+    this->start();
+    const ReceivedResponse response = this->call(makeRequest("/safe/x", "a1"));
+    CHECK(response.status == 200);
+    CHECK(response.body == "served");
+    CHECK(this->requests == 2);
+}
+
+TEST_CASE_METHOD(GatewayBrokenFixture, "brokenResponse_toStream_isServedElsewhere", "[gateway]")
+{
+    // The same for streams.
+    const std::size_t variant = GENERATE(range(std::size_t{0}, brokenResponses().size()));
+    INFO(variant);
+    this->addUpstreams("model", brokenResponses()[variant]);
+    this->start();
+    const ReceivedResponse response = this->call(makeRequest("/stream/x", "a1"));
+    CHECK(response.status == 200);
+    CHECK(response.isComplete);
+    CHECK(response.body == makeEvent(1));
+    CHECK(this->requests == 2);
+}
+
+TEST_CASE_METHOD(GatewayBrokenFixture, "brokenResponse_toTakenUpStream_goesOnWithoutGap",
+                 "[gateway]")
+{
+    // Guards against a stream that is resumed by bytes which are no response.
+    std::atomic<int> runs = 0;
+    for (const char *const id : {"model-0", "model-1"}) {
+        this->addUpstream(id, "model", [&runs](ServerConnection &connection) {
+            while (const auto request = connection.read()) {
+                if (++runs == 1) {
+                    connection.send(makeStreamHead(*request) + makeChunk(makeEvent(1)) + "zz\r\n");
+                    connection.waitForEnd();
+                    return;
+                }
+                connection.send(makeStreamHead(*request) + makeChunk(makeEvent(2)) + "0\r\n\r\n");
+            }
+        });
+    }
+    this->start();
+    const ReceivedResponse response = this->call(makeRequest("/stream/x", "a1"));
+    CHECK(response.isComplete);
+    CHECK(response.body == makeEvent(1) + makeEvent(2));
+}
+
+TEST_CASE_METHOD(StoreReplyFixture, "storeReply_broken_isNoReply", "[gateway]")
+{
+    // Guards against a list of the store, or a view of another router, that is applied although it
+    // is no response.
+    for (const std::string bytes :
+         {"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+          "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 2\r\n\r\n{}",
+          "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}", "HTTP/1.1 200 OK\r\nContent-Le"}) {
+        INFO(bytes);
+        const CallReply reply = this->callServer([&bytes](ServerConnection &peer) {
+            static_cast<void>(peer.read());
+            peer.send(bytes);
+            peer.close();
+        });
+        CHECK(reply.status == 0);
+        CHECK(reply.body.empty());
+    }
+}
