Reject responses with a length or transfer coding that is none

What callers saw: a response with "Transfer-Encoding: gzip" reached them as a whole body in that coding, as the field itself applies to one connection and was dropped. So did one with "gzip, chunked", "chunked, chunked" or an empty value, up to the end of the connection.

Cause: http_parser leaves what it does not know to the reader, and the reader did not look.

Change: a response has either one Content-Length, a number of bytes up to 2^63 - 1, or one Transfer-Encoding whose only coding is "chunked", and none of HTTP/1.0. No request of a router announces other codings (RFC 9112, 6.1 and 6.3). A length beside a coding is rejected by http_parser, as before.

--- a/gateway/http1.cpp
+++ b/gateway/http1.cpp
@@ -44,7 +44,7 @@
     return readLines(head,
                      [&](std::string_view line) {
                          return std::exchange(isFirst, false) ? net::readStatusLine(line, syntax)
-                                                              : net::isFieldLine(line);
+                                                              : net::readHeaderLine(line, syntax);
                      })
            && !isFirst;
 }
--- a/net/responsesyntax.h
+++ b/net/responsesyntax.h
@@ -8,16 +8,25 @@
 /// Largest head of a response in bytes, with the informational responses before it.
 inline constexpr std::size_t maxResponseHeadBytes = 64 << 10;
 
-/// What the head of a response states. The functions below decide whether bytes are a response (RFC
-/// 9112): the libraries behind them accept more, such as a status of 000.
+/// What the head of a response states about its syntax and framing. The functions below decide for
+/// every HTTP client of this project whether bytes are a response (RFC 9112): the libraries behind
+/// them accept more, such as a status of 000 or any two bytes behind a chunk.
 struct ResponseSyntax
 {
     int status = 0;
+    /// HTTP/1.0, whose responses have no transfer codings.
+    bool isVersion10 = false;
+    bool hasLength = false;
+    /// The length does not count then.
+    bool isChunked = false;
 };
 
 /// Reads a status line, given without its line end. \returns false if it is none of HTTP/1.x with a
 /// status that is defined for responses and was not excluded by the request.
 [[nodiscard]] bool readStatusLine(std::string_view line, ResponseSyntax &syntax) noexcept;
+/// Reads the line of a header field, given without its line end. \returns false if its syntax is
+/// invalid, or if it makes the framing of the body invalid or ambiguous.
+[[nodiscard]] bool readHeaderLine(std::string_view line, ResponseSyntax &syntax) noexcept;
 /// \returns whether a line, given without its line end, is a header or trailer field.
 [[nodiscard]] bool isFieldLine(std::string_view line) noexcept;
 
--- a/tests/gatewaybroken.cpp
+++ b/tests/gatewaybroken.cpp
@@ -78,6 +78,9 @@
             [=](const ReceivedRequest &request) {
                 return makeHead(request, ok, "X\x01: v\r\n" + length) + "broken";
             },
+            [=](const ReceivedRequest &request) {
+                return makeHead(request, ok, "Transfer-Encoding: gzip\r\n") + "broken";
+            },
             // Ends within its head.
             [=](const ReceivedRequest &request) {
                 const std::string head = makeHead(request, ok, length);
--- a/tests/responsesyntax.cpp
+++ b/tests/responsesyntax.cpp
@@ -177,6 +177,25 @@
     cases.push_back({"continued line", withField("X-A: b\r\n c")});
     cases.push_back({"line feed alone", withField("X-A: b\nX-C: d")});
     cases.push_back({"head too large", withHeadOf(net::maxResponseHeadBytes + 1)});
+    for (const std::string value :
+         {"", "-4", "+4", "4x", "x", "0x4", "4.0", "4,4", "4, 5", "4 4", "4;", "\"4\"",
+          "9223372036854775808", "18446744073709551615", "18446744073709551620"}) {
+        cases.push_back({"length " + value, framedBy("Content-Length: " + value + "\r\n")});
+    }
+    cases.push_back({"length twice", framedBy(length + length)});
+    cases.push_back({"two lengths", framedBy(length + "Content-Length: 5\r\n")});
+    const std::string body = "4\r\nbody\r\n0\r\n\r\n";
+    for (const std::string value :
+         {"", "gzip", "identity", "deflate", "xchunked", "chunkedx", "chunked;q=1", "gzip, chunked",
+          "chunked, gzip", "chunked, chunked", "chunked, identity", "\"chunked\""}) {
+        cases.push_back(
+            {"coding " + value, framedBy("Transfer-Encoding: " + value + "\r\n", body)});
+    }
+    cases.push_back({"coding twice", framedBy(chunkedField + chunkedField, body)});
+    cases.push_back({"coding before length", framedBy(chunkedField + length, body)});
+    cases.push_back({"length before coding", framedBy(length + chunkedField, body)});
+    cases.push_back(
+        {"coding in version 1.0", "HTTP/1.0 200 OK\r\n" + chunkedField + "\r\n" + body});
     return cases;
 }
 
