Don't read a body behind an informational response

What callers saw: bytes that an upstream sends behind a 1xx response with a length came before the body of the final response, within one 200.

Cause: http_parser reads the body that the fields of a 1xx response state, and its bytes were passed on like those of the final one.

Change: informational responses end with their head, like 204 and 304 (RFC 9112, 6.3). What follows must be a response.

Evidence: two rows of responsesyntax, and gatewaybroken's order, repeatable request and stream fail on the code before (200 with foreign bytes in front), and pass now.

--- a/gateway/http1.cpp
+++ b/gateway/http1.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-constexpr int noContent = 204;
-constexpr int notModified = 304;
-
 /// Calls \a read with each line of \a head, without its end, up to the final empty line.
 /// \returns whether \a read accepted them all, and each ends with CR LF and has no other CR.
 template<typename Read>
@@ -121,10 +118,7 @@
         }
         this->head.status = this->syntax.status;
         this->interim = net::isInterim(this->syntax);
-        // These never have a body, even with a length.
-        const bool isEmptyStatus =
-            this->syntax.status == noContent || this->syntax.status == notModified;
-        const bool isEmpty = this->expectsEmptyBody || isEmptyStatus;
+        const bool isEmpty = this->expectsEmptyBody || net::isBodiless(this->syntax.status);
         if (!this->interim) {
             this->events.onHead(std::move(this->head));
         }
--- a/net/responsesyntax.cpp
+++ b/net/responsesyntax.cpp
@@ -13,6 +13,8 @@
 
 constexpr int switchingProtocols = 101;
 constexpr int firstSuccess = 200;
+constexpr int noContent = 204;
+constexpr int notModified = 304;
 constexpr int firstStatus = 100;
 constexpr int lastStatus = 599;
 constexpr std::size_t statusDigits = 3;
@@ -155,4 +157,9 @@
     return syntax.status >= firstStatus && syntax.status < firstSuccess;
 }
 
+bool isBodiless(int status) noexcept
+{
+    return status < firstSuccess || status == noContent || status == notModified;
+}
+
 } // namespace plantainswitch::net
--- a/net/responsesyntax.h
+++ b/net/responsesyntax.h
@@ -32,5 +32,7 @@
 
 /// \returns whether the response is informational, and followed by another one.
 [[nodiscard]] bool isInterim(const ResponseSyntax &syntax) noexcept;
+/// \returns whether a response with that status has no body, whatever its header fields state.
+[[nodiscard]] bool isBodiless(int status) noexcept;
 
 } // namespace plantainswitch::net
--- a/tests/gatewaybroken.cpp
+++ b/tests/gatewaybroken.cpp
@@ -81,6 +81,9 @@
             [=](const ReceivedRequest &request) {
                 return makeHead(request, ok, "Transfer-Encoding: gzip\r\n") + "broken";
             },
+            [=](const ReceivedRequest &request) {
+                return "HTTP/1.1 103 E\r\n" + length + "\r\nbroken" + makeResponse(request, "x");
+            },
             // Ends within its head.
             [=](const ReceivedRequest &request) {
                 const std::string head = makeHead(request, ok, length);
--- a/tests/responsesyntax.cpp
+++ b/tests/responsesyntax.cpp
@@ -151,6 +151,12 @@
     cases.push_back(
         {"protocol switched", "HTTP/1.1 101 S\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"
                                   + withStatusLine("HTTP/1.1 200 OK")});
+    cases.push_back(
+        {"informational response with a body",
+         "HTTP/1.1 103 E\r\n" + length + "\r\nbody" + withStatusLine("HTTP/1.1 200 O")});
+    cases.push_back({"informational response with chunks",
+                     "HTTP/1.1 103 E\r\n" + chunkedField + "\r\n4\r\nbody\r\n0\r\n\r\n"
+                         + withStatusLine("HTTP/1.1 200 OK")});
     cases.push_back({"broken informational response",
                      "HTTP/1.1 103 E\r\nX A: b\r\n\r\n" + withStatusLine("HTTP/1.1 200 OK")});
     cases.push_back({"line feeds alone", "HTTP/1.1 200 OK\nContent-Length: 4\n\nbody"});
