Decode chunked responses strictly

What callers saw: a chunk that was followed by other bytes than a line end was passed on as a whole body, although its bytes were delimited in another way than the upstream's.

Cause: http_parser as Debian builds it does not check these bytes, nor those between the size of a chunk and its line end, and neglects the syntax of trailer fields.

Change: decodeChunked() in net/responsesyntax reads the bodies of chunked responses: a size in hexadecimal digits, extensions that begin with a semicolon, lines that end with CR LF, trailers that are fields. Requests are still parsed by http_parser, as they are framed anew before they are sent on. A size line may have 8 KiB.

A stream whose end has a broken trailer goes on at another upstream.

--- a/gateway/http1.cpp
+++ b/gateway/http1.cpp
@@ -64,6 +64,9 @@
     bool expectsEmptyBody = false;
     /// Responses only.
     net::ResponseSyntax syntax;
+    /// Set while the body of a response is chunked: http_parser takes any two bytes for the end of
+    /// a chunk, and any for its extensions.
+    std::optional<net::ChunkedBody> chunks;
     /// An informational (1xx) response, such as 100, that is followed by the final one.
     bool interim = false;
     /// Informational responses before the final one.
@@ -80,6 +83,7 @@
         this->isHeadComplete = false;
         this->isComplete = false;
         this->interim = false;
+        this->chunks.reset();
     }
 
     void onFieldName(std::string_view part)
@@ -119,6 +123,9 @@
         this->head.status = this->syntax.status;
         this->interim = net::isInterim(this->syntax);
         const bool isEmpty = this->expectsEmptyBody || net::isBodiless(this->syntax.status);
+        if (this->syntax.isChunked && !isEmpty) {
+            this->chunks.emplace();
+        }
         if (!this->interim) {
             this->events.onHead(std::move(this->head));
         }
@@ -187,7 +194,7 @@
 {
     if (this->state->isHeadComplete && !this->state->isComplete && this->buffered.empty()) {
         std::size_t consumed = 0;
-        const ParseState parseState = this->execute(bytes, consumed);
+        const ParseState parseState = this->parseBody(bytes, consumed);
         this->buffered.assign(bytes.substr(consumed));
         return parseState;
     }
@@ -210,6 +217,9 @@
     if (this->state->isComplete) {
         return ParseState::Complete;
     }
+    if (this->state->chunks) {
+        return ParseState::Incomplete;
+    }
     std::size_t consumed = 0;
     return this->execute({}, consumed);
 }
@@ -254,11 +264,35 @@
         return ParseState::Malformed;
     }
     std::size_t consumed = 0;
-    const ParseState parseState = this->execute(this->buffered, consumed);
-    this->buffered.erase(0, consumed);
+    ParseState parseState = this->execute(head, consumed);
+    std::size_t bodyBytes = 0;
+    if (parseState == ParseState::Incomplete) {
+        parseState = this->parseBody(std::string_view(this->buffered).substr(consumed), bodyBytes);
+    }
+    this->buffered.erase(0, consumed + bodyBytes);
     return parseState;
 }
 
+ParseState MessageParser::parseBody(std::string_view bytes, std::size_t &consumed)
+{
+    if (bytes.empty()) {
+        // http_parser would take this for the end of the connection.
+        return ParseState::Incomplete;
+    }
+    if (!this->state->chunks) {
+        return this->execute(bytes, consumed);
+    }
+    std::string_view left = bytes;
+    const net::ChunkedState decoded =
+        net::decodeChunked(*this->state->chunks, left, this->state->events.onBody);
+    consumed = bytes.size() - left.size();
+    if (decoded == net::ChunkedState::Malformed) {
+        return ParseState::Malformed;
+    }
+    this->state->isComplete = decoded == net::ChunkedState::Complete;
+    return this->state->isComplete ? ParseState::Complete : ParseState::Incomplete;
+}
+
 ParseState MessageParser::execute(std::string_view bytes, std::size_t &consumed)
 {
     static const http_parser_settings settings = [] {
--- a/gateway/http1.h
+++ b/gateway/http1.h
@@ -97,6 +97,7 @@
 
     ParseState parseMessage();
     ParseState parseHead();
+    ParseState parseBody(std::string_view bytes, std::size_t &consumed);
     ParseState execute(std::string_view bytes, std::size_t &consumed);
 
     std::size_t maxHeadBytes;
--- a/net/responsesyntax.cpp
+++ b/net/responsesyntax.cpp
@@ -100,6 +100,85 @@
     return count == 1;
 }
 
+/// Parses the size line of a chunk. \returns nothing if it is malformed.
+std::optional<std::uint64_t> chunkSizeOf(std::string_view line) noexcept
+{
+    constexpr int hexadecimal = 16;
+    const auto size = takeNumber(line, hexadecimal);
+    const std::string_view extensions = withoutBlanks(line);
+    const bool isValid = size && (extensions.empty() || extensions.front() == ';')
+                         && !hasControlCharacter(extensions);
+    return isValid ? size : std::nullopt;
+}
+
+/// Takes a line from \a bytes, or adds its beginning to \a buffered.
+/// \param line set to the whole line without its end, in \a bytes or \a buffered
+/// \returns Malformed if the line is longer than \a maxBytes or does not end with CR LF.
+ChunkedState takeLine(std::string &buffered, std::string_view &bytes, std::size_t maxBytes,
+                      std::string_view &line)
+{
+    const std::size_t end = bytes.find('\n');
+    const std::string_view part = bytes.substr(0, end);
+    // Only the last byte of a line may be a carriage return. Earlier parts were searched before.
+    const bool hasBareReturn =
+        !part.empty()
+        && (part.find('\r') < part.size() - 1 || (!buffered.empty() && buffered.back() == '\r'));
+    if (hasBareReturn || buffered.size() + part.size() > maxBytes) {
+        return ChunkedState::Malformed;
+    }
+    bytes.remove_prefix(part.size());
+    if (end == std::string_view::npos) {
+        buffered.append(part);
+        return ChunkedState::Incomplete;
+    }
+    bytes.remove_prefix(1);
+    line = part;
+    if (!buffered.empty()) {
+        line = buffered.append(part);
+    }
+    if (!line.ends_with('\r')) {
+        return ChunkedState::Malformed;
+    }
+    line.remove_suffix(1);
+    return ChunkedState::Complete;
+}
+
+std::size_t maxLineOf(const ChunkedBody &body) noexcept
+{
+    switch (body.part) {
+    case ChunkedBody::Part::DataEnd:
+        return 1;
+    case ChunkedBody::Part::Trailers:
+        return maxResponseHeadBytes - std::min(body.trailerBytes, maxResponseHeadBytes);
+    default:
+        return maxChunkSizeLineBytes;
+    }
+}
+
+/// Handles a whole line, which is not the data of a chunk. \returns whether it is valid.
+bool applyLine(ChunkedBody &body, std::string_view line)
+{
+    using enum ChunkedBody::Part;
+    switch (body.part) {
+    case SizeLine: {
+        const auto size = chunkSizeOf(line);
+        body.remaining = size.value_or(0);
+        body.part = body.remaining == 0 ? Trailers : Data;
+        return size.has_value();
+    }
+    case DataEnd:
+        body.part = SizeLine;
+        return line.empty();
+    default:
+        if (line.empty()) {
+            body.part = End;
+            return true;
+        }
+        body.trailerBytes += line.size();
+        return isFieldLine(line);
+    }
+}
+
 } // namespace
 
 bool readStatusLine(std::string_view line, ResponseSyntax &syntax) noexcept
@@ -162,4 +241,32 @@
     return status < firstSuccess || status == noContent || status == notModified;
 }
 
+ChunkedState decodeChunked(ChunkedBody &body, std::string_view &bytes,
+                           const std::function<void(std::string_view)> &onData)
+{
+    using enum ChunkedBody::Part;
+    while (body.part != End && !bytes.empty()) {
+        if (body.part == Data) {
+            const auto size =
+                static_cast<std::size_t>(std::min<std::uint64_t>(body.remaining, bytes.size()));
+            const std::string_view data = bytes.substr(0, size);
+            bytes.remove_prefix(size);
+            body.remaining -= size;
+            body.part = body.remaining == 0 ? DataEnd : Data;
+            onData(data);
+            continue;
+        }
+        std::string_view line;
+        const ChunkedState lineState = takeLine(body.line, bytes, maxLineOf(body), line);
+        if (lineState != ChunkedState::Complete) {
+            return lineState;
+        }
+        if (!applyLine(body, line)) {
+            return ChunkedState::Malformed;
+        }
+        body.line.clear();
+    }
+    return body.part == End ? ChunkedState::Complete : ChunkedState::Incomplete;
+}
+
 } // namespace plantainswitch::net
--- a/net/responsesyntax.h
+++ b/net/responsesyntax.h
@@ -1,12 +1,16 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <string>
 #include <string_view>
 
 namespace plantainswitch::net {
 
 /// Largest head of a response in bytes, with the informational responses before it.
 inline constexpr std::size_t maxResponseHeadBytes = 64 << 10;
+/// Largest size line of a chunk with its extensions, in bytes.
+inline constexpr std::size_t maxChunkSizeLineBytes = 8 << 10;
 
 /// What the head of a response states about its syntax and framing. The functions below decide for
 /// every HTTP client of this project whether bytes are a response (RFC 9112): the libraries behind
@@ -35,4 +39,26 @@
 /// \returns whether a response with that status has no body, whatever its header fields state.
 [[nodiscard]] bool isBodiless(int status) noexcept;
 
+/// How far a chunked body was decoded.
+enum class ChunkedState : std::uint8_t { Incomplete, Complete, Malformed };
+
+/// Position within a chunked body.
+struct ChunkedBody
+{
+    enum class Part : std::uint8_t { SizeLine, Data, DataEnd, Trailers, End };
+
+    Part part = Part::SizeLine;
+    /// Bytes of the current chunk that have yet to arrive.
+    std::uint64_t remaining = 0;
+    /// The beginning of an incomplete line.
+    std::string line;
+    std::size_t trailerBytes = 0;
+};
+
+/// Decodes the next bytes of a chunked body, and removes from \a bytes what belongs to it. Trailer
+/// fields are checked and discarded.
+/// \param onData receives the data of the chunks
+[[nodiscard]] ChunkedState decodeChunked(ChunkedBody &body, std::string_view &bytes,
+                                         const std::function<void(std::string_view)> &onData);
+
 } // namespace plantainswitch::net
--- a/tests/gatewaybroken.cpp
+++ b/tests/gatewaybroken.cpp
@@ -81,6 +81,10 @@
             [=](const ReceivedRequest &request) {
                 return makeHead(request, ok, "Transfer-Encoding: gzip\r\n") + "broken";
             },
+            [=](const ReceivedRequest &request) {
+                return makeHead(request, ok, "Transfer-Encoding: chunked\r\n")
+                       + "6\r\nbrokenXY0\r\n\r\n";
+            },
             [=](const ReceivedRequest &request) {
                 return "HTTP/1.1 103 E\r\n" + length + "\r\nbroken" + makeResponse(request, "x");
             },
@@ -164,10 +168,16 @@
 
 TEST_CASE_METHOD(GatewayBrokenFixture, "brokenResponse_toStream_isServedElsewhere", "[gateway]")
 {
-    // The same for streams.
-    const std::size_t variant = GENERATE(range(std::size_t{0}, brokenResponses().size()));
+    // The same for streams, also one that breaks between two events.
+    std::vector<MakeBytes> variants = brokenResponses();
+    variants.push_back([](const ReceivedRequest &request) {
+        return makeHead(request, "HTTP/1.1 200 OK",
+                        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+               + "0\r\nX Trailer: v\r\n\r\n";
+    });
+    const std::size_t variant = GENERATE_REF(range(std::size_t{0}, variants.size()));
     INFO(variant);
-    this->addUpstreams("model", brokenResponses()[variant]);
+    this->addUpstreams("model", variants[variant]);
     this->start();
     const ReceivedResponse response = this->call(makeRequest("/stream/x", "a1"));
     CHECK(response.status == 200);
@@ -206,6 +216,7 @@
     for (const std::string bytes :
          {"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
           "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 2\r\n\r\n{}",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}XY0\r\n\r\n",
           "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}", "HTTP/1.1 200 OK\r\nContent-Le"}) {
         INFO(bytes);
         const CallReply reply = this->callServer([&bytes](ServerConnection &peer) {
--- a/tests/gatewayendless.cpp
+++ b/tests/gatewayendless.cpp
@@ -64,14 +64,13 @@
 
     void sendWithoutEnd(ServerConnection &connection, const ReceivedRequest &request)
     {
-        constexpr int most = 2000;
         connection.send(this->begin(request));
         int sent = 0;
-        while (sent < most && !connection.waitForEnd(std::chrono::milliseconds{0})) {
+        while (sent < this->most && !connection.waitForEnd(std::chrono::milliseconds{0})) {
             connection.send(this->filler);
             ++sent;
         }
-        this->closedEarly += sent < most ? 1 : 0;
+        this->closedEarly += sent < this->most ? 1 : 0;
         const std::size_t size = static_cast<std::size_t>(sent) * this->filler.size();
         this->sentBeyondLimit += size >= limitOfOne ? 1 : 0;
     }
@@ -108,6 +107,8 @@
 
     std::function<std::string(const ReceivedRequest &)> begin;
     std::string filler;
+    /// Times for which the filler is sent.
+    int most = 2000;
     bool isStream = false;
     std::atomic<int> closedEarly = 0;
     std::atomic<int> sentBeyondLimit = 0;
@@ -139,6 +140,18 @@
     this->checkOutcome();
 }
 
+TEST_CASE_METHOD(GatewayEndlessFixture, "chunkSize_withoutEnd_failsAlone", "[gateway]")
+{
+    // Guards against a size line of a chunk that never ends, in parts of few bytes.
+    this->begin = [](const ReceivedRequest &request) { return chunkedHead(attemptOf(request)); };
+    this->filler = "000";
+    this->most = 200'000;
+    this->addEndless("plain-0", "plain");
+    this->start();
+    this->callAtOnce("/once/x");
+    this->checkOutcome();
+}
+
 TEST_CASE_METHOD(GatewayEndlessFixture, "responseBody_withoutEnd_failsAlone", "[gateway]")
 {
     // Guards against bodies without end that take the memory of all callers together, though each
--- a/tests/responsesyntax.cpp
+++ b/tests/responsesyntax.cpp
@@ -56,6 +56,11 @@
     return withField("X-Filler: " + std::string(size + bodySize - rest.size(), 'a'));
 }
 
+std::string withSizeLineOf(std::size_t size)
+{
+    return chunked("4;" + std::string(size - 3, 'a') + "\r\nbody\r\n0\r\n\r\n");
+}
+
 std::vector<SyntaxCase> validStatusLines()
 {
     return {
@@ -119,6 +124,7 @@
         {"extension quoted", chunked("4;a=\"b c\";d=\"\xff\"\r\nbody\r\n0\r\n\r\n")},
         {"extension behind blanks", chunked("4 \t; a = b\r\nbody\r\n0\r\n\r\n")},
         {"size padded with blanks", chunked("4  \r\nbody\r\n0\r\n\r\n")},
+        {"largest size line", withSizeLineOf(net::maxChunkSizeLineBytes)},
         {"line ends as data", chunked("4\r\n\r\n\r\n\r\n0\r\n\r\n"), "\r\n\r\n"},
         {"trailers", chunked("4\r\nbody\r\n0\r\nX-A: b\r\nX-B:\r\n\r\n")},
         {"trailer with a length", chunked("4\r\nbody\r\n0\r\nContent-Length: 9\r\n\r\n")},
@@ -173,13 +179,16 @@
           std::string("X(A)"), std::string("X/A"), std::string("\"X\""), std::string()}) {
         cases.push_back({"name " + name, withField(name + ": v")});
         cases.push_back({"only name " + name, framedBy(name + ": v\r\n")});
+        cases.push_back({"trailer " + name, chunked("4\r\nbody\r\n0\r\n" + name + ": v\r\n\r\n")});
     }
     for (const std::string &value :
          {std::string("a\0b", 3), std::string("a\x01"), std::string("\x1f"), std::string("a\x7f"),
           std::string("a\rb")}) {
         cases.push_back({"value " + value, withField("X-A: " + value)});
+        cases.push_back({"trailer value", chunked("4\r\nbody\r\n0\r\nX-A: " + value + "\r\n\r\n")});
     }
     cases.push_back({"no colon", withField("X-A")});
+    cases.push_back({"trailer without colon", chunked("4\r\nbody\r\n0\r\nX-A\r\n\r\n")});
     cases.push_back({"continued line", withField("X-A: b\r\n c")});
     cases.push_back({"line feed alone", withField("X-A: b\nX-C: d")});
     cases.push_back({"head too large", withHeadOf(net::maxResponseHeadBytes + 1)});
@@ -205,6 +214,31 @@
     return cases;
 }
 
+std::vector<SyntaxCase> brokenChunks()
+{
+    std::vector<SyntaxCase> cases;
+    for (const std::string &line :
+         {std::string(), std::string("x"), std::string("-4"), std::string("+4"), std::string("0x4"),
+          std::string(" 4"), std::string("4x"), std::string("4 x"), std::string("4,"),
+          std::string("4\x01"), std::string("4;a\x01"), std::string("4;a\0", 4),
+          std::string("4;a\rb"), std::string("8000000000000000"), std::string("10000000000000004"),
+          std::string("fffffffffffffffff")}) {
+        cases.push_back({"size line " + line, chunked(line + "\r\nbody\r\n0\r\n\r\n")});
+        cases.push_back({"last size line " + line, chunked("4\r\nbody\r\n" + line + "\r\n\r\n")});
+    }
+    for (const std::string end : {"", "XY", "X\r\n", "\n", "\r", "\rX", "\n\r", "\r\r\n"}) {
+        cases.push_back({"end of data " + end, chunked("4\r\nbody" + end + "0\r\n\r\n")});
+    }
+    cases.push_back({"size line ends with line feed", chunked("4\nbody\r\n0\r\n\r\n")});
+    cases.push_back({"size line ends with carriage return", chunked("4\rbody\r\n0\r\n\r\n")});
+    cases.push_back({"size line ends with other byte", chunked("4\rXbody\r\n0\r\n\r\n")});
+    cases.push_back({"data longer than its size", chunked("3\r\nbody\r\n0\r\n\r\n")});
+    cases.push_back({"size line too long", withSizeLineOf(net::maxChunkSizeLineBytes + 1)});
+    cases.push_back({"last line ends with line feed", chunked("4\r\nbody\r\n0\r\n\n")});
+    cases.push_back({"last line ends with other byte", chunked("4\r\nbody\r\n0\r\n\rX")});
+    return cases;
+}
+
 /// What a reader made of a response.
 struct ReadResult
 {
@@ -284,6 +318,9 @@
     {
         this->checkBroken(cases);
         for (const SyntaxCase &each : cases) {
+            if (each.part.starts_with("trailer")) {
+                continue;
+            }
             INFO(each.part);
             CHECK(parse(each.response, each.response.size()).status == 0);
             CHECK(parse(each.response, each.response.size()).body.empty());
@@ -334,6 +371,13 @@
     this->checkBrokenHeads(brokenFields());
 }
 
+TEST_CASE_METHOD(ResponseSyntaxFixture, "responseSyntax_brokenChunk_isNoResponse", "[responses]")
+{
+    // Guards against chunks that two readers delimit in two ways, so that the body that is passed
+    // on is not the upstream's.
+    this->checkBroken(brokenChunks());
+}
+
 TEST_CASE_METHOD(ResponseSyntaxFixture, "responseSyntax_endedAnywhere_isNotComplete", "[responses]")
 {
     // Guards against a response cut in its head, or within its body, that looks whole.
