Read the body of a response after one to HEAD

What callers saw: a 200 with an empty body, framed as whole, if the request before it on the upstream's connection was a HEAD. The bytes of the body then ended the connection.

Cause: the parser's mark that the next response has no body was set for a HEAD and never cleared.

Change: it is set for each request.

Evidence: response_afterOneToHead_keepsItsBody gets an empty body on the code before.

--- a/gateway/http1.cpp
+++ b/gateway/http1.cpp
@@ -180,9 +180,9 @@
 
 MessageParser::~MessageParser() = default;
 
-void MessageParser::expectEmptyBody() noexcept
+void MessageParser::expectEmptyBody(bool isEmpty) noexcept
 {
-    this->state->expectsEmptyBody = true;
+    this->state->expectsEmptyBody = isEmpty;
 }
 
 bool MessageParser::inBody() const noexcept
--- a/gateway/http1.h
+++ b/gateway/http1.h
@@ -84,8 +84,8 @@
     /// length.
     ParseState finish();
 
-    /// The next response answers a HEAD request and has no body.
-    void expectEmptyBody() noexcept;
+    /// Sets whether the next response answers a HEAD request and has no body.
+    void expectEmptyBody(bool isEmpty) noexcept;
     void setMaxHeadBytes(std::size_t bytes) noexcept { this->maxHeadBytes = bytes; }
     /// \returns whether bytes after a complete message are buffered.
     [[nodiscard]] bool hasBufferedBytes() const noexcept { return !this->buffered.empty(); }
--- a/gateway/upstreamconnection.cpp
+++ b/gateway/upstreamconnection.cpp
@@ -112,9 +112,7 @@
 
 void UpstreamConnection::writeRequest(const std::string &request, bool isHead)
 {
-    if (isHead) {
-        this->parser.expectEmptyBody();
-    }
+    this->parser.expectEmptyBody(isHead);
     this->stream->write(request);
 }
 
--- a/tests/gatewaybroken.cpp
+++ b/tests/gatewaybroken.cpp
@@ -209,6 +209,26 @@
     CHECK(response.body == makeEvent(1) + makeEvent(2));
 }
 
+TEST_CASE_METHOD(GatewayBrokenFixture, "response_afterOneToHead_keepsItsBody", "[gateway]")
+{
+    // Guards against a response whose body is dropped, because the request before it on the
+    // connection was a HEAD.
+    this->addUpstream("plain-0", "plain", [](ServerConnection &connection) {
+        while (const auto request = connection.read()) {
+            const std::string response = makeResponse(*request, "body");
+            const bool isHead = request->head.method == "HEAD";
+            connection.send(isHead ? response.substr(0, response.size() - 4) : response);
+        }
+    });
+    this->start();
+    const std::string head = "HEAD /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a0\r\n"
+                             "Authorization: Bearer key-a\r\nConnection: close\r\n\r\n";
+    CHECK(this->call(head).status == 200);
+    const ReceivedResponse response = this->call(makeRequest("/safe/x", "a1"));
+    CHECK(response.status == 200);
+    CHECK(response.body == "body");
+}
+
 TEST_CASE_METHOD(StoreReplyFixture, "storeReply_broken_isNoReply", "[gateway]")
 {
     // Guards against a list of the store, or a view of another router, that is applied although it
