Search each byte of a head for its end once

What was seen: the parser of a head of 64 KiB that arrives in parts of 5 bytes takes 1.27 s of processor time, on a machine of which a VM has a quarter; a few such upstreams hold all callers of a router.

Cause: each part started the search for the end of the head at its first byte.

Change: the search goes on where it stopped.

Measured, parser alone, one run each on x86-64: 1.27 s before, 0.0004 s after; one field of 64 KiB in such parts 0.0092 s and 0.0002 s. responseHead_inSmallParts_failsAlone sends such heads to many callers at once; it passes before too, as the kernel joins the parts, and asserts no time.

--- a/gateway/http1.cpp
+++ b/gateway/http1.cpp
@@ -244,18 +244,22 @@
         this->buffered.erase(0, 2);
     }
     constexpr std::string_view blankLine = "\r\n\r\n";
-    const std::size_t end = this->buffered.find(blankLine);
+    const std::size_t end = this->buffered.find(blankLine, this->searched);
     if (end == std::string::npos) {
         if (this->buffered.size() > this->maxHeadBytes) {
             return ParseState::HeadTooLarge;
         }
-        const bool hasBareLineFeeds = this->buffered.find("\n\n") != std::string::npos;
+        const bool hasBareLineFeeds =
+            this->buffered.find("\n\n", this->searched) != std::string::npos;
+        // The last bytes may be the start of the blank line.
+        this->searched = this->buffered.size() - std::min(this->buffered.size(), blankLine.size());
         return hasBareLineFeeds ? ParseState::Malformed : ParseState::Incomplete;
     }
     const std::size_t size = end + blankLine.size();
     if (size > this->maxHeadBytes) {
         return ParseState::HeadTooLarge;
     }
+    this->searched = 0;
     const std::string_view head = std::string_view(this->buffered).substr(0, size);
     const bool isValid = this->state->kind == MessageKind::Request
                              ? isUnambiguousHead(head)
--- a/gateway/http1.h
+++ b/gateway/http1.h
@@ -102,6 +102,8 @@
 
     std::size_t maxHeadBytes;
     std::string buffered;
+    /// Buffered bytes in which the end of a head was searched for.
+    std::size_t searched = 0;
     std::unique_ptr<State> state;
 };
 
--- a/tests/gatewayendless.cpp
+++ b/tests/gatewayendless.cpp
@@ -140,6 +140,18 @@
     this->checkOutcome();
 }
 
+TEST_CASE_METHOD(GatewayEndlessFixture, "responseHead_inSmallParts_failsAlone", "[gateway]")
+{
+    // The same for heads that arrive in parts of few bytes, with the start of an end in each.
+    this->begin = [](const ReceivedRequest &) { return "HTTP/1.1 200 OK\r\nX-Filler: a"; };
+    this->filler = "\r\na:";
+    this->most = 200'000;
+    this->addEndless("plain-0", "plain");
+    this->start();
+    this->callAtOnce("/once/x");
+    this->checkOutcome();
+}
+
 TEST_CASE_METHOD(GatewayEndlessFixture, "chunkSize_withoutEnd_failsAlone", "[gateway]")
 {
     // Guards against a size line of a chunk that never ends, in parts of few bytes.
