Let the same syntax decide in the product's own dialect

What callers saw, in the product's own dialect: a response that ended within its head reached them as an empty one, one with a blank, a control byte or nothing as the name of a field as a valid one, one with "Content-Length: 4x" or two lengths cut to the first number, and one with a broken chunk as whole.

Cause: the decision was left to libcurl. It takes the end of a connection for the end of a head, any line with a colon for a field, numbers in front of garbage for a length, and any bytes behind the size of a chunk.

Change: each line of a head goes through net/responsesyntax and ends the exchange if it is none; libcurl hands out chunked bodies as received, and decodeChunked() decodes them. The exchange is complete only with a whole head and a last chunk. A length beside a coding is still overridden by it: engines in this dialect send that.

--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -1,6 +1,8 @@
 #include "httpclient.h"
 
+#include <optional>
 #include <unordered_map>
+#include <utility>
 
 #include <asio/bind_executor.hpp>
 #include <asio/dispatch.hpp>
@@ -12,6 +14,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include "responsesyntax.h"
+
 namespace plantainswitch::net {
 
 namespace {
@@ -171,7 +175,13 @@
 private:
     static std::size_t onHeaderLine(char *bytes, std::size_t size, std::size_t count, void *self);
     static std::size_t onBodyData(char *bytes, std::size_t size, std::size_t count, void *self);
-    void parseHeaderLine(std::string_view line);
+    /// \returns whether the response is complete after libcurl took it for that.
+    [[nodiscard]] bool isComplete() const;
+    /// \returns whether the line is valid where it stands, and the head not too large.
+    bool parseHeaderLine(std::string_view line);
+    void endHeaders();
+    /// Passes on a part of the body. \returns the number of bytes taken, as libcurl expects it.
+    std::size_t parseBody(std::string_view bytes);
 
     std::weak_ptr<HttpClient::State> owner;
     HttpCall call;
@@ -182,6 +192,12 @@
     bool paused = false;
     bool finished = false;
     bool headersDelivered = false;
+    /// A status line is next.
+    bool atResponseStart = true;
+    ResponseSyntax syntax;
+    /// Set for a chunked body, which libcurl passes on as received: its own decoder takes any bytes
+    /// behind the size of a chunk.
+    std::optional<ChunkedBody> chunks;
 };
 
 void Exchange::prepare(HttpEvents newEvents)
@@ -195,6 +211,7 @@
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
     curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(handle, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(this->call.connectTimeout.count()));
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
@@ -228,55 +245,100 @@
 
 std::size_t Exchange::onHeaderLine(char *bytes, std::size_t size, std::size_t count, void *self)
 {
-    static_cast<Exchange *>(self)->parseHeaderLine({bytes, size * count});
-    return size * count;
+    // Any other result breaks the exchange off.
+    return static_cast<Exchange *>(self)->parseHeaderLine({bytes, size * count}) ? size * count : 0;
 }
 
-void Exchange::parseHeaderLine(std::string_view line)
+bool Exchange::parseHeaderLine(std::string_view line)
 {
-    while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
-        line.remove_suffix(1);
+    if (!line.ends_with("\r\n")) {
+        return false;
+    }
+    line.remove_suffix(2);
+    if (std::exchange(this->atResponseStart, false)) {
+        this->headers.clear();
+        return readStatusLine(line, this->syntax);
     }
     if (line.empty()) {
-        long status = 0;
-        curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
-        constexpr long firstFinalStatus = 200;
-        if (status >= firstFinalStatus && !this->headersDelivered) {
-            this->headersDelivered = true;
-            if (this->events.onHeaders) {
-                this->events.onHeaders(static_cast<int>(status), this->headers);
-            }
-        }
-        return;
+        this->endHeaders();
+        return true;
     }
-    const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos) {
-        this->headers.clear();
-        return;
+    if (!readHeaderLine(line, this->syntax)) {
+        return false;
     }
+    const std::size_t colon = line.find(':');
     std::string name(line.substr(0, colon));
     for (char &c : name) {
         c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
     }
     const std::size_t start = line.find_first_not_of(" \t", colon + 1);
     this->headers[name] = start == std::string_view::npos ? "" : std::string(line.substr(start));
+    return true;
+}
+
+void Exchange::endHeaders()
+{
+    if (isInterim(this->syntax)) {
+        this->atResponseStart = true;
+        return;
+    }
+    if (this->syntax.isChunked && !isBodiless(this->syntax.status)) {
+        this->chunks.emplace();
+    }
+    this->headersDelivered = true;
+    if (this->events.onHeaders) {
+        this->events.onHeaders(this->syntax.status, this->headers);
+    }
 }
 
 std::size_t Exchange::onBodyData(char *bytes, std::size_t size, std::size_t count, void *self)
 {
-    auto *exchange = static_cast<Exchange *>(self);
-    const std::size_t length = size * count;
-    if (exchange->events.onData && !exchange->events.onData({bytes, length})) {
-        exchange->paused = true;
+    return static_cast<Exchange *>(self)->parseBody({bytes, size * count});
+}
+
+std::size_t Exchange::parseBody(std::string_view bytes)
+{
+    // A paused transfer delivers the same bytes again.
+    const std::optional<ChunkedBody> before = this->chunks;
+    std::string decoded;
+    std::string_view data = bytes;
+    if (this->chunks) {
+        std::string_view left = bytes;
+        const ChunkedState state = decodeChunked(
+            *this->chunks, left, [&decoded](std::string_view part) { decoded.append(part); });
+        if (state == ChunkedState::Malformed) {
+            return 0;
+        }
+        data = decoded;
+    }
+    if (!data.empty() && this->events.onData && !this->events.onData(data)) {
+        this->chunks = before;
+        this->paused = true;
         return CURL_WRITEFUNC_PAUSE;
     }
-    return length;
+    return bytes.size();
+}
+
+bool Exchange::isComplete() const
+{
+    // libcurl takes the end of the connection for the end of a head.
+    if (!this->headersDelivered) {
+        return false;
+    }
+    if (this->chunks) {
+        return this->chunks->part == ChunkedBody::Part::End;
+    }
+    return true;
 }
 
 void Exchange::complete(CURLcode code)
 {
     long requestBytes = 0;
     curl_easy_getinfo(this->easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+    if (code == CURLE_OK && !this->isComplete()) {
+        this->finish(HttpOutcome::Broken, "the response ended early");
+        return;
+    }
     this->finish(outcomeOf(code, requestBytes), code == CURLE_OK ? "" : curl_easy_strerror(code));
 }
 
