Read what has arrived before a connection breaks

What callers saw: an upstream that rejects a long upload early, with a whole response, and closes its connection, looked like one that had failed: 502 for an order that had not run, and a retry elsewhere for others.

Cause: the first write that failed closed the connection, with the response unread in its buffer.

Change: what has arrived is read first. The end behind it never counts as orderly, since writing has consumed the error.

--- a/gateway/bytestream.cpp
+++ b/gateway/bytestream.cpp
@@ -91,12 +91,28 @@
         this->notifyClosed(error == asio::error::eof);
         return;
     }
+    this->deliver(size);
+    this->waitToRead();
+}
+
+void ByteStream::deliver(std::size_t size)
+{
     if (this->handlers.onBytes) {
         // Copied because the handler may replace the handlers of this stream.
         const auto onBytes = this->handlers.onBytes;
         onBytes(std::string_view(readBuffer().data(), size));
     }
-    this->waitToRead();
+}
+
+void ByteStream::readRemaining()
+{
+    asio::error_code error;
+    while (!error && this->reading && this->socket.is_open()) {
+        const std::size_t size = this->socket.read_some(asio::buffer(readBuffer()), error);
+        if (!error) {
+            this->deliver(size);
+        }
+    }
 }
 
 Duration ByteStream::readDelay() const noexcept
@@ -162,6 +178,9 @@
             return;
         }
         if (error) {
+            // The peer may have sent a whole response before it reset the connection. An end of
+            // input behind it is none: writing has consumed the error.
+            this->readRemaining();
             this->notifyClosed(false);
             return;
         }
--- a/gateway/bytestream.h
+++ b/gateway/bytestream.h
@@ -74,6 +74,9 @@
     void scheduleWrite();
     void writeNow();
     void waitToWrite();
+    /// Reads what has arrived before the connection broke.
+    void readRemaining();
+    void deliver(std::size_t size);
     void notifyClosed(bool orderly);
 
     asio::ip::tcp::socket socket;
--- /dev/null
+++ b/tests/earlyresponses.cpp
@@ -0,0 +1,131 @@
+#include <array>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "gatewayfixture.h"
+#include "upstreamconnection.h"
+
+using namespace plantainswitch;
+using namespace plantainswitch::gateway;
+
+namespace {
+
+/// How an upstream ends a connection whose request it has read in part.
+enum class UploadEnd : std::uint8_t {
+    Reset,
+    /// Its system resets the connection once more of the request arrives.
+    Close,
+};
+
+constexpr std::string_view nameOf(UploadEnd end) noexcept
+{
+    constexpr std::array names{std::string_view{"reset"}, std::string_view{"close"}};
+    return names.at(static_cast<std::size_t>(end));
+}
+
+/// Sizes of uploads: one that fits the buffers of a connection, and one that does not.
+constexpr std::array<std::size_t, 3> uploadSizes{4 << 10, 512 << 10, 24 << 20};
+/// Parts of an upload, in percent, after which the upstream responds.
+constexpr std::array<std::size_t, 4> readPercents{0, 1, 50, 90};
+
+const std::string untilClose = "HTTP/1.1 200 OK\r\n\r\npart";
+const std::string withLength = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart";
+const std::string inChunks =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n";
+const std::string chunkedPart =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
+
+/// An upstream that responds before it has read the whole request.
+class EarlyResponseFixture
+{
+protected:
+    struct Upload
+    {
+        std::size_t size = 0;
+        /// Bytes that the upstream reads before it responds.
+        std::size_t read = 0;
+        UploadEnd end = UploadEnd::Reset;
+    };
+
+    static ScriptedServer::Script respondEarly(const Upload &upload, const std::string &response)
+    {
+        return [&upload, &response](ServerConnection &peer) {
+            peer.readBytes(upload.read);
+            peer.send(response);
+            switch (upload.end) {
+            case UploadEnd::Reset:
+                peer.reset();
+                break;
+            case UploadEnd::Close:
+                peer.close();
+                break;
+            }
+        };
+    }
+
+    /// Sends the upload with the client of the gateway. \returns whether it took the response for
+    /// complete.
+    bool isCompleteToGateway(const Upload &upload, const std::string &response)
+    {
+        ScriptedServer server(respondEarly(upload, response));
+        asio::io_context context;
+        std::optional<ResponseOutcome> outcome;
+        const auto connection = std::make_shared<UpstreamConnection>(context, this->clock);
+        connection->connectAndSend(
+            server.endpoint(), Milliseconds{5000},
+            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(upload.size)
+                + "\r\n\r\n" + std::string(upload.size, 'a'),
+            {[](const MessageHead &) { return true; }, [](std::string_view) {},
+             [&outcome, &context](ResponseOutcome end) {
+                 outcome = end;
+                 context.stop();
+             }});
+        context.run_for(std::chrono::seconds(20));
+        connection->abort();
+        REQUIRE(outcome);
+        return outcome == ResponseOutcome::Complete;
+    }
+
+    /// Calls \a check with uploads of each size that the upstream ends in the middle.
+    template<typename Check>
+    static void forEachUpload(std::initializer_list<UploadEnd> ends, Check check)
+    {
+        for (const UploadEnd end : ends) {
+            for (const std::size_t size : uploadSizes) {
+                for (const std::size_t percent : readPercents) {
+                    const Upload upload{size, size * percent / 100, end};
+                    INFO(nameOf(end) << ", " << size << " bytes, " << percent << " % read");
+                    check(upload);
+                }
+            }
+        }
+    }
+
+    SystemClock clock;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(EarlyResponseFixture, "earlyResponse_cutByReset_isNotComplete", "[gateway]")
+{
+    // Guards against a part of a body that is passed on as whole, because the connection seems to
+    // end in an orderly way while the request is still being written.
+    forEachUpload({UploadEnd::Reset}, [this](const Upload &upload) {
+        CHECK_FALSE(this->isCompleteToGateway(upload, untilClose));
+        CHECK_FALSE(this->isCompleteToGateway(upload, chunkedPart));
+    });
+}
+
+TEST_CASE_METHOD(EarlyResponseFixture, "earlyResponse_wholeBeforeReset_isComplete", "[gateway]")
+{
+    // Guards against whole responses, such as early rejections of long requests, that are lost
+    // because the rest of the request cannot be written.
+    forEachUpload({UploadEnd::Reset, UploadEnd::Close}, [this](const Upload &upload) {
+        CHECK(this->isCompleteToGateway(upload, withLength));
+        CHECK(this->isCompleteToGateway(upload, inChunks));
+    });
+}
--- a/tests/gatewaybroken.cpp
+++ b/tests/gatewaybroken.cpp
@@ -229,6 +229,30 @@
     CHECK(response.body == "body");
 }
 
+TEST_CASE_METHOD(GatewayBrokenFixture, "earlyResponse_cutDuringUpload_neverReachesCaller",
+                 "[gateway]")
+{
+    // Guards against a part of a body that the caller takes for whole: the upstream responds
+    // without a length, and closes its connection while the request is still being written.
+    const bool isReset = GENERATE(true, false);
+    constexpr std::size_t size = 24 << 20;
+    this->setMaxBodyBytes(size);
+    this->addUpstream("plain-0", "plain", [isReset](ServerConnection &connection) {
+        connection.readBytes(size / 100);
+        connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n\r\nbroken");
+        if (isReset) {
+            connection.reset();
+        } else {
+            connection.close();
+        }
+    });
+    this->start();
+    const ReceivedResponse response =
+        this->call(makeRequest("/once/x", "a1", std::string(size, 'a')));
+    CHECK(response.status == 502);
+    CHECK_FALSE(isFromUpstream(response));
+}
+
 TEST_CASE_METHOD(StoreReplyFixture, "storeReply_broken_isNoReply", "[gateway]")
 {
     // Guards against a list of the store, or a view of another router, that is applied although it
--- a/tests/support/gatewayfixture.cpp
+++ b/tests/support/gatewayfixture.cpp
@@ -1,5 +1,6 @@
 #include "gatewayfixture.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <future>
@@ -26,7 +27,7 @@
 constexpr std::string_view trialRecordsPath = "/objects/plantain-quarantines";
 constexpr std::string_view versionRecordsPath = "/objects/plantain-versions";
 
-std::string makeRoutingDocument(std::uint64_t version)
+std::string makeRoutingDocument(std::uint64_t version, std::size_t maxBodyBytes)
 {
     const auto route = [](const std::string &name, const std::string &kind,
                           const std::string &service, bool resumable) {
@@ -51,7 +52,7 @@
          {{{"name", "plain"}}, {{"name", "model"}, {"coldS", 600}, {"coldPerS", 1000}}}},
         {"limits",
          {{"maxHeaderBytes", 16384},
-          {"maxBodyBytes", 100000},
+          {"maxBodyBytes", maxBodyBytes},
           {"headerTimeoutMs", 5000},
           {"idleTimeoutMs", 15000}}},
         {"tenants", {{{"name", "alpha"}, {"apiKeys", {"key-a"}}}}}}
@@ -97,6 +98,16 @@
     return parseState == ParseState::Complete ? std::optional(received) : std::nullopt;
 }
 
+void ServerConnection::readBytes(std::size_t size)
+{
+    std::array<char, readSize> buffer{};
+    asio::error_code error;
+    while (size > 0 && !error) {
+        size -=
+            this->socket.read_some(asio::buffer(buffer.data(), std::min(size, readSize)), error);
+    }
+}
+
 void ServerConnection::send(std::string_view bytes)
 {
     asio::error_code error;
@@ -285,8 +296,9 @@
         const bool isReplicas = target.starts_with("/objects/servers");
         this->listCount += isReplicas ? 1 : 0;
         const std::string items =
-            isRouting    ? storeObject("main", makeRoutingDocument(this->routingVersion))
-            : isReplicas ? this->replicaItems
+            isRouting
+                ? storeObject("main", makeRoutingDocument(this->routingVersion, this->maxBodyBytes))
+            : isReplicas                                 ? this->replicaItems
             : target.starts_with("/objects/evacuations") ? this->evacuationItems
                                                          : std::string();
         connection.send(plainResponse(R"({"items":[)" + items + R"(],"hasMore":false,"asOf":5})"));
@@ -384,7 +396,7 @@
 
 std::string GatewayFixture::makeRouting(std::uint64_t version)
 {
-    return makeRoutingDocument(version);
+    return makeRoutingDocument(version, defaultMaxBodyBytes);
 }
 
 std::string GatewayFixture::makeStoreObject(const std::string &name, const std::string &document)
--- a/tests/support/gatewayfixture.h
+++ b/tests/support/gatewayfixture.h
@@ -20,6 +20,9 @@
 
 namespace plantainswitch::gateway {
 
+/// Largest body that callers may send, unless a test sets another.
+inline constexpr std::size_t defaultMaxBodyBytes = 100000;
+
 /// A request as received by a scripted server.
 struct ReceivedRequest
 {
@@ -37,6 +40,8 @@
 
     /// \returns the next complete request, or nothing when the connection has ended.
     std::optional<ReceivedRequest> read();
+    /// Reads \a size bytes, or up to the end of the connection.
+    void readBytes(std::size_t size);
     void send(std::string_view bytes);
     /// Closes the connection in an orderly way.
     void close();
@@ -125,6 +130,8 @@
     void start();
     /// Replaces the store's configuration. Lists return it, waiting watches do not report it.
     void editConfigSilently(std::uint64_t version) { this->routingVersion = version; }
+    /// Sets the largest body that callers may send. Must be called before start().
+    void setMaxBodyBytes(std::size_t bytes) { this->maxBodyBytes = bytes; }
     /// From now on the store responds to no watch, but still to lists.
     void ignoreWatches() { this->ignoresWatches = true; }
     /// Adds an entry of another writer to the store's list of upstreams, as it is in the response.
@@ -206,6 +213,7 @@
     std::atomic<int> listCount = 0;
     std::atomic<std::uint64_t> routingVersion = 7;
     std::atomic<bool> ignoresWatches = false;
+    std::size_t maxBodyBytes = defaultMaxBodyBytes;
     std::unique_ptr<ScriptedServer> store;
     std::thread thread;
     /// The signals that the gateway's thread blocked after run().
