Wait until an upload is received before a response that ends with its connection is whole

What callers saw: a part of a body without a length as a whole one, if its upstream ends its side of the connection while the request is still being written, and then resets it.

Cause: the end of the upstream's side was taken for the end of the response, whatever became of the request.

Change: such a response is complete once the upstream has received its whole request. If the connection is reset before, it is lost. An upstream that reads on is not affected; one that does not may send a length or chunks.

Evidence: earlyResponse_cutByClose_isNotComplete fails on the code before with a reset 50 ms after the end, passes now; an upstream that ends its side and reads the rest of the request is served as before.

--- a/gateway/bytestream.cpp
+++ b/gateway/bytestream.cpp
@@ -6,6 +6,8 @@
 
 #include <asio/post.hpp>
 
+#include "socketstate.h"
+
 namespace plantainswitch::gateway {
 
 namespace {
@@ -20,6 +22,9 @@
     return buffer;
 }
 
+/// Interval at which it is checked whether the peer has received what was written.
+constexpr std::chrono::milliseconds deliveryCheckInterval{5};
+
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 using KeepIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
 using KeepInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
@@ -43,6 +48,7 @@
 
 ByteStream::ByteStream(asio::ip::tcp::socket socket, WorkQueue *work)
     : socket(std::move(socket))
+    , deliveryTimer(this->socket.get_executor())
     , work(work)
 {}
 
@@ -87,8 +93,12 @@
         this->waitToRead();
         return;
     }
+    if (error == asio::error::eof) {
+        this->onEndOfInput();
+        return;
+    }
     if (error) {
-        this->notifyClosed(error == asio::error::eof);
+        this->notifyClosed(false);
         return;
     }
     this->deliver(size);
@@ -104,6 +114,37 @@
     }
 }
 
+void ByteStream::onEndOfInput()
+{
+    if (!this->handlers.awaitsDelivery || !this->handlers.awaitsDelivery()) {
+        this->notifyClosed(true);
+        return;
+    }
+    this->reading = false;
+    this->awaitingDelivery = true;
+    this->awaitDelivery();
+}
+
+void ByteStream::awaitDelivery()
+{
+    const int handle = this->socket.native_handle();
+    if (net::isReset(handle)) {
+        this->notifyClosed(false);
+        return;
+    }
+    if (this->queuedBytes() == 0 && net::isAcknowledged(handle)) {
+        this->notifyClosed(true);
+        return;
+    }
+    this->deliveryTimer.expires_after(deliveryCheckInterval);
+    this->deliveryTimer.async_wait(
+        [self = this->shared_from_this()](const asio::error_code &error) {
+            if (!error && self->socket.is_open()) {
+                self->awaitDelivery();
+            }
+        });
+}
+
 void ByteStream::readRemaining()
 {
     asio::error_code error;
@@ -133,7 +174,7 @@
 
 void ByteStream::resumeReading()
 {
-    this->reading = true;
+    this->reading = !this->awaitingDelivery;
     this->waitToRead();
 }
 
@@ -213,6 +254,7 @@
 void ByteStream::close()
 {
     this->handlers = {};
+    this->deliveryTimer.cancel();
     // An error on close adds nothing: the connection is gone either way.
     asio::error_code ignored;
     this->socket.close(ignored);
--- a/gateway/bytestream.h
+++ b/gateway/bytestream.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
 #include "plantainswitch/base/workqueue.h"
 
@@ -33,6 +34,10 @@
         std::function<void(bool orderly)> onClosed;
         /// Called when the write queue is empty.
         std::function<void()> onWritten;
+        /// Called when the peer has ended its side of the connection. If it returns true, onClosed
+        /// waits until the peer has received everything that was written, and reports a reset if
+        /// it resets the connection instead. May be empty.
+        std::function<bool()> awaitsDelivery = {};
     };
 
     /// \param work where reading waits for its turn; nullptr to read as soon as bytes have arrived,
@@ -74,18 +79,22 @@
     void scheduleWrite();
     void writeNow();
     void waitToWrite();
+    void onEndOfInput();
+    void awaitDelivery();
     /// Reads what has arrived before the connection broke.
     void readRemaining();
     void deliver(std::size_t size);
     void notifyClosed(bool orderly);
 
     asio::ip::tcp::socket socket;
+    asio::steady_timer deliveryTimer;
     WorkQueue *work;
     Handlers handlers;
     std::string queued;
     std::string writing;
     std::size_t written = 0;
     bool reading = true;
+    bool awaitingDelivery = false;
     bool waitingToRead = false;
     bool writeScheduled = false;
     bool waitingToWrite = false;
--- a/gateway/http1.cpp
+++ b/gateway/http1.cpp
@@ -190,6 +190,11 @@
     return this->state->isHeadComplete && !this->state->isComplete;
 }
 
+bool MessageParser::inBodyUntilClose() const noexcept
+{
+    return this->inBody() && !this->state->syntax.isChunked && !this->state->syntax.hasLength;
+}
+
 ParseState MessageParser::feed(std::string_view bytes)
 {
     if (this->state->isHeadComplete && !this->state->isComplete && this->buffered.empty()) {
--- a/gateway/http1.h
+++ b/gateway/http1.h
@@ -91,6 +91,8 @@
     [[nodiscard]] bool hasBufferedBytes() const noexcept { return !this->buffered.empty(); }
     /// \returns whether the head was parsed and the body is incomplete.
     [[nodiscard]] bool inBody() const noexcept;
+    /// \returns whether the body of a response ends with its connection.
+    [[nodiscard]] bool inBodyUntilClose() const noexcept;
 
 private:
     struct State;
--- a/gateway/upstreamconnection.cpp
+++ b/gateway/upstreamconnection.cpp
@@ -98,7 +98,14 @@
                                  self->onClosed(orderly);
                              }
                          },
-                         {}});
+                         {},
+                         // The response that ends here began before the upstream had read its
+                         // whole request. If it resets the connection for the rest of that, the
+                         // response may be cut.
+                         [weak] {
+                             const auto self = weak.lock();
+                             return self && self->busy && self->parser.inBodyUntilClose();
+                         }});
 }
 
 void UpstreamConnection::send(const std::string &request, ResponseHandlers newHandlers, bool isHead)
--- /dev/null
+++ b/net/socketstate.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace plantainswitch::net {
+
+/// \returns whether the peer has reset the connection of \a socket, also after the orderly end of
+/// its side. The error is cleared.
+[[nodiscard]] bool isReset(int socket) noexcept;
+/// \returns whether the peer has acknowledged all bytes written to \a socket; true if the system
+/// does not tell.
+[[nodiscard]] bool isAcknowledged(int socket) noexcept;
+
+} // namespace plantainswitch::net
--- a/tests/earlyresponses.cpp
+++ b/tests/earlyresponses.cpp
@@ -1,6 +1,7 @@
 #include <array>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <asio/write.hpp>
@@ -19,11 +20,17 @@
     Reset,
     /// Its system resets the connection once more of the request arrives.
     Close,
+    /// It reads the rest of the request.
+    EndSending,
+    /// It ends its side of the connection and resets it later.
+    EndThenReset,
 };
 
 constexpr std::string_view nameOf(UploadEnd end) noexcept
 {
-    constexpr std::array names{std::string_view{"reset"}, std::string_view{"close"}};
+    constexpr std::array names{std::string_view{"reset"}, std::string_view{"close"},
+                               std::string_view{"end of sending"},
+                               std::string_view{"end of sending, reset"}};
     return names.at(static_cast<std::size_t>(end));
 }
 
@@ -32,6 +39,9 @@
 /// Parts of an upload, in percent, after which the upstream responds.
 constexpr std::array<std::size_t, 4> readPercents{0, 1, 50, 90};
 
+/// Time in which the end of the sending side arrives before the reset.
+constexpr std::chrono::milliseconds resetDelay{50};
+
 const std::string untilClose = "HTTP/1.1 200 OK\r\n\r\npart";
 const std::string withLength = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart";
 const std::string inChunks =
@@ -63,6 +73,15 @@
             case UploadEnd::Close:
                 peer.close();
                 break;
+            case UploadEnd::EndSending:
+                peer.endSending();
+                peer.waitForEnd();
+                break;
+            case UploadEnd::EndThenReset:
+                peer.endSending();
+                std::this_thread::sleep_for(resetDelay);
+                peer.reset();
+                break;
             }
         };
     }
@@ -120,6 +139,22 @@
     });
 }
 
+TEST_CASE_METHOD(EarlyResponseFixture, "earlyResponse_cutByClose_isNotComplete", "[gateway]")
+{
+    // The same where the reset follows the end of the response, as the upstream has closed its
+    // connection without reading on.
+    for (const UploadEnd end : {UploadEnd::Close, UploadEnd::EndThenReset}) {
+        for (const std::size_t percent : {0, 1, 50}) {
+            const Upload running{uploadSizes.back(), uploadSizes.back() * percent / 100, end};
+            INFO(nameOf(end) << ", " << percent << " % read");
+            CHECK_FALSE(this->isCompleteToGateway(running, untilClose));
+        }
+    }
+    forEachUpload({UploadEnd::Close}, [this](const Upload &upload) {
+        CHECK_FALSE(this->isCompleteToGateway(upload, chunkedPart));
+    });
+}
+
 TEST_CASE_METHOD(EarlyResponseFixture, "earlyResponse_wholeBeforeReset_isComplete", "[gateway]")
 {
     // Guards against whole responses, such as early rejections of long requests, that are lost
@@ -129,3 +164,13 @@
         CHECK(this->isCompleteToGateway(upload, inChunks));
     });
 }
+
+TEST_CASE_METHOD(EarlyResponseFixture, "earlyResponse_restOfRequestIsRead_isComplete", "[gateway]")
+{
+    // Guards against rejecting what an upstream soundly sends: it ends a response without a length
+    // early, and still reads the request.
+    forEachUpload({UploadEnd::EndSending}, [this](const Upload &upload) {
+        CHECK(this->isCompleteToGateway(upload, untilClose));
+        CHECK(this->isCompleteToGateway(upload, withLength));
+    });
+}
--- a/tests/support/gatewayfixture.cpp
+++ b/tests/support/gatewayfixture.cpp
@@ -108,6 +108,12 @@
     }
 }
 
+void ServerConnection::endSending()
+{
+    asio::error_code error;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+}
+
 void ServerConnection::send(std::string_view bytes)
 {
     asio::error_code error;
--- a/tests/support/gatewayfixture.h
+++ b/tests/support/gatewayfixture.h
@@ -42,6 +42,8 @@
     std::optional<ReceivedRequest> read();
     /// Reads \a size bytes, or up to the end of the connection.
     void readBytes(std::size_t size);
+    /// Ends this side of the connection; the peer can still send.
+    void endSending();
     void send(std::string_view bytes);
     /// Closes the connection in an orderly way.
     void close();
