Don't take a cut upload's response for whole in the product's own dialect

What callers saw: a part of a body without a length as a whole one, as the upstream closed its connection while the request was still being written.

Cause: sending the rest of the request consumes the error of the connection, so that libcurl reads an orderly end.

Change: when libcurl lets go of a connection, its state is recorded. A response that ends with it counts only if the server has acknowledged the whole request, and not reset the connection. libcurl stops an upload at the end of the response, so that one that ends early without a length always fails here.

--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -15,6 +15,7 @@
 #include <unistd.h>
 
 #include "responsesyntax.h"
+#include "socketstate.h"
 
 namespace plantainswitch::net {
 
@@ -167,6 +168,12 @@
         }
     }
 
+    /// Records the state of the connection when libcurl lets go of it.
+    void recordDelivery(int socket)
+    {
+        this->isDelivered = !isReset(socket) && isAcknowledged(socket);
+    }
+
     /// Drops the callbacks, whose owners own this exchange in turn.
     void dropEvents() { this->events = {}; }
 
@@ -198,6 +205,8 @@
     /// Set for a chunked body, which libcurl passes on as received: its own decoder takes any bytes
     /// behind the size of a chunk.
     std::optional<ChunkedBody> chunks;
+    /// The server has received the whole request, and has not reset the connection.
+    bool isDelivered = true;
 };
 
 void Exchange::prepare(HttpEvents newEvents)
@@ -328,7 +337,14 @@
     if (this->chunks) {
         return this->chunks->part == ChunkedBody::Part::End;
     }
-    return true;
+    if (this->syntax.hasLength || isBodiless(this->syntax.status)) {
+        return true;
+    }
+    // A body that ends with its connection may be cut if that is reset for the rest of the request.
+    // Writing the request has then consumed the error, and libcurl reads an orderly end.
+    curl_off_t sent = 0;
+    curl_easy_getinfo(this->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+    return this->isDelivered && static_cast<std::size_t>(sent) == this->call.body.size();
 }
 
 void Exchange::complete(CURLcode code)
@@ -376,13 +392,17 @@
     this->processSocket(CURL_SOCKET_TIMEOUT, 0);
 }
 
-int HttpClient::State::onSocketChanged(CURL * /*easy*/, curl_socket_t fd, int what, void *self,
+int HttpClient::State::onSocketChanged(CURL *easy, curl_socket_t fd, int what, void *self,
                                        void * /*known*/)
 {
     auto *state = static_cast<State *>(self);
     const auto found = state->sockets.find(fd);
     if (what == CURL_POLL_REMOVE) {
         if (found != state->sockets.end()) {
+            const auto exchange = state->exchanges.find(easy);
+            if (exchange != state->exchanges.end()) {
+                exchange->second->recordDelivery(found->second->descriptor.native_handle());
+            }
             found->second->close();
             state->sockets.erase(found);
         }
--- a/tests/earlyresponses.cpp
+++ b/tests/earlyresponses.cpp
@@ -1,4 +1,5 @@
 #include <array>
+#include <limits>
 #include <optional>
 #include <string>
 #include <thread>
@@ -8,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include "gatewayfixture.h"
+#include "httpclient.h"
 #include "upstreamconnection.h"
 
 using namespace plantainswitch;
@@ -39,6 +41,8 @@
 /// Parts of an upload, in percent, after which the upstream responds.
 constexpr std::array<std::size_t, 4> readPercents{0, 1, 50, 90};
 
+/// The upstream reads the request to its end.
+constexpr std::size_t wholeRequest = std::numeric_limits<std::size_t>::max();
 /// Time in which the end of the sending side arrives before the reset.
 constexpr std::chrono::milliseconds resetDelay{50};
 
@@ -64,7 +68,11 @@
     static ScriptedServer::Script respondEarly(const Upload &upload, const std::string &response)
     {
         return [&upload, &response](ServerConnection &peer) {
-            peer.readBytes(upload.read);
+            if (upload.read == wholeRequest) {
+                static_cast<void>(peer.read());
+            } else {
+                peer.readBytes(upload.read);
+            }
             peer.send(response);
             switch (upload.end) {
             case UploadEnd::Reset:
@@ -109,6 +117,27 @@
         return outcome == ResponseOutcome::Complete;
     }
 
+    /// The same with the client of the product's own dialect.
+    static bool isCompleteToHttpClient(const Upload &upload, const std::string &response)
+    {
+        ScriptedServer server(respondEarly(upload, response));
+        asio::io_context context;
+        net::HttpClient client(context);
+        net::HttpCall call;
+        call.method = "POST";
+        call.url = "http://" + toText(server.endpoint()) + "/";
+        call.body.assign(upload.size, 'a');
+        call.freshConnection = true;
+        std::optional<net::HttpOutcome> outcome;
+        const auto exchange = client.fetch(std::move(call), [&](net::HttpResponse received) {
+            outcome = received.outcome;
+            context.stop();
+        });
+        context.run_for(std::chrono::seconds(20));
+        REQUIRE(outcome);
+        return outcome == net::HttpOutcome::Complete;
+    }
+
     /// Calls \a check with uploads of each size that the upstream ends in the middle.
     template<typename Check>
     static void forEachUpload(std::initializer_list<UploadEnd> ends, Check check)
@@ -136,6 +165,8 @@
     forEachUpload({UploadEnd::Reset}, [this](const Upload &upload) {
         CHECK_FALSE(this->isCompleteToGateway(upload, untilClose));
         CHECK_FALSE(this->isCompleteToGateway(upload, chunkedPart));
+        CHECK_FALSE(isCompleteToHttpClient(upload, untilClose));
+        CHECK_FALSE(isCompleteToHttpClient(upload, chunkedPart));
     });
 }
 
@@ -148,10 +179,12 @@
             const Upload running{uploadSizes.back(), uploadSizes.back() * percent / 100, end};
             INFO(nameOf(end) << ", " << percent << " % read");
             CHECK_FALSE(this->isCompleteToGateway(running, untilClose));
+            CHECK_FALSE(isCompleteToHttpClient(running, untilClose));
         }
     }
     forEachUpload({UploadEnd::Close}, [this](const Upload &upload) {
         CHECK_FALSE(this->isCompleteToGateway(upload, chunkedPart));
+        CHECK_FALSE(isCompleteToHttpClient(upload, chunkedPart));
     });
 }
 
@@ -165,6 +198,17 @@
     });
 }
 
+TEST_CASE_METHOD(EarlyResponseFixture, "response_afterWholeUpload_isComplete", "[gateway]")
+{
+    // Guards against rejecting a response without a length to a request that was read before it.
+    for (const std::size_t size : uploadSizes) {
+        INFO(size);
+        const Upload upload{size, wholeRequest, UploadEnd::Close};
+        CHECK(this->isCompleteToGateway(upload, untilClose));
+        CHECK(isCompleteToHttpClient(upload, untilClose));
+    }
+}
+
 TEST_CASE_METHOD(EarlyResponseFixture, "earlyResponse_restOfRequestIsRead_isComplete", "[gateway]")
 {
     // Guards against rejecting what an upstream soundly sends: it ends a response without a length
