--- a/daemon/requesthandler.h
+++ b/daemon/requesthandler.h
@@ -57,6 +57,8 @@
     void relayHeaders(int status, const net::Headers &headers);
     bool relayData(std::string_view bytes);
     bool relayStream(std::string_view bytes);
+    /// Breaks off a response that cannot be passed on.
+    void rejectResponse();
     [[nodiscard]] net::HttpEvents relayEvents();
     [[nodiscard]] bool canResume(net::HttpOutcome end) const;
     /// Resumes a broken stream at the engine that keeps it.
--- a/daemon/requestrelay.cpp
+++ b/daemon/requestrelay.cpp
@@ -91,6 +91,13 @@
     this->recordTiming(Timing::FirstByte);
 }
 
+void RequestHandler::rejectResponse()
+{
+    this->responseInvalid = true;
+    const std::lock_guard lock(this->exchangeMutex);
+    this->exchange->cancel();
+}
+
 bool RequestHandler::relayData(std::string_view bytes)
 {
     if (this->responseInvalid) {
@@ -100,7 +107,7 @@
         return this->relayStream(bytes);
     }
     if (this->body.size() + bytes.size() > maxAnswerBytes) {
-        this->responseInvalid = true;
+        this->rejectResponse();
         return true;
     }
     this->body.append(bytes);
@@ -123,9 +130,7 @@
         chunk += "data: " + event + "\n\n";
     }
     if (!valid) {
-        this->responseInvalid = true;
-        const std::lock_guard lock(this->exchangeMutex);
-        this->exchange->cancel();
+        this->rejectResponse();
     }
     if (this->claim && this->keptStream.size() + chunk.size() <= maxAnswerBytes) {
         this->keptStream += chunk;
--- a/lab/servicestandin.cpp
+++ b/lab/servicestandin.cpp
@@ -71,6 +71,17 @@
 
 namespace {
 
+/// Writes chunks until the caller closes the connection.
+void writeWithoutEnd(const std::shared_ptr<net::HttpResponder> &reply)
+{
+    constexpr std::size_t chunkSize = 1 << 20;
+    reply->write(std::string(chunkSize, 'a'), [reply](bool isWritten) {
+        if (isWritten) {
+            writeWithoutEnd(reply);
+        }
+    });
+}
+
 void serveOrder(const std::string &replica, RunCounts &counts, ServiceOrders &orders,
                 const net::HttpRequest &request, const std::shared_ptr<net::HttpResponder> &reply)
 {
@@ -92,6 +103,11 @@
         reply->abort();
         return;
     }
+    if (orders.takeEndless()) {
+        reply->start(statusOk, {{"x-request-id", id}});
+        writeWithoutEnd(reply);
+        return;
+    }
     if (orders.takeConfusion()) {
         id += "-other";
     }
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr long maxCachedConnections = 512;
+constexpr std::size_t maxFetchedBytes = 16 << 20;
 
 void initialiseCurl()
 {
@@ -202,9 +203,11 @@
     /// A status line is next.
     bool atResponseStart = true;
     ResponseSyntax syntax;
+    std::size_t headBytes = 0;
     /// Set for a chunked body, which libcurl passes on as received: its own decoder takes any bytes
     /// behind the size of a chunk.
     std::optional<ChunkedBody> chunks;
+    std::size_t bodyBytes = 0;
     /// The server has received the whole request, and has not reset the connection.
     bool isDelivered = true;
 };
@@ -260,7 +263,8 @@
 
 bool Exchange::parseHeaderLine(std::string_view line)
 {
-    if (!line.ends_with("\r\n")) {
+    this->headBytes += line.size();
+    if (this->headBytes > maxResponseHeadBytes || !line.ends_with("\r\n")) {
         return false;
     }
     line.remove_suffix(2);
@@ -320,11 +324,15 @@
         }
         data = decoded;
     }
+    if (this->call.maxBodyBytes != 0 && this->bodyBytes + data.size() > this->call.maxBodyBytes) {
+        return 0;
+    }
     if (!data.empty() && this->events.onData && !this->events.onData(data)) {
         this->chunks = before;
         this->paused = true;
         return CURL_WRITEFUNC_PAUSE;
     }
+    this->bodyBytes += data.size();
     return bytes.size();
 }
 
@@ -521,28 +529,25 @@
     return exchange;
 }
 
-std::shared_ptr<HttpExchange>
-HttpClient::fetch(HttpCall call, std::function<void(HttpResponse)> done, std::size_t maxBytes)
+std::shared_ptr<HttpExchange> HttpClient::fetch(HttpCall call,
+                                                std::function<void(HttpResponse)> done)
 {
+    if (call.maxBodyBytes == 0) {
+        call.maxBodyBytes = maxFetchedBytes;
+    }
     auto response = std::make_shared<HttpResponse>();
     HttpEvents events;
     events.onHeaders = [response](int status, const Headers &headers) {
         response->status = status;
         response->headers = headers;
     };
-    auto tooLarge = std::make_shared<bool>(false);
-    events.onData = [response, tooLarge, maxBytes](std::string_view bytes) {
-        if (response->body.size() + bytes.size() > maxBytes) {
-            *tooLarge = true;
-            return true;
-        }
+    events.onData = [response](std::string_view bytes) {
         response->body.append(bytes);
         return true;
     };
-    events.onEnd = [response, tooLarge, done = std::move(done)](HttpOutcome end,
-                                                                const std::string &detail) {
-        response->outcome = *tooLarge ? HttpOutcome::Broken : end;
-        response->detail = *tooLarge ? "the answer is too large" : detail;
+    events.onEnd = [response, done = std::move(done)](HttpOutcome end, const std::string &detail) {
+        response->outcome = end;
+        response->detail = detail;
         done(std::move(*response));
     };
     return this->start(std::move(call), std::move(events));
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -40,6 +40,8 @@
     /// to be closed, which would run a non-idempotent request twice. It never does so on a new
     /// connection.
     bool freshConnection = false;
+    /// Largest body of the response in bytes, above which the exchange is broken off; 0: no limit.
+    std::size_t maxBodyBytes = 0;
 };
 
 /// Callbacks of an exchange, always called on the client's strand.
@@ -84,10 +86,9 @@
 
     /// Starts an exchange.
     std::shared_ptr<HttpExchange> start(HttpCall call, HttpEvents events);
-    /// Fetches a complete response and calls \a done once. A body above \a maxBytes counts as
-    /// Broken.
-    std::shared_ptr<HttpExchange> fetch(HttpCall call, std::function<void(HttpResponse)> done,
-                                        std::size_t maxBytes = 16 << 20);
+    /// Fetches a complete response of up to 16 MiB, unless \a call states another limit, and calls
+    /// \a done once.
+    std::shared_ptr<HttpExchange> fetch(HttpCall call, std::function<void(HttpResponse)> done);
 
     class State;
 
--- a/tests/claimfleet.cpp
+++ b/tests/claimfleet.cpp
@@ -243,3 +243,13 @@
     CHECK(refusalKindOf(answer) == "upstream-garbage");
     CHECK(errorOf(answer).value("ran", "") == "unknown");
 }
+
+TEST_CASE_METHOD(ClaimFixture, "service_answerWithoutEnd_isBrokenOff", "[answers]")
+{
+    // Guards against an answer without end that holds its caller, and its slot, until the caller
+    // leaves.
+    this->fleet.standIns.orders->sendWithoutEnd(1);
+    const auto answer = this->order(0, "k1");
+    CHECK(refusalKindOf(answer) == "upstream-garbage");
+    CHECK(this->order(0, "k2").status == 200);
+}
--- a/tests/responsesyntax.cpp
+++ b/tests/responsesyntax.cpp
@@ -194,7 +194,7 @@
     cases.push_back({"trailer without colon", chunked("4\r\nbody\r\n0\r\nX-A\r\n\r\n")});
     cases.push_back({"continued line", withField("X-A: b\r\n c")});
     cases.push_back({"line feed alone", withField("X-A: b\nX-C: d")});
-    cases.push_back({"head too large", withHeadOf(net::maxResponseHeadBytes + 1), "", 0, true});
+    cases.push_back({"head too large", withHeadOf(net::maxResponseHeadBytes + 1)});
     for (const std::string value :
          {"", "-4", "+4", "4x", "x", "0x4", "4.0", "4,4", "4, 5", "4 4", "4;", "\"4\"",
           "9223372036854775808", "18446744073709551615", "18446744073709551620"}) {
