Reject encoded answers in the product's own dialect

What callers saw: a body in a content coding that its response does not name, as the router sends its own fields.

Cause: the field was dropped, and the body passed on.

Change: no coding is requested, so that such an answer is refused as upstream-garbage.

Evidence: service_encodedAnswer_isNotHandedOn gets 200 on the code before.

--- a/daemon/requestrelay.cpp
+++ b/daemon/requestrelay.cpp
@@ -89,6 +89,10 @@
     this->status = code;
     this->headers = fields;
     this->recordTiming(Timing::FirstByte);
+    // No coding is requested, and the caller is not told of one.
+    if (fields.contains("content-encoding")) {
+        this->rejectResponse();
+    }
 }
 
 void RequestHandler::rejectResponse()
--- a/lab/servicestandin.cpp
+++ b/lab/servicestandin.cpp
@@ -108,13 +108,15 @@
         writeWithoutEnd(reply);
         return;
     }
+    net::Headers fields{{"content-type", "application/json"}};
+    if (orders.takeEncoding()) {
+        fields["content-encoding"] = "gzip";
+    }
     if (orders.takeConfusion()) {
         id += "-other";
     }
-    const auto send = [reply, answer, id] {
-        reply->respond(statusOk, {{"content-type", "application/json"}, {"x-request-id", id}},
-                       answer.dump());
-    };
+    fields["x-request-id"] = id;
+    const auto send = [reply, answer, fields] { reply->respond(statusOk, fields, answer.dump()); };
     if (!orders.keep(send)) {
         send();
     }
--- a/lab/servicestandin.h
+++ b/lab/servicestandin.h
@@ -55,11 +55,14 @@
     void refuse(int count) { this->refusals = count; }
     /// The next \a count answers carry another request's id.
     void confuse(int count) { this->confusions = count; }
+    /// The next \a count answers have a content encoding.
+    void encode(int count) { this->encodings = count; }
     /// The next \a count answers have a body that ends only with its connection.
     void sendWithoutEnd(int count) { this->endless = count; }
     [[nodiscard]] bool takeDrop() { return take(this->drops); }
     [[nodiscard]] bool takeRefusal() { return take(this->refusals); }
     [[nodiscard]] bool takeConfusion() { return take(this->confusions); }
+    [[nodiscard]] bool takeEncoding() { return take(this->encodings); }
     [[nodiscard]] bool takeEndless() { return take(this->endless); }
 
 private:
@@ -69,6 +72,7 @@
     std::atomic<int> drops = 0;
     std::atomic<int> refusals = 0;
     std::atomic<int> confusions = 0;
+    std::atomic<int> encodings = 0;
     std::atomic<int> endless = 0;
     std::mutex mutex;
     std::vector<std::function<void()>> waiting;
--- a/tests/claimfleet.cpp
+++ b/tests/claimfleet.cpp
@@ -244,6 +244,15 @@
     CHECK(errorOf(answer).value("ran", "") == "unknown");
 }
 
+TEST_CASE_METHOD(ClaimFixture, "service_encodedAnswer_isNotHandedOn", "[answers]")
+{
+    // Guards against a body whose coding the caller is not told of.
+    this->fleet.standIns.orders->encode(1);
+    const auto answer = this->order(0, "k1");
+    CHECK(refusalKindOf(answer) == "upstream-garbage");
+    CHECK(errorOf(answer).value("ran", "") == "unknown");
+}
+
 TEST_CASE_METHOD(ClaimFixture, "service_answerWithoutEnd_isBrokenOff", "[answers]")
 {
     // Guards against an answer without end that holds its caller, and its slot, until the caller
