Bound the replies of the store and of other routers

What was seen: a reply without end was kept whole, up to the timeout of its call; for a watch that is 33 s.

Cause: only responses to callers were bounded.

Change: a reply above 16 MiB ends its call as one without a reply.

Evidence: storeReply_withoutEnd_isBrokenOff: the code before takes all of 64 MiB and reports them as a reply.

--- a/gateway/sequentialhttpclient.cpp
+++ b/gateway/sequentialhttpclient.cpp
@@ -8,6 +8,8 @@
 
 /// Timeout for a new connection.
 constexpr Milliseconds connectTimeout{1000};
+/// Largest body of a reply. The store sends about 1 MB a page, a router its whole view at once.
+constexpr std::size_t maxReplyBytes = 16 << 20;
 
 } // namespace
 
@@ -36,6 +38,11 @@
         },
         [this](std::string_view bytes) {
             this->lastReceivedAt = this->gateway.clock.now();
+            if (this->reply.body.size() + bytes.size() > maxReplyBytes) {
+                this->connection->abort();
+                this->finish({});
+                return;
+            }
             this->reply.body.append(bytes);
         },
         [this](ResponseOutcome end) {
--- a/tests/gatewaybroken.cpp
+++ b/tests/gatewaybroken.cpp
@@ -272,3 +272,24 @@
         CHECK(reply.body.empty());
     }
 }
+
+TEST_CASE_METHOD(StoreReplyFixture, "storeReply_withoutEnd_isBrokenOff", "[gateway]")
+{
+    // Guards against a reply without end that takes the memory of all callers.
+    for (const bool isHead : {true, false}) {
+        constexpr std::size_t most = 64 << 20;
+        const std::string filler(64 << 10, 'a');
+        std::atomic<std::size_t> sent = 0;
+        const CallReply reply = this->callServer([&](ServerConnection &peer) {
+            static_cast<void>(peer.read());
+            peer.send(isHead ? "HTTP/1.1 200 OK\r\nX-Filler: " : "HTTP/1.1 200 OK\r\n\r\n");
+            while (sent < most && !peer.waitForEnd(std::chrono::milliseconds{0})) {
+                peer.send(filler);
+                sent += filler.size();
+            }
+            peer.close();
+        });
+        CHECK(reply.status == 0);
+        CHECK(sent < most);
+    }
+}
