Take a rejection for a promise only if it is whole

What callers saw: 503, which promises that an order has not run, on the word of a response that breaks off behind its head.

Cause: the head alone decided whether the upstream may have run the request.

Change: the upstream of a whole rejection is released before the request goes on. Whatever ends while one is held may have run, and counts as an attempt.

Evidence: brokenRejection_ofOrder_isNoPromise gets 503 on the code before, 502 now.

--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -334,7 +334,9 @@
                   {"left_ms", std::to_string(this->remainingTime().count())}});
         return false;
     }
-    if (!this->response.notExecuted || !this->headReceived) {
+    // An upstream that stated in a complete response that it has not executed the request was
+    // released.
+    if (this->upstream) {
         this->possibleExecutions += 1;
     }
     this->releaseUpstream();
@@ -389,8 +391,7 @@
     }
     const bool isDeadlineReached = this->now() + minRemainingTime >= this->deadline;
     const bool mayHaveRun = this->possibleExecutions > 0 || this->phase == Phase::Forwarding
-                            || (this->upstream && this->phase != Phase::Selecting
-                                && !(this->headReceived && this->response.notExecuted));
+                            || (this->upstream && this->phase != Phase::Selecting);
     if (mayHaveRun) {
         this->refuse(isDeadlineReached ? ErrorKind::DeadlineExceeded : ErrorKind::UpstreamFailed,
                      isDeadlineReached ? "no answer in time" : "the upstream failed");
--- a/tests/gatewaybroken.cpp
+++ b/tests/gatewaybroken.cpp
@@ -209,6 +209,20 @@
     CHECK(response.body == makeEvent(1) + makeEvent(2));
 }
 
+TEST_CASE_METHOD(GatewayBrokenFixture, "brokenRejection_ofOrder_isNoPromise", "[gateway]")
+{
+    // Guards against a refusal as "not run", or a repetition, on the word of a rejection that is no
+    // whole response.
+    const std::string fields = "X-Not-Executed: 1\r\nContent-Length: 6\r\n";
+    const std::string status = GENERATE("HTTP/1.1 503 X", "HTTP/1.1 000 X");
+    this->addUpstreams("plain", [&](const ReceivedRequest &request) {
+        return makeHead(request, status, fields) + "bro";
+    });
+    this->start();
+    CHECK(this->call(makeRequest("/once/x", "a1", "order")).status == 502);
+    CHECK(this->requests == 1);
+}
+
 TEST_CASE_METHOD(GatewayBrokenFixture, "response_afterOneToHead_keepsItsBody", "[gateway]")
 {
     // Guards against a response whose body is dropped, because the request before it on the
