Pass on event streams of other successes

What callers saw: a 201 with the type of an event stream and a body reached them as an empty stream.

Cause: only streams with 200 are relayed as they arrive, but the type alone decided at the end that all was relayed.

Change: both ask isRelayedStream().

Evidence: eventStream_ofOtherSuccess_isPassedOnWhole gets an empty body on the code before.

--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -234,6 +234,8 @@
     [[nodiscard]] std::optional<std::uint64_t> lastReceivedEvent() const;
     /// \returns whether the response is an event stream, which is relayed as it arrives.
     [[nodiscard]] bool isRelayedStream() const noexcept;
+    /// \returns whether the response bears the upstream's signature and belongs to this attempt.
+    [[nodiscard]] bool isTrusted() const noexcept;
     /// Relays the complete events among \a bytes to the caller. \returns false if they are
     /// malformed.
     bool relayEvents(std::string_view bytes);
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -195,8 +195,13 @@
 
 bool RequestHandler::isRelayedStream() const noexcept
 {
-    return this->response.status == 200 && this->response.isSigned && !this->response.isEncoded
-           && this->response.isEventStream && !this->response.attemptId.empty();
+    return this->response.status == 200 && this->isTrusted() && this->response.isEventStream;
+}
+
+bool RequestHandler::isTrusted() const noexcept
+{
+    return this->response.isSigned && !this->response.isEncoded
+           && !this->response.attemptId.empty();
 }
 
 bool RequestHandler::relayEvents(std::string_view bytes)
@@ -331,9 +336,7 @@
 
 void RequestHandler::onCompleteResponse()
 {
-    const bool isTrusted =
-        !this->response.isEncoded && !this->response.attemptId.empty() && this->response.isSigned;
-    if (!isTrusted) {
+    if (!this->isTrusted()) {
         this->onFault(UpstreamFault::InvalidResponse);
         return;
     }
@@ -352,7 +355,7 @@
         }
         return;
     }
-    if (isSuccess && this->response.isEventStream) {
+    if (this->isRelayedStream()) {
         this->onCompleteStream();
         return;
     }
--- a/tests/gatewaybroken.cpp
+++ b/tests/gatewaybroken.cpp
@@ -223,6 +223,18 @@
     CHECK(this->requests == 1);
 }
 
+TEST_CASE_METHOD(GatewayBrokenFixture, "eventStream_ofOtherSuccess_isPassedOnWhole", "[gateway]")
+{
+    // Guards against a response that loses its body, because streams have another status.
+    this->addUpstreams("plain", [](const ReceivedRequest &request) {
+        return makeResponse(request, "body", 201, "Content-Type: text/event-stream\r\n");
+    });
+    this->start();
+    const ReceivedResponse response = this->call(makeRequest("/once/x", "a1"));
+    CHECK(response.status == 201);
+    CHECK(response.body == "body");
+}
+
 TEST_CASE_METHOD(GatewayBrokenFixture, "response_afterOneToHead_keepsItsBody", "[gateway]")
 {
     // Guards against a response whose body is dropped, because the request before it on the
