Check successes of requests that other routers serve

What callers saw: a success without an upstream's signature, if what answers at the address of another router is none.

Cause: whatever a forwarded request got was passed on.

Change: a success has to bear a signature, the attempt and no coding, as it has from an upstream. Refusals of routers are unsigned and are passed on.

Orders are not sent again.

--- a/gateway/gatewayrequestforward.cpp
+++ b/gateway/gatewayrequestforward.cpp
@@ -145,7 +145,10 @@
         return;
     }
     const bool isPartialStream = this->isRelayedStream() && this->eventRelay.hasPartial();
-    if (outcome != ResponseOutcome::Complete || isPartialStream) {
+    const int status = this->response.status;
+    // Refusals of the other router are unsigned.
+    const bool isForgedSuccess = status >= 200 && status < 300 && !this->isTrusted();
+    if (outcome != ResponseOutcome::Complete || isPartialStream || isForgedSuccess) {
         this->onForwardLost();
         return;
     }
--- a/tests/gatewaycutoff.cpp
+++ b/tests/gatewaycutoff.cpp
@@ -87,21 +87,30 @@
         });
     }
 
+    /// Lets a script respond in the place of the second router to requests that are forwarded to
+    /// it. Must be called before start().
+    void respondForHelper(ScriptedServer::Script script) { this->helperScript = std::move(script); }
+
     void start()
     {
         const std::uint16_t datagramPort = freePort();
         const std::uint16_t callPort = freePort();
+        const std::uint16_t helperPort = this->helperScript ? freePort() : callPort;
+        if (this->helperScript) {
+            this->scriptedHelper = std::make_unique<ScriptedServer>(
+                this->helperScript, Endpoint{"127.0.0.2", callPort});
+        }
         const auto settingsOf = [=](const std::string &id, const std::string &own,
-                                    const std::string &other) {
+                                    const std::string &other, std::uint16_t port) {
             return [=](GatewaySettings &settings) {
                 settings.id = id;
                 settings.peerDatagrams = {own, datagramPort};
-                settings.peerCalls = {own, callPort};
+                settings.peerCalls = {own, port};
                 settings.seeds = {{other, datagramPort}};
             };
         };
-        this->helper.changeSettings(settingsOf("helper", "127.0.0.2", "127.0.0.1"));
-        this->cutOff.changeSettings(settingsOf("cut", "127.0.0.1", "127.0.0.2"));
+        this->helper.changeSettings(settingsOf("helper", "127.0.0.2", "127.0.0.1", helperPort));
+        this->cutOff.changeSettings(settingsOf("cut", "127.0.0.1", "127.0.0.2", callPort));
         this->helper.start();
         this->cutOff.start();
         REQUIRE(TestedGateway::eventually([this] { return this->cutOff.knows("helper"); }));
@@ -149,6 +158,8 @@
     std::mutex mutex;
     std::map<std::string, int> runs;
     ReceivedRequest lastRequest;
+    ScriptedServer::Script helperScript;
+    std::unique_ptr<ScriptedServer> scriptedHelper;
     TestedGateway helper;
     TestedGateway cutOff;
 };
@@ -354,6 +365,44 @@
     CHECK(this->runsOf("o1") == 1);
 }
 
+TEST_CASE_METHOD(GatewayCutOffFixture, "cutOff_otherRoutersResponseIsBroken_isNotPassedOn",
+                 "[gateway]")
+{
+    // Guards against bytes in the place of another router's response that reach the caller: ones
+    // that are no response, and successes that no upstream has signed.
+    const std::string fields =
+        GENERATE("HTTP/1.1 000 OK\r\nX-Server-Stamp: s\r\n",
+                 "HTTP/1.1 200 OK\r\nX A: b\r\nX-Server-Stamp: s\r\n",
+                 "HTTP/1.1 200 OK\r\nX\x01: b\r\nX-Server-Stamp: s\r\n", "HTTP/1.1 200 OK\r\n",
+                 "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Encoding: gzip\r\n");
+    this->addUpstreams("plain", 4, Cut::Refuses, serve);
+    this->respondForHelper([this, &fields](ServerConnection &connection) {
+        while (const auto request = connection.read()) {
+            const std::string *const attempt = request->head.find("X-Attempt-Id");
+            if (attempt == nullptr) {
+                connection.send("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
+            this->recordRun(*request);
+            if (request->body != "broken") {
+                serve(connection, *request);
+                continue;
+            }
+            connection.send(fields + "X-Attempt-Id: " + *attempt
+                            + "\r\nContent-Length: 6\r\n\r\nbroken");
+            connection.close();
+            return;
+        }
+    });
+    this->start();
+    REQUIRE(this->isServedInTheEnd("/safe/x"));
+    const ReceivedResponse response =
+        this->cutOff.call(TestedGateway::makeRequest("/once/x", "o1", "broken"));
+    CHECK(response.status == 502);
+    CHECK(response.body.empty());
+    CHECK(this->runsOf("o1") == 1);
+}
+
 TEST_CASE_METHOD(GatewayCutOffFixture, "cutOff_allRoutersCutOff_callersAreRefusedAtOnce",
                  "[gateway]")
 {
