Refuse late requests that may outlast a planned stop

Cause: a connection whose request had arrived in part stayed open during a stop, and its request was admitted whenever it became complete.

Change: StopSchedule. Once the load balancer has noticed the stop, requests are admitted only if their deadline is before the forced end; others get 503, not run, at once. Requests on open and new connections before are served as they were.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -16,12 +16,6 @@
 
 /// Interval of the checks of limits, idle connections, readiness and the progress of a stop.
 constexpr Milliseconds tickInterval{250};
-/// How long after the begin of a stop callers are still accepted. The load balancer checks
-/// readiness every second and removes a router after two failed checks.
-constexpr Milliseconds stopAcceptTime{2600};
-/// Time before the forced end of a stop at which running requests are aborted, so that callers
-/// still get notice of it.
-constexpr Milliseconds stopAbortReserve{400};
 /// Interval at which the settings file is checked, since it may change without a signal.
 constexpr Milliseconds settingsCheckInterval{2000};
 /// Time for which callers' and upstreams' events are handled before all others are looked for.
@@ -421,7 +415,8 @@
         return;
     }
     this->state.stopping = true;
-    this->stopStartedAt = this->state.clock.now();
+    this->state.stopSchedule =
+        scheduleStop(this->state.clock.now(), this->state.settings.stopGrace);
     logEvent(Event::Stopping, {{"in_flight", std::to_string(this->exchanges.size())},
                                {"connections", std::to_string(this->callers.size())}});
     this->updateReadiness();
@@ -429,11 +424,11 @@
 
 void Gateway::finishStopIfDrained()
 {
-    const Duration since = this->state.clock.now() - this->stopStartedAt;
-    if (since < stopAcceptTime) {
+    const TimePoint now = this->state.clock.now();
+    const StopSchedule &schedule = this->state.stopSchedule;
+    if (now < std::min(schedule.acceptUntil, schedule.abortAt)) {
         return;
     }
-    const bool forced = since > this->state.settings.stopGrace - stopAbortReserve;
     if (this->callerAcceptor.isOpen()) {
         logEvent(Event::StopDraining, {{"in_flight", std::to_string(this->exchanges.size())}});
         this->callerAcceptor.close();
@@ -450,10 +445,9 @@
     const bool isDrained = this->exchanges.empty() && !isWriting;
     // A request that has arrived in part gets one more turn.
     const bool wasDrained = std::exchange(this->wasDrained, isDrained);
-    if (!(isDrained && wasDrained) && !forced) {
-        return;
+    if ((isDrained && wasDrained) || now > schedule.abortAt) {
+        this->forceStop();
     }
-    this->forceStop();
 }
 
 void Gateway::forceStop()
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -171,7 +171,6 @@
     std::optional<TimePoint> laggingSince;
     /// When the list of upstreams was last known to be complete.
     std::optional<TimePoint> replicasConfirmedAt;
-    TimePoint stopStartedAt;
     bool wasDrained = false;
 };
 
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -41,7 +41,7 @@
 void RequestHandler::start()
 {
     this->gateway.metrics.count(Counter::Requests);
-    if ((this->forwarded && !this->acceptForwarded()) || !this->prepare()) {
+    if ((this->forwarded && !this->acceptForwarded()) || !this->prepare() || !this->passStop()) {
         return;
     }
     if (this->bindTakenUpStream()) {
@@ -115,6 +115,17 @@
     return true;
 }
 
+bool RequestHandler::passStop()
+{
+    if (!this->gateway.stopping
+        || admitsDuringStop(this->gateway.stopSchedule, this->now(), this->deadline)) {
+        return true;
+    }
+    // The load balancer hands the next connection to another router.
+    this->refuse(ErrorKind::Stopping, "the router stops", Milliseconds{0});
+    return false;
+}
+
 std::optional<BlockingSuspect> RequestHandler::blockedBy() const
 {
     return this->gateway.settings.mechanisms.quarantine
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -84,6 +84,8 @@
     };
 
     bool prepare();
+    /// Refuses a request that may outlast a planned stop. \returns whether it was admitted.
+    bool passStop();
     /// Places the request unless it is quarantined.
     void dispatchUnlessQuarantined();
     /// Binds the request to the version that began its stream, if it takes one up again.
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -21,6 +21,7 @@
 #include "plantainswitch/routing/serviceestimator.h"
 #include "plantainswitch/routing/servicereach.h"
 #include "plantainswitch/routing/serviceversions.h"
+#include "plantainswitch/routing/stopschedule.h"
 #include "plantainswitch/routing/streamorigin.h"
 #include "plantainswitch/routing/updatelog.h"
 #include "plantainswitch/routing/upstreamspeed.h"
@@ -191,6 +192,8 @@
     StreamOriginTable streamOrigins;
     ServiceVersions serviceVersions;
     bool stopping = false;
+    /// Set while stopping.
+    StopSchedule stopSchedule;
     TimePoint suspectsRefreshedAt;
     /// Reads of the store for requests close to their quarantine, since the start.
     std::size_t refreshedSuspects = 0;
--- a/include/plantainswitch/fwd.h
+++ b/include/plantainswitch/fwd.h
@@ -55,6 +55,7 @@
 struct BrittleNotice;
 struct CatalogueView;
 struct ChatHints;
+struct StopSchedule;
 struct UpstreamSelection;
 struct SelectionRequest;
 struct Claim;
--- a/include/plantainswitch/plantainswitch.h
+++ b/include/plantainswitch/plantainswitch.h
@@ -80,6 +80,7 @@
 #include "plantainswitch/routing/serviceversions.h"
 #include "plantainswitch/routing/slotorder.h"
 #include "plantainswitch/routing/slotqueue.h"
+#include "plantainswitch/routing/stopschedule.h"
 #include "plantainswitch/routing/streamorigin.h"
 #include "plantainswitch/routing/trialrecord.h"
 #include "plantainswitch/routing/updatelog.h"
