Answer requests that still run at the end of a stop

What callers saw: a reset, which does not tell them what became of an order.

Cause: the router aborted all connections 0.4 s before the end of the grace period, and ended in the same turn.

Change: at that time a request without a response gets 502 if it may have run, 503 otherwise; streams that have begun are cut as before, and forwarded requests too, as the other router may repeat them. The router ends once that is written, 0.1 s before the end at the latest, and looks each 25 ms.

Evidence: stop_requestStillRuns_isAnsweredAndNotCut: reset on the code before, 502 now; the stream is cut visibly.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -16,6 +16,8 @@
 
 /// Interval of the checks of limits, idle connections, readiness and the progress of a stop.
 constexpr Milliseconds tickInterval{250};
+/// The same at the end of a stop.
+constexpr Milliseconds lastTickInterval{25};
 /// Interval at which the settings file is checked, since it may change without a signal.
 constexpr Milliseconds settingsCheckInterval{2000};
 /// Time for which callers' and upstreams' events are handled before all others are looked for.
@@ -399,8 +401,11 @@
     if (this->state.stopping) {
         this->finishStopIfDrained();
     }
-    this->timer.expires_after(tickInterval);
-    this->tickDue = this->state.clock.now() + tickInterval;
+    const bool isLast =
+        this->state.stopping && now + tickInterval > this->state.stopSchedule.abortAt;
+    const Milliseconds interval = isLast ? lastTickInterval : tickInterval;
+    this->timer.expires_after(interval);
+    this->tickDue = this->state.clock.now() + interval;
     this->timer.async_wait([this](const asio::error_code &error) {
         if (!error) {
             this->tick();
@@ -440,17 +445,20 @@
     for (const auto &caller : open) {
         caller->closeWhenIdle();
     }
+    if (now > schedule.abortAt && !std::exchange(this->isRunningAborted, true)) {
+        this->abortRunning();
+    }
     const bool isWriting = std::any_of(this->callers.begin(), this->callers.end(),
                                        [](const auto &entry) { return entry.second->isWriting(); });
     const bool isDrained = this->exchanges.empty() && !isWriting;
     // A request that has arrived in part gets one more turn.
     const bool wasDrained = std::exchange(this->wasDrained, isDrained);
-    if ((isDrained && wasDrained) || now > schedule.abortAt) {
+    if ((isDrained && wasDrained) || now > schedule.exitAt) {
         this->forceStop();
     }
 }
 
-void Gateway::forceStop()
+void Gateway::abortRunning()
 {
     // Before the streams are cut: their callers return to other routers at once.
     this->fleet.passOnOrigins();
@@ -461,6 +469,11 @@
     for (const auto &exchange : running) {
         exchange->abort();
     }
+}
+
+void Gateway::forceStop()
+{
+    this->abortRunning();
     this->fleet.stop();
     this->routingFollower.stop();
     this->replicaFollower.stop();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -122,6 +122,8 @@
     void checkLag(TimePoint now);
     void applyStoreView(const Endpoint &from, const StoreViewQuery &query, const CallReply &reply);
     void finishStopIfDrained();
+    /// Ends the requests that still run.
+    void abortRunning();
     /// Applies the settings file again if its text has changed.
     /// \param isRequested whether a signal requested it, which is then logged in any case
     void reloadSettings(bool isRequested);
@@ -171,6 +173,7 @@
     std::optional<TimePoint> laggingSince;
     /// When the list of upstreams was last known to be complete.
     std::optional<TimePoint> replicasConfirmedAt;
+    bool isRunningAborted = false;
     bool wasDrained = false;
 };
 
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -390,6 +390,12 @@
     this->upstream.reset();
 }
 
+bool RequestHandler::mayHaveRun() const
+{
+    return this->possibleExecutions > 0 || this->phase == Phase::Forwarding
+           || (this->upstream && this->phase != Phase::Selecting);
+}
+
 void RequestHandler::fail()
 {
     if (this->returnToLeftUpstream()) {
@@ -401,9 +407,7 @@
         return;
     }
     const bool isDeadlineReached = this->now() + minRemainingTime >= this->deadline;
-    const bool mayHaveRun = this->possibleExecutions > 0 || this->phase == Phase::Forwarding
-                            || (this->upstream && this->phase != Phase::Selecting);
-    if (mayHaveRun) {
+    if (this->mayHaveRun()) {
         this->refuse(isDeadlineReached ? ErrorKind::DeadlineExceeded : ErrorKind::UpstreamFailed,
                      isDeadlineReached ? "no answer in time" : "the upstream failed");
     } else if (isDeadlineReached) {
@@ -504,6 +508,12 @@
     if (this->phase == Phase::Done) {
         return;
     }
+    if (!this->responseStarted && !this->forwarded) {
+        this->refuse(this->mayHaveRun() ? ErrorKind::UpstreamFailed : ErrorKind::Stopping,
+                     "the router stops");
+        return;
+    }
+    // The router that has forwarded the request may repeat it.
     this->releaseUpstream();
     this->caller->abort();
     this->finish("cut-by-stop");
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -225,6 +225,8 @@
     bool retry(std::string_view why);
     [[nodiscard]] bool canRetry() const;
     void releaseUpstream();
+    /// \returns whether an upstream may have executed the request, also in part.
+    [[nodiscard]] bool mayHaveRun() const;
     /// Buffers a part of a response's body, or relays its complete events to the caller. \returns
     /// false if the body is too large or malformed.
     bool processBody(std::string_view bytes);
--- a/include/plantainswitch/routing/stopschedule.h
+++ b/include/plantainswitch/routing/stopschedule.h
@@ -10,6 +10,8 @@
 /// Time before the end of the grace period at which running requests are ended, so that callers
 /// still get notice of it.
 inline constexpr Milliseconds stopAbortReserve{400};
+/// Time before the end of the grace period at which the process exits, whatever is left to write.
+inline constexpr Milliseconds stopExitReserve{100};
 
 /// The course of a planned stop.
 struct StopSchedule
@@ -20,6 +22,7 @@
     TimePoint admitAllUntil;
     /// Requests that still run are ended.
     TimePoint abortAt;
+    TimePoint exitAt;
 };
 
 /// \returns the course of a stop that begins at \a now, after whose \a grace the process is killed.
--- a/src/routing/stopschedule.cpp
+++ b/src/routing/stopschedule.cpp
@@ -12,6 +12,7 @@
     // With a short grace period requests need time to end, too.
     schedule.admitAllUntil = now + std::min(stopAcceptTime, untilAbort / 2);
     schedule.abortAt = now + untilAbort;
+    schedule.exitAt = now + std::max(grace - stopExitReserve, untilAbort);
     return schedule;
 }
 
--- a/tests/gatewaystop.cpp
+++ b/tests/gatewaystop.cpp
@@ -32,6 +32,9 @@
     {
         while (const auto request = connection.read()) {
             ++this->requests;
+            if (request->body == "stream") {
+                connection.send(makeStreamHead(*request) + makeChunk(makeEvent(1)));
+            }
             if (request->body != "served") {
                 connection.waitForEnd();
                 return;
@@ -131,3 +134,22 @@
     CHECK(onNew.body == "whole");
     CHECK(closes(onNew));
 }
+
+TEST_CASE_METHOD(GatewayStopFixture, "stop_requestStillRuns_isAnsweredAndNotCut", "[gateway]")
+{
+    // Guards against requests that end without a response at the end of the grace period, so that
+    // their callers don't know what became of them.
+    this->begin();
+    asio::ip::tcp::socket order = this->connectCaller();
+    asio::ip::tcp::socket stream = this->connectCaller();
+    asio::write(order, asio::buffer(makeRequest("/once/x", "a1", "silent")));
+    asio::write(stream, asio::buffer(makeRequest("/stream/x", "a2", "stream")));
+    REQUIRE(eventually([this] { return this->requests == 2; }));
+    this->stop();
+    const ReceivedResponse response = readResponse(order);
+    CHECK(response.status == 502);
+    CHECK(response.isComplete);
+    const ReceivedResponse cut = readResponse(stream);
+    CHECK(cut.status == 200);
+    CHECK_FALSE(cut.isComplete);
+}
--- a/tests/stopschedule.cpp
+++ b/tests/stopschedule.cpp
@@ -49,4 +49,5 @@
     CHECK_FALSE(this->admits(Milliseconds{1001}, Milliseconds{60'000}));
     const StopSchedule schedule = scheduleStop(this->begin, Milliseconds{100});
     CHECK(schedule.abortAt == this->begin);
+    CHECK(schedule.exitAt >= schedule.abortAt);
 }
