--- a/tests/gatewaybroken.cpp
+++ b/tests/gatewaybroken.cpp
@@ -223,6 +223,20 @@
     CHECK(this->requests == 1);
 }
 
+TEST_CASE_METHOD(GatewayBrokenFixture, "brokenResponse_signatureWithoutValue_isUnsigned",
+                 "[gateway]")
+{
+    // Guards against a success without a signature that is taken for signed.
+    this->addUpstreams("plain", [](const ReceivedRequest &request) {
+        return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attemptOf(request)
+               + "\r\nX-Server-Stamp: \r\nContent-Length: 6\r\n\r\nbroken";
+    });
+    this->start();
+    const ReceivedResponse response = this->call(makeRequest("/once/x", "a1", "order"));
+    CHECK(response.status == 502);
+    CHECK_FALSE(isFromUpstream(response));
+}
+
 TEST_CASE_METHOD(GatewayBrokenFixture, "eventStream_ofOtherSuccess_isPassedOnWhole", "[gateway]")
 {
     // Guards against a response that loses its body, because streams have another status.
