--- a/daemon/requestrelay.cpp
+++ b/daemon/requestrelay.cpp
@@ -89,7 +89,7 @@
     this->status = code;
     this->headers = fields;
     this->recordTiming(Timing::FirstByte);
-    // No coding is requested, and the caller is not told of one.
+    // No coding is requested, and the response to the caller would not name it.
     if (fields.contains("content-encoding")) {
         this->rejectResponse();
     }
--- a/gateway/http1.cpp
+++ b/gateway/http1.cpp
@@ -1,7 +1,6 @@
 #include "http1.h"
 
 #include <algorithm>
-#include <cctype>
 #include <utility>
 
 #include <http_parser.h>
@@ -136,10 +135,7 @@
 
 bool isSameFieldName(std::string_view left, std::string_view right) noexcept
 {
-    return left.size() == right.size()
-           && std::equal(
-               left.begin(), left.end(), right.begin(),
-               [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+    return net::equalsIgnoringCase(left, right);
 }
 
 const std::string *MessageHead::find(std::string_view name) const noexcept
--- a/net/responsesyntax.cpp
+++ b/net/responsesyntax.cpp
@@ -43,14 +43,6 @@
                        [](unsigned char c) { return (c < ' ' && c != '\t') || c == 0x7f; });
 }
 
-bool equalsIgnoringCase(std::string_view left, std::string_view right) noexcept
-{
-    return left.size() == right.size()
-           && std::equal(
-               left.begin(), left.end(), right.begin(),
-               [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
-}
-
 std::string_view withoutBlanks(std::string_view text) noexcept
 {
     while (!text.empty() && isBlank(text.front())) {
@@ -181,6 +173,14 @@
 
 } // namespace
 
+bool equalsIgnoringCase(std::string_view left, std::string_view right) noexcept
+{
+    return left.size() == right.size()
+           && std::equal(
+               left.begin(), left.end(), right.begin(),
+               [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+}
+
 bool readStatusLine(std::string_view line, ResponseSyntax &syntax) noexcept
 {
     constexpr std::string_view name = "HTTP/1.";
--- a/net/responsesyntax.h
+++ b/net/responsesyntax.h
@@ -34,6 +34,9 @@
 /// \returns whether a line, given without its line end, is a header or trailer field.
 [[nodiscard]] bool isFieldLine(std::string_view line) noexcept;
 
+/// \returns whether two names of fields or codings are equal, ignoring case.
+[[nodiscard]] bool equalsIgnoringCase(std::string_view left, std::string_view right) noexcept;
+
 /// \returns whether the response is informational, and followed by another one.
 [[nodiscard]] bool isInterim(const ResponseSyntax &syntax) noexcept;
 /// \returns whether a response with that status has no body, whatever its header fields state.
--- a/net/socketstate.h
+++ b/net/socketstate.h
@@ -6,7 +6,7 @@
 /// its side. The error is cleared.
 [[nodiscard]] bool isReset(int socket) noexcept;
 /// \returns whether the peer has acknowledged all bytes written to \a socket; true if the system
-/// does not tell.
+/// does not report it.
 [[nodiscard]] bool isAcknowledged(int socket) noexcept;
 
 } // namespace plantainswitch::net
--- a/tests/claimfleet.cpp
+++ b/tests/claimfleet.cpp
@@ -246,7 +246,7 @@
 
 TEST_CASE_METHOD(ClaimFixture, "service_encodedAnswer_isNotHandedOn", "[answers]")
 {
-    // Guards against a body whose coding the caller is not told of.
+    // Guards against a body in a coding that the response to the caller does not name.
     this->fleet.standIns.orders->encode(1);
     const auto answer = this->order(0, "k1");
     CHECK(refusalKindOf(answer) == "upstream-garbage");
