Give tests that choose a port addresses of their own

Cause: these tests look for a port that is free at 127.0.0.1 and 127.0.0.2 and give it to a router, which binds it later. In between, any connection or socket of a test that runs in parallel may take it, as the kernel chooses its port from the same range. For datagrams nothing was looked for at all.

Change: ownAddress(), until now twice within the soak, gives each process a subnet of loopback addresses, and freePort() looks for a port there; a connection to such an address has its own end at 127.0.0.1. The fixture's upstreams that refuse connections are there as well. No check is changed.

--- a/tests/gatewaycontention.cpp
+++ b/tests/gatewaycontention.cpp
@@ -19,6 +19,7 @@
 
 #include "fleetgossip.h"
 #include "gatewayfixture.h"
+#include "loopback.h"
 
 using namespace plantainswitch;
 using namespace plantainswitch::gateway;
@@ -77,16 +78,14 @@
 
     void start()
     {
-        asio::io_context context;
-        const auto any = asio::ip::udp::endpoint(asio::ip::make_address("127.0.0.1"), 0);
-        const std::uint16_t datagrams = asio::ip::udp::socket(context, any).local_endpoint().port();
+        const std::uint16_t datagrams = freePort(routerCount);
         for (std::size_t i = 0; i < routerCount; ++i) {
             this->routers.push_back(std::make_unique<TestedRouter>());
             this->routers[i]->changeSettings([i, datagrams](GatewaySettings &settings) {
                 settings.id = fmt::format("router-{}", i);
                 settings.contention.marginShare = marginShare;
-                settings.peerDatagrams = {fmt::format("127.0.0.{}", i + 1), datagrams};
-                settings.seeds = {{"127.0.0.1", datagrams}, {"127.0.0.2", datagrams}};
+                settings.peerDatagrams = {ownAddress(i + 1), datagrams};
+                settings.seeds = {{ownAddress(1), datagrams}, {ownAddress(2), datagrams}};
             });
             // The same upstream, at an address of its own for each router.
             this->routers[i]->addUpstream("plain-0", "plain", [this](ServerConnection &connection) {
--- a/tests/gatewaycutoff.cpp
+++ b/tests/gatewaycutoff.cpp
@@ -11,6 +11,7 @@
 
 #include "forwarding.h"
 #include "gatewayfixture.h"
+#include "loopback.h"
 
 using namespace plantainswitch;
 using namespace plantainswitch::gateway;
@@ -93,12 +94,12 @@
 
     void start()
     {
-        const std::uint16_t datagramPort = freePort();
-        const std::uint16_t callPort = freePort();
-        const std::uint16_t helperPort = this->helperScript ? freePort() : callPort;
+        const std::uint16_t datagramPort = freePort(2);
+        const std::uint16_t callPort = freePort(2);
+        const std::uint16_t helperPort = this->helperScript ? freePort(2) : callPort;
         if (this->helperScript) {
             this->scriptedHelper = std::make_unique<ScriptedServer>(
-                this->helperScript, Endpoint{"127.0.0.2", callPort});
+                this->helperScript, Endpoint{ownAddress(2), callPort});
         }
         const auto settingsOf = [=](const std::string &id, const std::string &own,
                                     const std::string &other, std::uint16_t port) {
@@ -109,23 +110,13 @@
                 settings.seeds = {{other, datagramPort}};
             };
         };
-        this->helper.changeSettings(settingsOf("helper", "127.0.0.2", "127.0.0.1", helperPort));
-        this->cutOff.changeSettings(settingsOf("cut", "127.0.0.1", "127.0.0.2", callPort));
+        this->helper.changeSettings(settingsOf("helper", ownAddress(2), ownAddress(1), helperPort));
+        this->cutOff.changeSettings(settingsOf("cut", ownAddress(1), ownAddress(2), callPort));
         this->helper.start();
         this->cutOff.start();
         REQUIRE(TestedGateway::eventually([this] { return this->cutOff.knows("helper"); }));
     }
 
-    /// \returns a port that is free on the addresses of both routers.
-    static std::uint16_t freePort()
-    {
-        asio::io_context context;
-        asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-        const std::uint16_t port = acceptor.local_endpoint().port();
-        const asio::ip::tcp::acceptor other(context, {asio::ip::make_address("127.0.0.2"), port});
-        return port;
-    }
-
     void recordRun(const ReceivedRequest &request)
     {
         const std::string *const attempt = request.head.find("X-Attempt-Id");
--- a/tests/gatewaystoreview.cpp
+++ b/tests/gatewaystoreview.cpp
@@ -9,6 +9,7 @@
 #include "peer.pb.h"
 
 #include "gatewayfixture.h"
+#include "loopback.h"
 #include "storeview.h"
 
 using namespace plantainswitch;
@@ -25,15 +26,15 @@
     {
         this->addUpstream("plain-0", "plain",
                           [](ServerConnection &connection) { connection.waitForEnd(); });
-        this->callPort = freePort();
+        this->callPort = freePort(2);
         this->changeSettings([this](GatewaySettings &settings) {
             // One that is not chosen to watch the store beside these watchers.
             settings.id = "router-2";
-            settings.peerDatagrams = {"127.0.0.1", this->callPort};
-            settings.peerCalls = {"127.0.0.1", this->callPort};
+            settings.peerDatagrams = {ownAddress(1), this->callPort};
+            settings.peerCalls = {ownAddress(1), this->callPort};
         });
         this->server.emplace([this](ServerConnection &connection) { this->serve(connection); },
-                             Endpoint{"127.0.0.2", this->callPort});
+                             Endpoint{ownAddress(2), this->callPort});
     }
     ~GatewayStoreViewFixture()
     {
@@ -66,16 +67,6 @@
     static constexpr std::uint64_t newRevision = 50;
     static constexpr int watchers = 6;
 
-    /// \returns a port that is free on the addresses of this router and the other one.
-    static std::uint16_t freePort()
-    {
-        asio::io_context context;
-        asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-        const std::uint16_t port = acceptor.local_endpoint().port();
-        const asio::ip::tcp::acceptor other(context, {asio::ip::make_address("127.0.0.2"), port});
-        return port;
-    }
-
     void serve(ServerConnection &connection)
     {
         while (const auto request = connection.read()) {
@@ -108,10 +99,10 @@
         asio::io_context context;
         std::vector<asio::ip::udp::socket> sockets;
         for (int i = 0; i < watchers; ++i) {
-            const auto host = asio::ip::make_address("127.0.0." + std::to_string(2 + i));
+            const auto host = asio::ip::make_address(ownAddress(2 + i));
             sockets.emplace_back(context, asio::ip::udp::endpoint(host, 0));
         }
-        const asio::ip::udp::endpoint to(asio::ip::make_address("127.0.0.1"), this->callPort);
+        const asio::ip::udp::endpoint to(asio::ip::make_address(ownAddress(1)), this->callPort);
         for (std::uint64_t sequence = 1; !this->isStopped; ++sequence) {
             for (int i = 0; i < watchers; ++i) {
                 wire::GatewayDatagram datagram;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -6,9 +6,9 @@
 #include <utility>
 
 #include <fmt/format.h>
-#include <unistd.h>
 
 #include "documents.h"
+#include "loopback.h"
 
 namespace plantainswitch::soak {
 
@@ -65,12 +65,7 @@
 
 Endpoint Soak::endpointOf(std::size_t host, std::uint16_t port) const
 {
-    // Each process uses its own subnet, so that several soaks can run in parallel.
-    const auto process = static_cast<std::uint32_t>(getpid());
-    constexpr std::uint32_t subnetsPerOctet = 250;
-    return {fmt::format("127.{}.{}.{}", 1 + process / subnetsPerOctet % subnetsPerOctet,
-                        1 + process % subnetsPerOctet, host),
-            port};
+    return {ownAddress(host), port};
 }
 
 void Soak::runAfter(Milliseconds delay, std::function<void()> handler)
--- a/tests/soak/weight.cpp
+++ b/tests/soak/weight.cpp
@@ -14,9 +14,9 @@
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#include <unistd.h>
 
 #include "documents.h"
+#include "loopback.h"
 #include "process.h"
 #include "store.h"
 #include "upstream.h"
@@ -151,14 +151,7 @@
     }
 
 private:
-    static Endpoint at(std::size_t host, std::uint16_t port)
-    {
-        // Each process uses its own subnet, so that several can run in parallel.
-        constexpr int subnetsPerOctet = 250;
-        return {fmt::format("127.{}.{}.{}", 1 + getpid() / subnetsPerOctet % subnetsPerOctet,
-                            1 + getpid() % subnetsPerOctet, host),
-                port};
-    }
+    static Endpoint at(std::size_t host, std::uint16_t port) { return {ownAddress(host), port}; }
 
     void runUntil(const std::function<bool()> &isDone)
     {
--- a/tests/support/gatewayfixture.cpp
+++ b/tests/support/gatewayfixture.cpp
@@ -15,6 +15,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "loopback.h"
+
 namespace plantainswitch::gateway {
 
 namespace {
@@ -250,10 +252,7 @@
 
 void GatewayFixture::addDeadUpstream(const std::string &id, const std::string &service)
 {
-    asio::ip::tcp::acceptor unused(this->callerContext, {asio::ip::make_address("127.0.0.1"), 0});
-    const std::uint16_t port = unused.local_endpoint().port();
-    unused.close();
-    this->addEntry(id, service, {"127.0.0.1", port});
+    this->addEntry(id, service, {ownAddress(1), freePort(1)});
 }
 
 void GatewayFixture::addEntry(const std::string &id, const std::string &service,
