Return a request only to the upstream that it left

What callers saw: nothing; a stream ran at four upstreams where its route allows three (BUDGET).

Cause: returnToLeftUpstream() made the upstream that a request had left as silent selectable again, and then selected among all upstreams. It is called when no attempt is left, too, and did not count the run that it gave up. The router's log shows u-3 (broke off), u-4 (left as silent), u-5 (broke off), then u-0 (refused the connection) and u-1.

Change: the request is bound to the upstream that it returns to once its attempts are used. That holds also if this upstream refuses the connection or has no room ("not run"), for other routers to which a request may be forwarded, and for coordinators that had denied it before. The run that is given up is counted. retry() and the return share startNextAttempt().

Evidence: the three new cases return_* of gatewaysilences and cutOff_requestHasRunAtAllItsUpstreams_isNotForwarded fail on the code before: a third upstream of two runs the stream, in the last one by way of another router.

--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -130,12 +130,11 @@
     if (!mayReturn) {
         return false;
     }
-    this->releaseUpstream();
     std::erase(this->triedUpstreams, left);
-    this->eventRelay.dropPartial();
-    this->logRetry("no other upstream");
-    this->gateway.metrics.count(Counter::Retries);
-    this->selectAndDispatch();
+    this->returnedTo = left;
+    // Coordinators of other upstreams denied it.
+    this->grantSequence = {};
+    this->startNextAttempt("no other upstream");
     return true;
 }
 
--- a/gateway/gatewayrequestforward.cpp
+++ b/gateway/gatewayrequestforward.cpp
@@ -33,7 +33,7 @@
 std::optional<Endpoint> RequestHandler::nextForwardTarget() const
 {
     const bool isAllowed = this->gateway.settings.mechanisms.forwarding && !this->forwarded
-                           && this->forwardHosts.size() < maxForwards
+                           && this->forwardHosts.size() < maxForwards && this->mayRunElsewhere()
                            && this->remainingTime() >= minRemainingTime;
     return isAllowed ? forwardTargetFor(this->gateway, this->placementRequest(), this->forwardHosts)
                      : std::nullopt;
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -334,18 +334,28 @@
                   {"left_ms", std::to_string(this->remainingTime().count())}});
         return false;
     }
+    this->coordinatorRejections = 0;
+    this->startNextAttempt(why);
+    return true;
+}
+
+void RequestHandler::startNextAttempt(std::string_view why)
+{
     // An upstream that stated in a complete response that it has not executed the request was
     // released.
     if (this->upstream) {
         this->possibleExecutions += 1;
     }
     this->releaseUpstream();
-    this->coordinatorRejections = 0;
     this->eventRelay.dropPartial();
     this->logRetry(why);
     this->gateway.metrics.count(Counter::Retries);
     this->selectAndDispatch();
-    return true;
+}
+
+bool RequestHandler::mayRunElsewhere() const
+{
+    return this->returnedTo.empty() || this->possibleExecutions < this->route->maxAttempts;
 }
 
 void RequestHandler::logRetry(std::string_view why) const
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -224,6 +224,11 @@
     /// Retries on another upstream. \returns false if no time or no retry budget is left.
     bool retry(std::string_view why);
     [[nodiscard]] bool canRetry() const;
+    /// Gives up the current attempt, which counts if it may have run, and selects an upstream.
+    void startNextAttempt(std::string_view why);
+    /// \returns false if the request has returned to an upstream after its last attempt, so that no
+    /// other one may run it.
+    [[nodiscard]] bool mayRunElsewhere() const;
     void releaseUpstream();
     /// \returns whether an upstream may have executed the request, also in part.
     [[nodiscard]] bool mayHaveRun() const;
@@ -309,6 +314,8 @@
     /// The upstream that was last left while it ran the request; empty if none was, or if the
     /// request was sent there again.
     std::string leftUpstream;
+    /// The upstream that the request was last sent to again; empty if it was not.
+    std::string returnedTo;
     /// The silence of the current upstream counts as its fault already.
     bool isSilenceRecorded = false;
     /// Nothing is read from the upstream until the caller has read what is queued for it.
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -329,7 +329,8 @@
     this->releaseUpstream();
     this->suspects.hasUnusedTrials = !this->suspects.trials.empty();
     this->rejections += 1;
-    if (this->rejections > maxRejections || !this->retry("turned away")) {
+    if (this->rejections > maxRejections || !this->mayRunElsewhere()
+        || !this->retry("turned away")) {
         this->fail();
     }
 }
--- a/gateway/gatewayrequestslots.cpp
+++ b/gateway/gatewayrequestslots.cpp
@@ -28,12 +28,14 @@
 RequestHandler::excludedUpstreams(std::span<UpstreamState *const> candidates) const
 {
     std::vector<std::string> excluded = this->triedUpstreams;
-    if (this->grantSequence.denials.empty()) {
+    const bool isBound = !this->mayRunElsewhere();
+    if (this->grantSequence.denials.empty() && !isBound) {
         return excluded;
     }
     for (const UpstreamState *const candidate : candidates) {
-        if (wasDenied(this->grantSequence, hashOf(candidate->replica.id))) {
-            excluded.push_back(candidate->replica.id);
+        const std::string &id = candidate->replica.id;
+        if ((isBound && id != this->returnedTo) || wasDenied(this->grantSequence, hashOf(id))) {
+            excluded.push_back(id);
         }
     }
     return excluded;
--- a/tests/gatewaycutoff.cpp
+++ b/tests/gatewaycutoff.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
@@ -394,6 +395,42 @@
     CHECK(this->runsOf("o1") == 1);
 }
 
+TEST_CASE_METHOD(GatewayCutOffFixture, "cutOff_requestHasRunAtAllItsUpstreams_isNotForwarded",
+                 "[gateway]")
+{
+    // Guards against a further upstream, by way of another router, for a request that has been
+    // attempted as often as its route allows.
+    std::atomic<int> attempts = 0;
+    std::vector<ScriptedServer *> servers;
+    for (const std::string id : {"model-0", "model-1"}) {
+        servers.push_back(&this->cutOff.addUpstream(id, "model", [&](ServerConnection &connection) {
+            const auto request = connection.read();
+            if (!request) {
+                return;
+            }
+            if (++attempts == 2) {
+                for (ScriptedServer *const server : servers) {
+                    server->stopAccepting();
+                }
+                return;
+            }
+            connection.send(TestedGateway::makeStreamHead(*request)
+                            + TestedGateway::makeChunk(TestedGateway::makeEvent(1)));
+            connection.waitForEnd();
+        }));
+    }
+    this->helper.addUpstream("model-2", "model", [this](ServerConnection &connection) {
+        while (const auto request = connection.read()) {
+            this->recordRun(*request);
+            serve(connection, *request);
+        }
+    });
+    this->start();
+    CHECK_FALSE(this->cutOff.call(TestedGateway::makeRequest("/stream/x", "a")).isComplete);
+    CHECK(attempts == 2);
+    CHECK(this->runsOf("a") == 0);
+}
+
 TEST_CASE_METHOD(GatewayCutOffFixture, "cutOff_allRoutersCutOff_callersAreRefusedAtOnce",
                  "[gateway]")
 {
--- a/tests/gatewaysilences.cpp
+++ b/tests/gatewaysilences.cpp
@@ -1,5 +1,8 @@
 #include <atomic>
+#include <mutex>
+#include <set>
 #include <thread>
+#include <vector>
 
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
@@ -64,8 +67,107 @@
     std::atomic<int> rejections = 0;
 };
 
+/// Four upstreams and a route that allows two: the first one to run a stream falls silent after an
+/// event, the second one breaks off.
+class GatewayReturnsFixture : public GatewayFixture
+{
+protected:
+    /// How the first upstream responds when the request is sent to it again.
+    enum class Return : std::uint8_t { Runs, Refuses, Rejects };
+
+    void startWith(Return answer)
+    {
+        for (const std::string id : {"model-0", "model-1", "model-2", "model-3"}) {
+            this->servers.push_back(
+                &this->addUpstream(id, "model", [this, id, answer](ServerConnection &connection) {
+                    while (const auto request = connection.read()) {
+                        this->run(id, answer, connection, *request);
+                    }
+                }));
+        }
+        this->start();
+    }
+
+    void run(const std::string &id, Return answer, ServerConnection &connection,
+             const ReceivedRequest &request)
+    {
+        const std::size_t number = this->recordRun(id);
+        if (number == 0) {
+            if (answer == Return::Refuses) {
+                this->servers[id.back() - '0']->stopAccepting();
+            }
+            connection.send(makeStreamHead(request) + makeChunk(makeEvent(1)));
+            connection.waitForEnd();
+        } else if (number == 1) {
+            connection.close();
+        } else if (answer == Return::Rejects && id == this->runs().front()) {
+            connection.send(makeResponse(request, "", 503, "X-Not-Executed: 1\r\n"));
+        } else {
+            connection.send(makeStreamHead(request) + makeChunk(makeEvent(2)) + "0\r\n\r\n");
+        }
+    }
+
+    /// \returns the number of runs before this one.
+    std::size_t recordRun(const std::string &id)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->ranAt.push_back(id);
+        return this->ranAt.size() - 1;
+    }
+
+    /// \returns the upstreams that ran the stream, in order.
+    std::vector<std::string> runs()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->ranAt;
+    }
+
+    std::size_t upstreamCount()
+    {
+        const std::vector<std::string> all = this->runs();
+        return std::set(all.begin(), all.end()).size();
+    }
+
+private:
+    std::mutex mutex;
+    std::vector<std::string> ranAt;
+    std::vector<ScriptedServer *> servers;
+};
+
 } // namespace
 
+TEST_CASE_METHOD(GatewayReturnsFixture, "return_afterAllAttempts_streamGoesOnWhereItWas",
+                 "[gateway]")
+{
+    // Guards against a third upstream for a stream that returns to the one that it left.
+    this->startWith(Return::Runs);
+    const ReceivedResponse response = this->call(makeRequest("/stream/x", "a"));
+    REQUIRE(this->runs().size() == 3);
+    CHECK(this->runs().back() == this->runs().front());
+    CHECK(response.isComplete);
+    CHECK(response.body == makeEvent(1) + makeEvent(2));
+}
+
+TEST_CASE_METHOD(GatewayReturnsFixture, "return_isRefused_noFurtherUpstreamIsTried", "[gateway]")
+{
+    // Guards against the same when the upstream that was left has gone, and "nothing was sent".
+    this->startWith(Return::Refuses);
+    const ReceivedResponse response = this->call(makeRequest("/stream/x", "a"));
+    CHECK_FALSE(response.isComplete);
+    CHECK(this->upstreamCount() == 2);
+}
+
+TEST_CASE_METHOD(GatewayReturnsFixture, "return_isRejected_noFurtherUpstreamIsTried", "[gateway]")
+{
+    // Guards against the same when the upstream that was left has no room, and "not run" is
+    // retried.
+    this->startWith(Return::Rejects);
+    const ReceivedResponse response = this->call(makeRequest("/stream/x", "a"));
+    CHECK_FALSE(response.isComplete);
+    CHECK(this->upstreamCount() == 2);
+    CHECK(this->runs().size() == 3);
+}
+
 TEST_CASE_METHOD(GatewaySilencesFixture, "silence_ofTheOnlyUpstream_streamGoesOn", "[gateway]")
 {
     // Guards against giving up a run before another upstream can go on with it: the stream was cut
