--- a/tests/gatewaysilences.cpp
+++ b/tests/gatewaysilences.cpp
@@ -150,7 +150,8 @@
 
 TEST_CASE_METHOD(GatewayReturnsFixture, "return_isRefused_noFurtherUpstreamIsTried", "[gateway]")
 {
-    // Guards against the same when the upstream that was left has gone, and "nothing was sent".
+    // Guards against the same when the upstream that was left refuses connections: "nothing was
+    // sent".
     this->startWith(Return::Refuses);
     const ReceivedResponse response = this->call(makeRequest("/stream/x", "a"));
     CHECK_FALSE(response.isComplete);
