review: a repeated rejection is taken for the answer to the next request

Cause: an answer without an attempt's id counts as the answer to the current attempt, on reused connections too. A replica that repeats a rejection late makes the router send the next request, which that replica runs, to a second one.

The two earlier cases are now review/7 and review/8, as the gravest stands first.

--- a/review/standins-2/net.hh
+++ b/review/standins-2/net.hh
@@ -278,8 +278,10 @@
 };
 
 /// Reads one whole message. \returns nothing if the connection ended or \a timeout passed before.
+/// \param onHead called once the head has arrived; may be empty
 inline std::optional<Message> readMessage(const Connection &connection, std::string &buffer,
-                                          std::int64_t timeout, ReadEnd *end = nullptr)
+                                          std::int64_t timeout, ReadEnd *end = nullptr,
+                                          const std::function<void(const Message &)> &onHead = {})
 {
     const auto until = Clock::now() + Milliseconds{timeout};
     const auto more = [&] {
@@ -295,6 +297,9 @@
             return std::nullopt;
         }
     }
+    if (onHead) {
+        onHead(*message);
+    }
     if (lowered(message->field("Transfer-Encoding")) == "chunked") {
         ChunkDecoder decoder;
         while (!decoder.decode(buffer, message->body)) {
--- a/review/standins-2/replica.hh
+++ b/review/standins-2/replica.hh
@@ -36,6 +36,12 @@
         , server(std::move(address), [this](Connection &connection) { this->serve(connection); })
     {}
 
+    /// Calls \a handler with the head of each request, before its body has arrived.
+    void onHead(std::function<void(const Message &)> handler)
+    {
+        this->headHandler = std::move(handler);
+    }
+
     bool start()
     {
         if (!this->server.start()) {
@@ -80,7 +86,7 @@
         std::string buffer;
         while (!this->server.isStopped()) {
             ReadEnd end = ReadEnd::Data;
-            const auto request = readMessage(connection, buffer, 15000, &end);
+            const auto request = readMessage(connection, buffer, 15000, &end, this->headHandler);
             if (!request) {
                 return;
             }
@@ -100,6 +106,7 @@
     Store &store;
     Identity self;
     Answer answer;
+    std::function<void(const Message &)> headHandler;
     std::int64_t bornAt = 0;
     Server server;
 };
--- a/review/standins-2/slowreader.cc
+++ b/review/standins-2/slowreader.cc
@@ -1,4 +1,4 @@
-// Clients that read an answer slowly, without and during a planned stop. See review/7/claim.txt.
+// Clients that read an answer slowly, without and during a planned stop. See review/8/claim.txt.
 
 #include <iostream>
 
