--- a/review/standins-2/platform.hh
+++ b/review/standins-2/platform.hh
@@ -673,6 +673,17 @@
     return all;
 }
 
+/// \returns \a fields with other seeds.
+inline json withSeeds(json fields, const std::vector<std::string> &hosts)
+{
+    const std::string control = fields["listen"]["control"].get<std::string>();
+    fields["seeds"] = json::array();
+    for (const std::string &host : hosts) {
+        fields["seeds"].push_back(host + control.substr(control.find(':')));
+    }
+    return fields;
+}
+
 /// A route of the manifest.
 inline json routeEntry(const std::string &name, const std::string &prefix, const std::string &kind,
                        const std::string &service, int timeoutMs, int goalMs, int maxAttempts,
--- a/review/standins-2/upgrade.cc
+++ b/review/standins-2/upgrade.cc
@@ -3,7 +3,7 @@
 
 #include <iostream>
 
-#include "replica.hh"
+#include "streams.hh"
 
 using namespace review;
 
@@ -29,22 +29,6 @@
 /// Streams with events of two versions that the rule allows.
 constexpr std::size_t allowedMixed = 2;
 
-std::string attemptName(int client, int stream, int attempt)
-{
-    return "a" + std::to_string(client) + "-" + std::to_string(stream) + "-"
-           + std::to_string(attempt);
-}
-
-/// What a client has received of one stream, over its tries.
-struct Stream
-{
-    std::uint64_t last = 0;
-    std::set<std::string> versions;
-    std::string trace;
-    bool isWhole = false;
-    bool hasGap = false;
-};
-
 class Case
 {
 public:
@@ -127,31 +111,10 @@
 
     bool answer(Replica &replica, Connection &connection, const Message &request)
     {
-        const std::string resumed = request.field("Last-Event-Id");
-        std::uint64_t next = resumed.empty() ? 1 : std::stoull(resumed) + 1;
         this->record.line("replica " + replica.identity().id + " " + replica.identity().version
-                          + " runs " + request.field("X-Attempt-Id") + " from "
-                          + std::to_string(next));
-        if (!connection.send("HTTP/1.1 200 OK\r\n" + replica.fieldsFor(request)
-                             + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"
-                               "\r\n\r\n")) {
-            return false;
-        }
-        for (; next <= pieces; ++next) {
-            pauseFor(pieceIntervalMs);
-            if (replica.isStopped() || connection.isClosedByPeer()) {
-                return false;
-            }
-            const std::string event = "id: " + std::to_string(next)
-                                      + "\ndata: " + replica.identity().version + " piece "
-                                      + std::to_string(next) + "\n\n";
-            char size[16];
-            std::snprintf(size, sizeof size, "%zx\r\n", event.size());
-            if (!connection.send(size + event + "\r\n")) {
-                return false;
-            }
-        }
-        return connection.send("0\r\n\r\n");
+                          + " runs " + request.field("X-Attempt-Id") + " after event "
+                          + request.field("Last-Event-Id"));
+        return writeEvents(replica, connection, request, pieces, pieceIntervalMs);
     }
 
     /// The store goes down. Meanwhile replicas crash, two at a time, and start again with the next
@@ -190,92 +153,25 @@
 
     void runClient(int client)
     {
-        pauseFor(client * 20);
+        constexpr int startIntervalMs = 20;
+        constexpr std::size_t tries = 2;
+        pauseFor(client * startIntervalMs);
         for (int number = 0; Clock::now() < this->loadUntil; ++number) {
             Stream stream;
+            stream.client = client;
+            stream.number = number;
+            stream.pieces = pieces;
             const auto until = Clock::now() + Milliseconds{budgetMs};
-            constexpr int tries = 2;
-            for (int attempt = 0; attempt < tries && !stream.isWhole; ++attempt) {
-                this->tryOnce(client, number, attempt, until, stream);
+            while (stream.tries.size() < tries && !stream.isWhole) {
+                const std::size_t router = (client + stream.tries.size()) % this->routers.size();
+                tryOnce(this->routers[router]->front(), router, until, stream);
             }
-            this->keep(client, number, stream);
-            pauseFor(clientPauseMs);
-        }
-    }
-
-    void keep(int client, int number, const Stream &stream)
-    {
-        const std::lock_guard lock(this->mutex);
-        this->record.line("client stream " + attemptName(client, number, 0) + ": "
-                          + (stream.isWhole ? "whole" : "not whole") + stream.trace
-                          + (stream.versions.size() > 1 ? " MIXED" : "")
-                          + (stream.hasGap ? " GAP" : ""));
-        this->streams.push_back(stream);
-    }
-
-    void tryOnce(int client, int number, int attempt, Clock::time_point until, Stream &stream)
-    {
-        const std::size_t router = (client + attempt) % this->routers.size();
-        const auto connection = Connection::open(this->routers[router]->front());
-        if (!connection) {
-            return;
-        }
-        std::string more = "X-Model: m\r\nX-Token-Count: 710,225\r\nX-Prompt-Prefix: a1:103,b"
-                           + std::to_string(client) + ":500,c" + std::to_string(client) + "f"
-                           + std::to_string(number) + ":107\r\n";
-        if (stream.last > 0) {
-            more += "Last-Event-Id: " + std::to_string(stream.last)
-                    + "\r\nResumes: " + attemptName(client, number, 0) + "\r\n";
-        }
-        const auto left = millisecondsBetween(Clock::now(), until);
-        if (!connection->send(requestHead("POST", "/guide/x", attemptName(client, number, attempt),
-                                          static_cast<int>(left), more, 0))) {
-            return;
-        }
-        std::string buffer;
-        std::optional<Message> head;
-        while (!(head = takeHead(buffer))) {
-            if (connection->read(buffer, millisecondsBetween(Clock::now(), until))
-                != ReadEnd::Data) {
-                stream.trace += " (no answer)";
-                return;
-            }
-        }
-        if (head->status() != 200) {
-            stream.trace += " (" + std::to_string(head->status()) + ")";
-            pauseFor(100);
-            return;
-        }
-        ChunkDecoder decoder;
-        std::string body;
-        bool isComplete = decoder.decode(buffer, body);
-        this->takeEvents(body, stream);
-        while (!isComplete) {
-            if (connection->read(buffer, millisecondsBetween(Clock::now(), until))
-                != ReadEnd::Data) {
-                stream.trace += " (cut)";
-                return;
-            }
-            isComplete = decoder.decode(buffer, body);
-            this->takeEvents(body, stream);
-        }
-        stream.isWhole = stream.last == pieces;
-    }
-
-    static void takeEvents(std::string &body, Stream &stream)
-    {
-        for (std::size_t end = body.find("\n\n"); end != std::string::npos;
-             end = body.find("\n\n")) {
-            const std::string event = body.substr(0, end);
-            body.erase(0, end + 2);
-            const std::uint64_t id = std::stoull(event.substr(event.find("id: ") + 4));
-            const std::size_t data = event.find("data: ") + 6;
-            const std::string version = event.substr(data, event.find(' ', data) - data);
-            stream.hasGap = stream.hasGap || id != stream.last + 1;
-            stream.last = id;
-            if (stream.versions.insert(version).second) {
-                stream.trace += " " + version + " from " + std::to_string(id);
+            this->record.line(describe(stream));
+            {
+                const std::lock_guard lock(this->mutex);
+                this->streams.push_back(stream);
             }
+            pauseFor(clientPauseMs);
         }
     }
 
