review: a second of silence cuts streams when no other replica has room

Cause: a stream that is silent for 300 ms leaves its replica before another one has taken it. Rejections and the way back cost retry budget, which the first streams spend; the rest are cut.

Change: review/9 holds the claim and a script; the case on long bodies is now review/10. A router that is started again is told that it is not the first start, as on the platform.

--- a/review/standins-2/longbodies.cc
+++ b/review/standins-2/longbodies.cc
@@ -1,5 +1,5 @@
 // The clients of an area send long requests at once, and all are handed to one machine. See
-// review/9/claim.txt.
+// review/10/claim.txt.
 
 #include <iostream>
 
--- a/review/standins-2/platform.hh
+++ b/review/standins-2/platform.hh
@@ -421,6 +421,8 @@
         const std::string settings = this->folder + "/" + name + ".json";
         std::ofstream(settings) << Template::fill(
             contentsOf(this->root + "/deploy/settings.json.in"), this->fields);
+        // True only when the whole system starts for the first time.
+        this->fields["bootstrap"] = false;
         std::vector<std::string> words = command(this->root);
         if (words.empty()) {
             return false;
--- a/review/standins-2/streams.hh
+++ b/review/standins-2/streams.hh
@@ -15,7 +15,7 @@
 /// Writes the events of a request's stream that its client lacks. \returns whether it wrote them
 /// all.
 inline bool writeEvents(Replica &replica, Connection &connection, const Message &request,
-                        int pieces, int intervalMs)
+                        int pieces, int intervalMs, const std::function<void()> &beforeEach = {})
 {
     const std::string resumed = request.field("Last-Event-Id");
     int next = resumed.empty() ? 1 : std::stoi(resumed) + 1;
@@ -26,6 +26,9 @@
     }
     for (; next <= pieces; ++next) {
         pauseFor(intervalMs);
+        if (beforeEach) {
+            beforeEach();
+        }
         if (replica.isStopped() || connection.isClosedByPeer()) {
             return false;
         }
