Confirm where a stream began before its caller gets an event

Callers of a router that was cut off from the store and the other routers, and killed meanwhile, took their streams up elsewhere, and none went on while two software versions served. A router gave its callers events as they came and told the others with its next update. While that reached nobody, it alone knew at which version it had begun them: the other routers' log shows binding=unknown, source=none and two routers asked for each of 20 streams.

Change: while streams of several versions may be taken up, the first event of a new stream waits until a router of another data centre has confirmed that it keeps the origin (OriginConfirmations, witnesses by rendezvous; another router where the fleet has one data centre). If none responds, the origin is recorded in the store (OriginStore, one object for each write), where it is found when no router knows it. Updates say when versions were last mixed, so that a router that was restarted or out of step knows it. Routers of earlier builds are no witnesses; without any, nothing waits.

Why this works: a caller holds no event whose version is known only to the router, or only to routers that fail with its data centre. What is not confirmed never began for the caller. Nothing is inferred, so that no stream is mixed by it.

Weighed: asking upstreams what they cache (not certain), one agreed version for routers that are alone (rests on nobody else having lost an origin), all origins in the store (too many writes); see docs/design/streamversions.md.

--- a/gateway/dialect.cpp
+++ b/gateway/dialect.cpp
@@ -8,7 +8,8 @@
 
 constexpr std::array kindNames{std::string_view{"routing"},     std::string_view{"replicas"},
                                std::string_view{"routers"},     std::string_view{"evacuations"},
-                               std::string_view{"quarantines"}, std::string_view{"versions"}};
+                               std::string_view{"quarantines"}, std::string_view{"versions"},
+                               std::string_view{"origins"}};
 
 } // namespace
 
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "plantainswitch/base/error.h"
+#include "plantainswitch/routing/originrecord.h"
 #include "plantainswitch/routing/prompt.h"
 #include "plantainswitch/routing/replica.h"
 #include "plantainswitch/routing/route.h"
@@ -105,6 +106,7 @@
     Evacuations,
     Quarantines,
     Versions,
+    Origins,
 };
 [[nodiscard]] std::string_view nameOf(StoreObjectKind kind) noexcept;
 
@@ -219,6 +221,11 @@
     parseVersionRecord(const StoreObject &item) const = 0;
     /// \returns the body of the call that writes \a record, under the same condition.
     [[nodiscard]] virtual std::string serializeVersionRecord(const VersionRecord &record) const = 0;
+    /// Decodes a record of streams' origins. \returns nothing if it is malformed.
+    [[nodiscard]] virtual std::optional<OriginRecord>
+    parseOriginRecord(const StoreObject &item) const = 0;
+    /// \returns the body of the call that creates \a record.
+    [[nodiscard]] virtual std::string serializeOriginRecord(const OriginRecord &record) const = 0;
     [[nodiscard]] virtual std::optional<RouterEntry>
     parseRouterEntry(const StoreObject &item) const = 0;
     /// \returns the body of the call that registers this router.
--- a/gateway/fleetgossip.cpp
+++ b/gateway/fleetgossip.cpp
@@ -44,6 +44,8 @@
         return ControlKind::OriginAsk;
     case wire::GatewayDatagram::kOriginReply:
         return ControlKind::OriginReply;
+    case wire::GatewayDatagram::kOriginConfirmation:
+        return ControlKind::OriginConfirmation;
     default:
         return ControlKind::RouterNews;
     }
@@ -103,6 +105,7 @@
 {
     this->stopped = true;
     this->originExchange.tick();
+    this->originExchange.stop();
     this->broadcast(BroadcastScope::All);
     this->timer.cancel();
     asio::error_code ignored;
@@ -258,7 +261,7 @@
         this->onEnd(datagram.end(), from);
         break;
     case wire::GatewayDatagram::kOriginReport:
-        this->originExchange.onOrigins(datagram.origin_report().origins());
+        this->originExchange.onReport(datagram.origin_report(), from);
         break;
     case wire::GatewayDatagram::kOriginAsk:
         this->originExchange.onAsk(datagram.origin_ask(), from);
@@ -266,6 +269,9 @@
     case wire::GatewayDatagram::kOriginReply:
         this->originExchange.onReply(datagram.origin_reply(), from);
         break;
+    case wire::GatewayDatagram::kOriginConfirmation:
+        this->originExchange.onConfirmation(datagram.origin_confirmation());
+        break;
     case wire::GatewayDatagram::BODY_NOT_SET:
         logEvent(Event::DatagramInvalid, {{"from", toText(from)}});
         break;
--- a/gateway/fleetupdates.cpp
+++ b/gateway/fleetupdates.cpp
@@ -61,6 +61,7 @@
     contact.stopping = message.stopping();
     contact.acceptsForwards = message.accepts_forwards();
     contact.keepsOrigins = message.keeps_origins();
+    contact.confirmsOrigins = message.confirms_origins();
     contact.unreachableServices = {message.unreachable_services().begin(),
                                    message.unreachable_services().end()};
 }
@@ -103,6 +104,21 @@
     }
 }
 
+void appendMixedVersions(wire::RouterNews &message, const GatewayState &gateway, TimePoint now)
+{
+    if (!gateway.routingTable) {
+        return;
+    }
+    for (const RoutedService &service : gateway.routingTable->config().services) {
+        const auto mixedAt = gateway.serviceVersions.mixedAt(service.name, now);
+        if (mixedAt && now - *mixedAt <= gateway.takeUpTimeOf(service.name)) {
+            wire::MixedVersions *const entry = message.add_mixed_versions();
+            entry->set_service(hashOf(service.name));
+            entry->set_ago_ms(millisecondsSince(*mixedAt, now));
+        }
+    }
+}
+
 } // namespace
 
 void FleetGossip::onUpdateMessage(const wire::RouterNews &message, const Endpoint &from)
@@ -117,6 +133,10 @@
     recordState(contact, message, now);
     this->applyEvacuationUpdate(message);
     this->originExchange.onOrigins(message.origins());
+    for (const wire::MixedVersions &entry : message.mixed_versions()) {
+        this->gateway.serviceVersions.recordMixedElsewhere(entry.service(),
+                                                           now - Milliseconds{entry.ago_ms()});
+    }
     RouterUpdate update;
     update.id = message.id();
     update.incarnation = message.incarnation();
@@ -351,6 +371,8 @@
         }
     }
     message.set_keeps_origins(true);
+    message.set_confirms_origins(true);
+    appendMixedVersions(message, this->gateway, now);
     this->originExchange.append(message, update.origins);
     message.set_accepts_forwards(this->gateway.settings.mechanisms.forwarding);
     for (const auto &[service, reach] : this->gateway.reach) {
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -65,6 +65,25 @@
                : streams + this->settings.maxCatchUpTime + this->settings.maxDrainTime;
 }
 
+bool GatewayState::areVersionsMixed(const std::string &service) const
+{
+    const Milliseconds takeUpTime = this->takeUpTimeOf(service);
+    const TimePoint now = this->clock.now();
+    return takeUpTime.count() > 0
+           && this->serviceVersions.areMixedSince(service, now - takeUpTime, now);
+}
+
+bool GatewayState::areAnyVersionsMixed() const
+{
+    if (!this->routingTable) {
+        return false;
+    }
+    const auto &services = this->routingTable->config().services;
+    return std::any_of(services.begin(), services.end(), [this](const RoutedService &service) {
+        return this->areVersionsMixed(service.name);
+    });
+}
+
 std::uint64_t GatewayState::latestRevision() const
 {
     std::uint64_t newest = 0;
@@ -315,9 +334,15 @@
     }
 }
 
-bool Gateway::isReady() const noexcept
+bool Gateway::isReady() const
+{
+    return this->state.routingTable && this->state.isDirectoryLoaded && !this->state.stopping
+           && this->mayBeginStreams();
+}
+
+bool Gateway::mayBeginStreams() const
 {
-    return this->state.routingTable && this->state.isDirectoryLoaded && !this->state.stopping;
+    return !this->state.areAnyVersionsMixed() || this->state.fleet->origins().areOriginsConfirmed();
 }
 
 void Gateway::updateReadiness()
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -127,7 +127,9 @@
     /// Applies the settings file again if its text has changed.
     /// \param isRequested whether a signal requested it, which is then logged in any case
     void reloadSettings(bool isRequested);
-    [[nodiscard]] bool isReady() const noexcept;
+    [[nodiscard]] bool isReady() const;
+    /// \returns whether new streams are admitted, as far as the confirmation of origins decides it.
+    [[nodiscard]] bool mayBeginStreams() const;
 
     asio::io_context context;
     GatewayState state;
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -41,7 +41,8 @@
 void RequestHandler::start()
 {
     this->gateway.metrics.count(Counter::Requests);
-    if ((this->forwarded && !this->acceptForwarded()) || !this->prepare() || !this->passStop()) {
+    if ((this->forwarded && !this->acceptForwarded()) || !this->prepare() || !this->passStop()
+        || !this->passConfirmation()) {
         return;
     }
     if (this->bindTakenUpStream()) {
@@ -391,7 +392,7 @@
 
 bool RequestHandler::mayHaveRun() const
 {
-    return this->possibleExecutions > 0 || this->phase == Phase::Forwarding
+    return this->possibleExecutions > 0 || this->withheld || this->phase == Phase::Forwarding
            || (this->upstream && this->phase != Phase::Selecting);
 }
 
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -66,6 +66,15 @@
         BufferShare share;
     };
 
+    /// The begin of a stream's response that the caller does not get before the stream's origin is
+    /// confirmed.
+    struct WithheldStream
+    {
+        std::string events;
+        /// The stream is complete.
+        bool isComplete = false;
+    };
+
     /// The upstreams among which one was selected, and the selected one.
     struct CandidateChoice
     {
@@ -91,17 +100,33 @@
     /// Binds the request to the version that began its stream, if it takes one up again.
     /// \returns false if the origin is being searched for, or the request was refused.
     bool bindTakenUpStream();
-    /// Binds the stream by its origin; without one, to the only version of its service.
+    /// Binds the stream by its origin. If no router knows it, it is looked up in the store.
     void onOriginFound(const OriginResult &result);
+    /// Binds the stream to the only version of its service, if there is one.
+    /// \param asked number of routers that were asked for the origin
+    void confirmOnlyVersion(std::size_t asked);
     /// Places a request whose stream began at \a version, or refuses it if that is unknown.
     /// \param asked number of routers that were asked for the origin
     /// \param source what the version is known by
     void onVersionFound(std::optional<VersionKey> version, std::size_t asked,
                         std::string_view source);
+    /// \returns whether the caller may get the first event of the stream only once a witness has
+    /// confirmed its origin.
+    [[nodiscard]] bool needsConfirmation() const;
+    /// Refuses a new stream whose origin nobody would confirm. \returns whether it was admitted.
+    bool passConfirmation();
     /// Binds the stream at its first event, and reports its origin.
     void recordStreamEvents();
     /// Records, and reports to the other routers, that the stream began at its version.
     void announceOrigin();
+    /// Gives the caller the events that were withheld until the stream's origin was confirmed.
+    void onOriginConfirmed(bool isConfirmed);
+    /// Gives the caller complete events, or withholds them.
+    void writeEvents(const std::string &events);
+    /// Gives the caller the end of the stream, or withholds it.
+    void writeStreamEnd();
+    /// Begins the response of a stream with the fields of the upstream that began it.
+    void startStream();
     /// Refuses the request if one of its suspects is quarantined for crashing upstreams, or asks
     /// for a trial. \returns whether it may be sent.
     bool passQuarantine();
@@ -362,6 +387,10 @@
     std::optional<FailedResponse> failedResponse;
     EventRelay eventRelay;
     StreamState stream;
+    /// Nothing once the caller gets events as they arrive.
+    std::optional<WithheldStream> withheld;
+    /// Fields of the response with which the stream began.
+    std::vector<HeaderField> streamFields;
     bool responseStarted = false;
     Duration timeToFirstByte{0};
     std::string connectionPath;
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -217,14 +217,10 @@
     }
     this->recordStreamEvents();
     this->isSilenceRecorded = false;
-    if (!this->responseStarted) {
-        this->responseStarted = true;
-        this->caller->startChunked(this->response.status, this->responseFields(),
-                                   this->gateway.stopping);
-    }
-    this->caller->writeChunk(completeEvents);
+    this->writeEvents(completeEvents);
     this->armTimer(this->upstream ? this->silenceDeadline() : this->deadline);
-    const std::size_t queued = this->caller->queuedBytes();
+    const std::size_t queued =
+        this->caller->queuedBytes() + (this->withheld ? this->withheld->events.size() : 0);
     if (queued > pauseThresholdBytes
         || !this->bufferShare.resize(this->eventRelay.partialSize() + queued)) {
         this->isReadingPaused = true;
@@ -371,18 +367,15 @@
         this->onFault(UpstreamFault::ConnectionLost);
         return;
     }
-    if (!this->responseStarted) {
-        this->responseStarted = true;
-        this->caller->startChunked(this->response.status, this->responseFields(),
-                                   this->gateway.stopping);
-    }
     if (this->upstream) {
         this->recordHoldTime();
     }
+    if (this->streamFields.empty()) {
+        this->streamFields = this->responseFields();
+    }
     this->releaseUpstream();
     this->gateway.streamOrigins.complete(this->stream.key);
-    this->caller->finishChunked();
-    this->finish("whole");
+    this->writeStreamEnd();
 }
 
 void RequestHandler::forwardResponse()
@@ -394,6 +387,11 @@
         this->finish("cut");
         return;
     }
+    if (this->withheld) {
+        // As above, and the caller has received nothing.
+        this->refuse(ErrorKind::UpstreamFailed, "the upstream did not resume the stream");
+        return;
+    }
     const int status = this->response.status;
     this->caller->respond(status, this->responseFields(), this->responseBody,
                           this->gateway.stopping);
--- a/gateway/gatewaystate.h
+++ b/gateway/gatewaystate.h
@@ -144,6 +144,10 @@
     /// \returns how long after a version of the service was last listed callers may still take up
     /// streams that began at it; 0 if they may take up none.
     [[nodiscard]] Milliseconds takeUpTimeOf(std::string_view service) const;
+    /// \returns whether callers may take up streams of several versions of \a service.
+    [[nodiscard]] bool areVersionsMixed(const std::string &service) const;
+    /// \returns the same for all services.
+    [[nodiscard]] bool areAnyVersionsMixed() const;
     /// \returns the usual share of a workspace of all requests of the fleet; 0 if not known.
     [[nodiscard]] double usualShareOf(std::string_view workspace) const;
 
--- a/gateway/originexchange.cpp
+++ b/gateway/originexchange.cpp
@@ -1,8 +1,11 @@
 #include "originexchange.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
+#include "plantainswitch/observe/event.h"
+
 namespace plantainswitch::gateway {
 
 namespace {
@@ -16,6 +19,12 @@
     return static_cast<std::uint32_t>(std::max<Milliseconds::rep>(left.count(), 0));
 }
 
+/// Number of a report that asks whether its receiver responds; higher than any of an origin.
+constexpr std::uint64_t probeNumber = std::numeric_limits<std::uint64_t>::max();
+
+/// Requests to witnesses for one confirmation before the store is asked as well.
+constexpr std::size_t roundsBeforeStore = 4;
+
 /// Origins in one datagram, about one Ethernet frame.
 constexpr std::size_t maxReportedAtOnce = 100;
 
@@ -44,6 +53,8 @@
     , contacts(contacts)
     , own(own)
     , send(std::move(send))
+    , store(gateway, own)
+    , confirmationTimer(gateway.context)
 {}
 
 void OriginExchange::announce(StreamOrigin origin)
@@ -57,10 +68,145 @@
     }
 }
 
+void OriginExchange::announceConfirmed(const StreamOrigin &origin, std::function<void(bool)> done)
+{
+    this->announce(origin);
+    const TimePoint now = this->gateway.clock.now();
+    if (!this->contacts.originWitnesses(origin.stream, now).exist) {
+        done(true);
+        return;
+    }
+    StreamOrigin own = origin;
+    own.owner = this->own;
+    this->unconfirmed.emplace(this->confirmations.add(own, now), Unconfirmed{std::move(done)});
+    this->confirmDue();
+}
+
+bool OriginExchange::areWitnessesResponding() const
+{
+    const TimePoint now = this->gateway.clock.now();
+    const OriginWitnesses witnesses = this->contacts.originWitnesses({}, now);
+    return !witnesses.exist || (!witnesses.alive.empty() && this->confirmations.areConfirmed(now));
+}
+
+bool OriginExchange::areOriginsConfirmed() const
+{
+    return this->areWitnessesResponding() || this->store.isResponding();
+}
+
+void OriginExchange::confirmDue()
+{
+    const TimePoint now = this->gateway.clock.now();
+    const bool areResponding = this->areWitnessesResponding();
+    for (const ConfirmationRequest &request : this->confirmations.takeDue(now)) {
+        const OriginWitnesses witnesses =
+            this->contacts.originWitnesses(request.origin.stream, now);
+        wire::GatewayDatagram datagram;
+        wire::OriginReport &report = *datagram.mutable_origin_report();
+        report.set_number(request.number);
+        appendOrigins(*report.mutable_origins(), {request.origin}, now);
+        for (const Endpoint &witness : witnessesOfRound(witnesses, request.round)) {
+            this->send(witness, datagram);
+        }
+        if (!areResponding || request.round >= roundsBeforeStore) {
+            this->confirmAtStore(request);
+        }
+    }
+    for (const std::uint64_t number : this->confirmations.takeExpired(now)) {
+        this->finishConfirmation(number, false);
+    }
+    if (const auto due = this->confirmations.nextDue()) {
+        this->confirmationTimer.expires_at(*due);
+        this->confirmationTimer.async_wait([this](const asio::error_code &error) {
+            if (!error) {
+                this->confirmDue();
+            }
+        });
+    }
+}
+
+void OriginExchange::confirmAtStore(const ConfirmationRequest &request)
+{
+    const auto found = this->unconfirmed.find(request.number);
+    if (found == this->unconfirmed.end() || found->second.isAtStore) {
+        return;
+    }
+    found->second.isAtStore = true;
+    this->store.write(request.origin, [this, number = request.number](bool isWritten) {
+        if (isWritten) {
+            this->confirmations.settle(number, this->gateway.clock.now());
+            this->finishConfirmation(number, true);
+            return;
+        }
+        const auto failed = this->unconfirmed.find(number);
+        if (failed != this->unconfirmed.end()) {
+            failed->second.isAtStore = false;
+        }
+    });
+}
+
+void OriginExchange::finishConfirmation(std::uint64_t number, bool isConfirmed)
+{
+    auto finished = this->unconfirmed.extract(number);
+    if (!finished.empty()) {
+        finished.mapped().done(isConfirmed);
+    }
+}
+
+void OriginExchange::probeWitnesses()
+{
+    const bool areMixed = this->gateway.areAnyVersionsMixed();
+    const bool areResponding = !areMixed || this->areWitnessesResponding();
+    if (areResponding != std::exchange(this->wereResponding, areResponding)) {
+        logEvent(Event::WitnessesResponding, {{"responding", areResponding ? "yes" : "no"}});
+    }
+    if (areResponding) {
+        return;
+    }
+    this->store.probe();
+    wire::GatewayDatagram datagram;
+    datagram.mutable_origin_report()->set_number(probeNumber);
+    const OriginWitnesses witnesses = this->contacts.originWitnesses({}, this->gateway.clock.now());
+    for (const Endpoint &witness : witnessesOfRound(witnesses, ++this->probes)) {
+        this->send(witness, datagram);
+    }
+}
+
+void OriginExchange::findInStore(StreamKey stream, std::function<void(const OriginResult &)> done)
+{
+    this->store.find(stream, [done = std::move(done)](std::optional<VersionKey> version) {
+        done({version, 0});
+    });
+}
+
+void OriginExchange::stop()
+{
+    this->confirmationTimer.cancel();
+    this->store.stop();
+}
+
+void OriginExchange::onReport(const wire::OriginReport &message, const Endpoint &from)
+{
+    this->onOrigins(message.origins());
+    if (message.number() == 0 || this->gateway.stopping) {
+        return;
+    }
+    wire::GatewayDatagram datagram;
+    datagram.mutable_origin_confirmation()->set_number(message.number());
+    this->send(from, datagram);
+}
+
+void OriginExchange::onConfirmation(const wire::OriginConfirmation &message)
+{
+    this->confirmations.confirm(message.number(), this->gateway.clock.now());
+    this->finishConfirmation(message.number(), true);
+}
+
 void OriginExchange::tick()
 {
     const TimePoint now = this->gateway.clock.now();
     this->gateway.streamOrigins.removeExpired(now);
+    this->probeWitnesses();
     for (const auto &[holder, origins] : std::exchange(this->unsent, {})) {
         this->report(holder, origins);
     }
--- a/include/plantainswitch/base/error.h
+++ b/include/plantainswitch/base/error.h
@@ -22,6 +22,7 @@
     ClaimUnavailable,
     Quarantined,
     StreamOriginUnknown,
+    StreamOriginUnconfirmed,
     VersionUnavailable,
     AlreadyRan,
     MayHaveRun,
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -74,6 +74,8 @@
     RequestQueued = 421,
     RequestQueueLeft = 422,
     VersionsRecorded = 423,
+    WitnessesResponding = 424,
+    OriginsRecorded = 425,
     LimitReached = 450,
     UpstreamUnreachable = 500,
     UpstreamGarbage = 501,
--- a/include/plantainswitch/observe/metrics.h
+++ b/include/plantainswitch/observe/metrics.h
@@ -68,6 +68,7 @@
     OriginReport,
     OriginAsk,
     OriginReply,
+    OriginConfirmation,
 };
 
 /// Idle time after which a workspace's series is left out of the page: twice the five minutes that
--- a/include/plantainswitch/routing/routercontacts.h
+++ b/include/plantainswitch/routing/routercontacts.h
@@ -11,6 +11,7 @@
 
 #include "plantainswitch/base/clock.h"
 #include "plantainswitch/membership/vm.h"
+#include "plantainswitch/routing/originconfirmation.h"
 #include "plantainswitch/routing/streamorigin.h"
 
 namespace plantainswitch {
@@ -109,6 +110,8 @@
     bool acceptsForwards = false;
     /// It keeps the origins of streams that others report, and replies to questions for them.
     bool keepsOrigins = false;
+    /// It confirms the origins that are reported to it.
+    bool confirmsOrigins = false;
     /// Hashes of the names of the services that it is cut off from.
     std::set<std::uint64_t> unreachableServices;
 };
@@ -253,6 +256,9 @@
     /// \returns the routers of other data centres that are to keep a copy of the origin of
     /// \a stream, because their updates are too rare to carry it.
     [[nodiscard]] std::vector<Endpoint> originHolders(StreamKey stream, TimePoint now) const;
+    /// \returns the routers that can confirm the origin of \a stream. Those that have failed count
+    /// for majorityRetention.
+    [[nodiscard]] OriginWitnesses originWitnesses(StreamKey stream, TimePoint now) const;
     /// \returns the routers that may know the origin of a stream, wherever it began.
     [[nodiscard]] std::vector<Endpoint> originSources(StreamKey stream, TimePoint now) const;
     /// \returns the routers by which is decided what is passed on to \a joining.
--- a/include/plantainswitch/routing/serviceversions.h
+++ b/include/plantainswitch/routing/serviceversions.h
@@ -30,6 +30,14 @@
     /// may have been listed at times in which it did not follow the list.
     [[nodiscard]] std::optional<VersionKey> onlySeenSince(const std::string &service,
                                                           TimePoint since) const;
+    /// \returns when the last but one version of \a service was last listed, by this router's list;
+    /// nothing if there was one version only.
+    [[nodiscard]] std::optional<TimePoint> mixedAt(const std::string &service, TimePoint now) const;
+    /// Records the same by another router's list. \param service hash of its name
+    void recordMixedElsewhere(std::uint64_t service, TimePoint at);
+    /// \returns whether upstreams of two versions of \a service were listed since \a since.
+    [[nodiscard]] bool areMixedSince(const std::string &service, TimePoint since,
+                                     TimePoint now) const;
     /// \returns the versions of the upstreams of \a service that are listed.
     [[nodiscard]] std::set<VersionKey> listedOf(const std::string &service) const;
 
@@ -37,6 +45,8 @@
     std::optional<TimePoint> completeSince;
     /// When an upstream of each version was last listed, by service; TimePoint::max() if one is.
     std::map<std::string, std::map<VersionKey, TimePoint>> lastListed;
+    /// When other routers last saw two versions, by the hash of the service's name.
+    std::map<std::uint64_t, TimePoint> mixedElsewhere;
 };
 
 } // namespace plantainswitch
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -35,6 +35,10 @@
     ErrorRow{ErrorKind::StreamOriginUnknown, "stream-origin-unknown", 503, ExecutionStatus::No,
              std::nullopt,
              "It is not known which software version began the stream; this attempt was not run."},
+    ErrorRow{ErrorKind::StreamOriginUnconfirmed, "stream-origin-unconfirmed", 503,
+             ExecutionStatus::No, 1,
+             "No other router can record which software version begins the stream; this attempt "
+             "was not run."},
     ErrorRow{ErrorKind::VersionUnavailable, "version-unavailable", 503, ExecutionStatus::No,
              std::nullopt,
              "No upstream of the software version that began the stream is left; this attempt was "
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -69,6 +69,8 @@
     EventRow{Event::RequestQueued, "request-queued", Severity::Debug},
     EventRow{Event::RequestQueueLeft, "request-queue-left", Severity::Debug},
     EventRow{Event::VersionsRecorded, "versions-recorded", Severity::Info},
+    EventRow{Event::WitnessesResponding, "witnesses-responding", Severity::Warning},
+    EventRow{Event::OriginsRecorded, "origins-recorded", Severity::Info},
     EventRow{Event::LimitReached, "limit-reached", Severity::Debug},
     EventRow{Event::UpstreamUnreachable, "upstream-unreachable", Severity::Warning},
     EventRow{Event::UpstreamGarbage, "upstream-garbage", Severity::Error},
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -54,7 +54,7 @@
     std::string_view{"engine_ask"},    std::string_view{"engine_reply"},
     std::string_view{"engine_end"},    std::string_view{"store_view"},
     std::string_view{"origin_report"}, std::string_view{"origin_ask"},
-    std::string_view{"origin_reply"},
+    std::string_view{"origin_reply"},  std::string_view{"origin_confirmation"},
 };
 constexpr std::array timingNames{std::string_view{"first_byte_seconds"},
                                  std::string_view{"whole_seconds"},
--- a/src/routing/origincontacts.cpp
+++ b/src/routing/origincontacts.cpp
@@ -40,6 +40,32 @@
     return holders;
 }
 
+OriginWitnesses RouterContacts::originWitnesses(StreamKey stream, TimePoint now) const
+{
+    const auto isWitness = [this, now](const RouterContact &contact, bool isElsewhere) {
+        return contact.confirmsOrigins && !contact.stopping && this->isLocal(contact) != isElsewhere
+               && now - contact.lastSeen <= majorityRetention;
+    };
+    OriginWitnesses witnesses;
+    const auto collect = [&](bool isElsewhere) {
+        witnesses.exist =
+            std::any_of(this->contacts.begin(), this->contacts.end(),
+                        [&](const auto &entry) { return isWitness(entry.second, isElsewhere); });
+        for (const auto &[address, contact] :
+             this->originKeepers(stream, this->gossipIntervals(), now)) {
+            if (isWitness(*contact, isElsewhere)) {
+                witnesses.alive.push_back(address);
+            }
+        }
+    };
+    collect(true);
+    if (!witnesses.exist) {
+        // The fleet has one data centre.
+        collect(false);
+    }
+    return witnesses;
+}
+
 std::vector<Endpoint> RouterContacts::originSources(StreamKey stream, TimePoint now) const
 {
     const GossipIntervals intervals = this->gossipIntervals();
--- a/src/routing/serviceversions.cpp
+++ b/src/routing/serviceversions.cpp
@@ -1,5 +1,11 @@
 #include "plantainswitch/routing/serviceversions.h"
 
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+#include "plantainswitch/base/hash.h"
+
 namespace plantainswitch {
 
 namespace {
@@ -65,6 +71,34 @@
     return only;
 }
 
+std::optional<TimePoint> ServiceVersions::mixedAt(const std::string &service, TimePoint now) const
+{
+    const auto found = this->lastListed.find(service);
+    if (found == this->lastListed.end() || found->second.size() < 2) {
+        return std::nullopt;
+    }
+    std::vector<TimePoint> times;
+    for (const auto &[version, last] : found->second) {
+        times.push_back(std::min(last, now));
+    }
+    std::nth_element(times.begin(), times.begin() + 1, times.end(), std::greater<>());
+    return times[1];
+}
+
+void ServiceVersions::recordMixedElsewhere(std::uint64_t service, TimePoint at)
+{
+    TimePoint &known = this->mixedElsewhere[service];
+    known = std::max(known, at);
+}
+
+bool ServiceVersions::areMixedSince(const std::string &service, TimePoint since,
+                                    TimePoint now) const
+{
+    const auto elsewhere = this->mixedElsewhere.find(hashOf(service));
+    return this->mixedAt(service, now) >= since
+           || (elsewhere != this->mixedElsewhere.end() && elsewhere->second >= since);
+}
+
 std::set<VersionKey> ServiceVersions::listedOf(const std::string &service) const
 {
     std::set<VersionKey> listed;
--- a/tests/streamoriginmodel.cpp
+++ b/tests/streamoriginmodel.cpp
@@ -43,6 +43,19 @@
         return options;
     }
 
+    /// Routers are cut off from the others and the store, and killed before the cut ends.
+    static StreamOriginOptions cutAndKilledOptions(std::uint64_t seed)
+    {
+        StreamOriginOptions options = optionsOf(6 + seed % 20, seed);
+        options.killInterval = Milliseconds{0};
+        options.crashInterval = Milliseconds{seed % 2 == 0 ? 0 : 1500};
+        options.isolationInterval = Milliseconds{4000};
+        options.isolatedAtOnce = 1 + seed % 3;
+        options.isolationTime = Milliseconds{3500 + 500 * static_cast<int>(seed % 8)};
+        options.isolationKillAfter = Milliseconds{200 + 400 * static_cast<int>(seed % 8)};
+        return options;
+    }
+
     static void check(std::uint64_t seed, const StreamOriginOptions &options)
     {
         StreamOriginModel model(seed, options);
@@ -166,6 +179,44 @@
     }
 }
 
+TEST_CASE_METHOD(StreamOriginModelFixture, "streamOrigins_routersCutOffThenKilled_goOnUnmixed",
+                 "[routing]")
+{
+    // Guards against streams whose version only a router knows that can reach nobody before it
+    // ends.
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        check(seed, cutAndKilledOptions(seed));
+    }
+}
+
+TEST_CASE_METHOD(StreamOriginModelFixture,
+                 "streamOrigins_dataCentreCutOffThenLost_goOnElsewhereUnmixed", "[routing]")
+{
+    // Guards against the same for all routers that a router still reaches.
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        StreamOriginOptions options = optionsOf(6 + seed % 20, seed);
+        options.killInterval = Milliseconds{0};
+        options.cutAt = Milliseconds{9000};
+        options.killDataCentreAt = Milliseconds{9500 + 250 * static_cast<int>(seed)};
+        check(seed, options);
+    }
+}
+
+TEST_CASE_METHOD(StreamOriginModelFixture,
+                 "streamOrigins_confirmationIgnored_modelReportsLostStreams", "[routing]")
+{
+    // Guards against a model that can't see the two faults above.
+    int lost = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        StreamOriginOptions options = cutAndKilledOptions(seed);
+        options.areOriginsConfirmed = false;
+        StreamOriginModel model(seed, options);
+        model.run();
+        lost += model.takenUp() >= 12 && model.relativeShare() < 0.5 ? 1 : 0;
+    }
+    CHECK(lost > 10);
+}
+
 TEST_CASE_METHOD(StreamOriginModelFixture, "streamOrigins_recordIgnored_modelReportsMixedStreams",
                  "[routing]")
 {
--- a/tests/support/gatewayfixture.cpp
+++ b/tests/support/gatewayfixture.cpp
@@ -28,6 +28,7 @@
 
 constexpr std::string_view trialRecordsPath = "/objects/plantain-quarantines";
 constexpr std::string_view versionRecordsPath = "/objects/plantain-versions";
+constexpr std::string_view originRecordsPath = "/objects/plantain-origins";
 
 std::string makeRoutingDocument(std::uint64_t version, std::size_t maxBodyBytes)
 {
@@ -297,6 +298,13 @@
             connection.send(this->serveRecords(*request, versionRecordsPath, this->versionRecords));
             continue;
         }
+        if (target.starts_with(originRecordsPath)) {
+            connection.send(
+                this->refusesOrigins
+                    ? std::string("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+                    : this->serveRecords(*request, originRecordsPath, this->originRecords));
+            continue;
+        }
         const bool isRouting = target.starts_with("/objects/config");
         const bool isReplicas = target.starts_with("/objects/servers");
         this->listCount += isReplicas ? 1 : 0;
--- a/tests/support/gatewayfixture.h
+++ b/tests/support/gatewayfixture.h
@@ -134,6 +134,8 @@
     void editConfigSilently(std::uint64_t version) { this->routingVersion = version; }
     /// Sets the largest body that callers may send. Must be called before start().
     void setMaxBodyBytes(std::size_t bytes) { this->maxBodyBytes = bytes; }
+    /// Sets whether the store refuses calls on the origins of streams.
+    void setOriginsRefused(bool refused) { this->refusesOrigins = refused; }
     /// From now on the store responds to no watch, but still to lists.
     void ignoreWatches() { this->ignoresWatches = true; }
     /// Adds an entry of another writer to the store's list of upstreams, as it is in the response.
@@ -207,6 +209,7 @@
     std::string evacuationItems;
     StoredRecords trialRecords;
     StoredRecords versionRecords;
+    StoredRecords originRecords;
     std::uint64_t recordRevision = 5;
     std::mutex recordMutex;
     Milliseconds coldTime{0};
@@ -215,6 +218,7 @@
     std::atomic<int> listCount = 0;
     std::atomic<std::uint64_t> routingVersion = 7;
     std::atomic<bool> ignoresWatches = false;
+    std::atomic<bool> refusesOrigins = false;
     std::size_t maxBodyBytes = defaultMaxBodyBytes;
     std::unique_ptr<ScriptedServer> store;
     std::thread thread;
--- a/tests/support/streamoriginmodel.h
+++ b/tests/support/streamoriginmodel.h
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "plantainswitch/base/hash.h"
+#include "plantainswitch/routing/originconfirmation.h"
 #include "plantainswitch/routing/originhandover.h"
 #include "plantainswitch/routing/originsearch.h"
 #include "plantainswitch/routing/routercontacts.h"
@@ -76,6 +78,13 @@
     /// Interval at which a router is cut off from the other routers and the store; 0: never.
     Milliseconds isolationInterval{0};
     Milliseconds isolationTime{3000};
+    /// When the cut-off router is killed, after the cut began; it is back with the end of the cut.
+    /// 0: it is not killed.
+    Milliseconds isolationKillAfter{0};
+    /// Routers that are cut off at the same time, also from each other.
+    std::size_t isolatedAtOnce = 1;
+    /// Whether callers get the first event of a stream only once its origin is confirmed.
+    bool areOriginsConfirmed = true;
     /// Whether streams of unknown origin need the store's record, or what a router has seen within
     /// observedTime is enough.
     bool usesRecord = true;
@@ -123,7 +132,7 @@
         }
         this->scheduleRoll();
         this->repeat(this->options.releaseInterval, [this] { this->release += 1; });
-        this->repeat(this->options.isolationInterval, [this] { this->isolateRouter(); });
+        this->repeat(this->options.isolationInterval, [this] { this->isolateSome(); });
         this->runFor(modelDuration);
     }
 
@@ -163,6 +172,9 @@
         Replica replica;
     };
 
+    struct ModelRequest;
+    using RequestPointer = std::shared_ptr<ModelRequest>;
+
     struct ModelRouter
     {
         ModelRouter(std::string id, std::string dataCentre)
@@ -186,6 +198,9 @@
         bool isFirstStart = false;
         /// A write of the store's record is on its way.
         bool isRecording = false;
+        OriginConfirmations confirmations;
+        /// Requests whose callers wait for a confirmation, by its number.
+        std::map<std::uint64_t, RequestPointer> unconfirmed;
     };
 
     /// A caller and the stream that it receives.
@@ -211,8 +226,12 @@
         StreamState stream;
         int attempts = 0;
         bool isCounted = false;
+        /// Events that its caller gets once the origin is confirmed; nothing if it is.
+        std::optional<int> withheld;
+        std::string withheldVersion;
+        /// Its origin was not confirmed in time.
+        bool isGivenUp = false;
     };
-    using RequestPointer = std::shared_ptr<ModelRequest>;
 
     Replica makeReplica(std::size_t index)
     {
@@ -312,6 +331,7 @@
         router.origins.removeExpired(this->now);
         router.contacts.removeFailed(this->now);
         this->updateRecord(index);
+        this->confirmDue(index);
         for (const UpdateGroup &group :
              router.contacts.takeDueGroups(BroadcastScope::Due, this->now)) {
             const std::vector<StreamOrigin> origins =
@@ -331,8 +351,10 @@
                 bool isUpdate)
     {
         const std::uint64_t incarnation = this->routers[from]->incarnation;
+        const auto mixedAt = this->routers[from]->versions.mixedAt("model", this->now);
         this->send(
-            from, to, [this, from, to, origins, isUpdate, incarnation](ModelRouter &receiver) {
+            from, to,
+            [this, from, to, origins, isUpdate, incarnation, mixedAt](ModelRouter &receiver) {
                 if (isUpdate) {
                     const RouterContact *const before = receiver.contacts.find(addressOf(from));
                     const bool isNew = before == nullptr || !before->isMember
@@ -343,6 +365,10 @@
                     contact.id = "router-" + std::to_string(from);
                     contact.dataCentre = dataCentreName(from % this->options.dataCentres);
                     contact.keepsOrigins = true;
+                    contact.confirmsOrigins = this->options.areOriginsConfirmed;
+                    if (mixedAt) {
+                        receiver.versions.recordMixedElsewhere(hashOf("model"), *mixedAt);
+                    }
                     if (isNew) {
                         this->onJoined(to, from);
                     }
@@ -396,6 +422,10 @@
         if (caller->events == 0) {
             caller->stream = ++this->lastStream;
             request->stream.key = caller->stream;
+            if (this->needsConfirmation(router) && !this->mayBegin(router)) {
+                this->returnLater(caller);
+                return;
+            }
             request->isCounted = isUndisturbed;
             this->newCount += request->isCounted ? 1 : 0;
             this->dispatch(request);
@@ -407,6 +437,73 @@
         this->takeUp(request);
     }
 
+    /// \returns whether streams of several versions may be taken up, as far as the router knows.
+    [[nodiscard]] bool needsConfirmation(const ModelRouter &router) const
+    {
+        return this->options.isBound && this->options.areOriginsConfirmed
+               && router.versions.areMixedSince("model", this->now - this->takeUpTime(), this->now);
+    }
+
+    /// \returns whether witnesses confirm the origins of the router, as OriginExchange finds it.
+    [[nodiscard]] bool mayBegin(const ModelRouter &router) const
+    {
+        const OriginWitnesses witnesses = router.contacts.originWitnesses({}, this->now);
+        return !witnesses.exist
+               || (!witnesses.alive.empty() && router.confirmations.areConfirmed(this->now));
+    }
+
+    /// Asks witnesses for what is to be confirmed, as OriginExchange does.
+    void confirmDue(std::size_t index)
+    {
+        ModelRouter &router = *this->routers[index];
+        std::vector<ConfirmationRequest> due = router.confirmations.takeDue(this->now);
+        if (!router.confirmations.areConfirmed(this->now)) {
+            // A probe.
+            due.push_back({0, {}, this->below(maxAttempts)});
+        }
+        for (const ConfirmationRequest &request : due) {
+            const OriginWitnesses witnesses =
+                router.contacts.originWitnesses(request.origin.stream, this->now);
+            for (const Endpoint &witness : witnessesOfRound(witnesses, request.round)) {
+                this->askWitness(index, this->indexOf(witness), request);
+            }
+        }
+        for (const std::uint64_t number : router.confirmations.takeExpired(this->now)) {
+            const auto expired = router.unconfirmed.extract(number);
+            expired.mapped()->isGivenUp = true;
+            this->returnLater(expired.mapped()->caller);
+        }
+    }
+
+    void askWitness(std::size_t from, std::size_t to, const ConfirmationRequest &request)
+    {
+        const std::uint64_t incarnation = this->routers[from]->incarnation;
+        this->send(from, to, [this, from, to, request, incarnation](ModelRouter &witness) {
+            if (request.number > 0) {
+                witness.origins.record(request.origin, this->now);
+            }
+            this->send(to, from, [this, request, incarnation](ModelRouter &asking) {
+                if (asking.incarnation != incarnation) {
+                    return;
+                }
+                asking.confirmations.confirm(request.number, this->now);
+                const auto confirmed = asking.unconfirmed.extract(request.number);
+                if (!confirmed.empty()) {
+                    this->giveWithheld(*confirmed.mapped());
+                }
+            });
+        });
+    }
+
+    void giveWithheld(ModelRequest &request)
+    {
+        const int events = std::exchange(request.withheld, std::nullopt).value_or(0);
+        request.caller->events += events;
+        if (events > 0) {
+            request.caller->versions.insert(request.withheldVersion);
+        }
+    }
+
     [[nodiscard]] std::ptrdiff_t servingOf(const std::string &version) const
     {
         return std::count_if(this->upstreams.begin(), this->upstreams.end(),
@@ -594,9 +691,23 @@
                || (isDuring && index % this->options.dataCentres == 0);
     }
 
-    void isolateRouter()
+    void isolateSome()
     {
-        const std::size_t index = this->below(this->routers.size());
+        for (std::size_t i = 0; i < this->options.isolatedAtOnce; ++i) {
+            this->isolateRouter(this->below(this->routers.size()));
+        }
+    }
+
+    void isolateRouter(std::size_t index)
+    {
+        if (this->routers[index]->isIsolated) {
+            return;
+        }
+        if (this->options.isolationKillAfter.count() > 0) {
+            this->at(this->options.isolationKillAfter, [this, index] {
+                this->kill(index, this->options.isolationTime - this->options.isolationKillAfter);
+            });
+        }
         const std::uint64_t incarnation = this->routers[index]->incarnation;
         this->routers[index]->isIsolated = true;
         this->at(this->options.isolationTime, [this, index, incarnation] {
@@ -646,7 +757,7 @@
     [[nodiscard]] bool isRunning(const ModelRequest &request) const
     {
         const ModelRouter &router = *this->routers[request.router];
-        return router.isUp && router.incarnation == request.routerIncarnation;
+        return router.isUp && router.incarnation == request.routerIncarnation && !request.isGivenUp;
     }
 
     /// Chooses an upstream by the router's list.
@@ -696,9 +807,9 @@
                 this->dispatch(request);
                 return;
             }
-            this->relay(*request,
+            this->relay(request,
                         upstream.replica.id == id ? upstream.replica.version : lingering->second);
-            if (request->caller->events < request->caller->length) {
+            if (request->caller->events + request->withheld.value_or(0) < request->caller->length) {
                 this->scheduleEvent(request, index, id);
             } else {
                 this->routers[request->router]->origins.complete(request->stream.key);
@@ -707,8 +818,9 @@
     }
 
     /// Gives the caller one event. The router records the origin first.
-    void relay(ModelRequest &request, const std::string &version)
+    void relay(const RequestPointer &pointer, const std::string &version)
     {
+        ModelRequest &request = *pointer;
         ModelRouter &router = *this->routers[request.router];
         if (recordEvents(request.stream)) {
             const StreamOrigin origin{request.stream.key, request.stream.version,
@@ -719,6 +831,17 @@
             for (const Endpoint &holder : router.contacts.originHolders(origin.stream, this->now)) {
                 router.unsent[holder].push_back(origin);
             }
+            if (this->needsConfirmation(router)
+                && router.contacts.originWitnesses({}, this->now).exist) {
+                request.withheld = 0;
+                request.withheldVersion = version;
+                router.unconfirmed.emplace(router.confirmations.add(origin, this->now), pointer);
+                this->confirmDue(request.router);
+            }
+        }
+        if (request.withheld) {
+            *request.withheld += 1;
+            return;
         }
         ModelCaller &caller = *request.caller;
         caller.events += 1;
@@ -738,7 +861,7 @@
         this->at(this->between(5, 300), [this, caller] { this->connect(caller); });
     }
 
-    void kill(std::size_t index)
+    void kill(std::size_t index, Milliseconds downTime = restartTime)
     {
         ModelRouter &router = *this->routers[index];
         if (!router.isUp) {
@@ -750,7 +873,7 @@
                 this->returnLater(caller);
             }
         }
-        this->at(restartTime, [this, index] { *this->routers[index] = this->makeRouter(index); });
+        this->at(downTime, [this, index] { *this->routers[index] = this->makeRouter(index); });
     }
 
     void killSome()
