Group what belongs to one attempt of a request

Cause: a request that keeps one attempt while it makes another needs the state of each in one place; it lay beside the state of the whole request.

Change: RequestAttempt holds the upstream, its connection and response, the grant and what is expected of it. No change of behaviour.

--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -46,7 +46,7 @@
 
 void RequestHandler::selectAndDispatch()
 {
-    this->phase = Phase::Selecting;
+    this->attempt.phase = Phase::Selecting;
     if (!this->maySelect()) {
         return;
     }
@@ -111,7 +111,8 @@
         return false;
     }
     // The retry may fail at once, and then returns.
-    const std::string before = std::exchange(this->leftUpstream, this->upstream->replica.id);
+    const std::string before =
+        std::exchange(this->leftUpstream, this->attempt.upstream->replica.id);
     if (!this->retry(why)) {
         this->leftUpstream = before;
         return false;
@@ -285,14 +286,14 @@
     if (grantRequest.brittleBound > 0.0) {
         grantRequest.runTime.usual = this->gateway.runTimeBound(this->service);
     }
-    this->grantId = grantRequest.requestId;
-    this->grantedIncarnation = grantRequest.incarnation;
+    this->attempt.grantId = grantRequest.requestId;
+    this->attempt.grantedIncarnation = grantRequest.incarnation;
     const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
     this->gateway.fleet->requestGrant(std::move(grantRequest),
                                       [weak, placement = std::move(placement)](
                                           const std::optional<EngineGrantReply> &coordinatorReply) {
                                           const auto self = weak.lock();
-                                          if (self && self->phase == Phase::Selecting) {
+                                          if (self && self->attempt.phase == Phase::Selecting) {
                                               self->onCoordinatorReply(placement, coordinatorReply);
                                           }
                                       });
@@ -327,7 +328,7 @@
         coordinatorReply->running - std::min(coordinatorReply->running, target->ownRunning);
     target->peersRunning = others;
     if (!coordinatorReply->granted) {
-        this->grantId = 0;
+        this->attempt.grantId = 0;
         this->coordinatorRejections += 1;
         if (coordinatorReply->permitWait.count() > 0) {
             this->recordPermitDenied(*target, coordinatorReply->permitWait);
@@ -359,21 +360,21 @@
 void RequestHandler::dispatchTo(const Selection &placement)
 {
     const UpstreamSelection &choice = placement.choice;
-    this->upstream = this->gateway.upstreams.find(placement.upstreamId);
-    UpstreamState &state = *this->upstream;
+    this->attempt.upstream = this->gateway.upstreams.find(placement.upstreamId);
+    UpstreamState &state = *this->attempt.upstream;
     this->triedUpstreams.push_back(state.replica.id);
     this->grantSequence = {};
-    this->firstByteSample = {choice.uncachedTokens, choice.transferredTokens,
-                             static_cast<double>(runningAt(state)), Duration{0}};
-    this->isFirstPrefill = choice.isFirstPrefill;
+    this->attempt.firstByteSample = {choice.uncachedTokens, choice.transferredTokens,
+                                     static_cast<double>(runningAt(state)), Duration{0}};
+    this->attempt.isFirstPrefill = choice.isFirstPrefill;
     state.ownRunning += 1;
-    this->pendingPrefillTokens = choice.uncachedTokens;
-    this->countsPendingPrefill = true;
-    state.ownPendingPrefill += this->pendingPrefillTokens;
-    this->expectedDelay = choice.expectedDelay - choice.extraDelay;
-    this->extraDelay = choice.extraDelay;
+    this->attempt.pendingPrefillTokens = choice.uncachedTokens;
+    this->attempt.countsPendingPrefill = true;
+    state.ownPendingPrefill += this->attempt.pendingPrefillTokens;
+    this->attempt.expectedDelay = choice.expectedDelay - choice.extraDelay;
+    this->attempt.extraDelay = choice.extraDelay;
     // The time of a transfer depends on another upstream as well.
-    this->serviceDelay = choice.transferredTokens > 0.0 ? 0.0 : choice.serviceDelay;
+    this->attempt.serviceDelay = choice.transferredTokens > 0.0 ? 0.0 : choice.serviceDelay;
     const std::size_t crashes = crashCountOf(this->suspects, this->gateway.crashQuarantine);
     const std::optional<std::uint64_t> resumeAfter = this->lastReceivedEvent();
     logEvent(Event::RequestPlaced,
@@ -403,22 +404,22 @@
               {"over_bound", std::to_string(choice.overBoundCount)},
               {"crashes", std::to_string(crashes)},
               {"left_ms", std::to_string(this->remainingTime().count())}});
-    this->sendRequest(this->upstream, placement.copyFrom);
+    this->sendRequest(this->attempt.upstream, placement.copyFrom);
 }
 
 void RequestHandler::sendRequest(const std::shared_ptr<UpstreamState> &target,
                                  const std::optional<Endpoint> &copyFrom)
 {
-    this->phase = Phase::AwaitingResponse;
-    this->isRunning = false;
-    this->headReceived = false;
-    this->firstByteReceived = false;
-    this->isSilenceRecorded = false;
-    this->isReadingPaused = false;
-    this->responseBody.clear();
-    this->bufferShare.clear();
+    this->attempt.phase = Phase::AwaitingResponse;
+    this->attempt.isRunning = false;
+    this->attempt.headReceived = false;
+    this->attempt.firstByteReceived = false;
+    this->attempt.isSilenceRecorded = false;
+    this->attempt.isReadingPaused = false;
+    this->attempt.responseBody.clear();
+    this->attempt.bufferShare.clear();
     this->stream.currentVersion = versionKeyOf(target->replica);
-    this->sentAt = this->now();
+    this->attempt.sentAt = this->now();
     if (!this->prefixHashes.empty()) {
         this->recordPrefix(incarnationOf(target->replica));
     }
@@ -433,19 +434,20 @@
     bytes.append(this->request->body);
     const bool isHead = this->request->method == "HEAD";
     this->armTimer(this->silenceDeadline());
-    this->connection = this->gateway.upstreams.acquireIdle(*target, isRetryable(*this->route));
-    if (this->connection) {
-        this->connectionPath = "reused";
+    this->attempt.connection =
+        this->gateway.upstreams.acquireIdle(*target, isRetryable(*this->route));
+    if (this->attempt.connection) {
+        this->attempt.connectionPath = "reused";
         this->onSending();
-        this->connection->send(bytes, this->responseHandlers(), isHead);
+        this->attempt.connection->send(bytes, this->responseHandlers(), isHead);
         return;
     }
-    this->connectionPath = "new";
-    this->connection = std::make_shared<UpstreamConnection>(
+    this->attempt.connectionPath = "new";
+    this->attempt.connection = std::make_shared<UpstreamConnection>(
         this->gateway.context, this->gateway.clock, &this->gateway.work);
-    this->connection->connectAndSend(target->replica.endpoint,
-                                     std::min(upstreamConnectTimeout, this->remainingTime()),
-                                     std::move(bytes), this->responseHandlers(), isHead);
+    this->attempt.connection->connectAndSend(
+        target->replica.endpoint, std::min(upstreamConnectTimeout, this->remainingTime()),
+        std::move(bytes), this->responseHandlers(), isHead);
 }
 
 void RequestHandler::recordPrefix(std::uint64_t incarnation)
@@ -453,12 +455,13 @@
     PrefixIndex &memory = this->gateway.upstreams.prefixIndex;
     // Other routers find the engine of this chat by the shared parts of its prompt.
     const auto shared = sharedPrefixOf(this->prefixHashes);
-    if (shared && !memory.wasUsed(*shared, incarnation, prefixAnnounceInterval, this->sentAt)) {
-        this->gateway.updateLog.recordPrefix({*shared, incarnation}, this->sentAt);
+    if (shared
+        && !memory.wasUsed(*shared, incarnation, prefixAnnounceInterval, this->attempt.sentAt)) {
+        this->gateway.updateLog.recordPrefix({*shared, incarnation}, this->attempt.sentAt);
     }
-    memory.recordUse(this->prefixHashes, incarnation, this->sentAt);
+    memory.recordUse(this->prefixHashes, incarnation, this->attempt.sentAt);
     if (shared) {
-        memory.recordSharedUse(*shared, incarnation, this->sentAt);
+        memory.recordSharedUse(*shared, incarnation, this->attempt.sentAt);
     }
 }
 
@@ -485,9 +488,9 @@
                 if (self) {
                     recordConnected(*self->reach, self->now());
                 }
-                const bool maySend =
-                    self && self->upstream
-                    && self->isUsable(self->gateway.upstreams.find(self->upstream->replica.id));
+                const bool maySend = self && self->attempt.upstream
+                                     && self->isUsable(self->gateway.upstreams.find(
+                                         self->attempt.upstream->replica.id));
                 if (maySend) {
                     self->onSending();
                 }
@@ -497,12 +500,13 @@
 
 std::optional<std::uint64_t> RequestHandler::lastReceivedEvent() const
 {
-    return this->eventRelay.lastId() ? this->eventRelay.lastId() : this->request->resumeAfter;
+    return this->attempt.eventRelay.lastId() ? this->attempt.eventRelay.lastId()
+                                             : this->request->resumeAfter;
 }
 
 void RequestHandler::onSending()
 {
-    this->isRunning = true;
+    this->attempt.isRunning = true;
     this->suspects.hasUnusedTrials = false;
 }
 
--- a/gateway/gatewayrequestforward.cpp
+++ b/gateway/gatewayrequestforward.cpp
@@ -50,14 +50,14 @@
 
 void RequestHandler::sendForwarded(const Endpoint &target)
 {
-    this->phase = Phase::Forwarding;
-    this->headReceived = false;
-    this->responseBody.clear();
-    this->bufferShare.clear();
-    this->response = {};
-    this->eventRelay.dropPartial();
+    this->attempt.phase = Phase::Forwarding;
+    this->attempt.headReceived = false;
+    this->attempt.responseBody.clear();
+    this->attempt.bufferShare.clear();
+    this->attempt.response = {};
+    this->attempt.eventRelay.dropPartial();
     this->stream.currentVersion.reset();
-    this->sentAt = this->now();
+    this->attempt.sentAt = this->now();
     const std::uint64_t version = this->routingTable->config().version;
     std::vector<HeaderField> fields{
         {std::string(forwardedAttemptsField), std::to_string(this->possibleExecutions)},
@@ -73,11 +73,11 @@
     this->armTimer(mayRepeat && !this->responseStarted
                        ? this->now() + maxForwardObjectives * this->route->objective
                        : this->deadline);
-    this->connection = std::make_shared<UpstreamConnection>(
+    this->attempt.connection = std::make_shared<UpstreamConnection>(
         this->gateway.context, this->gateway.clock, &this->gateway.work);
-    this->connection->connectAndSend(target, std::min(forwardConnectTimeout, this->remainingTime()),
-                                     std::move(bytes), this->forwardHandlers(),
-                                     this->request->method == "HEAD");
+    this->attempt.connection->connectAndSend(
+        target, std::min(forwardConnectTimeout, this->remainingTime()), std::move(bytes),
+        this->forwardHandlers(), this->request->method == "HEAD");
 }
 
 ResponseHandlers RequestHandler::forwardHandlers()
@@ -106,14 +106,16 @@
     if (!this->isForThisAttempt(decoded)) {
         return false;
     }
-    this->response = std::move(decoded);
-    this->headReceived = true;
-    this->wasNotAccepted = takeField(this->response.forwardedFields, notAcceptedField).has_value();
-    const auto responding = takeField(this->response.forwardedFields, respondingUpstreamField);
-    const auto version = takeField(this->response.forwardedFields, respondingVersionField);
+    this->attempt.response = std::move(decoded);
+    this->attempt.headReceived = true;
+    this->wasNotAccepted =
+        takeField(this->attempt.response.forwardedFields, notAcceptedField).has_value();
+    const auto responding =
+        takeField(this->attempt.response.forwardedFields, respondingUpstreamField);
+    const auto version = takeField(this->attempt.response.forwardedFields, respondingVersionField);
     this->stream.currentVersion = version ? parseHash(*version) : std::nullopt;
     const auto source = responding ? this->gateway.upstreams.find(*responding) : nullptr;
-    if (source && this->response.isDraining) {
+    if (source && this->attempt.response.isDraining) {
         this->recordDraining(source->replica);
     }
     return true;
@@ -122,14 +124,14 @@
 void RequestHandler::onForwardBody(std::string_view bytes)
 {
     const auto self = this->shared_from_this();
-    if (this->phase == Phase::Done) {
+    if (this->attempt.phase == Phase::Done) {
         return;
     }
     if (this->isRelayedStream() && this->timeToFirstByte == Duration{0}) {
         this->timeToFirstByte = this->now() - this->incoming.receivedAt;
     }
     if (!this->processBody(bytes)) {
-        this->connection->abort();
+        this->attempt.connection->abort();
         this->onForwardLost();
     }
 }
@@ -137,22 +139,22 @@
 void RequestHandler::onForwardEnd(ResponseOutcome outcome)
 {
     const auto self = this->shared_from_this();
-    if (this->phase == Phase::Done) {
+    if (this->attempt.phase == Phase::Done) {
         return;
     }
     if (outcome == ResponseOutcome::ConnectFailed) {
         this->forwardAgainOrFail("unreachable");
         return;
     }
-    const bool isPartialStream = this->isRelayedStream() && this->eventRelay.hasPartial();
-    const int status = this->response.status;
+    const bool isPartialStream = this->isRelayedStream() && this->attempt.eventRelay.hasPartial();
+    const int status = this->attempt.response.status;
     // Refusals of the other router are unsigned.
     const bool isForgedSuccess = status >= 200 && status < 300 && !this->isTrusted();
     if (outcome != ResponseOutcome::Complete || isPartialStream || isForgedSuccess) {
         this->onForwardLost();
         return;
     }
-    this->connection.reset();
+    this->attempt.connection.reset();
     if (this->wasNotAccepted) {
         this->forwardAgainOrFail("not accepted");
         return;
@@ -173,7 +175,7 @@
         && this->gateway.retryBudgets.tryWithdraw(this->service, this->gateway.routerCount(),
                                                   this->now());
     if (!mayRepeat || !this->forward("lost")) {
-        this->connection.reset();
+        this->attempt.connection.reset();
         this->fail();
     }
 }
@@ -181,9 +183,9 @@
 void RequestHandler::forwardAgainOrFail(std::string_view why)
 {
     if (!this->forward(why)) {
-        this->connection.reset();
+        this->attempt.connection.reset();
         // The other router has not processed the request.
-        this->phase = Phase::Selecting;
+        this->attempt.phase = Phase::Selecting;
         this->fail();
     }
 }
@@ -192,7 +194,7 @@
 {
     // Without another router the one that has the request may still respond.
     const auto target =
-        !this->headReceived && this->canRetry() ? this->nextForwardTarget() : std::nullopt;
+        !this->attempt.headReceived && this->canRetry() ? this->nextForwardTarget() : std::nullopt;
     const bool mayRepeat = target
                            && this->gateway.retryBudgets.tryWithdraw(
                                this->service, this->gateway.routerCount(), this->now());
@@ -201,7 +203,7 @@
         return;
     }
     this->possibleExecutions += 1;
-    this->connection->abort();
+    this->attempt.connection->abort();
     this->forwardTo(*target, "silent");
 }
 
@@ -229,7 +231,7 @@
 
 std::vector<HeaderField> RequestHandler::responseFields() const
 {
-    std::vector<HeaderField> fields = this->response.forwardedFields;
+    std::vector<HeaderField> fields = this->attempt.response.forwardedFields;
     if (this->forwarded && !this->triedUpstreams.empty()) {
         fields.push_back({std::string(respondingUpstreamField), this->triedUpstreams.back()});
         if (this->stream.binding == BindingState::Bound) {
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -144,7 +144,7 @@
     this->gateway.trials->requestTrial(key,
                                        [weak, &gateway = this->gateway, key](TrialPermit permit) {
                                            const auto self = weak.lock();
-                                           if (self && self->phase != Phase::Done) {
+                                           if (self && self->attempt.phase != Phase::Done) {
                                                self->onTrialReply(key, permit);
                                            } else if (permit == TrialPermit::Permitted) {
                                                gateway.trials->returnTrial(key);
@@ -197,17 +197,18 @@
 
 void RequestHandler::recordUnansweredRun(RunEnd end)
 {
-    if (!std::exchange(this->isRunning, false)) {
+    if (!std::exchange(this->attempt.isRunning, false)) {
         return;
     }
     for (const SuspectKey key : accountableSuspects(this->suspects)) {
         this->gateway.crashQuarantine.recordUnansweredRun(
-            {key, incarnationOf(this->upstream->replica), this->sentAt, this->now(), end});
+            {key, incarnationOf(this->attempt.upstream->replica), this->attempt.sentAt, this->now(),
+             end});
     }
     if (end == RunEnd::GivenUp) {
-        this->gateway.scheduleProbe(this->upstream);
+        this->gateway.scheduleProbe(this->attempt.upstream);
     }
-    this->gateway.estimators[this->service].recordRunGivenUp(this->now() - this->sentAt);
+    this->gateway.estimators[this->service].recordRunGivenUp(this->now() - this->attempt.sentAt);
     // Also after a lost connection: the network may have reset it, and the upstream goes on.
     this->releaseGrant(GrantEnd::Abandoned);
 }
@@ -220,14 +221,15 @@
 TimePoint RequestHandler::silenceDeadline() const
 {
     using FloatMilliseconds = std::chrono::duration<double, std::milli>;
-    if (this->phase == Phase::AwaitingResponse) {
+    if (this->attempt.phase == Phase::AwaitingResponse) {
         const double allowed =
             std::max(static_cast<double>(minSilence.count()),
                      silenceObjectiveFraction * FloatMilliseconds(this->route->objective).count())
-            + this->expectedDelay + this->extraDelay;
-        return this->sentAt + std::chrono::duration_cast<Duration>(FloatMilliseconds(allowed));
+            + this->attempt.expectedDelay + this->attempt.extraDelay;
+        return this->attempt.sentAt
+               + std::chrono::duration_cast<Duration>(FloatMilliseconds(allowed));
     }
-    if (this->phase == Phase::Relaying && this->route->maxEventInterval.count() > 0) {
+    if (this->attempt.phase == Phase::Relaying && this->route->maxEventInterval.count() > 0) {
         return this->now()
                + std::chrono::duration_cast<Duration>(stallPauseFactor
                                                       * this->route->maxEventInterval);
@@ -249,7 +251,7 @@
         self->gateway.work.push([weak, armedAt = self->timer.expiry()] {
             const auto request = weak.lock();
             const bool isCurrent = request && request->timer.expiry() == armedAt;
-            if (isCurrent && request->phase != Phase::Done) {
+            if (isCurrent && request->attempt.phase != Phase::Done) {
                 request->onTimer();
             }
         });
@@ -262,36 +264,37 @@
         this->fail();
         return;
     }
-    if (this->phase == Phase::Forwarding) {
+    if (this->attempt.phase == Phase::Forwarding) {
         this->onForwardTimeout();
         return;
     }
-    if (!this->upstream) {
+    if (!this->attempt.upstream) {
         this->armTimer(this->deadline);
         return;
     }
-    if (this->phase == Phase::Probing) {
+    if (this->attempt.phase == Phase::Probing) {
         this->retryOrFail(UpstreamFault::ConnectionLost);
         return;
     }
-    if (this->isReadingPaused) {
+    if (this->attempt.isReadingPaused) {
         // The caller is slow, and not the upstream.
         this->armTimer(this->deadline);
         return;
     }
-    const Duration silent = this->now() - this->sentAt;
+    const Duration silent = this->now() - this->attempt.sentAt;
     const bool isBusy =
-        this->phase == Phase::AwaitingResponse
-        && classifyTimeout(this->sentAt, this->upstream->lastReceived) == TimeoutCause::Busy;
+        this->attempt.phase == Phase::AwaitingResponse
+        && classifyTimeout(this->attempt.sentAt, this->attempt.upstream->lastReceived)
+               == TimeoutCause::Busy;
     if (isBusy && silent < maxBusyObjectives * this->route->objective) {
-        this->armTimer(this->sentAt + maxBusyObjectives * this->route->objective);
+        this->armTimer(this->attempt.sentAt + maxBusyObjectives * this->route->objective);
         return;
     }
-    if (!isBusy && !std::exchange(this->isSilenceRecorded, true)) {
+    if (!isBusy && !std::exchange(this->attempt.isSilenceRecorded, true)) {
         this->recordUpstreamFault(UpstreamFault::TimedOut);
-        this->gateway.recordContactFailure(this->upstream->replica,
-                                           this->isRunning ? ContactFailure::NoResponse
-                                                           : ContactFailure::ConnectFailed);
+        this->gateway.recordContactFailure(this->attempt.upstream->replica,
+                                           this->attempt.isRunning ? ContactFailure::NoResponse
+                                                                   : ContactFailure::ConnectFailed);
     }
     if (this->leaveUpstream(isBusy ? "busy" : "silent")) {
         return;
@@ -303,16 +306,17 @@
 void RequestHandler::recordUpstreamFault(UpstreamFault fault)
 {
     const TimePoint now = this->now();
-    const bool wasEjected = isEjected(this->upstream->health, now);
-    recordFault(this->upstream->health, fault, now);
-    const bool isNewlyEjected = !wasEjected && isEjected(this->upstream->health, now);
-    logEvent(isNewlyEjected ? Event::UpstreamAvoided : Event::UpstreamFaulty,
-             {{"upstream", this->upstream->replica.id},
-              {"request", this->request->attemptId},
-              {"why", std::string(nameOf(fault))},
-              {"path", this->connectionPath},
-              {"after_ms", formatMilliseconds(now - this->sentAt)},
-              {"failure_share", fmt::format("{:.2f}", this->upstream->health.failureRate)}});
+    const bool wasEjected = isEjected(this->attempt.upstream->health, now);
+    recordFault(this->attempt.upstream->health, fault, now);
+    const bool isNewlyEjected = !wasEjected && isEjected(this->attempt.upstream->health, now);
+    logEvent(
+        isNewlyEjected ? Event::UpstreamAvoided : Event::UpstreamFaulty,
+        {{"upstream", this->attempt.upstream->replica.id},
+         {"request", this->request->attemptId},
+         {"why", std::string(nameOf(fault))},
+         {"path", this->attempt.connectionPath},
+         {"after_ms", formatMilliseconds(now - this->attempt.sentAt)},
+         {"failure_share", fmt::format("{:.2f}", this->attempt.upstream->health.failureRate)}});
 }
 
 bool RequestHandler::canRetry() const
@@ -344,11 +348,11 @@
 {
     // An upstream that stated in a complete response that it has not executed the request was
     // released.
-    if (this->upstream) {
+    if (this->attempt.upstream) {
         this->possibleExecutions += 1;
     }
     this->releaseUpstream();
-    this->eventRelay.dropPartial();
+    this->attempt.eventRelay.dropPartial();
     this->logRetry(why);
     this->gateway.metrics.count(Counter::Retries);
     this->selectAndDispatch();
@@ -372,28 +376,29 @@
 
 void RequestHandler::releaseUpstream()
 {
-    const bool hasResponded = this->upstream && this->headReceived;
+    const bool hasResponded = this->attempt.upstream && this->attempt.headReceived;
     this->recordUnansweredRun(RunEnd::GivenUp);
-    if (this->connection) {
-        this->connection->abort();
-        this->connection.reset();
+    if (this->attempt.connection) {
+        this->attempt.connection->abort();
+        this->attempt.connection.reset();
     }
     this->releaseGrant(hasResponded ? GrantEnd::Responded : GrantEnd::Unused);
-    if (!this->upstream) {
+    if (!this->attempt.upstream) {
         return;
     }
-    this->upstream->ownRunning -= 1;
-    if (this->countsPendingPrefill) {
-        this->upstream->ownPendingPrefill -= this->pendingPrefillTokens;
-        this->countsPendingPrefill = false;
+    this->attempt.upstream->ownRunning -= 1;
+    if (this->attempt.countsPendingPrefill) {
+        this->attempt.upstream->ownPendingPrefill -= this->attempt.pendingPrefillTokens;
+        this->attempt.countsPendingPrefill = false;
     }
-    this->upstream.reset();
+    this->attempt.upstream.reset();
 }
 
 bool RequestHandler::mayHaveRun() const
 {
-    return this->possibleExecutions > 0 || this->withheld || this->phase == Phase::Forwarding
-           || (this->upstream && this->phase != Phase::Selecting);
+    return this->possibleExecutions > 0 || this->withheld
+           || this->attempt.phase == Phase::Forwarding
+           || (this->attempt.upstream && this->attempt.phase != Phase::Selecting);
 }
 
 void RequestHandler::fail()
@@ -454,9 +459,9 @@
 
 void RequestHandler::finish(std::string_view outcome)
 {
-    this->phase = Phase::Done;
+    this->attempt.phase = Phase::Done;
     this->timer.cancel();
-    this->caller->keepUntilWritten(std::move(this->bufferShare));
+    this->caller->keepUntilWritten(std::move(this->attempt.bufferShare));
     if (this->forwarded) {
         this->gateway.forwardedRunning -= 1;
     }
@@ -483,11 +488,11 @@
                   {"upstream",
                    this->triedUpstreams.empty() ? std::string() : this->triedUpstreams.back()},
                   {"attempts", std::to_string(this->triedUpstreams.size())},
-                  {"status", std::to_string(this->response.status)},
-                  {"events", std::to_string(this->eventRelay.eventCount())},
+                  {"status", std::to_string(this->attempt.response.status)},
+                  {"events", std::to_string(this->attempt.eventRelay.eventCount())},
                   {"first_ms", formatMilliseconds(this->timeToFirstByte)},
                   {"whole_ms", formatMilliseconds(totalTime)},
-                  {"path", this->connectionPath}});
+                  {"path", this->attempt.connectionPath}});
     }
     this->gateway.metrics.count(outcome == "whole" ? Counter::AnswersWhole : Counter::AnswersCut);
     this->gateway.onExchangeDone(*this->caller);
@@ -495,7 +500,7 @@
 
 void RequestHandler::onCallerDisconnected()
 {
-    if (this->phase == Phase::Done) {
+    if (this->attempt.phase == Phase::Done) {
         return;
     }
     this->gateway.metrics.count(Counter::CallersGone);
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -6,7 +6,6 @@
 
 #include <asio/steady_timer.hpp>
 
-#include "plantainswitch/routing/eventstream.h"
 #include "plantainswitch/routing/grantsequence.h"
 #include "plantainswitch/routing/placementconstraints.h"
 #include "plantainswitch/routing/requestsuspects.h"
@@ -17,6 +16,7 @@
 #include "forwarding.h"
 #include "gatewaystate.h"
 #include "placementdecision.h"
+#include "requestattempt.h"
 #include "trialstore.h"
 
 namespace plantainswitch::gateway {
@@ -46,16 +46,7 @@
     void abort();
 
 private:
-    enum class Phase : std::uint8_t {
-        Selecting,
-        AwaitingResponse,
-        Relaying,
-        /// The connection was lost, and the upstream is being probed.
-        Probing,
-        /// Another router processes the request.
-        Forwarding,
-        Done,
-    };
+    using Phase = AttemptPhase;
 
     /// A complete error response of an upstream.
     struct FailedResponse
@@ -331,20 +322,13 @@
     RequestSuspects suspects;
     TimePoint deadline;
     asio::steady_timer timer;
-    Phase phase = Phase::Selecting;
-
-    std::shared_ptr<UpstreamState> upstream;
-    std::shared_ptr<UpstreamConnection> connection;
+    RequestAttempt attempt{this->gateway.responseBuffers};
     std::vector<std::string> triedUpstreams;
     /// The upstream that was last left while it ran the request; empty if none was, or if the
     /// request was sent there again.
     std::string leftUpstream;
     /// The upstream that the request was last sent to again; empty if it was not.
     std::string returnedTo;
-    /// The silence of the current upstream counts as its fault already.
-    bool isSilenceRecorded = false;
-    /// Nothing is read from the upstream until the caller has read what is queued for it.
-    bool isReadingPaused = false;
     /// Number of upstreams that may have executed the request.
     std::uint32_t possibleExecutions = 0;
     std::uint32_t connectFailures = 0;
@@ -355,37 +339,9 @@
     std::uint32_t coordinatorRejections = 0;
     /// The coordinators of a contended service that were asked since the last attempt.
     GrantSequence grantSequence;
-    /// Id under which a coordinator has granted the request, or was asked to; 0 if there is none.
-    std::uint64_t grantId = 0;
-    std::uint64_t grantedIncarnation = 0;
-    bool countsPendingPrefill = false;
-    double pendingPrefillTokens = 0.0;
-    /// Expected time to the first byte in milliseconds, without the upstream's recent extra delay.
-    double expectedDelay = 0.0;
-    double extraDelay = 0.0;
-    /// The same for an upstream of the service's mean speed; 0 if it is not to be compared.
-    double serviceDelay = 0.0;
-    /// The work before the first byte, for the estimator. Its delay is set when the first byte
-    /// arrives.
-    FirstByteSample firstByteSample;
-    /// The upstream may have cached more of the prompt than this router knows.
-    bool isFirstPrefill = false;
-    TimePoint sentAt;
-    TimePoint headReceivedAt;
-    TimePoint firstByteAt;
-    /// The request was sent to the current upstream, which has not responded completely.
-    bool isRunning = false;
-    bool headReceived = false;
-    bool firstByteReceived = false;
-    UpstreamResponse response;
-    std::string responseBody;
-    /// Of what is buffered of the response: its body, or an incomplete event and what the caller
-    /// has not read.
-    BufferShare bufferShare{this->gateway.responseBuffers};
     /// The last error response of an earlier attempt. It is forwarded if no later attempt gets a
     /// response.
     std::optional<FailedResponse> failedResponse;
-    EventRelay eventRelay;
     StreamState stream;
     /// Nothing once the caller gets events as they arrive.
     std::optional<WithheldStream> withheld;
@@ -393,7 +349,6 @@
     std::vector<HeaderField> streamFields;
     bool responseStarted = false;
     Duration timeToFirstByte{0};
-    std::string connectionPath;
 };
 
 } // namespace plantainswitch::gateway
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -41,18 +41,18 @@
     this->recordNotice(decoded);
     if (!this->isForThisAttempt(decoded)) {
         logEvent(Event::UpstreamGarbage, {{"request", this->request->attemptId},
-                                          {"upstream", this->upstream->replica.id},
+                                          {"upstream", this->attempt.upstream->replica.id},
                                           {"why", "an answer to another request was skipped"}});
         return false;
     }
-    this->headReceived = true;
-    this->headReceivedAt = this->now();
-    this->upstream->lastReceived = this->headReceivedAt;
+    this->attempt.headReceived = true;
+    this->attempt.headReceivedAt = this->now();
+    this->attempt.upstream->lastReceived = this->attempt.headReceivedAt;
     this->gateway.recordContact(*this->reach);
-    this->gateway.crashQuarantine.recordResponse(incarnationOf(this->upstream->replica),
-                                                 this->sentAt);
+    this->gateway.crashQuarantine.recordResponse(incarnationOf(this->attempt.upstream->replica),
+                                                 this->attempt.sentAt);
     this->recordColdness(decoded);
-    this->response = std::move(decoded);
+    this->attempt.response = std::move(decoded);
     this->recordContention();
     this->reportBrittleLoad();
     return true;
@@ -62,24 +62,24 @@
 {
     // A response that was read late states an old load.
     const bool isLate = this->gateway.loopMonitor.lateness() > grantArrivalTime;
-    if (this->response.load && !isLate && !this->response.notExecuted
+    if (this->attempt.response.load && !isLate && !this->attempt.response.notExecuted
         && this->gateway.isBrittle(this->service)) {
-        this->gateway.fleet->reportBrittleResponse(this->upstream->replica,
-                                                   heldBy(*this->response.load), false);
+        this->gateway.fleet->reportBrittleResponse(this->attempt.upstream->replica,
+                                                   heldBy(*this->attempt.response.load), false);
     }
 }
 
 void RequestHandler::recordColdness(const UpstreamResponse &head)
 {
     const TimePoint now = this->now();
-    ColdState &cold = this->upstream->cold;
+    ColdState &cold = this->attempt.upstream->cold;
     cold.presume(head.coldFor.value_or(Milliseconds{0}), now);
     const Milliseconds duration =
-        this->gateway.coldStartOf(this->upstream->replica.service).duration;
+        this->gateway.coldStartOf(this->attempt.upstream->replica.service).duration;
     if (cold.recordResponse(duration, now) && duration.count() > 0) {
         logEvent(Event::UpstreamPresumedCold,
                  {{"request", this->request->attemptId},
-                  {"upstream", this->upstream->replica.id},
+                  {"upstream", this->attempt.upstream->replica.id},
                   {"cold_ms", std::to_string(cold.remaining(now).count())}});
     }
 }
@@ -87,81 +87,84 @@
 void RequestHandler::recordNotice(const UpstreamResponse &head)
 {
     if (head.isDraining) {
-        this->recordDraining(this->upstream->replica);
+        this->recordDraining(this->attempt.upstream->replica);
     }
     if (!head.misdirected) {
-        this->gateway.recordBrittleness(this->upstream->replica.service, head.maxRejections);
+        this->gateway.recordBrittleness(this->attempt.upstream->replica.service,
+                                        head.maxRejections);
     }
     if (head.backoff) {
-        this->gateway.upstreams.recordBackoff(this->upstream->replica, *head.backoff);
+        this->gateway.upstreams.recordBackoff(this->attempt.upstream->replica, *head.backoff);
         logEvent(Event::UpstreamBackoff, {{"request", this->request->attemptId},
-                                          {"upstream", this->upstream->replica.id},
+                                          {"upstream", this->attempt.upstream->replica.id},
                                           {"retry_after_ms", std::to_string(head.backoff->count())},
-                                          {"path", this->connectionPath}});
+                                          {"path", this->attempt.connectionPath}});
     }
 }
 
 void RequestHandler::onFirstByte()
 {
-    this->firstByteReceived = true;
-    this->firstByteAt = this->now();
-    const Duration delay = this->firstByteAt - this->sentAt;
-    if (!this->prefixHashes.empty() && !this->isFirstPrefill) {
-        this->firstByteSample.delay = delay;
-        this->gateway.estimators[this->service].recordFirstByte(this->firstByteSample);
-        if (this->serviceDelay > 0.0) {
+    this->attempt.firstByteReceived = true;
+    this->attempt.firstByteAt = this->now();
+    const Duration delay = this->attempt.firstByteAt - this->attempt.sentAt;
+    if (!this->prefixHashes.empty() && !this->attempt.isFirstPrefill) {
+        this->attempt.firstByteSample.delay = delay;
+        this->gateway.estimators[this->service].recordFirstByte(this->attempt.firstByteSample);
+        if (this->attempt.serviceDelay > 0.0) {
             const std::chrono::duration<double, std::milli> observed = delay;
-            this->gateway.recordSpeed(*this->upstream, observed.count() / this->serviceDelay);
+            this->gateway.recordSpeed(*this->attempt.upstream,
+                                      observed.count() / this->attempt.serviceDelay);
         }
     }
     if (this->timeToFirstByte == Duration{0}) {
         this->timeToFirstByte = this->now() - this->incoming.receivedAt;
     }
-    const bool wasEjected = isEjected(this->upstream->health, this->now());
+    const bool wasEjected = isEjected(this->attempt.upstream->health, this->now());
     const auto expected = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(this->expectedDelay));
-    recordSuccess(this->upstream->health, delay - expected, this->now());
+        std::chrono::duration<double, std::milli>(this->attempt.expectedDelay));
+    recordSuccess(this->attempt.upstream->health, delay - expected, this->now());
     if (wasEjected) {
-        logEvent(Event::UpstreamUsedAgain,
-                 {{"upstream", this->upstream->replica.id}, {"request", this->request->attemptId}});
+        logEvent(Event::UpstreamUsedAgain, {{"upstream", this->attempt.upstream->replica.id},
+                                            {"request", this->request->attemptId}});
     }
-    if (this->countsPendingPrefill) {
-        this->upstream->ownPendingPrefill -= this->pendingPrefillTokens;
-        this->countsPendingPrefill = false;
+    if (this->attempt.countsPendingPrefill) {
+        this->attempt.upstream->ownPendingPrefill -= this->attempt.pendingPrefillTokens;
+        this->attempt.countsPendingPrefill = false;
     }
 }
 
 void RequestHandler::recordHoldTime()
 {
-    const UpstreamState &state = *this->upstream;
-    this->gateway.estimators[this->service].recordRunEnded(this->now() - this->sentAt);
-    if (this->response.isEventStream) {
-        this->gateway.estimators[this->service].recordSlotHold(this->now() - this->firstByteAt);
+    const UpstreamState &state = *this->attempt.upstream;
+    this->gateway.estimators[this->service].recordRunEnded(this->now() - this->attempt.sentAt);
+    if (this->attempt.response.isEventStream) {
+        this->gateway.estimators[this->service].recordSlotHold(this->now()
+                                                               - this->attempt.firstByteAt);
         return;
     }
     // A plain response arrives at once, so that the time spent in the upstream's queue cannot be
     // told apart.
     if (state.replica.maxConcurrency == 0 || runningAt(state) <= state.replica.maxConcurrency) {
-        this->gateway.estimators[this->service].recordSlotHold(this->now() - this->sentAt);
+        this->gateway.estimators[this->service].recordSlotHold(this->now() - this->attempt.sentAt);
     }
 }
 
 void RequestHandler::onResponseBody(std::string_view bytes)
 {
     const auto self = this->shared_from_this();
-    if (this->phase == Phase::Done) {
+    if (this->attempt.phase == Phase::Done) {
         return;
     }
     // Bytes that are no response do not show that the upstream is well.
-    if (this->response.isSigned || this->response.notExecuted) {
-        this->upstream->lastReceived = this->now();
+    if (this->attempt.response.isSigned || this->attempt.response.notExecuted) {
+        this->attempt.upstream->lastReceived = this->now();
         this->gateway.recordContact(*this->reach);
     }
-    if (this->isRelayedStream() && !this->firstByteReceived) {
+    if (this->isRelayedStream() && !this->attempt.firstByteReceived) {
         this->onFirstByte();
     }
     if (!this->processBody(bytes)) {
-        this->connection->abort();
+        this->attempt.connection->abort();
         this->onFault(UpstreamFault::InvalidResponse);
     }
 }
@@ -171,11 +174,11 @@
     if (this->isRelayedStream()) {
         return this->relayEvents(bytes);
     }
-    const std::size_t size = this->responseBody.size() + bytes.size();
-    if (size > maxBufferedResponseBytes || !this->bufferShare.resize(size)) {
+    const std::size_t size = this->attempt.responseBody.size() + bytes.size();
+    if (size > maxBufferedResponseBytes || !this->attempt.bufferShare.resize(size)) {
         return false;
     }
-    this->responseBody.append(bytes);
+    this->attempt.responseBody.append(bytes);
     return true;
 }
 
@@ -195,47 +198,48 @@
 
 bool RequestHandler::isRelayedStream() const noexcept
 {
-    return this->response.status == 200 && this->isTrusted() && this->response.isEventStream;
+    return this->attempt.response.status == 200 && this->isTrusted()
+           && this->attempt.response.isEventStream;
 }
 
 bool RequestHandler::isTrusted() const noexcept
 {
-    return this->response.isSigned && !this->response.isEncoded
-           && !this->response.attemptId.empty();
+    return this->attempt.response.isSigned && !this->attempt.response.isEncoded
+           && !this->attempt.response.attemptId.empty();
 }
 
 bool RequestHandler::relayEvents(std::string_view bytes)
 {
     std::string completeEvents;
-    if (!this->eventRelay.feed(bytes, completeEvents)
-        || !this->bufferShare.resize(this->eventRelay.partialSize())) {
+    if (!this->attempt.eventRelay.feed(bytes, completeEvents)
+        || !this->attempt.bufferShare.resize(this->attempt.eventRelay.partialSize())) {
         return false;
     }
-    this->phase = Phase::Relaying;
+    this->attempt.phase = Phase::Relaying;
     if (completeEvents.empty()) {
         return true;
     }
     this->recordStreamEvents();
-    this->isSilenceRecorded = false;
+    this->attempt.isSilenceRecorded = false;
     this->writeEvents(completeEvents);
-    this->armTimer(this->upstream ? this->silenceDeadline() : this->deadline);
+    this->armTimer(this->attempt.upstream ? this->silenceDeadline() : this->deadline);
     const std::size_t queued =
         this->caller->queuedBytes() + (this->withheld ? this->withheld->events.size() : 0);
     if (queued > pauseThresholdBytes
-        || !this->bufferShare.resize(this->eventRelay.partialSize() + queued)) {
-        this->isReadingPaused = true;
-        this->connection->pauseReading();
+        || !this->attempt.bufferShare.resize(this->attempt.eventRelay.partialSize() + queued)) {
+        this->attempt.isReadingPaused = true;
+        this->attempt.connection->pauseReading();
     }
     return true;
 }
 
 void RequestHandler::onCallerWritable()
 {
-    if (this->phase == Phase::Relaying && this->connection
+    if (this->attempt.phase == Phase::Relaying && this->attempt.connection
         && this->caller->queuedBytes() < resumeThresholdBytes) {
-        this->connection->resumeReading();
-        if (std::exchange(this->isReadingPaused, false)) {
-            this->armTimer(this->upstream ? this->silenceDeadline() : this->deadline);
+        this->attempt.connection->resumeReading();
+        if (std::exchange(this->attempt.isReadingPaused, false)) {
+            this->armTimer(this->attempt.upstream ? this->silenceDeadline() : this->deadline);
         }
     }
 }
@@ -243,7 +247,7 @@
 void RequestHandler::onResponseEnd(ResponseOutcome outcome)
 {
     const auto self = this->shared_from_this();
-    if (this->phase == Phase::Done) {
+    if (this->attempt.phase == Phase::Done) {
         return;
     }
     if (outcome == ResponseOutcome::ConnectFailed) {
@@ -258,16 +262,16 @@
         this->onConnectionLost();
         return;
     }
-    this->isRunning = false;
+    this->attempt.isRunning = false;
     if (outcome != ResponseOutcome::Complete) {
         // The upstream may go on with a run whose response cannot be read.
         this->releaseGrant(GrantEnd::Abandoned);
         this->onFault(UpstreamFault::InvalidResponse);
         return;
     }
-    this->gateway.upstreams.release(*this->upstream, this->connection);
-    this->connection.reset();
-    if (this->response.notExecuted) {
+    this->gateway.upstreams.release(*this->attempt.upstream, this->attempt.connection);
+    this->attempt.connection.reset();
+    if (this->attempt.response.notExecuted) {
         this->onNotExecuted();
         return;
     }
@@ -277,8 +281,9 @@
 void RequestHandler::onConnectFailed()
 {
     this->recordUpstreamFault(UpstreamFault::Unreachable);
-    this->gateway.recordContactFailure(this->upstream->replica, ContactFailure::ConnectFailed);
-    this->gateway.recordUpstreamDown(this->upstream->replica);
+    this->gateway.recordContactFailure(this->attempt.upstream->replica,
+                                       ContactFailure::ConnectFailed);
+    this->gateway.recordUpstreamDown(this->attempt.upstream->replica);
     this->releaseUpstream();
     this->connectFailures += 1;
     if (this->connectFailures >= maxConnectFailures) {
@@ -294,8 +299,8 @@
 
 void RequestHandler::onWithheld()
 {
-    this->gateway.upstreams.release(*this->upstream, this->connection);
-    this->connection.reset();
+    this->gateway.upstreams.release(*this->attempt.upstream, this->attempt.connection);
+    this->attempt.connection.reset();
     this->releaseUpstream();
     // Nothing was sent, so that this does not count as a retry.
     this->logRetry("withheld");
@@ -306,21 +311,24 @@
 {
     // "Misdirected" means that the address belongs to another upstream now; the store will report
     // it.
-    this->recordUpstreamFault(this->response.misdirected ? UpstreamFault::Unreachable
-                                                         : UpstreamFault::Rejected);
-    if (!this->response.misdirected && this->gateway.isBrittle(this->service)) {
+    this->recordUpstreamFault(this->attempt.response.misdirected ? UpstreamFault::Unreachable
+                                                                 : UpstreamFault::Rejected);
+    if (!this->attempt.response.misdirected && this->gateway.isBrittle(this->service)) {
         logEvent(Event::BrittleRejection,
                  {{"request", this->request->attemptId},
-                  {"upstream", this->upstream->replica.id},
-                  {"own", std::to_string(this->upstream->ownRunning)},
-                  {"peers", std::to_string(this->upstream->peersRunning)},
-                  {"stated", this->response.load ? describe(*this->response.load) : std::string()},
+                  {"upstream", this->attempt.upstream->replica.id},
+                  {"own", std::to_string(this->attempt.upstream->ownRunning)},
+                  {"peers", std::to_string(this->attempt.upstream->peersRunning)},
+                  {"stated", this->attempt.response.load ? describe(*this->attempt.response.load)
+                                                         : std::string()},
                   {"max_rejections",
                    std::to_string(this->gateway.maxRejectionsOf(this->service).value_or(0))}});
         this->gateway.fleet->reportBrittleResponse(
-            this->upstream->replica,
-            this->response.load ? std::optional(heldBy(*this->response.load)) : std::nullopt, true);
-        this->upstream->permitBlockedUntil = this->now() + brittleDenialWait;
+            this->attempt.upstream->replica,
+            this->attempt.response.load ? std::optional(heldBy(*this->attempt.response.load))
+                                        : std::nullopt,
+            true);
+        this->attempt.upstream->permitBlockedUntil = this->now() + brittleDenialWait;
     }
     this->releaseUpstream();
     this->suspects.hasUnusedTrials = !this->suspects.trials.empty();
@@ -341,12 +349,13 @@
     for (const SuspectKey key : this->suspects.keys) {
         this->gateway.recordAnswered(key);
     }
-    const bool isSuccess = this->response.status >= 200 && this->response.status < 300;
-    if (!isSuccess && this->response.status >= 500) {
+    const bool isSuccess =
+        this->attempt.response.status >= 200 && this->attempt.response.status < 300;
+    if (!isSuccess && this->attempt.response.status >= 500) {
         this->recordUpstreamFault(UpstreamFault::Failed);
-        this->failedResponse =
-            FailedResponse{this->response.status, std::move(this->response.forwardedFields),
-                           std::move(this->responseBody), std::move(this->bufferShare)};
+        this->failedResponse = FailedResponse{
+            this->attempt.response.status, std::move(this->attempt.response.forwardedFields),
+            std::move(this->attempt.responseBody), std::move(this->attempt.bufferShare)};
         if (!this->canRetry() || !this->retry("failed")) {
             this->forwardFailure();
         }
@@ -363,11 +372,11 @@
 
 void RequestHandler::onCompleteStream()
 {
-    if (this->eventRelay.hasPartial()) {
+    if (this->attempt.eventRelay.hasPartial()) {
         this->onFault(UpstreamFault::ConnectionLost);
         return;
     }
-    if (this->upstream) {
+    if (this->attempt.upstream) {
         this->recordHoldTime();
     }
     if (this->streamFields.empty()) {
@@ -392,18 +401,18 @@
         this->refuse(ErrorKind::UpstreamFailed, "the upstream did not resume the stream");
         return;
     }
-    const int status = this->response.status;
-    this->caller->respond(status, this->responseFields(), this->responseBody,
+    const int status = this->attempt.response.status;
+    this->caller->respond(status, this->responseFields(), this->attempt.responseBody,
                           this->gateway.stopping);
     this->finish(status < 300 ? "whole" : "failed-upstream");
 }
 
 void RequestHandler::forwardFailure()
 {
-    this->response.status = this->failedResponse->status;
-    this->response.forwardedFields = std::move(this->failedResponse->fields);
-    this->responseBody = std::move(this->failedResponse->body);
-    this->bufferShare = std::move(this->failedResponse->share);
+    this->attempt.response.status = this->failedResponse->status;
+    this->attempt.response.forwardedFields = std::move(this->failedResponse->fields);
+    this->attempt.responseBody = std::move(this->failedResponse->body);
+    this->attempt.bufferShare = std::move(this->failedResponse->share);
     this->failedResponse.reset();
     this->forwardResponse();
 }
@@ -417,14 +426,14 @@
 void RequestHandler::onConnectionLost()
 {
     this->recordUpstreamFault(UpstreamFault::ConnectionLost);
-    this->gateway.recordContactFailure(this->upstream->replica, ContactFailure::NoResponse);
+    this->gateway.recordContactFailure(this->attempt.upstream->replica, ContactFailure::NoResponse);
     this->recordUnansweredRun(RunEnd::ConnectionLost);
-    this->phase = Phase::Probing;
+    this->attempt.phase = Phase::Probing;
     this->armTimer(this->now() + maxProbeWait);
     const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
-    this->gateway.probeUpstream(this->upstream, [weak] {
+    this->gateway.probeUpstream(this->attempt.upstream, [weak] {
         const auto self = weak.lock();
-        if (self && self->phase == Phase::Probing) {
+        if (self && self->attempt.phase == Phase::Probing) {
             self->retryOrFail(UpstreamFault::ConnectionLost);
         }
     });
--- a/gateway/gatewayrequestslots.cpp
+++ b/gateway/gatewayrequestslots.cpp
@@ -60,14 +60,14 @@
         timeToObjective(this->grantTimes(), this->now() - this->incoming.receivedAt);
     ask.request.untilDeadline = this->remainingTime();
     ask.request.maxWait = maxWait;
-    this->grantId = ask.request.requestId;
-    this->grantedIncarnation = ask.incarnation;
+    this->attempt.grantId = ask.request.requestId;
+    this->attempt.grantedIncarnation = ask.incarnation;
     const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
     this->gateway.fleet->requestSlot(
         std::move(ask), this->request->attemptId,
         [weak, placement = std::move(placement)](const std::optional<QueueReply> &reply) {
             const auto self = weak.lock();
-            if (self && self->phase == Phase::Selecting) {
+            if (self && self->attempt.phase == Phase::Selecting) {
                 self->onQueueReply(placement, reply);
             }
         });
@@ -78,10 +78,11 @@
     const auto target = this->gateway.upstreams.find(placement.upstreamId);
     const bool isGranted = reply && reply->state.verdict == SlotQueueVerdict::Granted;
     if (!isGranted) {
-        this->grantId = 0;
+        this->attempt.grantId = 0;
     }
     // The reply says nothing about a process that was started since the question.
-    const bool isReplaced = target && incarnationOf(target->replica) != this->grantedIncarnation;
+    const bool isReplaced =
+        target && incarnationOf(target->replica) != this->attempt.grantedIncarnation;
     if (!this->isUsable(target) || isReplaced || this->remainingTime() < minRemainingTime) {
         this->releaseGrant();
         this->selectAndDispatch();
@@ -195,19 +196,20 @@
     if (this->request->prompt) {
         return release;
     }
-    const bool hasResponded = this->upstream && this->headReceived;
+    const bool hasResponded = this->attempt.upstream && this->attempt.headReceived;
     // The time of a rejection is not that of a run.
-    if (!hasResponded || !this->response.notExecuted) {
+    if (!hasResponded || !this->attempt.response.notExecuted) {
         release.end = end;
     }
     // Only of the upstream that the grant is for: an attempt at another one has ended before.
     const bool isOfGrant =
-        hasResponded && incarnationOf(this->upstream->replica) == this->grantedIncarnation;
+        hasResponded
+        && incarnationOf(this->attempt.upstream->replica) == this->attempt.grantedIncarnation;
     // A response that was read late states an old load, and so does one with a long body.
     const bool isLate = this->gateway.loopMonitor.lateness() > grantArrivalTime
-                        || this->now() - this->headReceivedAt > maxLoadAge;
-    if (isOfGrant && this->response.load && !isLate) {
-        const ReportedLoad &load = *this->response.load;
+                        || this->now() - this->attempt.headReceivedAt > maxLoadAge;
+    if (isOfGrant && this->attempt.response.load && !isLate) {
+        const ReportedLoad &load = *this->attempt.response.load;
         release.load = StatedLoad{load.running + load.waiting, load.slowdownPercent};
     }
     return release;
@@ -215,37 +217,38 @@
 
 void RequestHandler::releaseGrant(GrantEnd end)
 {
-    if (this->grantId == 0) {
+    if (this->attempt.grantId == 0) {
         return;
     }
     const GrantRelease release = this->makeRelease(end);
     if (release.end == GrantEnd::Abandoned && this->gateway.isBrittle(this->service)) {
         logEvent(Event::BrittleRunAbandoned,
                  {{"request", this->request->attemptId},
-                  {"upstream", this->upstream->replica.id},
-                  {"ran_ms", formatMilliseconds(this->now() - this->sentAt)},
+                  {"upstream", this->attempt.upstream->replica.id},
+                  {"ran_ms", formatMilliseconds(this->now() - this->attempt.sentAt)},
                   {"hold_ms", formatMilliseconds(release.usualRunTime)}});
     }
-    this->gateway.fleet->releaseGrant(this->grantedIncarnation, std::exchange(this->grantId, 0),
-                                      release);
+    this->gateway.fleet->releaseGrant(this->attempt.grantedIncarnation,
+                                      std::exchange(this->attempt.grantId, 0), release);
 }
 
 void RequestHandler::recordContention()
 {
-    if (this->request->prompt || this->response.misdirected) {
+    if (this->request->prompt || this->attempt.response.misdirected) {
         return;
     }
     UpstreamLoadSign sign;
-    sign.isRejection = this->response.notExecuted;
-    sign.rejectsForOtherReasons = this->response.isDraining
-                                  || this->upstream->cold.remaining(this->now()).count() > 0
-                                  || (this->response.backoff && !this->response.load);
-    if (const auto &load = this->response.load) {
+    sign.isRejection = this->attempt.response.notExecuted;
+    sign.rejectsForOtherReasons =
+        this->attempt.response.isDraining
+        || this->attempt.upstream->cold.remaining(this->now()).count() > 0
+        || (this->attempt.response.backoff && !this->attempt.response.load);
+    if (const auto &load = this->attempt.response.load) {
         sign.isLoadStated = true;
         sign.running = load->running;
         sign.waiting = load->waiting;
         sign.slots = load->slots;
-        this->upstream->statedSlots = load->slots;
+        this->attempt.upstream->statedSlots = load->slots;
     }
     if (showsContention(sign)) {
         this->gateway.recordContention(this->service);
--- a/gateway/gatewayrequeststop.cpp
+++ b/gateway/gatewayrequeststop.cpp
@@ -15,7 +15,7 @@
 
 void RequestHandler::abort()
 {
-    if (this->phase == Phase::Done) {
+    if (this->attempt.phase == Phase::Done) {
         return;
     }
     if (!this->responseStarted && !this->forwarded) {
--- a/gateway/gatewayrequeststream.cpp
+++ b/gateway/gatewayrequeststream.cpp
@@ -28,7 +28,7 @@
     const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
     this->gateway.fleet->origins().find(this->stream.key, [weak](const OriginResult &result) {
         const auto self = weak.lock();
-        if (self && self->phase == Phase::Selecting) {
+        if (self && self->attempt.phase == Phase::Selecting) {
             self->onOriginFound(result);
         }
     });
@@ -51,7 +51,7 @@
     this->gateway.fleet->origins().findInStore(
         this->stream.key, [weak, asked = result.asked](const OriginResult &stored) {
             const auto self = weak.lock();
-            if (!self || self->phase != Phase::Selecting) {
+            if (!self || self->attempt.phase != Phase::Selecting) {
                 return;
             }
             if (stored.version) {
@@ -69,7 +69,7 @@
         this->service, this->now() - this->gateway.takeUpTimeOf(this->service),
         [weak, asked](std::optional<VersionKey> version) {
             const auto self = weak.lock();
-            if (self && self->phase == Phase::Selecting) {
+            if (self && self->attempt.phase == Phase::Selecting) {
                 self->onVersionFound(version, asked, version ? "only-version" : "none");
             }
         });
@@ -98,9 +98,9 @@
 
 void RequestHandler::recordStreamEvents()
 {
-    if (this->stream.binding == BindingState::Free && this->upstream) {
+    if (this->stream.binding == BindingState::Free && this->attempt.upstream) {
         // The upstream may have returned with another version while the request was on its way.
-        const auto listed = this->gateway.upstreams.find(this->upstream->replica.id);
+        const auto listed = this->gateway.upstreams.find(this->attempt.upstream->replica.id);
         if (listed && versionKeyOf(listed->replica) != this->stream.currentVersion) {
             this->stream.currentVersion.reset();
         }
@@ -147,7 +147,7 @@
     const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
     this->gateway.fleet->origins().announceConfirmed(origin, [weak](bool isConfirmed) {
         const auto self = weak.lock();
-        if (self && self->phase != Phase::Done) {
+        if (self && self->attempt.phase != Phase::Done) {
             self->onOriginConfirmed(isConfirmed);
         }
     });
