Keep a silent attempt until another upstream has accepted the request

While all slots were taken, one replica was silent for a second. Its streams were given up for the other replicas, which rejected them; each rejection and each way back took a token of the retry budget, and when it was spent the streams were cut: 3 at the stopped router, 4 and 5 at the other one.

Change: the silent attempt stays open while another upstream is tried. The first response decides: if the silent upstream speaks, the try ends; if the other one gives an event, or has accepted the stream for 300 ms, the silent attempt is given up. The same for requests without a response yet and for those forwarded to another router. A try that fails counts nothing against the request and is repeated after 100 ms, then twice as long each time. Tries leave a quarter of a router's share of the margin to requests whose upstream has failed (RetryNeed).

Why this works: what still runs is given up only for what has accepted the request, and a spent budget ends tries, not requests. Rejected tries draw on the same budget, so that the bounds of retries hold.

--- a/gateway/gatewayrequestdispatch.cpp
+++ b/gateway/gatewayrequestdispatch.cpp
@@ -98,47 +98,6 @@
     return choice;
 }
 
-bool RequestHandler::hasAlternative()
-{
-    const CandidateChoice choice = this->chooseUpstream();
-    return choice.selected
-           && !isEjected(choice.set.upstreams[choice.selected->index]->health, this->now());
-}
-
-bool RequestHandler::leaveUpstream(std::string_view why)
-{
-    if (!this->canRetry() || !this->hasAlternative()) {
-        return false;
-    }
-    // The retry may fail at once, and then returns.
-    const std::string before =
-        std::exchange(this->leftUpstream, this->attempt.upstream->replica.id);
-    if (!this->retry(why)) {
-        this->leftUpstream = before;
-        return false;
-    }
-    return true;
-}
-
-bool RequestHandler::returnToLeftUpstream()
-{
-    const std::string left = std::exchange(this->leftUpstream, {});
-    const bool mayReturn =
-        !left.empty() && this->remainingTime() >= minRemainingTime && !this->blockedBy()
-        && this->isUsable(this->gateway.upstreams.find(left))
-        && this->gateway.retryBudgets.tryWithdraw(this->service, this->gateway.routerCount(),
-                                                  this->now());
-    if (!mayReturn) {
-        return false;
-    }
-    std::erase(this->triedUpstreams, left);
-    this->returnedTo = left;
-    // Coordinators of other upstreams denied it.
-    this->grantSequence = {};
-    this->startNextAttempt("no other upstream");
-    return true;
-}
-
 void RequestHandler::dispatchWithGrant(const PlacementRequest &request,
                                        std::span<UpstreamState *const> candidates,
                                        const UpstreamSelection &choice)
@@ -410,7 +369,9 @@
 void RequestHandler::sendRequest(const std::shared_ptr<UpstreamState> &target,
                                  const std::optional<Endpoint> &copyFrom)
 {
+    this->attempt.number = ++this->lastAttemptNumber;
     this->attempt.phase = Phase::AwaitingResponse;
+    this->attempt.isForwarded = false;
     this->attempt.isRunning = false;
     this->attempt.headReceived = false;
     this->attempt.firstByteReceived = false;
@@ -418,7 +379,8 @@
     this->attempt.isReadingPaused = false;
     this->attempt.responseBody.clear();
     this->attempt.bufferShare.clear();
-    this->stream.currentVersion = versionKeyOf(target->replica);
+    this->attempt.version = versionKeyOf(target->replica);
+    this->stream.currentVersion = this->attempt.version;
     this->attempt.sentAt = this->now();
     if (!this->prefixHashes.empty()) {
         this->recordPrefix(incarnationOf(target->replica));
@@ -468,29 +430,32 @@
 ResponseHandlers RequestHandler::responseHandlers()
 {
     const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
-    return {[weak](const MessageHead &head) {
+    const std::uint64_t number = this->attempt.number;
+    return {[weak, number](const MessageHead &head) {
                 const auto self = weak.lock();
-                return !self || self->onResponseHead(head);
+                return !self || self->onHeadOf(number, head);
             },
-            [weak](std::string_view bytes) {
-                if (const auto self = weak.lock()) {
+            [weak, number](std::string_view bytes) {
+                const auto self = weak.lock();
+                if (self && self->continueWith(number)) {
                     self->onResponseBody(bytes);
                 }
             },
-            [weak](ResponseOutcome outcome) {
+            [weak, number](ResponseOutcome outcome) {
                 if (const auto self = weak.lock()) {
-                    self->onResponseEnd(outcome);
+                    self->onEndOf(number, outcome);
                 }
             },
             // What the upstream wants may have changed while the connection was established.
-            [weak] {
+            [weak, number] {
                 const auto self = weak.lock();
                 if (self) {
                     recordConnected(*self->reach, self->now());
                 }
-                const bool maySend = self && self->attempt.upstream
-                                     && self->isUsable(self->gateway.upstreams.find(
-                                         self->attempt.upstream->replica.id));
+                const bool maySend =
+                    self && self->attempt.number == number && self->attempt.upstream
+                    && self->isUsable(
+                        self->gateway.upstreams.find(self->attempt.upstream->replica.id));
                 if (maySend) {
                     self->onSending();
                 }
--- a/gateway/gatewayrequestforward.cpp
+++ b/gateway/gatewayrequestforward.cpp
@@ -50,12 +50,15 @@
 
 void RequestHandler::sendForwarded(const Endpoint &target)
 {
+    this->attempt.number = ++this->lastAttemptNumber;
     this->attempt.phase = Phase::Forwarding;
+    this->attempt.isForwarded = true;
     this->attempt.headReceived = false;
     this->attempt.responseBody.clear();
     this->attempt.bufferShare.clear();
     this->attempt.response = {};
     this->attempt.eventRelay.dropPartial();
+    this->attempt.version.reset();
     this->stream.currentVersion.reset();
     this->attempt.sentAt = this->now();
     const std::uint64_t version = this->routingTable->config().version;
@@ -83,18 +86,20 @@
 ResponseHandlers RequestHandler::forwardHandlers()
 {
     const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
-    return {[weak](const MessageHead &head) {
+    const std::uint64_t number = this->attempt.number;
+    return {[weak, number](const MessageHead &head) {
                 const auto self = weak.lock();
-                return !self || self->onForwardHead(head);
+                return !self || self->onHeadOf(number, head);
             },
-            [weak](std::string_view bytes) {
-                if (const auto self = weak.lock()) {
+            [weak, number](std::string_view bytes) {
+                const auto self = weak.lock();
+                if (self && self->continueWith(number)) {
                     self->onForwardBody(bytes);
                 }
             },
-            [weak](ResponseOutcome outcome) {
+            [weak, number](ResponseOutcome outcome) {
                 if (const auto self = weak.lock()) {
-                    self->onForwardEnd(outcome);
+                    self->onEndOf(number, outcome);
                 }
             },
             {}};
@@ -108,12 +113,14 @@
     }
     this->attempt.response = std::move(decoded);
     this->attempt.headReceived = true;
-    this->wasNotAccepted =
+    this->attempt.headReceivedAt = this->now();
+    this->attempt.wasNotAccepted =
         takeField(this->attempt.response.forwardedFields, notAcceptedField).has_value();
     const auto responding =
         takeField(this->attempt.response.forwardedFields, respondingUpstreamField);
     const auto version = takeField(this->attempt.response.forwardedFields, respondingVersionField);
-    this->stream.currentVersion = version ? parseHash(*version) : std::nullopt;
+    this->attempt.version = version ? parseHash(*version) : std::nullopt;
+    this->stream.currentVersion = this->attempt.version;
     const auto source = responding ? this->gateway.upstreams.find(*responding) : nullptr;
     if (source && this->attempt.response.isDraining) {
         this->recordDraining(source->replica);
@@ -155,7 +162,7 @@
         return;
     }
     this->attempt.connection.reset();
-    if (this->wasNotAccepted) {
+    if (this->attempt.wasNotAccepted) {
         this->forwardAgainOrFail("not accepted");
         return;
     }
@@ -170,12 +177,13 @@
 {
     // The other router may have sent the request to an upstream.
     this->possibleExecutions += 1;
-    const bool mayRepeat =
-        isRetryable(*this->route) && this->possibleExecutions < this->route->maxAttempts
-        && this->gateway.retryBudgets.tryWithdraw(this->service, this->gateway.routerCount(),
-                                                  this->now());
+    const bool mayRepeat = isRetryable(*this->route)
+                           && this->possibleExecutions < this->route->maxAttempts
+                           && this->withdrawRetry(RetryNeed::Recovery);
     if (!mayRepeat || !this->forward("lost")) {
         this->attempt.connection.reset();
+        // It is counted already.
+        this->attempt.phase = Phase::Selecting;
         this->fail();
     }
 }
@@ -195,15 +203,11 @@
     // Without another router the one that has the request may still respond.
     const auto target =
         !this->attempt.headReceived && this->canRetry() ? this->nextForwardTarget() : std::nullopt;
-    const bool mayRepeat = target
-                           && this->gateway.retryBudgets.tryWithdraw(
-                               this->service, this->gateway.routerCount(), this->now());
-    if (!mayRepeat) {
+    if (!target || !this->withdrawRetry(RetryNeed::Precaution)) {
         this->armTimer(this->deadline);
         return;
     }
-    this->possibleExecutions += 1;
-    this->attempt.connection->abort();
+    this->suspendAttempt("silent");
     this->forwardTo(*target, "silent");
 }
 
--- a/gateway/gatewayrequesthandler.cpp
+++ b/gateway/gatewayrequesthandler.cpp
@@ -24,8 +24,6 @@
 /// Multiple of the longest pause that callers accept within a stream, after which the stream is
 /// resumed on another upstream.
 constexpr double stallPauseFactor = 1.5;
-/// Interval at which a request whose upstream is silent looks for another one.
-constexpr Milliseconds alternativeCheckInterval{100};
 
 } // namespace
 
@@ -264,6 +262,9 @@
         this->fail();
         return;
     }
+    if (this->waitForAccepted()) {
+        return;
+    }
     if (this->attempt.phase == Phase::Forwarding) {
         this->onForwardTimeout();
         return;
@@ -296,11 +297,11 @@
                                            this->attempt.isRunning ? ContactFailure::NoResponse
                                                                    : ContactFailure::ConnectFailed);
     }
-    if (this->leaveUpstream(isBusy ? "busy" : "silent")) {
+    if (this->tryElsewhere(isBusy ? "busy" : "silent")) {
         return;
     }
     // The response may still arrive before the deadline, or another upstream become available.
-    this->armTimer(this->canRetry() ? this->now() + alternativeCheckInterval : this->deadline);
+    this->armTimer(this->canRetry() ? this->now() + this->nextTryDelay : this->deadline);
 }
 
 void RequestHandler::recordUpstreamFault(UpstreamFault fault)
@@ -328,15 +329,23 @@
            && crashCountOf(this->suspects, this->gateway.crashQuarantine) < crashesForNoRetry;
 }
 
-bool RequestHandler::retry(std::string_view why)
+bool RequestHandler::withdrawRetry(RetryNeed need)
 {
-    if (this->remainingTime() < minRemainingTime
-        || !this->gateway.retryBudgets.tryWithdraw(this->service, this->gateway.routerCount(),
-                                                   this->now())) {
+    const bool isWithdrawn = this->remainingTime() >= minRemainingTime
+                             && this->gateway.retryBudgets.tryWithdraw(
+                                 this->service, this->gateway.routerCount(), this->now(), need);
+    if (!isWithdrawn && need == RetryNeed::Recovery) {
         logEvent(Event::RetryBudgetSpent,
                  {{"request", this->request->attemptId},
                   {"service", this->service},
                   {"left_ms", std::to_string(this->remainingTime().count())}});
+    }
+    return isWithdrawn;
+}
+
+bool RequestHandler::retry(std::string_view why)
+{
+    if (!this->withdrawRetry(RetryNeed::Recovery)) {
         return false;
     }
     this->coordinatorRejections = 0;
@@ -360,7 +369,7 @@
 
 bool RequestHandler::mayRunElsewhere() const
 {
-    return this->returnedTo.empty() || this->possibleExecutions < this->route->maxAttempts;
+    return this->onlyUpstream.empty();
 }
 
 void RequestHandler::logRetry(std::string_view why) const
@@ -403,7 +412,7 @@
 
 void RequestHandler::fail()
 {
-    if (this->returnToLeftUpstream()) {
+    if (this->returnToSilent()) {
         return;
     }
     if (this->failedResponse) {
@@ -459,6 +468,7 @@
 
 void RequestHandler::finish(std::string_view outcome)
 {
+    this->giveUpSilent();
     this->attempt.phase = Phase::Done;
     this->timer.cancel();
     this->caller->keepUntilWritten(std::move(this->attempt.bufferShare));
--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -24,6 +24,10 @@
 /// Remaining time below which an attempt is pointless.
 inline constexpr Milliseconds minRemainingTime{10};
 
+/// Time after which a request whose upstream is silent is tried elsewhere again. It doubles with
+/// each try that no upstream accepts.
+inline constexpr Milliseconds firstTryDelay{100};
+
 /// How long no permit is requested from a coordinator that did not respond; the time of a few
 /// updates, by which a failed one is replaced.
 inline constexpr Milliseconds silentCoordinatorBlock{300};
@@ -135,15 +139,42 @@
     void selectAndDispatch();
     /// \returns the upstreams among which one is selected, and the selected one.
     [[nodiscard]] CandidateChoice chooseUpstream();
-    /// \returns whether another upstream can take the request on. Until then the running attempt
-    /// must not be given up.
+    /// \returns whether another upstream can take the request on.
     [[nodiscard]] bool hasAlternative();
-    /// Gives the running attempt up for one at another upstream, if there is one and the request
-    /// may be retried. \returns whether it did.
-    bool leaveUpstream(std::string_view why);
-    /// Sends the request to an upstream again that was left while it ran it, as no other one took
-    /// it. \returns whether there is such an upstream.
-    bool returnToLeftUpstream();
+    /// Tries another upstream, if there is one and the request may be retried. The silent one is
+    /// left only once that one has accepted the request. \returns whether it did.
+    bool tryElsewhere(std::string_view why);
+    /// Begins a new attempt beside the current one, which may still get a response.
+    void suspendAttempt(std::string_view why);
+    /// Ends the current attempt and returns to the last one whose upstream is silent.
+    /// \returns whether there is one.
+    bool returnToSilent();
+    /// Sends the request to its silent upstream again, on another connection: the first one may be
+    /// dead. \returns whether it did.
+    bool sendAgain();
+    /// Gives up the attempts whose upstreams are silent, because the current one was accepted.
+    void giveUpSilent();
+    /// Gives up \a other, which is not the current attempt.
+    void giveUp(RequestAttempt &other);
+    /// \returns the silent attempt with that number, if there is one.
+    [[nodiscard]] std::vector<RequestAttempt>::iterator findSilent(std::uint64_t number);
+    /// Makes the attempt with that number, to which a response arrives, the only one.
+    /// \returns false if there is none.
+    bool continueWith(std::uint64_t number);
+    /// Handles the head of a response to any attempt. \returns false if it belongs to another
+    /// request.
+    bool onHeadOf(std::uint64_t number, const MessageHead &head);
+    bool onAnyHead(const MessageHead &head);
+    bool onSilentHead(RequestAttempt &silent, const MessageHead &head);
+    void onEndOf(std::uint64_t number, ResponseOutcome outcome);
+    /// A silent attempt has ended without a response that the caller can get.
+    void onSilentEnd(RequestAttempt &silent, ResponseOutcome outcome);
+    /// Records the end of the current attempt, whose response the caller does not get.
+    void recordAttemptEnd(ResponseOutcome outcome);
+    /// Gives a stream that another upstream has accepted some time for its first event, before the
+    /// silent attempts are given up. \returns whether there is such a stream.
+    bool waitForAccepted();
+    void logReturn(std::string_view why) const;
     /// Forwards the request if none of the upstreams that this router can connect to has room for
     /// it, and others serve other routers. \returns whether it was forwarded.
     bool forwardForLackOfReach(std::span<UpstreamState *const> candidates,
@@ -216,6 +247,11 @@
     void onResponseBody(std::string_view bytes);
     void onResponseEnd(ResponseOutcome end);
     void onConnectFailed();
+    void recordConnectFailure();
+    void recordConnectionLoss();
+    void recordInvalidResponse();
+    /// Records that the upstream has rejected the request.
+    void recordRejection();
     /// Selects another upstream, because the one that was connected to no longer accepts requests.
     void onWithheld();
     void onNotExecuted();
@@ -237,13 +273,14 @@
     /// Feeds the time for which the request held its slot to the service's estimator.
     void recordHoldTime();
 
+    /// Takes the token for one retry. \returns whether there was one.
+    bool withdrawRetry(RetryNeed need);
     /// Retries on another upstream. \returns false if no time or no retry budget is left.
     bool retry(std::string_view why);
     [[nodiscard]] bool canRetry() const;
     /// Gives up the current attempt, which counts if it may have run, and selects an upstream.
     void startNextAttempt(std::string_view why);
-    /// \returns false if the request has returned to an upstream after its last attempt, so that no
-    /// other one may run it.
+    /// \returns false if the request is sent to an upstream again, and no other one may run it.
     [[nodiscard]] bool mayRunElsewhere() const;
     void releaseUpstream();
     /// \returns whether an upstream may have executed the request, also in part.
@@ -316,19 +353,24 @@
     ServiceReach *reach = nullptr;
     /// Hosts of the routers that the request was forwarded to.
     std::vector<std::string> forwardHosts;
-    /// The router that the request was forwarded to has returned it.
-    bool wasNotAccepted = false;
     std::vector<std::uint64_t> prefixHashes;
     RequestSuspects suspects;
     TimePoint deadline;
     asio::steady_timer timer;
+    /// The attempt that is being made.
     RequestAttempt attempt{this->gateway.responseBuffers};
+    /// Earlier attempts whose upstreams are silent and may still respond. They are given up once
+    /// the current one was accepted.
+    std::vector<RequestAttempt> silentAttempts;
+    std::uint64_t lastAttemptNumber = 0;
     std::vector<std::string> triedUpstreams;
-    /// The upstream that was last left while it ran the request; empty if none was, or if the
-    /// request was sent there again.
-    std::string leftUpstream;
-    /// The upstream that the request was last sent to again; empty if it was not.
-    std::string returnedTo;
+    /// The only upstream that may be selected, because the request is sent to it again; empty if
+    /// all may.
+    std::string onlyUpstream;
+    /// Since the last event the request was sent to a silent upstream again.
+    bool isSentAgain = false;
+    /// Time until the next attempt at another upstream if the current one stays silent.
+    Milliseconds nextTryDelay = firstTryDelay;
     /// Number of upstreams that may have executed the request.
     std::uint32_t possibleExecutions = 0;
     std::uint32_t connectFailures = 0;
--- a/gateway/gatewayrequestresponse.cpp
+++ b/gateway/gatewayrequestresponse.cpp
@@ -219,6 +219,9 @@
     if (completeEvents.empty()) {
         return true;
     }
+    this->giveUpSilent();
+    this->isSentAgain = false;
+    this->nextTryDelay = firstTryDelay;
     this->recordStreamEvents();
     this->attempt.isSilenceRecorded = false;
     this->writeEvents(completeEvents);
@@ -264,9 +267,8 @@
     }
     this->attempt.isRunning = false;
     if (outcome != ResponseOutcome::Complete) {
-        // The upstream may go on with a run whose response cannot be read.
-        this->releaseGrant(GrantEnd::Abandoned);
-        this->onFault(UpstreamFault::InvalidResponse);
+        this->recordInvalidResponse();
+        this->retryOrFail(UpstreamFault::InvalidResponse);
         return;
     }
     this->gateway.upstreams.release(*this->attempt.upstream, this->attempt.connection);
@@ -278,12 +280,25 @@
     this->onCompleteResponse();
 }
 
-void RequestHandler::onConnectFailed()
+void RequestHandler::recordInvalidResponse()
+{
+    this->attempt.isRunning = false;
+    // The upstream may go on with a run whose response cannot be read.
+    this->releaseGrant(GrantEnd::Abandoned);
+    this->recordUpstreamFault(UpstreamFault::InvalidResponse);
+}
+
+void RequestHandler::recordConnectFailure()
 {
     this->recordUpstreamFault(UpstreamFault::Unreachable);
     this->gateway.recordContactFailure(this->attempt.upstream->replica,
                                        ContactFailure::ConnectFailed);
     this->gateway.recordUpstreamDown(this->attempt.upstream->replica);
+}
+
+void RequestHandler::onConnectFailed()
+{
+    this->recordConnectFailure();
     this->releaseUpstream();
     this->connectFailures += 1;
     if (this->connectFailures >= maxConnectFailures) {
@@ -307,7 +322,7 @@
     this->selectAndDispatch();
 }
 
-void RequestHandler::onNotExecuted()
+void RequestHandler::recordRejection()
 {
     // "Misdirected" means that the address belongs to another upstream now; the store will report
     // it.
@@ -330,10 +345,15 @@
             true);
         this->attempt.upstream->permitBlockedUntil = this->now() + brittleDenialWait;
     }
+}
+
+void RequestHandler::onNotExecuted()
+{
+    this->recordRejection();
     this->releaseUpstream();
     this->suspects.hasUnusedTrials = !this->suspects.trials.empty();
     this->rejections += 1;
-    if (this->rejections > maxRejections || !this->mayRunElsewhere()
+    if (!this->silentAttempts.empty() || this->rejections > maxRejections
         || !this->retry("turned away")) {
         this->fail();
     }
@@ -356,8 +376,8 @@
         this->failedResponse = FailedResponse{
             this->attempt.response.status, std::move(this->attempt.response.forwardedFields),
             std::move(this->attempt.responseBody), std::move(this->attempt.bufferShare)};
-        if (!this->canRetry() || !this->retry("failed")) {
-            this->forwardFailure();
+        if (!this->silentAttempts.empty() || !this->canRetry() || !this->retry("failed")) {
+            this->fail();
         }
         return;
     }
@@ -389,6 +409,10 @@
 
 void RequestHandler::forwardResponse()
 {
+    const bool isStreamError = this->responseStarted || this->withheld;
+    if (isStreamError && this->returnToSilent()) {
+        return;
+    }
     this->releaseUpstream();
     if (this->responseStarted) {
         // The upstream refused to resume the stream. What the caller has received is incomplete.
@@ -423,11 +447,16 @@
     this->retryOrFail(fault);
 }
 
-void RequestHandler::onConnectionLost()
+void RequestHandler::recordConnectionLoss()
 {
     this->recordUpstreamFault(UpstreamFault::ConnectionLost);
     this->gateway.recordContactFailure(this->attempt.upstream->replica, ContactFailure::NoResponse);
     this->recordUnansweredRun(RunEnd::ConnectionLost);
+}
+
+void RequestHandler::onConnectionLost()
+{
+    this->recordConnectionLoss();
     this->attempt.phase = Phase::Probing;
     this->armTimer(this->now() + maxProbeWait);
     const std::weak_ptr<RequestHandler> weak = this->weak_from_this();
@@ -441,7 +470,7 @@
 
 void RequestHandler::retryOrFail(UpstreamFault fault)
 {
-    if (!this->canRetry() || !this->retry(nameOf(fault))) {
+    if (!this->silentAttempts.empty() || !this->canRetry() || !this->retry(nameOf(fault))) {
         this->fail();
     }
 }
--- a/gateway/gatewayrequestslots.cpp
+++ b/gateway/gatewayrequestslots.cpp
@@ -28,13 +28,13 @@
 RequestHandler::excludedUpstreams(std::span<UpstreamState *const> candidates) const
 {
     std::vector<std::string> excluded = this->triedUpstreams;
-    const bool isBound = !this->mayRunElsewhere();
+    const bool isBound = !this->onlyUpstream.empty();
     if (this->grantSequence.denials.empty() && !isBound) {
         return excluded;
     }
     for (const UpstreamState *const candidate : candidates) {
         const std::string &id = candidate->replica.id;
-        if ((isBound && id != this->returnedTo) || wasDenied(this->grantSequence, hashOf(id))) {
+        if ((isBound && id != this->onlyUpstream) || wasDenied(this->grantSequence, hashOf(id))) {
             excluded.push_back(id);
         }
     }
--- a/gateway/requestattempt.h
+++ b/gateway/requestattempt.h
@@ -2,9 +2,12 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "plantainswitch/routing/eventstream.h"
+#include "plantainswitch/routing/streamorigin.h"
 
 #include "gatewaystate.h"
 
@@ -29,10 +32,20 @@
         : bufferShare(buffers)
     {}
 
+    /// Identifies what was last sent, among all that was sent for the request.
+    std::uint64_t number = 0;
     AttemptPhase phase = AttemptPhase::Selecting;
+    /// It was sent to another router and not to an upstream.
+    bool isForwarded = false;
     std::shared_ptr<UpstreamState> upstream;
     std::shared_ptr<UpstreamConnection> connection;
     std::string connectionPath;
+    /// The upstreams that were tried before another one was, while this one was silent.
+    std::vector<std::string> triedUpstreams;
+    /// The router that the request was forwarded to has returned it.
+    bool wasNotAccepted = false;
+    /// Version of the upstream; nothing if unknown.
+    std::optional<VersionKey> version;
     /// The silence of the upstream counts as its fault already.
     bool isSilenceRecorded = false;
     /// Nothing is read from the upstream until the caller has read what is queued for it.
--- a/include/plantainswitch/observe/event.h
+++ b/include/plantainswitch/observe/event.h
@@ -60,6 +60,7 @@
     RequestRetried = 405,
     RequestEnded = 406,
     RequestNotAdmitted = 407,
+    RequestReturned = 408,
     ClaimUnavailable = 410,
     ClaimTaken = 411,
     ClaimReleased = 412,
--- a/include/plantainswitch/routing/fleetretrybudget.h
+++ b/include/plantainswitch/routing/fleetretrybudget.h
@@ -21,6 +21,14 @@
     double usableShare = 0.7;
 };
 
+/// What a retry is for.
+enum class RetryNeed : std::uint8_t {
+    /// The attempt before it has failed.
+    Recovery,
+    /// The attempt before it may still succeed.
+    Precaution,
+};
+
 /// Token buckets for the retries of one router, by service. Each router gets tokens for its own
 /// requests and holds an equal share of the margin, so that the sum over the fleet stays within the
 /// limit without coordination.
@@ -34,11 +42,11 @@
     /// Adds the tokens for one request to \a service.
     /// \param routers number of routers in the fleet
     void deposit(const std::string &service, std::uint32_t routers, TimePoint now);
-    /// Takes the token for one retry.
+    /// Takes the token for one retry. A part of the tokens is kept for RetryNeed::Recovery.
     /// \param routers number of routers in the fleet
     /// \returns whether there was one.
-    [[nodiscard]] bool tryWithdraw(const std::string &service, std::uint32_t routers,
-                                   TimePoint now);
+    [[nodiscard]] bool tryWithdraw(const std::string &service, std::uint32_t routers, TimePoint now,
+                                   RetryNeed need = RetryNeed::Recovery);
     /// \returns the tokens left for \a service.
     [[nodiscard]] double remaining(const std::string &service) const;
 
@@ -49,6 +57,8 @@
         TimePoint refilledAt;
     };
 
+    /// \returns this router's share of the margin.
+    [[nodiscard]] double shareOf(std::uint32_t routers) const noexcept;
     Account &refill(const std::string &service, std::uint32_t routers, TimePoint now);
 
     FleetRetryLimit limit;
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -55,6 +55,7 @@
     EventRow{Event::RequestRetried, "request-retried", Severity::Info},
     EventRow{Event::RequestEnded, "request-ended", Severity::Info},
     EventRow{Event::RequestNotAdmitted, "request-not-admitted", Severity::Info},
+    EventRow{Event::RequestReturned, "request-returned", Severity::Info},
     EventRow{Event::ClaimUnavailable, "claim-unavailable", Severity::Warning},
     EventRow{Event::ClaimTaken, "claim-taken", Severity::Info},
     EventRow{Event::ClaimReleased, "claim-released", Severity::Info},
--- a/src/routing/fleetretrybudget.cpp
+++ b/src/routing/fleetretrybudget.cpp
@@ -4,11 +4,22 @@
 
 namespace plantainswitch {
 
+namespace {
+
+/// Part of a router's share of the margin that is not spent on attempts which may prove needless.
+constexpr double reservedShare = 0.25;
+
+} // namespace
+
+double FleetRetryBudget::shareOf(std::uint32_t routers) const noexcept
+{
+    return this->limit.usableShare * this->limit.margin / std::max<std::uint32_t>(routers, 1);
+}
+
 FleetRetryBudget::Account &FleetRetryBudget::refill(const std::string &service,
                                                     std::uint32_t routers, TimePoint now)
 {
-    const double share =
-        this->limit.usableShare * this->limit.margin / std::max<std::uint32_t>(routers, 1);
+    const double share = this->shareOf(routers);
     const auto [found, isNew] = this->accounts.try_emplace(service);
     Account &account = found->second;
     if (isNew) {
@@ -30,10 +41,13 @@
     account.tokens += this->limit.usableShare * this->limit.ratio;
 }
 
-bool FleetRetryBudget::tryWithdraw(const std::string &service, std::uint32_t routers, TimePoint now)
+bool FleetRetryBudget::tryWithdraw(const std::string &service, std::uint32_t routers, TimePoint now,
+                                   RetryNeed need)
 {
     Account &account = this->refill(service, routers, now);
-    if (account.tokens < 1.0) {
+    const double kept =
+        need == RetryNeed::Precaution ? reservedShare * this->shareOf(routers) : 0.0;
+    if (account.tokens < 1.0 + kept) {
         return false;
     }
     account.tokens -= 1.0;
--- a/tests/fleetretrybudget.cpp
+++ b/tests/fleetretrybudget.cpp
@@ -57,6 +57,18 @@
     }
 }
 
+TEST_CASE_METHOD(FleetRetriesFixture, "fleetRetries_spentOnPrecautions_leaveSomeForRecoveries",
+                 "[routing]")
+{
+    // Guards against requests whose upstream has failed and that end because others were retried
+    // although theirs might still respond.
+    constexpr std::uint32_t routers = 8;
+    FleetRetryBudget retries(this->limit);
+    while (retries.tryWithdraw("model", routers, this->clock.now(), RetryNeed::Precaution)) {
+    }
+    CHECK(spendAll(retries, routers, this->clock.now()) >= 1);
+}
+
 TEST_CASE_METHOD(FleetRetriesFixture, "fleetRetries_quietService_savesNoMoreThanItsShare",
                  "[routing]")
 {
--- a/tests/gatewaysilences.cpp
+++ b/tests/gatewaysilences.cpp
@@ -67,6 +67,84 @@
     std::atomic<int> rejections = 0;
 };
 
+/// Upstreams that are silent for a while, and others that have no room.
+class GatewayFullFixture : public GatewayFixture
+{
+protected:
+    /// Adds an engine that falls silent after the first event of each stream, goes on, and takes no
+    /// stream that was begun elsewhere.
+    void addPausingEngine(const std::string &id)
+    {
+        this->addUpstream(id, "model", [this](ServerConnection &connection) {
+            while (const auto request = connection.read()) {
+                if (this->rejectResumed(connection, *request)) {
+                    continue;
+                }
+                ++this->pauses;
+                connection.send(makeStreamHead(*request) + makeChunk(makeEvent(1)));
+                if (connection.waitForEnd(silence)) {
+                    return;
+                }
+                connection.send(makeChunk(makeEvent(2)) + "0\r\n\r\n");
+            }
+        });
+    }
+
+    /// Adds an engine that runs new streams only.
+    void addFullEngine(const std::string &id)
+    {
+        this->addUpstream(id, "model", [this](ServerConnection &connection) {
+            while (const auto request = connection.read()) {
+                if (this->rejectResumed(connection, *request)) {
+                    continue;
+                }
+                connection.send(makeStreamHead(*request) + makeChunk(makeEvent(1)));
+                // Engines with as many streams get as many of the next ones.
+                if (connection.waitForEnd(silence / 2)) {
+                    return;
+                }
+                connection.send(makeChunk(makeEvent(2)) + "0\r\n\r\n");
+            }
+        });
+    }
+
+    /// Calls \a path \a count times at once. \returns the responses.
+    std::vector<ReceivedResponse> callAtOnce(const std::string &path, int count)
+    {
+        std::vector<ReceivedResponse> responses(count);
+        std::vector<std::thread> callers;
+        for (int i = 0; i < count; ++i) {
+            callers.emplace_back([this, &path, &response = responses[i], i] {
+                response = this->call(makeRequest(path, "a" + std::to_string(i)));
+            });
+        }
+        for (std::thread &caller : callers) {
+            caller.join();
+        }
+        return responses;
+    }
+
+    bool rejectResumed(ServerConnection &connection, const ReceivedRequest &request)
+    {
+        const bool isResumed = request.head.find("Last-Event-Id") != nullptr;
+        if (isResumed) {
+            this->reject(connection, request);
+        }
+        return isResumed;
+    }
+
+    void reject(ServerConnection &connection, const ReceivedRequest &request)
+    {
+        ++this->rejections;
+        connection.send(makeResponse(request, "", 503, "X-Not-Executed: 1\r\n"));
+    }
+
+    /// Longer than the pause from which an upstream counts as silent, one and a half seconds.
+    static constexpr std::chrono::milliseconds silence{2200};
+    std::atomic<int> pauses = 0;
+    std::atomic<int> rejections = 0;
+};
+
 /// Four upstreams and a route that allows two: the first one to run a stream falls silent after an
 /// event, the second one breaks off.
 class GatewayReturnsFixture : public GatewayFixture
@@ -216,6 +294,55 @@
     CHECK(this->rejections > 0);
 }
 
+TEST_CASE_METHOD(GatewayFullFixture, "silence_othersRejectManyStreams_allGoOnWhereTheyWere",
+                 "[gateway]")
+{
+    // Guards against streams that end because the retry budget was spent on upstreams without room.
+    constexpr int streams = 60;
+    this->addPausingEngine("model-0");
+    this->addFullEngine("model-1");
+    this->start();
+    int whole = 0;
+    for (const ReceivedResponse &response : this->callAtOnce("/stream/x", streams)) {
+        whole += response.isComplete && response.body == makeEvent(1) + makeEvent(2) ? 1 : 0;
+    }
+    CHECK(whole == streams);
+    REQUIRE(this->pauses > streams / 4);
+    const FleetRetryLimit limit;
+    CHECK(this->rejections > 0);
+    CHECK(this->rejections <= limit.ratio * streams + limit.margin);
+}
+
+TEST_CASE_METHOD(GatewayFullFixture, "silence_beforeResponseAndOtherRejects_requestRunsOnce",
+                 "[gateway]")
+{
+    // Guards against a second run of a request whose first one was given up for an upstream without
+    // room.
+    constexpr int requests = 6;
+    constexpr std::chrono::milliseconds delay{1200};
+    this->addUpstream("plain-0", "plain", [this](ServerConnection &connection) {
+        while (const auto request = connection.read()) {
+            ++this->pauses;
+            if (connection.waitForEnd(delay)) {
+                return;
+            }
+            connection.send(makeResponse(*request, "late"));
+        }
+    });
+    this->addUpstream("plain-1", "plain", [this](ServerConnection &connection) {
+        while (const auto request = connection.read()) {
+            this->reject(connection, *request);
+        }
+    });
+    this->start();
+    for (const ReceivedResponse &response : this->callAtOnce("/safe/x", requests)) {
+        CHECK(response.isComplete);
+        CHECK(response.body == "late");
+    }
+    CHECK(this->pauses == requests);
+    CHECK(this->rejections > 0);
+}
+
 TEST_CASE_METHOD(GatewaySilencesFixture, "silence_causedByASlowCaller_isNoFaultOfTheUpstream",
                  "[gateway]")
 {
