--- a/gateway/gatewayrequesthandler.h
+++ b/gateway/gatewayrequesthandler.h
@@ -61,15 +61,6 @@
         BufferShare share;
     };
 
-    /// The begin of a stream's response that the caller does not get before the stream's origin is
-    /// confirmed.
-    struct WithheldStream
-    {
-        std::string events;
-        /// The stream is complete.
-        bool isComplete = false;
-    };
-
     /// The upstreams among which one was selected, and the selected one.
     struct CandidateChoice
     {
--- a/gateway/requestattempt.h
+++ b/gateway/requestattempt.h
@@ -80,4 +80,13 @@
     EventRelay eventRelay;
 };
 
+/// The begin of a stream's response that the caller does not get before the stream's origin is
+/// confirmed.
+struct WithheldStream
+{
+    std::string events;
+    /// The stream is complete.
+    bool isComplete = false;
+};
+
 } // namespace plantainswitch::gateway
--- a/tests/gatewaysilences.cpp
+++ b/tests/gatewaysilences.cpp
@@ -113,6 +113,7 @@
     {
         std::vector<ReceivedResponse> responses(count);
         std::vector<std::thread> callers;
+        callers.reserve(count);
         for (int i = 0; i < count; ++i) {
             callers.emplace_back([this, &path, &response = responses[i], i] {
                 response = this->call(makeRequest(path, "a" + std::to_string(i)));
@@ -319,7 +320,7 @@
     // Guards against a second run of a request whose first one was given up for an upstream without
     // room.
     constexpr int requests = 6;
-    constexpr std::chrono::milliseconds delay{1200};
+    static constexpr std::chrono::milliseconds delay{1200};
     this->addUpstream("plain-0", "plain", [this](ServerConnection &connection) {
         while (const auto request = connection.read()) {
             ++this->pauses;
