Give up an unconfirmed stream after 600 ms

A caller whose router was cut off with its store waited a second for an event that could not come, although the router knows after 400 ms that no witness responds.

--- a/include/plantainswitch/routing/originconfirmation.h
+++ b/include/plantainswitch/routing/originconfirmation.h
@@ -18,7 +18,7 @@
 inline constexpr Milliseconds originConfirmationTimeout{400};
 /// Time after which a stream whose origin was not confirmed is given up. Its caller has no event of
 /// it, and begins it anew at another router.
-inline constexpr Milliseconds originConfirmationDeadline{1000};
+inline constexpr Milliseconds originConfirmationDeadline{600};
 /// Witnesses that are asked at once.
 inline constexpr std::size_t witnessesAtOnce = 2;
 
