Probe an upstream whose silent run is kept

Cause: a run that was left because of silence used to be probed 250 ms later, so that a crash counts against its request. Since such a run is kept beside the next attempt, it was probed only once it was given up.

Change: the probe is scheduled when the attempt is kept, as before.

There is no test of the probe's time.

--- a/gateway/gatewayrequestsilence.cpp
+++ b/gateway/gatewayrequestsilence.cpp
@@ -46,6 +46,9 @@
     next.eventRelay = this->attempt.eventRelay;
     next.eventRelay.dropPartial();
     this->attempt.triedUpstreams = this->triedUpstreams;
+    if (this->attempt.upstream) {
+        this->gateway.scheduleProbe(this->attempt.upstream);
+    }
     this->possibleExecutions += 1;
     this->silentAttempts.push_back(std::exchange(this->attempt, std::move(next)));
     this->coordinatorRejections = 0;
