--- a/tests/foreignentries.cpp
+++ b/tests/foreignentries.cpp
@@ -207,6 +207,7 @@
         CHECK_FALSE(this->dialect.parseRouterEntry(*object));
         CHECK_FALSE(this->dialect.parseTrialRecord(*object));
         CHECK_FALSE(this->dialect.parseVersionRecord(*object));
+        CHECK_FALSE(this->dialect.parseOriginRecord(*object));
         CHECK_FALSE(this->dialect.parseRouting(object->document, fault));
         CHECK(this->dialect.parseEvacuation(*object, fault).has_value() == isEmptyObject);
     }
