--- a/include/plantainswitch/routing/originconfirmation.h
+++ b/include/plantainswitch/routing/originconfirmation.h
@@ -17,7 +17,7 @@
 /// Time without a confirmation after which no stream begins that needs one.
 inline constexpr Milliseconds originConfirmationTimeout{400};
 /// Time after which a stream whose origin was not confirmed is given up. Its caller has no event of
-/// it, and begins it anew at another router.
+/// it, and repeats it at another router.
 inline constexpr Milliseconds originConfirmationDeadline{600};
 /// Witnesses that are asked at once.
 inline constexpr std::size_t witnessesAtOnce = 2;
@@ -44,8 +44,8 @@
 /// The origins whose confirmation by a witness is pending.
 ///
 /// Invariant: while streams of several versions may be taken up, a caller gets the first event of
-/// one only after a witness, or the store, has confirmed its origin. So a version that nobody else
-/// can tell never has a caller.
+/// one only after a witness, or the store, has confirmed its origin. So no caller depends on a
+/// version that only its router knows.
 class OriginConfirmations
 {
 public:
